--- /dev/null
+++ b/src/framework/tests/stories.h
@@ -0,0 +1,10 @@
+// The stories of this module's test program.
+#pragma once
+
+#include "framework/testing/story.h"
+
+namespace oriolevane {
+
+void BoundedRingStory(testing::Section& aStory);
+
+} // namespace oriolevane
--- /dev/null
+++ b/src/framework/types/resources.h
@@ -0,0 +1,30 @@
+// Amounts of what a worker has and a task takes.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace oriolevane {
+
+// A vector of amounts. Processors in thousandths of a core, memory in MiB,
+// accelerators and slots in whole units. Amounts are never negative.
+struct Resources
+{
+  std::int64_t mMilliCores = 0;
+  std::int64_t mMemoryMiB = 0;
+  std::int64_t mAccelerators = 0;
+  std::int64_t mSlots = 0;
+
+  Resources& operator+=(const Resources& aOther);
+  Resources& operator-=(const Resources& aOther);
+  friend Resources operator+(Resources aLeft, const Resources& aRight) { return aLeft += aRight; }
+  friend Resources operator-(Resources aLeft, const Resources& aRight) { return aLeft -= aRight; }
+  bool operator==(const Resources&) const = default;
+
+  // True when every amount here is at most the one in aCapacity.
+  bool FitsIn(const Resources& aCapacity) const;
+  // True when no amount is below zero.
+  bool IsNonNegative() const;
+};
+
+} // namespace oriolevane
