--- a/src/framework/boundedring.h
+++ b/src/framework/boundedring.h
@@ -1,4 +1,5 @@
-// A bounded queue between two duties. A full ring refuses instead of growing, so that a slow duty pushes back.
+// A bounded queue between two duties. A full ring refuses instead of growing,
+// so that a slow duty pushes back.
 #pragma once
 
 #include <condition_variable>
@@ -13,7 +14,8 @@
 
 namespace oriolevane {
 
-// Any number of producers and consumers. Close() wakes all; what is queued can still be taken.
+// Any number of producers and consumers. Close() wakes all; what is queued can
+// still be taken.
 template<typename Item>
 class BoundedRing
 {
@@ -42,7 +44,8 @@
   {
     {
       std::unique_lock lock(mMutex);
-      mNotFull.wait(lock, [this] { return mClosed || mItems.size() < mCapacity; });
+      mNotFull.wait(lock,
+                    [this] { return mClosed || mItems.size() < mCapacity; });
       if (mClosed) {
         return false;
       }
@@ -52,13 +55,15 @@
     return true;
   }
 
-  // Takes up to aMost items, waiting at most aTimeout for the first. Empty on timeout or when closed and drained.
+  // Takes up to aMost items, waiting at most aTimeout for the first. Empty on
+  // timeout or when closed and drained.
   std::vector<Item> PopMany(std::size_t aMost, Duration aTimeout)
   {
     std::vector<Item> taken;
     {
       std::unique_lock lock(mMutex);
-      mNotEmpty.wait_for(lock, aTimeout, [this] { return mClosed || !mItems.empty(); });
+      mNotEmpty.wait_for(
+        lock, aTimeout, [this] { return mClosed || !mItems.empty(); });
       while (!mItems.empty() && taken.size() < aMost) {
         taken.push_back(std::move(mItems.front()));
         mItems.pop_front();
--- a/src/framework/internal/log.cpp
+++ b/src/framework/internal/log.cpp
@@ -35,7 +35,8 @@
 bool
 IsPlain(char aByte)
 {
-  return aByte > ' ' && aByte != '"' && aByte != '\\' && aByte != '=' && aByte != 0x7f;
+  return aByte > ' ' && aByte != '"' && aByte != '\\' && aByte != '=' &&
+         aByte != 0x7f;
 }
 
 void
@@ -74,9 +75,14 @@
 LogEvent::LogEvent(LogLevel aLevel, std::string_view aName)
   : mLevel(aLevel)
 {
-  const auto now = std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now());
+  const auto now = std::chrono::floor<std::chrono::milliseconds>(
+    std::chrono::system_clock::now());
   const auto millis = now.time_since_epoch().count() % 1000;
-  mLine = fmt::format("ts={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={}{}", fmt::gmtime(now), millis, LevelName(aLevel), logContext);
+  mLine = fmt::format("ts={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={}{}",
+                      fmt::gmtime(now),
+                      millis,
+                      LevelName(aLevel),
+                      logContext);
   AppendPair(mLine, "event", aName);
 }
 
--- a/src/framework/log.h
+++ b/src/framework/log.h
@@ -16,9 +16,10 @@
   Error
 };
 
-// One event. Pairs are appended in order; the line is written when the object goes out of scope.
-// Values are quoted and escaped when they hold spaces, quotes or control characters, and cut at a
-// length limit, so that text from outside cannot break a line.
+// One event. Pairs are appended in order; the line is written when the object
+// goes out of scope. Values are quoted and escaped when they hold spaces,
+// quotes or control characters, and cut at a length limit, so that text from
+// outside cannot break a line.
 class LogEvent
 {
 public:
@@ -42,10 +43,13 @@
 };
 
 // Events below this level are dropped. Process-wide.
-void SetLogLevel(LogLevel aLevel);
+void
+SetLogLevel(LogLevel aLevel);
 
-// A value of a set that is written for every line, e.g. the node's name. Set before threads start.
-void SetLogContext(std::string_view aKey, std::string_view aValue);
+// A value of a set that is written for every line, e.g. the node's name. Set
+// before threads start.
+void
+SetLogContext(std::string_view aKey, std::string_view aValue);
 
 inline LogEvent
 LogInfo(std::string_view aName)
--- a/src/framework/stablehash.h
+++ b/src/framework/stablehash.h
@@ -1,4 +1,5 @@
-// Hashes that are equal on every node and in every run (XXH64), for placing keys on partitions, shards and nodes.
+// Hashes that are equal on every node and in every run (XXH64), for placing
+// keys on partitions, shards and nodes.
 #pragma once
 
 #include <cstdint>
@@ -7,9 +8,11 @@
 namespace oriolevane {
 
 // XXH64 of the bytes with the given seed.
-std::uint64_t StableHash(std::string_view aBytes, std::uint64_t aSeed = 0);
+std::uint64_t
+StableHash(std::string_view aBytes, std::uint64_t aSeed = 0);
 
 // Mixes two hashes into one, order-sensitive.
-std::uint64_t CombineHash(std::uint64_t aLeft, std::uint64_t aRight);
+std::uint64_t
+CombineHash(std::uint64_t aLeft, std::uint64_t aRight);
 
 } // namespace oriolevane
--- a/src/framework/testing/story.cpp
+++ b/src/framework/testing/story.cpp
@@ -39,7 +39,10 @@
     std::cout << aTest->getName() << std::flush;
   }
   void addFailure(const CppUnit::TestFailure&) override { mFailed = true; }
-  void endTest(CppUnit::Test*) override { std::cout << (mFailed ? ": FAILED" : ": ok") << std::endl; }
+  void endTest(CppUnit::Test*) override
+  {
+    std::cout << (mFailed ? ": FAILED" : ": ok") << std::endl;
+  }
 
 private:
   bool mFailed = false;
@@ -54,7 +57,8 @@
 }
 
 Section&
-Section::Describe(const std::string& aName, const std::function<void(Section&)>& aBody)
+Section::Describe(const std::string& aName,
+                  const std::function<void(Section&)>& aBody)
 {
   Section nested(mPath + " / " + aName);
   aBody(nested);
--- a/src/framework/tests/boundedring_test.cpp
+++ b/src/framework/tests/boundedring_test.cpp
@@ -14,7 +14,8 @@
       CPPUNIT_ASSERT(ring.TryPush(1));
       CPPUNIT_ASSERT(ring.TryPush(2));
       CPPUNIT_ASSERT(!ring.TryPush(3));
-      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, ring.PopMany(10, Duration::zero()).size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 },
+                           ring.PopMany(10, Duration::zero()).size());
     });
   });
   aStory.Describe("a closed ring", [](Section& aSection) {
--- a/src/framework/tests/main.cpp
+++ b/src/framework/tests/main.cpp
@@ -3,5 +3,6 @@
 int
 main(int aCount, char** aArguments)
 {
-  return oriolevane::testing::RunStories(aCount, aArguments, { { "bounded ring", oriolevane::BoundedRingStory } });
+  return oriolevane::testing::RunStories(
+    aCount, aArguments, { { "bounded ring", oriolevane::BoundedRingStory } });
 }
--- a/src/framework/tests/stories.h
+++ b/src/framework/tests/stories.h
@@ -5,6 +5,7 @@
 
 namespace oriolevane {
 
-void BoundedRingStory(testing::Section& aStory);
+void
+BoundedRingStory(testing::Section& aStory);
 
 } // namespace oriolevane
--- a/src/framework/types/ids.h
+++ b/src/framework/types/ids.h
@@ -56,10 +56,12 @@
 using PartitionId = NumberId<struct PartitionIdTag, std::uint32_t>;
 // Ownership term of a shard or partition; a higher epoch fences all lower ones.
 using Epoch = NumberId<struct EpochTag, std::uint64_t>;
-// Changes with each start of a process, so that a restarted node is not taken for its predecessor.
+// Changes with each start of a process, so that a restarted node is not taken
+// for its predecessor.
 using Incarnation = NumberId<struct IncarnationTag, std::uint64_t>;
 // Number of a configuration version.
-using ConfigurationVersion = NumberId<struct ConfigurationVersionTag, std::uint64_t>;
+using ConfigurationVersion =
+  NumberId<struct ConfigurationVersionTag, std::uint64_t>;
 
 } // namespace oriolevane
 
@@ -75,14 +77,16 @@
 template<typename Tag, typename Number>
 struct std::hash<oriolevane::NumberId<Tag, Number>>
 {
-  std::size_t operator()(const oriolevane::NumberId<Tag, Number>& aId) const noexcept
+  std::size_t operator()(
+    const oriolevane::NumberId<Tag, Number>& aId) const noexcept
   {
     return std::hash<Number>{}(aId.mValue);
   }
 };
 
 template<typename Tag>
-struct fmt::formatter<oriolevane::TextId<Tag>> : fmt::formatter<std::string_view>
+struct fmt::formatter<oriolevane::TextId<Tag>>
+  : fmt::formatter<std::string_view>
 {
   template<typename Context>
   auto format(const oriolevane::TextId<Tag>& aId, Context& aContext) const
@@ -92,10 +96,12 @@
 };
 
 template<typename Tag, typename Number>
-struct fmt::formatter<oriolevane::NumberId<Tag, Number>> : fmt::formatter<Number>
+struct fmt::formatter<oriolevane::NumberId<Tag, Number>>
+  : fmt::formatter<Number>
 {
   template<typename Context>
-  auto format(const oriolevane::NumberId<Tag, Number>& aId, Context& aContext) const
+  auto format(const oriolevane::NumberId<Tag, Number>& aId,
+              Context& aContext) const
   {
     return fmt::formatter<Number>::format(aId.mValue, aContext);
   }
--- a/src/framework/types/resources.cpp
+++ b/src/framework/types/resources.cpp
@@ -25,7 +25,8 @@
 bool
 Resources::FitsIn(const Resources& aCapacity) const
 {
-  return mMilliCores <= aCapacity.mMilliCores && mMemoryMiB <= aCapacity.mMemoryMiB &&
+  return mMilliCores <= aCapacity.mMilliCores &&
+         mMemoryMiB <= aCapacity.mMemoryMiB &&
          mAccelerators <= aCapacity.mAccelerators && mSlots <= aCapacity.mSlots;
 }
 
--- a/src/framework/types/resources.h
+++ b/src/framework/types/resources.h
@@ -17,8 +17,14 @@
 
   Resources& operator+=(const Resources& aOther);
   Resources& operator-=(const Resources& aOther);
-  friend Resources operator+(Resources aLeft, const Resources& aRight) { return aLeft += aRight; }
-  friend Resources operator-(Resources aLeft, const Resources& aRight) { return aLeft -= aRight; }
+  friend Resources operator+(Resources aLeft, const Resources& aRight)
+  {
+    return aLeft += aRight;
+  }
+  friend Resources operator-(Resources aLeft, const Resources& aRight)
+  {
+    return aLeft -= aRight;
+  }
   bool operator==(const Resources&) const = default;
 
   // True when every amount here is at most the one in aCapacity.
--- a/src/framework/types/timepoint.h
+++ b/src/framework/types/timepoint.h
@@ -1,4 +1,5 @@
-// The clock of all decisions: monotonic, local to one process, never compared between nodes.
+// The clock of all decisions: monotonic, local to one process, never compared
+// between nodes.
 #pragma once
 
 #include <chrono>
