Read node settings with every key checked

Cause: a wrong settings file must be refused with all its problems at once, each with path and line; nlohmann-json gives no lines for values, so a small index walks the text. Ruled out: Poco's JSON (rejects //, eats /* */ inside strings).

--- /dev/null
+++ b/src/settings/tests/main.cpp
@@ -0,0 +1,15 @@
+#include "framework/testing/story.h"
+
+namespace oriolevane::settings {
+void
+NodeSettingsStory(testing::Section& aStory);
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  return oriolevane::testing::RunStories(
+    aCount,
+    aArguments,
+    { { "node settings", oriolevane::settings::NodeSettingsStory } });
+}
--- /dev/null
+++ b/src/settings/tests/nodesettings_test.cpp
@@ -0,0 +1,99 @@
+#include "framework/testing/story.h"
+#include "settings/nodesettingsreader.h"
+
+namespace oriolevane::settings {
+
+using testing::Section;
+
+namespace {
+
+const std::string kGood = R"({
+  // a comment with a "quote" and { braces
+  "node": { "id": "rvk-a-1", "zone": "rvk-a" },
+  "listen": {
+    "callers": "127.0.0.1:8080", /* callers */
+    "peers": "127.0.0.1:7070",
+    "workers": "127.0.0.1:9090"
+  },
+  "platform": { "address": "127.0.0.1:7000" },
+  "cell": { "name": "// not a comment" }
+})";
+
+std::string
+Replaced(std::string aText, const std::string& aOld, const std::string& aNew)
+{
+  return aText.replace(aText.find(aOld), aOld.size(), aNew);
+}
+
+std::string
+ProblemsOf(const std::string& aText)
+{
+  return std::string(ParseNodeSettings(aText).status().message());
+}
+
+bool
+Holds(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+} // namespace
+
+void
+NodeSettingsStory(Section& aStory)
+{
+  aStory.It("reads a good file with comments and fills in the defaults", [] {
+    const auto settings = ParseNodeSettings(kGood);
+    CPPUNIT_ASSERT_MESSAGE(std::string(settings.status().message()),
+                           settings.ok());
+    CPPUNIT_ASSERT_EQUAL(std::string("// not a comment"),
+                         settings->mCell.mName);
+    CPPUNIT_ASSERT(settings->mLeases.mNodeLease == std::chrono::seconds(10));
+  });
+  aStory.Describe("a bad file", [](Section& aSection) {
+    aSection.It(
+      "has all its problems reported at once, each with line and path", [] {
+        std::string text = Replaced(kGood, "127.0.0.1:8080", "nowhere");
+        text = Replaced(text, "\"peers\"", "\"pers\"");
+        text = Replaced(text, "\"id\": \"rvk-a-1\"", "\"id\": 7");
+        const std::string problems = ProblemsOf(text);
+        CPPUNIT_ASSERT(Holds(problems, "line 3: node.id: must be a text"));
+        CPPUNIT_ASSERT(
+          Holds(problems, "line 5: listen.callers: must be an address"));
+        CPPUNIT_ASSERT(
+          Holds(problems, "line 6: listen.pers: is not a known key"));
+        CPPUNIT_ASSERT(Holds(problems, "listen.peers: is required"));
+      });
+    aSection.It("may hold keys that are in conflict with each other", [] {
+      const std::string text =
+        Replaced(kGood,
+                 "\"cell\":",
+                 "\"leases\": { \"node_lease_ms\": 1000, "
+                 "\"node_renew_every_ms\": 900 }, \"cell\":");
+      CPPUNIT_ASSERT(Holds(
+        ProblemsOf(text),
+        "leases.node_lease_ms: must be at least 3 times node_renew_every_ms"));
+    });
+    aSection.It(
+      "may hold numbers out of range or too large for their type", [] {
+        const std::string text =
+          Replaced(kGood,
+                   "\"name\":",
+                   "\"request_partitions\": 99999999999999999999, "
+                   "\"worker_shards\": 0, \"name\":");
+        CPPUNIT_ASSERT(Holds(
+          ProblemsOf(text),
+          "cell.request_partitions: must be a whole number from 1 to 4096"));
+        CPPUNIT_ASSERT(
+          Holds(ProblemsOf(text),
+                "cell.worker_shards: must be a whole number from 1 to 4096"));
+      });
+    aSection.It("may not be JSON at all", [] {
+      CPPUNIT_ASSERT(
+        Holds(ProblemsOf("{ \"node\": "), "parse error at line 1"));
+      CPPUNIT_ASSERT(Holds(ProblemsOf("[1]"), "must be one JSON object"));
+    });
+  });
+}
+
+} // namespace oriolevane::settings
