Read cell policies and keep the version in force

Cause: the deciding modules need one immutable policy a version; a node may only move forward, whatever order versions arrive in. Drains are members of an object, not of a list, so that patches to different hosts commute.

--- /dev/null
+++ b/src/configuration/tests/main.cpp
@@ -0,0 +1,9 @@
+#include "configuration/tests/stories.h"
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace oriolevane;
+  return testing::RunStories(
+    aCount, aArguments, { { "cell policy", configuration::CellPolicyStory } });
+}
--- a/src/settings/internal/objectreader.cpp
+++ b/src/settings/internal/objectreader.cpp
@@ -253,6 +253,16 @@
   }
 }
 
+std::vector<std::string>
+ObjectReader::Keys() const
+{
+  std::vector<std::string> keys;
+  for (const auto& [name, member] : mObject.items()) {
+    keys.push_back(name);
+  }
+  return keys;
+}
+
 void
 ObjectReader::Finish()
 {
--- a/src/settings/objectreader.h
+++ b/src/settings/objectreader.h
@@ -67,6 +67,8 @@
   void EachObject(
     std::string_view aKey,
     const std::function<void(const std::string&, ObjectReader&)>& aBody);
+  // The keys of this object, in order, whether known or not.
+  std::vector<std::string> Keys() const;
   // Adds a problem for a key of this object.
   void Reject(std::string_view aKey, std::string aMessage);
   // Reports the keys that were never read.
