--- /dev/null
+++ b/tests/platformstandin/main.cpp
@@ -0,0 +1,10 @@
+#include "platformstandin/stories.h"
+
+int
+main(int aCount, char** aArguments)
+{
+  return oriolevane::testing::RunStories(
+    aCount,
+    aArguments,
+    { { "platform over HTTP", oriolevane::standins::HttpPlatformStory } });
+}
--- /dev/null
+++ b/tests/platformstandin/stories.h
@@ -0,0 +1,11 @@
+// The stories of this test program.
+#pragma once
+
+#include "framework/testing/story.h"
+
+namespace oriolevane::standins {
+
+void
+HttpPlatformStory(testing::Section& aStory);
+
+} // namespace oriolevane::standins
