protocol: Give worker commands a sequence, a lease anchor and a target incarnation

A late or doubled command must change nothing, and a delayed one must not extend a lease: the command carries a sequence within its epoch and the worker's own clock that its leases are anchored on. A restarted worker has forgotten the applied sequences, so a doubled start for the earlier incarnation could run a task twice: the command names the incarnation that it is meant for.

--- a/src/protocol/types/workermessages.h
+++ b/src/protocol/types/workermessages.h
@@ -64,12 +64,24 @@
 
 // One exchange with a worker. Without orders it is a heartbeat: it announces
 // the epoch and renews the leases of all tasks of the shard. The worker refuses
-// it whole when it has seen a higher epoch for the shard.
+// it whole when it has seen a higher epoch for the shard, or a sequence of the
+// same epoch that is not lower, so that a late or doubled command changes
+// nothing.
 struct WorkerCommand
 {
   WorkerId mWorker;
+  // The incarnation that the orders are meant for, zero when not known yet.
+  // Another incarnation refuses the command whole: it does not remember which
+  // sequences were applied.
+  Incarnation mWorkerIncarnation;
   ShardId mShard;
   Epoch mEpoch;
+  // Rises with each command of one epoch, from 1.
+  std::uint64_t mSequence = 0;
+  // WorkerReport::mClock of the latest report that the sender handled.
+  std::chrono::milliseconds mLeaseAnchor{ 0 };
+  // Leases run until mLeaseAnchor + mLeaseFor on the worker's clock, whenever
+  // the command arrives.
   std::chrono::milliseconds mLeaseFor{ 0 };
   std::vector<WorkerOrder> mOrders;
 
