Add the configuration store and the HTTP gateway

Cause: operators race and the store loses answers; a patch must be in history once or not at all, and its author must be told the truth. One transaction conditional on the head and on the absence of the patch id; a write without an answer is undecided only until the head has moved past the version it is conditional on. Ruled out: counting a lost answer as refused (it may be applied later), and refusing every patch with an older base (patches to different members commute). The gateway maps calls to typed hooks, bounds bodies, waiting callers and nesting.

--- a/src/configuration/tests/main.cpp
+++ b/src/configuration/tests/main.cpp
@@ -5,5 +5,8 @@
 {
   using namespace oriolevane;
   return testing::RunStories(
-    aCount, aArguments, { { "cell policy", configuration::CellPolicyStory } });
+    aCount,
+    aArguments,
+    { { "cell policy", configuration::CellPolicyStory },
+      { "configuration store", configuration::ConfigurationStoreStory } });
 }
--- a/src/configuration/tests/stories.h
+++ b/src/configuration/tests/stories.h
@@ -8,4 +8,7 @@
 void
 CellPolicyStory(testing::Section& aStory);
 
+void
+ConfigurationStoreStory(testing::Section& aStory);
+
 } // namespace oriolevane::configuration
--- /dev/null
+++ b/src/gateway/internal/gatewayserver.cpp
@@ -0,0 +1,142 @@
+#include "gateway/gatewayserver.h"
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/ThreadPool.h>
+
+#include "framework/types/timepoint.h"
+#include "gateway/internal/httphandler.h"
+#include "gateway/router.h"
+
+namespace oriolevane::gateway {
+
+namespace {
+
+constexpr int kBacklog = 256;
+constexpr std::chrono::milliseconds kStopPoll{ 10 };
+
+class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+  HandlerFactory(Router& aRouter, HttpHandlerLimits aLimits)
+    : mRouter(aRouter)
+    , mLimits(aLimits)
+  {
+  }
+
+  Poco::Net::HTTPRequestHandler* createRequestHandler(
+    const Poco::Net::HTTPServerRequest&) override
+  {
+    return new HttpHandler(mRouter, mLimits);
+  }
+
+private:
+  Router& mRouter;
+  HttpHandlerLimits mLimits;
+};
+
+Poco::Net::HTTPServerParams::Ptr
+ServerParams(const GatewayOptions& aOptions)
+{
+  const Poco::Timespan idle(
+    std::chrono::duration_cast<std::chrono::microseconds>(aOptions.mIdleTimeout)
+      .count());
+  Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+  params->setMaxThreads(static_cast<int>(aOptions.mThreads));
+  params->setMaxQueued(static_cast<int>(aOptions.mQueuedConnections));
+  params->setTimeout(idle);
+  params->setKeepAlive(true);
+  params->setKeepAliveTimeout(idle);
+  return params;
+}
+
+} // namespace
+
+class GatewayServer::Impl
+{
+public:
+  Impl(const GatewayOptions& aOptions, GatewayHooks aHooks, std::uint64_t aSeed)
+    : mRouter({ .mCallerTimeout = aOptions.mCallerTimeout,
+                .mMostWaiting =
+                  aOptions.mThreads - std::min(aOptions.mThreads - 1,
+                                               aOptions.mThreadsForShortCalls),
+                .mSeed = aSeed },
+              std::move(aHooks))
+    , mPool(2, static_cast<int>(aOptions.mThreads))
+    , mSocket(Poco::Net::SocketAddress(aOptions.mAddress), kBacklog)
+    , mServer(
+        new HandlerFactory(mRouter,
+                           { aOptions.mMaxBodyBytes, aOptions.mBodyTimeout }),
+        mPool,
+        mSocket,
+        ServerParams(aOptions))
+  {
+    mServer.start();
+  }
+
+  Router mRouter;
+  Poco::ThreadPool mPool;
+  Poco::Net::ServerSocket mSocket;
+  Poco::Net::HTTPServer mServer;
+};
+
+GatewayServer::GatewayServer(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+GatewayServer::~GatewayServer()
+{
+  mImpl->mServer.stopAll(true);
+}
+
+absl::StatusOr<std::unique_ptr<GatewayServer>>
+GatewayServer::Start(const GatewayOptions& aOptions, GatewayHooks aHooks)
+{
+  const auto seed = static_cast<std::uint64_t>(
+    std::chrono::system_clock::now().time_since_epoch().count());
+  try {
+    return std::unique_ptr<GatewayServer>(new GatewayServer(
+      std::make_unique<Impl>(aOptions, std::move(aHooks), seed)));
+  } catch (const Poco::InvalidArgumentException& error) {
+    return absl::InvalidArgumentError(error.displayText());
+  } catch (const Poco::Exception& error) {
+    return absl::UnavailableError(error.displayText());
+  }
+}
+
+std::string
+GatewayServer::Address() const
+{
+  return mImpl->mSocket.address().toString();
+}
+
+void
+GatewayServer::StopAccepting()
+{
+  mImpl->mServer.stop();
+}
+
+int
+GatewayServer::ActiveConnections() const
+{
+  return mImpl->mServer.currentConnections();
+}
+
+void
+GatewayServer::Stop(std::chrono::milliseconds aGrace)
+{
+  StopAccepting();
+  const TimePoint end = std::chrono::steady_clock::now() + aGrace;
+  while (ActiveConnections() > 0 && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(kStopPoll);
+  }
+}
+
+} // namespace oriolevane::gateway
--- a/src/settings/internal/objectreader.cpp
+++ b/src/settings/internal/objectreader.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include "settings/boundedjson.h"
+
 namespace oriolevane::settings {
 
 using nlohmann::json;
@@ -213,6 +215,16 @@
   return texts;
 }
 
+std::string
+ObjectReader::JsonText(std::string_view aKey)
+{
+  const json* value = Find(aKey, false);
+  if (value == nullptr) {
+    return "";
+  }
+  return value->is_string() ? value->get<std::string>() : value->dump();
+}
+
 void
 ObjectReader::Object(std::string_view aKey,
                      const std::function<void(ObjectReader&)>& aBody)
@@ -277,12 +289,11 @@
 ReadSettingsText(std::string_view aText,
                  const std::function<void(ObjectReader&)>& aBody)
 {
-  json parsed;
-  try {
-    parsed = json::parse(aText, nullptr, true, true);
-  } catch (const json::parse_error& error) {
-    return absl::InvalidArgumentError(error.what());
+  absl::StatusOr<json> text = ParseBoundedJson(aText);
+  if (!text.ok()) {
+    return text.status();
   }
+  const json& parsed = *text;
   if (!parsed.is_object()) {
     return absl::InvalidArgumentError(
       "line 1: the settings must be one JSON object");
--- a/src/settings/objectreader.h
+++ b/src/settings/objectreader.h
@@ -58,6 +58,8 @@
     Range<std::chrono::milliseconds> aRange,
     std::optional<std::chrono::milliseconds> aFallback = std::nullopt);
   std::vector<std::string> TextList(std::string_view aKey);
+  // Any value: a text as it is, another value as JSON text; empty when absent.
+  std::string JsonText(std::string_view aKey);
   // Calls aBody with the nested object; an absent one is read as empty, so that
   // its defaults apply.
   void Object(std::string_view aKey,
--- a/src/settings/tests/nodesettings_test.cpp
+++ b/src/settings/tests/nodesettings_test.cpp
@@ -88,6 +88,12 @@
           Holds(ProblemsOf(text),
                 "cell.worker_shards: must be a whole number from 1 to 4096"));
       });
+    aSection.It("may be nested without end", [] {
+      CPPUNIT_ASSERT(Holds(ProblemsOf(std::string(1'000'000, '[')), "levels deep") ||
+                     Holds(ProblemsOf(std::string(1'000'000, '[')), "parse error"));
+      const std::string closed = "{\"node\":" + std::string(100'000, '[') + std::string(100'000, ']') + "}";
+      CPPUNIT_ASSERT(Holds(ProblemsOf(closed), "levels deep"));
+    });
     aSection.It("may not be JSON at all", [] {
       CPPUNIT_ASSERT(
         Holds(ProblemsOf("{ \"node\": "), "parse error at line 1"));
