protocol: Name incarnation, sequence, lease anchor and shard epoch in commands

A command that was delayed past a worker's restart would start its orders on the new incarnation after the attempt was declared lost; it now names the incarnation it is meant for. Sequence and lease anchor carry what the lease rules need. The shard epoch in PlaceTasks and CancelTasks lets a new placer tell an attempt that its predecessor may have started from a fresh one.

--- a/src/protocol/types/placermessages.h
+++ b/src/protocol/types/placermessages.h
@@ -39,6 +39,9 @@
   RequestId mRequest;
   std::vector<std::uint32_t> mIndexes;
   std::uint32_t mAttempt = 1;
+  // The shard's epoch that this attempt was first sent under; a placer of a
+  // later epoch reports it but never starts it. Zero when not known.
+  Epoch mShardEpoch;
   bool mTogether = false;
   bool mHold = false;
   std::chrono::milliseconds mHoldFor{ 0 };
@@ -74,6 +77,9 @@
 struct CancelTasks
 {
   Route mRoute;
+  // The shard's epoch that these attempts were first sent under; zero when not
+  // known.
+  Epoch mShardEpoch;
   std::vector<TaskKey> mTasks;
 
   bool operator==(const CancelTasks&) const = default;
--- a/src/protocol/types/workermessages.h
+++ b/src/protocol/types/workermessages.h
@@ -64,12 +64,22 @@
 
 // One exchange with a worker. Without orders it is a heartbeat: it announces
 // the epoch and renews the leases of all tasks of the shard. The worker refuses
-// it whole when it has seen a higher epoch for the shard.
+// it whole when it has seen a higher epoch for the shard, when mSequence is not
+// above the highest it applied under this epoch, or when it is meant for
+// another incarnation.
 struct WorkerCommand
 {
   WorkerId mWorker;
   ShardId mShard;
   Epoch mEpoch;
+  // Rises with each command to one worker under one epoch.
+  std::uint64_t mSequence = 0;
+  // The incarnation whose report the sender saw last; zero, without orders,
+  // before any report.
+  Incarnation mIncarnation;
+  // mClock of the latest report the sender handled; leases run until this plus
+  // mLeaseFor on the worker's clock. Zero before any report.
+  std::chrono::milliseconds mLeaseAnchor{ 0 };
   std::chrono::milliseconds mLeaseFor{ 0 };
   std::vector<WorkerOrder> mOrders;
 
