Add the placement core: ledger, queue, leases and recovery

A deterministic placer of one worker shard: events and the time in, actions out. It fences each worker with its epoch before use, counts grants until their end is sure, repeats orders and final updates until they are known, places by a bounded search over buckets of free capacity, and takes gangs all or nothing. Chosen over per-worker queues so that fairness and deadlines hold over the whole shard.

--- /dev/null
+++ b/src/placement/internal/attemptlifecycle.cpp
@@ -0,0 +1,271 @@
+#include "placement/internal/attemptlifecycle.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "placement/internal/names.h"
+
+namespace oriolevane::placement {
+
+using protocol::TaskEndReason;
+using protocol::TaskState;
+
+bool
+AttemptLifecycle::Grant(AttemptIndex aIndex, WorkerIndex aWorker)
+{
+  Attempt& attempt = mContext.mAttempts.At(aIndex);
+  if (!mContext.mLedger.TryGrant(aWorker, attempt.mResources)) {
+    return false;
+  }
+  mContext.mTeams.Grant(attempt.mBatch->mTeam, attempt.mResources);
+  --mContext
+      .mWaiting[static_cast<std::size_t>(attempt.mBatch->mOrder.mUrgency)];
+  attempt.mCounted = true;
+  ++mContext.mWorkers.At(aWorker).mLive;
+  Attach(aIndex, aWorker);
+  CountSibling(attempt, 1);
+  mContext.Refresh(aWorker);
+  return true;
+}
+
+void
+AttemptLifecycle::Revoke(AttemptIndex aIndex)
+{
+  Attempt& attempt = mContext.mAttempts.At(aIndex);
+  GiveBack(attempt);
+  Detach(aIndex);
+  ++mContext
+      .mWaiting[static_cast<std::size_t>(attempt.mBatch->mOrder.mUrgency)];
+}
+
+void
+AttemptLifecycle::Start(AttemptIndex aIndex)
+{
+  Attempt& attempt = mContext.mAttempts.At(aIndex);
+  attempt.mPlacedAt = mContext.mNow;
+  AddOrder(
+    attempt.mWorker,
+    { .mKind = OrderKind::Start, .mTask = attempt.mKey, .mAttempt = aIndex });
+  ++mContext.mPlaced;
+  mContext.mOutbox.Note(
+    attempt.mKey.mRequest,
+    "placed",
+    DescribeOn(attempt.mKey, mContext.NameOf(attempt.mWorker)));
+  SetState(aIndex, TaskState::Starting);
+}
+
+void
+AttemptLifecycle::Adopt(AttemptIndex aIndex, WorkerIndex aWorker)
+{
+  Attempt& attempt = mContext.mAttempts.At(aIndex);
+  if (attempt.IsWaiting()) {
+    --mContext
+        .mWaiting[static_cast<std::size_t>(attempt.mBatch->mOrder.mUrgency)];
+  }
+  attempt.mUnsure = false;
+  attempt.mCounted = true;
+  attempt.mSeen = true;
+  attempt.mPlacedAt = mContext.mNow;
+  mContext.mLedger.CountExisting(aWorker, attempt.mResources);
+  if (attempt.mBatch != nullptr) {
+    mContext.mTeams.Grant(attempt.mBatch->mTeam, attempt.mResources);
+  }
+  ++mContext.mWorkers.At(aWorker).mLive;
+  Attach(aIndex, aWorker);
+  CountSibling(attempt, 1);
+  mContext.Refresh(aWorker);
+}
+
+void
+AttemptLifecycle::Claim(AttemptIndex aIndex,
+                        const std::shared_ptr<Batch>& aBatch)
+{
+  Attempt& attempt = mContext.mAttempts.At(aIndex);
+  aBatch->mMembers.push_back(mContext.RefOf(aIndex));
+  attempt.mBatch = aBatch;
+  if (attempt.mCounted) {
+    mContext.mTeams.Grant(aBatch->mTeam, attempt.mResources);
+    CountSibling(attempt, 1);
+  }
+}
+
+void
+AttemptLifecycle::SetState(AttemptIndex aIndex, TaskState aState)
+{
+  Attempt& attempt = mContext.mAttempts.At(aIndex);
+  if (attempt.mState == aState) {
+    return;
+  }
+  attempt.mState = aState;
+  mContext.mOutbox.SendState(attempt, mContext.NameOf(attempt.mWorker));
+}
+
+void
+AttemptLifecycle::OrderStop(AttemptIndex aIndex,
+                            TaskEndReason aReason,
+                            bool aCheckpoint)
+{
+  Attempt& attempt = mContext.mAttempts.At(aIndex);
+  const bool isNew = attempt.mStopReason == TaskEndReason::None;
+  const bool isStronger = attempt.mStopReason == TaskEndReason::Preempted &&
+                          aReason == TaskEndReason::Cancelled;
+  if (!isNew && !isStronger) {
+    return;
+  }
+  attempt.mStopReason = aReason;
+  DropStart(attempt);
+  AddOrder(
+    attempt.mWorker,
+    { .mKind = aCheckpoint ? OrderKind::StopWithCheckpoint : OrderKind::Stop,
+      .mTask = attempt.mKey });
+}
+
+void
+AttemptLifecycle::Finish(AttemptIndex aIndex,
+                         TaskState aState,
+                         TaskEndReason aReason,
+                         std::string aAnswer)
+{
+  Attempt& attempt = mContext.mAttempts.At(aIndex);
+  if (attempt.IsWaiting()) {
+    --mContext
+        .mWaiting[static_cast<std::size_t>(attempt.mBatch->mOrder.mUrgency)];
+  }
+  const WorkerId worker = mContext.NameOf(attempt.mWorker);
+  if (attempt.mCounted) {
+    GiveBack(attempt);
+    mContext.mFreed.Add(attempt.mWorker);
+  }
+  DropStart(attempt);
+  if (attempt.mStartSequence == 0 && !attempt.mSeen) {
+    Detach(aIndex);
+  }
+  attempt.mUnsure = false;
+  attempt.mState = aState;
+  attempt.mReason = aReason;
+  attempt.mAnswer = std::move(aAnswer);
+  mContext.mOutbox.SendState(attempt, worker);
+  mContext.mOutbox.Note(
+    attempt.mKey.mRequest, "ended", DescribeEnd(attempt.mKey, aState, aReason));
+  mContext.mTimers.Add(mContext.mNow + mContext.mOptions.mRepeatUpdateEvery,
+                       TimerKind::RepeatUpdate,
+                       aIndex,
+                       attempt.mGeneration);
+}
+
+void
+AttemptLifecycle::Acknowledge(AttemptIndex aIndex)
+{
+  Attempt& attempt = mContext.mAttempts.At(aIndex);
+  if (!attempt.IsFinal() || attempt.mAcknowledged) {
+    return;
+  }
+  attempt.mAcknowledged = true;
+  attempt.mAnswer.clear();
+  if (attempt.mKept) {
+    AddOrder(attempt.mWorker,
+             { .mKind = OrderKind::Forget, .mTask = attempt.mKey });
+  }
+  EraseIfDone(aIndex);
+}
+
+bool
+AttemptLifecycle::EraseIfDone(AttemptIndex aIndex)
+{
+  const Attempt& attempt = mContext.mAttempts.At(aIndex);
+  if (!attempt.mAcknowledged || attempt.mKept || attempt.mUnconfirmed) {
+    return false;
+  }
+  Detach(aIndex);
+  mContext.mTombstones.Add(
+    attempt.mKey,
+    { .mState = attempt.mState, .mReason = attempt.mReason, .mAnswer = false },
+    mContext.mNow);
+  mContext.mAttempts.Erase(aIndex);
+  return true;
+}
+
+void
+AttemptLifecycle::Detach(AttemptIndex aIndex)
+{
+  Attempt& attempt = mContext.mAttempts.At(aIndex);
+  if (attempt.mWorker == kNoWorker) {
+    return;
+  }
+  std::vector<AttemptIndex>& attempts =
+    mContext.mWorkers.At(attempt.mWorker).mAttempts;
+  const AttemptIndex last = attempts.back();
+  attempts[attempt.mPosition] = last;
+  mContext.mAttempts.At(last).mPosition = attempt.mPosition;
+  attempts.pop_back();
+  attempt.mWorker = kNoWorker;
+  attempt.mKept = false;
+  attempt.mUnconfirmed = false;
+}
+
+void
+AttemptLifecycle::AddOrder(WorkerIndex aWorker, PendingOrder aOrder)
+{
+  mContext.mWorkers.At(aWorker).mOrders.push_back(std::move(aOrder));
+  mContext.MarkDirty(aWorker);
+}
+
+void
+AttemptLifecycle::Attach(AttemptIndex aIndex, WorkerIndex aWorker)
+{
+  Attempt& attempt = mContext.mAttempts.At(aIndex);
+  if (attempt.mWorker == aWorker) {
+    return;
+  }
+  Detach(aIndex);
+  std::vector<AttemptIndex>& attempts = mContext.mWorkers.At(aWorker).mAttempts;
+  attempt.mWorker = aWorker;
+  attempt.mPosition = static_cast<std::uint32_t>(attempts.size());
+  attempts.push_back(aIndex);
+}
+
+void
+AttemptLifecycle::GiveBack(Attempt& aAttempt)
+{
+  CountSibling(aAttempt, -1);
+  aAttempt.mCounted = false;
+  mContext.mLedger.Release(aAttempt.mWorker, aAttempt.mResources);
+  if (aAttempt.mBatch != nullptr) {
+    mContext.mTeams.Release(aAttempt.mBatch->mTeam, aAttempt.mResources);
+  }
+  --mContext.mWorkers.At(aAttempt.mWorker).mLive;
+  mContext.Refresh(aAttempt.mWorker);
+}
+
+void
+AttemptLifecycle::CountSibling(const Attempt& aAttempt, int aChange)
+{
+  if (aAttempt.mBatch == nullptr) {
+    return;
+  }
+  const WorkloadRecord& workload =
+    mContext.mWorkloads.At(aAttempt.mBatch->mWorkload);
+  if (workload.mPolicy.mSpread == policy::Spread::None &&
+      !aAttempt.mBatch->mSpreadCounted) {
+    return;
+  }
+  aAttempt.mBatch->mSpreadCounted = true;
+  const WorkerRecord& worker = mContext.mWorkers.At(aAttempt.mWorker);
+  mContext.mSiblings.Change(
+    aAttempt.mKey.mRequest, worker.mZone, worker.mRack, aChange);
+}
+
+void
+AttemptLifecycle::DropStart(const Attempt& aAttempt)
+{
+  if (aAttempt.mWorker == kNoWorker) {
+    return;
+  }
+  std::erase_if(mContext.mWorkers.At(aAttempt.mWorker).mOrders,
+                [&](const PendingOrder& aOrder) {
+                  return aOrder.mKind == OrderKind::Start &&
+                         aOrder.mTask == aAttempt.mKey;
+                });
+}
+
+} // namespace oriolevane::placement
--- /dev/null
+++ b/src/placement/internal/attemptref.h
@@ -0,0 +1,18 @@
+// Names an attempt across the reuse of its table slot.
+#pragma once
+
+#include <cstdint>
+
+#include "placement/internal/handles.h"
+
+namespace oriolevane::placement {
+
+struct AttemptRef
+{
+  AttemptIndex mIndex = kNoAttempt;
+  std::uint32_t mGeneration = 0;
+
+  bool operator==(const AttemptRef&) const = default;
+};
+
+} // namespace oriolevane::placement
--- /dev/null
+++ b/src/placement/internal/capacityledger.cpp
@@ -0,0 +1,116 @@
+#include "placement/internal/capacityledger.h"
+
+#include <algorithm>
+
+namespace oriolevane::placement {
+
+namespace {
+
+constexpr std::int64_t kPerMille = 1000;
+
+// Whole units are never split: a share of 8 accelerators is rounded down.
+Resources
+ShareOf(const Resources& aCapacity, std::uint32_t aPerMille)
+{
+  const std::int64_t share = aPerMille;
+  return { .mMilliCores = aCapacity.mMilliCores * share / kPerMille,
+           .mMemoryMiB = aCapacity.mMemoryMiB * share / kPerMille,
+           .mAccelerators = aCapacity.mAccelerators * share / kPerMille,
+           .mSlots = aCapacity.mSlots * share / kPerMille };
+}
+
+} // namespace
+
+Resources
+Largest(const Resources& aLeft, const Resources& aRight)
+{
+  return { .mMilliCores = std::max(aLeft.mMilliCores, aRight.mMilliCores),
+           .mMemoryMiB = std::max(aLeft.mMemoryMiB, aRight.mMemoryMiB),
+           .mAccelerators = std::max(aLeft.mAccelerators, aRight.mAccelerators),
+           .mSlots = std::max(aLeft.mSlots, aRight.mSlots) };
+}
+
+void
+CapacityLedger::SetCapacity(WorkerIndex aWorker,
+                            const Resources& aCapacity,
+                            std::uint32_t aGrantablePerMille)
+{
+  if (aWorker >= mEntries.size()) {
+    mEntries.resize(aWorker + 1);
+  }
+  LedgerEntry& entry = mEntries[aWorker];
+  AddToTotals(entry, -1);
+  entry.mCapacity = aCapacity;
+  entry.mGrantable = ShareOf(aCapacity, aGrantablePerMille);
+  AddToTotals(entry, 1);
+}
+
+void
+CapacityLedger::SetOpen(WorkerIndex aWorker, bool aOpen)
+{
+  LedgerEntry& entry = mEntries[aWorker];
+  AddToTotals(entry, -1);
+  entry.mOpen = aOpen;
+  AddToTotals(entry, 1);
+}
+
+bool
+CapacityLedger::TryGrant(WorkerIndex aWorker, const Resources& aAmount)
+{
+  LedgerEntry& entry = mEntries[aWorker];
+  if (!entry.mOpen || !aAmount.FitsIn(entry.Free())) {
+    return false;
+  }
+  entry.mGranted += aAmount;
+  mOpenGranted += aAmount;
+  return true;
+}
+
+void
+CapacityLedger::CountExisting(WorkerIndex aWorker, const Resources& aAmount)
+{
+  mEntries[aWorker].mGranted += aAmount;
+  if (mEntries[aWorker].mOpen) {
+    mOpenGranted += aAmount;
+  }
+}
+
+void
+CapacityLedger::Release(WorkerIndex aWorker, const Resources& aAmount)
+{
+  mEntries[aWorker].mGranted -= aAmount;
+  if (mEntries[aWorker].mOpen) {
+    mOpenGranted -= aAmount;
+  }
+}
+
+Resources
+CapacityLedger::LargestFree() const
+{
+  Resources largest;
+  for (const LedgerEntry& entry : mEntries) {
+    if (entry.mOpen) {
+      largest = Largest(largest, entry.Free());
+    }
+  }
+  return largest;
+}
+
+void
+CapacityLedger::AddToTotals(const LedgerEntry& aEntry, std::int64_t aSign)
+{
+  if (!aEntry.mOpen) {
+    return;
+  }
+  if (aSign > 0) {
+    mOpenTotal += aEntry.mGrantable;
+    mOpenGranted += aEntry.mGranted;
+    ++mOpenCount;
+  } else {
+    mOpenTotal -= aEntry.mGrantable;
+    mOpenGranted -= aEntry.mGranted;
+    --mOpenCount;
+  }
+}
+
+} // namespace oriolevane::placement
--- /dev/null
+++ b/src/placement/internal/inventory.cpp
@@ -0,0 +1,266 @@
+#include "placement/internal/inventory.h"
+
+#include <algorithm>
+
+#include "placement/internal/healthmonitor.h"
+
+namespace oriolevane::placement {
+
+using protocol::TaskEndReason;
+using protocol::TaskState;
+
+Inventory::Inventory(PlacerContext& aContext,
+                     AttemptLifecycle& aLifecycle,
+                     HealthMonitor& aHealth)
+  : mContext(aContext)
+  , mLifecycle(aLifecycle)
+  , mHealth(aHealth)
+{
+}
+
+void
+Inventory::Compare(WorkerIndex aWorker, const protocol::WorkerReport& aReport)
+{
+  for (const protocol::RunningTask& task : aReport.mRunning) {
+    TakeRunning(aWorker, task, aReport.mSequence);
+  }
+  for (const protocol::EndedTask& task : aReport.mEnded) {
+    TakeEnded(aWorker, task, aReport.mSequence);
+  }
+  DropApplied(aWorker, aReport);
+  TakeMissing(aWorker, aReport);
+}
+
+void
+Inventory::TakeRunning(WorkerIndex aWorker,
+                       const protocol::RunningTask& aTask,
+                       std::uint64_t aReport)
+{
+  AttemptIndex index = mContext.mAttempts.Find(aTask.mTask);
+  if (index == kNoAttempt) {
+    index = AddFound(aTask.mTask, aTask.mPartition);
+    mContext.mAttempts.At(index).mResources = aTask.mResources;
+  }
+  Attempt& attempt = mContext.mAttempts.At(index);
+  if (attempt.IsFinal() ||
+      (attempt.mWorker != kNoWorker && attempt.mWorker != aWorker)) {
+    // Its end was told already; it must not go on.
+    mLifecycle.AddOrder(aWorker,
+                        { .mKind = OrderKind::Stop, .mTask = aTask.mTask });
+    if (attempt.mWorker == aWorker) {
+      attempt.mListedIn = aReport;
+    }
+    return;
+  }
+  attempt.mListedIn = aReport;
+  attempt.mSeen = true;
+  if (attempt.mWorker == kNoWorker) {
+    attempt.mResources = aTask.mResources;
+    mLifecycle.Adopt(index, aWorker);
+    if (attempt.mStopReason != TaskEndReason::None) {
+      mLifecycle.AddOrder(aWorker,
+                          { .mKind = OrderKind::Stop, .mTask = aTask.mTask });
+    }
+  }
+  mLifecycle.SetState(index, TaskState::Running);
+}
+
+void
+Inventory::TakeEnded(WorkerIndex aWorker,
+                     const protocol::EndedTask& aTask,
+                     std::uint64_t aReport)
+{
+  AttemptIndex index = mContext.mAttempts.Find(aTask.mTask);
+  if (index == kNoAttempt) {
+    if (IsForgetPending(aWorker, aTask.mTask)) {
+      return;
+    }
+    index = AddFound(aTask.mTask, aTask.mPartition);
+  }
+  Attempt& attempt = mContext.mAttempts.At(index);
+  if (attempt.mWorker == kNoWorker && !attempt.IsFinal()) {
+    mLifecycle.Adopt(index, aWorker);
+  }
+  if (attempt.mWorker != aWorker) {
+    mLifecycle.AddOrder(aWorker,
+                        { .mKind = OrderKind::Forget, .mTask = aTask.mTask });
+    return;
+  }
+  attempt.mListedIn = aReport;
+  attempt.mSeen = true;
+  const bool isNewlyKept = !attempt.mKept;
+  attempt.mKept = true;
+  attempt.mUnconfirmed = false;
+  if (!attempt.IsFinal()) {
+    FinishEnded(index, aTask);
+  } else if (attempt.mAcknowledged && isNewlyKept) {
+    mLifecycle.AddOrder(aWorker,
+                        { .mKind = OrderKind::Forget, .mTask = aTask.mTask });
+  }
+}
+
+AttemptIndex
+Inventory::AddFound(const protocol::TaskKey& aKey, PartitionId aPartition)
+{
+  const AttemptIndex index = mContext.mAttempts.Add(aKey);
+  Attempt& attempt = mContext.mAttempts.At(index);
+  attempt.mPartition = aPartition;
+  attempt.mUnsure = true;
+  return index;
+}
+
+void
+Inventory::FinishEnded(AttemptIndex aIndex, const protocol::EndedTask& aTask)
+{
+  const Attempt& attempt = mContext.mAttempts.At(aIndex);
+  const TaskEndReason stop = attempt.mStopReason;
+  mHealth.Observe(aIndex, aTask);
+  if (!aTask.mStarted) {
+    mLifecycle.Finish(aIndex,
+                      TaskState::NotStarted,
+                      stop == TaskEndReason::None ? TaskEndReason::WorkerRefused
+                                                  : stop,
+                      aTask.mAnswer);
+  } else if (aTask.mSucceeded) {
+    mLifecycle.Finish(
+      aIndex, TaskState::Succeeded, TaskEndReason::Completed, aTask.mAnswer);
+  } else if (aTask.mStopped) {
+    mLifecycle.Finish(aIndex,
+                      TaskState::Lost,
+                      stop == TaskEndReason::None ? TaskEndReason::WorkerLost
+                                                  : stop,
+                      aTask.mAnswer);
+  } else {
+    mLifecycle.Finish(
+      aIndex, TaskState::Failed, TaskEndReason::TaskFailed, aTask.mAnswer);
+  }
+}
+
+void
+Inventory::TakeMissing(WorkerIndex aWorker,
+                       const protocol::WorkerReport& aReport)
+{
+  // Backwards, as erasing one moves the last into its place.
+  const std::vector<AttemptIndex>& attempts =
+    mContext.mWorkers.At(aWorker).mAttempts;
+  for (std::size_t left = attempts.size(); left > 0; --left) {
+    const AttemptIndex index = attempts[left - 1];
+    if (mContext.mAttempts.At(index).mListedIn != aReport.mSequence) {
+      TakeMissingOne(index, aReport.mCommandSequence);
+    }
+  }
+}
+
+void
+Inventory::TakeMissingOne(AttemptIndex aIndex, std::uint64_t aApplied)
+{
+  Attempt& attempt = mContext.mAttempts.At(aIndex);
+  const bool isCovered = aApplied >= attempt.mStartSequence;
+  if (attempt.IsFinal()) {
+    attempt.mKept = false;
+    attempt.mUnconfirmed = attempt.mUnconfirmed && !isCovered;
+    mLifecycle.EraseIfDone(aIndex);
+    return;
+  }
+  if (attempt.mSeen) {
+    // It was there, and nobody ordered it to be forgotten.
+    mLifecycle.Finish(aIndex, TaskState::Lost, TaskEndReason::WorkerLost);
+    return;
+  }
+  if (attempt.mState == TaskState::Queued) {
+    // Held; nothing was sent.
+    return;
+  }
+  if (attempt.mStartSequence != 0 && isCovered) {
+    // The worker keeps all it ever started, and refuses older commands now.
+    mLifecycle.Finish(aIndex,
+                      TaskState::NotStarted,
+                      attempt.mStopReason == TaskEndReason::None
+                        ? TaskEndReason::WorkerRefused
+                        : attempt.mStopReason);
+    return;
+  }
+  mLifecycle.SetState(aIndex, TaskState::Starting);
+}
+
+void
+Inventory::DropApplied(WorkerIndex aWorker,
+                       const protocol::WorkerReport& aReport)
+{
+  std::erase_if(mContext.mWorkers.At(aWorker).mOrders,
+                [&aReport](const PendingOrder& aOrder) {
+                  return aOrder.mFirstSequence != 0 &&
+                         aOrder.mFirstSequence <= aReport.mCommandSequence;
+                });
+}
+
+bool
+Inventory::IsForgetPending(WorkerIndex aWorker,
+                           const protocol::TaskKey& aKey) const
+{
+  const std::vector<PendingOrder>& orders =
+    mContext.mWorkers.At(aWorker).mOrders;
+  return std::any_of(
+    orders.begin(), orders.end(), [&aKey](const PendingOrder& aOrder) {
+      return aOrder.mKind == OrderKind::Forget && aOrder.mTask == aKey;
+    });
+}
+
+void
+Inventory::LoseAll(WorkerIndex aWorker)
+{
+  const std::vector<AttemptIndex> attempts =
+    mContext.mWorkers.At(aWorker).mAttempts;
+  for (const AttemptIndex index : attempts) {
+    Attempt& attempt = mContext.mAttempts.At(index);
+    if (attempt.mState == TaskState::Queued) {
+      continue;
+    }
+    if (!attempt.IsFinal()) {
+      mLifecycle.Finish(index, TaskState::Lost, TaskEndReason::WorkerLost);
+    }
+    attempt.mKept = false;
+    attempt.mUnconfirmed = false;
+    if (!mLifecycle.EraseIfDone(index)) {
+      mLifecycle.Detach(index);
+    }
+  }
+}
+
+void
+Inventory::DoubtAll(WorkerIndex aWorker)
+{
+  for (const AttemptIndex index : mContext.mWorkers.At(aWorker).mAttempts) {
+    const Attempt& attempt = mContext.mAttempts.At(index);
+    if (!attempt.IsFinal() && attempt.mState != TaskState::Queued) {
+      mLifecycle.SetState(index, TaskState::Unknown);
+    }
+  }
+}
+
+void
+Inventory::GiveUpAll(WorkerIndex aWorker)
+{
+  const std::vector<AttemptIndex> attempts =
+    mContext.mWorkers.At(aWorker).mAttempts;
+  const bool isListed = mContext.mWorkers.At(aWorker).mListed;
+  for (const AttemptIndex index : attempts) {
+    Attempt& attempt = mContext.mAttempts.At(index);
+    if (attempt.mState == TaskState::Queued) {
+      mLifecycle.Finish(
+        index, TaskState::NotStarted, TaskEndReason::WorkerLost);
+      continue;
+    }
+    if (!attempt.IsFinal()) {
+      mLifecycle.Finish(index, TaskState::Lost, TaskEndReason::WorkerLost);
+    }
+    attempt.mUnconfirmed = true;
+    if (!isListed) {
+      // Gone for good.
+      mLifecycle.Detach(index);
+      mLifecycle.EraseIfDone(index);
+    }
+  }
+}
+
+} // namespace oriolevane::placement
--- /dev/null
+++ b/src/placement/internal/placercontext.cpp
@@ -0,0 +1,69 @@
+#include "placement/internal/placercontext.h"
+
+#include <algorithm>
+
+namespace oriolevane::placement {
+
+PlacerContext::PlacerContext(const PlacerOptions& aOptions)
+  : mOptions(aOptions)
+  , mPolicy(std::make_shared<policy::CellPolicy>())
+  , mRandom(aOptions.mSeed)
+  , mTeams(aOptions.mShardCount)
+  , mTombstones(aOptions.mTombstoneLimit, aOptions.mTombstoneFor)
+  , mOutbox(aOptions.mShard, aOptions.mEpoch)
+{
+}
+
+Attempt*
+PlacerContext::Resolve(const AttemptRef& aRef)
+{
+  return mAttempts.IsCurrent(aRef.mIndex, aRef.mGeneration)
+           ? &mAttempts.At(aRef.mIndex)
+           : nullptr;
+}
+
+WorkerId
+PlacerContext::NameOf(WorkerIndex aWorker) const
+{
+  return aWorker == kNoWorker ? WorkerId{} : mWorkers.At(aWorker).mInfo.mWorker;
+}
+
+void
+PlacerContext::Refresh(WorkerIndex aWorker)
+{
+  const WorkerRecord& worker = mWorkers.At(aWorker);
+  const bool open =
+    worker.TakesWork() && worker.mHealth.mState != HealthState::Quarantined;
+  if (open != mLedger.At(aWorker).mOpen) {
+    mLedger.SetOpen(aWorker, open);
+    if (open) {
+      mFreed.Add(aWorker);
+    }
+  }
+  if (open) {
+    mIndex.Put(aWorker, mLedger.At(aWorker).Free());
+  } else {
+    mIndex.Remove(aWorker);
+  }
+}
+
+void
+PlacerContext::MarkDirty(WorkerIndex aWorker)
+{
+  WorkerRecord& worker = mWorkers.At(aWorker);
+  if (!worker.mDirty) {
+    worker.mDirty = true;
+    mDirty.push_back(aWorker);
+  }
+}
+
+bool
+PlacerContext::CouldEverFit(const Resources& aNeed) const
+{
+  return std::any_of(
+    mCapacityKinds.begin(), mCapacityKinds.end(), [&](const Resources& aKind) {
+      return aNeed.FitsIn(aKind);
+    });
+}
+
+} // namespace oriolevane::placement
--- /dev/null
+++ b/src/placement/types/placeraction.h
@@ -0,0 +1,14 @@
+// All that a placer asks its driver to do.
+#pragma once
+
+#include <variant>
+
+#include "placement/types/sendtocoordinator.h"
+#include "placement/types/sendtoworker.h"
+#include "placement/types/trailnote.h"
+
+namespace oriolevane::placement {
+
+using PlacerAction = std::variant<SendToWorker, SendToCoordinator, TrailNote>;
+
+} // namespace oriolevane::placement
--- /dev/null
+++ b/src/placement/types/placerevent.h
@@ -0,0 +1,26 @@
+// All that can happen to a placer.
+#pragma once
+
+#include <variant>
+
+#include "placement/types/policychanged.h"
+#include "placement/types/tick.h"
+#include "placement/types/workerslisted.h"
+#include "placement/types/workerunreachable.h"
+#include "protocol/types/placermessages.h"
+#include "protocol/types/workermessages.h"
+
+namespace oriolevane::placement {
+
+using PlacerEvent = std::variant<WorkersListed,
+                                 protocol::WorkerReport,
+                                 WorkerUnreachable,
+                                 protocol::PlaceTasks,
+                                 protocol::CommitHold,
+                                 protocol::CancelTasks,
+                                 protocol::UpdateAck,
+                                 protocol::ReconcileQuery,
+                                 PolicyChanged,
+                                 Tick>;
+
+} // namespace oriolevane::placement
