protocol: Number coordinators' messages and address placements to one placer's epoch

A copy of PlaceTasks that arrives after its UpdateAck or CancelTasks, or at the next owner of a shard, would start a task a second time: neither placer can know of the first start once it has forgotten it or never saw it. A sequence per coordinator epoch and shard turns reordering into loss, which re-sending mends; the placer's epoch lets a new owner refuse what was meant for its predecessor. Ruled out: tombstones at the placer, as they need a bound that lateness does not have, and a new owner does not inherit them. Both fields default to unchecked.

--- a/src/protocol/types/placermessages.h
+++ b/src/protocol/types/placermessages.h
@@ -26,6 +26,11 @@
   PartitionId mPartition;
   ShardId mShard;
   Epoch mSenderEpoch;
+  // Rises with each message that a coordinator of one epoch sends to the shard.
+  // The placer drops a message that is not above the highest seen, so that a
+  // late copy of a placement never follows its cancellation or acknowledgement.
+  // Zero, as in a placer's messages, is not checked.
+  std::uint64_t mSequence = 0;
 
   bool operator==(const Route&) const = default;
 };
@@ -36,6 +41,10 @@
 struct PlaceTasks
 {
   Route mRoute;
+  // The epoch of the placer that this is meant for. A placer of another epoch
+  // answers NotOwner: it cannot know whether an earlier copy was started. Zero
+  // is meant for any.
+  Epoch mPlacerEpoch;
   RequestId mRequest;
   std::vector<std::uint32_t> mIndexes;
   std::uint32_t mAttempt = 1;
