Add the coordinator: the life of requests from submission to recorded outcome

One deterministic core per request partition: submit, Accepted record, dispatch by digests, updates, retries, Finished record, reply and acknowledgement, with cancellation, deadlines, gangs over shards, services and recovery. Never-repeat tasks are sent only after their dispatch is durable (the first in the Accepted record itself, which saves a write). What a new owner of a shard does not list is over, and only the placer epoch that was sent an attempt may say that it never started.

--- /dev/null
+++ b/src/coordination/internal/admission.h
@@ -0,0 +1,59 @@
+// Limits the rate of accepted requests so that the backlog stays within the
+// wait that each class tolerates.
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <optional>
+#include <unordered_map>
+
+#include "framework/types/ids.h"
+#include "framework/types/timepoint.h"
+#include "protocol/types/requestspec.h"
+#include "protocol/types/sharddigest.h"
+
+namespace oriolevane::coordination::internal {
+
+// A token bucket per urgency over one rate R, kept as virtual backlogs that
+// drain in the order of urgency: a request sees the backlog of its own and of
+// higher urgencies only. A bucket of depth b in front of a server of rate R
+// delays nothing longer than b / R; so a class that tolerates the wait w gets
+// the depth R x w, and what would wait longer is refused with the time after
+// which it would not.
+class Admission
+{
+public:
+  // Requests a second; zero or less refuses everything.
+  void SetRate(double aPerSecond) { mRate = aPerSecond; }
+  // The weight of a team in sharing a full bucket.
+  void SetWeight(const TeamId& aTeam, double aWeight);
+
+  // Admits and counts one request, or gives the time after which another try
+  // is worth it. Constant cost.
+  std::optional<std::chrono::milliseconds> Refuse(
+    const TeamId& aTeam,
+    protocol::Urgency aUrgency,
+    std::chrono::duration<double> aToleratedWait,
+    TimePoint aNow);
+
+private:
+  struct TeamShare
+  {
+    double mWeight = 1;
+    // Requests, draining at the team's share of the rate.
+    double mBacklog = 0;
+    TimePoint mAsOf;
+    bool mActive = false;
+  };
+
+  void Drain(TimePoint aNow);
+  void DrainTeam(TeamShare& aTeam, TimePoint aNow);
+
+  double mRate = 0;
+  TimePoint mAsOf;
+  std::array<double, protocol::kUrgencyLevels> mBacklog{};
+  std::unordered_map<TeamId, TeamShare> mTeams;
+  double mActiveWeight = 0;
+};
+
+} // namespace oriolevane::coordination::internal
--- /dev/null
+++ b/src/coordination/internal/enginecalls.cpp
@@ -0,0 +1,266 @@
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "coordination/internal/engine.h"
+
+namespace oriolevane::coordination::internal {
+
+namespace {
+
+using protocol::Outcome;
+using protocol::RefusalReason;
+using protocol::RequestStatus;
+using protocol::TaskState;
+
+constexpr std::chrono::milliseconds kAskAgainAfter{ 1'000 };
+
+bool
+IsSameSpec(const protocol::RequestSpec& aLeft, protocol::RequestSpec aRight)
+{
+  aRight.mCallerWaits = aLeft.mCallerWaits;
+  return aLeft == aRight;
+}
+
+RequestStatus
+KeyReused(const RequestId& aId)
+{
+  return { .mId = aId,
+           .mOutcome = Outcome::NotRun,
+           .mReason = RefusalReason::KeyReused,
+           .mDetail = "the key names another request" };
+}
+
+RequestStatus
+Explained(const RecordedOutcome& aOutcome, bool aExplain)
+{
+  RequestStatus status = aOutcome.mStatus;
+  if (aExplain) {
+    status.mTrail = aOutcome.mTrail.Entries();
+  }
+  return status;
+}
+
+} // namespace
+
+void
+Engine::Submit(const Waiter& aWaiter, const protocol::RequestSpec& aSpec)
+{
+  if (Join(aWaiter, aSpec)) {
+    return;
+  }
+  if (std::optional<RequestStatus> refusal = Refuse(aSpec)) {
+    Reply(aWaiter, std::move(*refusal));
+    return;
+  }
+  Accept(aWaiter, aSpec);
+}
+
+bool
+Engine::Join(const Waiter& aWaiter, const protocol::RequestSpec& aSpec)
+{
+  if (const RecordedOutcome* outcome = mOutcomes.Find(aSpec.mId)) {
+    const bool same = outcome->mSpecDigest == SpecDigest(aSpec);
+    Reply(aWaiter, same ? outcome->mStatus : KeyReused(aSpec.mId));
+    return true;
+  }
+  LiveRequest* request = mRequests.Find(aSpec.mId);
+  if (request == nullptr) {
+    return false;
+  }
+  if (!IsSameSpec(request->mSpec, aSpec)) {
+    Reply(aWaiter, KeyReused(aSpec.mId));
+    return true;
+  }
+  JoinLive(aWaiter, *request, aSpec.mCallerWaits);
+  return true;
+}
+
+void
+Engine::JoinLive(Waiter aWaiter, LiveRequest& aRequest, bool aWaits)
+{
+  aWaiter.mFor = aWaits ? WaitFor::Outcome : WaitFor::Acceptance;
+  const bool accepted = !aWaits && aRequest.mAcceptedDurable;
+  const bool runs = aRequest.mSpec.mService && aRequest.mStartSeen;
+  if (accepted || runs || aRequest.mDeadlinePassed) {
+    Reply(aWaiter, StatusOf(aRequest, false));
+    return;
+  }
+  AddWaiter(aWaiter, aRequest);
+  if (!mStoreAvailable) {
+    ReplyWithoutRecord(aRequest);
+  }
+}
+
+// A never-repeat request names its first shards in the Accepted record, which
+// saves a second write before its start.
+void
+Engine::Accept(const Waiter& aWaiter, const protocol::RequestSpec& aSpec)
+{
+  LiveRequest& request = mRequests.Add(aSpec, mNow);
+  mBudgets[aSpec.mWorkload].Earn(PolicyOf(aSpec.mWorkload).mRetry);
+  Note(request, TrailEvent::Accepted, {});
+  Waiter waiter = aWaiter;
+  waiter.mFor = aSpec.mCallerWaits ? WaitFor::Outcome : WaitFor::Acceptance;
+  AddWaiter(waiter, request);
+  AcceptedRecord record{ .mSpec = aSpec };
+  if (aSpec.mNeverRepeat && !request.IsGang()) {
+    record.mTasks = BeginRecording(request, PlanPlacements(request));
+  }
+  Append(std::move(record));
+  if (!aSpec.mNeverRepeat && aSpec.mCallerWaits) {
+    Dispatch(request);
+  }
+  mRequests.Reschedule(request);
+}
+
+void
+Engine::AskStatus(const Waiter& aWaiter, const protocol::StatusCall& aCall)
+{
+  if (std::optional<RequestStatus> status = UnknownStatus(aCall.mId)) {
+    Reply(aWaiter, std::move(*status));
+    return;
+  }
+  if (const RecordedOutcome* outcome = mOutcomes.Find(aCall.mId)) {
+    Reply(aWaiter, Explained(*outcome, aCall.mExplain));
+    return;
+  }
+  LiveRequest& request = *mRequests.Find(aCall.mId);
+  if (!aCall.mWait) {
+    Reply(aWaiter, StatusOf(request, aCall.mExplain));
+    return;
+  }
+  Waiter waiter = aWaiter;
+  waiter.mExplain = aCall.mExplain;
+  AddWaiter(waiter, request);
+}
+
+void
+Engine::Cancel(const Waiter& aWaiter, const protocol::CancelCall& aCall)
+{
+  if (std::optional<RequestStatus> status = UnknownStatus(aCall.mId)) {
+    Reply(aWaiter, std::move(*status));
+    return;
+  }
+  if (const RecordedOutcome* outcome = mOutcomes.Find(aCall.mId)) {
+    Reply(aWaiter, outcome->mStatus);
+    return;
+  }
+  CancelLive(aWaiter, *mRequests.Find(aCall.mId));
+}
+
+// Takes effect at once; the reply waits for the record unless the store is
+// away, when the caller is told that the outcome is not known yet.
+void
+Engine::CancelLive(const Waiter& aWaiter, LiveRequest& aRequest)
+{
+  if (aRequest.mCancelDurable && !aRequest.mFinished) {
+    Reply(aWaiter, StatusOf(aRequest, false));
+    return;
+  }
+  Waiter waiter = aWaiter;
+  waiter.mFor = WaitFor::Cancellation;
+  AddWaiter(waiter, aRequest);
+  if (!aRequest.mCancelled && !aRequest.mFinished) {
+    aRequest.mCancelled = true;
+    Note(aRequest, TrailEvent::CancelRequested, {});
+    if (mServing) {
+      WithdrawSlots(aRequest);
+    }
+    if (!aRequest.mFinished) {
+      Append(CancelledRecord{ .mId = aRequest.mSpec.mId });
+    }
+  }
+  if (!mStoreAvailable) {
+    ReplyWithoutRecord(aRequest);
+    ReplyWaiters(
+      aRequest, { WaitFor::Cancellation }, StatusOf(aRequest, false));
+  }
+}
+
+std::optional<RequestStatus>
+Engine::UnknownStatus(const RequestId& aId) const
+{
+  if (mOutcomes.Find(aId) != nullptr || mRequests.Find(aId) != nullptr) {
+    return std::nullopt;
+  }
+  if (!mServing || mOrphans.Has(aId)) {
+    return RequestStatus{ .mId = aId,
+                          .mOutcome = Outcome::NotKnownYet,
+                          .mReason = RefusalReason::Recovering,
+                          .mDetail = mServing
+                                       ? "an unrecorded attempt is being ended"
+                                       : "the partition is recovering",
+                          .mRetryAfter = kAskAgainAfter };
+  }
+  return RequestStatus{ .mId = aId, .mOutcome = Outcome::NotFound };
+}
+
+RequestStatus
+Engine::StatusOf(const LiveRequest& aRequest, bool aExplain) const
+{
+  RequestStatus status{ .mId = aRequest.mSpec.mId,
+                        .mOutcome = Outcome::Pending };
+  bool unknown = false;
+  for (std::uint32_t index = 0; index < aRequest.mSlots.size(); ++index) {
+    const TaskSlot& slot = aRequest.mSlots[index];
+    unknown = unknown || slot.mState == TaskState::Unknown ||
+              slot.mState == TaskState::Lost;
+    status.mTasks.push_back({ .mIndex = index,
+                              .mAttempt = slot.mAttempt,
+                              .mState = slot.mState,
+                              .mWorker = slot.mWorker });
+  }
+  if (aRequest.mCancelled) {
+    status.mReason = RefusalReason::Cancelled;
+  } else if (aRequest.mDeadlinePassed) {
+    status.mReason = RefusalReason::DeadlinePassed;
+  }
+  if (unknown || aRequest.mCancelled || aRequest.mDeadlinePassed) {
+    status.mOutcome = Outcome::NotKnownYet;
+    status.mRetryAfter = kAskAgainAfter;
+  }
+  if (aExplain) {
+    status.mTrail = aRequest.mTrail.Entries();
+  }
+  return status;
+}
+
+void
+Engine::AddWaiter(const Waiter& aWaiter, LiveRequest& aRequest)
+{
+  mCalls.Open(aWaiter, &aRequest);
+  aRequest.mWaiters.push_back(aWaiter);
+}
+
+void
+Engine::Reply(const Waiter& aWaiter, RequestStatus aStatus)
+{
+  mActions.push_back(ReplyToCaller{
+    .mOrigin = mCalls.Origin(aWaiter.mOrigin),
+    .mReply = { .mCall = aWaiter.mCall, .mStatus = std::move(aStatus) } });
+}
+
+void
+Engine::ReplyWaiters(LiveRequest& aRequest,
+                     const std::vector<WaitFor>& aKinds,
+                     const RequestStatus& aStatus)
+{
+  std::vector<Waiter> kept;
+  for (const Waiter& waiter : aRequest.mWaiters) {
+    if (std::find(aKinds.begin(), aKinds.end(), waiter.mFor) == aKinds.end()) {
+      kept.push_back(waiter);
+      continue;
+    }
+    RequestStatus status = aStatus;
+    if (waiter.mExplain) {
+      status.mTrail = aRequest.mTrail.Entries();
+    }
+    mCalls.Close(waiter);
+    Reply(waiter, std::move(status));
+  }
+  aRequest.mWaiters = std::move(kept);
+}
+
+} // namespace oriolevane::coordination::internal
--- /dev/null
+++ b/src/coordination/internal/engineupdates.cpp
@@ -0,0 +1,346 @@
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "coordination/internal/engine.h"
+
+namespace oriolevane::coordination::internal {
+
+namespace {
+
+using protocol::TaskEndReason;
+using protocol::TaskState;
+
+constexpr std::size_t kMostAvoided = 8;
+constexpr std::uint16_t kMostDispatches = 0xffff;
+constexpr std::chrono::milliseconds kServiceRestartCap{ 10'000 };
+
+const char*
+StateName(TaskState aState)
+{
+  switch (aState) {
+    case TaskState::Succeeded:
+      return "succeeded";
+    case TaskState::Failed:
+      return "failed";
+    case TaskState::NotStarted:
+      return "not-started";
+    case TaskState::Lost:
+      return "lost";
+    default:
+      return "not-ended";
+  }
+}
+
+} // namespace
+
+void
+Engine::On(const protocol::TaskUpdate& aEvent)
+{
+  if (!ObserveEpoch(aEvent.mRoute.mShard, aEvent.mRoute.mSenderEpoch)) {
+    return;
+  }
+  LiveRequest* request = mRequests.Find(aEvent.mTask.mRequest);
+  if (request == nullptr) {
+    OnUnknownUpdate(aEvent);
+    return;
+  }
+  const std::uint32_t index = aEvent.mTask.mIndex;
+  const bool final = IsFinal(aEvent.mState);
+  if (index >= request->mSlots.size()) {
+    return;
+  }
+  TaskSlot& slot = request->mSlots[index];
+  if (!mServing) {
+    // Final updates are repeated until acknowledged; by then all is known.
+    if (!final) {
+      TakeHeld({ aEvent.mTask, aEvent.mState, aEvent.mWorker },
+               aEvent.mRoute.mShard,
+               aEvent.mRoute.mSenderEpoch);
+    }
+    return;
+  }
+  if (aEvent.mTask.mAttempt != slot.mAttempt ||
+      aEvent.mRoute.mShard != slot.mShard) {
+    OnStaleUpdate(*request, aEvent);
+    return;
+  }
+  const bool out = slot.mPhase == SlotPhase::Sent ||
+                   slot.mPhase == SlotPhase::Held ||
+                   slot.mPhase == SlotPhase::Out;
+  if (!out) {
+    return;
+  }
+  // Only the placer that the attempt was sent to knows that it never started; a
+  // recovering one does not know yet when a copy of ours may still arrive.
+  if (aEvent.mState == TaskState::NotStarted &&
+      (slot.mPlacerEpoch != aEvent.mRoute.mSenderEpoch ||
+       (aEvent.mReason == TaskEndReason::NotOwner && slot.mSends > 1))) {
+    return;
+  }
+  slot.mPlacerEpoch = aEvent.mRoute.mSenderEpoch;
+  if (final) {
+    EndAttempt(*request, aEvent);
+  } else {
+    OnProgress(*request, aEvent);
+  }
+  mRequests.Reschedule(*request);
+}
+
+void
+Engine::OnUnknownUpdate(const protocol::TaskUpdate& aUpdate)
+{
+  if (!mServing) {
+    return;
+  }
+  if (IsFinal(aUpdate.mState)) {
+    SendAck(aUpdate.mTask, aUpdate.mRoute.mShard);
+    mOrphans.Remove(aUpdate.mTask);
+  } else if (mOutcomes.Find(aUpdate.mTask.mRequest) == nullptr) {
+    AddOrphan(
+      aUpdate.mTask, aUpdate.mRoute.mShard, aUpdate.mRoute.mSenderEpoch);
+  }
+}
+
+// An earlier attempt is over, or there would be no later one. While a
+// never-repeat task waits for its next record, the placer keeps what it knows
+// of the last attempt.
+void
+Engine::OnStaleUpdate(const LiveRequest& aRequest,
+                      const protocol::TaskUpdate& aUpdate)
+{
+  const TaskSlot& slot = aRequest.mSlots[aUpdate.mTask.mIndex];
+  if (aUpdate.mTask.mAttempt < slot.mAttempt && IsFinal(aUpdate.mState) &&
+      slot.mPhase != SlotPhase::Recording) {
+    SendAck(aUpdate.mTask, aUpdate.mRoute.mShard);
+  }
+}
+
+void
+Engine::OnProgress(LiveRequest& aRequest, const protocol::TaskUpdate& aUpdate)
+{
+  TaskSlot& slot = aRequest.mSlots[aUpdate.mTask.mIndex];
+  const bool started = aUpdate.mState == TaskState::Starting ||
+                       aUpdate.mState == TaskState::Running ||
+                       aUpdate.mState == TaskState::Unknown;
+  if ((slot.mPhase == SlotPhase::Held || aRequest.mHold) && !started) {
+    return;
+  }
+  // Updates may be reordered; a running task does not go back.
+  const bool backwards = slot.mPhase == SlotPhase::Out &&
+                         aUpdate.mState < slot.mState &&
+                         !(slot.mState == TaskState::Unknown && started);
+  if (!backwards) {
+    slot.mState = aUpdate.mState;
+    slot.mWorker = aUpdate.mWorker;
+  }
+  slot.mPhase = SlotPhase::Out;
+  if (aUpdate.mState == TaskState::Running) {
+    OnStarted(aRequest);
+  }
+  const bool allOut = std::all_of(
+    aRequest.mSlots.begin(), aRequest.mSlots.end(), [](const TaskSlot& aSlot) {
+      return aSlot.mPhase == SlotPhase::Out || aSlot.mPhase == SlotPhase::Done;
+    });
+  if (aRequest.mHold && allOut && !aRequest.mGangReleasing) {
+    EndHold(aRequest);
+  }
+}
+
+void
+Engine::OnStarted(LiveRequest& aRequest)
+{
+  const protocol::RequestSpec& spec = aRequest.mSpec;
+  if (!aRequest.mStartSeen) {
+    aRequest.mStartSeen = true;
+    Note(aRequest, TrailEvent::Running, {});
+    if (!aRequest.mRecovered) {
+      mActions.push_back(ObjectiveSample{ .mWorkload = spec.mWorkload,
+                                          .mTeam = spec.mTeam,
+                                          .mUrgency = spec.mUrgency,
+                                          .mWaited = Age(aRequest) });
+    }
+  }
+  if (!spec.mService || aRequest.mWaiters.empty()) {
+    return;
+  }
+  const bool allRun = std::all_of(
+    aRequest.mSlots.begin(), aRequest.mSlots.end(), [](const TaskSlot& aSlot) {
+      return aSlot.mState == TaskState::Running;
+    });
+  if (allRun) {
+    ReplyWaiters(aRequest, { WaitFor::Outcome }, StatusOf(aRequest, false));
+  }
+}
+
+void
+Engine::EndAttempt(LiveRequest& aRequest, const protocol::TaskUpdate& aUpdate)
+{
+  const std::uint32_t index = aUpdate.mTask.mIndex;
+  TaskSlot& slot = aRequest.mSlots[index];
+  slot.mWorker = aUpdate.mWorker;
+  slot.mAnswer = aUpdate.mAnswer;
+  if (aUpdate.mState != TaskState::NotStarted) {
+    ++slot.mTries;
+    if (aUpdate.mState != TaskState::Lost) {
+      OnStarted(aRequest);
+    }
+  }
+  Note(aRequest,
+       aUpdate.mState == TaskState::NotStarted ? TrailEvent::NotStarted
+                                               : TrailEvent::TaskEnded,
+       fmt::format("task {} attempt {} {} reason {} on '{}'",
+                   index,
+                   aUpdate.mTask.mAttempt,
+                   StateName(aUpdate.mState),
+                   static_cast<int>(aUpdate.mReason),
+                   aUpdate.mWorker));
+  if (aUpdate.mReason == TaskEndReason::NeverRunnable) {
+    std::erase(aRequest.mNeverThere, aUpdate.mRoute.mShard);
+    aRequest.mNeverThere.push_back(aUpdate.mRoute.mShard);
+  }
+  if (aUpdate.mReason == TaskEndReason::DeadlinePassed) {
+    aRequest.mDeadlinePassed = true;
+    aRequest.mDeadlineAt = mNow;
+  }
+  if (!aRequest.IsGang() && WantsAnother(aRequest, slot, aUpdate)) {
+    PlanRetry(aRequest, index, aUpdate);
+    return;
+  }
+  CloseSlot(aRequest, slot, aUpdate.mState);
+  const bool endsGang =
+    aUpdate.mState != TaskState::Succeeded || aRequest.mSpec.mService;
+  if (aRequest.IsGang() && endsGang && !aRequest.mGangReleasing) {
+    ReleaseGang(aRequest);
+    return;
+  }
+  FinishIfDone(aRequest);
+}
+
+bool
+Engine::WantsAnother(LiveRequest& aRequest,
+                     const TaskSlot& aSlot,
+                     const protocol::TaskUpdate& aUpdate)
+{
+  if (aRequest.mCancelled || aRequest.mDeadlinePassed || aSlot.mCancelWanted ||
+      aSlot.mDispatches == kMostDispatches) {
+    return false;
+  }
+  if (aRequest.mSpec.mService) {
+    return !NeverRunnableAnywhere(aRequest);
+  }
+  if (aUpdate.mState == TaskState::NotStarted) {
+    return !NeverRunnableAnywhere(aRequest);
+  }
+  if (aUpdate.mState == TaskState::Succeeded || aRequest.mSpec.mNeverRepeat) {
+    return false;
+  }
+  if (aUpdate.mReason == TaskEndReason::Preempted) {
+    return true;
+  }
+  const policy::RetryPolicy& retry = PolicyOf(aRequest.mSpec.mWorkload).mRetry;
+  return aSlot.mTries < retry.mMaxAttempts &&
+         mBudgets[aRequest.mSpec.mWorkload].TrySpend(retry);
+}
+
+void
+Engine::PlanRetry(LiveRequest& aRequest,
+                  std::uint32_t aIndex,
+                  const protocol::TaskUpdate& aUpdate)
+{
+  TaskSlot& slot = aRequest.mSlots[aIndex];
+  const bool started = aUpdate.mState != TaskState::NotStarted;
+  aRequest.mMayHaveRun = aRequest.mMayHaveRun || started;
+  if (!aUpdate.mWorker.Empty() && !aRequest.mSpec.mService) {
+    std::vector<WorkerId>& avoid = aRequest.mAvoid;
+    std::erase(avoid, aUpdate.mWorker);
+    avoid.push_back(aUpdate.mWorker);
+    if (avoid.size() > kMostAvoided) {
+      avoid.erase(avoid.begin());
+    }
+  }
+  if (!aRequest.mSpec.mNeverRepeat) {
+    SendAck(aRequest, aIndex);
+  }
+  const Duration wait = std::max<Duration>(
+    NextBackoff(aRequest),
+    started
+      ? Duration::zero()
+      : Duration(aUpdate.mRetryAfter.value_or(std::chrono::milliseconds{ 0 })));
+  slot.mPhase = SlotPhase::Waiting;
+  slot.mState = TaskState::Queued;
+  slot.mNotBefore = mNow + wait;
+  slot.mAnswer.clear();
+  Note(aRequest,
+       TrailEvent::RetryPlanned,
+       fmt::format(
+         "task {} after {} ms",
+         aIndex,
+         std::chrono::duration_cast<std::chrono::milliseconds>(wait).count()));
+  PlanDispatchTime(aRequest);
+}
+
+Duration
+Engine::NextBackoff(LiveRequest& aRequest)
+{
+  const policy::RetryPolicy& retry = PolicyOf(aRequest.mSpec.mWorkload).mRetry;
+  const std::chrono::milliseconds cap =
+    aRequest.mSpec.mService ? std::max(retry.mBackoffCap, kServiceRestartCap)
+                            : retry.mBackoffCap;
+  return Backoff(retry.mBackoffBase, cap, aRequest.mBackoffs++, mRandom);
+}
+
+// What is not out will never be; what is out is asked back. Ends the request
+// when nothing was out.
+void
+Engine::WithdrawSlots(LiveRequest& aRequest)
+{
+  for (TaskSlot& slot : aRequest.mSlots) {
+    if (slot.mPhase == SlotPhase::Waiting ||
+        slot.mPhase == SlotPhase::Recording) {
+      CloseSlot(aRequest, slot, TaskState::NotStarted);
+    } else if (slot.mPhase != SlotPhase::Done) {
+      slot.mCancelWanted = true;
+      ResendBy(aRequest);
+    }
+  }
+  if (aRequest.IsGang()) {
+    aRequest.mGangReleasing = true;
+  }
+  SendCancels(aRequest);
+  FinishIfDone(aRequest);
+}
+
+void
+Engine::CloseSlot(LiveRequest& aRequest,
+                  TaskSlot& aSlot,
+                  protocol::TaskState aState)
+{
+  aSlot.mPhase = SlotPhase::Done;
+  aSlot.mState = aState;
+  ++aRequest.mSlotsDone;
+}
+
+// Each shard's placer said so, or its digest does.
+bool
+Engine::NeverRunnableAnywhere(const LiveRequest& aRequest) const
+{
+  const std::vector<ShardId>& said = aRequest.mNeverThere;
+  if (said.empty()) {
+    return false;
+  }
+  for (std::uint32_t shard = 0; shard < mRouter.ShardCount(); ++shard) {
+    const ShardView& view = mRouter.View(ShardId(shard));
+    const bool byDigest =
+      view.mKnown && view.mDigest.mReady &&
+      !aRequest.mSpec.mPerTask.FitsIn(view.mDigest.mLargestWorker);
+    if (!byDigest &&
+        std::find(said.begin(), said.end(), ShardId(shard)) == said.end()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace oriolevane::coordination::internal
--- /dev/null
+++ b/src/coordination/tests/main.cpp
@@ -0,0 +1,9 @@
+#include "coordination/tests/stories.h"
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace oriolevane::coordination;
+  return oriolevane::testing::RunStories(
+    aCount, aArguments, { { "request life", RequestLifeStory } });
+}
