Keep tests alive until their failures are written

A failing test ended its program by a segmentation fault: the outputter read the names of tests whose suite was already destroyed. The suites now live until after the report.

--- a/src/framework/testing/story.cpp
+++ b/src/framework/testing/story.cpp
@@ -91,11 +91,13 @@
   Narrator narrator;
   result.addListener(&collector);
   result.addListener(&narrator);
+  // The collector's failures point at the tests until they are written out.
+  std::vector<std::unique_ptr<CppUnit::Test>> suites;
   for (const Story& story : aStories) {
     Section root(story.mName);
     story.mBody(root);
-    const std::unique_ptr<CppUnit::Test> suite(root.Release());
-    suite->run(&result);
+    suites.emplace_back(root.Release());
+    suites.back()->run(&result);
   }
   CppUnit::CompilerOutputter(&collector, std::cout).write();
   return collector.wasSuccessful() ? 0 : 1;
