--- /dev/null
+++ b/src/membership/internal/viewreader.h
@@ -0,0 +1,18 @@
+// Reads all membership rows.
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include "membership/types/tableview.h"
+#include "platform/platformhooks.h"
+
+namespace oriolevane::membership {
+
+// Three scans. Fails when one of them fails; a row that cannot be understood is
+// no failure, but listed among the errors: an ownership row as unreadable, a
+// node's row as that of a leaving node of no incarnation, whose lease expires
+// as any other unless its node rewrites it.
+absl::StatusOr<TableView>
+ReadMembershipRows(const platform::TableHooks& aTable);
+
+} // namespace oriolevane::membership
--- /dev/null
+++ b/src/membership/membershiploop.h
@@ -0,0 +1,70 @@
+// The membership duty without its thread: renews the node's row, reads the
+// membership rows, carries out the planner's decisions.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <vector>
+
+#include "framework/types/ids.h"
+#include "framework/types/timepoint.h"
+#include "membership/membershipoptions.h"
+#include "membership/ownershipplanner.h"
+#include "platform/platformhooks.h"
+
+namespace oriolevane::membership {
+
+// Not thread-safe. aClock gives the time around calls to the store.
+class MembershipLoop
+{
+public:
+  MembershipLoop(MembershipOptions aOptions,
+                 platform::TableHooks aTable,
+                 MembershipHooks aHooks,
+                 std::function<TimePoint()> aClock);
+
+  // Does what is due and returns when to call again.
+  TimePoint Step();
+
+  void Release(const RowRef& aRow);
+  void Leave();
+  void SetDrained(std::set<NodeId> aNodes);
+  // Reads the rows earlier than planned, e.g. when a peer has become suspect.
+  void ReadSoon();
+  // Removes the node's row when nothing is owned; for the end of a planned
+  // stop. Without it the lease expires.
+  void SignOff();
+
+private:
+  void Renew();
+  void RenewAfterRefusal();
+  void Round();
+  void Carry(const Plan& aPlan);
+  void Tell(const Plan& aPlan);
+  void CommitAll(const std::vector<platform::Transaction>& aTransactions);
+  Duration ReadInterval() const;
+
+  MembershipOptions mOptions;
+  platform::TableHooks mTable;
+  MembershipHooks mHooks;
+  std::function<TimePoint()> mClock;
+  OwnershipPlanner mPlanner;
+
+  NodeRow mSelf;
+  std::uint64_t mSelfVersion = 0;
+  bool mSelfVersionKnown = false;
+  bool mRegistered = false;
+  bool mSuperseded = false;
+  bool mRenewalFails = false;
+  bool mLeaving = false;
+  bool mLeftTold = false;
+
+  TimePoint mNextRenewal{};
+  TimePoint mNextRead{};
+  TimePoint mLastRead{};
+  std::vector<Member> mMembers;
+  std::size_t mRowsInView = 0;
+};
+
+} // namespace oriolevane::membership
--- /dev/null
+++ b/src/membership/tests/main.cpp
@@ -0,0 +1,14 @@
+#include "membership/tests/stories.h"
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace oriolevane::membership;
+  return oriolevane::testing::RunStories(
+    aCount,
+    aArguments,
+    { { "ownership", OwnershipStory },
+      { "membership rows", RowCodecStory },
+      { "peer health", PeerHealthStory },
+      { "membership thread", MembershipThreadStory } });
+}
