--- a/src/workers/internal/deadlineguard.cpp
+++ b/src/workers/internal/deadlineguard.cpp
@@ -28,6 +28,14 @@
   mThread.join();
 }
 
+void
+DeadlineGuard::Expire()
+{
+  const std::lock_guard lock(mMutex);
+  mExpired = true;
+  FireDue(std::chrono::steady_clock::now());
+}
+
 DeadlineGuard::Watch::Watch(DeadlineGuard& aGuard,
                             const Poco::Net::StreamSocket& aSocket,
                             TimePoint aDeadline)
@@ -37,6 +45,9 @@
   mToken = mGuard.mNextToken++;
   mGuard.mArmed.emplace(mToken,
                         Armed{ .mSocket = aSocket, .mDeadline = aDeadline });
+  if (mGuard.mExpired) {
+    mGuard.FireDue(aDeadline);
+  }
 }
 
 DeadlineGuard::Watch::~Watch()
@@ -56,7 +67,7 @@
 DeadlineGuard::FireDue(TimePoint aNow)
 {
   for (auto& [token, armed] : mArmed) {
-    if (armed.mFired || armed.mDeadline > aNow) {
+    if (armed.mFired || (!mExpired && armed.mDeadline > aNow)) {
       continue;
     }
     armed.mFired = true;
--- a/src/workers/internal/deadlineguard.h
+++ b/src/workers/internal/deadlineguard.h
@@ -20,8 +20,13 @@
 {
 public:
   DeadlineGuard();
+  DeadlineGuard(const DeadlineGuard&) = delete;
+  DeadlineGuard& operator=(const DeadlineGuard&) = delete;
   ~DeadlineGuard();
 
+  // Treats every deadline, also of later watches, as passed.
+  void Expire();
+
   // Disarms when it goes out of scope.
   class Watch
   {
@@ -56,6 +61,7 @@
   std::condition_variable mStop;
   std::map<std::uint64_t, Armed> mArmed;
   std::uint64_t mNextToken = 0;
+  bool mExpired = false;
   bool mStopping = false;
   std::thread mThread;
 };
--- a/src/workers/internal/exchangesession.cpp
+++ b/src/workers/internal/exchangesession.cpp
@@ -71,7 +71,8 @@
     } catch (const Poco::Exception& fault) {
       answer = absl::UnavailableError(fault.displayText());
     }
-    if (!answer.ok() && watch.Fired()) {
+    // A body without a length seems whole when the guard ends its stream.
+    if (watch.Fired()) {
       answer = absl::DeadlineExceededError("no whole answer in time");
     }
   }
--- a/src/workers/internal/reporthandler.cpp
+++ b/src/workers/internal/reporthandler.cpp
@@ -48,6 +48,12 @@
                   HTTPResponse::HTTP_METHOD_NOT_ALLOWED,
                   absl::InvalidArgumentError("post a report"));
   }
+  // Without a length the stream would end only with the connection.
+  if (!aRequest.hasContentLength()) {
+    return Refuse(aResponse,
+                  HTTPResponse::HTTP_LENGTH_REQUIRED,
+                  absl::InvalidArgumentError("no Content-Length"));
+  }
   const absl::StatusOr<std::string> body = ReadHttpBody(
     aRequest.stream(), aRequest.getContentLength64(), mMaxBodyBytes);
   if (!body.ok()) {
--- a/src/workers/internal/workerlink.cpp
+++ b/src/workers/internal/workerlink.cpp
@@ -34,6 +34,7 @@
   ~Impl()
   {
     mTable.Close();
+    mGuard.Expire();
     for (std::thread& thread : mThreads) {
       thread.join();
     }
--- a/src/workers/reporthandler.h
+++ b/src/workers/reporthandler.h
@@ -17,7 +17,8 @@
 
 // Parses one posted report and gives it to aOnReport, which returns false when
 // it has no room; then the worker is told to try again. Answers 204, 400 with
-// the path of the bad field, 405, 413 or 503. Made per request, as Poco wants.
+// the path of the bad field, 405, 411, 413 or 503. Made per request, as Poco
+// wants.
 class ReportHandler : public Poco::Net::HTTPRequestHandler
 {
 public:
--- /dev/null
+++ b/src/workers/tests/main.cpp
@@ -0,0 +1,13 @@
+#include "workers/tests/stories.h"
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace oriolevane::workers;
+  return oriolevane::testing::RunStories(
+    aCount,
+    aArguments,
+    { { "worker JSON", WorkerJsonStory },
+      { "worker link", WorkerLinkStory },
+      { "report handler", ReportHandlerStory } });
+}
--- /dev/null
+++ b/src/workers/tests/stories.h
@@ -0,0 +1,17 @@
+// The stories of this module's test program.
+#pragma once
+
+#include "framework/testing/story.h"
+
+namespace oriolevane::workers {
+
+void
+WorkerJsonStory(testing::Section& aStory);
+
+void
+WorkerLinkStory(testing::Section& aStory);
+
+void
+ReportHandlerStory(testing::Section& aStory);
+
+} // namespace oriolevane::workers
--- a/src/workers/workerlink.h
+++ b/src/workers/workerlink.h
@@ -16,7 +16,8 @@
 // Path below a worker's address that commands are posted to.
 constexpr const char* kExchangePath = "/v1/exchange";
 
-// Starts its threads when made and ends them when destroyed.
+// Starts its threads when made; when destroyed it cuts the exchanges under way
+// and ends them.
 class WorkerLink
 {
 public:
--- a/tests/standins/worker/workerhandler.cpp
+++ b/tests/standins/worker/workerhandler.cpp
@@ -67,8 +67,11 @@
   void handleRequest(HTTPServerRequest& aRequest,
                      HTTPServerResponse& aResponse) override
   {
-    const std::string body(std::istreambuf_iterator<char>(aRequest.stream()),
-                           {});
+    // Without a length the stream would end only with the connection.
+    const std::string body =
+      aRequest.hasContentLength()
+        ? std::string(std::istreambuf_iterator<char>(aRequest.stream()), {})
+        : std::string();
     const Poco::URI uri(aRequest.getURI());
     const std::string path = uri.getPath();
     if (path.starts_with(kWorkerPrefix)) {
