--- /dev/null
+++ b/tests/standins/worker/tests/main.cpp
@@ -0,0 +1,12 @@
+#include "standins/worker/tests/stories.h"
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace oriolevane::standins;
+  return oriolevane::testing::RunStories(
+    aCount,
+    aArguments,
+    { { "worker model", WorkerModelStory },
+      { "worker server", WorkerServerStory } });
+}
