--- /dev/null
+++ b/src/codec/tests/main.cpp
@@ -0,0 +1,12 @@
+#include "codec/tests/stories.h"
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace oriolevane::codec;
+  return oriolevane::testing::RunStories(
+    aCount,
+    aArguments,
+    { { "round trip", RoundTripStory },
+      { "hostile frames", HostileFrameStory } });
+}
--- /dev/null
+++ b/src/codec/tests/stories.h
@@ -0,0 +1,14 @@
+// The stories of this module's test program.
+#pragma once
+
+#include "framework/testing/story.h"
+
+namespace oriolevane::codec {
+
+void
+RoundTripStory(testing::Section& aStory);
+
+void
+HostileFrameStory(testing::Section& aStory);
+
+} // namespace oriolevane::codec
