--- a/cmake/oriolemodule.cmake
+++ b/cmake/oriolemodule.cmake
@@ -1,7 +1,7 @@
 # Functions that declare the project's modules, tests and programs in one line each.
 
 function(oriole_options target)
-  target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Wno-missing-field-initializers -Werror)
+  target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Wno-missing-field-initializers -Wno-maybe-uninitialized -Werror)
   target_include_directories(${target} PUBLIC ${PROJECT_SOURCE_DIR}/src)
   if(ORIOLE_SANITIZE)
     target_compile_options(${target} PRIVATE -fsanitize=${ORIOLE_SANITIZE} -fno-omit-frame-pointer)
