--- /dev/null
+++ b/src/node/internal/callboard.h
@@ -0,0 +1,34 @@
+// Gateway threads wait here for the replies to their calls.
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+
+#include "protocol/types/callermessages.h"
+
+namespace oriolevane::node {
+
+// Thread-safe.
+class CallBoard
+{
+public:
+  // A number that no other call of this process has.
+  std::uint64_t Open();
+  // Blocks until the reply, at most for the time given; the call is then closed.
+  std::optional<protocol::RequestStatus> Wait(std::uint64_t aCall, std::chrono::milliseconds aTimeout);
+  // Ignored when the call is not open.
+  void Deliver(const protocol::CallerReply& aReply);
+  std::size_t OpenCalls() const;
+
+private:
+  mutable std::mutex mMutex;
+  std::condition_variable mDelivered;
+  std::map<std::uint64_t, std::optional<protocol::RequestStatus>> mCalls;
+  std::uint64_t mLast = 0;
+};
+
+} // namespace oriolevane::node
--- a/src/node/internal/nodecore.cpp
+++ b/src/node/internal/nodecore.cpp
@@ -639,12 +639,48 @@
   FeedAll(aEvent);
 }
 
+void
+NodeCore::On(HandOverPartition& aEvent)
+{
+  const auto found = mPartitions.find(aEvent.mPartition);
+  if (found != mPartitions.end()) {
+    PartitionLost lost{ aEvent.mPartition, found->second.mEpoch };
+    On(lost);
+  }
+  mActions.emplace_back(PartitionHandedOver{ aEvent.mPartition });
+}
+
+void
+NodeCore::On(HandOverShard& aEvent)
+{
+  const auto found = mShards.find(aEvent.mShard);
+  if (found != mShards.end()) {
+    ShardLost lost{ aEvent.mShard, found->second.mEpoch };
+    On(lost);
+  }
+  mActions.emplace_back(ShardHandedOver{ aEvent.mShard });
+}
+
+// One snapshot a tick at most, so that no tick takes long.
+void
+NodeCore::SaveSnapshots()
+{
+  for (auto& [partition, owned] : mPartitions) {
+    const std::uint64_t committed = owned.mCoordinator.CommittedSequence();
+    if (committed >= owned.mSnapshotSequence + mOptions.mRecordsPerSnapshot) {
+      owned.mSnapshotSequence = committed;
+      mActions.emplace_back(SaveSnapshot{ partition, owned.mEpoch, committed, owned.mCoordinator.Snapshot() });
+      return;
+    }
+  }
+}
+
 void
 NodeCore::On(DrainBegan& aEvent)
 {
   static_cast<void>(aEvent);
   mDraining = true;
-  FeedAll(coordination::DrainBegan{});
+  mNextHeartbeat = mNow;
 }
 
 void
@@ -655,6 +691,7 @@
   FeedAllShards(placement::Tick{});
   ServeCalls();
   SendHeartbeats();
+  SaveSnapshots();
 }
 
 NodeCoreSummary
--- a/src/node/nodecore.h
+++ b/src/node/nodecore.h
@@ -36,9 +36,11 @@
   std::chrono::milliseconds mResendCallAfter{ 1'000 };
   // Told to callers whose partition has no owner yet.
   std::chrono::milliseconds mRecoveringRetryAfter{ 2'000 };
+  // A snapshot is saved after this many records since the last.
+  std::uint64_t mRecordsPerSnapshot = 2'000;
   // A call for a partition without an owner is kept this long for one to
   // appear.
-  std::chrono::milliseconds mWaitForOwner{ 1'500 };
+  std::chrono::milliseconds mWaitForOwner{ 3'000 };
 };
 
 // What the core holds, for metrics and the operators' view.
@@ -75,6 +77,7 @@
   {
     Epoch mEpoch;
     coordination::Coordinator mCoordinator;
+    std::uint64_t mSnapshotSequence = 0;
   };
   struct OwnedShard
   {
@@ -105,6 +108,8 @@
   void On(placement::WorkerUnreachable& aEvent);
   void On(coordination::PolicyChanged& aEvent);
   void On(coordination::StoreHealth& aEvent);
+  void On(HandOverPartition& aEvent);
+  void On(HandOverShard& aEvent);
   void On(DrainBegan& aEvent);
   void On(Tick& aEvent);
 
@@ -135,6 +140,7 @@
   void Reply(const coordination::CallOrigin& aOrigin,
              const protocol::CallerReply& aReply);
   void Drain();
+  void SaveSnapshots();
 
   // A message between a coordinator and a placer of this node, kept until the
   // sender has returned.
--- a/src/node/types/nodeaction.h
+++ b/src/node/types/nodeaction.h
@@ -41,9 +41,32 @@
   protocol::CallerReply mReply;
 };
 
+// The durable state of a partition, for the object store.
+struct SaveSnapshot
+{
+  PartitionId mPartition;
+  Epoch mEpoch;
+  std::uint64_t mSequence = 0;
+  std::string mBytes;
+};
+
+// The partition or shard is no longer served here; its row may be released.
+struct PartitionHandedOver
+{
+  PartitionId mPartition;
+};
+
+struct ShardHandedOver
+{
+  ShardId mShard;
+};
+
 using NodeAction = std::variant<SendToPeer,
                                 SendCommand,
                                 AppendToJournal,
+                                SaveSnapshot,
+                                PartitionHandedOver,
+                                ShardHandedOver,
                                 ReplyToGateway,
                                 coordination::ObjectiveSample>;
 
--- a/src/node/types/nodeevent.h
+++ b/src/node/types/nodeevent.h
@@ -67,6 +67,17 @@
 struct DrainBegan
 {};
 
+// Stop serving the partition or shard, as it goes to another node.
+struct HandOverPartition
+{
+  PartitionId mPartition;
+};
+
+struct HandOverShard
+{
+  ShardId mShard;
+};
+
 // Time passed; expected every 50 ms or so.
 struct Tick
 {};
@@ -86,6 +97,8 @@
                                placement::WorkerUnreachable,
                                coordination::PolicyChanged,
                                coordination::StoreHealth,
+                               HandOverPartition,
+                               HandOverShard,
                                DrainBegan,
                                Tick>;
 
