--- a/src/codec/codec.h
+++ b/src/codec/codec.h
@@ -9,6 +9,7 @@
 
 #include <absl/status/statusor.h>
 
+#include "codec/types/hello.h"
 #include "codec/types/peermessage.h"
 
 namespace oriolevane::codec {
@@ -24,4 +25,12 @@
 absl::StatusOr<PeerFrame>
 Decode(std::string_view aFrame);
 
+std::string
+EncodeHello(const Hello& aHello);
+
+// InvalidArgument when it can't be read. The version is for the caller to
+// judge.
+absl::StatusOr<Hello>
+DecodeHello(std::string_view aFrame);
+
 } // namespace oriolevane::codec
--- a/src/codec/internal/codec.cpp
+++ b/src/codec/internal/codec.cpp
@@ -2,9 +2,9 @@
 
 #include <array>
 #include <cstring>
-#include <memory>
 #include <type_traits>
 #include <utility>
+#include <vector>
 
 #include <fmt/format.h>
 
@@ -107,6 +107,34 @@
   return {};
 }
 
+std::string
+TakeBytes(const FlatBufferBuilder& aBuilder)
+{
+  return { reinterpret_cast<const char*>(aBuilder.GetBufferPointer()),
+           aBuilder.GetSize() };
+}
+
+// The accessors read numbers in place and want them aligned, so bytes that are
+// not are copied.
+class AlignedBytes
+{
+public:
+  explicit AlignedBytes(std::string_view aBytes)
+    : mData(reinterpret_cast<const std::uint8_t*>(aBytes.data()))
+  {
+    if (reinterpret_cast<std::uintptr_t>(mData) % kAlignment != 0) {
+      mCopy.resize((aBytes.size() + kAlignment - 1) / kAlignment);
+      std::memcpy(mCopy.data(), aBytes.data(), aBytes.size());
+      mData = reinterpret_cast<const std::uint8_t*>(mCopy.data());
+    }
+  }
+  const std::uint8_t* Data() const { return mData; }
+
+private:
+  std::vector<std::uint64_t> mCopy;
+  const std::uint8_t* mData;
+};
+
 absl::StatusOr<PeerFrame>
 DecodeAligned(const std::uint8_t* aBytes, std::size_t aSize)
 {
@@ -144,8 +172,7 @@
     return absl::ResourceExhaustedError(
       fmt::format("frame of {} bytes is too long", builder.GetSize()));
   }
-  return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()),
-                     builder.GetSize());
+  return TakeBytes(builder);
 }
 
 absl::StatusOr<PeerFrame>
@@ -155,16 +182,38 @@
     return absl::InvalidArgumentError(
       fmt::format("frame: {} bytes", aFrame.size()));
   }
-  const auto* bytes = reinterpret_cast<const std::uint8_t*>(aFrame.data());
-  if (reinterpret_cast<std::uintptr_t>(bytes) % kAlignment == 0) {
-    return DecodeAligned(bytes, aFrame.size());
+  const AlignedBytes bytes(aFrame);
+  return DecodeAligned(bytes.Data(), aFrame.size());
+}
+
+std::string
+EncodeHello(const Hello& aHello)
+{
+  FlatBufferBuilder builder(kFirstBufferBytes);
+  const auto node = WriteText(builder, aHello.mNode.mValue);
+  builder.Finish(wire::CreateHello(
+    builder, aHello.mProtocolVersion, node, aHello.mIncarnation.mValue));
+  return TakeBytes(builder);
+}
+
+absl::StatusOr<Hello>
+DecodeHello(std::string_view aFrame)
+{
+  const AlignedBytes bytes(aFrame);
+  flatbuffers::Verifier verifier(
+    bytes.Data(), aFrame.size(), kMaxDepth, kMaxTables);
+  if (!verifier.VerifyBuffer<wire::Hello>(nullptr)) {
+    return absl::InvalidArgumentError("hello: not a valid buffer");
+  }
+  const auto* table = flatbuffers::GetRoot<wire::Hello>(bytes.Data());
+  WireReader reader(aFrame.size());
+  Hello hello{ .mProtocolVersion = table->protocol_version(),
+               .mNode = NodeId(reader.Id(table->node(), "node")),
+               .mIncarnation = Incarnation(table->incarnation()) };
+  if (!reader.Result().ok()) {
+    return reader.Result();
   }
-  // The accessors read numbers in place and want them aligned.
-  const std::size_t words = (aFrame.size() + kAlignment - 1) / kAlignment;
-  const auto aligned = std::make_unique<std::uint64_t[]>(words);
-  std::memcpy(aligned.get(), aFrame.data(), aFrame.size());
-  return DecodeAligned(reinterpret_cast<const std::uint8_t*>(aligned.get()),
-                       aFrame.size());
+  return hello;
 }
 
 std::string_view
--- a/src/codec/schema/peer_generated.h
+++ b/src/codec/schema/peer_generated.h
@@ -89,6 +89,9 @@
 struct ConfigurationBody;
 struct ConfigurationBodyBuilder;
 
+struct Hello;
+struct HelloBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -2685,6 +2688,87 @@
       bytes__);
 }
 
+struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HelloBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PROTOCOL_VERSION = 4,
+    VT_NODE = 6,
+    VT_INCARNATION = 8
+  };
+  uint32_t protocol_version() const {
+    return GetField<uint32_t>(VT_PROTOCOL_VERSION, 0);
+  }
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_PROTOCOL_VERSION, 4) &&
+           VerifyOffset(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct HelloBuilder {
+  typedef Hello Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_protocol_version(uint32_t protocol_version) {
+    fbb_.AddElement<uint32_t>(Hello::VT_PROTOCOL_VERSION, protocol_version, 0);
+  }
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(Hello::VT_NODE, node);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(Hello::VT_INCARNATION, incarnation, 0);
+  }
+  explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Hello> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Hello>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Hello> CreateHello(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t protocol_version = 0,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    uint64_t incarnation = 0) {
+  HelloBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
+  builder_.add_node(node);
+  builder_.add_protocol_version(protocol_version);
+  return builder_.Finish();
+}
+
+struct Hello::Traits {
+  using type = Hello;
+  static auto constexpr Create = CreateHello;
+};
+
+inline flatbuffers::Offset<Hello> CreateHelloDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t protocol_version = 0,
+    const char *node = nullptr,
+    uint64_t incarnation = 0) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  return oriolevane::codec::wire::CreateHello(
+      _fbb,
+      protocol_version,
+      node__,
+      incarnation);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   struct Traits;
--- a/src/codec/tests/roundtrip_test.cpp
+++ b/src/codec/tests/roundtrip_test.cpp
@@ -33,6 +33,14 @@
     CPPUNIT_ASSERT(encoded.ok());
     CPPUNIT_ASSERT(Decode(*encoded)->mMessage == message);
   });
+  aStory.It("keeps a hello", [] {
+    const Hello hello{ .mProtocolVersion = 9,
+                       .mNode = NodeId("n"),
+                       .mIncarnation = Incarnation(8) };
+    CPPUNIT_ASSERT(*DecodeHello(EncodeHello(hello)) == hello);
+    CPPUNIT_ASSERT(!DecodeHello("").ok());
+    CPPUNIT_ASSERT(!DecodeHello("GET / HTTP/1.1\r\n").ok());
+  });
   aStory.It("refuses to encode a frame above the limit", [] {
     const auto encoded =
       Encode({ .mFrom = NodeId("n") },
--- /dev/null
+++ b/src/peers/tests/main.cpp
@@ -0,0 +1,14 @@
+#include "peers/tests/stories.h"
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace oriolevane::peers;
+  return oriolevane::testing::RunStories(
+    aCount,
+    aArguments,
+    { { "framing", FramingStory },
+      { "peer table", PeerTableStory },
+      { "peer mesh", PeerMeshStory },
+      { "hostile peers", HostilePeerStory } });
+}
