--- /dev/null
+++ b/src/journal/tests/main.cpp
@@ -0,0 +1,16 @@
+#include "journal/tests/stories.h"
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace oriolevane::journal;
+  return oriolevane::testing::RunStories(
+    aCount,
+    aArguments,
+    { { "group commit", GroupCommitStory },
+      { "recovery", RecoveryStory },
+      { "snapshots", SnapshotStory },
+      { "log rows", LogCodecStory },
+      { "pace and health", PaceAndHealthStory },
+      { "journal threads", JournalThreadStory } });
+}
--- /dev/null
+++ b/src/journal/tests/stories.h
@@ -0,0 +1,21 @@
+// The stories of this module's test program.
+#pragma once
+
+#include "framework/testing/story.h"
+
+namespace oriolevane::journal {
+
+void
+GroupCommitStory(testing::Section& aStory);
+void
+JournalThreadStory(testing::Section& aStory);
+void
+LogCodecStory(testing::Section& aStory);
+void
+PaceAndHealthStory(testing::Section& aStory);
+void
+RecoveryStory(testing::Section& aStory);
+void
+SnapshotStory(testing::Section& aStory);
+
+} // namespace oriolevane::journal
