--- a/src/gateway/gatewayserver.h
+++ b/src/gateway/gatewayserver.h
@@ -27,8 +27,9 @@
   void StopAccepting();
   // Connections being served now.
   int ActiveConnections() const;
-  // Waits for connections being served, at most for the time given.
-  void Stop(std::chrono::milliseconds aGrace);
+  // Waits until every connection has had its response and is closed, at most
+  // for the time given. True when none was left.
+  bool Stop(std::chrono::milliseconds aGrace);
 
 private:
   class Impl;
--- a/src/gateway/internal/gatewayserver.cpp
+++ b/src/gateway/internal/gatewayserver.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gatewayserver.h"
 
 #include <algorithm>
+#include <atomic>
 #include <thread>
 #include <utility>
 
@@ -70,17 +71,18 @@
               std::move(aHooks))
     , mPool(2, static_cast<int>(aOptions.mThreads))
     , mSocket(Poco::Net::SocketAddress(aOptions.mAddress), kBacklog)
-    , mServer(
-        new HandlerFactory(mRouter,
-                           { aOptions.mMaxBodyBytes, aOptions.mBodyTimeout }),
-        mPool,
-        mSocket,
-        ServerParams(aOptions))
+    , mServer(new HandlerFactory(
+                mRouter,
+                { aOptions.mMaxBodyBytes, aOptions.mBodyTimeout, &mClosing }),
+              mPool,
+              mSocket,
+              ServerParams(aOptions))
   {
     mServer.start();
   }
 
   Router mRouter;
+  std::atomic<bool> mClosing{ false };
   Poco::ThreadPool mPool;
   Poco::Net::ServerSocket mSocket;
   Poco::Net::HTTPServer mServer;
@@ -120,6 +122,7 @@
 void
 GatewayServer::StopAccepting()
 {
+  mImpl->mClosing.store(true);
   mImpl->mServer.stop();
 }
 
@@ -129,7 +132,7 @@
   return mImpl->mServer.currentConnections();
 }
 
-void
+bool
 GatewayServer::Stop(std::chrono::milliseconds aGrace)
 {
   StopAccepting();
@@ -137,6 +140,7 @@
   while (ActiveConnections() > 0 && std::chrono::steady_clock::now() < end) {
     std::this_thread::sleep_for(kStopPoll);
   }
+  return ActiveConnections() == 0;
 }
 
 } // namespace oriolevane::gateway
--- a/src/gateway/internal/httphandler.cpp
+++ b/src/gateway/internal/httphandler.cpp
@@ -162,7 +162,9 @@
 {
   try {
     const HttpAnswer answer = Answer(aRequest);
-    if (answer.mStatus == 413 || answer.mStatus == 408) {
+    const bool closing =
+      mLimits.mClosing != nullptr && mLimits.mClosing->load();
+    if (closing || answer.mStatus == 413 || answer.mStatus == 408) {
       aResponse.setKeepAlive(false);
     }
     Send(aResponse, answer);
--- a/src/gateway/internal/httphandler.h
+++ b/src/gateway/internal/httphandler.h
@@ -1,6 +1,7 @@
 // Reads one HTTP request within the limits, routes it and writes the response.
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 
@@ -14,6 +15,8 @@
 {
   std::size_t mMaxBodyBytes = 0;
   std::chrono::milliseconds mBodyTimeout{ 0 };
+  // Set for a planned stop: each connection is closed after its next response.
+  const std::atomic<bool>* mClosing = nullptr;
 };
 
 // Made per request, as Poco wants; the router outlives it.
--- a/src/node/internal/callboard.cpp
+++ b/src/node/internal/callboard.cpp
@@ -16,7 +16,8 @@
 CallBoard::Wait(std::uint64_t aCall, std::chrono::milliseconds aTimeout)
 {
   std::unique_lock lock(mMutex);
-  mDelivered.wait_for(lock, aTimeout, [this, aCall] { return mCalls[aCall].has_value(); });
+  mDelivered.wait_for(
+    lock, aTimeout, [this, aCall] { return mCalls[aCall].has_value(); });
   std::optional<protocol::RequestStatus> status = std::move(mCalls[aCall]);
   mCalls.erase(aCall);
   return status;
--- a/src/node/internal/callboard.h
+++ b/src/node/internal/callboard.h
@@ -18,8 +18,11 @@
 public:
   // A number that no other call of this process has.
   std::uint64_t Open();
-  // Blocks until the reply, at most for the time given; the call is then closed.
-  std::optional<protocol::RequestStatus> Wait(std::uint64_t aCall, std::chrono::milliseconds aTimeout);
+  // Blocks until the reply, at most for the time given; the call is then
+  // closed.
+  std::optional<protocol::RequestStatus> Wait(
+    std::uint64_t aCall,
+    std::chrono::milliseconds aTimeout);
   // Ignored when the call is not open.
   void Deliver(const protocol::CallerReply& aReply);
   std::size_t OpenCalls() const;
--- a/src/node/internal/configurationsync.cpp
+++ b/src/node/internal/configurationsync.cpp
@@ -7,9 +7,10 @@
 
 namespace oriolevane::node {
 
-ConfigurationSync::ConfigurationSync(const configuration::ConfigurationStore& aStore,
-                                     configuration::ConfigurationView& aView,
-                                     ConfigurationSyncHooks aHooks)
+ConfigurationSync::ConfigurationSync(
+  const configuration::ConfigurationStore& aStore,
+  configuration::ConfigurationView& aView,
+  ConfigurationSyncHooks aHooks)
   : mStore(aStore)
   , mView(aView)
   , mHooks(std::move(aHooks))
@@ -17,14 +18,20 @@
 }
 
 void
-ConfigurationSync::Adopt(const configuration::VersionedBody& aVersion, const char* aSource)
+ConfigurationSync::Adopt(const configuration::VersionedBody& aVersion,
+                         const char* aSource)
 {
-  const bool isNewer = !mView.HasVersion() || aVersion.mVersion > mView.Current().mVersion;
+  const bool isNewer =
+    !mView.HasVersion() || aVersion.mVersion > mView.Current().mVersion;
   const absl::Status adopted = mView.Adopt(aVersion);
   if (!adopted.ok()) {
-    LogError("configuration_rejected").With("version", aVersion.mVersion).With("error", std::string(adopted.message()));
+    LogError("configuration_rejected")
+      .With("version", aVersion.mVersion)
+      .With("error", std::string(adopted.message()));
   } else if (isNewer) {
-    LogInfo("configuration_in_force").With("version", aVersion.mVersion).With("source", aSource);
+    LogInfo("configuration_in_force")
+      .With("version", aVersion.mVersion)
+      .With("source", aSource);
   }
 }
 
@@ -40,14 +47,16 @@
 void
 ConfigurationSync::OnHeartbeat(const codec::Heartbeat& aHeartbeat)
 {
-  const bool isNewer = !mView.HasVersion() || aHeartbeat.mConfiguration > mView.Current().mVersion;
+  const bool isNewer =
+    !mView.HasVersion() || aHeartbeat.mConfiguration > mView.Current().mVersion;
   if (isNewer && aHeartbeat.mConfiguration.mValue > 0) {
     mHooks.mSendPull(aHeartbeat.mNode, { aHeartbeat.mConfiguration });
   }
 }
 
 void
-ConfigurationSync::OnPull(const NodeId& aFrom, const codec::ConfigurationPull& aPull)
+ConfigurationSync::OnPull(const NodeId& aFrom,
+                          const codec::ConfigurationPull& aPull)
 {
   const configuration::VersionedBody current = mView.Current();
   if (mView.HasVersion() && current.mVersion >= aPull.mVersion) {
--- a/src/node/internal/configurationsync.h
+++ b/src/node/internal/configurationsync.h
@@ -1,4 +1,5 @@
-// Brings each accepted configuration version into force on this node: from the table, or from a peer that holds it.
+// Brings each accepted configuration version into force on this node: from the
+// table, or from a peer that holds it.
 #pragma once
 
 #include <functional>
@@ -16,8 +17,8 @@
   std::function<void(const NodeId&, const codec::ConfigurationBody&)> mSendBody;
 };
 
-// Thread-safe. A node without a version takes no requests; while the store is away it takes the highest version that a
-// peer holds.
+// Thread-safe. A node without a version takes no requests; while the store is
+// away it takes the highest version that a peer holds.
 class ConfigurationSync
 {
 public:
--- a/src/node/internal/coreloop.cpp
+++ b/src/node/internal/coreloop.cpp
@@ -11,7 +11,9 @@
 
 } // namespace
 
-CoreLoop::CoreLoop(NodeCoreOptions aCore, CoreLoopOptions aOptions, std::function<void(NodeAction&)> aPerform)
+CoreLoop::CoreLoop(NodeCoreOptions aCore,
+                   CoreLoopOptions aOptions,
+                   std::function<void(NodeAction&)> aPerform)
   : mOptions(aOptions)
   , mCore(std::move(aCore))
   , mPerform(std::move(aPerform))
@@ -61,7 +63,8 @@
 void
 CoreLoop::Handle(NodeEvent aEvent)
 {
-  std::vector<NodeAction> actions = mCore.Handle(std::move(aEvent), std::chrono::steady_clock::now());
+  std::vector<NodeAction> actions =
+    mCore.Handle(std::move(aEvent), std::chrono::steady_clock::now());
   for (NodeAction& action : actions) {
     mPerform(action);
   }
@@ -74,7 +77,8 @@
   TimePoint nextSummary = nextTick;
   while (!mRing.IsClosed()) {
     const TimePoint before = std::chrono::steady_clock::now();
-    for (NodeEvent& event : mRing.PopMany(kEventsPerTurn, std::max(nextTick - before, Duration::zero()))) {
+    for (NodeEvent& event : mRing.PopMany(
+           kEventsPerTurn, std::max(nextTick - before, Duration::zero()))) {
       Handle(std::move(event));
     }
     const TimePoint now = std::chrono::steady_clock::now();
--- a/src/node/internal/coreloop.h
+++ b/src/node/internal/coreloop.h
@@ -22,7 +22,9 @@
 {
 public:
   // aPerform is called on the core's thread for each action and must not block.
-  CoreLoop(NodeCoreOptions aCore, CoreLoopOptions aOptions, std::function<void(NodeAction&)> aPerform);
+  CoreLoop(NodeCoreOptions aCore,
+           CoreLoopOptions aOptions,
+           std::function<void(NodeAction&)> aPerform);
   CoreLoop(const CoreLoop&) = delete;
   CoreLoop& operator=(const CoreLoop&) = delete;
   ~CoreLoop();
@@ -32,7 +34,8 @@
 
   // False when the ring is full or the loop has stopped.
   bool TryPost(NodeEvent aEvent);
-  // Waits for room: for events that nobody sends again. False when the loop has stopped.
+  // Waits for room: for events that nobody sends again. False when the loop has
+  // stopped.
   bool Post(NodeEvent aEvent);
 
   // As of the last few hundred milliseconds.
--- a/src/node/internal/nodeboard.h
+++ b/src/node/internal/nodeboard.h
@@ -1,4 +1,5 @@
-// What this node knows of all nodes: members as the table gives them, and what they say in heartbeats.
+// What this node knows of all nodes: members as the table gives them, and what
+// they say in heartbeats.
 #pragma once
 
 #include <map>
@@ -18,7 +19,10 @@
   void SetMembers(const std::vector<membership::Member>& aMembers);
   void Learn(const codec::Heartbeat& aHeartbeat);
   // aConnected: nodes whose connection is up; aSelf with aVersion is this node.
-  std::vector<gateway::NodeInfo> Nodes(const NodeId& aSelf, ConfigurationVersion aVersion, const std::vector<NodeId>& aConnected) const;
+  std::vector<gateway::NodeInfo> Nodes(
+    const NodeId& aSelf,
+    ConfigurationVersion aVersion,
+    const std::vector<NodeId>& aConnected) const;
   std::size_t MemberCount() const;
   bool IsMember(const NodeId& aNode) const;
 
--- a/src/node/internal/nodecore.cpp
+++ b/src/node/internal/nodecore.cpp
@@ -669,7 +669,8 @@
     const std::uint64_t committed = owned.mCoordinator.CommittedSequence();
     if (committed >= owned.mSnapshotSequence + mOptions.mRecordsPerSnapshot) {
       owned.mSnapshotSequence = committed;
-      mActions.emplace_back(SaveSnapshot{ partition, owned.mEpoch, committed, owned.mCoordinator.Snapshot() });
+      mActions.emplace_back(SaveSnapshot{
+        partition, owned.mEpoch, committed, owned.mCoordinator.Snapshot() });
       return;
     }
   }
--- a/src/node/internal/periodicduty.cpp
+++ b/src/node/internal/periodicduty.cpp
@@ -4,7 +4,8 @@
 
 namespace oriolevane::node {
 
-PeriodicDuty::PeriodicDuty(std::chrono::milliseconds aInterval, std::function<void()> aBody)
+PeriodicDuty::PeriodicDuty(std::chrono::milliseconds aInterval,
+                           std::function<void()> aBody)
   : mInterval(aInterval)
   , mBody(std::move(aBody))
 {
--- a/src/node/internal/periodicduty.h
+++ b/src/node/internal/periodicduty.h
@@ -1,4 +1,5 @@
-// A duty on a thread of its own that runs at an interval, or earlier when asked to.
+// A duty on a thread of its own that runs at an interval, or earlier when asked
+// to.
 #pragma once
 
 #include <condition_variable>
@@ -13,7 +14,8 @@
 class PeriodicDuty
 {
 public:
-  PeriodicDuty(std::chrono::milliseconds aInterval, std::function<void()> aBody);
+  PeriodicDuty(std::chrono::milliseconds aInterval,
+               std::function<void()> aBody);
   PeriodicDuty(const PeriodicDuty&) = delete;
   PeriodicDuty& operator=(const PeriodicDuty&) = delete;
   ~PeriodicDuty();
--- a/src/node/internal/workerreportserver.cpp
+++ b/src/node/internal/workerreportserver.cpp
@@ -23,7 +23,8 @@
 class NotFoundHandler : public Poco::Net::HTTPRequestHandler
 {
 public:
-  void handleRequest(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse& aResponse) override
+  void handleRequest(Poco::Net::HTTPServerRequest&,
+                     Poco::Net::HTTPServerResponse& aResponse) override
   {
     aResponse.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_NOT_FOUND);
     aResponse.setContentLength(0);
@@ -39,7 +40,8 @@
   {
   }
 
-  Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest& aRequest) override
+  Poco::Net::HTTPRequestHandler* createRequestHandler(
+    const Poco::Net::HTTPServerRequest& aRequest) override
   {
     if (aRequest.getURI() != workers::kWorkerReportsPath) {
       return new NotFoundHandler;
@@ -67,10 +69,14 @@
 class WorkerReportServer::Impl
 {
 public:
-  Impl(const std::string& aAddress, std::function<bool(protocol::WorkerReport)> aOnReport)
+  Impl(const std::string& aAddress,
+       std::function<bool(protocol::WorkerReport)> aOnReport)
     : mPool(2, kThreads)
     , mSocket(Poco::Net::SocketAddress(aAddress))
-    , mServer(new ReportHandlerFactory(std::move(aOnReport)), mPool, mSocket, ServerParams())
+    , mServer(new ReportHandlerFactory(std::move(aOnReport)),
+              mPool,
+              mSocket,
+              ServerParams())
   {
     mServer.start();
   }
@@ -91,10 +97,12 @@
 }
 
 absl::StatusOr<std::unique_ptr<WorkerReportServer>>
-WorkerReportServer::Start(const std::string& aAddress, std::function<bool(protocol::WorkerReport)> aOnReport)
+WorkerReportServer::Start(const std::string& aAddress,
+                          std::function<bool(protocol::WorkerReport)> aOnReport)
 {
   try {
-    return std::unique_ptr<WorkerReportServer>(new WorkerReportServer(std::make_unique<Impl>(aAddress, std::move(aOnReport))));
+    return std::unique_ptr<WorkerReportServer>(new WorkerReportServer(
+      std::make_unique<Impl>(aAddress, std::move(aOnReport))));
   } catch (const Poco::Exception& error) {
     return absl::UnavailableError(error.displayText());
   }
--- a/src/node/internal/workerreportserver.h
+++ b/src/node/internal/workerreportserver.h
@@ -13,9 +13,11 @@
 class WorkerReportServer
 {
 public:
-  // aOnReport returns false when there is no room; the worker is then told to try again.
-  static absl::StatusOr<std::unique_ptr<WorkerReportServer>> Start(const std::string& aAddress,
-                                                                   std::function<bool(protocol::WorkerReport)> aOnReport);
+  // aOnReport returns false when there is no room; the worker is then told to
+  // try again.
+  static absl::StatusOr<std::unique_ptr<WorkerReportServer>> Start(
+    const std::string& aAddress,
+    std::function<bool(protocol::WorkerReport)> aOnReport);
   ~WorkerReportServer();
 
   std::string Address() const;
--- a/src/node/noderuntime.h
+++ b/src/node/noderuntime.h
@@ -18,20 +18,23 @@
   std::string mWorkers;
 };
 
-// Serves from Start to Stop. Threads by duty: core, journal, snapshots, membership, partition recovery, configuration,
-// host list, peers, worker exchanges, worker reports, callers.
+// Serves from Start to Stop. Threads by duty: core, journal, snapshots,
+// membership, partition recovery, configuration, host list, peers, worker
+// exchanges, worker reports, callers.
 class NodeRuntime
 {
 public:
-  // Unavailable when an address cannot be listened on. The platform may be away: the node serves once it answers.
-  static absl::StatusOr<std::unique_ptr<NodeRuntime>> Start(const settings::NodeSettings& aSettings);
+  // Unavailable when an address cannot be listened on. The platform may be
+  // away: the node serves once it answers.
+  static absl::StatusOr<std::unique_ptr<NodeRuntime>> Start(
+    const settings::NodeSettings& aSettings);
   ~NodeRuntime();
 
   NodeAddresses Addresses() const;
   // Another process runs under this node's name; this one must end.
   bool IsSuperseded() const;
-  // Graceful: no new connections, hand everything over, finish the requests in flight, at most for aGrace. True when
-  // nothing was cut off.
+  // Graceful: no new connections, hand everything over, finish the requests in
+  // flight, at most for aGrace. True when nothing was cut off.
   bool Stop(std::chrono::milliseconds aGrace);
 
 private:
