--- a/model/request.pml
+++ b/model/request.pml
@@ -7,8 +7,9 @@
  * receipt may leave it set. An answer's data is the id of the request that ran.
  *
  * Variants: NEVER_REPEAT (both requests never repeat); QUIET_B (B goes to
- * the first place, without faults of frames and workers); ONE_REQUEST (A alone); LIVENESS (frames are lost
- * at most MAX_LOST times and not duplicated, and a final answer must come).
+ * the first place, without faults of frames and workers); ONE_REQUEST (A
+ * alone); LIVENESS (frames are lost at most MAX_LOST times and not duplicated,
+ * and a final answer must come).
  *
  * Mechanisms that can be left out:
  *   NO_RECORD_BEFORE_START  no Dispatched record before a never-repeat start
@@ -214,11 +215,14 @@
        :: st[r] == NONE && BOUND(s) ->
           if
           :: recorded[r] = ACCEPTED; st[r] = ACCEPTED
-          :: connection[s] == OPEN && !told[0] ->
-             Tell(0, NOT_RUN, 0); connection[s] = CLOSED;
+          :: !told[0] ->
 #ifndef NO_REFUSAL_MEMORY
-             st[r] = REFUSED
+             st[r] = REFUSED;
 #endif
+             if
+             :: connection[s] == OPEN -> Tell(0, NOT_RUN, 0); connection[s] = CLOSED
+             :: else -> skip                                  /* nobody is there */
+             fi
           fi
        :: else -> skip
        fi;
@@ -255,7 +259,7 @@
 
   /* Crash: memory goes, connections from gateways are cut. */
   :: atomic { up && crashes < MAX_CRASHES ->
-       crashes++; up = 0; ready = 0;
+       crashes++; up = 0; ready = 0; reconciled[0] = 0; reconciled[1] = 0;
        r = 0;
        do
        :: r < RECORDS -> st[r] = NONE; attempt[r] = 0; place[r] = 0; sentTo[r] = 0; r++
