--- a/src/placement/tests/main.cpp
+++ b/src/placement/tests/main.cpp
@@ -5,5 +5,5 @@
 {
   using namespace oriolevane::placement;
   return oriolevane::testing::RunStories(
-    aCount, aArguments, { { "fencing", FencingStory } });
+    aCount, aArguments, { { "fencing", FencingStory }, { "chaos", ChaosStory } });
 }
--- a/src/placement/tests/stories.h
+++ b/src/placement/tests/stories.h
@@ -8,4 +8,7 @@
 void
 FencingStory(testing::Section& aStory);
 
+void
+ChaosStory(testing::Section& aStory);
+
 } // namespace oriolevane::placement
