Decide between incarnations of a worker by a command that only the living one applies

Ordering incarnations by number was ruled out: the contract only says that they change. The unknown one now has to show a later command as applied. Answers of acknowledged ends are not repeated without their text any more.

--- a/src/placement/internal/requestintake.cpp
+++ b/src/placement/internal/requestintake.cpp
@@ -103,6 +103,9 @@
     // Found in an inventory; now it is known whose it is.
     mLifecycle.Claim(aIndex, aBatch);
   }
+  if (attempt.mAcknowledged) {
+    return;
+  }
   const Batch* batch = attempt.mBatch.get();
   const bool isHeld = attempt.mState == TaskState::Queued && attempt.mCounted;
   if (isHeld && batch->mHeldUntil.has_value()) {
@@ -217,6 +220,9 @@
     return;
   }
   Attempt& attempt = mContext.mAttempts.At(index);
+  if (attempt.mAcknowledged) {
+    return;
+  }
   if (attempt.IsFinal()) {
     mContext.mOutbox.SendState(attempt, mContext.NameOf(attempt.mWorker));
   } else if (attempt.mUnsure) {
@@ -234,7 +240,9 @@
 {
   std::optional<Tombstone> stone = mContext.mTombstones.Find(aKey);
   if (stone.has_value()) {
-    SendUntracked(aCancel.mRoute, aKey, *stone);
+    if (stone->mAnswer) {
+      SendUntracked(aCancel.mRoute, aKey, *stone);
+    }
     return;
   }
   const bool isFresh = IsSurelyFresh(aCancel.mShardEpoch);
--- a/src/placement/internal/workerrecord.h
+++ b/src/placement/internal/workerrecord.h
@@ -36,6 +36,11 @@
   // Tells this use of a table slot from earlier ones.
   std::uint32_t mGeneration = 0;
   Incarnation mIncarnation;
+  // An incarnation that reported but was not known. It becomes the current one
+  // when it shows a command of at least this sequence as applied; the current
+  // one stays when it does so first.
+  Incarnation mChallenger;
+  std::uint64_t mChallengeSequence = 0;
   // Incarnations before the current one, latest last.
   std::vector<Incarnation> mRetired;
   std::uint64_t mReportSequence = 0;
--- a/src/placement/internal/workersupervisor.cpp
+++ b/src/placement/internal/workersupervisor.cpp
@@ -101,7 +101,7 @@
     return;
   }
   WorkerRecord& worker = mContext.mWorkers.At(index);
-  if (!IsNews(worker, aReport)) {
+  if (!IsNews(index, aReport)) {
     return;
   }
   if (worker.mIncarnation != aReport.mIncarnation) {
@@ -131,15 +131,54 @@
 }
 
 bool
-WorkerSupervisor::IsNews(WorkerRecord& aWorker,
+WorkerSupervisor::IsNews(WorkerIndex aWorker,
                          const protocol::WorkerReport& aReport)
 {
-  if (aWorker.mIncarnation == aReport.mIncarnation) {
-    return aReport.mSequence > aWorker.mReportSequence;
+  WorkerRecord& worker = mContext.mWorkers.At(aWorker);
+  const std::vector<Incarnation>& retired = worker.mRetired;
+  if (std::find(retired.begin(), retired.end(), aReport.mIncarnation) !=
+      retired.end()) {
+    return false;
+  }
+  if (worker.mIncarnation == Incarnation{}) {
+    return true;
+  }
+  if (worker.mIncarnation != aReport.mIncarnation) {
+    return HasProvedCurrent(aWorker, aReport);
+  }
+  if (worker.mChallenger != Incarnation{} &&
+      aReport.mHighestEpoch == mContext.mOptions.mEpoch &&
+      aReport.mCommandSequence >= worker.mChallengeSequence) {
+    Retire(worker, worker.mChallenger);
+    worker.mChallenger = {};
+  }
+  return aReport.mSequence > worker.mReportSequence;
+}
+
+bool
+WorkerSupervisor::HasProvedCurrent(WorkerIndex aWorker,
+                                   const protocol::WorkerReport& aReport)
+{
+  // A report may be late: an incarnation that was never seen can be older than
+  // the current one. Only a living one applies a command sent after now.
+  WorkerRecord& worker = mContext.mWorkers.At(aWorker);
+  if (worker.mChallenger == aReport.mIncarnation) {
+    return aReport.mHighestEpoch == mContext.mOptions.mEpoch &&
+           aReport.mCommandSequence >= worker.mChallengeSequence;
+  }
+  worker.mChallenger = aReport.mIncarnation;
+  worker.mChallengeSequence = worker.mCommandSequence + 1;
+  mContext.MarkDirty(aWorker);
+  return false;
+}
+
+void
+WorkerSupervisor::Retire(WorkerRecord& aWorker, Incarnation aIncarnation)
+{
+  aWorker.mRetired.push_back(aIncarnation);
+  if (aWorker.mRetired.size() > kRetiredKept) {
+    aWorker.mRetired.erase(aWorker.mRetired.begin());
   }
-  return std::find(aWorker.mRetired.begin(),
-                   aWorker.mRetired.end(),
-                   aReport.mIncarnation) == aWorker.mRetired.end();
 }
 
 void
@@ -148,11 +187,9 @@
 {
   WorkerRecord& worker = mContext.mWorkers.At(aWorker);
   if (worker.mIncarnation != Incarnation{}) {
-    worker.mRetired.push_back(worker.mIncarnation);
-    if (worker.mRetired.size() > kRetiredKept) {
-      worker.mRetired.erase(worker.mRetired.begin());
-    }
+    Retire(worker, worker.mIncarnation);
   }
+  worker.mChallenger = {};
   worker.mIncarnation = aIncarnation;
   worker.mReportSequence = 0;
   worker.mFenced = false;
@@ -255,7 +292,7 @@
                                    .mEpoch = mContext.mOptions.mEpoch,
                                    .mSequence = ++aWorker.mCommandSequence };
   aWorker.mSentAt = mContext.mNow;
-  if (!aWorker.mFenced) {
+  if (!aWorker.mFenced || aWorker.mChallenger != Incarnation{}) {
     return command;
   }
   command.mIncarnation = aWorker.mIncarnation;
--- a/src/placement/internal/workersupervisor.h
+++ b/src/placement/internal/workersupervisor.h
@@ -32,9 +32,13 @@
 private:
   void AddWorker(const protocol::WorkerInfo& aInfo);
   void UpdateCapacityKinds();
-  // False when the report is stale, from an earlier incarnation or of another
-  // shard.
-  bool IsNews(WorkerRecord& aWorker, const protocol::WorkerReport& aReport);
+  // False when the report is stale, or from an incarnation that is not known
+  // to be the current one.
+  bool IsNews(WorkerIndex aWorker, const protocol::WorkerReport& aReport);
+  // True when the unknown incarnation has proved to live now.
+  bool HasProvedCurrent(WorkerIndex aWorker,
+                        const protocol::WorkerReport& aReport);
+  void Retire(WorkerRecord& aWorker, Incarnation aIncarnation);
   void SwitchIncarnation(WorkerIndex aWorker, Incarnation aIncarnation);
   void CheckSilence(WorkerIndex aWorker);
   void GiveUpSilent(WorkerIndex aWorker);
--- a/src/protocol/types/workermessages.h
+++ b/src/protocol/types/workermessages.h
@@ -74,8 +74,8 @@
   Epoch mEpoch;
   // Rises with each command to one worker under one epoch.
   std::uint64_t mSequence = 0;
-  // The incarnation whose report the sender saw last; zero, without orders,
-  // before any report.
+  // The incarnation whose report the sender saw last. Zero, without orders and
+  // meant for any, when the sender has to find out which one lives.
   Incarnation mIncarnation;
   // mClock of the latest report the sender handled; leases run until this plus
   // mLeaseFor on the worker's clock. Zero before any report.
