--- a/src/placement/internal/workerrecord.h
+++ b/src/placement/internal/workerrecord.h
@@ -31,6 +31,8 @@
   bool mSilent = false;
   // All leases that it held when it fell silent have surely lapsed.
   bool mLapsed = false;
+  // It was fenced, or lapsed, once under this epoch.
+  bool mSettled = false;
   // A command to it is due at the end of this call.
   bool mDirty = false;
   // Tells this use of a table slot from earlier ones.
--- a/src/placement/internal/workersupervisor.cpp
+++ b/src/placement/internal/workersupervisor.cpp
@@ -58,6 +58,8 @@
   if (!isNew) {
     return;
   }
+  ++mUnsettled;
+  ++mWorkers;
   worker.mHeardAt = mContext.mNow;
   mContext.MarkDirty(index);
   const auto step = mContext.mOptions.mHeartbeatEvery / kHeartbeatSteps;
@@ -121,6 +123,7 @@
   } else {
     const bool isFirst = !worker.mFenced;
     worker.mFenced = true;
+    Settle(worker);
     mInventory.Compare(index, aReport);
     if (isFirst && worker.mLive > 0) {
       // Renews the leases that the previous owner granted.
@@ -256,6 +259,7 @@
                          kLapseNumerator / kLapseDenominator;
   if (!worker.mLapsed && silence > lapse) {
     worker.mLapsed = true;
+    Settle(worker);
     mInventory.GiveUpAll(aWorker);
   }
 }
@@ -270,6 +274,8 @@
   if (worker.mHealth.mState != HealthState::Healthy) {
     --mContext.mQuarantined;
   }
+  Settle(worker);
+  --mWorkers;
   std::erase(mContext.mDirty, aWorker);
   mContext.mWorkers.Erase(aWorker);
 }
@@ -336,33 +342,19 @@
                                .mPayload = attempt.mBatch->mOrder.mPayload };
 }
 
-std::uint32_t
-WorkerSupervisor::CountUnsettled()
-{
-  std::uint32_t unsettled = 0;
-  mContext.mWorkers.ForEach(
-    [&unsettled](WorkerIndex /*aIndex*/, WorkerRecord& aWorker) {
-      const bool isSettled = aWorker.mFenced || aWorker.mLapsed;
-      unsettled += isSettled ? 0 : 1;
-    });
-  return unsettled;
-}
-
-bool
-WorkerSupervisor::IsSettled()
+void
+WorkerSupervisor::Settle(WorkerRecord& aWorker)
 {
-  return mListSeen && CountUnsettled() == 0;
+  if (!aWorker.mSettled) {
+    aWorker.mSettled = true;
+    --mUnsettled;
+  }
 }
 
 bool
-WorkerSupervisor::IsMostlySettled()
+WorkerSupervisor::IsMostlySettled() const
 {
-  if (!mEverSettled && mListSeen) {
-    const std::uint32_t unsettled = CountUnsettled();
-    mEverSettled =
-      unsettled * kMostlySettledDivisor <= mContext.mWorkers.SlotCount();
-  }
-  return mEverSettled;
+  return mListSeen && mUnsettled * kMostlySettledDivisor <= mWorkers;
 }
 
 } // namespace oriolevane::placement
--- a/src/placement/internal/workersupervisor.h
+++ b/src/placement/internal/workersupervisor.h
@@ -25,9 +25,9 @@
   // Sends the commands that this call gave cause for.
   void Flush();
   // True when each listed worker is fenced or its leases have surely lapsed.
-  bool IsSettled();
-  // True when at most a tenth of the listed workers are not settled.
-  bool IsMostlySettled();
+  bool IsSettled() const { return mListSeen && mUnsettled == 0; }
+  // True when at most a tenth of the workers are not settled.
+  bool IsMostlySettled() const;
 
 private:
   void AddWorker(const protocol::WorkerInfo& aInfo);
@@ -45,13 +45,15 @@
   void EraseIfGone(WorkerIndex aWorker);
   protocol::WorkerCommand BuildCommand(WorkerRecord& aWorker);
   protocol::WorkerOrder BuildOrder(const PendingOrder& aPending) const;
-  std::uint32_t CountUnsettled();
+  void Settle(WorkerRecord& aWorker);
 
   PlacerContext& mContext;
   AttemptLifecycle& mLifecycle;
   Inventory& mInventory;
   bool mListSeen = false;
-  bool mEverSettled = false;
+  // Workers that are not settled, and all.
+  std::uint32_t mUnsettled = 0;
+  std::uint32_t mWorkers = 0;
 };
 
 } // namespace oriolevane::placement
--- a/src/placement/tests/chaos_test.cpp
+++ b/src/placement/tests/chaos_test.cpp
@@ -17,8 +17,7 @@
   for (int seed = 1; seed <= kSeeds; ++seed) {
     aOptions.mSeed = static_cast<std::uint64_t>(seed);
     ChaosWorld world(aOptions);
-    CPPUNIT_ASSERT_EQUAL(std::string{},
-                         world.Run(kFaultySteps, kHealedSteps));
+    CPPUNIT_ASSERT_EQUAL(std::string{}, world.Run(kFaultySteps, kHealedSteps));
     CPPUNIT_ASSERT_EQUAL(aOptions.mTasks, world.Finished());
   }
 }
@@ -32,12 +31,10 @@
     aSection.It("breaks no promise and ends all tasks once healed", [] {
       RunSeeds({ .mRestartWorker = 0, .mMuteWorker = 0, .mReplacePlacer = 0 });
     });
-    aSection.It("with workers that restart and fall silent neither", [] {
-      RunSeeds({ .mReplacePlacer = 0 });
-    });
-    aSection.It("with placers that are replaced and wake up neither", [] {
-      RunSeeds({});
-    });
+    aSection.It("with workers that restart and fall silent neither",
+                [] { RunSeeds({ .mReplacePlacer = 0 }); });
+    aSection.It("with placers that are replaced and wake up neither",
+                [] { RunSeeds({}); });
   });
   aStory.Describe("one seed", [](Section& aSection) {
     aSection.It("always gives the same history", [] {
--- a/src/placement/tests/chaosworld.cpp
+++ b/src/placement/tests/chaosworld.cpp
@@ -49,8 +49,7 @@
     mFaulty = step < aFaultySteps;
     Step();
     if (!mBroken.empty()) {
-      return fmt::format(
-        "seed {} step {}: {}", mOptions.mSeed, step, mBroken);
+      return fmt::format("seed {} step {}: {}", mOptions.mSeed, step, mBroken);
     }
   }
   return {};
@@ -59,8 +58,10 @@
 int
 ChaosWorld::Finished() const
 {
-  return static_cast<int>(std::count_if(
-    mTasks.begin(), mTasks.end(), [](const Task& aTask) { return aTask.mDone; }));
+  return static_cast<int>(
+    std::count_if(mTasks.begin(), mTasks.end(), [](const Task& aTask) {
+      return aTask.mDone;
+    }));
 }
 
 bool
@@ -189,8 +190,7 @@
   if (aTask.mSentUnder == Epoch{}) {
     aTask.mSentUnder = mEpoch;
   }
-  const TaskKey key{ .mRequest = aTask.mRequest,
-                     .mAttempt = aTask.mAttempt };
+  const TaskKey key{ .mRequest = aTask.mRequest, .mAttempt = aTask.mAttempt };
   if (aTask.mCancelled) {
     const protocol::CancelTasks cancel{ .mRoute = Route(),
                                         .mShardEpoch = aTask.mSentUnder,
@@ -286,17 +286,16 @@
 void
 ChaosWorld::TakeUpdate(const protocol::TaskUpdate& aUpdate)
 {
-  const auto task = std::find_if(
-    mTasks.begin(), mTasks.end(), [&aUpdate](const Task& aTask) {
+  const auto task =
+    std::find_if(mTasks.begin(), mTasks.end(), [&aUpdate](const Task& aTask) {
       return aTask.mRequest == aUpdate.mTask.mRequest;
     });
   if (!protocol::IsFinal(aUpdate.mState)) {
     return;
   }
-  Send([this, ack = protocol::UpdateAck{ .mRoute = Route(),
-                                         .mTask = aUpdate.mTask }] {
-    Give(ack);
-  });
+  Send([this,
+        ack = protocol::UpdateAck{ .mRoute = Route(),
+                                   .mTask = aUpdate.mTask }] { Give(ack); });
   if (task->mDone || aUpdate.mTask.mAttempt != task->mAttempt) {
     return;
   }
@@ -317,8 +316,7 @@
     Expect(host.mWorker.Used().FitsIn(host.mWorker.Info().mCapacity),
            "a worker is overcommitted");
     for (const auto& [key, held] : host.mWorker.Running()) {
-      Expect(running.insert(key.mRequest).second,
-             "a task runs in two places");
+      Expect(running.insert(key.mRequest).second, "a task runs in two places");
     }
   }
 }
--- a/src/placement/tests/main.cpp
+++ b/src/placement/tests/main.cpp
@@ -5,5 +5,7 @@
 {
   using namespace oriolevane::placement;
   return oriolevane::testing::RunStories(
-    aCount, aArguments, { { "fencing", FencingStory }, { "chaos", ChaosStory } });
+    aCount,
+    aArguments,
+    { { "fencing", FencingStory }, { "chaos", ChaosStory } });
 }
