Scan within shapes, keep room for accelerators, drop reservations once used

Shapes are now size classes whose first eight tasks are tried. Tasks without accelerators leave room for waiting ones that need them when packing outweighs waiting.

--- a/bench/placement/mixbench.cpp
+++ b/bench/placement/mixbench.cpp
@@ -23,6 +23,8 @@
 
 constexpr int kRepeats = 3;
 constexpr std::size_t kWorkers = 48;
+// Waiting tasks that first fit looks at when something ends.
+constexpr std::size_t kLookedAt = 1'000;
 constexpr milliseconds kSampleEvery{ 10'000 };
 constexpr double kMillisPerSecond = 1000;
 constexpr std::array<std::string_view, 3> kUrgencies{ "low",
@@ -245,7 +247,9 @@
     return true;
   };
   const auto pass = [&](milliseconds aNow) {
-    for (auto item = queue.begin(); item != queue.end();) {
+    std::size_t seen = 0;
+    for (auto item = queue.begin(); item != queue.end() && seen < kLookedAt;
+         ++seen) {
       if (place(**item, aNow)) {
         item = queue.erase(item);
       } else if (aBlocking) {
--- a/src/placement/internal/attempt.h
+++ b/src/placement/internal/attempt.h
@@ -51,6 +51,11 @@
   // Sequence of the latest report that listed it.
   std::uint64_t mListedIn = 0;
   TimePoint mPlacedAt;
+  // While waiting: the count of freed workers when it last fitted nowhere.
+  bool mHasFailed = false;
+  std::uint64_t mFailedAt = 0;
+  // Set when that search left workers out: when to search all again.
+  std::optional<TimePoint> mSearchAgainAt;
 
   bool IsFinal() const { return protocol::IsFinal(mState); }
   // In the queue, no capacity granted.
--- a/src/placement/internal/attemptlifecycle.cpp
+++ b/src/placement/internal/attemptlifecycle.cpp
@@ -18,8 +18,7 @@
     return false;
   }
   mContext.mTeams.Grant(attempt.mBatch->mTeam, attempt.mResources);
-  --mContext
-      .mWaiting[static_cast<std::size_t>(attempt.mBatch->mOrder.mUrgency)];
+  mContext.CountWaiting(attempt, -1);
   attempt.mCounted = true;
   ++mContext.mWorkers.At(aWorker).mLive;
   Attach(aIndex, aWorker);
@@ -34,8 +33,7 @@
   Attempt& attempt = mContext.mAttempts.At(aIndex);
   GiveBack(attempt);
   Detach(aIndex);
-  ++mContext
-      .mWaiting[static_cast<std::size_t>(attempt.mBatch->mOrder.mUrgency)];
+  mContext.CountWaiting(attempt, 1);
 }
 
 void
@@ -59,8 +57,7 @@
 {
   Attempt& attempt = mContext.mAttempts.At(aIndex);
   if (attempt.IsWaiting()) {
-    --mContext
-        .mWaiting[static_cast<std::size_t>(attempt.mBatch->mOrder.mUrgency)];
+    mContext.CountWaiting(attempt, -1);
   }
   attempt.mUnsure = false;
   attempt.mCounted = true;
@@ -128,8 +125,7 @@
 {
   Attempt& attempt = mContext.mAttempts.At(aIndex);
   if (attempt.IsWaiting()) {
-    --mContext
-        .mWaiting[static_cast<std::size_t>(attempt.mBatch->mOrder.mUrgency)];
+    mContext.CountWaiting(attempt, -1);
   }
   const WorkerId worker = mContext.NameOf(attempt.mWorker);
   if (attempt.mCounted) {
--- a/src/placement/internal/placercontext.cpp
+++ b/src/placement/internal/placercontext.cpp
@@ -47,6 +47,18 @@
   }
 }
 
+void
+PlacerContext::CountWaiting(const Attempt& aAttempt, int aChange)
+{
+  const auto urgency =
+    static_cast<std::size_t>(aAttempt.mBatch->mOrder.mUrgency);
+  const auto change = static_cast<std::uint32_t>(aChange);
+  mWaiting[urgency] += change;
+  if (aAttempt.mResources.mAccelerators > 0) {
+    mWaitingForAccelerators += change;
+  }
+}
+
 void
 PlacerContext::MarkDirty(WorkerIndex aWorker)
 {
--- a/src/placement/internal/placercontext.h
+++ b/src/placement/internal/placercontext.h
@@ -39,6 +39,8 @@
   // Opens or closes the worker and files it under its free capacity. To be
   // called after any change of its state or its grants.
   void Refresh(WorkerIndex aWorker);
+  // Counts a waiting attempt in, with 1, or out, with -1.
+  void CountWaiting(const Attempt& aAttempt, int aChange);
   // Has a command sent to the worker at the end of this call.
   void MarkDirty(WorkerIndex aWorker);
   // True when a worker of the shard could hold this if it were empty.
@@ -65,6 +67,10 @@
   std::uint64_t mCapacityVersion = 0;
   // Waiting tasks by the urgency they came with.
   std::array<std::uint32_t, protocol::kUrgencyLevels> mWaiting{};
+  // Waiting tasks that need accelerators, and what such tasks need of the other
+  // resources for each accelerator, by a decayed mean.
+  std::uint32_t mWaitingForAccelerators = 0;
+  Resources mPerAccelerator;
   // Tasks placed in all, and a second by a decayed mean.
   std::uint64_t mPlaced = 0;
   double mPlacedPerSecond = 0;
--- a/src/placement/internal/placerparts.cpp
+++ b/src/placement/internal/placerparts.cpp
@@ -24,7 +24,13 @@
   , mPicker(mContext, mHealth, mReservations)
   , mGangs(mContext, mLifecycle, mQueue, mPicker, mReservations)
   , mPreemptor(mContext, mLifecycle, mReservations)
-  , mScheduler(mContext, mLifecycle, mQueue, mPicker, mGangs, mPreemptor)
+  , mScheduler(mContext,
+               mLifecycle,
+               mQueue,
+               mPicker,
+               mGangs,
+               mPreemptor,
+               mReservations)
   , mInventory(mContext, mLifecycle, mHealth)
   , mSupervisor(mContext, mLifecycle, mInventory)
   , mIntake(mContext, mLifecycle, mQueue, mGangs)
--- a/src/placement/internal/queuelane.cpp
+++ b/src/placement/internal/queuelane.cpp
@@ -16,21 +16,18 @@
     shape = mShapes.back().get();
     shape->mKey = key;
   }
-  shape->mEntries.push(aEntry);
-  if (key == kSharedKey) {
-    shape->mHasFailed = false;
-  }
+  shape->mEntries.insert(aEntry);
 }
 
 ShapeQueue*
-QueueLane::Best(std::uint64_t aPass)
+QueueLane::Best(std::uint64_t aPass) const
 {
   ShapeQueue* best = nullptr;
   for (const std::unique_ptr<ShapeQueue>& shape : mShapes) {
     if (shape->mSkippedIn == aPass) {
       continue;
     }
-    if (best == nullptr || shape->mEntries.top() < best->mEntries.top()) {
+    if (best == nullptr || *shape->mEntries.begin() < *best->mEntries.begin()) {
       best = shape.get();
     }
   }
@@ -38,12 +35,8 @@
 }
 
 void
-QueueLane::PopHead(ShapeQueue* aShape)
+QueueLane::DropIfEmpty(ShapeQueue* aShape)
 {
-  aShape->mEntries.pop();
-  if (aShape->mKey == kSharedKey) {
-    aShape->mHasFailed = false;
-  }
   if (!aShape->mEntries.empty()) {
     return;
   }
@@ -52,7 +45,7 @@
     std::find_if(mShapes.begin(), mShapes.end(), [aShape](const auto& aOther) {
       return aOther.get() == aShape;
     });
-  *place = std::move(mShapes.back());
+  std::swap(*place, mShapes.back());
   mShapes.pop_back();
 }
 
--- a/src/placement/internal/queuelane.h
+++ b/src/placement/internal/queuelane.h
@@ -10,22 +10,20 @@
 
 namespace oriolevane::placement {
 
-// The number of shapes kept apart is bounded; shapes beyond it share one queue,
-// in which a task at the head may hold up those behind it.
+// The number of shapes kept apart is bounded; shapes beyond it share one queue.
 class QueueLane
 {
 public:
   void Add(std::uint64_t aShapeKey, const QueueEntry& aEntry);
   // The queue with the most pressing head that was not skipped in this pass;
   // null when there is none. Heads may be stale.
-  ShapeQueue* Best(std::uint64_t aPass);
-  // Removes the head of the queue, and the queue when it is empty then; the
-  // pointer is not to be used afterwards in that case.
-  void PopHead(ShapeQueue* aShape);
+  ShapeQueue* Best(std::uint64_t aPass) const;
+  // Drops the queue when it has become empty.
+  void DropIfEmpty(ShapeQueue* aShape);
   bool IsEmpty() const { return mShapes.empty(); }
 
 private:
-  static constexpr std::size_t kMostShapes = 64;
+  static constexpr std::size_t kMostShapes = 256;
   static constexpr std::uint64_t kSharedKey = 0;
 
   std::vector<std::unique_ptr<ShapeQueue>> mShapes;
--- a/src/placement/internal/reservations.cpp
+++ b/src/placement/internal/reservations.cpp
@@ -39,6 +39,9 @@
 void
 Reservations::DropFor(const AttemptRef& aOwner)
 {
+  if (mReservations.empty()) {
+    return;
+  }
   std::vector<std::uint32_t> numbers;
   for (const auto& [number, reservation] : mReservations) {
     if (reservation.mOwner == aOwner) {
--- a/src/placement/internal/scheduler.cpp
+++ b/src/placement/internal/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "placement/internal/scheduler.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace oriolevane::placement {
 
@@ -8,6 +9,11 @@
 
 // Stale entries dropped in one pass, at most.
 constexpr std::size_t kMostStale = 2048;
+// Searches over all workers in one pass, at most.
+constexpr std::size_t kMostSearches = 512;
+// Tasks of one shape that are tried before the shape is skipped.
+constexpr std::size_t kTriedPerShape = 8;
+constexpr std::chrono::milliseconds kSearchAgainAfter{ 200 };
 
 } // namespace
 
@@ -16,27 +22,36 @@
                      TaskQueue& aQueue,
                      WorkerPicker& aPicker,
                      GangPlacer& aGangs,
-                     Preemptor& aPreemptor)
+                     Preemptor& aPreemptor,
+                     Reservations& aReservations)
   : mContext(aContext)
   , mLifecycle(aLifecycle)
   , mQueue(aQueue)
   , mPicker(aPicker)
   , mGangs(aGangs)
   , mPreemptor(aPreemptor)
+  , mReservations(aReservations)
 {
 }
 
 void
-Scheduler::Pass()
+Scheduler::Pass(bool aForce)
 {
+  const bool hasChanged =
+    mSeenFreed != mContext.mFreed.Count() || mSeenAdded != mQueue.AddedCount();
+  if (mQueue.Waiting() == 0 || mContext.mLedger.OpenCount() == 0 ||
+      (!aForce && !hasChanged && !mHasMore)) {
+    mHasMore = false;
+    return;
+  }
   ++mPass;
   mDecisions = 0;
+  mSearches = 0;
   mStaleDropped = 0;
   mHasMore = false;
   mFailedNeeds.clear();
-  if (mQueue.Waiting() == 0 || mContext.mLedger.OpenCount() == 0) {
-    return;
-  }
+  mSeenFreed = mContext.mFreed.Count();
+  mSeenAdded = mQueue.AddedCount();
   for (std::size_t level = protocol::kUrgencyLevels; level > 0; --level) {
     RunLevel(level - 1);
   }
@@ -58,7 +73,7 @@
     if (!SpendDecision()) {
       return;
     }
-    TryHead(aLane, shape, aLevel);
+    TryShape(aLane, shape, aLevel);
   }
 }
 
@@ -70,7 +85,7 @@
     if (!SpendDecision()) {
       return;
     }
-    TryHead(*lane, lane->Best(mPass), aLevel);
+    TryShape(*lane, lane->Best(mPass), aLevel);
   }
 }
 
@@ -100,66 +115,102 @@
 Scheduler::SpendDecision()
 {
   if (mDecisions >= mContext.mOptions.mDecisionsPerCall ||
-      mStaleDropped >= kMostStale) {
+      mSearches >= kMostSearches || mStaleDropped >= kMostStale) {
     mHasMore = true;
     return false;
   }
   return true;
 }
 
-Scheduler::Trial
-Scheduler::TryHead(QueueLane& aLane, ShapeQueue* aShape, std::size_t aLevel)
+void
+Scheduler::TryShape(QueueLane& aLane, ShapeQueue* aShape, std::size_t aLevel)
 {
-  const QueueEntry head = aShape->mEntries.top();
-  if (mQueue.IsStale(head, aLevel)) {
-    ++mStaleDropped;
-    aLane.PopHead(aShape);
-    return Trial::Stale;
+  std::size_t tried = 0;
+  auto entry = aShape->mEntries.begin();
+  while (entry != aShape->mEntries.end() && tried < kTriedPerShape) {
+    if (mStaleDropped >= kMostStale) {
+      return;
+    }
+    if (mQueue.IsStale(*entry, aLevel)) {
+      ++mStaleDropped;
+      entry = aShape->mEntries.erase(entry);
+      continue;
+    }
+    if (TryTask(entry->mAttempt.mIndex)) {
+      ++mDecisions;
+      aShape->mEntries.erase(entry);
+      aLane.DropIfEmpty(aShape);
+      return;
+    }
+    ++tried;
+    ++entry;
   }
-  const AttemptIndex index = head.mAttempt.mIndex;
-  const Attempt& attempt = mContext.mAttempts.At(index);
+  aShape->mSkippedIn = mPass;
+  aLane.DropIfEmpty(aShape);
+}
+
+bool
+Scheduler::TryTask(AttemptIndex aIndex)
+{
+  Attempt& attempt = mContext.mAttempts.At(aIndex);
   if (!mContext.mTeams.Allows(attempt.mBatch->mTeam, attempt.mResources)) {
-    aShape->mSkippedIn = mPass;
-    return Trial::Failed;
+    return false;
   }
-  const WorkerIndex worker = FindWorker(*aShape, attempt);
-  if (worker == kNoWorker || !mLifecycle.Grant(index, worker)) {
-    aShape->mSkippedIn = mPass;
-    mPreemptor.MakeRoom(index);
-    return Trial::Failed;
+  const WorkerIndex worker = FindWorker(attempt);
+  if (worker == kNoWorker || !mLifecycle.Grant(aIndex, worker)) {
+    mPreemptor.MakeRoom(aIndex);
+    return false;
   }
-  ++mDecisions;
-  aLane.PopHead(aShape);
-  mLifecycle.Start(index);
-  return Trial::Placed;
+  // Room that was made for it serves others now.
+  mReservations.DropFor(attempt.mBatch->mMembers.front());
+  mLifecycle.Start(aIndex);
+  return true;
 }
 
 WorkerIndex
-Scheduler::FindWorker(ShapeQueue& aShape, const Attempt& aAttempt)
+Scheduler::FindWorker(Attempt& aAttempt)
 {
+  const bool isDueForAll = aAttempt.mSearchAgainAt.has_value() &&
+                           *aAttempt.mSearchAgainAt <= mContext.mNow;
+  if (!aAttempt.mHasFailed || isDueForAll ||
+      !mContext.mFreed.Reaches(aAttempt.mFailedAt)) {
+    return SearchAll(aAttempt);
+  }
   const std::uint64_t freed = mContext.mFreed.Count();
-  if (aShape.mHasFailed && mContext.mFreed.Reaches(aShape.mFailedAt)) {
-    const WorkerIndex worker =
-      mPicker.PickAmongFreed(aAttempt, aShape.mFailedAt);
-    if (worker == kNoWorker) {
-      aShape.mFailedAt = freed;
-    }
-    return worker;
+  if (aAttempt.mFailedAt == freed) {
+    return kNoWorker;
   }
+  const WorkerIndex worker =
+    mPicker.PickAmongFreed(aAttempt, aAttempt.mFailedAt);
+  aAttempt.mFailedAt = freed;
+  return worker;
+}
+
+WorkerIndex
+Scheduler::SearchAll(Attempt& aAttempt)
+{
+  const std::uint64_t freed = mContext.mFreed.Count();
   const bool isHopeless = std::any_of(
     mFailedNeeds.begin(), mFailedNeeds.end(), [&](const Resources& aFailed) {
       return aFailed.FitsIn(aAttempt.mResources);
     });
-  if (isHopeless) {
-    return kNoWorker;
-  }
-  const PickResult result = mPicker.Pick(aAttempt);
-  aShape.mHasFailed = result.mWorker == kNoWorker && result.mComplete;
-  aShape.mFailedAt = freed;
-  if (result.mWorker == kNoWorker && result.mCapacityOnly) {
-    mFailedNeeds.push_back(aAttempt.mResources);
+  if (!isHopeless) {
+    ++mSearches;
+    const PickResult result = mPicker.Pick(aAttempt);
+    if (result.mWorker != kNoWorker) {
+      return result.mWorker;
+    }
+    aAttempt.mSearchAgainAt.reset();
+    if (!result.mComplete) {
+      aAttempt.mSearchAgainAt = mContext.mNow + kSearchAgainAfter;
+    }
+    if (result.mCapacityOnly) {
+      mFailedNeeds.push_back(aAttempt.mResources);
+    }
   }
-  return result.mWorker;
+  aAttempt.mHasFailed = true;
+  aAttempt.mFailedAt = freed;
+  return kNoWorker;
 }
 
 } // namespace oriolevane::placement
--- a/src/placement/internal/scheduler.h
+++ b/src/placement/internal/scheduler.h
@@ -21,29 +21,26 @@
             TaskQueue& aQueue,
             WorkerPicker& aPicker,
             GangPlacer& aGangs,
-            Preemptor& aPreemptor);
+            Preemptor& aPreemptor,
+            Reservations& aReservations);
 
-  // Places what can be placed, up to the limit of decisions a call.
-  void Pass();
+  // Places what can be placed, up to the limit of decisions a call. Without
+  // aForce nothing is done when nothing has changed since the last pass.
+  void Pass(bool aForce);
   // True when the last pass stopped at its limit.
   bool HasMore() const { return mHasMore; }
 
 private:
-  enum class Trial
-  {
-    Placed,
-    Failed,
-    // The head was not waiting any more.
-    Stale
-  };
-
   void RunLevel(std::size_t aLevel);
   void RunLane(QueueLane& aLane, std::size_t aLevel);
   void RunTeams(std::size_t aLevel);
   // The active team with the smallest dominant share that has a shape to try.
   QueueLane* NextTeam(QueueLevel& aLevel);
-  Trial TryHead(QueueLane& aLane, ShapeQueue* aShape, std::size_t aLevel);
-  WorkerIndex FindWorker(ShapeQueue& aShape, const Attempt& aAttempt);
+  // Places one of the foremost tasks of the queue, or skips it for this pass.
+  void TryShape(QueueLane& aLane, ShapeQueue* aShape, std::size_t aLevel);
+  bool TryTask(AttemptIndex aIndex);
+  WorkerIndex FindWorker(Attempt& aAttempt);
+  WorkerIndex SearchAll(Attempt& aAttempt);
   bool SpendDecision();
 
   PlacerContext& mContext;
@@ -52,9 +49,13 @@
   WorkerPicker& mPicker;
   GangPlacer& mGangs;
   Preemptor& mPreemptor;
+  Reservations& mReservations;
   std::uint64_t mPass = 0;
   std::size_t mDecisions = 0;
+  std::size_t mSearches = 0;
   std::size_t mStaleDropped = 0;
+  std::uint64_t mSeenFreed = 0;
+  std::uint64_t mSeenAdded = 0;
   bool mHasMore = false;
   // Needs that fitted nowhere in this pass.
   std::vector<Resources> mFailedNeeds;
--- a/src/placement/internal/taskqueue.cpp
+++ b/src/placement/internal/taskqueue.cpp
@@ -1,25 +1,22 @@
 #include "placement/internal/taskqueue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
-#include "framework/stablehash.h"
-
 namespace oriolevane::placement {
 
 namespace {
 
+// Two classes an octave.
 std::uint64_t
-HashOf(const Resources& aAmount)
+SizeClass(std::int64_t aAmount)
 {
-  std::uint64_t hash = 0;
-  for (const std::int64_t amount : { aAmount.mMilliCores,
-                                     aAmount.mMemoryMiB,
-                                     aAmount.mAccelerators,
-                                     aAmount.mSlots }) {
-    hash = CombineHash(hash, static_cast<std::uint64_t>(amount));
-  }
-  return hash;
+  constexpr double kPerOctave = 2;
+  return aAmount <= 0
+           ? 0
+           : 1 + static_cast<std::uint64_t>(
+                   kPerOctave * std::log2(static_cast<double>(aAmount)));
 }
 
 } // namespace
@@ -34,7 +31,8 @@
       continue;
     }
     attempt->mLevel = static_cast<std::uint8_t>(aBatch.mOrder.mUrgency);
-    ++mContext.mWaiting[attempt->mLevel];
+    mContext.CountWaiting(*attempt, 1);
+    LearnPerAccelerator(attempt->mResources);
     if (isFirst || !aBatch.IsGang()) {
       AddToLevel(ref, aBatch);
     }
@@ -43,6 +41,22 @@
   }
 }
 
+void
+TaskQueue::LearnPerAccelerator(const Resources& aNeed)
+{
+  if (aNeed.mAccelerators <= 0) {
+    return;
+  }
+  constexpr std::int64_t kDecay = 16;
+  const auto mix = [&aNeed](std::int64_t& aMean, std::int64_t aAmount) {
+    const std::int64_t one = aAmount / aNeed.mAccelerators;
+    aMean = aMean == 0 ? one : aMean + (one - aMean) / kDecay;
+  };
+  mix(mContext.mPerAccelerator.mMilliCores, aNeed.mMilliCores);
+  mix(mContext.mPerAccelerator.mMemoryMiB, aNeed.mMemoryMiB);
+  mContext.mPerAccelerator.mSlots = 1;
+}
+
 void
 TaskQueue::Raise(const AttemptRef& aRef)
 {
@@ -103,13 +117,12 @@
 std::uint64_t
 TaskQueue::ShapeKeyOf(const Batch& aBatch)
 {
-  std::uint64_t hash = CombineHash(HashOf(aBatch.mPerTask), aBatch.mWorkload);
-  hash = CombineHash(hash, aBatch.mTeam);
-  hash = CombineHash(hash, aBatch.mOrder.mNeverRepeat ? 1 : 0);
-  for (const WorkerId& worker : aBatch.mOrder.mAvoid) {
-    hash = CombineHash(hash, StableHash(worker.mValue));
-  }
-  return hash;
+  const Resources& need = aBatch.mPerTask;
+  constexpr unsigned kBits = 16;
+  std::uint64_t key = SizeClass(need.mMilliCores);
+  key = (key << kBits) | SizeClass(need.mMemoryMiB);
+  key = (key << kBits) | static_cast<std::uint16_t>(need.mAccelerators);
+  return (key << kBits) | static_cast<std::uint16_t>(need.mSlots);
 }
 
 QueueEntry
--- a/src/placement/internal/taskqueue.h
+++ b/src/placement/internal/taskqueue.h
@@ -44,6 +44,8 @@
   // deadline; nothing without a deadline.
   std::optional<TimePoint> LatestStart(const Batch& aBatch) const;
   QueueLevel& Level(std::size_t aLevel) { return mLevels[aLevel]; }
+  // Rises with each entry, new or moved.
+  std::uint64_t AddedCount() const { return mNumber; }
   // All waiting tasks.
   std::size_t Waiting() const;
 
@@ -51,6 +53,7 @@
   static std::uint64_t ShapeKeyOf(const Batch& aBatch);
   QueueEntry EntryFor(const AttemptRef& aRef, const Batch& aBatch);
   void AddToLevel(const AttemptRef& aRef, const Batch& aBatch);
+  void LearnPerAccelerator(const Resources& aNeed);
   void SetTimers(const AttemptRef& aRef, const Batch& aBatch);
 
   PlacerContext& mContext;
--- a/src/placement/internal/workerpicker.cpp
+++ b/src/placement/internal/workerpicker.cpp
@@ -79,10 +79,20 @@
 WorkerPicker::Query
 WorkerPicker::QueryFor(const Attempt& aAttempt) const
 {
+  const Batch& batch = *aAttempt.mBatch;
+  const WorkloadRecord& workload = mContext.mWorkloads.At(batch.mWorkload);
+  // Packing may cost waiting time, but not beyond what the workload tolerates.
+  const bool mayWait =
+    workload.mPolicy.mWeights.mPacking > workload.mPolicy.mWeights.mWaiting &&
+    batch.mOrder.mUrgency != protocol::Urgency::Urgent &&
+    mContext.mNow < batch.mSubmitted + workload.mPolicy.mToleratedWait;
   return { .mAttempt = &aAttempt,
-           .mOwner = aAttempt.mBatch->mMembers.front(),
+           .mOwner = batch.mMembers.front(),
            .mLikelyEnd = LikelyEnd(aAttempt, mContext.mNow),
-           .mWorkload = &mContext.mWorkloads.At(aAttempt.mBatch->mWorkload) };
+           .mWorkload = &workload,
+           .mLeavesAccelerators = mayWait &&
+                                  aAttempt.mResources.mAccelerators == 0 &&
+                                  mContext.mWaitingForAccelerators > 0 };
 }
 
 bool
@@ -101,6 +111,9 @@
         avoid.end()) {
     return false;
   }
+  if (aQuery.mLeavesAccelerators && !LeavesAccelerators(aQuery, aWorker)) {
+    return false;
+  }
   return mHealth.Accepts(aWorker, *aQuery.mAttempt) &&
          mReservations.Allows(aWorker,
                               aQuery.mOwner,
@@ -108,6 +121,21 @@
                               aQuery.mLikelyEnd);
 }
 
+bool
+WorkerPicker::LeavesAccelerators(const Query& aQuery, WorkerIndex aWorker) const
+{
+  const Resources free = mContext.mLedger.At(aWorker).Free();
+  const std::int64_t count = free.mAccelerators;
+  if (count <= 0) {
+    return true;
+  }
+  const Resources left = free - aQuery.mAttempt->mResources;
+  const Resources& each = mContext.mPerAccelerator;
+  return left.mMilliCores >= each.mMilliCores * count &&
+         left.mMemoryMiB >= each.mMemoryMiB * count &&
+         left.mSlots >= each.mSlots * count;
+}
+
 double
 WorkerPicker::Score(const Query& aQuery, WorkerIndex aWorker) const
 {
--- a/src/placement/internal/workerpicker.h
+++ b/src/placement/internal/workerpicker.h
@@ -45,12 +45,16 @@
     AttemptRef mOwner;
     TimePoint mLikelyEnd;
     const WorkloadRecord* mWorkload = nullptr;
+    // It leaves room for waiting tasks that need accelerators.
+    bool mLeavesAccelerators = false;
   };
 
   Query QueryFor(const Attempt& aAttempt) const;
   bool HasRoom(const Query& aQuery, WorkerIndex aWorker) const;
   // Anything but capacity.
   bool IsAllowed(const Query& aQuery, WorkerIndex aWorker) const;
+  // True when what is left of the worker can still feed its free accelerators.
+  bool LeavesAccelerators(const Query& aQuery, WorkerIndex aWorker) const;
   double Score(const Query& aQuery, WorkerIndex aWorker) const;
   double SpreadTerm(const Query& aQuery, const WorkerRecord& aWorker) const;
 
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -26,7 +26,7 @@
     context.mOutbox.Clear();
     return {};
   }
-  mParts->mScheduler.Pass();
+  mParts->mScheduler.Pass(std::holds_alternative<Tick>(aEvent));
   mParts->mSupervisor.Flush();
   return context.mOutbox.Take();
 }
