--- a/src/placement/internal/queuelane.cpp
+++ b/src/placement/internal/queuelane.cpp
@@ -1,7 +1,5 @@
 #include "placement/internal/queuelane.h"
 
-#include <algorithm>
-
 namespace oriolevane::placement {
 
 void
@@ -9,44 +7,56 @@
 {
   const bool isFull = mShapes.size() >= kMostShapes;
   const std::uint64_t key =
-    isFull && !mByKey.contains(aShapeKey) ? kSharedKey : aShapeKey;
-  ShapeQueue*& shape = mByKey[key];
+    isFull && !mShapes.contains(aShapeKey) ? kSharedKey : aShapeKey;
+  std::unique_ptr<ShapeQueue>& shape = mShapes[key];
   if (shape == nullptr) {
-    mShapes.push_back(std::make_unique<ShapeQueue>());
-    shape = mShapes.back().get();
+    shape = std::make_unique<ShapeQueue>();
     shape->mKey = key;
+  } else {
+    mByHead.erase(*shape->mEntries.begin());
   }
   shape->mEntries.insert(aEntry);
+  mByHead.emplace(*shape->mEntries.begin(), shape.get());
+  // The head may have moved to before the cursor.
+  mPass = 0;
 }
 
 ShapeQueue*
-QueueLane::Best(std::uint64_t aPass) const
+QueueLane::Best(std::uint64_t aPass)
 {
-  ShapeQueue* best = nullptr;
-  for (const std::unique_ptr<ShapeQueue>& shape : mShapes) {
-    if (shape->mSkippedIn == aPass) {
-      continue;
-    }
-    if (best == nullptr || *shape->mEntries.begin() < *best->mEntries.begin()) {
-      best = shape.get();
-    }
+  auto next = mByHead.begin();
+  if (mPass == aPass) {
+    next = mByHead.lower_bound(mCursor);
+  }
+  mPass = aPass;
+  while (next != mByHead.end() && next->second->mSkippedIn == aPass) {
+    ++next;
+  }
+  if (next == mByHead.end()) {
+    // After all heads.
+    mCursor = { .mStartBy = TimePoint::max() };
+    return nullptr;
   }
-  return best;
+  mCursor = next->first;
+  return next->second;
 }
 
-void
-QueueLane::DropIfEmpty(ShapeQueue* aShape)
+bool
+QueueLane::Remove(ShapeQueue* aShape, const QueueEntry& aEntry)
 {
-  if (!aShape->mEntries.empty()) {
-    return;
+  const bool isHead = !(*aShape->mEntries.begin() < aEntry);
+  if (!isHead) {
+    aShape->mEntries.erase(aEntry);
+    return true;
+  }
+  mByHead.erase(aEntry);
+  aShape->mEntries.erase(aShape->mEntries.begin());
+  if (aShape->mEntries.empty()) {
+    mShapes.erase(aShape->mKey);
+    return false;
   }
-  mByKey.erase(aShape->mKey);
-  const auto place =
-    std::find_if(mShapes.begin(), mShapes.end(), [aShape](const auto& aOther) {
-      return aOther.get() == aShape;
-    });
-  std::swap(*place, mShapes.back());
-  mShapes.pop_back();
+  mByHead.emplace(*aShape->mEntries.begin(), aShape);
+  return true;
 }
 
 } // namespace oriolevane::placement
--- a/src/placement/internal/scheduler.cpp
+++ b/src/placement/internal/scheduler.cpp
@@ -35,25 +35,33 @@
 }
 
 void
-Scheduler::Pass(bool aForce)
+Scheduler::Pass(bool aIsTick)
 {
   const bool hasChanged =
     mSeenFreed != mContext.mFreed.Count() || mSeenAdded != mQueue.AddedCount();
-  if (mQueue.Waiting() == 0 || mContext.mLedger.OpenCount() == 0 ||
-      (!aForce && !hasChanged && !mHasMore)) {
-    mHasMore = false;
+  const bool hasUrgent = mContext.mWaiting.back() > 0;
+  const bool isDue =
+    hasChanged || mHasMore || (aIsTick && (mHadIncomplete || hasUrgent));
+  mHasMore = false;
+  if (mQueue.Waiting() == 0 || mContext.mLedger.OpenCount() == 0) {
     return;
   }
   ++mPass;
   mDecisions = 0;
   mSearches = 0;
   mStaleDropped = 0;
-  mHasMore = false;
   mFailedNeeds.clear();
-  mSeenFreed = mContext.mFreed.Count();
-  mSeenAdded = mQueue.AddedCount();
+  if (isDue) {
+    mHadIncomplete = false;
+    mSeenFreed = mContext.mFreed.Count();
+    mSeenAdded = mQueue.AddedCount();
+  }
   for (std::size_t level = protocol::kUrgencyLevels; level > 0; --level) {
-    RunLevel(level - 1);
+    if (isDue) {
+      RunLevel(level - 1);
+    } else if (aIsTick) {
+      mDecisions += mGangs.PlaceGangs(mQueue.Level(level - 1), level - 1);
+    }
   }
 }
 
@@ -126,27 +134,25 @@
 Scheduler::TryShape(QueueLane& aLane, ShapeQueue* aShape, std::size_t aLevel)
 {
   std::size_t tried = 0;
-  auto entry = aShape->mEntries.begin();
-  while (entry != aShape->mEntries.end() && tried < kTriedPerShape) {
-    if (mStaleDropped >= kMostStale) {
-      return;
-    }
-    if (mQueue.IsStale(*entry, aLevel)) {
+  auto next = aShape->mEntries.begin();
+  while (next != aShape->mEntries.end() && tried < kTriedPerShape) {
+    const QueueEntry entry = *next;
+    ++next;
+    if (mQueue.IsStale(entry, aLevel)) {
       ++mStaleDropped;
-      entry = aShape->mEntries.erase(entry);
+      if (!aLane.Remove(aShape, entry) || mStaleDropped >= kMostStale) {
+        return;
+      }
       continue;
     }
-    if (TryTask(entry->mAttempt.mIndex)) {
+    if (TryTask(entry.mAttempt.mIndex)) {
       ++mDecisions;
-      aShape->mEntries.erase(entry);
-      aLane.DropIfEmpty(aShape);
+      aLane.Remove(aShape, entry);
       return;
     }
     ++tried;
-    ++entry;
   }
   aShape->mSkippedIn = mPass;
-  aLane.DropIfEmpty(aShape);
 }
 
 bool
@@ -202,6 +208,7 @@
     }
     aAttempt.mSearchAgainAt.reset();
     if (!result.mComplete) {
+      mHadIncomplete = true;
       aAttempt.mSearchAgainAt = mContext.mNow + kSearchAgainAfter;
     }
     if (result.mCapacityOnly) {
--- a/src/placement/internal/scheduler.h
+++ b/src/placement/internal/scheduler.h
@@ -24,9 +24,10 @@
             Preemptor& aPreemptor,
             Reservations& aReservations);
 
-  // Places what can be placed, up to the limit of decisions a call. Without
-  // aForce nothing is done when nothing has changed since the last pass.
-  void Pass(bool aForce);
+  // Places what can be placed, up to the limit of decisions a call. When
+  // nothing has changed since the last pass, only a tick tries again what may
+  // succeed by a new sample or with time.
+  void Pass(bool aIsTick);
   // True when the last pass stopped at its limit.
   bool HasMore() const { return mHasMore; }
 
@@ -57,6 +58,8 @@
   std::uint64_t mSeenFreed = 0;
   std::uint64_t mSeenAdded = 0;
   bool mHasMore = false;
+  // A search of the last pass left workers out.
+  bool mHadIncomplete = false;
   // Needs that fitted nowhere in this pass.
   std::vector<Resources> mFailedNeeds;
 };
--- a/src/placement/internal/workerpicker.cpp
+++ b/src/placement/internal/workerpicker.cpp
@@ -88,7 +88,6 @@
     mContext.mNow < batch.mSubmitted + workload.mPolicy.mToleratedWait;
   return { .mAttempt = &aAttempt,
            .mOwner = batch.mMembers.front(),
-           .mLikelyEnd = LikelyEnd(aAttempt, mContext.mNow),
            .mWorkload = &workload,
            .mLeavesAccelerators = mayWait &&
                                   aAttempt.mResources.mAccelerators == 0 &&
@@ -114,11 +113,15 @@
   if (aQuery.mLeavesAccelerators && !LeavesAccelerators(aQuery, aWorker)) {
     return false;
   }
-  return mHealth.Accepts(aWorker, *aQuery.mAttempt) &&
+  if (!mHealth.Accepts(aWorker, *aQuery.mAttempt)) {
+    return false;
+  }
+  // The likely end is worth working out only for reserved workers.
+  return mContext.mWorkers.At(aWorker).mReservation.mNumber == 0 ||
          mReservations.Allows(aWorker,
                               aQuery.mOwner,
                               aQuery.mAttempt->mResources,
-                              aQuery.mLikelyEnd);
+                              LikelyEnd(*aQuery.mAttempt, mContext.mNow));
 }
 
 bool
--- a/src/placement/internal/workerpicker.h
+++ b/src/placement/internal/workerpicker.h
@@ -43,7 +43,6 @@
   {
     const Attempt* mAttempt = nullptr;
     AttemptRef mOwner;
-    TimePoint mLikelyEnd;
     const WorkloadRecord* mWorkload = nullptr;
     // It leaves room for waiting tasks that need accelerators.
     bool mLeavesAccelerators = false;
