--- a/src/placement/internal/workerpicker.cpp
+++ b/src/placement/internal/workerpicker.cpp
@@ -79,10 +79,19 @@
 WorkerPicker::Query
 WorkerPicker::QueryFor(const Attempt& aAttempt) const
 {
+  const Batch& batch = *aAttempt.mBatch;
+  const WorkloadRecord& workload = mContext.mWorkloads.At(batch.mWorkload);
+  // Packing may cost waiting time, but not beyond what the workload tolerates.
+  const bool mayWait =
+    workload.mPolicy.mWeights.mPacking > workload.mPolicy.mWeights.mWaiting &&
+    batch.mOrder.mUrgency != protocol::Urgency::Urgent &&
+    mContext.mNow < batch.mSubmitted + workload.mPolicy.mToleratedWait;
   return { .mAttempt = &aAttempt,
-           .mOwner = aAttempt.mBatch->mMembers.front(),
-           .mLikelyEnd = LikelyEnd(aAttempt, mContext.mNow),
-           .mWorkload = &mContext.mWorkloads.At(aAttempt.mBatch->mWorkload) };
+           .mOwner = batch.mMembers.front(),
+           .mWorkload = &workload,
+           .mLeavesAccelerators = mayWait &&
+                                  aAttempt.mResources.mAccelerators == 0 &&
+                                  mContext.mWaitingForAccelerators > 0 };
 }
 
 bool
@@ -101,11 +110,33 @@
         avoid.end()) {
     return false;
   }
-  return mHealth.Accepts(aWorker, *aQuery.mAttempt) &&
+  if (aQuery.mLeavesAccelerators && !LeavesAccelerators(aQuery, aWorker)) {
+    return false;
+  }
+  if (!mHealth.Accepts(aWorker, *aQuery.mAttempt)) {
+    return false;
+  }
+  // The likely end is worth working out only for reserved workers.
+  return mContext.mWorkers.At(aWorker).mReservation.mNumber == 0 ||
          mReservations.Allows(aWorker,
                               aQuery.mOwner,
                               aQuery.mAttempt->mResources,
-                              aQuery.mLikelyEnd);
+                              LikelyEnd(*aQuery.mAttempt, mContext.mNow));
+}
+
+bool
+WorkerPicker::LeavesAccelerators(const Query& aQuery, WorkerIndex aWorker) const
+{
+  const Resources free = mContext.mLedger.At(aWorker).Free();
+  const std::int64_t count = free.mAccelerators;
+  if (count <= 0) {
+    return true;
+  }
+  const Resources left = free - aQuery.mAttempt->mResources;
+  const Resources& each = mContext.mPerAccelerator;
+  return left.mMilliCores >= each.mMilliCores * count &&
+         left.mMemoryMiB >= each.mMemoryMiB * count &&
+         left.mSlots >= each.mSlots * count;
 }
 
 double
--- a/src/placement/internal/workersupervisor.cpp
+++ b/src/placement/internal/workersupervisor.cpp
@@ -58,6 +58,8 @@
   if (!isNew) {
     return;
   }
+  ++mUnsettled;
+  ++mWorkers;
   worker.mHeardAt = mContext.mNow;
   mContext.MarkDirty(index);
   const auto step = mContext.mOptions.mHeartbeatEvery / kHeartbeatSteps;
@@ -101,7 +103,7 @@
     return;
   }
   WorkerRecord& worker = mContext.mWorkers.At(index);
-  if (!IsNews(worker, aReport)) {
+  if (!IsNews(index, aReport)) {
     return;
   }
   if (worker.mIncarnation != aReport.mIncarnation) {
@@ -121,6 +123,7 @@
   } else {
     const bool isFirst = !worker.mFenced;
     worker.mFenced = true;
+    Settle(worker);
     mInventory.Compare(index, aReport);
     if (isFirst && worker.mLive > 0) {
       // Renews the leases that the previous owner granted.
@@ -131,15 +134,54 @@
 }
 
 bool
-WorkerSupervisor::IsNews(WorkerRecord& aWorker,
+WorkerSupervisor::IsNews(WorkerIndex aWorker,
                          const protocol::WorkerReport& aReport)
 {
-  if (aWorker.mIncarnation == aReport.mIncarnation) {
-    return aReport.mSequence > aWorker.mReportSequence;
+  WorkerRecord& worker = mContext.mWorkers.At(aWorker);
+  const std::vector<Incarnation>& retired = worker.mRetired;
+  if (std::find(retired.begin(), retired.end(), aReport.mIncarnation) !=
+      retired.end()) {
+    return false;
+  }
+  if (worker.mIncarnation == Incarnation{}) {
+    return true;
+  }
+  if (worker.mIncarnation != aReport.mIncarnation) {
+    return HasProvedCurrent(aWorker, aReport);
+  }
+  if (worker.mChallenger != Incarnation{} &&
+      aReport.mHighestEpoch == mContext.mOptions.mEpoch &&
+      aReport.mCommandSequence >= worker.mChallengeSequence) {
+    Retire(worker, worker.mChallenger);
+    worker.mChallenger = {};
+  }
+  return aReport.mSequence > worker.mReportSequence;
+}
+
+bool
+WorkerSupervisor::HasProvedCurrent(WorkerIndex aWorker,
+                                   const protocol::WorkerReport& aReport)
+{
+  // A report may be late: an incarnation that was never seen can be older than
+  // the current one. Only a living one applies a command sent after now.
+  WorkerRecord& worker = mContext.mWorkers.At(aWorker);
+  if (worker.mChallenger == aReport.mIncarnation) {
+    return aReport.mHighestEpoch == mContext.mOptions.mEpoch &&
+           aReport.mCommandSequence >= worker.mChallengeSequence;
+  }
+  worker.mChallenger = aReport.mIncarnation;
+  worker.mChallengeSequence = worker.mCommandSequence + 1;
+  mContext.MarkDirty(aWorker);
+  return false;
+}
+
+void
+WorkerSupervisor::Retire(WorkerRecord& aWorker, Incarnation aIncarnation)
+{
+  aWorker.mRetired.push_back(aIncarnation);
+  if (aWorker.mRetired.size() > kRetiredKept) {
+    aWorker.mRetired.erase(aWorker.mRetired.begin());
   }
-  return std::find(aWorker.mRetired.begin(),
-                   aWorker.mRetired.end(),
-                   aReport.mIncarnation) == aWorker.mRetired.end();
 }
 
 void
@@ -148,11 +190,9 @@
 {
   WorkerRecord& worker = mContext.mWorkers.At(aWorker);
   if (worker.mIncarnation != Incarnation{}) {
-    worker.mRetired.push_back(worker.mIncarnation);
-    if (worker.mRetired.size() > kRetiredKept) {
-      worker.mRetired.erase(worker.mRetired.begin());
-    }
+    Retire(worker, worker.mIncarnation);
   }
+  worker.mChallenger = {};
   worker.mIncarnation = aIncarnation;
   worker.mReportSequence = 0;
   worker.mFenced = false;
@@ -219,6 +259,7 @@
                          kLapseNumerator / kLapseDenominator;
   if (!worker.mLapsed && silence > lapse) {
     worker.mLapsed = true;
+    Settle(worker);
     mInventory.GiveUpAll(aWorker);
   }
 }
@@ -233,6 +274,8 @@
   if (worker.mHealth.mState != HealthState::Healthy) {
     --mContext.mQuarantined;
   }
+  Settle(worker);
+  --mWorkers;
   std::erase(mContext.mDirty, aWorker);
   mContext.mWorkers.Erase(aWorker);
 }
@@ -255,7 +298,7 @@
                                    .mEpoch = mContext.mOptions.mEpoch,
                                    .mSequence = ++aWorker.mCommandSequence };
   aWorker.mSentAt = mContext.mNow;
-  if (!aWorker.mFenced) {
+  if (!aWorker.mFenced || aWorker.mChallenger != Incarnation{}) {
     return command;
   }
   command.mIncarnation = aWorker.mIncarnation;
@@ -299,33 +342,19 @@
                                .mPayload = attempt.mBatch->mOrder.mPayload };
 }
 
-std::uint32_t
-WorkerSupervisor::CountUnsettled()
-{
-  std::uint32_t unsettled = 0;
-  mContext.mWorkers.ForEach(
-    [&unsettled](WorkerIndex /*aIndex*/, WorkerRecord& aWorker) {
-      const bool isSettled = aWorker.mFenced || aWorker.mLapsed;
-      unsettled += isSettled ? 0 : 1;
-    });
-  return unsettled;
-}
-
-bool
-WorkerSupervisor::IsSettled()
+void
+WorkerSupervisor::Settle(WorkerRecord& aWorker)
 {
-  return mListSeen && CountUnsettled() == 0;
+  if (!aWorker.mSettled) {
+    aWorker.mSettled = true;
+    --mUnsettled;
+  }
 }
 
 bool
-WorkerSupervisor::IsMostlySettled()
+WorkerSupervisor::IsMostlySettled() const
 {
-  if (!mEverSettled && mListSeen) {
-    const std::uint32_t unsettled = CountUnsettled();
-    mEverSettled =
-      unsettled * kMostlySettledDivisor <= mContext.mWorkers.SlotCount();
-  }
-  return mEverSettled;
+  return mListSeen && mUnsettled * kMostlySettledDivisor <= mWorkers;
 }
 
 } // namespace oriolevane::placement
