--- a/src/coordination/internal/enginerefusals.cpp
+++ b/src/coordination/internal/enginerefusals.cpp
@@ -14,7 +14,6 @@
 using protocol::RefusalReason;
 using protocol::RequestStatus;
 
-constexpr std::chrono::milliseconds kRecoveringRetryAfter{ 1'000 };
 constexpr std::chrono::milliseconds kStoreRetryAfter{ 2'000 };
 constexpr std::chrono::milliseconds kStoppingRetryAfter{ 500 };
 constexpr std::chrono::milliseconds kMostRetryAfter{ 60'000 };
--- a/src/coordination/tests/main.cpp
+++ b/src/coordination/tests/main.cpp
@@ -5,5 +5,8 @@
 {
   using namespace oriolevane::coordination;
   return oriolevane::testing::RunStories(
-    aCount, aArguments, { { "request life", RequestLifeStory } });
+    aCount,
+    aArguments,
+    { { "request life", RequestLifeStory },
+      { "random faults", RandomFaultsStory } });
 }
--- a/src/coordination/tests/stories.h
+++ b/src/coordination/tests/stories.h
@@ -8,4 +8,7 @@
 void
 RequestLifeStory(oriolevane::testing::Section& aStory);
 
+void
+RandomFaultsStory(oriolevane::testing::Section& aStory);
+
 } // namespace oriolevane::coordination
