--- a/src/coordination/internal/engine.cpp
+++ b/src/coordination/internal/engine.cpp
@@ -111,6 +111,7 @@
        mOrphans.TakeDue(mNow, mOptions.mResendAfter, kOrphansPerTick)) {
     Send(orphan.mShard, protocol::CancelTasks{ .mTasks = { orphan.mTask } });
   }
+  mOrphans.ForgetEnded(mNow - mOptions.mOutcomeRetention);
   ForgetOutcomes();
 }
 
--- a/src/coordination/internal/engine.h
+++ b/src/coordination/internal/engine.h
@@ -132,7 +132,9 @@
   void Send(ShardId aShard, Message aMessage)
   {
     aMessage.mRoute = NextRoute(aShard);
-    mActions.push_back(SendToPlacer{ aShard, std::move(aMessage) });
+    mActions.emplace_back(std::in_place_type<SendToPlacer>,
+                          aShard,
+                          protocol::ToPlacer(std::move(aMessage)));
   }
   void ResendBy(LiveRequest& aRequest);
 
--- a/src/coordination/internal/enginecalls.cpp
+++ b/src/coordination/internal/enginecalls.cpp
@@ -51,6 +51,9 @@
     return;
   }
   if (std::optional<RequestStatus> refusal = Refuse(aSpec)) {
+    if (mOrphans.MayHaveRun(aSpec.mId)) {
+      refusal->mOutcome = Outcome::NotKnownYet;
+    }
     Reply(aWaiter, std::move(*refusal));
     return;
   }
@@ -100,6 +103,7 @@
 {
   LiveRequest& request = mRequests.Add(aSpec, mNow);
   mBudgets[aSpec.mWorkload].Earn(PolicyOf(aSpec.mWorkload).mRetry);
+  request.mMayHaveRun = mOrphans.MayHaveRun(aSpec.mId);
   Note(request, TrailEvent::Accepted, {});
   Waiter waiter = aWaiter;
   waiter.mFor = aSpec.mCallerWaits ? WaitFor::Outcome : WaitFor::Acceptance;
--- a/src/coordination/internal/enginedispatch.cpp
+++ b/src/coordination/internal/enginedispatch.cpp
@@ -187,10 +187,10 @@
 {
   const protocol::RequestSpec& spec = aRequest.mSpec;
   protocol::PlaceTasks message{
-    .mPlacerEpoch = mRouter.View(aPlacement.mShard).mEpoch,
     .mRequest = spec.mId,
     .mIndexes = aPlacement.mIndexes,
     .mAttempt = aPlacement.mAttempt,
+    .mShardEpoch = mRouter.View(aPlacement.mShard).mEpoch,
     .mTogether = aRequest.IsGang(),
     .mHold = aRequest.mHold.has_value(),
     .mTeam = spec.mTeam,
@@ -281,7 +281,9 @@
     }
   }
   for (auto& [shard, tasks] : byShard) {
-    Send(shard, protocol::CancelTasks{ .mTasks = std::move(tasks) });
+    Send(shard,
+         protocol::CancelTasks{ .mShardEpoch = mRouter.View(shard).mEpoch,
+                                .mTasks = std::move(tasks) });
     ResendBy(aRequest);
   }
 }
--- a/src/coordination/internal/enginejournal.cpp
+++ b/src/coordination/internal/enginejournal.cpp
@@ -153,7 +153,7 @@
     request,
     { WaitFor::Outcome, WaitFor::Acceptance, WaitFor::Cancellation },
     { .mId = id,
-      .mOutcome = Outcome::NotRun,
+      .mOutcome = request.mMayHaveRun ? Outcome::NotKnownYet : Outcome::NotRun,
       .mReason = RefusalReason::StoreUnavailable,
       .mDetail = "the record that this request needs was not written",
       .mRetryAfter = kStoreRetryAfter });
--- a/src/coordination/internal/enginerecovery.cpp
+++ b/src/coordination/internal/enginerecovery.cpp
@@ -307,7 +307,7 @@
 Engine::SweepShard(ShardId aShard)
 {
   const Epoch epoch = mRouter.View(aShard).mEpoch;
-  mOrphans.Sweep(aShard, epoch);
+  mOrphans.Sweep(aShard, epoch, mNow);
   std::vector<LiveRequest*> requests;
   for (const auto& [id, request] : mRequests.Requests()) {
     const bool touched =
--- a/src/coordination/internal/engineupdates.cpp
+++ b/src/coordination/internal/engineupdates.cpp
@@ -96,7 +96,7 @@
   }
   if (IsFinal(aUpdate.mState)) {
     SendAck(aUpdate.mTask, aUpdate.mRoute.mShard);
-    mOrphans.Remove(aUpdate.mTask);
+    mOrphans.End(aUpdate.mTask, aUpdate.mState == TaskState::NotStarted, mNow);
   } else if (mOutcomes.Find(aUpdate.mTask.mRequest) == nullptr) {
     AddOrphan(
       aUpdate.mTask, aUpdate.mRoute.mShard, aUpdate.mRoute.mSenderEpoch);
--- a/src/coordination/internal/orphans.cpp
+++ b/src/coordination/internal/orphans.cpp
@@ -16,9 +16,21 @@
 }
 
 void
-Orphans::Remove(const protocol::TaskKey& aTask)
+Orphans::End(const protocol::TaskKey& aTask, bool aNeverStarted, TimePoint aNow)
 {
-  mAttempts.erase(aTask);
+  const bool known = mAttempts.erase(aTask) > 0;
+  if (known && !aNeverStarted && mEnded.insert(aTask.mRequest).second) {
+    mEndedByAge.push_back({ aNow, aTask.mRequest });
+  }
+}
+
+void
+Orphans::ForgetEnded(TimePoint aBefore)
+{
+  while (!mEndedByAge.empty() && mEndedByAge.front().mAt < aBefore) {
+    mEnded.erase(mEndedByAge.front().mId);
+    mEndedByAge.pop_front();
+  }
 }
 
 bool
@@ -29,11 +41,17 @@
 }
 
 void
-Orphans::Sweep(ShardId aShard, Epoch aEpoch)
+Orphans::Sweep(ShardId aShard, Epoch aEpoch, TimePoint aNow)
 {
-  std::erase_if(mAttempts, [&](const auto& aAttempt) {
-    return aAttempt.second.mShard == aShard && aAttempt.second.mEpoch < aEpoch;
-  });
+  std::vector<protocol::TaskKey> over;
+  for (const auto& [task, place] : mAttempts) {
+    if (place.mShard == aShard && place.mEpoch < aEpoch) {
+      over.push_back(task);
+    }
+  }
+  for (const protocol::TaskKey& task : over) {
+    End(task, false, aNow);
+  }
 }
 
 std::vector<OrphanAttempt>
--- a/src/coordination/internal/orphans.h
+++ b/src/coordination/internal/orphans.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <map>
+#include <unordered_set>
 #include <vector>
 
 #include "framework/types/ids.h"
@@ -24,10 +25,16 @@
 public:
   // True when it was not known yet.
   bool Add(const protocol::TaskKey& aTask, ShardId aShard, Epoch aEpoch);
-  void Remove(const protocol::TaskKey& aTask);
+  // The attempt is over. Unless it never started, its request is remembered as
+  // one that may have run.
+  void End(const protocol::TaskKey& aTask, bool aNeverStarted, TimePoint aNow);
   bool Has(const RequestId& aId) const;
-  // Drops the attempts at the shard that its placer of aEpoch did not list.
-  void Sweep(ShardId aShard, Epoch aEpoch);
+  // True when an ended orphan of this id started, or may have.
+  bool MayHaveRun(const RequestId& aId) const { return mEnded.contains(aId); }
+  // Ends the attempts at the shard that its placer of aEpoch did not list.
+  void Sweep(ShardId aShard, Epoch aEpoch, TimePoint aNow);
+  // Forgets the ids whose orphans ended before aBefore.
+  void ForgetEnded(TimePoint aBefore);
   // Attempts whose cancellation is due; they are due again after aAgain.
   std::vector<OrphanAttempt> TakeDue(TimePoint aNow,
                                      Duration aAgain,
@@ -46,7 +53,15 @@
     protocol::TaskKey mTask;
   };
 
+  struct Ended
+  {
+    TimePoint mAt;
+    RequestId mId;
+  };
+
   std::map<protocol::TaskKey, Place> mAttempts;
+  std::unordered_set<RequestId> mEnded;
+  std::deque<Ended> mEndedByAge;
   std::deque<Due> mDue;
 };
 
--- a/src/protocol/types/placermessages.h
+++ b/src/protocol/types/placermessages.h
@@ -41,10 +41,6 @@
 struct PlaceTasks
 {
   Route mRoute;
-  // The epoch of the placer that this is meant for. A placer of another epoch
-  // answers NotOwner: it cannot know whether an earlier copy was started. Zero
-  // is meant for any.
-  Epoch mPlacerEpoch;
   RequestId mRequest;
   std::vector<std::uint32_t> mIndexes;
   std::uint32_t mAttempt = 1;
