--- a/src/coordination/internal/enginerecovery.cpp
+++ b/src/coordination/internal/enginerecovery.cpp
@@ -238,7 +238,10 @@
 {
   const ShardId shard = aEvent.mRoute.mShard;
   const Epoch epoch = aEvent.mRoute.mSenderEpoch;
-  if (!ObserveEpoch(shard, epoch) || mRouter.View(shard).mReconciled) {
+  const std::uint64_t query = aEvent.mRoute.mSequence;
+  const bool toEarlierOwner = query != 0 && query < mFirstSequence;
+  if (toEarlierOwner || !ObserveEpoch(shard, epoch) ||
+      mRouter.View(shard).mReconciled) {
     return;
   }
   for (const protocol::HeldTask& held : aEvent.mTasks) {
@@ -307,7 +310,7 @@
 Engine::SweepShard(ShardId aShard)
 {
   const Epoch epoch = mRouter.View(aShard).mEpoch;
-  mOrphans.Sweep(aShard, epoch);
+  mOrphans.Sweep(aShard, epoch, mNow);
   std::vector<LiveRequest*> requests;
   for (const auto& [id, request] : mRequests.Requests()) {
     const bool touched =
