--- a/bench/journal/main.cpp
+++ b/bench/journal/main.cpp
@@ -210,12 +210,14 @@
 void
 MeasureCore()
 {
+  constexpr std::size_t kRuns = 5;
   std::vector<double> runs;
-  for (int run = 0; run < 5; ++run) {
+  runs.reserve(kRuns);
+  for (std::size_t run = 0; run < kRuns; ++run) {
     runs.push_back(MicrosecondsPerRecord());
   }
   std::sort(runs.begin(), runs.end());
-  fmt::print("journal.core.us_per_record_median={:.3f}\n", runs[2]);
+  fmt::print("journal.core.us_per_record_median={:.3f}\n", runs[kRuns / 2]);
   fmt::print("journal.core.us_per_record_least={:.3f}\n", runs.front());
   fmt::print("journal.core.us_per_record_most={:.3f}\n", runs.back());
 }
--- a/tests/platformstandin/main.cpp
+++ b/tests/platformstandin/main.cpp
@@ -6,5 +6,6 @@
   return oriolevane::testing::RunStories(
     aCount,
     aArguments,
-    { { "platform over HTTP", oriolevane::standins::HttpPlatformStory } });
+    { { "platform over HTTP", oriolevane::standins::HttpPlatformStory },
+      { "takeover over HTTP", oriolevane::standins::TakeoverStory } });
 }
--- a/tests/platformstandin/stories.h
+++ b/tests/platformstandin/stories.h
@@ -7,5 +7,7 @@
 
 void
 HttpPlatformStory(testing::Section& aStory);
+void
+TakeoverStory(testing::Section& aStory);
 
 } // namespace oriolevane::standins
