--- a/src/journal/tests/groupcommit_test.cpp
+++ b/src/journal/tests/groupcommit_test.cpp
@@ -217,6 +217,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, records.size());
     CPPUNIT_ASSERT_EQUAL(std::string("new"), records.back().mBytes);
   });
+  aSection.It("a row that is there under its key is never overwritten", [] {
+    Fixture fixture;
+    const std::string key = "log/00000/000000000001/00000000000000000001";
+    fixture.mPlatform.Put(key, "foreign");
+    fixture.mJournal.Append(0, 1);
+    fixture.mJournal.Append(1, 1);
+    fixture.mJournal.Run(seconds(1));
+    CPPUNIT_ASSERT(fixture.Deposed(0) == Numbers{ 1 });
+    CPPUNIT_ASSERT(fixture.Committed(1) == Numbers{ 1 });
+    CPPUNIT_ASSERT_EQUAL(std::string("foreign"),
+                         fixture.mPlatform.Store().Read(key).mValue);
+  });
   aSection.It("a batch that was written before the deposal is committed", [] {
     Fixture fixture;
     fixture.mPlatform.Script({ CommitFate::LoseAnswer });
--- a/src/membership/tests/ownership_test.cpp
+++ b/src/membership/tests/ownership_test.cpp
@@ -73,6 +73,14 @@
     CPPUNIT_ASSERT(!cluster.At("c").mOwned.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, cluster.At("b").mMembers.size());
   });
+  aSection.It("a node that has only just joined is handed nothing yet", [] {
+    TestCluster cluster;
+    cluster.Add("a");
+    cluster.Run(seconds(6));
+    cluster.Add("b");
+    cluster.Run(seconds(5));
+    CPPUNIT_ASSERT_EQUAL(kRows, cluster.At("a").mOwned.size());
+  });
   aSection.It("two nodes that race for one row: one of them gets it", [] {
     TestCluster cluster;
     cluster.Add("a");
@@ -169,6 +177,44 @@
     CPPUNIT_ASSERT_EQUAL(kRows, cluster.RowsWithOneOwner());
     CPPUNIT_ASSERT(!cluster.At("b").mOwned.empty());
   });
+  aSection.It("an owner that renews at the last moment keeps its rows", [] {
+    TestCluster cluster;
+    cluster.Add("a");
+    cluster.Add("b");
+    cluster.Run(seconds(40));
+    const std::size_t owned = cluster.At("b").mOwned.size();
+    cluster.At("b").mPaused = true;
+    cluster.mPlatform.mBeforeCommit = [&](const auto& aTransaction) {
+      if (aTransaction.mMutations.front().mKey != "nodes/a") {
+        cluster.mPlatform.mBeforeCommit = nullptr;
+        cluster.mPlatform.Put("nodes/b",
+                              cluster.mPlatform.Store().Read("nodes/b").mValue);
+      }
+    };
+    cluster.Run(milliseconds(14'500));
+    CPPUNIT_ASSERT(!cluster.mPlatform.mBeforeCommit);
+    cluster.At("b").mPaused = false;
+    cluster.Run(seconds(10));
+    CPPUNIT_ASSERT(cluster.At("b").mDeposed.empty());
+    CPPUNIT_ASSERT_EQUAL(owned, cluster.At("b").mOwned.size());
+  });
+  aSection.It("when all nodes pause, the first to wake takes nothing", [] {
+    TestCluster cluster;
+    cluster.Add("a");
+    cluster.Add("b");
+    cluster.Run(seconds(40));
+    cluster.mNow += seconds(60);
+    cluster.At("b").mPaused = true;
+    cluster.Run(seconds(3));
+    cluster.At("b").mPaused = false;
+    cluster.Run(seconds(10));
+    CPPUNIT_ASSERT(cluster.At("b").mDeposed.empty());
+  });
+}
+
+void
+Outages(Section& aSection)
+{
   aSection.It("an outage of a minute moves nothing", [] {
     TestCluster cluster;
     for (const char* name : { "a", "b", "c" }) {
@@ -302,7 +348,8 @@
   aStory.Describe("the assignment of rows to nodes", Assignment);
   aStory.Describe("at the start", Start);
   aStory.Describe("when answers are lost", LostAnswers);
-  aStory.Describe("when nodes and stores fail", Failures);
+  aStory.Describe("when nodes die or pause", Failures);
+  aStory.Describe("when the store is away", Outages);
   aStory.Describe("when processes and rows are replaced", ReplacedNodes);
   aStory.Describe("planned stops", PlannedStops);
   aStory.Describe("use of the store", StoreUse);
