Let the next owners read often before a hand-over

A partition was without an owner for up to 2 s at 8 nodes and 5.2 s at 60 after a planned stop, since its next owner read the rows at its usual pace. A leaving node now announces itself one read interval before it hands over, and a node that should own a row of another live node reads four times as often. Ruled out: a message to the next owner, which would have to be tried again when lost.

--- a/bench/journal/cell.cpp
+++ b/bench/journal/cell.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "journal/recovery.h"
+#include "platform/tablewire.h"
 
 namespace oriolevane::bench {
 
@@ -25,6 +26,9 @@
 {
   mNow += std::chrono::milliseconds(1);
   for (const auto& node : mNodes) {
+    if (node->mDead) {
+      continue;
+    }
     if (mNow >= node->mMembershipNext) {
       node->mMembershipNext = node->mMembership->Step();
     }
@@ -55,6 +59,43 @@
   return sequence;
 }
 
+void
+Cell::Kill(PartitionId aPartition)
+{
+  Node* const node = mOwners.at(aPartition).mNode;
+  node->mDead = true;
+  for (auto owner = mOwners.begin(); owner != mOwners.end();) {
+    if (owner->second.mNode == node) {
+      mUnownedSince[owner->first] = mNow;
+      owner = mOwners.erase(owner);
+    } else {
+      ++owner;
+    }
+  }
+}
+
+void
+Cell::Leave(PartitionId aPartition)
+{
+  mOwners.at(aPartition).mNode->mMembership->Leave();
+}
+
+std::size_t
+Cell::ViewBytes() const
+{
+  std::size_t bytes = 0;
+  for (const char* prefix : { "nodes/", "partitions/", "shards/" }) {
+    bytes += platform::EncodeRows(mPlatform.Store().Dump(prefix)).size();
+  }
+  return bytes;
+}
+
+std::uint64_t
+Cell::RowsRead() const
+{
+  return mPlatform.Store().Statistics(mNow).mRowsRead;
+}
+
 void
 Cell::AddNode(std::uint32_t aNumber)
 {
@@ -124,6 +165,9 @@
   const auto recovered = journal::RecoverPartition(
     mPlatform.Table(), mPlatform.Objects(), partition);
   const std::uint64_t last = recovered->mLastSequence;
+  if (const auto gap = mUnownedSince.extract(partition)) {
+    mGaps.push_back(mNow - gap.mapped());
+  }
   aNode.mJournal->Open({ .mPartition = partition,
                          .mEpoch = aRow.mEpoch,
                          .mRowVersion = aRow.mVersion,
@@ -141,6 +185,7 @@
   if (aRow.mKind == membership::RowKind::Partition) {
     const PartitionId partition(aRow.mNumber);
     mOwners.erase(partition);
+    mUnownedSince[partition] = mNow;
     aNode.mJournal->Close(partition);
   }
   aNode.mMembership->Release(aRow);
--- a/bench/journal/cell.h
+++ b/bench/journal/cell.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "journal/journalloop.h"
@@ -50,6 +51,16 @@
   // Sequence of the record, or zero when the partition has no owner now.
   std::uint64_t Append(PartitionId aPartition, std::string aBytes);
   std::size_t OwnedPartitions() const { return mOwners.size(); }
+  // The node that owns the partition stops without a word, or as planned.
+  void Kill(PartitionId aPartition);
+  void Leave(PartitionId aPartition);
+  // How long partitions were without an owner since the last call, in order of
+  // their acquisition.
+  std::vector<Duration> TakeGaps() { return std::exchange(mGaps, {}); }
+  // Bytes of one read of the membership rows over HTTP, without headers, and
+  // rows read since the start.
+  std::size_t ViewBytes() const;
+  std::uint64_t RowsRead() const;
   const CellWrites& Writes() const { return mWrites; }
   TimePoint Now() const { return mNow; }
   const CellOptions& Options() const { return mOptions; }
@@ -62,6 +73,7 @@
     std::unique_ptr<journal::SnapshotLoop> mSnapshots;
     TimePoint mMembershipNext{};
     TimePoint mJournalNext{};
+    bool mDead = false;
   };
   struct Owner
   {
@@ -86,6 +98,8 @@
   standins::ScriptedPlatform mPlatform;
   std::vector<std::unique_ptr<Node>> mNodes;
   std::map<PartitionId, Owner> mOwners;
+  std::map<PartitionId, TimePoint> mUnownedSince;
+  std::vector<Duration> mGaps;
   CellWrites mWrites;
   TimePoint mNow{ std::chrono::hours(1) };
   TimePoint mNextSnapshots{};
--- a/bench/journal/main.cpp
+++ b/bench/journal/main.cpp
@@ -149,6 +149,50 @@
   fmt::print("journal.{}.{}={:.1f}\n", aCell, aName, aValue);
 }
 
+void
+PrintGaps(const std::string& aName, std::vector<Duration> aGaps)
+{
+  std::sort(aGaps.begin(), aGaps.end());
+  const auto millis = [](Duration aGap) {
+    return std::chrono::duration<double, std::milli>(aGap).count();
+  };
+  fmt::print("{}_partitions={}\n", aName, aGaps.size());
+  if (!aGaps.empty()) {
+    fmt::print("{}_p50_ms={:.0f}\n", aName, millis(aGaps[aGaps.size() / 2]));
+    fmt::print("{}_most_ms={:.0f}\n", aName, millis(aGaps.back()));
+  }
+}
+
+// How long partitions are without an owner when one node leaves as planned, and
+// when one dies; and what reading the membership rows costs.
+void
+MeasureMembership(const CellOptions& aOptions)
+{
+  constexpr int kSettleMilliseconds = 60'000;
+  const std::string name = fmt::format("membership.nodes_{}", aOptions.mNodes);
+  Cell cell(aOptions, [](PartitionId, std::uint64_t) {});
+  const auto run = [&cell](int aMilliseconds) {
+    for (int at = 0; at < aMilliseconds; ++at) {
+      cell.Step();
+    }
+  };
+  run(kWarmUpMilliseconds);
+  cell.TakeGaps();
+  const std::uint64_t before = cell.RowsRead();
+  run(kSettleMilliseconds);
+  const double seconds = kSettleMilliseconds / 1000.0;
+  fmt::print("{}.rows_read_per_second={:.0f}\n",
+             name,
+             static_cast<double>(cell.RowsRead() - before) / seconds);
+  fmt::print("{}.bytes_of_one_read={}\n", name, cell.ViewBytes());
+  cell.Leave(PartitionId(0));
+  run(kSettleMilliseconds);
+  PrintGaps(name + ".planned_stop_gap", cell.TakeGaps());
+  cell.Kill(PartitionId(0));
+  run(kSettleMilliseconds);
+  PrintGaps(name + ".death_gap", cell.TakeGaps());
+}
+
 void
 Measure(const CellOptions& aOptions)
 {
@@ -236,6 +280,9 @@
     Measure({ .mNodes = nodes });
   }
   Measure({ .mNodes = 60, .mPartitions = 64, .mShards = 64 });
+  for (const std::uint32_t nodes : { 8U, 16U, 60U }) {
+    oriolevane::bench::MeasureMembership({ .mNodes = nodes });
+  }
   oriolevane::bench::MeasureCore();
   return 0;
 }
--- a/src/membership/internal/membershiploop.cpp
+++ b/src/membership/internal/membershiploop.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// How much more often a node reads that expects to be handed rows.
+constexpr int kEagerness = 4;
+
 // How many missed reads in a row still count towards the expiry of others.
 constexpr int kCountedReadIntervals = 2;
 
@@ -57,8 +60,10 @@
 {
   mLeaving = true;
   mSelf.mLeaving = true;
-  mPlanner.Leave();
-  mNextRenewal = mClock();
+  const bool alone = mMembers.size() <= 1;
+  const TimePoint now = mClock();
+  mPlanner.Leave(alone ? now : now + ReadInterval());
+  mNextRenewal = now;
   ReadSoon();
 }
 
@@ -167,7 +172,7 @@
     mPlanner.Next(*view,
                   mRegistered && !mRenewalFails,
                   { .mStart = start, .mEnd = end, .mMostCountedGap = mostGap });
-  mNextRead = end + ReadInterval();
+  mNextRead = end + (plan.mExpectsRows ? EagerInterval() : ReadInterval());
   Tell(plan);
   Carry(plan);
 }
@@ -245,4 +250,11 @@
                             std::chrono::duration_cast<Duration>(needed));
 }
 
+Duration
+MembershipLoop::EagerInterval() const
+{
+  return std::max<Duration>(mOptions.mRetryInterval,
+                            ReadInterval() / kEagerness);
+}
+
 } // namespace oriolevane::membership
--- a/src/membership/internal/ownershipplanner.cpp
+++ b/src/membership/internal/ownershipplanner.cpp
@@ -33,6 +33,7 @@
                        const ReadSpan& aSpan)
 {
   mLeases.Observe(aView, aRenewed, aSpan);
+  mNow = aSpan.mStart;
   if (aSpan.mStart - mPaceStart >= mOptions.mTakeoverInterval) {
     mPaceStart = aSpan.mStart;
     mTakeoversInPace = 0;
@@ -57,6 +58,13 @@
   }
 }
 
+void
+OwnershipPlanner::Leave(TimePoint aHandOverFrom)
+{
+  mLeaving = true;
+  mHandOverFrom = aHandOverFrom;
+}
+
 void
 OwnershipPlanner::Recognise(const TableView& aView, Plan& aPlan)
 {
@@ -140,8 +148,11 @@
 {
   const auto at = aView.mOwnership.find(aRow);
   const bool exists = at != aView.mOwnership.end();
-  if (aView.mUnreadable.contains(aRow) ||
-      (exists && !IsFree(at->second.mRow, aView))) {
+  if (aView.mUnreadable.contains(aRow)) {
+    return;
+  }
+  if (exists && !IsFree(at->second.mRow, aView)) {
+    aPlan.mExpectsRows = true;
     return;
   }
   if (mTakeoversInPace >= mOptions.mMostTakeovers) {
@@ -175,17 +186,24 @@
   if (held.mHandingOver || held.mReleasing) {
     return;
   }
-  if (!mLeaving) {
-    const bool elsewhere = !aDesired.Empty() && aDesired != mOptions.mNode &&
-                           mLeases.LiveFor(aDesired) >= mOptions.mSettleTime;
-    if (!elsewhere || HandOversUnderWay() >= mOptions.mMostHandOvers) {
-      return;
-    }
+  if (!MayHandOverTo(aDesired)) {
+    return;
   }
   held.mHandingOver = true;
   aPlan.mHandOver.push_back(aRow);
 }
 
+bool
+OwnershipPlanner::MayHandOverTo(const NodeId& aDesired) const
+{
+  if (mLeaving) {
+    return mNow >= mHandOverFrom;
+  }
+  return !aDesired.Empty() && aDesired != mOptions.mNode &&
+         mLeases.LiveFor(aDesired) >= mOptions.mSettleTime &&
+         HandOversUnderWay() < mOptions.mMostHandOvers;
+}
+
 void
 OwnershipPlanner::PlanReleases(const TableView& aView, Plan& aPlan)
 {
--- a/src/membership/membershiploop.h
+++ b/src/membership/membershiploop.h
@@ -28,6 +28,8 @@
   TimePoint Step();
 
   void Release(const RowRef& aRow);
+  // Announces that the node leaves; after one read interval, by when the next
+  // owners read often, it hands everything over.
   void Leave();
   void SetDrained(std::set<NodeId> aNodes);
   // Reads the rows earlier than planned, e.g. when a peer has become suspect.
@@ -44,6 +46,7 @@
   void Tell(const Plan& aPlan);
   void CommitAll(const std::vector<platform::Transaction>& aTransactions);
   Duration ReadInterval() const;
+  Duration EagerInterval() const;
 
   MembershipOptions mOptions;
   platform::TableHooks mTable;
--- a/src/membership/ownershipplanner.h
+++ b/src/membership/ownershipplanner.h
@@ -73,6 +73,8 @@
   std::vector<platform::Transaction> mTakeovers;
   // More rows are to be taken once the pace allows it.
   bool mTakeoversWithheld = false;
+  // Another live node owns a row that should become this node's.
+  bool mExpectsRows = false;
   std::vector<platform::Transaction> mReleases;
   // Removals of rows of nodes that are long gone.
   std::vector<platform::Transaction> mRemovals;
@@ -92,8 +94,9 @@
   // The row is no longer served and is to be given up; repeated each round
   // until a read shows that it is not this node's any more.
   void Release(const RowRef& aRow);
-  // The node stops as planned: it takes nothing and hands everything over.
-  void Leave() { mLeaving = true; }
+  // The node stops as planned: it takes nothing, and from aHandOverFrom on it
+  // hands everything over.
+  void Leave(TimePoint aHandOverFrom);
   // Nodes that operators have drained own nothing.
   void SetDrained(std::set<NodeId> aNodes) { mDrained = std::move(aNodes); }
   // Whether the last read showed any row as this node's.
@@ -120,6 +123,7 @@
                 Plan& aPlan);
   void PlanTakeover(const RowRef& aRow, const TableView& aView, Plan& aPlan);
   void PlanHandOver(const RowRef& aRow, const NodeId& aDesired, Plan& aPlan);
+  bool MayHandOverTo(const NodeId& aDesired) const;
   void PlanReleases(const TableView& aView, Plan& aPlan);
   void PlanRemovals(const TableView& aView,
                     const std::vector<NodeId>& aCandidates,
@@ -132,6 +136,8 @@
   PlannerOptions mOptions;
   LeaseObserver mLeases;
   bool mLeaving = false;
+  TimePoint mHandOverFrom{};
+  TimePoint mNow{};
   std::set<NodeId> mDrained;
   std::map<RowRef, Held> mHeld;
   TimePoint mPaceStart{};
--- a/tests/standins/platform/scriptedplatform.h
+++ b/tests/standins/platform/scriptedplatform.h
@@ -48,6 +48,7 @@
   // Writes a row without conditions.
   std::uint64_t Put(const std::string& aKey, const std::string& aValue);
   TableStore& Store() { return mTable; }
+  const TableStore& Store() const { return mTable; }
   ObjectStore& ObjectsStore() { return mObjects; }
 
 private:
