--- a/src/journal/groupcommit.h
+++ b/src/journal/groupcommit.h
@@ -19,9 +19,11 @@
 
 #include "framework/types/ids.h"
 #include "framework/types/timepoint.h"
+#include "journal/logpacker.h"
 #include "journal/types/appendoutcome.h"
 #include "journal/types/logrecord.h"
 #include "journal/types/openpartition.h"
+#include "journal/types/queuedrecord.h"
 #include "platform/types/tablerow.h"
 #include "platform/types/transaction.h"
 
@@ -100,11 +102,6 @@
   bool IsUnderWay() const { return mAttempt.has_value(); }
 
 private:
-  struct QueuedRecord
-  {
-    LogRecord mRecord;
-    TimePoint mSince;
-  };
   struct PartitionLog
   {
     PartitionStatus mStatus;
@@ -112,20 +109,13 @@
     std::size_t mQueuedBytes = 0;
     std::deque<QueuedRecord> mQueue;
   };
-  struct LogRow
-  {
-    std::string mKey;
-    std::string mValue;
-  };
-  // The share of one partition in a transaction: the first mRecords of its
-  // queue.
+  // The share of one partition in a transaction.
   struct Part
   {
     PartitionId mPartition;
     Epoch mEpoch;
     std::uint64_t mRowVersion = 0;
-    std::size_t mRecords = 0;
-    std::vector<LogRow> mRows;
+    PackedLog mLog;
   };
   struct Attempt
   {
@@ -143,9 +133,6 @@
   };
 
   Attempt BuildAttempt() const;
-  std::optional<Part> BuildPart(PartitionId aPartition,
-                                const PartitionLog& aLog,
-                                std::size_t aMostBytes) const;
   PartitionLog* LogOf(const Part& aPart);
   std::size_t RecordsUnderWay(PartitionId aPartition) const;
   std::vector<AppendOutcome> Settle();
--- a/src/journal/internal/groupcommit.cpp
+++ b/src/journal/internal/groupcommit.cpp
@@ -132,7 +132,7 @@
   for (const Part& part : mAttempt->mParts) {
     transaction.mConditions.push_back(
       { membership::PartitionRowKey(part.mPartition), part.mRowVersion });
-    for (const LogRow& row : part.mRows) {
+    for (const LogRow& row : part.mLog.mRows) {
       transaction.mConditions.push_back({ row.mKey, 0 });
       transaction.mMutations.push_back({ row.mKey, row.mValue });
     }
@@ -178,7 +178,7 @@
     keys.push_back(membership::PartitionRowKey(part.mPartition));
   }
   for (const Part& part : mAttempt->mParts) {
-    keys.push_back(part.mRows.front().mKey);
+    keys.push_back(part.mLog.mRows.front().mKey);
   }
   return keys;
 }
@@ -223,14 +223,22 @@
 GroupCommit::BuildAttempt() const
 {
   Attempt attempt;
-  std::size_t room = mOptions.mMaxTransactionBytes;
+  PackLimits limits{ .mMaxRowBytes = mOptions.mMaxRowBytes,
+                     .mMaxBytes = mOptions.mMaxTransactionBytes };
   const auto add = [&](auto aFrom, auto aTo) {
     for (auto at = aFrom; at != aTo; ++at) {
-      if (auto part = BuildPart(at->first, at->second, room)) {
-        for (const LogRow& row : part->mRows) {
-          room -= std::min(room, row.mValue.size());
-        }
-        attempt.mParts.push_back(*std::move(part));
+      const PartitionStatus& status = at->second.mStatus;
+      Part part{ .mPartition = at->first,
+                 .mEpoch = status.mEpoch,
+                 .mRowVersion = status.mRowVersion };
+      part.mLog = PackLog(at->first,
+                          status.mEpoch,
+                          status.mLastCommitted,
+                          at->second.mQueue,
+                          limits);
+      limits.mMaxBytes -= part.mLog.mBytes;
+      if (!part.mLog.mRows.empty()) {
+        attempt.mParts.push_back(std::move(part));
       }
     }
   };
@@ -240,45 +248,6 @@
   return attempt;
 }
 
-std::optional<GroupCommit::Part>
-GroupCommit::BuildPart(PartitionId aPartition,
-                       const PartitionLog& aLog,
-                       std::size_t aMostBytes) const
-{
-  Part part{ .mPartition = aPartition,
-             .mEpoch = aLog.mStatus.mEpoch,
-             .mRowVersion = aLog.mStatus.mRowVersion };
-  std::uint64_t previous = aLog.mStatus.mLastCommitted;
-  std::size_t used = 0;
-  while (part.mRecords < aLog.mQueue.size()) {
-    LogBatch batch{ .mPreviousSequence = previous };
-    std::size_t bytes = kEncodedBatchBytes;
-    std::size_t next = part.mRecords;
-    for (; next < aLog.mQueue.size(); ++next) {
-      const LogRecord& record = aLog.mQueue[next].mRecord;
-      const std::size_t more = EncodedRecordBytes(record);
-      if (bytes + more > mOptions.mMaxRowBytes ||
-          used + bytes + more > aMostBytes) {
-        break;
-      }
-      bytes += more;
-      batch.mRecords.push_back(record);
-    }
-    if (batch.mRecords.empty()) {
-      break;
-    }
-    used += bytes;
-    previous = batch.mRecords.back().mSequence;
-    part.mRecords = next;
-    part.mRows.push_back(
-      { EncodeLogRowKey({ aPartition,
-                          aLog.mStatus.mEpoch,
-                          batch.mRecords.front().mSequence }),
-        EncodeLogBatch(batch) });
-  }
-  return part.mRows.empty() ? std::nullopt : std::optional(std::move(part));
-}
-
 GroupCommit::PartitionLog*
 GroupCommit::LogOf(const Part& aPart)
 {
@@ -298,7 +267,7 @@
   for (const Part& part : mAttempt->mParts) {
     if (part.mPartition == aPartition &&
         part.mEpoch == log->second.mStatus.mEpoch) {
-      return part.mRecords;
+      return part.mLog.mRecords;
     }
   }
   return 0;
@@ -315,9 +284,9 @@
     }
     AppendOutcome& outcome = outcomes.emplace_back(
       AppendOutcome{ .mPartition = part.mPartition, .mEpoch = part.mEpoch });
-    outcome.mSequences = Sequences(log->mQueue, 0, part.mRecords);
+    outcome.mSequences = Sequences(log->mQueue, 0, part.mLog.mRecords);
     log->mStatus.mLastCommitted = outcome.mSequences.back();
-    for (std::size_t at = 0; at < part.mRecords; ++at) {
+    for (std::size_t at = 0; at < part.mLog.mRecords; ++at) {
       log->mQueuedBytes -= EncodedRecordBytes(log->mQueue.front().mRecord);
       log->mQueue.pop_front();
     }
@@ -395,7 +364,7 @@
                    const std::map<std::string, platform::TableRow>& aRows) const
 {
   Finding finding;
-  const LogRow& expected = aPart.mRows.front();
+  const LogRow& expected = aPart.mLog.mRows.front();
   const auto logRow = aRows.find(expected.mKey);
   const bool exists = logRow != aRows.end() && logRow->second.Exists();
   finding.mApplied = exists && logRow->second.mValue == expected.mValue;
