--- a/src/peers/internal/connection.cpp
+++ b/src/peers/internal/connection.cpp
@@ -35,10 +35,10 @@
 
 } // namespace
 
-Connection::Connection(Poco::Net::StreamSocket aSocket,
+Connection::Connection(const Poco::Net::StreamSocket& aSocket,
                        NodeId aExpected,
                        TimePoint aNow)
-  : mSocket(std::move(aSocket))
+  : mSocket(aSocket)
   , mExpected(std::move(aExpected))
   , mOpened(aNow)
   , mStage(IsDialled() ? Stage::Connecting : Stage::AwaitingHello)
--- a/src/peers/internal/connection.h
+++ b/src/peers/internal/connection.h
@@ -29,7 +29,9 @@
   using OnFrame = std::function<absl::Status(const FrameView&)>;
 
   // aExpected: the node that was dialled, empty for an accepted connection.
-  Connection(Poco::Net::StreamSocket aSocket, NodeId aExpected, TimePoint aNow);
+  Connection(const Poco::Net::StreamSocket& aSocket,
+             NodeId aExpected,
+             TimePoint aNow);
 
   const Poco::Net::StreamSocket& Socket() const { return mSocket; }
   Stage CurrentStage() const { return mStage; }
--- a/src/peers/internal/meshloop.cpp
+++ b/src/peers/internal/meshloop.cpp
@@ -143,7 +143,7 @@
     }
     socket.setBlocking(false);
     socket.setNoDelay(true);
-    Add(std::make_unique<Connection>(std::move(socket), NodeId(), aNow), aNow);
+    Add(std::make_unique<Connection>(socket, NodeId(), aNow), aNow);
   } catch (const Poco::Exception& fault) {
     LogDebug("accept_failed").With("reason", fault.displayText());
   }
@@ -156,8 +156,7 @@
     Poco::Net::StreamSocket socket;
     socket.connectNB(Poco::Net::SocketAddress(aMember.mAddress));
     socket.setNoDelay(true);
-    Add(std::make_unique<Connection>(std::move(socket), aMember.mNode, aNow),
-        aNow);
+    Add(std::make_unique<Connection>(socket, aMember.mNode, aNow), aNow);
   } catch (const Poco::Exception& fault) {
     LogDebug("dial_failed")
       .With("peer", aMember.mNode)
@@ -226,10 +225,9 @@
 {
   Connection& connection = *mConnections.at(aId);
   const std::size_t before = connection.PartialBytes();
-  const absl::Status status =
-    connection.Receive(aNow, [&](const FrameView& aFrame) {
-      return TakeFrame(aId, aFrame, aNow);
-    });
+  absl::Status status = connection.Receive(aNow, [&](const FrameView& aFrame) {
+    return TakeFrame(aId, aFrame, aNow);
+  });
   mPartialBytes += connection.PartialBytes() - before;
   if (status.ok() && mPartialBytes > mOptions.mMaxPartialBytes) {
     return absl::ResourceExhaustedError("too many partly received frames");
--- a/src/peers/tests/hostilepeer_test.cpp
+++ b/src/peers/tests/hostilepeer_test.cpp
@@ -110,6 +110,7 @@
     options.mSilenceLimit = std::chrono::hours(1);
     MeshNode node("m", 1, options);
     std::vector<StreamSocket> sockets;
+    sockets.reserve(4);
     for (int i = 0; i < 4; ++i) {
       sockets.emplace_back(SocketAddress(node.mMesh->Address()));
     }
--- /dev/null
+++ b/tests/faultproxy/tests/stories.h
@@ -0,0 +1,11 @@
+// The stories of the proxy's test program.
+#pragma once
+
+#include "framework/testing/story.h"
+
+namespace oriolevane::faultproxy {
+
+void
+ProxyStory(testing::Section& aStory);
+
+} // namespace oriolevane::faultproxy
--- a/tests/standins/worker/workerhandler.cpp
+++ b/tests/standins/worker/workerhandler.cpp
@@ -73,7 +73,7 @@
         ? std::string(std::istreambuf_iterator<char>(aRequest.stream()), {})
         : std::string();
     const Poco::URI uri(aRequest.getURI());
-    const std::string path = uri.getPath();
+    const std::string& path = uri.getPath();
     if (path.starts_with(kWorkerPrefix)) {
       return Exchange(path, body, aResponse);
     }
--- a/tests/standins/worker/workerserver.h
+++ b/tests/standins/worker/workerserver.h
@@ -14,14 +14,11 @@
 #include <memory>
 #include <string>
 
+#include <Poco/Net/HTTPServer.h>
 #include <absl/status/statusor.h>
 
 #include "standins/worker/workerfleet.h"
 
-namespace Poco::Net {
-class HTTPServer;
-} // namespace Poco::Net
-
 namespace oriolevane::standins {
 
 class WorkerServer
