--- /dev/null
+++ b/src/configuration/tests/main.cpp
@@ -0,0 +1,12 @@
+#include "configuration/tests/stories.h"
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace oriolevane;
+  return testing::RunStories(
+    aCount,
+    aArguments,
+    { { "cell policy", configuration::CellPolicyStory },
+      { "configuration store", configuration::ConfigurationStoreStory } });
+}
--- a/src/protocol/types/placermessages.h
+++ b/src/protocol/types/placermessages.h
@@ -26,6 +26,11 @@
   PartitionId mPartition;
   ShardId mShard;
   Epoch mSenderEpoch;
+  // Rises with each message that a coordinator of one epoch sends to the shard.
+  // The placer drops a message that is not above the highest seen, so that a
+  // late copy of a placement never follows its cancellation or acknowledgement.
+  // Zero, as in a placer's messages, is not checked.
+  std::uint64_t mSequence = 0;
 
   bool operator==(const Route&) const = default;
 };
@@ -36,9 +41,16 @@
 struct PlaceTasks
 {
   Route mRoute;
+  // The epoch of the placer that this is meant for. A placer of another epoch
+  // answers NotOwner: it cannot know whether an earlier copy was started. Zero
+  // is meant for any.
+  Epoch mPlacerEpoch;
   RequestId mRequest;
   std::vector<std::uint32_t> mIndexes;
   std::uint32_t mAttempt = 1;
+  // The shard's epoch that this attempt was first sent under; a placer of a
+  // later epoch reports it but never starts it. Zero when not known.
+  Epoch mShardEpoch;
   bool mTogether = false;
   bool mHold = false;
   std::chrono::milliseconds mHoldFor{ 0 };
@@ -74,6 +86,9 @@
 struct CancelTasks
 {
   Route mRoute;
+  // The shard's epoch that these attempts were first sent under; zero when not
+  // known.
+  Epoch mShardEpoch;
   std::vector<TaskKey> mTasks;
 
   bool operator==(const CancelTasks&) const = default;
--- a/src/protocol/types/workermessages.h
+++ b/src/protocol/types/workermessages.h
@@ -64,24 +64,22 @@
 
 // One exchange with a worker. Without orders it is a heartbeat: it announces
 // the epoch and renews the leases of all tasks of the shard. The worker refuses
-// it whole when it has seen a higher epoch for the shard, or a sequence of the
-// same epoch that is not lower, so that a late or doubled command changes
-// nothing.
+// it whole when it has seen a higher epoch for the shard, when mSequence is not
+// above the highest it applied under this epoch, or when it is meant for
+// another incarnation.
 struct WorkerCommand
 {
   WorkerId mWorker;
-  // The incarnation that the orders are meant for, zero when not known yet.
-  // Another incarnation refuses the command whole: it does not remember which
-  // sequences were applied.
-  Incarnation mWorkerIncarnation;
   ShardId mShard;
   Epoch mEpoch;
-  // Rises with each command of one epoch, from 1.
+  // Rises with each command to one worker under one epoch.
   std::uint64_t mSequence = 0;
-  // WorkerReport::mClock of the latest report that the sender handled.
+  // The incarnation whose report the sender saw last; zero, without orders,
+  // before any report.
+  Incarnation mIncarnation;
+  // mClock of the latest report the sender handled; leases run until this plus
+  // mLeaseFor on the worker's clock. Zero before any report.
   std::chrono::milliseconds mLeaseAnchor{ 0 };
-  // Leases run until mLeaseAnchor + mLeaseFor on the worker's clock, whenever
-  // the command arrives.
   std::chrono::milliseconds mLeaseFor{ 0 };
   std::vector<WorkerOrder> mOrders;
 
--- a/src/workers/internal/commandjson.cpp
+++ b/src/workers/internal/commandjson.cpp
@@ -86,7 +86,7 @@
       [](const auto& aOrder) { return OrderToJson(aOrder); }, order));
   }
   return WriteJson({ { "worker", command.mWorker.mValue },
-                     { "workerIncarnation", command.mWorkerIncarnation.mValue },
+                     { "workerIncarnation", command.mIncarnation.mValue },
                      { "shard", command.mShard.mValue },
                      { "epoch", command.mEpoch.mValue },
                      { "sequence", command.mSequence },
@@ -109,7 +109,7 @@
   request.mReportTo = reader.OptionalId("reportTo");
   WorkerCommand& command = request.mCommand;
   command.mWorker = WorkerId(reader.Id("worker"));
-  command.mWorkerIncarnation = Incarnation(reader.Number("workerIncarnation"));
+  command.mIncarnation = Incarnation(reader.Number("workerIncarnation"));
   command.mShard = ShardId(reader.SmallNumber("shard"));
   command.mEpoch = Epoch(reader.Number("epoch"));
   command.mSequence = reader.Number("sequence");
--- a/tests/standins/worker/workermodel.cpp
+++ b/tests/standins/worker/workermodel.cpp
@@ -63,8 +63,8 @@
                      TimePoint aNow,
                      bool& aFenced) const
 {
-  const bool forOther = aCommand.mWorkerIncarnation.mValue != 0 &&
-                        aCommand.mWorkerIncarnation != mOptions.mIncarnation;
+  const bool forOther = aCommand.mIncarnation.mValue != 0 &&
+                        aCommand.mIncarnation != mOptions.mIncarnation;
   if (forOther || aCommand.mLeaseAnchor > Clock(aNow)) {
     return false;
   }
