--- a/src/codec/internal/completeness.cpp
+++ b/src/codec/internal/completeness.cpp
@@ -9,7 +9,7 @@
 static_assert(FieldCount<protocol::TaskKey>() == 3);
 static_assert(FieldCount<protocol::Route>() == 4);
 
-static_assert(FieldCount<protocol::PlaceTasks>() == 20);
+static_assert(FieldCount<protocol::PlaceTasks>() == 19);
 static_assert(FieldCount<protocol::CommitHold>() == 3);
 static_assert(FieldCount<protocol::CancelTasks>() == 3);
 static_assert(FieldCount<protocol::UpdateAck>() == 2);
--- a/src/codec/internal/placerreader.cpp
+++ b/src/codec/internal/placerreader.cpp
@@ -20,7 +20,6 @@
 {
   protocol::PlaceTasks message;
   message.mRoute = aReader.Route(aTable.route());
-  message.mPlacerEpoch = Epoch(aTable.placer_epoch());
   message.mRequest = RequestId(aReader.Id(aTable.request(), "request"));
   message.mIndexes = aReader.Numbers(aTable.indexes(), "indexes");
   message.mAttempt = aTable.attempt();
--- a/src/codec/internal/placerwriter.cpp
+++ b/src/codec/internal/placerwriter.cpp
@@ -39,7 +39,6 @@
   const auto payload = WriteBytes(aBuilder, aMessage.mPayload);
   wire::PlaceTasksBuilder table(aBuilder);
   table.add_route(&route);
-  table.add_placer_epoch(aMessage.mPlacerEpoch.mValue);
   table.add_request(request);
   table.add_indexes(indexes);
   table.add_attempt(aMessage.mAttempt);
--- a/src/codec/schema/peer_generated.h
+++ b/src/codec/schema/peer_generated.h
@@ -481,32 +481,28 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ROUTE = 4,
-    VT_PLACER_EPOCH = 6,
-    VT_REQUEST = 8,
-    VT_INDEXES = 10,
-    VT_ATTEMPT = 12,
-    VT_SHARD_EPOCH = 14,
-    VT_TOGETHER = 16,
-    VT_HOLD = 18,
-    VT_HOLD_FOR_MS = 20,
-    VT_TEAM = 22,
-    VT_WORKLOAD = 24,
-    VT_URGENCY = 26,
-    VT_NEVER_REPEAT = 28,
-    VT_SERVICE = 30,
-    VT_PER_TASK = 32,
-    VT_EXPECTED_RUN_TIME_MS = 34,
-    VT_TIME_TO_DEADLINE_MS = 36,
-    VT_AGE_MS = 38,
-    VT_AVOID = 40,
-    VT_PAYLOAD = 42
+    VT_REQUEST = 6,
+    VT_INDEXES = 8,
+    VT_ATTEMPT = 10,
+    VT_SHARD_EPOCH = 12,
+    VT_TOGETHER = 14,
+    VT_HOLD = 16,
+    VT_HOLD_FOR_MS = 18,
+    VT_TEAM = 20,
+    VT_WORKLOAD = 22,
+    VT_URGENCY = 24,
+    VT_NEVER_REPEAT = 26,
+    VT_SERVICE = 28,
+    VT_PER_TASK = 30,
+    VT_EXPECTED_RUN_TIME_MS = 32,
+    VT_TIME_TO_DEADLINE_MS = 34,
+    VT_AGE_MS = 36,
+    VT_AVOID = 38,
+    VT_PAYLOAD = 40
   };
   const oriolevane::codec::wire::Route *route() const {
     return GetStruct<const oriolevane::codec::wire::Route *>(VT_ROUTE);
   }
-  uint64_t placer_epoch() const {
-    return GetField<uint64_t>(VT_PLACER_EPOCH, 0);
-  }
   const flatbuffers::String *request() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST);
   }
@@ -564,7 +560,6 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<oriolevane::codec::wire::Route>(verifier, VT_ROUTE, 8) &&
-           VerifyField<uint64_t>(verifier, VT_PLACER_EPOCH, 8) &&
            VerifyOffset(verifier, VT_REQUEST) &&
            verifier.VerifyString(request()) &&
            VerifyOffset(verifier, VT_INDEXES) &&
@@ -601,9 +596,6 @@
   void add_route(const oriolevane::codec::wire::Route *route) {
     fbb_.AddStruct(PlaceTasks::VT_ROUTE, route);
   }
-  void add_placer_epoch(uint64_t placer_epoch) {
-    fbb_.AddElement<uint64_t>(PlaceTasks::VT_PLACER_EPOCH, placer_epoch, 0);
-  }
   void add_request(flatbuffers::Offset<flatbuffers::String> request) {
     fbb_.AddOffset(PlaceTasks::VT_REQUEST, request);
   }
@@ -672,7 +664,6 @@
 inline flatbuffers::Offset<PlaceTasks> CreatePlaceTasks(
     flatbuffers::FlatBufferBuilder &_fbb,
     const oriolevane::codec::wire::Route *route = nullptr,
-    uint64_t placer_epoch = 0,
     flatbuffers::Offset<flatbuffers::String> request = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> indexes = 0,
     uint32_t attempt = 0,
@@ -697,7 +688,6 @@
   builder_.add_expected_run_time_ms(expected_run_time_ms);
   builder_.add_hold_for_ms(hold_for_ms);
   builder_.add_shard_epoch(shard_epoch);
-  builder_.add_placer_epoch(placer_epoch);
   builder_.add_payload(payload);
   builder_.add_avoid(avoid);
   builder_.add_per_task(per_task);
@@ -723,7 +713,6 @@
 inline flatbuffers::Offset<PlaceTasks> CreatePlaceTasksDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const oriolevane::codec::wire::Route *route = nullptr,
-    uint64_t placer_epoch = 0,
     const char *request = nullptr,
     const std::vector<uint32_t> *indexes = nullptr,
     uint32_t attempt = 0,
@@ -751,7 +740,6 @@
   return oriolevane::codec::wire::CreatePlaceTasks(
       _fbb,
       route,
-      placer_epoch,
       request__,
       indexes__,
       attempt,
