Test leases, intake, queue, gangs and health; mend what they found

A worker heard again after a silence of most of its lease lost its tasks, as the next renewal was still anchored before the silence: its leases are now renewed with the next command at once, and overdue heartbeats come twice as often. Shares for fairness were taken of a total that was only known after a tick. A workload that failed everywhere left all workers under caution: with more suspects than may be in quarantine, caution is lifted.

--- a/src/placement/internal/healthmonitor.cpp
+++ b/src/placement/internal/healthmonitor.cpp
@@ -68,24 +68,37 @@
       Release(aWorker);
     }
   } else if (health.mState == HealthState::Healthy &&
-             health.mSuspicion >= kQuarantineAt) {
+             health.mSuspicion >= kQuarantineAt &&
+             mContext.mQuarantined < MostSuspects()) {
+    ++mContext.mQuarantined;
     Quarantine(aWorker);
   }
+  UpdateCaution(health);
+}
+
+std::uint32_t
+HealthMonitor::MostSuspects() const
+{
+  return std::max(1U,
+                  mContext.mLedger.OpenCount() *
+                    mContext.mOptions.mQuarantinePerMille / kPerMille);
+}
+
+void
+HealthMonitor::UpdateCaution(WorkerHealth& aHealth)
+{
+  const bool isCautious =
+    aHealth.mState == HealthState::Healthy && aHealth.mSuspicion >= kCautiousAt;
+  if (isCautious != aHealth.mCautious) {
+    aHealth.mCautious = isCautious;
+    mContext.mCautious += isCautious ? 1 : -1;
+  }
 }
 
 void
 HealthMonitor::Quarantine(WorkerIndex aWorker)
 {
   WorkerRecord& worker = mContext.mWorkers.At(aWorker);
-  if (worker.mHealth.mState == HealthState::Healthy) {
-    const std::uint32_t workers = mContext.mLedger.OpenCount();
-    const std::uint32_t most =
-      std::max(1U, workers * mContext.mOptions.mQuarantinePerMille / kPerMille);
-    if (mContext.mQuarantined >= most) {
-      return;
-    }
-    ++mContext.mQuarantined;
-  }
   worker.mHealth.mState = HealthState::Quarantined;
   worker.mHealth.mBackoff = std::clamp(worker.mHealth.mBackoff * 2,
                                        mContext.mOptions.mQuarantineFor,
@@ -130,7 +143,8 @@
     return worker.mLive == 0 && !order.mNeverRepeat && !order.mService &&
            !aAttempt.mBatch->IsGang();
   }
-  return worker.mHealth.mSuspicion < kCautiousAt || worker.mLive == 0;
+  return !worker.mHealth.mCautious || worker.mLive == 0 ||
+         mContext.mCautious > MostSuspects();
 }
 
 } // namespace oriolevane::placement
--- a/src/placement/internal/healthmonitor.h
+++ b/src/placement/internal/healthmonitor.h
@@ -29,6 +29,10 @@
   void Weigh(WorkerIndex aWorker, bool aFailed, double aUsualRate);
   void Quarantine(WorkerIndex aWorker);
   void Release(WorkerIndex aWorker);
+  void UpdateCaution(WorkerHealth& aHealth);
+  // Workers that may be under suspicion at once: when there are more, it is
+  // not the workers.
+  std::uint32_t MostSuspects() const;
 
   PlacerContext& mContext;
 };
--- a/src/placement/internal/placercontext.cpp
+++ b/src/placement/internal/placercontext.cpp
@@ -36,6 +36,7 @@
     worker.TakesWork() && worker.mHealth.mState != HealthState::Quarantined;
   if (open != mLedger.At(aWorker).mOpen) {
     mLedger.SetOpen(aWorker, open);
+    mTeams.SetTotal(mLedger.OpenTotal());
     if (open) {
       mFreed.Add(aWorker);
     }
--- a/src/placement/internal/placercontext.h
+++ b/src/placement/internal/placercontext.h
@@ -75,6 +75,7 @@
   std::uint64_t mPlaced = 0;
   double mPlacedPerSecond = 0;
   std::uint32_t mQuarantined = 0;
+  std::uint32_t mCautious = 0;
   bool mDeposed = false;
   // Every worker was fenced or its leases have surely lapsed.
   bool mRecovered = false;
--- a/src/placement/internal/workerhealth.h
+++ b/src/placement/internal/workerhealth.h
@@ -23,6 +23,8 @@
   // Evidence that it fails regardless of the workload: the cumulative sum of
   // log likelihood ratios, never below zero.
   double mSuspicion = 0;
+  // In use, but with one task at a time while it is under suspicion.
+  bool mCautious = false;
   TimePoint mRetryAt;
   std::chrono::milliseconds mBackoff{ 0 };
 };
--- a/src/placement/internal/workersupervisor.cpp
+++ b/src/placement/internal/workersupervisor.cpp
@@ -15,6 +15,8 @@
 constexpr int kLapseDenominator = 4;
 constexpr std::size_t kRetiredKept = 8;
 constexpr std::uint32_t kMostlySettledDivisor = 10;
+// After a silence of this part of the lease, leases are renewed at once.
+constexpr int kUrgentRenewal = 3;
 // First heartbeats are spread over the interval in this many steps.
 constexpr std::uint32_t kHeartbeatSteps = 64;
 
@@ -111,6 +113,12 @@
   }
   worker.mReportSequence = aReport.mSequence;
   worker.mClock = aReport.mClock;
+  const Duration silence = mContext.mNow - worker.mHeardAt;
+  if (worker.mLive > 0 &&
+      silence > Duration{ mContext.mOptions.mTaskLease } / kUrgentRenewal) {
+    // The command that this answers was still anchored before the silence.
+    mContext.MarkDirty(index);
+  }
   worker.mHeardAt = mContext.mNow;
   worker.mSaysLeaving = aReport.mLeaving;
   worker.mSuspect = false;
@@ -239,7 +247,9 @@
     return;
   }
   mContext.MarkDirty(aWorker);
-  mContext.mTimers.Add(mContext.mNow + mContext.mOptions.mHeartbeatEvery,
+  const Duration every = mContext.mOptions.mHeartbeatEvery;
+  const bool isOverdue = mContext.mNow - worker.mHeardAt > every;
+  mContext.mTimers.Add(mContext.mNow + (isOverdue ? every / 2 : every),
                        TimerKind::Heartbeat,
                        aWorker,
                        worker.mGeneration);
@@ -274,6 +284,9 @@
   if (worker.mHealth.mState != HealthState::Healthy) {
     --mContext.mQuarantined;
   }
+  if (worker.mHealth.mCautious) {
+    --mContext.mCautious;
+  }
   Settle(worker);
   --mWorkers;
   std::erase(mContext.mDirty, aWorker);
--- a/src/placement/tests/main.cpp
+++ b/src/placement/tests/main.cpp
@@ -4,8 +4,13 @@
 main(int aCount, char** aArguments)
 {
   using namespace oriolevane::placement;
-  return oriolevane::testing::RunStories(
-    aCount,
-    aArguments,
-    { { "fencing", FencingStory }, { "chaos", ChaosStory } });
+  return oriolevane::testing::RunStories(aCount,
+                                         aArguments,
+                                         { { "fencing", FencingStory },
+                                           { "leases", LeaseStory },
+                                           { "intake", IntakeStory },
+                                           { "queue", QueueStory },
+                                           { "gangs", GangStory },
+                                           { "health", HealthStory },
+                                           { "chaos", ChaosStory } });
 }
--- a/src/placement/tests/stories.h
+++ b/src/placement/tests/stories.h
@@ -5,10 +5,19 @@
 
 namespace oriolevane::placement {
 
+void
+ChaosStory(testing::Section& aStory);
 void
 FencingStory(testing::Section& aStory);
-
 void
-ChaosStory(testing::Section& aStory);
+GangStory(testing::Section& aStory);
+void
+HealthStory(testing::Section& aStory);
+void
+IntakeStory(testing::Section& aStory);
+void
+LeaseStory(testing::Section& aStory);
+void
+QueueStory(testing::Section& aStory);
 
 } // namespace oriolevane::placement
