Bound a class's backlog by the rate that more urgent ones leave

Requests due at one time were served in the order of their addresses, which differ between runs; now in the order of arrival.

--- a/src/coordination/internal/admission.cpp
+++ b/src/coordination/internal/admission.cpp
@@ -15,6 +15,10 @@
 // Teams are held to their shares once the backlog fills this part of the
 // tolerated wait.
 constexpr double kShareFrom = 0.5;
+// The rates of admitted requests are smoothed over this time.
+constexpr Seconds kRateWindow{ 1.0 };
+// Part of the rate that the higher urgencies are taken to leave at least.
+constexpr double kLeastLeft = 0.02;
 
 std::chrono::milliseconds
 RetryAfter(double aSeconds)
@@ -55,6 +59,16 @@
                          0.0);
 }
 
+double
+Admission::RateLeft(std::size_t aLevel) const
+{
+  const double higher = std::accumulate(
+    mAdmittedRates.begin() + static_cast<std::ptrdiff_t>(aLevel) + 1,
+    mAdmittedRates.end(),
+    0.0);
+  return std::max(mRate - higher, mRate * kLeastLeft);
+}
+
 void
 Admission::DrainTeam(TeamShare& aTeam, TimePoint aNow)
 {
@@ -78,13 +92,18 @@
   if (mRate <= 0) {
     return kLongestRetryAfter;
   }
-  Drain(mBacklog, mRate * Seconds(aNow - mAsOf).count());
+  const Seconds passed = aNow - mAsOf;
   mAsOf = aNow;
+  Drain(mBacklog, mRate * passed.count());
+  for (double& rate : mAdmittedRates) {
+    rate *= std::exp(-passed / kRateWindow);
+  }
   const auto level = static_cast<std::size_t>(aUrgency);
   const double ahead = Ahead(mBacklog, level);
-  const double depth = std::max(mRate * aToleratedWait.count(), 1.0);
+  const double left = RateLeft(level);
+  const double depth = std::max(left * aToleratedWait.count(), 1.0);
   if (ahead + 1 > depth) {
-    return RetryAfter((ahead + 1 - depth) / mRate);
+    return RetryAfter((ahead + 1 - depth) / left);
   }
   TeamShare& team = mTeams[aTeam];
   DrainTeam(team, aNow);
@@ -96,10 +115,11 @@
   const double teamDepth = std::max(depth * share, 1.0);
   const double teamAhead = Ahead(team.mBacklog, level);
   if (ahead > kShareFrom * depth && teamAhead + 1 > teamDepth) {
-    return RetryAfter((teamAhead + 1 - teamDepth) / (mRate * share));
+    return RetryAfter((teamAhead + 1 - teamDepth) / (left * share));
   }
   mBacklog[level] += 1;
   team.mBacklog[level] += 1;
+  mAdmittedRates[level] += 1 / kRateWindow.count();
   return std::nullopt;
 }
 
--- a/src/coordination/internal/admission.h
+++ b/src/coordination/internal/admission.h
@@ -16,10 +16,12 @@
 
 // A token bucket per urgency over one rate R, kept as virtual backlogs that
 // drain in the order of urgency: a request sees the backlog of its own and of
-// higher urgencies only. A bucket of depth b in front of a server of rate R
-// delays nothing longer than b / R; so a class that tolerates the wait w gets
-// the depth R x w, and what would wait longer is refused with the time after
-// which it would not.
+// higher urgencies only, and is served by what the higher ones leave of the
+// rate. A backlog of b in front of a server that is left the rate R - r delays
+// nothing longer than b / (R - r); so a class that tolerates the wait w gets
+// the depth (R - r) x w, and what would wait longer is refused with the time
+// after which it would not. r is the smoothed rate of the admitted higher
+// urgencies.
 class Admission
 {
 public:
@@ -49,12 +51,16 @@
   };
 
   static void Drain(Backlog& aBacklog, double aRequests);
+  // What the urgencies above the level leave of the rate.
+  double RateLeft(std::size_t aLevel) const;
   static double Ahead(const Backlog& aBacklog, std::size_t aLevel);
   void DrainTeam(TeamShare& aTeam, TimePoint aNow);
 
   double mRate = 0;
   TimePoint mAsOf;
   Backlog mBacklog{};
+  // Smoothed rates of admitted requests a second, by urgency.
+  std::array<double, protocol::kUrgencyLevels> mAdmittedRates{};
   std::unordered_map<TeamId, TeamShare> mTeams;
   double mActiveWeight = 0;
 };
--- a/src/coordination/internal/liverequest.h
+++ b/src/coordination/internal/liverequest.h
@@ -57,6 +57,8 @@
 struct LiveRequest
 {
   protocol::RequestSpec mSpec;
+  // The order of arrival under this owner.
+  std::uint64_t mSerial = 0;
   TimePoint mSubmitted;
   std::vector<TaskSlot> mSlots;
   std::vector<Waiter> mWaiters;
--- a/src/coordination/internal/requesttable.cpp
+++ b/src/coordination/internal/requesttable.cpp
@@ -17,6 +17,7 @@
   const RequestId id = aSpec.mId;
   auto request = std::make_unique<LiveRequest>();
   request->mSlots.resize(aSpec.mTaskCount);
+  request->mSerial = ++mAdded;
   request->mSubmitted = aSubmitted;
   if (aSpec.mDeadline) {
     request->mDeadlineAt = aSubmitted + *aSpec.mDeadline;
@@ -33,7 +34,7 @@
     return;
   }
   LiveRequest* request = found->second.get();
-  mDue.erase({ request->mDue, request });
+  mDue.erase({ request->mDue, request->mSerial });
   mRequests.erase(found);
 }
 
@@ -46,11 +47,11 @@
     return;
   }
   if (aRequest.mDue != TimePoint::max()) {
-    mDue.erase({ aRequest.mDue, &aRequest });
+    mDue.erase({ aRequest.mDue, aRequest.mSerial });
   }
   aRequest.mDue = due;
   if (due != TimePoint::max()) {
-    mDue.emplace(due, &aRequest);
+    mDue.emplace(std::pair(due, aRequest.mSerial), &aRequest);
   }
 }
 
@@ -58,7 +59,8 @@
 RequestTable::TakeDue(TimePoint aNow, std::size_t aMost)
 {
   std::vector<LiveRequest*> due;
-  while (!mDue.empty() && due.size() < aMost && mDue.begin()->first <= aNow) {
+  while (!mDue.empty() && due.size() < aMost &&
+         mDue.begin()->first.first <= aNow) {
     LiveRequest* request = mDue.begin()->second;
     mDue.erase(mDue.begin());
     request->mDue = TimePoint::max();
--- a/src/coordination/internal/requesttable.h
+++ b/src/coordination/internal/requesttable.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
-#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -36,7 +36,9 @@
 
 private:
   Map mRequests;
-  std::set<std::pair<TimePoint, LiveRequest*>> mDue;
+  // By time, then by the order of arrival: addresses differ between runs.
+  std::map<std::pair<TimePoint, std::uint64_t>, LiveRequest*> mDue;
+  std::uint64_t mAdded = 0;
 };
 
 } // namespace oriolevane::coordination::internal
