--- a/src/journal/internal/journalloop.cpp
+++ b/src/journal/internal/journalloop.cpp
@@ -157,7 +157,7 @@
   mPointings.pop_front();
   settled.mDone({ .mStatus = status,
                   .mReplaced = settled.mBefore,
-                  .mUnreferenced = !status.ok() && !settled.mTried });
+                  .mUnreferenced = settled.mUnreferenced });
 }
 
 // Safe to repeat: a row that points at the snapshot already is left as it is.
@@ -165,24 +165,26 @@
 JournalLoop::TryPoint(Pointing& aPointing)
 {
   const SnapshotId& snapshot = aPointing.mSnapshot;
-  if (absl::Status status = CheckSnapshot(snapshot); !status.ok()) {
-    return status;
-  }
   const std::string key = membership::PartitionRowKey(snapshot.mPartition);
   const auto row = mTable.mRead(key);
   if (!row.ok()) {
     return row.status();
   }
   auto content = membership::ParseOwnershipRow(row->mValue);
-  if (!content.ok() || content->mEpoch != snapshot.mEpoch ||
-      content->mOwner.Empty()) {
-    return absl::FailedPreconditionError("partition has another owner");
-  }
   const membership::SnapshotReference reference{
     .mObject = SnapshotObjectName(
       snapshot.mPartition, snapshot.mEpoch, snapshot.mSequence),
     .mSequence = snapshot.mSequence
   };
+  aPointing.mUnreferenced =
+    !aPointing.mTried && content.ok() && content->mSnapshot != reference;
+  if (absl::Status status = CheckSnapshot(snapshot); !status.ok()) {
+    return status;
+  }
+  if (!content.ok() || content->mEpoch != snapshot.mEpoch ||
+      content->mOwner.Empty()) {
+    return absl::FailedPreconditionError("partition has another owner");
+  }
   if (content->mSnapshot == reference) {
     mCommit.SetRowVersion(snapshot.mPartition, row->mVersion);
     return absl::OkStatus();
@@ -193,6 +195,7 @@
   }
   aPointing.mBefore = content->mSnapshot;
   aPointing.mTried = true;
+  aPointing.mUnreferenced = false;
   content->mSnapshot = reference;
   content->mLogFromEpoch = snapshot.mEpoch;
   const auto result = mTable.mCommit(
--- a/src/journal/journalloop.h
+++ b/src/journal/journalloop.h
@@ -60,6 +60,8 @@
     // What the row pointed at before the first try.
     std::optional<membership::SnapshotReference> mBefore;
     bool mTried = false;
+    // The last read of the row showed that it does not, and no try was made.
+    bool mUnreferenced = false;
   };
 
   void Attempt(TimePoint aNow);
--- a/src/journal/tests/groupcommit_test.cpp
+++ b/src/journal/tests/groupcommit_test.cpp
@@ -240,6 +240,11 @@
     CPPUNIT_ASSERT(fixture.Committed(0) == Numbers{ 1 });
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Recovered(0));
   });
+}
+
+void
+UncertainDeposals(Section& aSection)
+{
   aSection.It("a request lost in the middle of a deposal is unknown, unless "
               "another partition shows that it was not applied",
               [] {
@@ -305,6 +310,7 @@
   aStory.Describe("when answers are lost", LostAnswers);
   aStory.Describe("when the store is away", Outages);
   aStory.Describe("when the node is deposed", Deposals);
+  aStory.Describe("when it cannot know what was written", UncertainDeposals);
   aStory.Describe("closing", Closing);
 }
 
--- a/src/journal/tests/journalthread_test.cpp
+++ b/src/journal/tests/journalthread_test.cpp
@@ -12,6 +12,20 @@
 void
 JournalThreadStory(Section& aStory)
 {
+  aStory.It("refuse appends that they have no room for", [] {
+    standins::ScriptedPlatform platform;
+    Journal journal({ .mRingCapacity = 2, .mRingBytes = 10 },
+                    platform.Table(),
+                    platform.Objects(),
+                    {});
+    const PartitionId partition(0);
+    CPPUNIT_ASSERT(absl::IsResourceExhausted(
+      journal.Append(partition, 1, std::string(11, 'x'))));
+    CPPUNIT_ASSERT(journal.Append(partition, 2, "x").ok());
+    CPPUNIT_ASSERT(journal.Append(partition, 3, "x").ok());
+    CPPUNIT_ASSERT(
+      absl::IsResourceExhausted(journal.Append(partition, 4, "x")));
+  });
   aStory.It("commit, flush, save a snapshot and recover", [] {
     standins::ScriptedPlatform platform;
     TakeOver(platform, 0, "a");
--- a/src/journal/tests/main.cpp
+++ b/src/journal/tests/main.cpp
@@ -10,6 +10,7 @@
     { { "group commit", GroupCommitStory },
       { "recovery", RecoveryStory },
       { "snapshots", SnapshotStory },
+      { "random schedules", RandomScheduleStory },
       { "log rows", LogCodecStory },
       { "pace and health", PaceAndHealthStory },
       { "journal threads", JournalThreadStory } });
--- a/src/journal/tests/stories.h
+++ b/src/journal/tests/stories.h
@@ -14,6 +14,8 @@
 void
 PaceAndHealthStory(testing::Section& aStory);
 void
+RandomScheduleStory(testing::Section& aStory);
+void
 RecoveryStory(testing::Section& aStory);
 void
 SnapshotStory(testing::Section& aStory);
--- a/src/membership/internal/membershiploop.cpp
+++ b/src/membership/internal/membershiploop.cpp
@@ -38,10 +38,7 @@
 TimePoint
 MembershipLoop::Step()
 {
-  if (!mSuperseded && mClock() >= mNextRenewal) {
-    mNextRenewal = mClock() + mOptions.mRenewInterval;
-    Renew();
-  }
+  RenewWhenDue();
   if (mClock() >= mNextRead) {
     Round();
   }
@@ -95,6 +92,15 @@
   }
 }
 
+void
+MembershipLoop::RenewWhenDue()
+{
+  if (!mSuperseded && mClock() >= mNextRenewal) {
+    mNextRenewal = mClock() + mOptions.mRenewInterval;
+    Renew();
+  }
+}
+
 void
 MembershipLoop::Renew()
 {
@@ -156,7 +162,7 @@
 MembershipLoop::Round()
 {
   const TimePoint start = mClock();
-  auto view = ReadMembershipRows(mTable);
+  const auto view = ReadMembershipRows(mTable, [this] { RenewWhenDue(); });
   const TimePoint end = mClock();
   mLastRead = end;
   if (!view.ok()) {
@@ -234,6 +240,7 @@
 {
   for (const platform::Transaction& transaction : aTransactions) {
     const auto result = mTable.mCommit(transaction);
+    RenewWhenDue();
     if (!result.ok() && !absl::IsAborted(result.status())) {
       return;
     }
--- a/src/membership/internal/viewreader.cpp
+++ b/src/membership/internal/viewreader.cpp
@@ -62,15 +62,20 @@
 } // namespace
 
 absl::StatusOr<TableView>
-ReadMembershipRows(const platform::TableHooks& aTable)
+ReadMembershipRows(const platform::TableHooks& aTable,
+                   const std::function<void()>& aBetween)
 {
   TableView view;
-  absl::Status status = ReadNodes(aTable, view);
-  status.Update(ReadOwnership(aTable, kPartitionPrefix, view));
-  status.Update(ReadOwnership(aTable, kShardPrefix, view));
-  if (!status.ok()) {
+  if (absl::Status status = ReadNodes(aTable, view); !status.ok()) {
     return status;
   }
+  for (const std::string_view prefix : { kPartitionPrefix, kShardPrefix }) {
+    aBetween();
+    absl::Status status = ReadOwnership(aTable, prefix, view);
+    if (!status.ok()) {
+      return status;
+    }
+  }
   for (const std::string& error : view.mErrors) {
     LogError("membership_row_unreadable").With("error", error);
   }
--- a/src/membership/membershiploop.h
+++ b/src/membership/membershiploop.h
@@ -39,6 +39,7 @@
   void SignOff();
 
 private:
+  void RenewWhenDue();
   void Renew();
   void RenewAfterRefusal();
   void Round();
--- a/src/membership/tests/ownership_test.cpp
+++ b/src/membership/tests/ownership_test.cpp
@@ -230,6 +230,30 @@
     CPPUNIT_ASSERT(cluster.At("a").mDeposed.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, cluster.At("a").mMembers.size());
   });
+  aSection.It("a slow store does not keep a node from renewing", [] {
+    TestCluster cluster;
+    cluster.Add("a");
+    cluster.Run(seconds(6));
+    TestNode& node = cluster.At("a");
+    platform::TableHooks slow = cluster.mPlatform.Table();
+    slow.mScan = [&, scan = slow.mScan](const auto& aPrefix,
+                                        const auto& aAfterKey,
+                                        std::size_t aLimit) {
+      cluster.mNow += seconds(3);
+      return scan(aPrefix, aAfterKey, aLimit);
+    };
+    node.mLoop = std::make_unique<MembershipLoop>(
+      MembershipOptions{
+        .mPlanner = { .mNode = NodeId("a"), .mIncarnation = Incarnation(1) } },
+      slow,
+      MembershipHooks{},
+      [&] { return cluster.mNow; });
+    const std::uint64_t before =
+      cluster.mPlatform.Store().Statistics({}).mTransactions;
+    node.mLoop->Step();
+    CPPUNIT_ASSERT(cluster.mPlatform.Store().Statistics({}).mTransactions >=
+                   before + 3);
+  });
   aSection.It("while no node can write, none is taken for dead", [] {
     TestCluster cluster;
     cluster.Add("a");
