--- a/bench/wire/main.cpp
+++ b/bench/wire/main.cpp
@@ -12,6 +12,7 @@
 
 #include "codec/codec.h"
 #include "framework/log.h"
+#include "meshtrial.h"
 #include "peers/peermesh.h"
 #include "samplemessages.h"
 
@@ -155,6 +156,9 @@
     }
   }
   MeasureLoopback(MakeSamples().front());
+  for (const std::size_t nodes : { 16, 60 }) {
+    MeasureMesh(nodes);
+  }
 }
 
 } // namespace oriolevane::wirebench
--- a/src/peers/tests/meshnode.h
+++ b/src/peers/tests/meshnode.h
@@ -75,11 +75,14 @@
   std::vector<codec::PeerMessage> mMessages;
   int mUps = 0;
   int mDowns = 0;
-  std::unique_ptr<PeerMesh> mMesh;
 
 private:
   std::mutex mMutex;
   std::condition_variable mChanged;
+
+public:
+  // Last, as its thread calls hooks that use the other members.
+  std::unique_ptr<PeerMesh> mMesh;
 };
 
 } // namespace oriolevane::peers
--- a/src/workers/tests/reporthandler_test.cpp
+++ b/src/workers/tests/reporthandler_test.cpp
@@ -10,6 +10,7 @@
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/NullStream.h>
 #include <Poco/StreamCopier.h>
+#include <Poco/ThreadPool.h>
 
 #include "workers/tests/stories.h"
 #include "workers/workerjson.h"
@@ -44,11 +45,13 @@
   std::vector<protocol::WorkerReport> mReports;
   bool mHasRoom = true;
   Poco::Net::ServerSocket mSocket{ Poco::Net::SocketAddress("127.0.0.1:0") };
+  Poco::ThreadPool mThreads;
   Poco::Net::HTTPServer mServer{ new Factory(
                                    [this](protocol::WorkerReport aReport) {
                                      mReports.push_back(std::move(aReport));
                                      return mHasRoom;
                                    }),
+                                 mThreads,
                                  mSocket,
                                  new Poco::Net::HTTPServerParams };
 
--- a/src/workers/tests/scriptedworker.h
+++ b/src/workers/tests/scriptedworker.h
@@ -10,6 +10,7 @@
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/ThreadPool.h>
 
 namespace oriolevane::workers {
 
@@ -20,7 +21,10 @@
                                     Poco::Net::HTTPServerResponse&)>;
 
   explicit ScriptedWorker(const Script& aScript)
-    : mServer(new Factory(aScript), mSocket, new Poco::Net::HTTPServerParams)
+    : mServer(new Factory(aScript),
+              mThreads,
+              mSocket,
+              new Poco::Net::HTTPServerParams)
   {
     mServer.start();
   }
@@ -66,6 +70,7 @@
   };
 
   Poco::Net::ServerSocket mSocket{ Poco::Net::SocketAddress("127.0.0.1:0") };
+  Poco::ThreadPool mThreads;
   Poco::Net::HTTPServer mServer;
 };
 
