Keep eager reads within the gap that counts towards expiry

With a read interval below the retry interval a node that expected rows read every 500 ms, which was above the longest counted gap, so that it never saw a dead owner's lease expire; the takeover story over HTTP hung. An eager read is now never rarer than a usual one, and the counted gap covers the retry interval. A test with short intervals fails without it.

--- a/src/journal/groupcommit.h
+++ b/src/journal/groupcommit.h
@@ -98,8 +98,6 @@
     std::uint64_t mLastCommitted = 0;
   };
   std::optional<PartitionStatus> Status(PartitionId aPartition) const;
-  // True while the result of a transaction is open.
-  bool IsUnderWay() const { return mAttempt.has_value(); }
 
 private:
   struct PartitionLog
--- a/src/journal/internal/journalloop.cpp
+++ b/src/journal/internal/journalloop.cpp
@@ -49,7 +49,7 @@
       Probe(aNow);
     }
   }
-  if (due && !mPointings.empty() && !mCommit.IsUnderWay()) {
+  if (due && !mPointings.empty()) {
     Point(aNow);
   }
   if (mCommit.IsIdle()) {
@@ -195,7 +195,6 @@
   }
   aPointing.mBefore = content->mSnapshot;
   aPointing.mTried = true;
-  aPointing.mUnreferenced = false;
   content->mSnapshot = reference;
   content->mLogFromEpoch = snapshot.mEpoch;
   const auto result = mTable.mCommit(
--- a/src/journal/tests/randomschedule_test.cpp
+++ b/src/journal/tests/randomschedule_test.cpp
@@ -1,4 +1,5 @@
-#include <map>
+#include <algorithm>
+#include <cstddef>
 #include <memory>
 #include <random>
 #include <set>
@@ -73,7 +74,7 @@
     mEpoch = recovered.mEpoch;
     mState = StateOf(recovered);
     mLast = recovered.mLastSequence;
-    mLastCommitted = mLast;
+    mOpenedAfter = mLast;
   }
   ~Owner()
   {
@@ -89,10 +90,17 @@
     mTold.mAppended.insert(NameOf(mEpoch, mLast));
     mJournal.Append(0, mLast, NameOf(mEpoch, mLast));
   }
-  void Save()
+  // Saves the state as it was before the last aLess commits.
+  void Save(std::size_t aLess)
   {
-    mSnapshots.Upload({ .mId = { PartitionId(0), mEpoch, mLastCommitted },
-                        .mBytes = absl::StrJoin(mState, " ") });
+    const std::size_t kept =
+      mCommitted.size() - std::min(aLess, mCommitted.size());
+    const std::uint64_t sequence =
+      kept == 0 ? mOpenedAfter : mCommitted[kept - 1];
+    const auto end =
+      mState.end() - static_cast<std::ptrdiff_t>(mCommitted.size() - kept);
+    mSnapshots.Upload({ .mId = { PartitionId(0), mEpoch, sequence },
+                        .mBytes = absl::StrJoin(mState.begin(), end, " ") });
   }
   void Run(milliseconds aFor)
   {
@@ -129,7 +137,7 @@
     if (aOutcome.mResult == AppendResult::Committed) {
       mTold.mCommitted.insert(name);
       mState.push_back(name);
-      mLastCommitted = aSequence;
+      mCommitted.push_back(aSequence);
     } else if (aOutcome.mSurelyNotWritten) {
       mTold.mSurelyNot.insert(name);
     }
@@ -141,7 +149,9 @@
   Epoch mEpoch;
   Names mState;
   std::uint64_t mLast = 0;
-  std::uint64_t mLastCommitted = 0;
+  std::uint64_t mOpenedAfter = 0;
+  // Sequences committed since.
+  std::vector<std::uint64_t> mCommitted;
 };
 
 std::vector<CommitFate>
@@ -191,9 +201,11 @@
     } else if (action == 2) {
       platform.ApplyLate();
     } else if (action < 5) {
-      owner->Save();
+      owner->Save(random() % 3);
     } else if (action < 12) {
-      owner->Append();
+      for (std::uint64_t count = random() % 4; count > 0; --count) {
+        owner->Append();
+      }
     }
     owner->Run(milliseconds(random() % 400));
     now = std::max(now, owner->Now());
--- a/src/membership/internal/membershiploop.cpp
+++ b/src/membership/internal/membershiploop.cpp
@@ -173,7 +173,8 @@
   }
   mRowsInView = view->mNodes.size() + view->mOwnership.size();
   const auto mostGap = std::chrono::duration_cast<std::chrono::milliseconds>(
-    kCountedReadIntervals * ReadInterval());
+    kCountedReadIntervals *
+    std::max<Duration>(ReadInterval(), mOptions.mRetryInterval));
   const Plan plan =
     mPlanner.Next(*view,
                   mRegistered && !mRenewalFails,
@@ -260,8 +261,9 @@
 Duration
 MembershipLoop::EagerInterval() const
 {
-  return std::max<Duration>(mOptions.mRetryInterval,
-                            ReadInterval() / kEagerness);
+  const Duration usual = ReadInterval();
+  return std::min(
+    usual, std::max<Duration>(mOptions.mRetryInterval, usual / kEagerness));
 }
 
 } // namespace oriolevane::membership
--- a/src/membership/tests/ownership_test.cpp
+++ b/src/membership/tests/ownership_test.cpp
@@ -177,6 +177,19 @@
     CPPUNIT_ASSERT_EQUAL(kRows, cluster.RowsWithOneOwner());
     CPPUNIT_ASSERT(!cluster.At("b").mOwned.empty());
   });
+  aSection.It("also with intervals shorter than the retry interval", [] {
+    TestCluster cluster;
+    cluster.mOptions.mReadInterval = milliseconds(100);
+    cluster.mOptions.mRenewInterval = milliseconds(100);
+    cluster.mOptions.mPlanner.mLeases.mLeaseTtl = seconds(1);
+    cluster.Add("a");
+    cluster.Run(seconds(6));
+    cluster.Add("b");
+    cluster.Run(seconds(2));
+    cluster.At("a").mPaused = true;
+    cluster.Run(seconds(8));
+    CPPUNIT_ASSERT_EQUAL(kRows, cluster.At("b").mOwned.size());
+  });
   aSection.It("an owner that renews at the last moment keeps its rows", [] {
     TestCluster cluster;
     cluster.Add("a");
--- a/src/membership/tests/testcluster.cpp
+++ b/src/membership/tests/testcluster.cpp
@@ -13,15 +13,13 @@
 {
   mNodes[aName] = std::make_unique<TestNode>();
   TestNode& node = *mNodes[aName];
-  const PlannerOptions planner{ .mNode = NodeId(aName),
-                                .mIncarnation = Incarnation(aIncarnation),
-                                .mPartitions = kPartitions,
-                                .mShards = kShards };
+  MembershipOptions options = mOptions;
+  options.mPlanner.mNode = NodeId(aName);
+  options.mPlanner.mIncarnation = Incarnation(aIncarnation);
+  options.mPlanner.mPartitions = kPartitions;
+  options.mPlanner.mShards = kShards;
   node.mLoop = std::make_unique<MembershipLoop>(
-    MembershipOptions{ .mPlanner = planner, .mAddress = "127.0.0.1:1" },
-    mPlatform.Table(),
-    HooksOf(node),
-    [this] { return mNow; });
+    options, mPlatform.Table(), HooksOf(node), [this] { return mNow; });
   return node;
 }
 
--- a/src/membership/tests/testcluster.h
+++ b/src/membership/tests/testcluster.h
@@ -42,6 +42,8 @@
   std::uint64_t VersionOf(const std::string& aKey);
 
   standins::ScriptedPlatform mPlatform;
+  // Settings of nodes that are added from now on.
+  MembershipOptions mOptions{ .mAddress = "127.0.0.1:1" };
   TimePoint mNow{ std::chrono::hours(1) };
 
   static constexpr std::uint32_t kPartitions = 16;
