--- a/bench/wire/main.cpp
+++ b/bench/wire/main.cpp
@@ -99,7 +99,7 @@
     auto mesh = peers::PeerMesh::Start(
       { .mNode = NodeId(aName), .mIncarnation = Incarnation(1) },
       { .mOnMessage = [this](const codec::Envelope&,
-                             codec::PeerMessage) { ++mReceived; },
+                             const codec::PeerMessage&) { ++mReceived; },
         .mOnPeerState =
           [this](const NodeId&, Incarnation, peers::PeerState aState) {
             mUp = aState == peers::PeerState::Up;
--- a/bench/wire/meshtrial.cpp
+++ b/bench/wire/meshtrial.cpp
@@ -67,7 +67,7 @@
     const NodeId node(fmt::format("node-{:02}", i));
     auto mesh = peers::PeerMesh::Start(
       { .mNode = node, .mIncarnation = Incarnation(1), .mSeed = i },
-      { .mOnMessage = [](const codec::Envelope&, codec::PeerMessage) {},
+      { .mOnMessage = [](const codec::Envelope&, const codec::PeerMessage&) {},
         .mOnPeerState = [](const NodeId&, Incarnation, peers::PeerState) {} });
     if (!mesh.ok()) {
       return {};
--- a/src/workers/internal/exchangesession.cpp
+++ b/src/workers/internal/exchangesession.cpp
@@ -71,8 +71,11 @@
     } catch (const Poco::Exception& fault) {
       answer = absl::UnavailableError(fault.displayText());
     }
-    // A body without a length seems whole when the guard ends its stream.
-    if (watch.Fired()) {
+    // A body without a length seems whole when the guard ends its stream, and a
+    // timeout while a body is read only ends the stream.
+    const bool late =
+      !answer.ok() && std::chrono::steady_clock::now() >= aDeadline;
+    if (late || watch.Fired()) {
       answer = absl::DeadlineExceededError("no whole answer in time");
     }
   }
--- a/src/workers/internal/httpbody.cpp
+++ b/src/workers/internal/httpbody.cpp
@@ -34,6 +34,9 @@
       return TooLong(aMost);
     }
   }
+  if (aStream.bad()) {
+    return absl::UnavailableError("body broke off");
+  }
   if (aDeclared >= 0 && body.size() != static_cast<std::uint64_t>(aDeclared)) {
     return absl::UnavailableError("body ended before its declared length");
   }
--- a/src/workers/tests/workerlink_test.cpp
+++ b/src/workers/tests/workerlink_test.cpp
@@ -205,6 +205,23 @@
       Timeout(kSoon));
     CPPUNIT_ASSERT(absl::IsDeadlineExceeded(fault));
   });
+  aSection.It("time out also when they stop in the middle of an answer", [] {
+    std::latch stopping(1);
+    ExchangeLog log;
+    ScriptedWorker worker(
+      [&](HTTPServerRequest& aRequest, HTTPServerResponse& aResponse) {
+        ReadRequest(aRequest);
+        aResponse.setContentLength(100);
+        aResponse.send() << "{}" << std::flush;
+        stopping.wait();
+      });
+    WorkerLink link(Timeout(kSoon), log.Hooks());
+    link.Send(worker.Address(), Heartbeat("w0", 1));
+    const bool timedOut = log.WaitForFaults(1);
+    stopping.count_down();
+    CPPUNIT_ASSERT(timedOut);
+    CPPUNIT_ASSERT(absl::IsDeadlineExceeded(log.mFaults[0]));
+  });
 }
 
 void
