Mend two ways to a second start after a takeover, found by the random test

A listing below the recorded attempt is superseded, and not owning speaks only for a single copy that has no other answer.

--- a/src/coordination/internal/enginerecovery.cpp
+++ b/src/coordination/internal/enginerecovery.cpp
@@ -113,7 +113,13 @@
     if (known) {
       Adopt(slot, aHeld, aShard, aEpoch);
     }
-  } else if (slot.mAttempt <= aHeld.mTask.mAttempt) {
+    return;
+  }
+  // Below the recorded attempt it is over, whatever became of the later one.
+  const auto recorded = request->mDispatchedDurable.find(aHeld.mTask.mIndex);
+  const bool superseded = recorded != request->mDispatchedDurable.end() &&
+                          aHeld.mTask.mAttempt < recorded->second.mAttempt;
+  if (!superseded && slot.mAttempt <= aHeld.mTask.mAttempt) {
     Adopt(slot, aHeld, aShard, aEpoch);
   }
 }
@@ -212,9 +218,12 @@
   aRequest.mMayHaveRun = aRequest.mMayHaveRun || !aRequest.mSpec.mNeverRepeat;
   for (std::uint32_t index = 0; index < aRequest.mSlots.size(); ++index) {
     TaskSlot& slot = aRequest.mSlots[index];
+    const auto recorded = aRequest.mDispatchedDurable.find(index);
     if (slot.mPhase == SlotPhase::Out) {
       someOut = true;
-    } else if (aRequest.mDispatchedDurable.contains(index)) {
+    } else if (recorded != aRequest.mDispatchedDurable.end()) {
+      slot.mAttempt = recorded->second.mAttempt;
+      slot.mShard = recorded->second.mShard;
       CloseSlot(aRequest, slot, TaskState::Lost);
       someLost = true;
     }
--- a/src/coordination/internal/engineupdates.cpp
+++ b/src/coordination/internal/engineupdates.cpp
@@ -67,11 +67,12 @@
   if (!out) {
     return;
   }
-  // Only the placer that the attempt was sent to knows that it never started; a
-  // recovering one does not know yet when a copy of ours may still arrive.
+  // Only the placer that the attempt was sent to knows that it never started.
+  // One that did not take it speaks for a single copy.
+  const bool onlyCopy = slot.mPhase == SlotPhase::Sent && slot.mSends == 1;
   if (aEvent.mState == TaskState::NotStarted &&
       (slot.mPlacerEpoch != aEvent.mRoute.mSenderEpoch ||
-       (aEvent.mReason == TaskEndReason::NotOwner && slot.mSends > 1))) {
+       (aEvent.mReason == TaskEndReason::NotOwner && !onlyCopy))) {
     return;
   }
   slot.mPlacerEpoch = aEvent.mRoute.mSenderEpoch;
--- a/src/coordination/tests/recovery_test.cpp
+++ b/src/coordination/tests/recovery_test.cpp
@@ -129,6 +129,45 @@
       CPPUNIT_ASSERT(RefusalReason::MayHaveRun ==
                      fixture.Reply(fixture.Ask("bill"))->mReason);
     });
+  aSection.It(
+    "does not take an earlier attempt's end for the recorded one's", [] {
+      Fixture fixture;
+      fixture.Serve();
+      protocol::RequestSpec bill = MakeSpec("bill");
+      bill.mNeverRepeat = true;
+      fixture.Submit(bill);
+      fixture.EndAll(TaskState::NotStarted);
+      fixture.Pass(1'000ms);
+      const auto first = fixture.Sent<protocol::PlaceTasks>().front();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.Attempts());
+      fixture.Recover();
+      fixture.mCoordinator->BeginServing(fixture.mNow);
+      const std::uint32_t shard = first.mRoute.mShard.mValue;
+      fixture.Answer(shard, 1, { HeldOf(first, TaskState::NotStarted) });
+      fixture.Answer(1 - shard, 1);
+      CPPUNIT_ASSERT(RefusalReason::MayHaveRun ==
+                     fixture.Reply(fixture.Ask("bill"))->mReason);
+    });
+  aSection.It("does not take a late word of not owning for the attempt's end",
+              [] {
+                Fixture fixture;
+                fixture.Serve();
+                protocol::RequestSpec bill = MakeSpec("bill");
+                bill.mNeverRepeat = true;
+                fixture.Submit(bill);
+                const auto place = fixture.Sent<protocol::PlaceTasks>().front();
+                const std::uint32_t shard = place.mRoute.mShard.mValue;
+                fixture.Recover();
+                fixture.mCoordinator->BeginServing(fixture.mNow);
+                fixture.Answer(shard, 1, { HeldOf(place, TaskState::Running) });
+                fixture.Answer(1 - shard, 1);
+                fixture.Update({ place.mRequest, 0, place.mAttempt },
+                               place.mRoute.mShard,
+                               TaskState::NotStarted,
+                               protocol::TaskEndReason::NotOwner);
+                fixture.Pass(2'000ms);
+                CPPUNIT_ASSERT(fixture.Sent<protocol::PlaceTasks>().empty());
+              });
   aSection.It(
     "ends attempts that no record knows, and says not-known-yet of "
     "them until then",
