Add stories over real processes; bound the encoding of transactions

Cause: the promises are to be decided from what callers were told and what workers did. A cell of separate processes, callers that retry under one key through any node, and a checker of the workers' history.

--- a/src/platform/tests/tablewire_test.cpp
+++ b/src/platform/tests/tablewire_test.cpp
@@ -30,7 +30,7 @@
 TableWireStory(Section& aStory)
 {
   aStory.It("carries any bytes and versions", [] {
-    CPPUNIT_ASSERT(*DecodeTransaction(EncodeTransaction(kTransaction)) ==
+    CPPUNIT_ASSERT(*DecodeTransaction(*EncodeTransaction(kTransaction)) ==
                    kTransaction);
   });
   aStory.It(
@@ -61,7 +61,7 @@
   });
   aStory.It("stands any damage without a crash", [] {
     std::mt19937_64 random(3);
-    const std::string good = EncodeTransaction(kTransaction);
+    const std::string good = *EncodeTransaction(kTransaction);
     for (int round = 0; round < 3000; ++round) {
       std::string damaged = good.substr(0, random() % (good.size() + 1));
       for (std::uint64_t flips = random() % 4; flips > 0; --flips) {
--- /dev/null
+++ b/tests/integration/main.cpp
@@ -0,0 +1,12 @@
+#include "integration/stories.h"
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace oriolevane;
+  return testing::RunStories(aCount,
+                             aArguments,
+                             { { "whole path", integration::WholePathStory },
+                               { "failover", integration::FailoverStory },
+                               { "operators", integration::OperatorsStory } });
+}
