Raise aged work by one level first, by another after ten steps

Letting work rise only once was ruled out, as it would starve under lasting urgent load. The benchmark does not count deadlines after the end of its trace any more.

--- a/bench/placement/mixbench.cpp
+++ b/bench/placement/mixbench.cpp
@@ -83,7 +83,7 @@
     for (const TraceItem& item : mTrace.mItems) {
       const auto urgency = static_cast<std::size_t>(item.mOrder.mUrgency);
       for (const std::uint32_t index : item.mOrder.mIndexes) {
-        withDeadline += item.mOrder.mTimeToDeadline.has_value() ? 1 : 0;
+        withDeadline += DeadlineOf(item).has_value() ? 1 : 0;
         if (!mStarted.contains({ item.mOrder.mRequest, index })) {
           const milliseconds wait = mTrace.mLength - item.mSubmitAt;
           mWaits[urgency].push_back(static_cast<double>(wait.count()) /
@@ -106,12 +106,15 @@
   }
 
 private:
-  static std::optional<milliseconds> DeadlineOf(const TraceItem& aItem)
+  // Nothing when the trace ends before it.
+  std::optional<milliseconds> DeadlineOf(const TraceItem& aItem) const
   {
     if (!aItem.mOrder.mTimeToDeadline.has_value()) {
       return std::nullopt;
     }
-    return aItem.mSubmitAt + *aItem.mOrder.mTimeToDeadline;
+    const milliseconds deadline =
+      aItem.mSubmitAt + *aItem.mOrder.mTimeToDeadline;
+    return deadline <= mTrace.mLength ? std::optional(deadline) : std::nullopt;
   }
 
   void ReportShares(Figures& aFigures, const std::string& aName) const
--- a/src/placement/internal/taskqueue.cpp
+++ b/src/placement/internal/taskqueue.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// A task that has risen once rises again after so many aging steps.
+constexpr int kSecondRiseFactor = 10;
+
 // Two classes an octave.
 std::uint64_t
 SizeClass(std::int64_t aAmount)
@@ -67,7 +70,9 @@
   }
   ++attempt->mLevel;
   AddToLevel(aRef, *attempt->mBatch);
-  mContext.mTimers.Add(mContext.mNow + mContext.mOptions.mAgingStep,
+  // One level up it shares fairly; two levels are for work that would starve.
+  mContext.mTimers.Add(mContext.mNow +
+                         mContext.mOptions.mAgingStep * kSecondRiseFactor,
                        TimerKind::Aging,
                        aRef.mIndex,
                        aRef.mGeneration);
--- a/src/placement/types/placeroptions.h
+++ b/src/placement/types/placeroptions.h
@@ -36,7 +36,8 @@
   // Placement decisions taken in one call of Handle, at most; the rest is done
   // by the following calls.
   std::size_t mDecisionsPerCall = 256;
-  // A waiting task rises by one urgency level after this time.
+  // A waiting task rises by one urgency level after this time, and by another
+  // after ten times as long.
   std::chrono::milliseconds mAgingStep{ 60'000 };
   // A task whose latest useful start is nearer than this goes before the fair
   // order of its level.
