--- a/src/settings/boundedjson.h
+++ b/src/settings/boundedjson.h
@@ -9,10 +9,12 @@
 
 namespace oriolevane::settings {
 
-// Deeper nesting is refused, so that no recursion over the value can exhaust the stack.
+// Deeper nesting is refused, so that no recursion over the value can exhaust
+// the stack.
 constexpr int kMaxJsonDepth = 64;
 
 // InvalidArgument says what is wrong and where.
-absl::StatusOr<nlohmann::json> ParseBoundedJson(std::string_view aText);
+absl::StatusOr<nlohmann::json>
+ParseBoundedJson(std::string_view aText);
 
 } // namespace oriolevane::settings
--- a/src/settings/internal/lineindex.cpp
+++ b/src/settings/internal/lineindex.cpp
@@ -6,34 +6,83 @@
 
 namespace {
 
-// Walks the text once, keeping count of lines. The text is known to be valid
-// JSON with comments.
+// Walks the text once, keeping count of lines, and goes into only those values
+// that lead to the one looked for. The text is known to be valid JSON with
+// comments.
 class Walker
 {
 public:
-  Walker(std::string_view aText,
-         std::map<std::string, std::size_t, std::less<>>& aLines)
+  Walker(std::string_view aText, std::string_view aTarget)
     : mText(aText)
-    , mLines(aLines)
+    , mTarget(aTarget)
   {
   }
 
-  void Value(const std::string& aPath)
+  // The line of the closest value found.
+  std::size_t Find()
+  {
+    Value("");
+    return mFoundLine;
+  }
+
+private:
+  // Depth is bounded by the target's own.
+  void Value(const std::string& aPath) // NOLINT(misc-no-recursion)
   {
     SkipBlank();
-    mLines.emplace(aPath, mLine);
+    if (aPath.size() >= mFoundBytes) {
+      mFoundBytes = aPath.size();
+      mFoundLine = mLine;
+    }
     if (Peek() == '{') {
       Object(aPath);
     } else if (Peek() == '[') {
       Array(aPath);
-    } else if (Peek() == '"') {
-      Text();
     } else {
-      Scalar();
+      Skip();
     }
   }
 
-private:
+  // Whether the target is the value at this path or inside it.
+  bool Leads(std::string_view aPath) const
+  {
+    return mTarget.substr(0, aPath.size()) == aPath &&
+           (mTarget.size() == aPath.size() || mTarget[aPath.size()] == '.' ||
+            mTarget[aPath.size()] == '[');
+  }
+
+  void Child(const std::string& aPath) // NOLINT(misc-no-recursion)
+  {
+    if (Leads(aPath)) {
+      Value(aPath);
+    } else {
+      Skip();
+    }
+  }
+
+  // Any value, without recursion.
+  void Skip()
+  {
+    std::size_t open = 0;
+    do {
+      SkipBlank();
+      const char next = Peek();
+      if (next == '"') {
+        Text();
+      } else if (next == '{' || next == '[') {
+        ++open;
+        Advance();
+      } else if (next == '}' || next == ']') {
+        --open;
+        Advance();
+      } else if (next == ',' || next == ':') {
+        Advance();
+      } else {
+        Scalar();
+      }
+    } while (open > 0 && !AtEnd());
+  }
+
   char Peek() const { return mAt < mText.size() ? mText[mAt] : '\0'; }
   bool AtEnd() const { return mAt >= mText.size(); }
 
@@ -88,7 +137,7 @@
 
   void Scalar()
   {
-    constexpr std::string_view kEnds = ",]} \t\r\n/";
+    constexpr std::string_view kEnds = ",:]}[{\" \t\r\n/";
     while (!AtEnd() && kEnds.find(Peek()) == std::string_view::npos) {
       Advance();
     }
@@ -109,52 +158,44 @@
     return true;
   }
 
-  void Object(const std::string& aPath)
+  void Object(const std::string& aPath) // NOLINT(misc-no-recursion)
   {
     Advance();
     while (MoreItems('}')) {
       const std::string key = Text();
       SkipBlank();
       Advance();
-      Value(JoinPath(aPath, key));
+      Child(JoinPath(aPath, key));
     }
   }
 
-  void Array(const std::string& aPath)
+  void Array(const std::string& aPath) // NOLINT(misc-no-recursion)
   {
     Advance();
     for (std::size_t index = 0; MoreItems(']'); ++index) {
-      Value(fmt::format("{}[{}]", aPath, index));
+      Child(fmt::format("{}[{}]", aPath, index));
     }
   }
 
   std::string_view mText;
-  std::map<std::string, std::size_t, std::less<>>& mLines;
+  std::string_view mTarget;
   std::size_t mAt = 0;
   std::size_t mLine = 1;
+  std::size_t mFoundBytes = 0;
+  std::size_t mFoundLine = 1;
 };
 
 } // namespace
 
 LineIndex::LineIndex(std::string_view aText)
+  : mText(aText)
 {
-  Walker(aText, mLines).Value("");
 }
 
 std::size_t
 LineIndex::LineOf(std::string_view aPath) const
 {
-  while (true) {
-    const auto found = mLines.find(aPath);
-    if (found != mLines.end()) {
-      return found->second;
-    }
-    const std::size_t cut = aPath.find_last_of(".[");
-    if (cut == std::string_view::npos) {
-      return 1;
-    }
-    aPath = aPath.substr(0, cut);
-  }
+  return Walker(mText, aPath).Find();
 }
 
 std::string
--- a/src/settings/internal/problemlist.cpp
+++ b/src/settings/internal/problemlist.cpp
@@ -6,6 +6,12 @@
 
 namespace oriolevane::settings {
 
+namespace {
+
+constexpr std::size_t kMaxShownPathBytes = 200;
+
+} // namespace
+
 ProblemList::ProblemList(LineIndex aLines)
   : mLines(std::move(aLines))
 {
@@ -14,8 +20,13 @@
 void
 ProblemList::Add(std::string_view aPath, std::string aMessage)
 {
-  mProblems.push_back(
-    { std::string(aPath), mLines.LineOf(aPath), std::move(aMessage) });
+  if (mProblems.size() >= kMostProblems) {
+    ++mUnlisted;
+    return;
+  }
+  mProblems.push_back({ std::string(aPath.substr(0, kMaxShownPathBytes)),
+                        mLines.LineOf(aPath),
+                        std::move(aMessage) });
 }
 
 absl::Status
@@ -32,6 +43,9 @@
                         problem.mPath,
                         problem.mMessage);
   }
+  if (mUnlisted > 0) {
+    text += fmt::format("\nand {} more", mUnlisted);
+  }
   return absl::InvalidArgumentError(text);
 }
 
--- a/src/settings/lineindex.h
+++ b/src/settings/lineindex.h
@@ -3,13 +3,14 @@
 #pragma once
 
 #include <cstddef>
-#include <map>
 #include <string>
 #include <string_view>
 
 namespace oriolevane::settings {
 
-// Built once from a text that has already been parsed without error.
+// Over a text that has already been parsed without error and outlives this.
+// Each question walks the text once, so that a text from outside costs no
+// memory beyond its own, however long its keys are.
 class LineIndex
 {
 public:
@@ -21,7 +22,7 @@
   std::size_t LineOf(std::string_view aPath) const;
 
 private:
-  std::map<std::string, std::size_t, std::less<>> mLines;
+  std::string_view mText;
 };
 
 // The path of a key inside an object; keys with dots or brackets are quoted.
--- a/src/settings/problemlist.h
+++ b/src/settings/problemlist.h
@@ -20,6 +20,8 @@
   std::string mMessage;
 };
 
+constexpr std::size_t kMostProblems = 20;
+
 class ProblemList
 {
 public:
@@ -28,6 +30,7 @@
   void Add(std::string_view aPath, std::string aMessage);
   bool Empty() const { return mProblems.empty(); }
   const std::vector<Problem>& Problems() const { return mProblems; }
+  // Long paths are cut, and beyond kMostProblems the others are only counted.
   // OK when empty, else InvalidArgument with one line a problem: "line 12:
   // listen.callers: must be IP:PORT".
   absl::Status ToStatus() const;
@@ -35,6 +38,7 @@
 private:
   LineIndex mLines;
   std::vector<Problem> mProblems;
+  std::size_t mUnlisted = 0;
 };
 
 } // namespace oriolevane::settings
--- a/src/settings/tests/nodesettings_test.cpp
+++ b/src/settings/tests/nodesettings_test.cpp
@@ -88,10 +88,45 @@
           Holds(ProblemsOf(text),
                 "cell.worker_shards: must be a whole number from 1 to 4096"));
       });
+    aSection.It("may hold a number that no type holds", [] {
+      CPPUNIT_ASSERT(Holds(ProblemsOf(Replaced(kGood, "\"rvk-a-1\"", "1e999")),
+                           "number overflow"));
+    });
+    aSection.It("may be made to cost far more than its own size", [] {
+      const std::string key(400'000, 'k');
+      std::string text = "{\n\"" + key + "\": [1";
+      for (int count = 0; count < 150'000; ++count) {
+        text += ",1";
+      }
+      const std::string problems = ProblemsOf(text + "]}");
+      CPPUNIT_ASSERT(Holds(problems, "line 2: kkk"));
+      CPPUNIT_ASSERT(problems.size() < 2'000);
+    });
+    aSection.It("may hold more unknown keys than are worth listing", [] {
+      std::string text = "{\"node\": {}";
+      for (int count = 0; count < 50'000; ++count) {
+        text += ",\n\"k" + std::to_string(count) + "\": 1";
+      }
+      const std::string problems = ProblemsOf(text + "}");
+      CPPUNIT_ASSERT(Holds(problems, "and 49"));
+      CPPUNIT_ASSERT(problems.size() < 3'000);
+    });
+    aSection.It("shows the line behind strings, comments and lists", [] {
+      const std::string text = Replaced(
+        kGood,
+        "\"node\": {",
+        "\"x\": [ { \"}\": \"]\\\"\" }, /* ] */ -1.5e3,\n true ],\n\"node\": { "
+        "\"y\": [[]],");
+      CPPUNIT_ASSERT(Holds(ProblemsOf(text), "line 3: x: is not a known key"));
+      CPPUNIT_ASSERT(
+        Holds(ProblemsOf(text), "line 5: node.y: is not a known key"));
+    });
     aSection.It("may be nested without end", [] {
-      CPPUNIT_ASSERT(Holds(ProblemsOf(std::string(1'000'000, '[')), "levels deep") ||
-                     Holds(ProblemsOf(std::string(1'000'000, '[')), "parse error"));
-      const std::string closed = "{\"node\":" + std::string(100'000, '[') + std::string(100'000, ']') + "}";
+      CPPUNIT_ASSERT(
+        Holds(ProblemsOf(std::string(1'000'000, '[')), "levels deep") ||
+        Holds(ProblemsOf(std::string(1'000'000, '[')), "parse error"));
+      const std::string closed = "{\"node\":" + std::string(100'000, '[') +
+                                 std::string(100'000, ']') + "}";
       CPPUNIT_ASSERT(Holds(ProblemsOf(closed), "levels deep"));
     });
     aSection.It("may not be JSON at all", [] {
