Mend the gateway's faults with callers that send badly, and test it

Cause, each shown by a test that fails on the code before: a body sent byte by byte held a thread for as long as the caller liked; a body too large was answered by a reset instead of 413; an exception from the node closed the connection without an answer; refusals that may pass came without Retry-After; a deep patch reached recursive code; a patch id or author that is not UTF-8 made the store's encoder throw; a second process could listen on the same port and share its callers; after StopAccepting the system still took connections that nobody served. Change: the time of a body bounds each of its reads; input is read on for a while after a refusal; exceptions become 500 with the outcome not known yet; 429 and 503 always say when; patches are parsed within bounds and passed on without comments; patch ids are limited to what a path holds; the port is not shared; the listening socket is closed at a stop. A refused submission says that it was not run.

--- a/src/gateway/internal/gatewayserver.cpp
+++ b/src/gateway/internal/gatewayserver.cpp
@@ -42,6 +42,17 @@
   HttpHandlerLimits mLimits;
 };
 
+// Alone on its address: the constructor that binds would share the port with
+// any other process of the same user.
+Poco::Net::ServerSocket
+Listen(const std::string& aAddress)
+{
+  Poco::Net::ServerSocket socket;
+  socket.bind(Poco::Net::SocketAddress(aAddress), true, false);
+  socket.listen(kBacklog);
+  return socket;
+}
+
 Poco::Net::HTTPServerParams::Ptr
 ServerParams(const GatewayOptions& aOptions)
 {
@@ -70,7 +81,7 @@
                 .mSeed = aSeed },
               std::move(aHooks))
     , mPool(2, static_cast<int>(aOptions.mThreads))
-    , mSocket(Poco::Net::SocketAddress(aOptions.mAddress), kBacklog)
+    , mSocket(Listen(aOptions.mAddress))
     , mServer(new HandlerFactory(
                 mRouter,
                 { aOptions.mMaxBodyBytes, aOptions.mBodyTimeout, &mClosing }),
@@ -78,6 +89,7 @@
               mSocket,
               ServerParams(aOptions))
   {
+    mAddress = mSocket.address().toString();
     mServer.start();
   }
 
@@ -85,6 +97,7 @@
   std::atomic<bool> mClosing{ false };
   Poco::ThreadPool mPool;
   Poco::Net::ServerSocket mSocket;
+  std::string mAddress;
   Poco::Net::HTTPServer mServer;
 };
 
@@ -116,7 +129,7 @@
 std::string
 GatewayServer::Address() const
 {
-  return mImpl->mSocket.address().toString();
+  return mImpl->mAddress;
 }
 
 void
@@ -124,6 +137,8 @@
 {
   mImpl->mClosing.store(true);
   mImpl->mServer.stop();
+  // Else the system would go on taking connections that nobody serves.
+  mImpl->mSocket.close();
 }
 
 int
--- a/src/gateway/internal/httphandler.cpp
+++ b/src/gateway/internal/httphandler.cpp
@@ -1,12 +1,16 @@
 #include "gateway/internal/httphandler.h"
 
+#include <algorithm>
 #include <array>
 #include <istream>
 #include <optional>
+#include <span>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/URI.h>
 #include <fmt/format.h>
 
@@ -15,9 +19,12 @@
 
 namespace oriolevane::gateway {
 
+using std::chrono::milliseconds;
+
 namespace {
 
 constexpr std::size_t kReadChunkBytes = 8'192;
+constexpr std::size_t kMostDiscardedBytes = 16'777'216;
 constexpr std::size_t kMaxPathBytes = 2'048;
 constexpr std::size_t kMaxAuthorBytes = 128;
 
@@ -41,6 +48,15 @@
                          .mDetail = std::move(aDetail) });
 }
 
+HttpAnswer
+SlowBody()
+{
+  return ProblemAnswer({ .mStatus = 408,
+                         .mType = "slow_body",
+                         .mTitle = "The body did not arrive in time",
+                         .mOutcome = "not_run" });
+}
+
 struct BodyRead
 {
   std::string mBody;
@@ -48,40 +64,102 @@
   std::optional<HttpAnswer> mRefusal;
 };
 
-// Each read waits at most for the socket's own timeout; the whole body for
-// aLimits.mBodyTimeout.
+// Bounds each read of a body by what is left of the body's time; the
+// connection's own limit is put back at the end.
+class BodyClock
+{
+public:
+  BodyClock(Poco::Net::HTTPServerRequest& aRequest, milliseconds aLimit)
+    : mSocket(
+        dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(aRequest).socket())
+    , mEarlier(mSocket.getReceiveTimeout())
+    , mEnd(std::chrono::steady_clock::now() + aLimit)
+  {
+  }
+  BodyClock(const BodyClock&) = delete;
+  BodyClock& operator=(const BodyClock&) = delete;
+  ~BodyClock()
+  {
+    try {
+      mSocket.setReceiveTimeout(mEarlier);
+    } catch (const Poco::Exception&) {
+      // The connection is gone, and its limits with it.
+    }
+  }
+
+  // False once the time is over.
+  bool StartRead()
+  {
+    const auto left = std::chrono::duration_cast<std::chrono::microseconds>(
+      mEnd - std::chrono::steady_clock::now());
+    if (left.count() <= 0) {
+      return false;
+    }
+    mSocket.setReceiveTimeout(std::min(mEarlier, Poco::Timespan(left.count())));
+    return true;
+  }
+  bool IsOver() const { return std::chrono::steady_clock::now() >= mEnd; }
+
+private:
+  Poco::Net::StreamSocket& mSocket;
+  Poco::Timespan mEarlier;
+  TimePoint mEnd;
+};
+
+// Takes what has arrived, or waits for more; none at the end of the body, when
+// the time is over, or when the connection is gone.
+std::size_t
+ReadSome(std::istream& aStream, BodyClock& aClock, std::span<char> aChunk)
+{
+  if (!aClock.StartRead() ||
+      aStream.peek() == std::istream::traits_type::eof()) {
+    return 0;
+  }
+  return static_cast<std::size_t>(aStream.readsome(
+    aChunk.data(), static_cast<std::streamsize>(aChunk.size())));
+}
+
+// Reads on for a while after a refusal: closing with unread input would reset
+// the connection, and the caller might not see the answer.
+void
+Discard(std::istream& aStream, BodyClock& aClock)
+{
+  std::array<char, kReadChunkBytes> chunk{};
+  std::size_t discarded = 0;
+  std::size_t taken = 1;
+  while (taken > 0 && discarded < kMostDiscardedBytes) {
+    taken = ReadSome(aStream, aClock, chunk);
+    discarded += taken;
+  }
+}
+
+// The whole body has aLimits.mBodyTimeout to arrive, however it is cut.
 BodyRead
 ReadBody(Poco::Net::HTTPServerRequest& aRequest,
          const HttpHandlerLimits& aLimits)
 {
   BodyRead read;
-  const auto declared = aRequest.getContentLength64();
-  if (declared > static_cast<Poco::Int64>(aLimits.mMaxBodyBytes)) {
-    read.mRefusal = TooLarge(aLimits.mMaxBodyBytes);
-    return read;
-  }
-  const TimePoint started = std::chrono::steady_clock::now();
+  BodyClock clock(aRequest, aLimits.mBodyTimeout);
   std::istream& stream = aRequest.stream();
+  const auto declared = aRequest.getContentLength64();
+  const bool tooLarge =
+    declared > static_cast<Poco::Int64>(aLimits.mMaxBodyBytes);
   std::array<char, kReadChunkBytes> chunk{};
-  while (stream.good()) {
-    stream.read(chunk.data(), chunk.size());
-    read.mBody.append(chunk.data(), static_cast<std::size_t>(stream.gcount()));
-    if (read.mBody.size() > aLimits.mMaxBodyBytes) {
-      read.mRefusal = TooLarge(aLimits.mMaxBodyBytes);
-      return read;
-    }
-    if (std::chrono::steady_clock::now() - started > aLimits.mBodyTimeout) {
-      read.mRefusal =
-        ProblemAnswer({ .mStatus = 408,
-                        .mType = "slow_body",
-                        .mTitle = "The body did not arrive in time",
-                        .mOutcome = "not_run" });
-      return read;
-    }
+  std::size_t taken = tooLarge ? 0 : 1;
+  while (taken > 0 && read.mBody.size() <= aLimits.mMaxBodyBytes) {
+    taken = ReadSome(stream, clock, chunk);
+    read.mBody.append(chunk.data(), taken);
   }
-  if (declared >= 0 &&
-      read.mBody.size() != static_cast<std::size_t>(declared)) {
-    read.mRefusal = Malformed("the body is shorter than its Content-Length");
+  if (tooLarge || read.mBody.size() > aLimits.mMaxBodyBytes) {
+    Discard(stream, clock);
+    read.mRefusal = TooLarge(aLimits.mMaxBodyBytes);
+  } else if (declared >= 0 &&
+             read.mBody.size() != static_cast<std::size_t>(declared)) {
+    read.mRefusal =
+      clock.IsOver() ? SlowBody()
+                     : Malformed("the body is shorter than its Content-Length");
+  } else if (declared < 0 && clock.IsOver()) {
+    read.mRefusal = SlowBody();
   }
   return read;
 }
@@ -153,7 +231,15 @@
     return *body.mRefusal;
   }
   call.mBody = std::move(body.mBody);
-  return mRouter.Route(call);
+  try {
+    return mRouter.Route(call);
+  } catch (const std::exception& error) {
+    LogError("call_failed").With("error", error.what());
+    return ProblemAnswer({ .mStatus = 500,
+                           .mType = "internal",
+                           .mTitle = "The call could not be served",
+                           .mOutcome = "not_known_yet" });
+  }
 }
 
 void
@@ -164,7 +250,10 @@
     const HttpAnswer answer = Answer(aRequest);
     const bool closing =
       mLimits.mClosing != nullptr && mLimits.mClosing->load();
-    if (closing || answer.mStatus == 413 || answer.mStatus == 408) {
+    // What is left of a body that was not read whole is not the next request.
+    const bool unread =
+      answer.mStatus == 400 || answer.mStatus == 408 || answer.mStatus == 413;
+    if (closing || unread) {
       aResponse.setKeepAlive(false);
     }
     Send(aResponse, answer);
--- a/src/gateway/internal/router.cpp
+++ b/src/gateway/internal/router.cpp
@@ -12,6 +12,7 @@
 #include "gateway/internal/viewjson.h"
 #include "gateway/statusjson.h"
 #include "gateway/submitparser.h"
+#include "settings/boundedjson.h"
 
 namespace oriolevane::gateway {
 
@@ -21,6 +22,7 @@
 namespace {
 
 constexpr std::size_t kMaxRequestIdBytes = 128;
+constexpr std::size_t kMaxPatchIdBytes = 128;
 constexpr std::size_t kHistoryPage = 100;
 constexpr milliseconds kRetrySoon{ 1'000 };
 
@@ -90,12 +92,32 @@
 }
 
 HttpAnswer
-BadRequest(std::string aDetail)
+BadRequest(std::string aDetail, std::string aOutcome = "")
 {
   return ProblemAnswer({ .mStatus = 400,
                          .mType = "invalid",
                          .mTitle = "The request is not valid",
-                         .mDetail = std::move(aDetail) });
+                         .mDetail = std::move(aDetail),
+                         .mOutcome = std::move(aOutcome) });
+}
+
+// Letters, digits and marks that stand for themselves in a path.
+bool
+IsPatchId(const std::string& aText)
+{
+  constexpr std::string_view kAllowed =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~:";
+  return !aText.empty() && aText.size() <= kMaxPatchIdBytes &&
+         aText.find_first_not_of(kAllowed) == std::string::npos;
+}
+
+HttpAnswer
+BadPatchId()
+{
+  return BadRequest(
+    fmt::format("a patch id has from 1 to {} letters, digits or "
+                "any of - . _ ~ :",
+                kMaxPatchIdBytes));
 }
 
 HttpAnswer
@@ -183,7 +205,7 @@
   const absl::StatusOr<Submission> submission =
     ParseSubmission(aCall.mBody, aCall.mIdempotencyKey, FreshId());
   if (!submission.ok()) {
-    return BadRequest(std::string(submission.status().message()));
+    return BadRequest(std::string(submission.status().message()), "not_run");
   }
   const protocol::RequestSpec& spec = submission->mSpec;
   const WaitingPlace place(mWaiting, mOptions.mMostWaiting);
@@ -289,11 +311,21 @@
   }
   const std::string patchId =
     aCall.mIdempotencyKey.empty() ? FreshId() : aCall.mIdempotencyKey;
+  if (!IsPatchId(patchId)) {
+    return BadPatchId();
+  }
+  // What follows works on the patch by recursion, and takes no comments.
+  const absl::StatusOr<json> patch = settings::ParseBoundedJson(aCall.mBody);
+  if (!patch.ok()) {
+    return PatchAnswer(patchId,
+                       { .mVerdict = configuration::PatchVerdict::Invalid,
+                         .mDetail = std::string(patch.status().message()) });
+  }
   const configuration::PatchOutcome outcome =
     mHooks.mApplyPatch({ .mPatchId = patchId,
                          .mBase = ConfigurationVersion(*version),
-                         .mAuthor = aCall.mAuthor,
-                         .mPatch = aCall.mBody });
+                         .mAuthor = ValidUtf8(aCall.mAuthor),
+                         .mPatch = patch->dump() });
   return PatchAnswer(patchId, outcome);
 }
 
@@ -317,6 +349,9 @@
 HttpAnswer
 Router::ShowPatch(const std::string& aPatchId) const
 {
+  if (!IsPatchId(aPatchId)) {
+    return BadPatchId();
+  }
   const absl::StatusOr<configuration::PatchOutcome> outcome =
     mHooks.mFindPatch(aPatchId);
   if (!outcome.ok()) {
--- a/src/gateway/internal/statusanswer.cpp
+++ b/src/gateway/internal/statusanswer.cpp
@@ -72,6 +72,19 @@
   }
 }
 
+// Of a refusal that may pass and does not say when.
+constexpr std::chrono::milliseconds kRetrySoon{ 1'000 };
+
+std::optional<std::chrono::milliseconds>
+RetryAfter(const protocol::RequestStatus& aStatus)
+{
+  const int http = RefusalStatus(aStatus.mReason);
+  if (!aStatus.mRetryAfter.has_value() && (http == 429 || http == 503)) {
+    return kRetrySoon;
+  }
+  return aStatus.mRetryAfter;
+}
+
 Problem
 RefusalProblem(const protocol::RequestStatus& aStatus)
 {
@@ -81,7 +94,7 @@
            .mDetail = aStatus.mDetail,
            .mOutcome = std::string(OutcomeWord(aStatus.mOutcome)),
            .mRequestId = aStatus.mId.mValue,
-           .mRetryAfter = aStatus.mRetryAfter };
+           .mRetryAfter = RetryAfter(aStatus) };
 }
 
 HttpAnswer
--- a/src/gateway/internal/statusjson.cpp
+++ b/src/gateway/internal/statusjson.cpp
@@ -1,5 +1,6 @@
 #include "gateway/statusjson.h"
 
+#include <algorithm>
 #include <sstream>
 
 #include <Poco/Base64Encoder.h>
@@ -61,6 +62,21 @@
 
 } // namespace
 
+std::string
+ValidUtf8(std::string aText)
+{
+  if (!IsUtf8(aText)) {
+    std::replace_if(
+      aText.begin(),
+      aText.end(),
+      [](char aByte) {
+        return (static_cast<unsigned char>(aByte) & 0x80U) != 0;
+      },
+      '?');
+  }
+  return aText;
+}
+
 std::string_view
 OutcomeWord(Outcome aOutcome)
 {
--- a/src/gateway/statusjson.h
+++ b/src/gateway/statusjson.h
@@ -18,6 +18,10 @@
 std::string_view
 TaskStateWord(protocol::TaskState aState);
 
+// The text itself when it is UTF-8, else with each byte outside ASCII as "?".
+std::string
+ValidUtf8(std::string aText);
+
 // An answer that is not valid UTF-8 is given as "answer_base64" instead of
 // "answer".
 nlohmann::json
--- /dev/null
+++ b/src/gateway/tests/main.cpp
@@ -0,0 +1,28 @@
+#include "framework/testing/story.h"
+
+namespace oriolevane::gateway {
+void
+AnswersStory(testing::Section& aStory);
+void
+ConfigurationStory(testing::Section& aStory);
+void
+OutcomesStory(testing::Section& aStory);
+void
+ServerStory(testing::Section& aStory);
+void
+SubmissionsStory(testing::Section& aStory);
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace oriolevane;
+  return testing::RunStories(
+    aCount,
+    aArguments,
+    { { "the outcome", gateway::OutcomesStory },
+      { "a submission", gateway::SubmissionsStory },
+      { "the configuration", gateway::ConfigurationStory },
+      { "an answer", gateway::AnswersStory },
+      { "the server", gateway::ServerStory } });
+}
