Let more than one caller wait with few threads, and leave empty columns out

Cause: a node's http_threads were 32 by default, and the gateway kept 32 from waiting callers, so that one caller could wait at a time. Change: at most a quarter of the threads is kept; the default is 256 threads, as the gateway's own. The command line's tables leave out columns that are empty in every row.

--- a/src/cli/internal/printing.cpp
+++ b/src/cli/internal/printing.cpp
@@ -1,5 +1,7 @@
 #include "cli/internal/printing.h"
 
+#include <algorithm>
+
 #include "cli/internal/answercode.h"
 #include "cli/internal/apiclient.h"
 #include "cli/internal/texttable.h"
@@ -69,14 +71,24 @@
           const json& aRows,
           const std::vector<Column>& aColumns)
 {
-  std::vector<std::string> heads;
+  std::vector<Column> shown;
   for (const Column& column : aColumns) {
+    const bool filled =
+      std::any_of(aRows.begin(), aRows.end(), [&](const json& aRow) {
+        return !CellText(aRow, column.mPointer).empty();
+      });
+    if (filled || shown.empty()) {
+      shown.push_back(column);
+    }
+  }
+  std::vector<std::string> heads;
+  for (const Column& column : shown) {
     heads.push_back(column.mHead);
   }
   TextTable table(std::move(heads));
   for (const json& row : aRows) {
     std::vector<std::string> cells;
-    for (const Column& column : aColumns) {
+    for (const Column& column : shown) {
       cells.push_back(CellText(row, column.mPointer));
     }
     table.AddRow(std::move(cells));
--- a/src/cli/internal/printing.h
+++ b/src/cli/internal/printing.h
@@ -26,6 +26,7 @@
 std::string
 CellText(const nlohmann::json& aValue, const std::string& aPointer);
 
+// Columns that are empty in every row are left out, but for the first.
 void
 PrintRows(std::ostream& aOut,
           const nlohmann::json& aRows,
--- a/src/gateway/internal/gatewayserver.cpp
+++ b/src/gateway/internal/gatewayserver.cpp
@@ -53,6 +53,15 @@
   return socket;
 }
 
+// With few threads, at most a quarter is kept from waiting callers.
+std::uint32_t
+MostWaiting(const GatewayOptions& aOptions)
+{
+  constexpr std::uint32_t kLeastWaitingShare = 4;
+  return aOptions.mThreads - std::min(aOptions.mThreadsForShortCalls,
+                                      aOptions.mThreads / kLeastWaitingShare);
+}
+
 Poco::Net::HTTPServerParams::Ptr
 ServerParams(const GatewayOptions& aOptions)
 {
@@ -75,9 +84,7 @@
 public:
   Impl(const GatewayOptions& aOptions, GatewayHooks aHooks, std::uint64_t aSeed)
     : mRouter({ .mCallerTimeout = aOptions.mCallerTimeout,
-                .mMostWaiting =
-                  aOptions.mThreads - std::min(aOptions.mThreads - 1,
-                                               aOptions.mThreadsForShortCalls),
+                .mMostWaiting = MostWaiting(aOptions),
                 .mSeed = aSeed },
               std::move(aHooks))
     , mPool(2, static_cast<int>(aOptions.mThreads))
--- a/src/gateway/tests/server_test.cpp
+++ b/src/gateway/tests/server_test.cpp
@@ -1,4 +1,5 @@
 #include <array>
+#include <atomic>
 #include <future>
 
 #include <Poco/Exception.h>
@@ -28,7 +29,6 @@
   {
     aOptions.mAddress = "127.0.0.1:0";
     aOptions.mThreads = 8;
-    aOptions.mThreadsForShortCalls = 4;
     aOptions.mMaxBodyBytes = 4'096;
     auto server = GatewayServer::Start(aOptions, mNode.Hooks());
     CPPUNIT_ASSERT(server.ok());
@@ -251,6 +251,28 @@
     Send(socket, "PUT /v1/requests HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
     AssertHolds("Allow: POST", ReceiveOne(socket));
   });
+  aStory.It("lets several callers wait, however few its threads", [] {
+    Served served;
+    std::promise<void> reached;
+    std::promise<void> release;
+    std::atomic<bool> first{ true };
+    served.mNode.mDuringCall = [&] {
+      if (first.exchange(false)) {
+        reached.set_value();
+        release.get_future().wait();
+      }
+    };
+    const std::string submit = Post("Connection: close\r\nContent-Length: " +
+                                      std::to_string(kGoodBody.size()) + "\r\n",
+                                    kGoodBody);
+    Poco::Net::StreamSocket waiting = served.Connect();
+    Send(waiting, submit);
+    reached.get_future().wait();
+    const std::string second = Ask(served, submit);
+    release.set_value();
+    AssertHolds("HTTP/1.1 200", second);
+    AssertHolds("HTTP/1.1 200", ReceiveAll(waiting));
+  });
   aStory.It("answers also when the node behind it fails by itself", [] {
     Served served;
     served.mNode.mDuringCall = [] { throw std::runtime_error("fault"); };
--- a/src/gateway/types/gatewayoptions.h
+++ b/src/gateway/types/gatewayoptions.h
@@ -15,7 +15,8 @@
   std::size_t mMaxBodyBytes = 1'048'576;
   // Connections that are served at a time; a waiting caller holds one.
   std::uint32_t mThreads = 256;
-  // Of these, how many are kept free for calls that do not wait.
+  // Of these, how many are kept free for calls that do not wait; at most a
+  // quarter of the threads.
   std::uint32_t mThreadsForShortCalls = 32;
   // Connections beyond the threads, waiting to be served.
   std::uint32_t mQueuedConnections = 256;
--- a/src/settings/types/nodesettings.h
+++ b/src/settings/types/nodesettings.h
@@ -53,7 +53,7 @@
 struct LimitSettings
 {
   std::uint64_t mMaxBodyBytes = 1'048'576;
-  std::uint32_t mHttpThreads = 32;
+  std::uint32_t mHttpThreads = 256;
   std::uint32_t mMaxConnections = 512;
   std::chrono::milliseconds mCallerTimeout{ 60'000 };
   std::uint32_t mRingCapacity = 16'384;
