--- a/src/gateway/internal/gatewayserver.cpp
+++ b/src/gateway/internal/gatewayserver.cpp
@@ -42,6 +42,26 @@
   HttpHandlerLimits mLimits;
 };
 
+// Alone on its address: the constructor that binds would share the port with
+// any other process of the same user.
+Poco::Net::ServerSocket
+Listen(const std::string& aAddress)
+{
+  Poco::Net::ServerSocket socket;
+  socket.bind(Poco::Net::SocketAddress(aAddress), true, false);
+  socket.listen(kBacklog);
+  return socket;
+}
+
+// With few threads, at most a quarter is kept from waiting callers.
+std::uint32_t
+MostWaiting(const GatewayOptions& aOptions)
+{
+  constexpr std::uint32_t kLeastWaitingShare = 4;
+  return aOptions.mThreads - std::min(aOptions.mThreadsForShortCalls,
+                                      aOptions.mThreads / kLeastWaitingShare);
+}
+
 Poco::Net::HTTPServerParams::Ptr
 ServerParams(const GatewayOptions& aOptions)
 {
@@ -64,13 +84,11 @@
 public:
   Impl(const GatewayOptions& aOptions, GatewayHooks aHooks, std::uint64_t aSeed)
     : mRouter({ .mCallerTimeout = aOptions.mCallerTimeout,
-                .mMostWaiting =
-                  aOptions.mThreads - std::min(aOptions.mThreads - 1,
-                                               aOptions.mThreadsForShortCalls),
+                .mMostWaiting = MostWaiting(aOptions),
                 .mSeed = aSeed },
               std::move(aHooks))
     , mPool(2, static_cast<int>(aOptions.mThreads))
-    , mSocket(Poco::Net::SocketAddress(aOptions.mAddress), kBacklog)
+    , mSocket(Listen(aOptions.mAddress))
     , mServer(new HandlerFactory(
                 mRouter,
                 { aOptions.mMaxBodyBytes, aOptions.mBodyTimeout, &mClosing }),
@@ -78,6 +96,7 @@
               mSocket,
               ServerParams(aOptions))
   {
+    mAddress = mSocket.address().toString();
     mServer.start();
   }
 
@@ -85,6 +104,7 @@
   std::atomic<bool> mClosing{ false };
   Poco::ThreadPool mPool;
   Poco::Net::ServerSocket mSocket;
+  std::string mAddress;
   Poco::Net::HTTPServer mServer;
 };
 
@@ -116,7 +136,7 @@
 std::string
 GatewayServer::Address() const
 {
-  return mImpl->mSocket.address().toString();
+  return mImpl->mAddress;
 }
 
 void
@@ -124,6 +144,8 @@
 {
   mImpl->mClosing.store(true);
   mImpl->mServer.stop();
+  // Else the system would go on taking connections that nobody serves.
+  mImpl->mSocket.close();
 }
 
 int
