--- a/bench/admission/costtrial.cpp
+++ b/bench/admission/costtrial.cpp
@@ -129,7 +129,7 @@
     Take(mCoordinator.Handle(aEvent, mNow));
   }
 
-  void Take(std::vector<CoordinatorAction> aActions)
+  void Take(const std::vector<CoordinatorAction>& aActions)
   {
     std::uint64_t committed = 0;
     for (const CoordinatorAction& action : aActions) {
--- a/bench/admission/loadtrial.cpp
+++ b/bench/admission/loadtrial.cpp
@@ -105,7 +105,7 @@
     Take(mCoordinator.Handle(aEvent, mNow));
   }
 
-  void Take(std::vector<CoordinatorAction> aActions)
+  void Take(const std::vector<CoordinatorAction>& aActions)
   {
     std::uint64_t committed = 0;
     std::deque<coordination::CoordinatorEvent> next;
--- a/bench/admission/samples.cpp
+++ b/bench/admission/samples.cpp
@@ -1,6 +1,7 @@
 #include "samples.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <fmt/format.h>
 
@@ -30,7 +31,7 @@
   }
   std::sort(aValues.begin(), aValues.end());
   const auto last = static_cast<double>(aValues.size() - 1);
-  return aValues[static_cast<std::size_t>(aShare * last + 0.5)];
+  return aValues[static_cast<std::size_t>(std::lround(aShare * last))];
 }
 
 } // namespace oriolevane::bench
--- a/src/coordination/internal/engine.h
+++ b/src/coordination/internal/engine.h
@@ -132,9 +132,8 @@
   void Send(ShardId aShard, Message aMessage)
   {
     aMessage.mRoute = NextRoute(aShard);
-    mActions.emplace_back(std::in_place_type<SendToPlacer>,
-                          aShard,
-                          protocol::ToPlacer(std::move(aMessage)));
+    SendToPlacer sent{ .mShard = aShard, .mMessage = std::move(aMessage) };
+    mActions.emplace_back(std::move(sent));
   }
   void ResendBy(LiveRequest& aRequest);
 
--- a/src/coordination/tests/admission_test.cpp
+++ b/src/coordination/tests/admission_test.cpp
@@ -57,6 +57,17 @@
                          AdmitUpTo(admission, kOne, Urgency::Urgent, 999, now));
     CPPUNIT_ASSERT(admission.Refuse(kOne, Urgency::Low, 1.0s, now));
   });
+  aSection.It("counts on no more of the rate than the urgent leave", [] {
+    internal::Admission admission;
+    admission.SetRate(100);
+    TimePoint now{ 1h };
+    for (int tick = 0; tick < 100; ++tick) {
+      now += 50ms;
+      AdmitUpTo(admission, kOne, Urgency::Urgent, 4, now);
+    }
+    const int admitted = AdmitUpTo(admission, kTwo, Urgency::Normal, 999, now);
+    CPPUNIT_ASSERT(admitted >= 8 && admitted <= 25);
+  });
   aSection.It("leaves a team its share when another floods", [] {
     internal::Admission admission;
     admission.SetRate(100);
--- a/src/coordination/tests/gangs_test.cpp
+++ b/src/coordination/tests/gangs_test.cpp
@@ -32,10 +32,8 @@
     .mHeldFor = aPlace.mHoldFor });
 }
 
-} // namespace
-
 void
-GangsStory(Section& aStory)
+StartStory(Section& aStory)
 {
   aStory.It("fits one shard and goes there whole", [] {
     Fixture fixture;
@@ -66,6 +64,11 @@
               fixture.EndAll(TaskState::Succeeded, "x");
               CPPUNIT_ASSERT(Outcome::Ran == fixture.Reply(call)->mOutcome);
             });
+}
+
+void
+ReleaseStory(Section& aStory)
+{
   aStory.It("gives all back when one shard can't hold, and tries again", [] {
     Fixture fixture;
     fixture.Serve();
@@ -120,4 +123,13 @@
   });
 }
 
+} // namespace
+
+void
+GangsStory(Section& aStory)
+{
+  aStory.Describe("a gang", StartStory);
+  aStory.Describe("a gang without room", ReleaseStory);
+}
+
 } // namespace oriolevane::coordination
--- a/src/coordination/tests/recovery_test.cpp
+++ b/src/coordination/tests/recovery_test.cpp
@@ -129,6 +129,25 @@
       CPPUNIT_ASSERT(RefusalReason::MayHaveRun ==
                      fixture.Reply(fixture.Ask("bill"))->mReason);
     });
+  aSection.It("does not say not-run of a request that its predecessor may have "
+              "sent",
+              [] {
+                Fixture fixture;
+                fixture.Serve();
+                fixture.Submit(MakeSpec("a"));
+                fixture.Recover();
+                fixture.Serve();
+                fixture.Cancel("a");
+                fixture.EndAll(TaskState::NotStarted);
+                const auto reply = fixture.Reply(fixture.Ask("a"));
+                CPPUNIT_ASSERT(Outcome::NotKnownYet == reply->mOutcome);
+                CPPUNIT_ASSERT(RefusalReason::Cancelled == reply->mReason);
+              });
+}
+
+void
+LateWordStory(Section& aSection)
+{
   aSection.It(
     "does not take an earlier attempt's end for the recorded one's", [] {
       Fixture fixture;
@@ -159,6 +178,9 @@
                 const std::uint32_t shard = place.mRoute.mShard.mValue;
                 fixture.Recover();
                 fixture.mCoordinator->BeginServing(fixture.mNow);
+                fixture.Handle(PolicyChanged{ fixture.mPolicy });
+                fixture.Handle(DigestReceived{ MakeDigest(0, 1, 2) });
+                fixture.Handle(DigestReceived{ MakeDigest(1, 1, 2) });
                 fixture.Answer(shard, 1, { HeldOf(place, TaskState::Running) });
                 fixture.Answer(1 - shard, 1);
                 fixture.Update({ place.mRequest, 0, place.mAttempt },
@@ -168,6 +190,11 @@
                 fixture.Pass(2'000ms);
                 CPPUNIT_ASSERT(fixture.Sent<protocol::PlaceTasks>().empty());
               });
+}
+
+void
+OrphanStory(Section& aSection)
+{
   aSection.It(
     "ends attempts that no record knows, and says not-known-yet of "
     "them until then",
@@ -234,6 +261,8 @@
 {
   aStory.Describe("the recovered state", StateStory);
   aStory.Describe("a new owner", TakeoverStory);
+  aStory.Describe("a new owner", LateWordStory);
+  aStory.Describe("a new owner", OrphanStory);
   aStory.Describe("a shard's new placer", ShardTakeoverStory);
 }
 
--- a/src/coordination/types/callorigin.h
+++ b/src/coordination/types/callorigin.h
@@ -1,7 +1,7 @@
 // Names the process that a call came from.
 #pragma once
 
-#include <compare>
+#include <tuple>
 
 #include "framework/types/ids.h"
 
@@ -14,7 +14,12 @@
   NodeId mNode;
   Incarnation mIncarnation;
 
-  auto operator<=>(const CallOrigin&) const = default;
+  bool operator==(const CallOrigin&) const = default;
+  bool operator<(const CallOrigin& aOther) const
+  {
+    return std::tie(mNode, mIncarnation) <
+           std::tie(aOther.mNode, aOther.mIncarnation);
+  }
 };
 
 } // namespace oriolevane::coordination
