--- a/bench/placement/virtualcell.cpp
+++ b/bench/placement/virtualcell.cpp
@@ -36,9 +36,9 @@
 VirtualCell::Give(const PlacerEvent& aEvent)
 {
   const auto begin = std::chrono::steady_clock::now();
-  std::vector<PlacerAction> actions = mPlacer.Handle(aEvent, mNow);
+  const std::vector<PlacerAction> actions = mPlacer.Handle(aEvent, mNow);
   const auto end = std::chrono::steady_clock::now();
-  Carry(std::move(actions));
+  Carry(actions);
   Drain();
   return std::chrono::duration<double>(end - begin).count();
 }
@@ -54,7 +54,7 @@
 }
 
 void
-VirtualCell::Carry(std::vector<PlacerAction> aActions)
+VirtualCell::Carry(const std::vector<PlacerAction>& aActions)
 {
   for (const PlacerAction& action : aActions) {
     if (const auto* send = std::get_if<placement::SendToWorker>(&action)) {
--- a/bench/placement/virtualcell.h
+++ b/bench/placement/virtualcell.h
@@ -71,7 +71,7 @@
     std::map<protocol::TaskKey, protocol::EndedTask> mEnded;
   };
 
-  void Carry(std::vector<placement::PlacerAction> aActions);
+  void Carry(const std::vector<placement::PlacerAction>& aActions);
   void Drain();
   void Apply(const protocol::WorkerCommand& aCommand);
   void Start(std::size_t aWorker, const protocol::StartOrder& aOrder);
--- a/src/placement/internal/workloadstats.cpp
+++ b/src/placement/internal/workloadstats.cpp
@@ -20,7 +20,7 @@
 void
 WorkloadStats::AddRunTime(std::chrono::milliseconds aRunTime)
 {
-  const double millis = std::max<double>(1, aRunTime.count());
+  const double millis = std::max(1.0, static_cast<double>(aRunTime.count()));
   const auto bin = static_cast<std::size_t>(std::log2(millis) * kBinsPerOctave);
   mBins[std::min(bin, kBins - 1)] += 1;
   mSamples += 1;
