--- a/src/coordination/internal/admission.cpp
+++ b/src/coordination/internal/admission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace oriolevane::coordination::internal {
 
@@ -14,6 +15,10 @@
 // Teams are held to their shares once the backlog fills this part of the
 // tolerated wait.
 constexpr double kShareFrom = 0.5;
+// The rates of admitted requests are smoothed over this time.
+constexpr Seconds kRateWindow{ 1.0 };
+// Part of the rate that the higher urgencies are taken to leave at least.
+constexpr double kLeastLeft = 0.02;
 
 std::chrono::milliseconds
 RetryAfter(double aSeconds)
@@ -35,27 +40,42 @@
   team.mWeight = aWeight;
 }
 
+// The most urgent are served first.
 void
-Admission::Drain(TimePoint aNow)
+Admission::Drain(Backlog& aBacklog, double aRequests)
 {
-  double drained = mRate * Seconds(aNow - mAsOf).count();
-  mAsOf = aNow;
-  for (std::size_t level = mBacklog.size(); level > 0; --level) {
-    double& backlog = mBacklog[level - 1];
-    const double taken = std::min(backlog, drained);
-    backlog -= taken;
-    drained -= taken;
+  for (std::size_t level = aBacklog.size(); level > 0; --level) {
+    const double served = std::min(aBacklog[level - 1], aRequests);
+    aBacklog[level - 1] -= served;
+    aRequests -= served;
   }
 }
 
+double
+Admission::Ahead(const Backlog& aBacklog, std::size_t aLevel)
+{
+  return std::accumulate(aBacklog.begin() + static_cast<std::ptrdiff_t>(aLevel),
+                         aBacklog.end(),
+                         0.0);
+}
+
+double
+Admission::RateLeft(std::size_t aLevel) const
+{
+  const double higher = std::accumulate(
+    mAdmittedRates.begin() + static_cast<std::ptrdiff_t>(aLevel) + 1,
+    mAdmittedRates.end(),
+    0.0);
+  return std::max(mRate - higher, mRate * kLeastLeft);
+}
+
 void
 Admission::DrainTeam(TeamShare& aTeam, TimePoint aNow)
 {
   if (aTeam.mActive) {
     const double share = aTeam.mWeight / std::max(mActiveWeight, 1e-9);
-    aTeam.mBacklog -= mRate * share * Seconds(aNow - aTeam.mAsOf).count();
-    if (aTeam.mBacklog <= 0) {
-      aTeam.mBacklog = 0;
+    Drain(aTeam.mBacklog, mRate * share * Seconds(aNow - aTeam.mAsOf).count());
+    if (Ahead(aTeam.mBacklog, 0) <= 0) {
       aTeam.mActive = false;
       mActiveWeight -= aTeam.mWeight;
     }
@@ -72,15 +92,18 @@
   if (mRate <= 0) {
     return kLongestRetryAfter;
   }
-  Drain(aNow);
-  const auto level = static_cast<std::size_t>(aUrgency);
-  double ahead = 0;
-  for (std::size_t higher = level; higher < mBacklog.size(); ++higher) {
-    ahead += mBacklog[higher];
+  const Seconds passed = aNow - mAsOf;
+  mAsOf = aNow;
+  Drain(mBacklog, mRate * passed.count());
+  for (double& rate : mAdmittedRates) {
+    rate *= std::exp(-passed / kRateWindow);
   }
-  const double depth = std::max(mRate * aToleratedWait.count(), 1.0);
+  const auto level = static_cast<std::size_t>(aUrgency);
+  const double ahead = Ahead(mBacklog, level);
+  const double left = RateLeft(level);
+  const double depth = std::max(left * aToleratedWait.count(), 1.0);
   if (ahead + 1 > depth) {
-    return RetryAfter((ahead + 1 - depth) / mRate);
+    return RetryAfter((ahead + 1 - depth) / left);
   }
   TeamShare& team = mTeams[aTeam];
   DrainTeam(team, aNow);
@@ -90,11 +113,13 @@
   }
   const double share = team.mWeight / std::max(mActiveWeight, 1e-9);
   const double teamDepth = std::max(depth * share, 1.0);
-  if (ahead > kShareFrom * depth && team.mBacklog + 1 > teamDepth) {
-    return RetryAfter((team.mBacklog + 1 - teamDepth) / (mRate * share));
+  const double teamAhead = Ahead(team.mBacklog, level);
+  if (ahead > kShareFrom * depth && teamAhead + 1 > teamDepth) {
+    return RetryAfter((teamAhead + 1 - teamDepth) / (left * share));
   }
   mBacklog[level] += 1;
-  team.mBacklog += 1;
+  team.mBacklog[level] += 1;
+  mAdmittedRates[level] += 1 / kRateWindow.count();
   return std::nullopt;
 }
 
--- a/src/coordination/internal/engine.h
+++ b/src/coordination/internal/engine.h
@@ -132,7 +132,9 @@
   void Send(ShardId aShard, Message aMessage)
   {
     aMessage.mRoute = NextRoute(aShard);
-    mActions.push_back(SendToPlacer{ aShard, std::move(aMessage) });
+    mActions.emplace_back(std::in_place_type<SendToPlacer>,
+                          aShard,
+                          protocol::ToPlacer(std::move(aMessage)));
   }
   void ResendBy(LiveRequest& aRequest);
 
@@ -210,7 +212,9 @@
   CallBook mCalls;
   Orphans mOrphans;
   std::unordered_map<WorkloadId, RetryBudget> mBudgets;
+  // Of the last message to each shard.
   std::vector<std::uint64_t> mSequences;
+  std::uint64_t mFirstSequence;
   std::uint32_t mGangHolds = 0;
   bool mBegun = false;
   bool mServing = false;
--- a/src/coordination/internal/enginerecovery.cpp
+++ b/src/coordination/internal/enginerecovery.cpp
@@ -1,10 +1,8 @@
 #include <algorithm>
-#include <type_traits>
 #include <utility>
 
 #include <fmt/format.h>
 
-#include "coordination/internal/cborfields.h"
 #include "coordination/internal/engine.h"
 
 namespace oriolevane::coordination::internal {
@@ -13,176 +11,8 @@
 
 using protocol::TaskState;
 
-constexpr std::uint64_t kSnapshotVersion = 1;
-
-absl::Status
-BadSnapshot()
-{
-  return absl::DataLossError("not a snapshot of a request partition");
-}
-
 } // namespace
 
-std::string
-Engine::Snapshot() const
-{
-  Json live = Json::array();
-  for (const LiveRequest* request : mRequests.Sorted()) {
-    if (!request->mAcceptedDurable) {
-      continue;
-    }
-    std::vector<DispatchedTask> dispatched;
-    for (const auto& [index, task] : request->mDispatchedDurable) {
-      dispatched.push_back(task);
-    }
-    live.push_back(Json::array({ SpecToJson(request->mSpec),
-                                 DispatchedToJson(dispatched),
-                                 request->mCancelDurable }));
-  }
-  Json outcomes = Json::array();
-  for (const RecordedOutcome* outcome : mOutcomes.Sorted()) {
-    outcomes.push_back(Json::array({ outcome->mSequence,
-                                     outcome->mSpecDigest,
-                                     StatusToJson(outcome->mStatus) }));
-  }
-  return ToCbor(Json::array({ kSnapshotVersion,
-                              mPending.Committed(),
-                              std::move(live),
-                              std::move(outcomes) }));
-}
-
-absl::Status
-Engine::Restore(std::string_view aSnapshot)
-{
-  const Json json = FromCbor(aSnapshot);
-  FieldReader reader(json);
-  if (reader.Unsigned(kSnapshotVersion) != kSnapshotVersion) {
-    return BadSnapshot();
-  }
-  const auto committed = reader.Integer<std::uint64_t>();
-  for (const Json& element : reader.Array()) {
-    FieldReader fields(element);
-    protocol::RequestSpec spec = ReadSpec(fields);
-    const std::vector<DispatchedTask> dispatched = ReadDispatched(fields);
-    const bool cancelled = fields.Flag();
-    if (!fields.Complete() || mRequests.Find(spec.mId) != nullptr) {
-      return BadSnapshot();
-    }
-    LiveRequest& request = mRequests.Add(std::move(spec), mNow);
-    request.mAcceptedDurable = true;
-    request.mRecovered = true;
-    request.mCancelled = cancelled;
-    request.mCancelDurable = cancelled;
-    for (const DispatchedTask& task : dispatched) {
-      request.mDispatchedDurable.insert_or_assign(task.mIndex, task);
-    }
-  }
-  for (const Json& element : reader.Array()) {
-    FieldReader fields(element);
-    RecordedOutcome outcome;
-    outcome.mSequence = fields.Integer<std::uint64_t>();
-    outcome.mSpecDigest = fields.Integer<std::uint64_t>();
-    outcome.mStatus = ReadStatus(fields);
-    if (!fields.Complete() || mOutcomes.Find(outcome.mStatus.mId) != nullptr) {
-      return BadSnapshot();
-    }
-    mOutcomes.Add(std::move(outcome));
-  }
-  if (!reader.Complete()) {
-    return BadSnapshot();
-  }
-  mPending.StartAfter(committed);
-  return absl::OkStatus();
-}
-
-absl::Status
-Engine::Replay(std::string_view aRecord)
-{
-  const absl::StatusOr<NumberedRecord> record = DecodeRecord(aRecord);
-  if (!record.ok()) {
-    return record.status();
-  }
-  if (record->mSequence <= mPending.Committed()) {
-    return absl::OkStatus();
-  }
-  if (record->mSequence != mPending.Committed() + 1) {
-    return absl::DataLossError(fmt::format(
-      "record {} follows record {}", record->mSequence, mPending.Committed()));
-  }
-  if (absl::Status applied = Apply(*record); !applied.ok()) {
-    return applied;
-  }
-  mPending.StartAfter(record->mSequence);
-  return absl::OkStatus();
-}
-
-absl::Status
-Engine::Apply(const NumberedRecord& aRecord)
-{
-  if (std::holds_alternative<VoidRecord>(aRecord.mRecord)) {
-    return absl::OkStatus();
-  }
-  if (const auto* forgotten = std::get_if<ForgottenRecord>(&aRecord.mRecord)) {
-    mOutcomes.Forget(forgotten->mUpTo);
-    return absl::OkStatus();
-  }
-  if (const auto* accepted = std::get_if<AcceptedRecord>(&aRecord.mRecord)) {
-    const RequestId& id = accepted->mSpec.mId;
-    if (mRequests.Find(id) != nullptr || mOutcomes.Find(id) != nullptr) {
-      return absl::DataLossError(fmt::format("'{}' is accepted twice", id));
-    }
-    LiveRequest& request = mRequests.Add(accepted->mSpec, mNow);
-    request.mAcceptedDurable = true;
-    request.mRecovered = true;
-    for (const DispatchedTask& task : accepted->mTasks) {
-      request.mDispatchedDurable.insert_or_assign(task.mIndex, task);
-    }
-    return absl::OkStatus();
-  }
-  const RequestId& id = std::visit(
-    [](const auto& aBody) -> const RequestId& {
-      static const RequestId kNone;
-      using Body = std::decay_t<decltype(aBody)>;
-      if constexpr (std::is_same_v<Body, DispatchedRecord> ||
-                    std::is_same_v<Body, CancelledRecord>) {
-        return aBody.mId;
-      } else if constexpr (std::is_same_v<Body, FinishedRecord>) {
-        return aBody.mStatus.mId;
-      } else {
-        return kNone;
-      }
-    },
-    aRecord.mRecord);
-  LiveRequest* request = mRequests.Find(id);
-  if (request == nullptr) {
-    return absl::DataLossError(fmt::format("'{}' was never accepted", id));
-  }
-  return ApplyTo(*request, aRecord);
-}
-
-absl::Status
-Engine::ApplyTo(LiveRequest& aRequest, const NumberedRecord& aRecord)
-{
-  if (const auto* sent = std::get_if<DispatchedRecord>(&aRecord.mRecord)) {
-    for (const DispatchedTask& task : sent->mTasks) {
-      if (task.mIndex >= aRequest.mSlots.size()) {
-        return absl::DataLossError("a task beyond the request's last");
-      }
-      aRequest.mDispatchedDurable.insert_or_assign(task.mIndex, task);
-    }
-  } else if (std::holds_alternative<CancelledRecord>(aRecord.mRecord)) {
-    aRequest.mCancelled = true;
-    aRequest.mCancelDurable = true;
-  } else {
-    const auto& finished = std::get<FinishedRecord>(aRecord.mRecord);
-    mOutcomes.Add({ .mStatus = finished.mStatus,
-                    .mSpecDigest = SpecDigest(aRequest.mSpec),
-                    .mSequence = aRecord.mSequence });
-    mRequests.Remove(finished.mStatus.mId);
-  }
-  return absl::OkStatus();
-}
-
 std::vector<CoordinatorAction>
 Engine::BeginServing(TimePoint aNow)
 {
@@ -238,7 +68,10 @@
 {
   const ShardId shard = aEvent.mRoute.mShard;
   const Epoch epoch = aEvent.mRoute.mSenderEpoch;
-  if (!ObserveEpoch(shard, epoch) || mRouter.View(shard).mReconciled) {
+  const std::uint64_t query = aEvent.mRoute.mSequence;
+  const bool toEarlierOwner = query != 0 && query < mFirstSequence;
+  if (toEarlierOwner || !ObserveEpoch(shard, epoch) ||
+      mRouter.View(shard).mReconciled) {
     return;
   }
   for (const protocol::HeldTask& held : aEvent.mTasks) {
@@ -280,7 +113,13 @@
     if (known) {
       Adopt(slot, aHeld, aShard, aEpoch);
     }
-  } else if (slot.mAttempt <= aHeld.mTask.mAttempt) {
+    return;
+  }
+  // Below the recorded attempt it is over, whatever became of the later one.
+  const auto recorded = request->mDispatchedDurable.find(aHeld.mTask.mIndex);
+  const bool superseded = recorded != request->mDispatchedDurable.end() &&
+                          aHeld.mTask.mAttempt < recorded->second.mAttempt;
+  if (!superseded && slot.mAttempt <= aHeld.mTask.mAttempt) {
     Adopt(slot, aHeld, aShard, aEpoch);
   }
 }
@@ -307,7 +146,7 @@
 Engine::SweepShard(ShardId aShard)
 {
   const Epoch epoch = mRouter.View(aShard).mEpoch;
-  mOrphans.Sweep(aShard, epoch);
+  mOrphans.Sweep(aShard, epoch, mNow);
   std::vector<LiveRequest*> requests;
   for (const auto& [id, request] : mRequests.Requests()) {
     const bool touched =
@@ -379,9 +218,12 @@
   aRequest.mMayHaveRun = aRequest.mMayHaveRun || !aRequest.mSpec.mNeverRepeat;
   for (std::uint32_t index = 0; index < aRequest.mSlots.size(); ++index) {
     TaskSlot& slot = aRequest.mSlots[index];
+    const auto recorded = aRequest.mDispatchedDurable.find(index);
     if (slot.mPhase == SlotPhase::Out) {
       someOut = true;
-    } else if (aRequest.mDispatchedDurable.contains(index)) {
+    } else if (recorded != aRequest.mDispatchedDurable.end()) {
+      slot.mAttempt = recorded->second.mAttempt;
+      slot.mShard = recorded->second.mShard;
       CloseSlot(aRequest, slot, TaskState::Lost);
       someLost = true;
     }
--- a/src/coordination/internal/engineupdates.cpp
+++ b/src/coordination/internal/engineupdates.cpp
@@ -52,31 +52,27 @@
     return;
   }
   TaskSlot& slot = request->mSlots[index];
-  if (!mServing) {
-    // Final updates are repeated until acknowledged; by then all is known.
-    if (!final) {
-      TakeHeld({ aEvent.mTask, aEvent.mState, aEvent.mWorker },
-               aEvent.mRoute.mShard,
-               aEvent.mRoute.mSenderEpoch);
-    }
-    return;
-  }
   if (aEvent.mTask.mAttempt != slot.mAttempt ||
       aEvent.mRoute.mShard != slot.mShard) {
     OnStaleUpdate(*request, aEvent);
     return;
   }
+  // Final updates are repeated until acknowledged; by then all is known.
+  if (!mServing && final) {
+    return;
+  }
   const bool out = slot.mPhase == SlotPhase::Sent ||
                    slot.mPhase == SlotPhase::Held ||
                    slot.mPhase == SlotPhase::Out;
   if (!out) {
     return;
   }
-  // Only the placer that the attempt was sent to knows that it never started; a
-  // recovering one does not know yet when a copy of ours may still arrive.
+  // Only the placer that the attempt was sent to knows that it never started.
+  // One that did not take it speaks for a single copy.
+  const bool onlyCopy = slot.mPhase == SlotPhase::Sent && slot.mSends == 1;
   if (aEvent.mState == TaskState::NotStarted &&
       (slot.mPlacerEpoch != aEvent.mRoute.mSenderEpoch ||
-       (aEvent.mReason == TaskEndReason::NotOwner && slot.mSends > 1))) {
+       (aEvent.mReason == TaskEndReason::NotOwner && !onlyCopy))) {
     return;
   }
   slot.mPlacerEpoch = aEvent.mRoute.mSenderEpoch;
@@ -96,7 +92,7 @@
   }
   if (IsFinal(aUpdate.mState)) {
     SendAck(aUpdate.mTask, aUpdate.mRoute.mShard);
-    mOrphans.Remove(aUpdate.mTask);
+    mOrphans.End(aUpdate.mTask, aUpdate.mState == TaskState::NotStarted, mNow);
   } else if (mOutcomes.Find(aUpdate.mTask.mRequest) == nullptr) {
     AddOrphan(
       aUpdate.mTask, aUpdate.mRoute.mShard, aUpdate.mRoute.mSenderEpoch);
@@ -111,8 +107,8 @@
                       const protocol::TaskUpdate& aUpdate)
 {
   const TaskSlot& slot = aRequest.mSlots[aUpdate.mTask.mIndex];
-  if (aUpdate.mTask.mAttempt < slot.mAttempt && IsFinal(aUpdate.mState) &&
-      slot.mPhase != SlotPhase::Recording) {
+  if (mServing && aUpdate.mTask.mAttempt < slot.mAttempt &&
+      IsFinal(aUpdate.mState) && slot.mPhase != SlotPhase::Recording) {
     SendAck(aUpdate.mTask, aUpdate.mRoute.mShard);
   }
 }
--- a/src/gateway/internal/gatewayserver.cpp
+++ b/src/gateway/internal/gatewayserver.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gatewayserver.h"
 
 #include <algorithm>
+#include <atomic>
 #include <thread>
 #include <utility>
 
@@ -41,6 +42,26 @@
   HttpHandlerLimits mLimits;
 };
 
+// Alone on its address: the constructor that binds would share the port with
+// any other process of the same user.
+Poco::Net::ServerSocket
+Listen(const std::string& aAddress)
+{
+  Poco::Net::ServerSocket socket;
+  socket.bind(Poco::Net::SocketAddress(aAddress), true, false);
+  socket.listen(kBacklog);
+  return socket;
+}
+
+// With few threads, at most a quarter is kept from waiting callers.
+std::uint32_t
+MostWaiting(const GatewayOptions& aOptions)
+{
+  constexpr std::uint32_t kLeastWaitingShare = 4;
+  return aOptions.mThreads - std::min(aOptions.mThreadsForShortCalls,
+                                      aOptions.mThreads / kLeastWaitingShare);
+}
+
 Poco::Net::HTTPServerParams::Ptr
 ServerParams(const GatewayOptions& aOptions)
 {
@@ -63,26 +84,27 @@
 public:
   Impl(const GatewayOptions& aOptions, GatewayHooks aHooks, std::uint64_t aSeed)
     : mRouter({ .mCallerTimeout = aOptions.mCallerTimeout,
-                .mMostWaiting =
-                  aOptions.mThreads - std::min(aOptions.mThreads - 1,
-                                               aOptions.mThreadsForShortCalls),
+                .mMostWaiting = MostWaiting(aOptions),
                 .mSeed = aSeed },
               std::move(aHooks))
     , mPool(2, static_cast<int>(aOptions.mThreads))
-    , mSocket(Poco::Net::SocketAddress(aOptions.mAddress), kBacklog)
-    , mServer(
-        new HandlerFactory(mRouter,
-                           { aOptions.mMaxBodyBytes, aOptions.mBodyTimeout }),
-        mPool,
-        mSocket,
-        ServerParams(aOptions))
+    , mSocket(Listen(aOptions.mAddress))
+    , mServer(new HandlerFactory(
+                mRouter,
+                { aOptions.mMaxBodyBytes, aOptions.mBodyTimeout, &mClosing }),
+              mPool,
+              mSocket,
+              ServerParams(aOptions))
   {
+    mAddress = mSocket.address().toString();
     mServer.start();
   }
 
   Router mRouter;
+  std::atomic<bool> mClosing{ false };
   Poco::ThreadPool mPool;
   Poco::Net::ServerSocket mSocket;
+  std::string mAddress;
   Poco::Net::HTTPServer mServer;
 };
 
@@ -114,13 +136,16 @@
 std::string
 GatewayServer::Address() const
 {
-  return mImpl->mSocket.address().toString();
+  return mImpl->mAddress;
 }
 
 void
 GatewayServer::StopAccepting()
 {
+  mImpl->mClosing.store(true);
   mImpl->mServer.stop();
+  // Else the system would go on taking connections that nobody serves.
+  mImpl->mSocket.close();
 }
 
 int
@@ -129,7 +154,7 @@
   return mImpl->mServer.currentConnections();
 }
 
-void
+bool
 GatewayServer::Stop(std::chrono::milliseconds aGrace)
 {
   StopAccepting();
@@ -137,6 +162,7 @@
   while (ActiveConnections() > 0 && std::chrono::steady_clock::now() < end) {
     std::this_thread::sleep_for(kStopPoll);
   }
+  return ActiveConnections() == 0;
 }
 
 } // namespace oriolevane::gateway
--- a/src/membership/internal/membershiploop.cpp
+++ b/src/membership/internal/membershiploop.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// How much more often a node reads that expects to be handed rows.
+constexpr int kEagerness = 4;
+
 // How many missed reads in a row still count towards the expiry of others.
 constexpr int kCountedReadIntervals = 2;
 
@@ -35,10 +38,7 @@
 TimePoint
 MembershipLoop::Step()
 {
-  if (!mSuperseded && mClock() >= mNextRenewal) {
-    mNextRenewal = mClock() + mOptions.mRenewInterval;
-    Renew();
-  }
+  RenewWhenDue();
   if (mClock() >= mNextRead) {
     Round();
   }
@@ -57,8 +57,10 @@
 {
   mLeaving = true;
   mSelf.mLeaving = true;
-  mPlanner.Leave();
-  mNextRenewal = mClock();
+  const bool alone = mMembers.size() <= 1;
+  const TimePoint now = mClock();
+  mPlanner.Leave(alone ? now : now + ReadInterval());
+  mNextRenewal = now;
   ReadSoon();
 }
 
@@ -90,6 +92,15 @@
   }
 }
 
+void
+MembershipLoop::RenewWhenDue()
+{
+  if (!mSuperseded && mClock() >= mNextRenewal) {
+    mNextRenewal = mClock() + mOptions.mRenewInterval;
+    Renew();
+  }
+}
+
 void
 MembershipLoop::Renew()
 {
@@ -151,7 +162,7 @@
 MembershipLoop::Round()
 {
   const TimePoint start = mClock();
-  auto view = ReadMembershipRows(mTable);
+  const auto view = ReadMembershipRows(mTable, [this] { RenewWhenDue(); });
   const TimePoint end = mClock();
   mLastRead = end;
   if (!view.ok()) {
@@ -162,12 +173,13 @@
   }
   mRowsInView = view->mNodes.size() + view->mOwnership.size();
   const auto mostGap = std::chrono::duration_cast<std::chrono::milliseconds>(
-    kCountedReadIntervals * ReadInterval());
+    kCountedReadIntervals *
+    std::max<Duration>(ReadInterval(), mOptions.mRetryInterval));
   const Plan plan =
     mPlanner.Next(*view,
                   mRegistered && !mRenewalFails,
                   { .mStart = start, .mEnd = end, .mMostCountedGap = mostGap });
-  mNextRead = end + ReadInterval();
+  mNextRead = end + (plan.mExpectsRows ? EagerInterval() : ReadInterval());
   Tell(plan);
   Carry(plan);
 }
@@ -229,6 +241,7 @@
 {
   for (const platform::Transaction& transaction : aTransactions) {
     const auto result = mTable.mCommit(transaction);
+    RenewWhenDue();
     if (!result.ok() && !absl::IsAborted(result.status())) {
       return;
     }
@@ -245,4 +258,12 @@
                             std::chrono::duration_cast<Duration>(needed));
 }
 
+Duration
+MembershipLoop::EagerInterval() const
+{
+  const Duration usual = ReadInterval();
+  return std::min(
+    usual, std::max<Duration>(mOptions.mRetryInterval, usual / kEagerness));
+}
+
 } // namespace oriolevane::membership
--- a/src/membership/tests/ownership_test.cpp
+++ b/src/membership/tests/ownership_test.cpp
@@ -21,6 +21,7 @@
 Names(int aCount)
 {
   std::vector<NodeId> names;
+  names.reserve(static_cast<std::size_t>(aCount));
   for (int at = 0; at < aCount; ++at) {
     names.emplace_back("node-" + std::to_string(at));
   }
@@ -72,6 +73,14 @@
     CPPUNIT_ASSERT(!cluster.At("c").mOwned.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, cluster.At("b").mMembers.size());
   });
+  aSection.It("a node that has only just joined is handed nothing yet", [] {
+    TestCluster cluster;
+    cluster.Add("a");
+    cluster.Run(seconds(6));
+    cluster.Add("b");
+    cluster.Run(seconds(5));
+    CPPUNIT_ASSERT_EQUAL(kRows, cluster.At("a").mOwned.size());
+  });
   aSection.It("two nodes that race for one row: one of them gets it", [] {
     TestCluster cluster;
     cluster.Add("a");
@@ -168,6 +177,57 @@
     CPPUNIT_ASSERT_EQUAL(kRows, cluster.RowsWithOneOwner());
     CPPUNIT_ASSERT(!cluster.At("b").mOwned.empty());
   });
+  aSection.It("also with intervals shorter than the retry interval", [] {
+    TestCluster cluster;
+    cluster.mOptions.mReadInterval = milliseconds(100);
+    cluster.mOptions.mRenewInterval = milliseconds(100);
+    cluster.mOptions.mPlanner.mLeases.mLeaseTtl = seconds(1);
+    cluster.Add("a");
+    cluster.Run(seconds(6));
+    cluster.Add("b");
+    cluster.Run(seconds(2));
+    cluster.At("a").mPaused = true;
+    cluster.Run(seconds(8));
+    CPPUNIT_ASSERT_EQUAL(kRows, cluster.At("b").mOwned.size());
+  });
+  aSection.It("an owner that renews at the last moment keeps its rows", [] {
+    TestCluster cluster;
+    cluster.Add("a");
+    cluster.Add("b");
+    cluster.Run(seconds(40));
+    const std::size_t owned = cluster.At("b").mOwned.size();
+    cluster.At("b").mPaused = true;
+    cluster.mPlatform.mBeforeCommit = [&](const auto& aTransaction) {
+      if (aTransaction.mMutations.front().mKey != "nodes/a") {
+        cluster.mPlatform.mBeforeCommit = nullptr;
+        cluster.mPlatform.Put("nodes/b",
+                              cluster.mPlatform.Store().Read("nodes/b").mValue);
+      }
+    };
+    cluster.Run(milliseconds(14'500));
+    CPPUNIT_ASSERT(!cluster.mPlatform.mBeforeCommit);
+    cluster.At("b").mPaused = false;
+    cluster.Run(seconds(10));
+    CPPUNIT_ASSERT(cluster.At("b").mDeposed.empty());
+    CPPUNIT_ASSERT_EQUAL(owned, cluster.At("b").mOwned.size());
+  });
+  aSection.It("when all nodes pause, the first to wake takes nothing", [] {
+    TestCluster cluster;
+    cluster.Add("a");
+    cluster.Add("b");
+    cluster.Run(seconds(40));
+    cluster.mNow += seconds(60);
+    cluster.At("b").mPaused = true;
+    cluster.Run(seconds(3));
+    cluster.At("b").mPaused = false;
+    cluster.Run(seconds(10));
+    CPPUNIT_ASSERT(cluster.At("b").mDeposed.empty());
+  });
+}
+
+void
+Outages(Section& aSection)
+{
   aSection.It("an outage of a minute moves nothing", [] {
     TestCluster cluster;
     for (const char* name : { "a", "b", "c" }) {
@@ -183,6 +243,30 @@
     CPPUNIT_ASSERT(cluster.At("a").mDeposed.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, cluster.At("a").mMembers.size());
   });
+  aSection.It("a slow store does not keep a node from renewing", [] {
+    TestCluster cluster;
+    cluster.Add("a");
+    cluster.Run(seconds(6));
+    TestNode& node = cluster.At("a");
+    platform::TableHooks slow = cluster.mPlatform.Table();
+    slow.mScan = [&, scan = slow.mScan](const auto& aPrefix,
+                                        const auto& aAfterKey,
+                                        std::size_t aLimit) {
+      cluster.mNow += seconds(3);
+      return scan(aPrefix, aAfterKey, aLimit);
+    };
+    node.mLoop = std::make_unique<MembershipLoop>(
+      MembershipOptions{
+        .mPlanner = { .mNode = NodeId("a"), .mIncarnation = Incarnation(1) } },
+      slow,
+      MembershipHooks{},
+      [&] { return cluster.mNow; });
+    const std::uint64_t before =
+      cluster.mPlatform.Store().Statistics({}).mTransactions;
+    node.mLoop->Step();
+    CPPUNIT_ASSERT(cluster.mPlatform.Store().Statistics({}).mTransactions >=
+                   before + 3);
+  });
   aSection.It("while no node can write, none is taken for dead", [] {
     TestCluster cluster;
     cluster.Add("a");
@@ -196,6 +280,11 @@
     CPPUNIT_ASSERT(cluster.At("a").mDeposed.empty());
     CPPUNIT_ASSERT(cluster.At("b").mDeposed.empty());
   });
+}
+
+void
+ReplacedNodes(Section& aSection)
+{
   aSection.It("a restarted process takes its rows again at once", [] {
     TestCluster cluster;
     cluster.Add("a");
@@ -280,9 +369,11 @@
     cluster.Run(seconds(20));
     const auto after = cluster.mPlatform.Store().Statistics({});
     CPPUNIT_ASSERT_EQUAL(kRows, cluster.RowsWithOneOwner());
-    CPPUNIT_ASSERT(after.mRowsWritten - before.mRowsWritten <= 20 * 31);
-    CPPUNIT_ASSERT(after.mRowsRead - before.mRowsRead <= 20 * 1100);
-    CPPUNIT_ASSERT(after.mReads - before.mReads <= 20 * 45);
+    CPPUNIT_ASSERT(after.mRowsWritten - before.mRowsWritten <=
+                   std::uint64_t{ 20 } * 31);
+    CPPUNIT_ASSERT(after.mRowsRead - before.mRowsRead <=
+                   std::uint64_t{ 20 } * 1100);
+    CPPUNIT_ASSERT(after.mReads - before.mReads <= std::uint64_t{ 20 } * 45);
   });
 }
 
@@ -294,7 +385,9 @@
   aStory.Describe("the assignment of rows to nodes", Assignment);
   aStory.Describe("at the start", Start);
   aStory.Describe("when answers are lost", LostAnswers);
-  aStory.Describe("when nodes and stores fail", Failures);
+  aStory.Describe("when nodes die or pause", Failures);
+  aStory.Describe("when the store is away", Outages);
+  aStory.Describe("when processes and rows are replaced", ReplacedNodes);
   aStory.Describe("planned stops", PlannedStops);
   aStory.Describe("use of the store", StoreUse);
 }
