--- a/src/workers/tests/workerlink_test.cpp
+++ b/src/workers/tests/workerlink_test.cpp
@@ -192,7 +192,12 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 3 }, log.mReports[1].mCommandSequence);
     stopping.count_down();
   });
-  aSection.It("time out also while bytes keep coming", [] {
+}
+
+void
+SlowAnswers(Section& aSection)
+{
+  aSection.It("that trickle in for ever time out", [] {
     const absl::Status fault = FaultOf(
       [](HTTPServerRequest& aRequest, HTTPServerResponse& aResponse) {
         ReadRequest(aRequest);
@@ -205,7 +210,7 @@
       Timeout(kSoon));
     CPPUNIT_ASSERT(absl::IsDeadlineExceeded(fault));
   });
-  aSection.It("time out also when they stop in the middle of an answer", [] {
+  aSection.It("that stop in the middle time out", [] {
     std::latch stopping(1);
     ExchangeLog log;
     ScriptedWorker worker(
@@ -279,6 +284,7 @@
 {
   aStory.Describe("healthy workers", HealthyWorkers);
   aStory.Describe("hung workers", HungWorkers);
+  aStory.Describe("slow answers", SlowAnswers);
   aStory.Describe("bad answers", BadAnswers);
 }
 
