Bound the time that a request's headers may take

Cause: headers sent byte by byte held a thread of the gateway for as long as the caller liked; the server library limits only each read. Change: a socket of the gateway's own counts from the first byte of a request to its response, twice the body's time at most. Ruled out: a watchdog over the connections, which would race with their closing.

--- /dev/null
+++ b/src/gateway/internal/callersocket.cpp
@@ -0,0 +1,121 @@
+#include "gateway/internal/callersocket.h"
+
+#include <algorithm>
+#include <optional>
+
+#include <sys/socket.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocketImpl.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocketImpl.h>
+
+#include "framework/types/timepoint.h"
+
+namespace oriolevane::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kBacklog = 256;
+
+// Used by one thread at a time, as Poco serves a connection.
+class CallerSocketImpl : public Poco::Net::StreamSocketImpl
+{
+public:
+  CallerSocketImpl(poco_socket_t aSocket, milliseconds aLimit)
+    : Poco::Net::StreamSocketImpl(aSocket)
+    , mLimit(aLimit)
+  {
+  }
+
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  int receiveBytes(void* aBuffer, int aLength, int aFlags) override
+  {
+    if (mEnd.has_value()) {
+      AwaitMore();
+    }
+    const int count =
+      Poco::Net::StreamSocketImpl::receiveBytes(aBuffer, aLength, aFlags);
+    if (count > 0 && !mEnd.has_value()) {
+      mEnd = std::chrono::steady_clock::now() + mLimit;
+    }
+    return count;
+  }
+
+  // The response ends the request.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  int sendBytes(const void* aBuffer, int aLength, int aFlags) override
+  {
+    mEnd.reset();
+    return Poco::Net::StreamSocketImpl::sendBytes(aBuffer, aLength, aFlags);
+  }
+
+private:
+  void AwaitMore()
+  {
+    const auto left = std::chrono::duration_cast<std::chrono::microseconds>(
+      *mEnd - std::chrono::steady_clock::now());
+    const Poco::Timespan wait =
+      std::min(Poco::Timespan(left.count()), getReceiveTimeout());
+    if (wait <= 0 || !poll(wait, SELECT_READ)) {
+      throw Poco::TimeoutException("the request did not arrive in time");
+    }
+  }
+
+  milliseconds mLimit;
+  std::optional<TimePoint> mEnd;
+};
+
+class ListeningImpl : public Poco::Net::ServerSocketImpl
+{
+public:
+  explicit ListeningImpl(milliseconds aLimit)
+    : mLimit(aLimit)
+  {
+  }
+
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  Poco::Net::SocketImpl* acceptConnection(
+    Poco::Net::SocketAddress& aCaller) override
+  {
+    sockaddr_storage address{};
+    socklen_t length = sizeof(address);
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    const int accepted = accept4(sockfd(), generic, &length, SOCK_CLOEXEC);
+    if (accepted < 0) {
+      error();
+    }
+    aCaller = Poco::Net::SocketAddress(generic, length);
+    return new CallerSocketImpl(accepted, mLimit);
+  }
+
+private:
+  milliseconds mLimit;
+};
+
+class ListeningSocket : public Poco::Net::ServerSocket
+{
+public:
+  explicit ListeningSocket(milliseconds aLimit)
+    : Poco::Net::ServerSocket(new ListeningImpl(aLimit), true)
+  {
+  }
+};
+
+} // namespace
+
+Poco::Net::ServerSocket
+ListenForCallers(const std::string& aAddress, milliseconds aRequestLimit)
+{
+  ListeningSocket socket(aRequestLimit);
+  // Poco's own way of listening would share the port with any other process of
+  // the same user.
+  socket.bind(Poco::Net::SocketAddress(aAddress), true, false);
+  socket.listen(kBacklog);
+  return socket;
+}
+
+} // namespace oriolevane::gateway
--- a/src/gateway/internal/gatewayserver.cpp
+++ b/src/gateway/internal/gatewayserver.cpp
@@ -12,6 +12,7 @@
 #include <Poco/ThreadPool.h>
 
 #include "framework/types/timepoint.h"
+#include "gateway/internal/callersocket.h"
 #include "gateway/internal/httphandler.h"
 #include "gateway/router.h"
 
@@ -19,7 +20,8 @@
 
 namespace {
 
-constexpr int kBacklog = 256;
+// The headers may take as long as the body.
+constexpr int kRequestToBodyLimit = 2;
 constexpr std::chrono::milliseconds kStopPoll{ 10 };
 
 class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
@@ -42,17 +44,6 @@
   HttpHandlerLimits mLimits;
 };
 
-// Alone on its address: the constructor that binds would share the port with
-// any other process of the same user.
-Poco::Net::ServerSocket
-Listen(const std::string& aAddress)
-{
-  Poco::Net::ServerSocket socket;
-  socket.bind(Poco::Net::SocketAddress(aAddress), true, false);
-  socket.listen(kBacklog);
-  return socket;
-}
-
 // With few threads, at most a quarter is kept from waiting callers.
 std::uint32_t
 MostWaiting(const GatewayOptions& aOptions)
@@ -88,7 +79,8 @@
                 .mSeed = aSeed },
               std::move(aHooks))
     , mPool(2, static_cast<int>(aOptions.mThreads))
-    , mSocket(Listen(aOptions.mAddress))
+    , mSocket(ListenForCallers(aOptions.mAddress,
+                               kRequestToBodyLimit * aOptions.mBodyTimeout))
     , mServer(new HandlerFactory(
                 mRouter,
                 { aOptions.mMaxBodyBytes, aOptions.mBodyTimeout, &mClosing }),
--- a/src/gateway/tests/server_test.cpp
+++ b/src/gateway/tests/server_test.cpp
@@ -189,6 +189,18 @@
     AssertHolds("HTTP/1.1 200",
                 Ask(served, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"));
   });
+  aStory.It("that never end hold a thread no longer than a body", [] {
+    const Served served({ .mBodyTimeout = std::chrono::milliseconds(100),
+                          .mIdleTimeout = kVeryLong });
+    Poco::Net::StreamSocket socket = served.Connect();
+    Send(socket, "GET /healthz HTTP/1.1\r\nX-Slow: ");
+    while (
+      !socket.poll(Poco::Timespan(0, 20'000), Poco::Net::Socket::SELECT_READ)) {
+      Send(socket, "x");
+    }
+    const std::string answer = ReceiveAll(socket);
+    CPPUNIT_ASSERT(answer.find("HTTP/1.1 200") == std::string::npos);
+  });
   aStory.It("with a path that cannot be decoded are refused", [] {
     const Served served;
     AssertHolds("HTTP/1.1 400",
--- a/src/gateway/types/gatewayoptions.h
+++ b/src/gateway/types/gatewayoptions.h
@@ -22,7 +22,8 @@
   std::uint32_t mQueuedConnections = 256;
   // A caller that waits longer is told that the outcome is not known yet.
   std::chrono::milliseconds mCallerTimeout{ 60'000 };
-  // A request's body must have arrived after this.
+  // A request's body must have arrived after this, and headers and body
+  // together after twice this.
   std::chrono::milliseconds mBodyTimeout{ 5'000 };
   // A connection that sends nothing for this long is closed.
   std::chrono::milliseconds mIdleTimeout{ 10'000 };
