Keep threads of the gateway free from connections that stay open

Cause: a connection holds a thread between its requests too, so that as many idle ones as there are threads made all others wait. Change: above three quarters of the threads each connection is closed after its next response.

--- a/src/cli/internal/printing.cpp
+++ b/src/cli/internal/printing.cpp
@@ -82,12 +82,14 @@
     }
   }
   std::vector<std::string> heads;
+  heads.reserve(shown.size());
   for (const Column& column : shown) {
     heads.push_back(column.mHead);
   }
   TextTable table(std::move(heads));
   for (const json& row : aRows) {
     std::vector<std::string> cells;
+    cells.reserve(shown.size());
     for (const Column& column : shown) {
       cells.push_back(CellText(row, column.mPointer));
     }
--- a/src/gateway/internal/gatewayserver.cpp
+++ b/src/gateway/internal/gatewayserver.cpp
@@ -29,7 +29,7 @@
 public:
   HandlerFactory(Router& aRouter, HttpHandlerLimits aLimits)
     : mRouter(aRouter)
-    , mLimits(aLimits)
+    , mLimits(std::move(aLimits))
   {
   }
 
@@ -53,6 +53,15 @@
                                       aOptions.mThreads / kLeastWaitingShare);
 }
 
+// A connection holds a thread also between its requests; a quarter of the
+// threads is kept from those that stay open.
+int
+MostKept(const GatewayOptions& aOptions)
+{
+  constexpr std::uint32_t kFreeShare = 4;
+  return static_cast<int>(aOptions.mThreads - aOptions.mThreads / kFreeShare);
+}
+
 Poco::Net::HTTPServerParams::Ptr
 ServerParams(const GatewayOptions& aOptions)
 {
@@ -78,12 +87,15 @@
                 .mMostWaiting = MostWaiting(aOptions),
                 .mSeed = aSeed },
               std::move(aHooks))
+    , mMostKept(MostKept(aOptions))
     , mPool(2, static_cast<int>(aOptions.mThreads))
     , mSocket(ListenForCallers(aOptions.mAddress,
                                kRequestToBodyLimit * aOptions.mBodyTimeout))
-    , mServer(new HandlerFactory(
-                mRouter,
-                { aOptions.mMaxBodyBytes, aOptions.mBodyTimeout, &mClosing }),
+    , mServer(new HandlerFactory(mRouter,
+                                 { aOptions.mMaxBodyBytes,
+                                   aOptions.mBodyTimeout,
+                                   &mClosing,
+                                   [this] { return IsCrowded(); } }),
               mPool,
               mSocket,
               ServerParams(aOptions))
@@ -92,8 +104,11 @@
     mServer.start();
   }
 
+  bool IsCrowded() const { return mServer.currentConnections() > mMostKept; }
+
   Router mRouter;
   std::atomic<bool> mClosing{ false };
+  const int mMostKept;
   Poco::ThreadPool mPool;
   Poco::Net::ServerSocket mSocket;
   std::string mAddress;
--- a/src/gateway/internal/httphandler.cpp
+++ b/src/gateway/internal/httphandler.cpp
@@ -210,7 +210,7 @@
 
 HttpHandler::HttpHandler(Router& aRouter, HttpHandlerLimits aLimits)
   : mRouter(aRouter)
-  , mLimits(aLimits)
+  , mLimits(std::move(aLimits))
 {
 }
 
@@ -253,7 +253,7 @@
     // What is left of a body that was not read whole is not the next request.
     const bool unread =
       answer.mStatus == 400 || answer.mStatus == 408 || answer.mStatus == 413;
-    if (closing || unread) {
+    if (closing || unread || mLimits.mCrowded()) {
       aResponse.setKeepAlive(false);
     }
     Send(aResponse, answer);
--- a/src/gateway/internal/httphandler.h
+++ b/src/gateway/internal/httphandler.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <functional>
 
 #include <Poco/Net/HTTPRequestHandler.h>
 
@@ -17,6 +18,9 @@
   std::chrono::milliseconds mBodyTimeout{ 0 };
   // Set for a planned stop: each connection is closed after its next response.
   const std::atomic<bool>* mClosing = nullptr;
+  // True while so many connections are held that further ones would soon wait:
+  // each is then closed after its next response, too.
+  std::function<bool()> mCrowded = [] { return false; };
 };
 
 // Made per request, as Poco wants; the router outlives it.
--- a/src/gateway/tests/server_test.cpp
+++ b/src/gateway/tests/server_test.cpp
@@ -285,6 +285,18 @@
     AssertHolds("HTTP/1.1 200", second);
     AssertHolds("HTTP/1.1 200", ReceiveAll(waiting));
   });
+  aStory.It("keeps threads free from connections that stay open", [] {
+    const Served served({ .mIdleTimeout = kVeryLong });
+    const std::string ask = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+    std::vector<Poco::Net::StreamSocket> open;
+    for (int count = 0; count < 20; ++count) {
+      open.push_back(served.Connect());
+      Send(open.back(), ask);
+      const std::string answer = ReceiveOne(open.back());
+      AssertHolds("HTTP/1.1 200", answer);
+      AssertHolds(count < 6 ? "Keep-Alive" : "Close", answer);
+    }
+  });
   aStory.It("answers also when the node behind it fails by itself", [] {
     Served served;
     served.mNode.mDuringCall = [] { throw std::runtime_error("fault"); };
