Bring the new files in line with the linter

Cause: clang-tidy named six places in settings, gateway tests and the examples' test. Change: strings are appended to, the settings' tests of hostile texts have a section of their own (none left out).

--- a/src/gateway/tests/configuration_test.cpp
+++ b/src/gateway/tests/configuration_test.cpp
@@ -55,10 +55,7 @@
   });
   aStory.It("is refused before anything works on it by recursion", [] {
     FakeNode node;
-    std::string deep = "1";
-    for (int depth = 0; depth < 100; ++depth) {
-      deep = R"({"a":)" + deep + "}";
-    }
+    const std::string deep = NestedObjects(100);
     AssertProblem(422, "invalid", node.Route(Patch(deep)));
     AssertProblem(422, "invalid", node.Route(Patch(std::string(200'000, '['))));
     AssertProblem(422, "invalid", node.Route(Patch("{\"a\":\"\xff\"}")));
--- a/src/gateway/tests/fakenode.h
+++ b/src/gateway/tests/fakenode.h
@@ -85,6 +85,16 @@
 
 const std::string kGoodBody = R"({"team":"lab","workload":"x","wait":true})";
 
+inline std::string
+NestedObjects(int aDepth)
+{
+  std::string text;
+  for (int depth = 0; depth < aDepth; ++depth) {
+    text += R"({"a":)";
+  }
+  return text + "1" + std::string(static_cast<std::size_t>(aDepth), '}');
+}
+
 inline nlohmann::json
 Body(const HttpAnswer& aAnswer)
 {
--- a/src/gateway/tests/submissions_test.cpp
+++ b/src/gateway/tests/submissions_test.cpp
@@ -43,10 +43,7 @@
     AssertRefused(std::string(500'000, '['));
     AssertRefused(With("\"payload\":" + std::string(200'000, '[') +
                        std::string(200'000, ']')));
-    std::string objects = "1";
-    for (int depth = 0; depth < 100; ++depth) {
-      objects = R"({"a":)" + objects + "}";
-    }
+    const std::string objects = NestedObjects(100);
     AssertRefused(With("\"payload\":" + objects));
   });
   aStory.It("holds a number that no type holds", [] {
--- a/src/settings/internal/problemlist.cpp
+++ b/src/settings/internal/problemlist.cpp
@@ -13,7 +13,7 @@
 } // namespace
 
 ProblemList::ProblemList(LineIndex aLines)
-  : mLines(std::move(aLines))
+  : mLines(aLines)
 {
 }
 
--- a/src/settings/tests/nodesettings_test.cpp
+++ b/src/settings/tests/nodesettings_test.cpp
@@ -37,6 +37,42 @@
   return aText.find(aPart) != std::string::npos;
 }
 
+void
+HostileStory(Section& aSection)
+{
+  aSection.It("may hold a number that no type holds", [] {
+    CPPUNIT_ASSERT(Holds(ProblemsOf(Replaced(kGood, "\"rvk-a-1\"", "1e999")),
+                         "number overflow"));
+  });
+  aSection.It("may be made to cost far more than its own size", [] {
+    const std::string key(400'000, 'k');
+    std::string text = "{\n\"" + key + "\": [1";
+    for (int count = 0; count < 150'000; ++count) {
+      text += ",1";
+    }
+    const std::string problems = ProblemsOf(text + "]}");
+    CPPUNIT_ASSERT(Holds(problems, "line 2: kkk"));
+    CPPUNIT_ASSERT(problems.size() < 2'000);
+  });
+  aSection.It("may hold more unknown keys than are worth listing", [] {
+    std::string text = "{\"node\": {}";
+    for (int count = 0; count < 50'000; ++count) {
+      text += ",\n\"k" + std::to_string(count) + "\": 1";
+    }
+    const std::string problems = ProblemsOf(text + "}");
+    CPPUNIT_ASSERT(Holds(problems, "and 49"));
+    CPPUNIT_ASSERT(problems.size() < 3'000);
+  });
+  aSection.It("may be nested without end", [] {
+    CPPUNIT_ASSERT(
+      Holds(ProblemsOf(std::string(1'000'000, '[')), "levels deep") ||
+      Holds(ProblemsOf(std::string(1'000'000, '[')), "parse error"));
+    const std::string closed = "{\"node\":" + std::string(100'000, '[') +
+                               std::string(100'000, ']') + "}";
+    CPPUNIT_ASSERT(Holds(ProblemsOf(closed), "levels deep"));
+  });
+}
+
 } // namespace
 
 void
@@ -50,6 +86,7 @@
                          settings->mCell.mName);
     CPPUNIT_ASSERT(settings->mLeases.mNodeLease == std::chrono::seconds(10));
   });
+  aStory.Describe("a hostile text", HostileStory);
   aStory.Describe("a bad file", [](Section& aSection) {
     aSection.It(
       "has all its problems reported at once, each with line and path", [] {
@@ -88,29 +125,6 @@
           Holds(ProblemsOf(text),
                 "cell.worker_shards: must be a whole number from 1 to 4096"));
       });
-    aSection.It("may hold a number that no type holds", [] {
-      CPPUNIT_ASSERT(Holds(ProblemsOf(Replaced(kGood, "\"rvk-a-1\"", "1e999")),
-                           "number overflow"));
-    });
-    aSection.It("may be made to cost far more than its own size", [] {
-      const std::string key(400'000, 'k');
-      std::string text = "{\n\"" + key + "\": [1";
-      for (int count = 0; count < 150'000; ++count) {
-        text += ",1";
-      }
-      const std::string problems = ProblemsOf(text + "]}");
-      CPPUNIT_ASSERT(Holds(problems, "line 2: kkk"));
-      CPPUNIT_ASSERT(problems.size() < 2'000);
-    });
-    aSection.It("may hold more unknown keys than are worth listing", [] {
-      std::string text = "{\"node\": {}";
-      for (int count = 0; count < 50'000; ++count) {
-        text += ",\n\"k" + std::to_string(count) + "\": 1";
-      }
-      const std::string problems = ProblemsOf(text + "}");
-      CPPUNIT_ASSERT(Holds(problems, "and 49"));
-      CPPUNIT_ASSERT(problems.size() < 3'000);
-    });
     aSection.It("shows the line behind strings, comments and lists", [] {
       const std::string text = Replaced(
         kGood,
@@ -121,14 +135,6 @@
       CPPUNIT_ASSERT(
         Holds(ProblemsOf(text), "line 5: node.y: is not a known key"));
     });
-    aSection.It("may be nested without end", [] {
-      CPPUNIT_ASSERT(
-        Holds(ProblemsOf(std::string(1'000'000, '[')), "levels deep") ||
-        Holds(ProblemsOf(std::string(1'000'000, '[')), "parse error"));
-      const std::string closed = "{\"node\":" + std::string(100'000, '[') +
-                                 std::string(100'000, ']') + "}";
-      CPPUNIT_ASSERT(Holds(ProblemsOf(closed), "levels deep"));
-    });
     aSection.It("may not be JSON at all", [] {
       CPPUNIT_ASSERT(
         Holds(ProblemsOf("{ \"node\": "), "parse error at line 1"));
--- a/tests/examples/examples_test.cpp
+++ b/tests/examples/examples_test.cpp
@@ -46,9 +46,10 @@
 {
   const std::string text = Read(aPath);
   for (const std::string& key : aKeys) {
-    CPPUNIT_ASSERT_MESSAGE(key + " is not in " + aPath,
-                           text.find(aQuote + key + aQuote) !=
-                             std::string::npos);
+    std::string quoted = aQuote;
+    quoted.append(key).append(aQuote);
+    const bool found = text.find(quoted) != std::string::npos;
+    CPPUNIT_ASSERT_MESSAGE(quoted.append(" is not in ").append(aPath), found);
   }
 }
 
