--- a/src/gateway/internal/gatewayserver.cpp
+++ b/src/gateway/internal/gatewayserver.cpp
@@ -12,6 +12,7 @@
 #include <Poco/ThreadPool.h>
 
 #include "framework/types/timepoint.h"
+#include "gateway/internal/callersocket.h"
 #include "gateway/internal/httphandler.h"
 #include "gateway/router.h"
 
@@ -19,7 +20,8 @@
 
 namespace {
 
-constexpr int kBacklog = 256;
+// The headers may take as long as the body.
+constexpr int kRequestToBodyLimit = 2;
 constexpr std::chrono::milliseconds kStopPoll{ 10 };
 
 class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
@@ -27,7 +29,7 @@
 public:
   HandlerFactory(Router& aRouter, HttpHandlerLimits aLimits)
     : mRouter(aRouter)
-    , mLimits(aLimits)
+    , mLimits(std::move(aLimits))
   {
   }
 
@@ -42,17 +44,6 @@
   HttpHandlerLimits mLimits;
 };
 
-// Alone on its address: the constructor that binds would share the port with
-// any other process of the same user.
-Poco::Net::ServerSocket
-Listen(const std::string& aAddress)
-{
-  Poco::Net::ServerSocket socket;
-  socket.bind(Poco::Net::SocketAddress(aAddress), true, false);
-  socket.listen(kBacklog);
-  return socket;
-}
-
 // With few threads, at most a quarter is kept from waiting callers.
 std::uint32_t
 MostWaiting(const GatewayOptions& aOptions)
@@ -62,6 +53,15 @@
                                       aOptions.mThreads / kLeastWaitingShare);
 }
 
+// A connection holds a thread also between its requests; a quarter of the
+// threads is kept from those that stay open.
+int
+MostKept(const GatewayOptions& aOptions)
+{
+  constexpr std::uint32_t kFreeShare = 4;
+  return static_cast<int>(aOptions.mThreads - aOptions.mThreads / kFreeShare);
+}
+
 Poco::Net::HTTPServerParams::Ptr
 ServerParams(const GatewayOptions& aOptions)
 {
@@ -87,11 +87,15 @@
                 .mMostWaiting = MostWaiting(aOptions),
                 .mSeed = aSeed },
               std::move(aHooks))
+    , mMostKept(MostKept(aOptions))
     , mPool(2, static_cast<int>(aOptions.mThreads))
-    , mSocket(Listen(aOptions.mAddress))
-    , mServer(new HandlerFactory(
-                mRouter,
-                { aOptions.mMaxBodyBytes, aOptions.mBodyTimeout, &mClosing }),
+    , mSocket(ListenForCallers(aOptions.mAddress,
+                               kRequestToBodyLimit * aOptions.mBodyTimeout))
+    , mServer(new HandlerFactory(mRouter,
+                                 { aOptions.mMaxBodyBytes,
+                                   aOptions.mBodyTimeout,
+                                   &mClosing,
+                                   [this] { return IsCrowded(); } }),
               mPool,
               mSocket,
               ServerParams(aOptions))
@@ -100,8 +104,11 @@
     mServer.start();
   }
 
+  bool IsCrowded() const { return mServer.currentConnections() > mMostKept; }
+
   Router mRouter;
   std::atomic<bool> mClosing{ false };
+  const int mMostKept;
   Poco::ThreadPool mPool;
   Poco::Net::ServerSocket mSocket;
   std::string mAddress;
