--- a/src/platform/internal/httpplatform.cpp
+++ b/src/platform/internal/httpplatform.cpp
@@ -82,10 +82,14 @@
 absl::StatusOr<CommitResult>
 Commit(HttpChannel& aChannel, const Transaction& aTransaction)
 {
-  auto body = Call(aChannel,
-                   { .mMethod = "POST",
-                     .mTarget = "/table/commit",
-                     .mBody = EncodeTransaction(aTransaction) });
+  auto encoded = EncodeTransaction(aTransaction);
+  if (!encoded.ok()) {
+    return encoded.status();
+  }
+  const auto body = Call(aChannel,
+                         { .mMethod = "POST",
+                           .mTarget = "/table/commit",
+                           .mBody = *std::move(encoded) });
   if (!body.ok()) {
     return body.status();
   }
--- a/src/platform/internal/tablewire.cpp
+++ b/src/platform/internal/tablewire.cpp
@@ -155,7 +155,7 @@
 
 } // namespace
 
-std::string
+absl::StatusOr<std::string>
 EncodeTransaction(const Transaction& aTransaction)
 {
   Json conditions = Json::array();
@@ -171,10 +171,13 @@
     }
     mutations.push_back(std::move(json));
   }
-  return Json{
-    { "conditions", std::move(conditions) },
-    { "mutations", std::move(mutations) }
-  }.dump();
+  const Json json{ { "conditions", std::move(conditions) },
+                   { "mutations", std::move(mutations) } };
+  try {
+    return json.dump();
+  } catch (const Json::exception&) {
+    return absl::InvalidArgumentError("a row key is not UTF-8");
+  }
 }
 
 absl::StatusOr<Transaction>
--- a/src/platform/tablewire.h
+++ b/src/platform/tablewire.h
@@ -13,7 +13,8 @@
 
 namespace oriolevane::platform {
 
-std::string
+// kInvalidArgument when a key is not UTF-8.
+absl::StatusOr<std::string>
 EncodeTransaction(const Transaction& aTransaction);
 absl::StatusOr<Transaction>
 DecodeTransaction(std::string_view aJson);
--- /dev/null
+++ b/src/platform/tests/main.cpp
@@ -0,0 +1,11 @@
+#include "platform/tests/stories.h"
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace oriolevane::platform;
+  return oriolevane::testing::RunStories(
+    aCount,
+    aArguments,
+    { { "table wire", TableWireStory }, { "bad answers", BadAnswersStory } });
+}
--- /dev/null
+++ b/src/platform/tests/stories.h
@@ -0,0 +1,13 @@
+// The stories of this module's test program.
+#pragma once
+
+#include "framework/testing/story.h"
+
+namespace oriolevane::platform {
+
+void
+BadAnswersStory(testing::Section& aStory);
+void
+TableWireStory(testing::Section& aStory);
+
+} // namespace oriolevane::platform
