--- a/src/platform/tests/tablewire_test.cpp
+++ b/src/platform/tests/tablewire_test.cpp
@@ -29,6 +29,11 @@
 void
 TableWireStory(Section& aStory)
 {
+  aStory.It("refuses a key that is not UTF-8", [] {
+    const auto encoded =
+      EncodeTransaction({ .mMutations = { { "a\xff", "1" } } });
+    CPPUNIT_ASSERT(absl::IsInvalidArgument(encoded.status()));
+  });
   aStory.It("carries any bytes and versions", [] {
     CPPUNIT_ASSERT(*DecodeTransaction(*EncodeTransaction(kTransaction)) ==
                    kTransaction);
