Find a line without building paths

Cause: in a sanitizer build the test with one long key and a long list did not end within 50 s: the search built the path of each item. Change: the search keeps how much of the target it has matched, and skips a value that ends the target.

--- a/src/settings/internal/lineindex.cpp
+++ b/src/settings/internal/lineindex.cpp
@@ -21,40 +21,41 @@
   // The line of the closest value found.
   std::size_t Find()
   {
-    Value("");
+    Value(0);
     return mFoundLine;
   }
 
 private:
-  // Depth is bounded by the target's own.
-  void Value(const std::string& aPath) // NOLINT(misc-no-recursion)
+  // A value whose path is the first aMatched bytes of the target. Depth is
+  // bounded by the target's own.
+  void Value(std::size_t aMatched) // NOLINT(misc-no-recursion)
   {
     SkipBlank();
-    if (aPath.size() >= mFoundBytes) {
-      mFoundBytes = aPath.size();
+    if (aMatched >= mFoundBytes) {
+      mFoundBytes = aMatched;
       mFoundLine = mLine;
     }
-    if (Peek() == '{') {
-      Object(aPath);
+    if (aMatched == mTarget.size()) {
+      Skip();
+    } else if (Peek() == '{') {
+      Object(aMatched);
     } else if (Peek() == '[') {
-      Array(aPath);
+      Array(aMatched);
     } else {
       Skip();
     }
   }
 
-  // Whether the target is the value at this path or inside it.
-  bool Leads(std::string_view aPath) const
-  {
-    return mTarget.substr(0, aPath.size()) == aPath &&
-           (mTarget.size() == aPath.size() || mTarget[aPath.size()] == '.' ||
-            mTarget[aPath.size()] == '[');
-  }
-
-  void Child(const std::string& aPath) // NOLINT(misc-no-recursion)
+  // The value of a member or item that adds aPart to the path matched so far.
+  void Child(std::size_t aMatched,
+             std::string_view aPart) // NOLINT(misc-no-recursion)
   {
-    if (Leads(aPath)) {
-      Value(aPath);
+    const std::size_t end = aMatched + aPart.size();
+    const bool leads =
+      mTarget.substr(aMatched, aPart.size()) == aPart &&
+      (mTarget.size() == end || mTarget[end] == '.' || mTarget[end] == '[');
+    if (leads) {
+      Value(end);
     } else {
       Skip();
     }
@@ -158,22 +159,22 @@
     return true;
   }
 
-  void Object(const std::string& aPath) // NOLINT(misc-no-recursion)
+  void Object(std::size_t aMatched) // NOLINT(misc-no-recursion)
   {
     Advance();
     while (MoreItems('}')) {
       const std::string key = Text();
       SkipBlank();
       Advance();
-      Child(JoinPath(aPath, key));
+      Child(aMatched, aMatched == 0 ? key : "." + key);
     }
   }
 
-  void Array(const std::string& aPath) // NOLINT(misc-no-recursion)
+  void Array(std::size_t aMatched) // NOLINT(misc-no-recursion)
   {
     Advance();
     for (std::size_t index = 0; MoreItems(']'); ++index) {
-      Child(fmt::format("{}[{}]", aPath, index));
+      Child(aMatched, fmt::format("[{}]", index));
     }
   }
 
