--- a/src/settings/internal/lineindex.cpp
+++ b/src/settings/internal/lineindex.cpp
@@ -35,11 +35,10 @@
       mFoundBytes = aMatched;
       mFoundLine = mLine;
     }
-    if (aMatched == mTarget.size()) {
-      Skip();
-    } else if (Peek() == '{') {
+    const bool deeper = aMatched < mTarget.size();
+    if (deeper && Peek() == '{') {
       Object(aMatched);
-    } else if (Peek() == '[') {
+    } else if (deeper && Peek() == '[') {
       Array(aMatched);
     } else {
       Skip();
