--- a/src/gateway/internal/router.cpp
+++ b/src/gateway/internal/router.cpp
@@ -1,6 +1,5 @@
 #include "gateway/router.h"
 
-#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -8,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "framework/stablehash.h"
+#include "gateway/internal/callchecks.h"
 #include "gateway/internal/statusanswer.h"
 #include "gateway/internal/viewjson.h"
 #include "gateway/statusjson.h"
@@ -22,7 +22,6 @@
 namespace {
 
 constexpr std::size_t kMaxRequestIdBytes = 128;
-constexpr std::size_t kMaxPatchIdBytes = 128;
 constexpr std::size_t kHistoryPage = 100;
 constexpr milliseconds kRetrySoon{ 1'000 };
 
@@ -45,18 +44,6 @@
   bool mTaken;
 };
 
-std::optional<std::uint64_t>
-ParseNumber(std::string_view aText)
-{
-  std::uint64_t number = 0;
-  const auto result =
-    std::from_chars(aText.data(), aText.data() + aText.size(), number);
-  if (result.ec != std::errc() || result.ptr != aText.data() + aText.size()) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 std::string
 QueryValue(const HttpCall& aCall, const std::string& aName)
 {
@@ -101,16 +88,6 @@
                          .mOutcome = std::move(aOutcome) });
 }
 
-// Letters, digits and marks that stand for themselves in a path.
-bool
-IsPatchId(const std::string& aText)
-{
-  constexpr std::string_view kAllowed =
-    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~:";
-  return !aText.empty() && aText.size() <= kMaxPatchIdBytes &&
-         aText.find_first_not_of(kAllowed) == std::string::npos;
-}
-
 HttpAnswer
 BadPatchId()
 {
