Give back what waits before a shard is handed over; judge no lease without confirmed ownership

(2) The ownership model shows that an owner cut off from the store alone may judge a worker's leases lapsed while the next owner renews them there. Change: a placer that hands over ends what waits or is held as not started, refuses what still arrives for 600 ms, then lets go; leases are judged only while the node's ownership was read within half its lease. Placers drop coordinators' messages that are not above the highest sequence and repeat a query's sequence in its answer. Reports and peers no longer share their port with another process. Ruled out: letting the next owner start what its predecessor queued, as it cannot know what was sent to a worker it does not reach.

--- a/src/membership/internal/membershiploop.cpp
+++ b/src/membership/internal/membershiploop.cpp
@@ -181,6 +181,9 @@
                   { .mStart = start, .mEnd = end, .mMostCountedGap = mostGap });
   mNextRead = end + (plan.mExpectsRows ? EagerInterval() : ReadInterval());
   Tell(plan);
+  if (mRegistered && !mRenewalFails && mHooks.mOnConfirmed) {
+    mHooks.mOnConfirmed();
+  }
   Carry(plan);
 }
 
--- a/src/membership/membershipoptions.h
+++ b/src/membership/membershipoptions.h
@@ -44,6 +44,9 @@
   std::function<void(const RowRef&)> mOnHandOver;
   // Whenever the list changes; in order of node ids, the own node included.
   std::function<void(const std::vector<Member>&)> mOnMembers;
+  // The rows were read after a renewal that succeeded: what was not deposed is
+  // surely still owned for a while.
+  std::function<void()> mOnConfirmed;
   // After Leave: nothing is owned any more.
   std::function<void()> mOnLeft;
   // Another process runs under this node's id; this one must stop.
--- a/src/node/internal/nodecore.cpp
+++ b/src/node/internal/nodecore.cpp
@@ -258,10 +258,9 @@
   if (mNow < mNextHeartbeat) {
     return;
   }
-  mNextHeartbeat =
-    mNow + std::max(mOptions.mHeartbeatEvery,
-                    mOptions.mHeartbeatPerPeer *
-                      static_cast<int>(mPeers.size()));
+  mNextHeartbeat = mNow + std::max(mOptions.mHeartbeatEvery,
+                                   mOptions.mHeartbeatPerPeer *
+                                     static_cast<int>(mPeers.size()));
   codec::Heartbeat heartbeat{ .mNode = mOptions.mNode,
                               .mIncarnation = mOptions.mIncarnation,
                               .mZone = mOptions.mZone,
@@ -557,6 +556,7 @@
   if (mPolicy != nullptr) {
     Feed(aEvent.mShard, placement::PolicyChanged{ mPolicy });
   }
+  Feed(aEvent.mShard, placement::OwnershipConfirmed{ mOwnershipConfirmed });
   ListWorkers(aEvent.mShard, entry->second);
   mNextHeartbeat = mNow;
 }
@@ -656,12 +656,47 @@
 void
 NodeCore::On(HandOverShard& aEvent)
 {
-  const auto found = mShards.find(aEvent.mShard);
-  if (found != mShards.end()) {
-    ShardLost lost{ aEvent.mShard, found->second.mEpoch };
-    On(lost);
+  Feed(aEvent.mShard, placement::HandOverBegan{});
+  mHandOvers.emplace(aEvent.mShard, mNow + mOptions.mHandOverTime);
+  mNextHeartbeat = mNow;
+}
+
+void
+NodeCore::FinishHandOvers()
+{
+  for (auto next = mHandOvers.begin(); next != mHandOvers.end();) {
+    const auto [shard, end] = *next;
+    if (mNow < end) {
+      ++next;
+      continue;
+    }
+    const auto found = mShards.find(shard);
+    if (found != mShards.end()) {
+      ShardLost lost{ shard, found->second.mEpoch };
+      On(lost);
+    }
+    mActions.emplace_back(ShardHandedOver{ shard });
+    next = mHandOvers.erase(next);
+  }
+}
+
+void
+NodeCore::On(OwnershipRead& aEvent)
+{
+  static_cast<void>(aEvent);
+  mOwnershipRead = mNow;
+}
+
+// Others may take over once a whole node lease has passed without a renewal;
+// half of it leaves room for the last renewal and for differing clock rates.
+void
+NodeCore::JudgeOwnership()
+{
+  const bool confirmed = mNow - mOwnershipRead < mOptions.mNodeLease / 2;
+  if (confirmed != mOwnershipConfirmed) {
+    mOwnershipConfirmed = confirmed;
+    FeedAllShards(placement::OwnershipConfirmed{ confirmed });
   }
-  mActions.emplace_back(ShardHandedOver{ aEvent.mShard });
 }
 
 // One snapshot a tick at most, so that no tick takes long.
@@ -696,6 +731,8 @@
   ServeCalls();
   SendHeartbeats();
   SaveSnapshots();
+  JudgeOwnership();
+  FinishHandOvers();
 }
 
 NodeCoreSummary
--- a/src/node/internal/runtime.cpp
+++ b/src/node/internal/runtime.cpp
@@ -79,6 +79,7 @@
            .mPartitionCount = mSettings.mCell.mRequestPartitions,
            .mShardCount = mSettings.mCell.mWorkerShards,
            .mSeed = mIncarnation.mValue,
+           .mNodeLease = mSettings.mLeases.mNodeLease,
            .mTaskLease = mSettings.mLeases.mTaskLease,
            .mWorkerHeartbeatEvery = mSettings.mLeases.mWorkerHeartbeatEvery };
 }
@@ -235,6 +236,7 @@
         [this](const std::vector<membership::Member>& aMembers) {
           OnMembers(aMembers);
         },
+      .mOnConfirmed = [this] { mCore.Post(OwnershipRead{}); },
       .mOnLeft = [this] { mLeft.store(true); },
       .mOnSuperseded = [this] { mSuperseded.store(true); } });
   mMembership->Start();
--- a/src/node/internal/workerreportserver.cpp
+++ b/src/node/internal/workerreportserver.cpp
@@ -64,6 +64,17 @@
   return params;
 }
 
+// Without sharing of the port, so that a second process is told that it is
+// taken.
+Poco::Net::ServerSocket
+Listen(const std::string& aAddress)
+{
+  Poco::Net::ServerSocket socket;
+  socket.bind(Poco::Net::SocketAddress(aAddress), true, false);
+  socket.listen();
+  return socket;
+}
+
 } // namespace
 
 class WorkerReportServer::Impl
@@ -72,7 +83,7 @@
   Impl(const std::string& aAddress,
        std::function<bool(protocol::WorkerReport)> aOnReport)
     : mPool(2, kThreads)
-    , mSocket(Poco::Net::SocketAddress(aAddress))
+    , mSocket(Listen(aAddress))
     , mServer(new ReportHandlerFactory(std::move(aOnReport)),
               mPool,
               mSocket,
--- a/src/node/nodecore.h
+++ b/src/node/nodecore.h
@@ -28,7 +28,11 @@
   std::uint32_t mPartitionCount = 16;
   std::uint32_t mShardCount = 8;
   std::uint64_t mSeed = 1;
+  std::chrono::milliseconds mNodeLease{ 10'000 };
   std::chrono::milliseconds mTaskLease{ 10'000 };
+  // A placer that hands its shard over answers this long for what still
+  // arrives, so that nothing is lost between two owners.
+  std::chrono::milliseconds mHandOverTime{ 600 };
   std::chrono::milliseconds mWorkerHeartbeatEvery{ 2'000 };
   std::chrono::milliseconds mHeartbeatEvery{ 1'000 };
   // With many nodes heartbeats become rarer, so that what a node sends stays
@@ -113,6 +117,7 @@
   void On(coordination::StoreHealth& aEvent);
   void On(HandOverPartition& aEvent);
   void On(HandOverShard& aEvent);
+  void On(OwnershipRead& aEvent);
   void On(DrainBegan& aEvent);
   void On(Tick& aEvent);
 
@@ -144,6 +149,8 @@
              const protocol::CallerReply& aReply);
   void Drain();
   void SaveSnapshots();
+  void JudgeOwnership();
+  void FinishHandOvers();
 
   // A message between a coordinator and a placer of this node, kept until the
   // sender has returned.
@@ -167,6 +174,10 @@
   std::shared_ptr<const policy::CellPolicy> mPolicy;
   bool mStoreAvailable = true;
   bool mDraining = false;
+  bool mOwnershipConfirmed = true;
+  TimePoint mOwnershipRead;
+  // Shards being handed over, and when they are let go.
+  std::map<ShardId, TimePoint> mHandOvers;
   TimePoint mNextHeartbeat;
   std::uint64_t mHeartbeatCounter = 0;
 };
--- a/src/node/types/nodeevent.h
+++ b/src/node/types/nodeevent.h
@@ -63,6 +63,10 @@
   bool mSurelyNotWritten = false;
 };
 
+// What this node was not deposed of is surely still its own.
+struct OwnershipRead
+{};
+
 // The planned stop began: refuse new requests, finish those in flight.
 struct DrainBegan
 {};
@@ -99,6 +103,7 @@
                                coordination::StoreHealth,
                                HandOverPartition,
                                HandOverShard,
+                               OwnershipRead,
                                DrainBegan,
                                Tick>;
 
--- a/src/peers/internal/meshloop.cpp
+++ b/src/peers/internal/meshloop.cpp
@@ -30,7 +30,7 @@
   , mTable(mOptions)
   , mQueues(mOptions.mQueueFrames, mOptions.mQueueBytes)
 {
-  mServer.bind(Poco::Net::SocketAddress(mOptions.mListen), true);
+  mServer.bind(Poco::Net::SocketAddress(mOptions.mListen), true, false);
   mServer.listen();
   mServer.setBlocking(false);
   mAddress = mServer.address().toString();
--- a/src/placement/internal/placercontext.h
+++ b/src/placement/internal/placercontext.h
@@ -77,6 +77,10 @@
   std::uint32_t mQuarantined = 0;
   std::uint32_t mCautious = 0;
   bool mDeposed = false;
+  // The shard is being handed over: nothing is started any more.
+  bool mHandingOver = false;
+  // False while another node may own the shard: no lease is judged lapsed.
+  bool mOwnershipConfirmed = true;
   // Every worker was fenced or its leases have surely lapsed.
   bool mRecovered = false;
 };
--- a/src/placement/internal/placerparts.cpp
+++ b/src/placement/internal/placerparts.cpp
@@ -100,6 +100,19 @@
   RecheckSizesIfChanged();
 }
 
+void
+Placer::Parts::Take(const HandOverBegan& /*aEvent*/)
+{
+  mContext.mHandingOver = true;
+  mIntake.GiveBackWaiting();
+}
+
+void
+Placer::Parts::Take(const OwnershipConfirmed& aEvent)
+{
+  mContext.mOwnershipConfirmed = aEvent.mConfirmed;
+}
+
 void
 Placer::Parts::Take(const Tick& /*aTick*/)
 {
@@ -230,19 +243,20 @@
 protocol::ShardDigest
 Placer::Parts::MakeDigest()
 {
-  protocol::ShardDigest digest{ .mShard = mContext.mOptions.mShard,
-                                .mEpoch = mContext.mOptions.mEpoch,
-                                .mOwner = mContext.mOptions.mOwner,
-                                .mSequence = ++mDigestSequence,
-                                .mReady = mSupervisor.IsMostlySettled(),
-                                .mWorkers = mContext.mLedger.OpenCount(),
-                                .mTotal = mContext.mLedger.OpenTotal(),
-                                .mFree = mContext.mLedger.OpenTotal() -
-                                         mContext.mLedger.OpenGranted(),
-                                .mLargestWorker = {},
-                                .mLargestFree = mContext.mLedger.LargestFree(),
-                                .mQueued = mContext.mWaiting,
-                                .mExpectedWait = mIntake.ExpectedWait() };
+  protocol::ShardDigest digest{
+    .mShard = mContext.mOptions.mShard,
+    .mEpoch = mContext.mOptions.mEpoch,
+    .mOwner = mContext.mOptions.mOwner,
+    .mSequence = ++mDigestSequence,
+    .mReady = !mContext.mHandingOver && mSupervisor.IsMostlySettled(),
+    .mWorkers = mContext.mLedger.OpenCount(),
+    .mTotal = mContext.mLedger.OpenTotal(),
+    .mFree = mContext.mLedger.OpenTotal() - mContext.mLedger.OpenGranted(),
+    .mLargestWorker = {},
+    .mLargestFree = mContext.mLedger.LargestFree(),
+    .mQueued = mContext.mWaiting,
+    .mExpectedWait = mIntake.ExpectedWait()
+  };
   for (const Resources& kind : mContext.mCapacityKinds) {
     digest.mLargestWorker = Largest(digest.mLargestWorker, kind);
   }
--- a/src/placement/internal/placerparts.h
+++ b/src/placement/internal/placerparts.h
@@ -30,6 +30,8 @@
   void Take(const protocol::UpdateAck& aAck);
   void Take(const protocol::ReconcileQuery& aQuery);
   void Take(const PolicyChanged& aChange);
+  void Take(const HandOverBegan& aEvent);
+  void Take(const OwnershipConfirmed& aEvent);
   void Take(const Tick& aTick);
 
   protocol::ShardDigest MakeDigest();
--- a/src/placement/internal/requestintake.cpp
+++ b/src/placement/internal/requestintake.cpp
@@ -26,9 +26,19 @@
   if (aRoute.mShard != mContext.mOptions.mShard) {
     return false;
   }
-  Epoch& highest = mPartitionEpochs[aRoute.mPartition];
-  highest = std::max(highest, aRoute.mSenderEpoch);
-  return aRoute.mSenderEpoch == highest;
+  Sender& sender = mSenders[aRoute.mPartition];
+  if (aRoute.mSenderEpoch < sender.mEpoch) {
+    return false;
+  }
+  if (aRoute.mSenderEpoch > sender.mEpoch) {
+    sender = Sender{ .mEpoch = aRoute.mSenderEpoch };
+  }
+  // Zero is not numbered.
+  if (aRoute.mSequence != 0 && aRoute.mSequence <= sender.mSequence) {
+    return false;
+  }
+  sender.mSequence = std::max(sender.mSequence, aRoute.mSequence);
+  return true;
 }
 
 bool
@@ -147,6 +157,10 @@
       return;
     }
   }
+  if (mContext.mHandingOver) {
+    Refuse(aBatch, { .mReason = TaskEndReason::NotOwner });
+    return;
+  }
   const std::optional<Refusal> refusal =
     mCheck.Check(aBatch, aBatch.mMembers.size());
   if (refusal.has_value()) {
@@ -293,18 +307,21 @@
   if (!IsCurrent(aQuery.mRoute)) {
     return;
   }
-  SendReconcileAnswer(aQuery.mRoute.mPartition);
+  SendReconcileAnswer(aQuery.mRoute.mPartition, aQuery.mRoute.mSequence);
   if (!mContext.mRecovered) {
-    mUnanswered.insert(aQuery.mRoute.mPartition);
+    mUnanswered[aQuery.mRoute.mPartition] = aQuery.mRoute.mSequence;
   }
 }
 
 void
-RequestIntake::SendReconcileAnswer(PartitionId aPartition)
+RequestIntake::SendReconcileAnswer(PartitionId aPartition,
+                                   std::uint64_t aQuerySequence)
 {
   protocol::ReconcileAnswer answer{ .mRoute =
                                       mContext.mOutbox.RouteTo(aPartition),
                                     .mComplete = mContext.mRecovered };
+  // Tells the coordinator which of its queries this answers.
+  answer.mRoute.mSequence = aQuerySequence;
   mContext.mAttempts.ForEach([&](AttemptIndex /*aIndex*/,
                                  const Attempt& aAttempt) {
     if (aAttempt.mPartition == aPartition && !aAttempt.mUnsure) {
@@ -316,6 +333,22 @@
   mContext.mOutbox.Send(std::move(answer));
 }
 
+void
+RequestIntake::GiveBackWaiting()
+{
+  std::vector<AttemptIndex> waiting;
+  mContext.mAttempts.ForEach(
+    [&waiting](AttemptIndex aIndex, const Attempt& aAttempt) {
+      // Held ones too: a hold ends with its placer.
+      if (aAttempt.mState == TaskState::Queued && !aAttempt.mUnsure) {
+        waiting.push_back(aIndex);
+      }
+    });
+  for (const AttemptIndex index : waiting) {
+    mLifecycle.Finish(index, TaskState::NotStarted, TaskEndReason::NotOwner);
+  }
+}
+
 void
 RequestIntake::FinishRecovery()
 {
@@ -342,8 +375,8 @@
       }
     }
   }
-  for (const PartitionId partition : std::exchange(mUnanswered, {})) {
-    SendReconcileAnswer(partition);
+  for (const auto& [partition, sequence] : std::exchange(mUnanswered, {})) {
+    SendReconcileAnswer(partition, sequence);
   }
 }
 
--- a/src/placement/internal/requestintake.h
+++ b/src/placement/internal/requestintake.h
@@ -3,7 +3,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -30,6 +29,8 @@
   // Every worker is fenced or its leases have lapsed: what no inventory listed
   // is over, and queries get their complete answers.
   void FinishRecovery();
+  // Ends what waits or is held as not started: the shard is handed over.
+  void GiveBackWaiting();
   // The kinds of workers changed: ends what could never run now.
   void RecheckSizes();
   // Drops holds whose batches are gone.
@@ -40,6 +41,13 @@
   }
 
 private:
+  // The newest coordinator heard of a partition.
+  struct Sender
+  {
+    Epoch mEpoch;
+    // The highest sequence taken; a lower one is a late or doubled copy.
+    std::uint64_t mSequence = 0;
+  };
   using HoldKey = std::pair<RequestId, std::uint32_t>;
 
   // False when the message is from an owner that was replaced.
@@ -59,19 +67,20 @@
   void SendUntracked(const protocol::Route& aRoute,
                      const protocol::TaskKey& aKey,
                      const Tombstone& aStone);
-  void SendReconcileAnswer(PartitionId aPartition);
+  void SendReconcileAnswer(PartitionId aPartition,
+                           std::uint64_t aQuerySequence);
 
   PlacerContext& mContext;
   AttemptLifecycle& mLifecycle;
   TaskQueue& mQueue;
   GangPlacer& mGangs;
   IntakeCheck mCheck;
-  std::map<PartitionId, Epoch> mPartitionEpochs;
+  std::map<PartitionId, Sender> mSenders;
   std::map<HoldKey, std::vector<std::weak_ptr<Batch>>> mHolds;
   // Attempts that wait for the end of the recovery.
   std::vector<AttemptRef> mUnsure;
-  // Partitions whose query got an incomplete answer.
-  std::set<PartitionId> mUnanswered;
+  // Partitions whose query, of this sequence, got an incomplete answer.
+  std::map<PartitionId, std::uint64_t> mUnanswered;
 };
 
 } // namespace oriolevane::placement
--- a/src/placement/internal/workersupervisor.cpp
+++ b/src/placement/internal/workersupervisor.cpp
@@ -267,7 +267,7 @@
   }
   const Duration lapse = Duration{ mContext.mOptions.mTaskLease } *
                          kLapseNumerator / kLapseDenominator;
-  if (!worker.mLapsed && silence > lapse) {
+  if (!worker.mLapsed && silence > lapse && mContext.mOwnershipConfirmed) {
     worker.mLapsed = true;
     Settle(worker);
     mInventory.GiveUpAll(aWorker);
--- a/src/placement/types/placerevent.h
+++ b/src/placement/types/placerevent.h
@@ -3,6 +3,8 @@
 
 #include <variant>
 
+#include "placement/types/handoverbegan.h"
+#include "placement/types/ownershipconfirmed.h"
 #include "placement/types/policychanged.h"
 #include "placement/types/tick.h"
 #include "placement/types/workerslisted.h"
@@ -21,6 +23,8 @@
                                  protocol::UpdateAck,
                                  protocol::ReconcileQuery,
                                  PolicyChanged,
+                                 HandOverBegan,
+                                 OwnershipConfirmed,
                                  Tick>;
 
 } // namespace oriolevane::placement
