Answer copies of refused calls alike; take replies only for their own request

Numbers of calls began at 1 in each process, so a late reply could meet another request's call. Change: the owner's node answers a copy of a refused call as before for two minutes; 'not run' counts only from the owner asked last; a reply must name the request; call numbers begin in the range of the incarnation.

--- a/src/node/internal/callboard.cpp
+++ b/src/node/internal/callboard.cpp
@@ -4,6 +4,11 @@
 
 namespace oriolevane::node {
 
+CallBoard::CallBoard(Incarnation aIncarnation)
+  : mLast(aIncarnation.mValue << 32U)
+{
+}
+
 std::uint64_t
 CallBoard::Open()
 {
--- a/src/node/internal/callboard.h
+++ b/src/node/internal/callboard.h
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <optional>
 
+#include "framework/types/ids.h"
 #include "protocol/types/callermessages.h"
 
 namespace oriolevane::node {
@@ -16,6 +17,10 @@
 class CallBoard
 {
 public:
+  // Numbers begin in the range of aIncarnation, so that they do not meet those
+  // of an earlier process of this node.
+  explicit CallBoard(Incarnation aIncarnation);
+
   // A number that no other call of this process has.
   std::uint64_t Open();
   // Blocks until the reply, at most for the time given; the call is then
@@ -31,7 +36,7 @@
   mutable std::mutex mMutex;
   std::condition_variable mDelivered;
   std::map<std::uint64_t, std::optional<protocol::RequestStatus>> mCalls;
-  std::uint64_t mLast = 0;
+  std::uint64_t mLast;
 };
 
 } // namespace oriolevane::node
--- a/src/node/internal/nodecore.cpp
+++ b/src/node/internal/nodecore.cpp
@@ -10,6 +10,20 @@
 
 namespace {
 
+constexpr std::size_t kMostRefusals = 20'000;
+
+RequestId
+RequestOf(const protocol::CallerCall& aCall)
+{
+  if (const auto* submit = std::get_if<protocol::SubmitCall>(&aCall.mBody)) {
+    return submit->mSpec.mId;
+  }
+  if (const auto* ask = std::get_if<protocol::StatusCall>(&aCall.mBody)) {
+    return ask->mId;
+  }
+  return std::get<protocol::CancelCall>(aCall.mBody).mId;
+}
+
 protocol::RequestStatus
 Refusal(const protocol::CallerCall& aCall,
         protocol::RefusalReason aReason,
@@ -17,15 +31,7 @@
 {
   protocol::RequestStatus status{ .mReason = aReason,
                                   .mRetryAfter = aRetryAfter };
-  if (const auto* submit = std::get_if<protocol::SubmitCall>(&aCall.mBody)) {
-    status.mId = submit->mSpec.mId;
-  } else if (const auto* ask =
-               std::get_if<protocol::StatusCall>(&aCall.mBody)) {
-    status.mId = ask->mId;
-  } else if (const auto* cancel =
-               std::get_if<protocol::CancelCall>(&aCall.mBody)) {
-    status.mId = cancel->mId;
-  }
+  status.mId = RequestOf(aCall);
   // An earlier call under the same id may be known to the owner that cannot be
   // asked now.
   status.mOutcome = protocol::Outcome::NotKnownYet;
@@ -43,6 +49,7 @@
 
 NodeCore::NodeCore(NodeCoreOptions aOptions)
   : mOptions(std::move(aOptions))
+  , mRefusals(mOptions.mKeepRefusals, kMostRefusals)
   , mPartitionOwners(mOptions.mPartitionCount)
   , mShardOwners(mOptions.mShardCount)
 {
@@ -170,11 +177,31 @@
   }
 }
 
+// A reply is taken only for the request it names, as numbers of calls may meet
+// those of an earlier process; and "not run" only from the owner that was asked
+// last, as a later owner may have accepted the copy it was sent.
+void
+NodeCore::OnPeerReply(const NodeId& aFrom, const protocol::CallerReply& aReply)
+{
+  const auto found = mCalls.find(aReply.mCall);
+  if (found == mCalls.end() ||
+      RequestOf(found->second.mCall) != aReply.mStatus.mId) {
+    return;
+  }
+  const bool refused = aReply.mStatus.mOutcome == protocol::Outcome::NotRun;
+  if (!refused || found->second.mSentTo.mNode == aFrom) {
+    OnReply(aReply);
+  }
+}
+
 void
 NodeCore::Reply(const coordination::CallOrigin& aOrigin,
                 const protocol::CallerReply& aReply)
 {
   if (aOrigin.mNode != mOptions.mNode) {
+    if (aReply.mStatus.mOutcome == protocol::Outcome::NotRun) {
+      mRefusals.Add(aOrigin, aReply, mNow);
+    }
     SendTo(aOrigin.mNode, aReply);
   } else if (aOrigin.mIncarnation == mOptions.mIncarnation) {
     OnReply(aReply);
@@ -194,7 +221,7 @@
       } else if constexpr (std::is_same_v<Body, protocol::CallerCall>) {
         OnCallFromPeer(aEvent, aBody);
       } else if constexpr (std::is_same_v<Body, protocol::CallerReply>) {
-        OnReply(aBody);
+        OnPeerReply(aEvent.mFrom, aBody);
       } else if constexpr (std::is_same_v<Body, protocol::ToPlacer>) {
         FromPeer(std::move(aBody));
       } else if constexpr (std::is_same_v<Body, protocol::ToCoordinator>) {
@@ -211,10 +238,15 @@
   if (mPartitions.count(aCall.mPartition) == 0) {
     return;
   }
-  Feed(
-    aCall.mPartition,
-    coordination::CallArrived{
-      .mOrigin = { aEvent.mFrom, aEvent.mFromIncarnation }, .mCall = aCall });
+  const coordination::CallOrigin origin{ aEvent.mFrom,
+                                         aEvent.mFromIncarnation };
+  const auto refusal = mRefusals.Find(origin, aCall.mCall);
+  if (refusal.has_value()) {
+    SendTo(origin.mNode, *refusal);
+    return;
+  }
+  Feed(aCall.mPartition,
+       coordination::CallArrived{ .mOrigin = origin, .mCall = aCall });
 }
 
 void
--- a/src/node/internal/runtime.cpp
+++ b/src/node/internal/runtime.cpp
@@ -47,6 +47,7 @@
   , mIncarnation(FreshIncarnation())
   , mPlatform(std::move(aPlatform))
   , mConfigurationStore(mPlatform.mTable)
+  , mCalls(mIncarnation)
   , mCore(CoreOptions(),
           { .mRingCapacity = aSettings.mLimits.mRingCapacity },
           [this](NodeAction& aAction) { Perform(aAction); })
--- a/src/node/nodecore.h
+++ b/src/node/nodecore.h
@@ -14,6 +14,7 @@
 #include "coordination/coordinator.h"
 #include "framework/types/timepoint.h"
 #include "node/ownerdirectory.h"
+#include "node/refusalmemory.h"
 #include "node/types/nodeaction.h"
 #include "node/types/nodeevent.h"
 #include "placement/placer.h"
@@ -45,6 +46,8 @@
   std::chrono::milliseconds mRecoveringRetryAfter{ 2'000 };
   // A snapshot is saved after this many records since the last.
   std::uint64_t mRecordsPerSnapshot = 2'000;
+  // A second copy of a refused call is answered the same for this long.
+  std::chrono::milliseconds mKeepRefusals{ 120'000 };
   // A call for a partition without an owner is kept this long for one to
   // appear.
   std::chrono::milliseconds mWaitForOwner{ 3'000 };
@@ -125,6 +128,7 @@
   void OnCallFromPeer(const PeerMessageArrived& aEvent,
                       const protocol::CallerCall& aCall);
   void OnReply(const protocol::CallerReply& aReply);
+  void OnPeerReply(const NodeId& aFrom, const protocol::CallerReply& aReply);
   void FromPeer(protocol::ToPlacer aMessage);
   void FromPeer(protocol::ToCoordinator aMessage);
   void ToPlacer(ShardId aShard, protocol::ToPlacer aMessage);
@@ -160,6 +164,7 @@
   };
 
   NodeCoreOptions mOptions;
+  RefusalMemory mRefusals;
   TimePoint mNow;
   std::vector<NodeAction> mActions;
   std::vector<LocalMessage> mLocal;
--- /dev/null
+++ b/src/node/tests/main.cpp
@@ -0,0 +1,13 @@
+#include "framework/testing/story.h"
+
+namespace oriolevane::node {
+void
+NodeCoreStory(testing::Section& aStory);
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  return oriolevane::testing::RunStories(
+    aCount, aArguments, { { "node core", oriolevane::node::NodeCoreStory } });
+}
--- a/tests/integration/cell.h
+++ b/tests/integration/cell.h
@@ -37,6 +37,7 @@
   std::string WorkersAddress() const;
 
   void StartNode(int aNode);
+  pid_t Pid(int aNode) const { return mPids[static_cast<std::size_t>(aNode)]; }
   void Signal(int aNode, int aSignal) const;
   // Kills and reaps.
   void Kill(int aNode);
