Spread the tasks of a service over shards

Cause: scripts/run-local showed all four tasks of the dispatch service in one availability zone, as the coordinator sent them to one shard together and a shard is a few racks. A workload with spread_over now sends each task by itself, to shards that no other task of the request is in while there are any; within a shard the placer spreads as before. Ruled out: zones in the digests, until a cell has shards of several zones. Measured: 53 coordination stories pass, the new one among them.

--- a/src/coordination/internal/engine.h
+++ b/src/coordination/internal/engine.h
@@ -111,6 +111,10 @@
   // Dispatch of tasks that are not out.
   void Dispatch(LiveRequest& aRequest);
   std::vector<Placement> PlanPlacements(LiveRequest& aRequest);
+  bool IsSpread(const LiveRequest& aRequest) const;
+  std::optional<ShardId> PickShard(const LiveRequest& aRequest,
+                                   const TaskSlot& aFirst,
+                                   std::uint32_t aCount);
   std::optional<Placement> Place(LiveRequest& aRequest,
                                  std::vector<std::uint32_t> aIndexes);
   static std::vector<DispatchedTask> BeginRecording(
--- a/src/coordination/internal/enginedispatch.cpp
+++ b/src/coordination/internal/enginedispatch.cpp
@@ -76,12 +76,13 @@
     return aLeft.mDispatches == aRight.mDispatches &&
            (aLeft.mAttempt == 0 || aLeft.mShard == aRight.mShard);
   };
+  const std::size_t most = IsSpread(aRequest) ? 1 : mOptions.mTasksPerMessage;
   for (std::uint32_t index = 0; index < aRequest.mSlots.size(); ++index) {
     const TaskSlot& slot = aRequest.mSlots[index];
     if (slot.mPhase != SlotPhase::Waiting || slot.mNotBefore > mNow) {
       continue;
     }
-    if (chunk.size() >= mOptions.mTasksPerMessage ||
+    if (chunk.size() >= most ||
         (!chunk.empty() && !alike(aRequest.mSlots[chunk.front()], slot))) {
       flush();
     }
@@ -91,16 +92,45 @@
   return placements;
 }
 
+// A shard is a set of racks, so tasks in different shards are on different
+// racks; within a shard its placer spreads them.
+bool
+Engine::IsSpread(const LiveRequest& aRequest) const
+{
+  return aRequest.mSlots.size() > 1 &&
+         PolicyOf(aRequest.mSpec.mWorkload).mSpread != policy::Spread::None;
+}
+
+std::optional<ShardId>
+Engine::PickShard(const LiveRequest& aRequest,
+                  const TaskSlot& aFirst,
+                  std::uint32_t aCount)
+{
+  const auto last =
+    aFirst.mAttempt == 0 ? std::nullopt : std::optional(aFirst.mShard);
+  const auto pick = [&](const std::vector<ShardId>& aNever) {
+    return mRouter.Pick(aRequest.mSpec.mPerTask, aCount, last, aNever, mRandom);
+  };
+  std::optional<ShardId> shard;
+  if (IsSpread(aRequest)) {
+    std::vector<ShardId> taken = aRequest.mNeverThere;
+    for (const TaskSlot& slot : aRequest.mSlots) {
+      if (slot.mAttempt != 0 && &slot != &aFirst) {
+        taken.push_back(slot.mShard);
+      }
+    }
+    shard = pick(taken);
+  }
+  return shard ? shard : pick(aRequest.mNeverThere);
+}
+
 std::optional<Placement>
 Engine::Place(LiveRequest& aRequest, std::vector<std::uint32_t> aIndexes)
 {
-  const TaskSlot& first = aRequest.mSlots[aIndexes.front()];
-  const std::optional<ShardId> shard = mRouter.Pick(
-    aRequest.mSpec.mPerTask,
-    static_cast<std::uint32_t>(aIndexes.size()),
-    first.mAttempt == 0 ? std::nullopt : std::optional<ShardId>(first.mShard),
-    aRequest.mNeverThere,
-    mRandom);
+  const std::optional<ShardId> shard =
+    PickShard(aRequest,
+              aRequest.mSlots[aIndexes.front()],
+              static_cast<std::uint32_t>(aIndexes.size()));
   if (!shard) {
     for (const std::uint32_t index : aIndexes) {
       aRequest.mSlots[index].mNotBefore = mNow + kNoShardRetry;
--- a/src/coordination/tests/requestlife_test.cpp
+++ b/src/coordination/tests/requestlife_test.cpp
@@ -1,3 +1,5 @@
+#include <set>
+
 #include "coordination/tests/fixture.h"
 #include "coordination/tests/stories.h"
 
@@ -217,6 +219,22 @@
     CPPUNIT_ASSERT(trail.front().mEvent == "accepted");
     CPPUNIT_ASSERT(trail.size() > 10 && trail.size() < 32);
   });
+  aStory.It("spreads the tasks of a workload over shards while there are any",
+            [] {
+              Fixture fixture(4);
+              fixture.mPolicy->mWorkloads[WorkloadId("matches")].mSpread =
+                policy::Spread::Zone;
+              fixture.Serve();
+              auto spec = MakeSpec("s");
+              spec.mTaskCount = 5;
+              fixture.Submit(spec);
+              std::set<ShardId> shards;
+              for (const auto& placed : fixture.Sent<protocol::PlaceTasks>()) {
+                shards.insert(placed.mRoute.mShard);
+              }
+              CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, shards.size());
+              CPPUNIT_ASSERT_EQUAL(std::size_t{ 5 }, fixture.Attempts());
+            });
   aStory.It("refuses new requests while draining, and finishes the others", [] {
     Fixture fixture;
     fixture.Serve();
