--- a/bench/endtoend/main.cpp
+++ b/bench/endtoend/main.cpp
@@ -52,6 +52,7 @@
   Load load;
   std::mutex mutex;
   std::vector<std::thread> callers;
+  callers.reserve(static_cast<std::size_t>(aCallers));
   const auto end =
     std::chrono::steady_clock::now() + std::chrono::seconds(FLAGS_seconds);
   for (int caller = 0; caller < aCallers; ++caller) {
--- a/src/configuration/internal/patchoverlap.cpp
+++ b/src/configuration/internal/patchoverlap.cpp
@@ -19,7 +19,7 @@
     if (right == aRight.end()) {
       continue;
     }
-    const std::optional<std::string> below =
+    std::optional<std::string> below =
       OverlapBelow(left, *right, settings::JoinPath(aPath, name));
     if (below.has_value()) {
       return below;
--- a/src/node/internal/nodecore.cpp
+++ b/src/node/internal/nodecore.cpp
@@ -222,9 +222,8 @@
         OnCallFromPeer(aEvent, aBody);
       } else if constexpr (std::is_same_v<Body, protocol::CallerReply>) {
         OnPeerReply(aEvent.mFrom, aBody);
-      } else if constexpr (std::is_same_v<Body, protocol::ToPlacer>) {
-        FromPeer(std::move(aBody));
-      } else if constexpr (std::is_same_v<Body, protocol::ToCoordinator>) {
+      } else if constexpr (std::is_same_v<Body, protocol::ToPlacer> ||
+                           std::is_same_v<Body, protocol::ToCoordinator>) {
         FromPeer(std::move(aBody));
       }
     },
@@ -368,7 +367,8 @@
       if (auto* toPlacer = std::get_if<protocol::ToPlacer>(&local.mMessage)) {
         std::visit(
           [this](auto& aBody) {
-            Feed(aBody.mRoute.mShard, placement::PlacerEvent(std::move(aBody)));
+            const ShardId shard = aBody.mRoute.mShard;
+            Feed(shard, placement::PlacerEvent(std::move(aBody)));
           },
           *toPlacer);
       } else if (auto* toCoordinator =
@@ -645,7 +645,8 @@
 void
 NodeCore::On(protocol::WorkerReport& aEvent)
 {
-  Feed(aEvent.mShard, std::move(aEvent));
+  const ShardId shard = aEvent.mShard;
+  Feed(shard, std::move(aEvent));
 }
 
 void
--- a/src/node/internal/runtime.cpp
+++ b/src/node/internal/runtime.cpp
@@ -280,7 +280,7 @@
            .mConfiguration = [this] { return mConfigurationView.Current(); },
            .mApplyPatch =
              [this](const configuration::PatchRequest& aRequest) {
-               const configuration::PatchOutcome outcome =
+               configuration::PatchOutcome outcome =
                  mConfigurationStore.ApplyPatch(aRequest);
                mConfigurationDuty->RunSoon();
                return outcome;
@@ -506,7 +506,7 @@
   if (!reply.has_value()) {
     mCore.TryPost(GatewayCallAbandoned{ call });
   }
-  const protocol::RequestStatus status = std::move(reply).value_or(undecided);
+  protocol::RequestStatus status = std::move(reply).value_or(undecided);
   mMetrics.CountReply(status.mOutcome, status.mReason);
   return status;
 }
--- a/src/placement/tests/chaosworld.cpp
+++ b/src/placement/tests/chaosworld.cpp
@@ -71,7 +71,7 @@
 }
 
 void
-ChaosWorld::Send(std::function<void()> aDeliver)
+ChaosWorld::Send(const std::function<void()>& aDeliver)
 {
   if (Chance(mOptions.mLost)) {
     return;
--- a/src/placement/tests/chaosworld.h
+++ b/src/placement/tests/chaosworld.h
@@ -65,7 +65,7 @@
   };
 
   bool Chance(int aPerMille);
-  void Send(std::function<void()> aDeliver);
+  void Send(const std::function<void()>& aDeliver);
   void Step();
   void MoveWorkers();
   void BreakThings();
--- a/src/placement/tests/harness.cpp
+++ b/src/placement/tests/harness.cpp
@@ -53,7 +53,7 @@
 }
 
 Harness::Harness(int aWorkers,
-                 PlacerOptions aOptions,
+                 const PlacerOptions& aOptions,
                  const Resources& aCapacity)
   : mPlacer(std::make_unique<Placer>(aOptions))
   , mFailing(aWorkers, false)
@@ -79,7 +79,7 @@
 }
 
 void
-Harness::Carry(std::vector<PlacerAction> aActions,
+Harness::Carry(const std::vector<PlacerAction>& aActions,
                std::vector<protocol::WorkerReport>& aReports)
 {
   for (const PlacerAction& action : aActions) {
--- a/src/placement/tests/harness.h
+++ b/src/placement/tests/harness.h
@@ -31,7 +31,7 @@
 {
 public:
   explicit Harness(int aWorkers,
-                   PlacerOptions aOptions = TestOptions(),
+                   const PlacerOptions& aOptions = TestOptions(),
                    const Resources& aCapacity = kTestWorker);
 
   // Gives the event to the placer, and its commands to the workers until none
@@ -70,7 +70,7 @@
   std::vector<protocol::WorkerCommand> mCommands;
 
 private:
-  void Carry(std::vector<PlacerAction> aActions,
+  void Carry(const std::vector<PlacerAction>& aActions,
              std::vector<protocol::WorkerReport>& aReports);
 
   std::vector<FakeWorker> mWorkers;
--- a/src/settings/internal/objectreader.cpp
+++ b/src/settings/internal/objectreader.cpp
@@ -80,7 +80,8 @@
 }
 
 std::string
-ObjectReader::Text(std::string_view aKey, std::optional<std::string> aFallback)
+ObjectReader::Text(std::string_view aKey,
+                   const std::optional<std::string>& aFallback)
 {
   const json* value = Find(aKey, !aFallback.has_value());
   if (value == nullptr) {
@@ -98,7 +99,7 @@
 std::string
 ObjectReader::Word(std::string_view aKey,
                    const std::vector<std::string>& aAllowed,
-                   std::optional<std::string> aFallback)
+                   const std::optional<std::string>& aFallback)
 {
   std::string word = Text(aKey, aFallback);
   if (mObject.contains(std::string(aKey)) &&
@@ -111,9 +112,9 @@
 
 std::string
 ObjectReader::Address(std::string_view aKey,
-                      std::optional<std::string> aFallback)
+                      const std::optional<std::string>& aFallback)
 {
-  std::string address = Text(aKey, std::move(aFallback));
+  std::string address = Text(aKey, aFallback);
   if (mObject.contains(std::string(aKey)) && !IsAddress(address)) {
     Reject(aKey, "must be an address IP:PORT, e.g. 127.0.0.1:8080");
   }
--- a/src/settings/objectreader.h
+++ b/src/settings/objectreader.h
@@ -37,14 +37,15 @@
                ProblemList& aProblems);
 
   std::string Text(std::string_view aKey,
-                   std::optional<std::string> aFallback = std::nullopt);
+                   const std::optional<std::string>& aFallback = std::nullopt);
   // One of the allowed words.
   std::string Word(std::string_view aKey,
                    const std::vector<std::string>& aAllowed,
-                   std::optional<std::string> aFallback = std::nullopt);
+                   const std::optional<std::string>& aFallback = std::nullopt);
   // "IP:PORT"; port 0 lets the system choose.
-  std::string Address(std::string_view aKey,
-                      std::optional<std::string> aFallback = std::nullopt);
+  std::string Address(
+    std::string_view aKey,
+    const std::optional<std::string>& aFallback = std::nullopt);
   std::int64_t Integer(std::string_view aKey,
                        Range<std::int64_t> aRange,
                        std::optional<std::int64_t> aFallback = std::nullopt);
--- a/tests/integration/caller.cpp
+++ b/tests/integration/caller.cpp
@@ -126,12 +126,13 @@
 void
 Callers::AwaitOutcomes(int aNode)
 {
-  for (auto& [key, told] : mTold) {
+  for (auto& entry : mTold) {
+    Told& told = entry.second;
     if (told.mId.empty() ||
         (!told.mOutcomes.empty() && IsFinal(told.mOutcomes.back()))) {
       continue;
     }
-    Await("the outcome of " + key + " is final", [&, this] {
+    Await("the outcome of " + entry.first + " is final", [&, this] {
       const HttpResult result = Ask({ .mAddress = mCell.NodeAddress(aNode),
                                       .mPath = "/v1/requests/" + told.mId });
       const json body = result.Json();
--- a/tests/integration/operators_test.cpp
+++ b/tests/integration/operators_test.cpp
@@ -52,6 +52,7 @@
       const Cell cell;
       std::vector<HttpResult> results(3);
       std::vector<std::thread> operators;
+      operators.reserve(results.size());
       for (int op = 0; op < 3; ++op) {
         operators.emplace_back([&, op] {
           results[static_cast<std::size_t>(op)] =
--- a/tests/integration/wholepath_test.cpp
+++ b/tests/integration/wholepath_test.cpp
@@ -12,6 +12,7 @@
 AllNodes(const Cell& aCell)
 {
   std::vector<int> nodes;
+  nodes.reserve(static_cast<std::size_t>(aCell.NodeCount()));
   for (int node = 0; node < aCell.NodeCount(); ++node) {
     nodes.push_back(node);
   }
