--- a/bench/endtoend/nodeusage.cpp
+++ b/bench/endtoend/nodeusage.cpp
@@ -74,7 +74,8 @@
     Ask({ .mAddress = aCell.PlatformAddress(), .mPath = "/control/statistics" })
       .Json();
   if (statistics.is_object()) {
-    usage.mStoreWrites = statistics.value("writes", 0.0);
+    usage.mStoreWrites = statistics.value("rows_written", 0.0) +
+                         statistics.value("transactions", 0.0);
   }
   return usage;
 }
