--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -114,13 +114,13 @@
 end:
   do
   /* The node reads the row: it is free, or its owner's lease has lapsed.
-   * code: membership: OwnershipPlanner::Decide */
+   * code: membership: OwnershipPlanner::Next */
   :: d_step { phase[n] == IDLE && epoch[n] == 0 && rowEpoch < MAX_EPOCH &&
        (rowOwner == NOBODY || (rowOwner != n && nodeLapsed[rowOwner]) || rowOwner == n) ->
        readEpoch[n] = rowEpoch; readOwner[n] = rowOwner; phase[n] = READ }
 
   /* It takes the row; any time may have passed since the read.
-   * code: membership: OwnershipPlanner::Decide */
+   * code: membership: OwnershipPlanner::Next */
   :: atomic { phase[n] == READ ->
        if
 #ifdef NO_CAS
@@ -145,7 +145,7 @@
        fi }
 
   /* After a lost answer the row is read back.
-   * code: membership: OwnershipPlanner::Decide */
+   * code: membership: OwnershipPlanner::Next */
   :: d_step { phase[n] == UNCERTAIN ->
        if
 #ifdef NO_READ_BACK
@@ -161,7 +161,7 @@
        ForgetRead(n) }
 
   /* The node renews its lease and sees whether the row is still its own.
-   * code: membership: OwnershipPlanner::Decide */
+   * code: membership: OwnershipPlanner::Next */
   :: d_step { epoch[n] != 0 && (nodeLapsed[n] || rowOwner != n || rowEpoch != epoch[n]) ->
        nodeLapsed[n] = 0;
        if
@@ -176,7 +176,7 @@
   :: d_step { epoch[n] != 0 && rowEpoch < MAX_EPOCH -> ForgetOwnership(n) }
 
   /* The owner fences a worker and takes its inventory into the ledger.
-   * code: placement: Placer::OnFenceAccepted */
+   * code: placement: WorkerSupervisor::Settle */
   :: atomic { epoch[n] != 0 ->
        if :: w = 0 :: w = 1 fi;
        if
@@ -207,7 +207,7 @@
    * was taken and since its own last renewal was sent: what the worker ran
    * under this or lower epochs has stopped by its own clock, and commands sent
    * under them are past their validity.
-   * code: placement: Placer::OnLeaseLapsed */
+   * code: placement: WorkerSupervisor::CheckSilence */
   :: atomic { epoch[n] != 0 ->
        if :: w = 0 :: w = 1 fi;
        if
@@ -250,7 +250,7 @@
 
   /* The owner places a task that its coordinator (re-)sent: on a worker that
    * accepted the fence, with room, and only when the task can be nowhere else.
-   * code: placement: Placer::Handle(PlaceTasks) */
+   * code: placement: RequestIntake::Handle(PlaceTasks) */
   :: atomic { epoch[n] != 0 && FREE_SLOT ->
        if :: w = 0 :: w = 1 fi;
        if :: t = 0 :: t = 1 fi;
@@ -265,7 +265,7 @@
        w = 0; t = 0; i = 0 }
 
   /* The start is sent again as long as it is unanswered.
-   * code: placement: Placer::Handle(WorkerReport) */
+   * code: placement: WorkerSupervisor::HandleReport */
   :: atomic { epoch[n] != 0 && FREE_SLOT ->
        if :: t = 0 :: t = 1 fi;
        if
@@ -318,7 +318,7 @@
   :: d_step { msgEpoch[1] != 0 -> ClearSlot(1) }              /* lost */
 
   /* A task ends; its answer is kept.
-   * code: placement: Placer::Handle(WorkerReport) */
+   * code: placement: WorkerSupervisor::HandleReport */
   :: atomic {
        if
        :: RUNS(0, 0) -> w = 0; t = 0
--- a/model/request.pml
+++ b/model/request.pml
@@ -204,7 +204,7 @@
   do
   /* A submission of A arrives through a gateway: admitted and journaled, or
    * refused; a known one is only waited for.
-   * code: coordination: Coordinator::OnSubmit */
+   * code: coordination: Engine::Accept */
   :: atomic { up && ready && (submit[0] || submit[1]) ->
        if
        :: submit[0] -> s = 0
@@ -275,7 +275,7 @@
        r = 0 }
 
   /* The journal is read under the next epoch.
-   * code: coordination: Coordinator::Recover */
+   * code: coordination: Engine::Replay, Engine::BecomeServing */
   :: atomic { !up ->
        up = 1; coordinatorEpoch++;
        r = 0;
@@ -292,7 +292,7 @@
        r = 0 }
 
   /* Each placer is asked what it holds, and refuses lower epochs from then on.
-   * code: coordination: Coordinator::OnReconcileAnswer */
+   * code: coordination: Engine::On(ReconcileAnswer) */
   :: atomic { ASKS && up && !ready && !(reconciled[0] && reconciled[1]) ->
        p = (reconciled[0] -> 1 : 0);
        reconciled[p] = 1; seenEpoch[p] = coordinatorEpoch;
@@ -369,7 +369,7 @@
 end:
   do
   /* An attempt is chosen and recorded; the frame goes out in a later step.
-   * code: coordination: Coordinator::Dispatch */
+   * code: coordination: Engine::Dispatch */
   :: atomic { up && ready && st[r] == ACCEPTED ->
        if
        :: attempt[r] != 0 -> place[r] = 1 - place[r]         /* a retry goes elsewhere */
@@ -385,11 +385,11 @@
 #endif
      }
   /* The start is sent, and sent again while it is unanswered.
-   * code: coordination: Coordinator::Dispatch */
+   * code: coordination: Engine::Dispatch */
   :: d_step { up && ready && st[r] == DISPATCHED && SAME_PLACER(r) &&
               held[AT(r, place[r])] == NONE && place_[AT(r, place[r])] == 0 -> Send(r) }
   /* The placer has restarted since: it is asked, not told to start.
-   * code: coordination: Coordinator::OnReconcileAnswer */
+   * code: coordination: Engine::On(ReconcileAnswer) */
   :: atomic { up && ready && st[r] == DISPATCHED && !SAME_PLACER(r) ->
        if
        :: seenEpoch[place[r]] < coordinatorEpoch -> seenEpoch[place[r]] = coordinatorEpoch
@@ -401,7 +401,7 @@
        fi }
 
   /* An update arrives; a finished attempt is journaled, then acknowledged.
-   * code: coordination: Coordinator::OnTaskUpdate */
+   * code: coordination: Engine::On(TaskUpdate) */
   :: atomic { up && ready && update[AT(r, 0)] != 0 -> TakeUpdate(0) }
   :: atomic { up && ready && update[AT(r, 1)] != 0 -> TakeUpdate(1) }
   od
@@ -412,7 +412,7 @@
 end:
   do
   /* A start arrives: it is declined for certain, or runs at once.
-   * code: placement: Placer::Handle(PlaceTasks) */
+   * code: placement: RequestIntake::Handle(PlaceTasks) */
   :: atomic { place_[AT(r, p)] != 0 ->
        if
        :: placeEpoch[AT(r, p)] >= seenEpoch[p] &&
@@ -438,12 +438,12 @@
        fi }
 
   /* The worker's task ends, or the worker is lost and its lease lapses.
-   * code: placement: Placer::Handle(WorkerReport), Placer::OnLeaseLapsed */
+   * code: placement: WorkerSupervisor::HandleReport, WorkerSupervisor::CheckSilence */
   :: d_step { RUNS(r, p) -> held[AT(r, p)] = ENDED }
   :: d_step { RUNS(r, p) && TROUBLED(r) && workersLost < MAX_WORKERS_LOST -> workersLost++; held[AT(r, p)] = GONE }
 
   /* What is held is reported until it is acknowledged.
-   * code: placement: Placer::Handle(WorkerReport) */
+   * code: placement: WorkerSupervisor::HandleReport */
   :: d_step { update[AT(r, p)] == 0 && held[AT(r, p)] >= ENDED && held[AT(r, p)] != TOMBSTONE &&
               up && ready && st[r] == DISPATCHED && place[r] == p && attempt[r] == heldAttempt[AT(r, p)] ->
        update[AT(r, p)] = held[AT(r, p)]; updateAttempt[AT(r, p)] = heldAttempt[AT(r, p)];
@@ -461,7 +461,7 @@
   do
   /* Restart: only what workers hold is left; frames to the earlier
    * incarnation are dropped.
-   * code: placement: Placer::OnFenceAccepted */
+   * code: placement: WorkerSupervisor::Settle */
   :: atomic { placerRestarts < MAX_PLACER_RESTARTS ->
        placerRestarts++; incarnation[p]++; seenEpoch[p] = 0;
        r = 0;
