Log placements and task updates with request, attempt, shard and epoch at debug level

Cause: an operator who follows one request needs its steps in the logs; they are built only when the level asks for them.

--- a/src/framework/internal/log.cpp
+++ b/src/framework/internal/log.cpp
@@ -1,4 +1,5 @@
 #include "framework/log.h"
+#include "framework/logfilter.h"
 
 #include <algorithm>
 #include <atomic>
@@ -101,6 +102,12 @@
   AppendPair(mLine, aKey, aValue);
 }
 
+bool
+IsLogged(LogLevel aLevel)
+{
+  return aLevel >= minimumLevel.load(std::memory_order_relaxed);
+}
+
 void
 SetLogLevel(LogLevel aLevel)
 {
--- a/src/node/internal/nodecore.cpp
+++ b/src/node/internal/nodecore.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "framework/stablehash.h"
+#include "node/internal/messagelog.h"
 
 namespace oriolevane::node {
 
@@ -55,6 +56,7 @@
 void
 NodeCore::ToPlacer(ShardId aShard, protocol::ToPlacer aMessage)
 {
+  LogMessage(aMessage);
   const std::optional<Owner> owner = mShardOwners.Find(aShard.mValue);
   if (!owner.has_value()) {
     return;
@@ -69,6 +71,7 @@
 void
 NodeCore::ToCoordinator(protocol::ToCoordinator aMessage)
 {
+  LogMessage(aMessage);
   const std::optional<Owner> owner =
     mPartitionOwners.Find(PartitionOf(aMessage).mValue);
   if (!owner.has_value()) {
