--- a/cmake/oriolemodule.cmake
+++ b/cmake/oriolemodule.cmake
@@ -28,6 +28,9 @@
 
 # oriole_test(NAME SOURCES ... LINKS ...): a CppUnit program <NAME>_test and its CTest entry <NAME>.
 function(oriole_test name)
+  if(NOT ORIOLE_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;LINKS;ARGUMENTS" ${ARGN})
   add_executable(${name}_test ${ARG_SOURCES})
   oriole_options(${name}_test)
--- /dev/null
+++ b/src/cellnode/internal/callerqueue.cpp
@@ -0,0 +1,104 @@
+#include "cellnode/internal/callerqueue.h"
+
+#include <utility>
+
+namespace oriolevane::cellnode {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A submission that no owner has seen is refused after this time.
+constexpr std::chrono::milliseconds kLongestWaitForOwner = 300ms;
+constexpr std::chrono::milliseconds kRetryWithoutOwner = 1000ms;
+// Other requests are answered by then, as their callers give up soon after.
+constexpr std::chrono::milliseconds kLongestWait = 2500ms;
+
+} // namespace
+
+CallId
+CallerQueue::Add(CallerRequest aRequest, CallerReply aReply, TimePoint aNow)
+{
+  ++mLastId.mValue;
+  mCalls.emplace(mLastId,
+                 Call{ .mRequest = std::move(aRequest),
+                       .mReply = std::move(aReply),
+                       .mArrivedAt = aNow });
+  return mLastId;
+}
+
+const CallerRequest*
+CallerQueue::Find(CallId aId) const
+{
+  const auto found = mCalls.find(aId);
+  return found == mCalls.end() ? nullptr : &found->second.mRequest;
+}
+
+void
+CallerQueue::MarkSent(CallId aId)
+{
+  const auto found = mCalls.find(aId);
+  if (found != mCalls.end()) {
+    found->second.mSent = true;
+    found->second.mEverSent = true;
+  }
+}
+
+void
+CallerQueue::Answer(CallId aId, const CallerAnswer& aAnswer)
+{
+  const auto found = mCalls.find(aId);
+  if (found == mCalls.end()) {
+    return;
+  }
+  const CallerReply reply = std::move(found->second.mReply);
+  mCalls.erase(found);
+  reply(aAnswer);
+}
+
+void
+CallerQueue::MarkAllUnsent()
+{
+  for (auto& [id, call] : mCalls) {
+    call.mSent = false;
+  }
+}
+
+std::vector<CallId>
+CallerQueue::Unsent() const
+{
+  std::vector<CallId> unsent;
+  for (const auto& [id, call] : mCalls) {
+    if (!call.mSent) {
+      unsent.push_back(id);
+    }
+  }
+  return unsent;
+}
+
+void
+CallerQueue::Expire(TimePoint aNow)
+{
+  std::vector<std::pair<CallId, CallerAnswer>> answers;
+  for (const auto& [id, call] : mCalls) {
+    const bool neverSent =
+      call.mRequest.mVerb == CallerVerb::Submit && !call.mEverSent;
+    if (neverSent && call.mArrivedAt + kLongestWaitForOwner <= aNow) {
+      answers.emplace_back(
+        id,
+        CallerAnswer{ .mKind = CallerAnswerKind::Refused,
+                      .mRetryAfter = kRetryWithoutOwner,
+                      .mMessage = "no node owns the shard at the moment" });
+    } else if (call.mArrivedAt + kLongestWait <= aNow) {
+      answers.emplace_back(
+        id,
+        CallerAnswer{ .mKind = CallerAnswerKind::Undetermined,
+                      .mMessage = "the owner of the shard does not answer" });
+    }
+  }
+  for (const auto& [id, answer] : answers) {
+    Answer(id, answer);
+  }
+}
+
+} // namespace oriolevane::cellnode
--- /dev/null
+++ b/src/cellnode/internal/callerqueue.h
@@ -0,0 +1,51 @@
+// Requests of callers at the node that took them, until they are answered.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cellnode/types/caller.h"
+#include "framework/types/ids.h"
+#include "framework/types/timepoint.h"
+
+namespace oriolevane::cellnode {
+
+using CallId = NumberId<struct CallIdTag, std::uint64_t>;
+
+// Deterministic. Requests go to the owner of the shard; all of them can be sent
+// again to the next one.
+class CallerQueue
+{
+public:
+  CallId Add(CallerRequest aRequest, CallerReply aReply, TimePoint aNow);
+  const CallerRequest* Find(CallId aId) const;
+  // The request is on its way to the owner.
+  void MarkSent(CallId aId);
+  void Answer(CallId aId, const CallerAnswer& aAnswer);
+  // The owner is gone: what was sent to it can be sent again.
+  void MarkAllUnsent();
+  // Those that are not on their way, oldest first.
+  std::vector<CallId> Unsent() const;
+  // Answers those that have waited too long.
+  void Expire(TimePoint aNow);
+  bool Empty() const { return mCalls.empty(); }
+
+private:
+  struct Call
+  {
+    CallerRequest mRequest;
+    CallerReply mReply;
+    TimePoint mArrivedAt;
+    bool mSent = false;
+    // An owner may have taken it in.
+    bool mEverSent = false;
+  };
+
+  std::map<CallId, Call> mCalls;
+  CallId mLastId;
+};
+
+} // namespace oriolevane::cellnode
--- /dev/null
+++ b/src/cellnode/internal/cellloader.cpp
@@ -0,0 +1,118 @@
+#include "cellnode/internal/cellloader.h"
+
+#include <utility>
+
+#include "cellnode/recordcodec.h"
+#include "framework/log.h"
+
+namespace oriolevane::cellnode {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds kReadTimeout = 900ms;
+constexpr std::chrono::milliseconds kRetryPause = 80ms;
+
+// Adds a decoded record to a list, or passes the error on.
+template<typename Record>
+absl::Status
+Take(absl::StatusOr<Record> aRecord, std::vector<Record>& aList)
+{
+  if (aRecord.ok()) {
+    aList.push_back(*std::move(aRecord));
+  }
+  return aRecord.status();
+}
+
+} // namespace
+
+CellLoader::CellLoader(eventloop::EventLoop& aLoop,
+                       const RowStoreHooks& aStore,
+                       std::string aPart,
+                       Done aDone)
+  : mLoop(aLoop)
+  , mStore(aStore)
+  , mPart(std::move(aPart))
+  , mDone(std::move(aDone))
+{
+  const std::map<std::string, TakeRow> tables{
+    { "jobs",
+      [this](const Row& aRow) {
+        return Take(DecodeJob(aRow.mValue), mRecords.mJobs);
+      } },
+    { "progress",
+      [this](const Row& aRow) {
+        return Take(DecodeProgress(aRow.mValue), mRecords.mProgress);
+      } },
+    { "finished",
+      [this](const Row& aRow) {
+        return Take(DecodeFinished(aRow.mValue), mRecords.mFinished);
+      } },
+    { "workers",
+      [this](const Row& aRow) {
+        return Take(DecodeWorker(aRow.mValue), mRecords.mWorkers);
+      } }
+  };
+  mTablesLeft = static_cast<int>(tables.size());
+  for (const auto& [name, take] : tables) {
+    ReadTable(name, "", take);
+  }
+}
+
+CellLoader::~CellLoader()
+{
+  *mAlive = false;
+}
+
+void
+CellLoader::ReadTable(const std::string& aTable,
+                      const std::string& aFrom,
+                      const TakeRow& aTake)
+{
+  mStore.mRead(
+    { .mTable = aTable, .mPart = mPart, .mFrom = aFrom },
+    kReadTimeout,
+    [this, alive = mAlive, aTable, aFrom, aTake](
+      const absl::StatusOr<RowPage>& aPage) {
+      if (*alive) {
+        OnPage(aTable, aFrom, aTake, aPage);
+      }
+    });
+}
+
+void
+CellLoader::OnPage(const std::string& aTable,
+                   const std::string& aFrom,
+                   const TakeRow& aTake,
+                   const absl::StatusOr<RowPage>& aPage)
+{
+  if (!aPage.ok()) {
+    LogWarning("load_failed")
+      .With("table", aTable)
+      .With("status", aPage.status().ToString());
+    mRetries.push_back(mLoop.MakeTimer([this, aTable, aFrom, aTake] {
+      ReadTable(aTable, aFrom, aTake);
+    }));
+    mRetries.back()->StartAfter(kRetryPause);
+    return;
+  }
+  for (const Row& row : aPage->mRows) {
+    const absl::Status taken = aTake(row);
+    if (!taken.ok()) {
+      LogError("record_unreadable")
+        .With("table", aTable)
+        .With("name", row.mKey.mName)
+        .With("status", taken.ToString());
+    }
+  }
+  if (aPage->mHasMore && !aPage->mRows.empty()) {
+    ReadTable(aTable, aPage->mRows.back().mKey.mName + '\x01', aTake);
+    return;
+  }
+  if (--mTablesLeft == 0) {
+    mDone(mRecords);
+  }
+}
+
+} // namespace oriolevane::cellnode
--- /dev/null
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -0,0 +1,752 @@
+#include "cellnode/internal/cellnodeimpl.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cellnode/recordcodec.h"
+#include "framework/log.h"
+
+namespace oriolevane::cellnode {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds kTickEvery = 50ms;
+constexpr std::chrono::milliseconds kHeartbeatEvery = 200ms;
+constexpr std::chrono::milliseconds kReadEvery = 150ms;
+constexpr std::chrono::milliseconds kReadTimeout = 700ms;
+constexpr std::chrono::milliseconds kTakeOverTimeout = 900ms;
+constexpr std::chrono::milliseconds kDialEvery = 600ms;
+constexpr std::chrono::milliseconds kAnnounceAgain = 500ms;
+// After the signal to stop, requests on open connections are still answered for
+// this share of the time that is left.
+constexpr double kServeShareOfGrace = 0.55;
+const std::string kShardPart = "s0";
+const std::string kNodeTable = "nodes";
+
+TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+std::uint32_t
+ToMillis(Duration aTime)
+{
+  const auto millis =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+  return static_cast<std::uint32_t>(
+    std::clamp<std::int64_t>(millis, 0, UINT32_MAX));
+}
+
+} // namespace
+
+CellNode::Impl::Impl(eventloop::EventLoop& aLoop,
+                     NodeOptions aOptions,
+                     RowStoreHooks aStore,
+                     UpstreamHooks aUpstreams,
+                     OutsideFormats aFormats)
+  : mLoop(aLoop)
+  , mOptions(std::move(aOptions))
+  , mStore(std::move(aStore))
+  , mUpstreams(std::move(aUpstreams))
+  , mFormats(std::move(aFormats))
+  , mPeers(aLoop,
+           { .mOnHello =
+               [this](const NodeId& aNode, const cellwire::HelloT& aHello) {
+                 OnHello(aNode, aHello);
+               },
+             .mOnMessage =
+               [this](const NodeId& aNode, const cellwire::MessageT& aMessage) {
+                 OnMessage(aNode, aMessage);
+               },
+             .mOnClosed = [this](const NodeId& aNode) { OnPeerClosed(aNode); } })
+  , mPolicy({ .mNode = mOptions.mNode,
+              .mProcessorShare = mOptions.mProcessorShare })
+{
+  mTimer = mLoop.MakeTimer([this] { Tick(); });
+  mConfigurationWatch = std::make_unique<TableWatch>(
+    mLoop,
+    mStore,
+    TableWatchOptions{ .mTable = mFormats.mConfigurationRow.mTable,
+                       .mPart = mFormats.mConfigurationRow.mPart },
+    TableWatchHooks{ .mOnRow = [this](const Row& aRow) { OnConfiguration(aRow); },
+                     .mOnRemoved = [](const std::string&) {},
+                     .mOnCurrent = {} });
+}
+
+CellNode::Impl::~Impl()
+{
+  *mAlive = false;
+}
+
+absl::Status
+CellNode::Impl::Start()
+{
+  const auto address = eventloop::ParseSocketAddress(mOptions.mPeerAddress);
+  if (!address.has_value()) {
+    return absl::InvalidArgumentError("not an address: " +
+                                      mOptions.mPeerAddress);
+  }
+  if (const absl::Status status = mPeers.Listen(*address); !status.ok()) {
+    return status;
+  }
+  SayHello();
+  mConfigurationWatch->Start();
+  Tick();
+  return absl::OkStatus();
+}
+
+void
+CellNode::Impl::Tick()
+{
+  const TimePoint now = Now();
+  mTimer->StartAfter(kTickEvery);
+  mEndedSessions.clear();
+  AnnounceNode();
+  if (mSession != nullptr) {
+    if (now >= mNextHeartbeat) {
+      mNextHeartbeat = now + kHeartbeatEvery;
+      SendHeartbeats();
+    }
+    DialMissing();
+  } else if (!mStopping) {
+    if (mPolicy.WantsRow(now)) {
+      ReadOwnerRow();
+    }
+    if (const auto version = mPolicy.WantsOwnership(now);
+        version.has_value()) {
+      TryToOwn(*version);
+    }
+  }
+  mCalls.Expire(now);
+  if (mStopping && mSession == nullptr && mCalls.Empty() &&
+      now >= mStopBegan + mOptions.mStopGrace * kServeShareOfGrace &&
+      mOnStopped) {
+    std::exchange(mOnStopped, nullptr)();
+  }
+}
+
+void
+CellNode::Impl::AnnounceNode()
+{
+  const TimePoint now = Now();
+  if (mAnnounced || mAnnouncing || now < mNextAnnounce) {
+    return;
+  }
+  mAnnouncing = true;
+  mStore.mCommit(
+    { .mConditions = {},
+      .mWrites = { { .mKey = { .mTable = kNodeTable,
+                               .mPart = "",
+                               .mName = mOptions.mNode.mValue },
+                     .mValue = mOptions.mPeerAddress } },
+      .mRemovals = {} },
+    kTakeOverTimeout,
+    [this, alive = mAlive](const absl::StatusOr<CommitAnswer>& aAnswer) {
+      if (!*alive) {
+        return;
+      }
+      mAnnouncing = false;
+      mAnnounced = aAnswer.ok() && aAnswer->mApplied;
+      mNextAnnounce = Now() + kAnnounceAgain;
+      if (!mAnnounced) {
+        LogWarning("announce_failed")
+          .With("status", aAnswer.status().ToString());
+      }
+    });
+}
+
+bool
+CellNode::Impl::IsOwnRow(const OwnerRow& aRow) const
+{
+  return aRow.mNode == mOptions.mNode &&
+         aRow.mIncarnation == mOptions.mIncarnation;
+}
+
+void
+CellNode::Impl::ReadOwnerRow()
+{
+  const TimePoint now = Now();
+  if (mReadingRow || mTakingOver || now < mNextRead) {
+    return;
+  }
+  mReadingRow = true;
+  mNextRead = now + kReadEvery;
+  mStore.mRead({ .mTable = CellJournal::OwnerKey(kShardPart).mTable,
+                 .mPart = kShardPart,
+                 .mFrom = "" },
+               kReadTimeout,
+               [this, alive = mAlive, now](const absl::StatusOr<RowPage>& aPage) {
+                 if (*alive) {
+                   mReadingRow = false;
+                   OnOwnerRow(aPage, now);
+                 }
+               });
+}
+
+void
+CellNode::Impl::OnOwnerRow(const absl::StatusOr<RowPage>& aPage,
+                           TimePoint aSentAt)
+{
+  if (!aPage.ok()) {
+    mPolicy.OnReadFailed();
+    return;
+  }
+  if (aPage->mRows.empty()) {
+    mPolicy.OnRowRead(std::nullopt, RowVersion(), Now());
+    return;
+  }
+  const Row& row = aPage->mRows.front();
+  const absl::StatusOr<OwnerRow> owner = DecodeOwner(row.mValue);
+  if (!owner.ok()) {
+    LogError("owner_row_unreadable")
+      .With("status", owner.status().ToString());
+    mPolicy.OnReadFailed();
+    return;
+  }
+  mPolicy.OnRowRead(*owner, row.mVersion, Now());
+  if (IsOwnRow(*owner) && !owner->mReleased) {
+    // An earlier attempt to own the shard succeeded and its answer was lost.
+    if (mSession == nullptr && owner->mEpoch > mEpoch) {
+      BeginSession(*owner, row.mVersion, aSentAt - kTakeOverTimeout);
+    }
+    return;
+  }
+  mEpoch = std::max(mEpoch, owner->mEpoch);
+  const auto address = eventloop::ParseSocketAddress(owner->mAddress);
+  if (address.has_value() && owner->mNode != mOptions.mNode &&
+      !mPeers.IsLinked(owner->mNode)) {
+    mPeers.Dial(*address);
+  }
+}
+
+void
+CellNode::Impl::TryToOwn(RowVersion aVersion)
+{
+  if (mTakingOver) {
+    return;
+  }
+  mTakingOver = true;
+  const std::optional<OwnerRow>& before = mPolicy.Row();
+  const OwnerRow row{
+    .mEpoch = Epoch(
+      (before.has_value() ? std::max(before->mEpoch, mEpoch) : mEpoch).mValue +
+      1),
+    .mNode = mOptions.mNode,
+    .mIncarnation = mOptions.mIncarnation,
+    .mAddress = mOptions.mPeerAddress,
+    .mSequence = 0,
+    .mReleased = false
+  };
+  LogInfo("taking_over")
+    .With("epoch", row.mEpoch)
+    .With("from", before.has_value() ? before->mNode.mValue : "")
+    .With("row_version", aVersion);
+  const RowKey key = CellJournal::OwnerKey(kShardPart);
+  const TimePoint sentAt = Now();
+  mStore.mCommit(
+    { .mConditions = { { .mKey = key, .mVersion = aVersion } },
+      .mWrites = { { .mKey = key, .mValue = Encode(row) } },
+      .mRemovals = {} },
+    kTakeOverTimeout,
+    [this, alive = mAlive, row, sentAt](
+      const absl::StatusOr<CommitAnswer>& aAnswer) {
+      if (!*alive) {
+        return;
+      }
+      mTakingOver = false;
+      if (aAnswer.ok() && aAnswer->mApplied) {
+        BeginSession(row, aAnswer->mVersion, sentAt);
+        return;
+      }
+      LogInfo("take_over_failed")
+        .With("epoch", row.mEpoch)
+        .With("status", aAnswer.status().ToString());
+      mPolicy.OnReadFailed();
+      mNextRead = {};
+    });
+}
+
+void
+CellNode::Impl::BeginSession(const OwnerRow& aRow,
+                             RowVersion aVersion,
+                             TimePoint aSince)
+{
+  LogInfo("owning")
+    .With("epoch", aRow.mEpoch)
+    .With("row_version", aVersion);
+  mEpoch = aRow.mEpoch;
+  mOwner = NodeId();
+  mSession = std::make_unique<OwnerSession>(
+    mLoop,
+    mOptions,
+    mStore,
+    mUpstreams,
+    mFormats,
+    aRow,
+    aVersion,
+    aSince,
+    OwnerSessionHooks{ .mOnLost = [this] { EndSession("lost"); },
+                       .mOnServing = [this] { SayHello(); },
+                       .mOnReleased = [this] { OnReleased(); },
+                       .mSendAdviceQuery =
+                         [this](const NodeId& aNode,
+                                QueryId aId,
+                                const jobs::AdviceQuery& aQuery) {
+                           SendQuery(aNode, aId, aQuery);
+                         } });
+  for (const NodeId& node : mPeers.Nodes()) {
+    mSession->AddAsker(node);
+  }
+  if (mConfiguration.has_value()) {
+    mSession->Configure(*mConfiguration);
+  }
+  mNodeWatch = std::make_unique<TableWatch>(
+    mLoop,
+    mStore,
+    TableWatchOptions{ .mTable = kNodeTable, .mPart = "", .mWait = 5000ms },
+    TableWatchHooks{ .mOnRow =
+                       [this](const Row& aRow) {
+                         mNodeAddresses[NodeId(aRow.mKey.mName)] = aRow.mValue;
+                       },
+                     .mOnRemoved =
+                       [this](const std::string& aName) {
+                         mNodeAddresses.erase(NodeId(aName));
+                       },
+                     .mOnCurrent = {} });
+  mNodeWatch->Start();
+  SayHello();
+  SendUnsentCalls();
+}
+
+void
+CellNode::Impl::EndSession(std::string_view aReason)
+{
+  if (mSession == nullptr) {
+    return;
+  }
+  LogWarning("not_owning").With("epoch", mEpoch).With("reason", aReason);
+  mSession->Halt();
+  mEndedSessions.push_back(std::move(mSession));
+  mNodeWatch.reset();
+  mNodeAddresses.clear();
+  mCalls.MarkAllUnsent();
+  mPolicy.OnOwnerGone(Now());
+  mNextRead = {};
+  SayHello();
+}
+
+void
+CellNode::Impl::OnReleased()
+{
+  const Epoch epoch = mEpoch;
+  EndSession("released");
+  for (const NodeId& node : mPeers.Nodes()) {
+    mPeers.Send(node, [epoch] {
+      cellwire::HandoverT handover;
+      handover.epoch = epoch.mValue;
+      return handover;
+    }());
+  }
+}
+
+void
+CellNode::Impl::SayHello()
+{
+  cellwire::HelloT hello;
+  hello.node = mOptions.mNode.mValue;
+  hello.address = mOptions.mPeerAddress;
+  hello.incarnation = mOptions.mIncarnation.mValue;
+  hello.epoch = mEpoch.mValue;
+  hello.owns = mSession != nullptr;
+  mPeers.SetHello(std::move(hello));
+}
+
+void
+CellNode::Impl::SendHeartbeats()
+{
+  const std::uint32_t age = ToMillis(mSession->StoreAge(Now()));
+  for (const NodeId& node : mPeers.Nodes()) {
+    cellwire::HeartbeatT heartbeat;
+    heartbeat.epoch = mEpoch.mValue;
+    heartbeat.owns = true;
+    heartbeat.store_age_ms = age;
+    mPeers.Send(node, std::move(heartbeat));
+  }
+}
+
+// Nodes that cannot reach the store learn of a new owner this way.
+void
+CellNode::Impl::DialMissing()
+{
+  const TimePoint now = Now();
+  if (now < mNextDial) {
+    return;
+  }
+  mNextDial = now + kDialEvery;
+  for (const auto& [node, text] : mNodeAddresses) {
+    const auto address = eventloop::ParseSocketAddress(text);
+    if (address.has_value() && node != mOptions.mNode &&
+        !mPeers.IsLinked(node)) {
+      mPeers.Dial(*address);
+    }
+  }
+}
+
+void
+CellNode::Impl::OnHello(const NodeId& aNode, const cellwire::HelloT& aHello)
+{
+  const Epoch epoch(aHello.epoch);
+  if (mSession != nullptr) {
+    if (aHello.owns && epoch > mEpoch) {
+      mEpoch = epoch;
+      EndSession("higher_epoch");
+    } else {
+      mSession->AddAsker(aNode);
+      return;
+    }
+  }
+  if (aHello.owns && epoch >= mEpoch) {
+    const bool changed = mOwner != aNode || mEpoch != epoch;
+    mEpoch = epoch;
+    mOwner = aNode;
+    mPolicy.OnOwnerHeard(epoch, Duration::zero(), Now());
+    if (changed) {
+      LogInfo("owner_found").With("owner", aNode).With("epoch", epoch);
+      mCalls.MarkAllUnsent();
+      SendUnsentCalls();
+    }
+    return;
+  }
+  const std::optional<OwnerRow>& row = mPolicy.Row();
+  if (!aHello.owns && row.has_value() && row->mNode == aNode &&
+      epoch >= row->mEpoch) {
+    mPolicy.OnOwnerDenied(row->mEpoch);
+  }
+  if (!aHello.owns && row.has_value() && row->mNode == aNode &&
+      row->mIncarnation != Incarnation(aHello.incarnation)) {
+    mPolicy.OnOwnerDenied(row->mEpoch);
+  }
+  if (!aHello.owns && mOwner == aNode) {
+    mOwner = NodeId();
+    mCalls.MarkAllUnsent();
+    mPolicy.OnOwnerGone(Now());
+    mNextRead = {};
+  }
+}
+
+void
+CellNode::Impl::OnPeerClosed(const NodeId& aNode)
+{
+  if (mSession != nullptr) {
+    mSession->RemoveAsker(aNode);
+    return;
+  }
+  if (mOwner == aNode) {
+    LogInfo("owner_link_closed").With("owner", aNode).With("epoch", mEpoch);
+    mOwner = NodeId();
+    mCalls.MarkAllUnsent();
+    mPolicy.OnOwnerGone(Now());
+    mNextRead = {};
+  }
+}
+
+void
+CellNode::Impl::OnMessage(const NodeId& aNode,
+                          const cellwire::MessageT& aMessage)
+{
+  switch (aMessage.body.type) {
+    case cellwire::Body::Heartbeat:
+      OnHeartbeat(aNode, *aMessage.body.AsHeartbeat());
+      break;
+    case cellwire::Body::Handover:
+      mPolicy.OnHandover(Epoch(aMessage.body.AsHandover()->epoch));
+      mNextRead = {};
+      break;
+    case cellwire::Body::CallerRequest:
+      OnPeerCall(aNode, *aMessage.body.AsCallerRequest());
+      break;
+    case cellwire::Body::CallerAnswer: {
+      const cellwire::CallerAnswerT& answer = *aMessage.body.AsCallerAnswer();
+      mCalls.Answer(
+        CallId(answer.id),
+        { .mKind = static_cast<CallerAnswerKind>(answer.kind),
+          .mState = static_cast<jobs::JobState>(answer.state),
+          .mCount = answer.count,
+          .mRetryAfter = std::chrono::milliseconds(answer.retry_after_ms),
+          .mMessage = answer.message });
+      break;
+    }
+    case cellwire::Body::AdviceQuery:
+      OnPeerQuery(aNode, *aMessage.body.AsAdviceQuery());
+      break;
+    case cellwire::Body::AdviceAnswer:
+      OnPeerAdvice(*aMessage.body.AsAdviceAnswer());
+      break;
+    case cellwire::Body::Hello:
+    case cellwire::Body::NONE:
+      break;
+  }
+}
+
+void
+CellNode::Impl::OnHeartbeat(const NodeId& aNode,
+                            const cellwire::HeartbeatT& aHeartbeat)
+{
+  const Epoch epoch(aHeartbeat.epoch);
+  if (mSession != nullptr || epoch < mEpoch || !aHeartbeat.owns) {
+    return;
+  }
+  if (mOwner != aNode) {
+    mOwner = aNode;
+    mEpoch = epoch;
+    SendUnsentCalls();
+  }
+  mPolicy.OnOwnerHeard(
+    epoch, std::chrono::milliseconds(aHeartbeat.store_age_ms), Now());
+}
+
+void
+CellNode::Impl::OnPeerCall(const NodeId& aNode,
+                           const cellwire::CallerRequestT& aCall)
+{
+  if (mSession == nullptr) {
+    // The sender looks for the owner again.
+    SayHello();
+    return;
+  }
+  const CallerRequest request{ .mVerb = static_cast<CallerVerb>(aCall.verb),
+                               .mHost = aCall.host,
+                               .mPath = aCall.path,
+                               .mBody = aCall.body,
+                               .mVersion =
+                                 ConfigurationVersion(aCall.configuration) };
+  mSession->Serve(
+    request,
+    [this, alive = mAlive, aNode, id = aCall.id](const CallerAnswer& aAnswer) {
+      if (!*alive) {
+        return;
+      }
+      cellwire::CallerAnswerT answer;
+      answer.id = id;
+      answer.kind = static_cast<std::uint8_t>(aAnswer.mKind);
+      answer.state = static_cast<std::uint8_t>(aAnswer.mState);
+      answer.count = aAnswer.mCount;
+      answer.retry_after_ms = ToMillis(aAnswer.mRetryAfter);
+      answer.message = aAnswer.mMessage;
+      mPeers.Send(aNode, std::move(answer));
+    });
+}
+
+void
+CellNode::Impl::SendQuery(const NodeId& aNode,
+                          QueryId aId,
+                          const jobs::AdviceQuery& aQuery)
+{
+  if (aNode == mOptions.mNode) {
+    mUpstreams.mAdvise(
+      aQuery,
+      [this, alive = mAlive, aId](const jobs::AdviceAnswer& aAnswer) {
+        if (*alive && mSession != nullptr) {
+          mSession->OnAdvice(aId, aAnswer);
+        }
+      });
+    return;
+  }
+  cellwire::AdviceQueryT query;
+  query.id = aId.mValue;
+  query.job = aQuery.mStep.mJob.mValue;
+  query.occurrence = aQuery.mStep.mOccurrence;
+  query.step = aQuery.mStep.mStep;
+  for (const WorkerId& worker : aQuery.mWorkers) {
+    query.workers.push_back(worker.mValue);
+  }
+  query.validity_ms = ToMillis(aQuery.mValidity);
+  mPeers.Send(aNode, std::move(query));
+}
+
+void
+CellNode::Impl::OnPeerQuery(const NodeId& aNode,
+                            const cellwire::AdviceQueryT& aQuery)
+{
+  jobs::AdviceQuery query{
+    .mStep = { .mJob = jobs::JobId(aQuery.job),
+               .mOccurrence = aQuery.occurrence,
+               .mStep = aQuery.step },
+    .mWorkers = {},
+    .mCost = {},
+    .mValidity = std::chrono::milliseconds(aQuery.validity_ms)
+  };
+  for (const std::string& worker : aQuery.workers) {
+    query.mWorkers.emplace_back(worker);
+  }
+  mUpstreams.mAdvise(
+    query,
+    [this, alive = mAlive, aNode, aQuery](const jobs::AdviceAnswer& aAnswer) {
+      if (!*alive) {
+        return;
+      }
+      cellwire::AdviceAnswerT answer;
+      answer.id = aQuery.id;
+      answer.job = aQuery.job;
+      answer.occurrence = aQuery.occurrence;
+      answer.step = aQuery.step;
+      answer.asked = aQuery.workers;
+      answer.answered = aAnswer.mAnswered;
+      answer.validity_ms = ToMillis(aAnswer.mValidity);
+      for (const jobs::AdviceTicket& ticket : aAnswer.mApproved) {
+        auto entry = std::make_unique<cellwire::TicketT>();
+        entry->worker = ticket.mWorker.mValue;
+        entry->text = ticket.mTicket;
+        answer.approved.push_back(std::move(entry));
+      }
+      mPeers.Send(aNode, std::move(answer));
+    });
+}
+
+void
+CellNode::Impl::OnPeerAdvice(const cellwire::AdviceAnswerT& aAnswer)
+{
+  if (mSession == nullptr) {
+    return;
+  }
+  jobs::AdviceAnswer answer{
+    .mStep = { .mJob = jobs::JobId(aAnswer.job),
+               .mOccurrence = aAnswer.occurrence,
+               .mStep = aAnswer.step },
+    .mAnswered = aAnswer.answered,
+    .mAsked = {},
+    .mApproved = {},
+    .mValidity = std::chrono::milliseconds(aAnswer.validity_ms)
+  };
+  for (const std::string& worker : aAnswer.asked) {
+    answer.mAsked.emplace_back(worker);
+  }
+  for (const std::unique_ptr<cellwire::TicketT>& ticket : aAnswer.approved) {
+    answer.mApproved.push_back(
+      { .mWorker = WorkerId(ticket->worker), .mTicket = ticket->text });
+  }
+  mSession->OnAdvice(QueryId(aAnswer.id), answer);
+}
+
+void
+CellNode::Impl::Handle(CallerRequest aRequest, CallerReply aReply)
+{
+  if (mConfiguration.has_value()) {
+    aRequest.mVersion = mConfiguration->mVersion;
+  }
+  SendCall(mCalls.Add(std::move(aRequest), std::move(aReply), Now()));
+}
+
+void
+CellNode::Impl::SendCall(CallId aId)
+{
+  const CallerRequest* request = mCalls.Find(aId);
+  if (request == nullptr) {
+    return;
+  }
+  if (mSession != nullptr) {
+    const CallerRequest copy = *request;
+    mCalls.MarkSent(aId);
+    mSession->Serve(copy,
+                    [this, alive = mAlive, aId](const CallerAnswer& aAnswer) {
+                      if (*alive) {
+                        mCalls.Answer(aId, aAnswer);
+                      }
+                    });
+    return;
+  }
+  if (mOwner.Empty()) {
+    return;
+  }
+  cellwire::CallerRequestT call;
+  call.id = aId.mValue;
+  call.verb = static_cast<std::uint8_t>(request->mVerb);
+  call.host = request->mHost;
+  call.path = request->mPath;
+  call.body = request->mBody;
+  call.configuration = request->mVersion.mValue;
+  if (mPeers.Send(mOwner, std::move(call))) {
+    mCalls.MarkSent(aId);
+  }
+}
+
+void
+CellNode::Impl::SendUnsentCalls()
+{
+  for (const CallId id : mCalls.Unsent()) {
+    SendCall(id);
+  }
+}
+
+void
+CellNode::Impl::OnConfiguration(const Row& aRow)
+{
+  if (aRow.mKey.mName != mFormats.mConfigurationRow.mName) {
+    return;
+  }
+  absl::StatusOr<jobs::CellConfiguration> configuration =
+    mFormats.mDecodeConfiguration(aRow.mValue);
+  if (!configuration.ok()) {
+    LogError("configuration_refused")
+      .With("row_version", aRow.mVersion)
+      .With("status", configuration.status().ToString());
+    return;
+  }
+  if (mConfiguration.has_value() &&
+      configuration->mVersion < mConfiguration->mVersion) {
+    return;
+  }
+  LogInfo("configuration_in_force")
+    .With("version", configuration->mVersion)
+    .With("queues", configuration->mQueues.size());
+  mConfiguration = *std::move(configuration);
+  if (mSession != nullptr) {
+    mSession->Configure(*mConfiguration);
+  }
+}
+
+bool
+CellNode::Impl::IsReady() const
+{
+  if (mStopping || !mConfiguration.has_value()) {
+    return false;
+  }
+  return mSession != nullptr ? mSession->IsServing() : !mOwner.Empty();
+}
+
+void
+CellNode::Impl::Stop(std::function<void()> aDone)
+{
+  if (mStopping) {
+    return;
+  }
+  mStopping = true;
+  mStopBegan = Now();
+  mOnStopped = std::move(aDone);
+  if (mSession != nullptr) {
+    mSession->Release();
+  }
+}
+
+NodeStatus
+CellNode::Impl::Status() const
+{
+  NodeStatus status;
+  status.mOwnsShard = mSession != nullptr;
+  status.mEpoch = mEpoch;
+  status.mLinks = mPeers.Nodes().size();
+  if (mConfiguration.has_value()) {
+    status.mVersion = mConfiguration->mVersion;
+  }
+  if (mSession != nullptr) {
+    status.mCounts = mSession->Counts();
+    status.mStoreAge = std::chrono::duration_cast<std::chrono::milliseconds>(
+      mSession->StoreAge(Now()));
+  }
+  return status;
+}
+
+} // namespace oriolevane::cellnode
--- /dev/null
+++ b/src/cellnode/internal/ownershippolicy.cpp
@@ -0,0 +1,115 @@
+#include "cellnode/ownershippolicy.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "framework/stablehash.h"
+
+namespace oriolevane::cellnode {
+
+namespace {
+
+// Nodes below this share of a core wait longer, as owning costs processor time.
+constexpr double kAmpleShare = 0.5;
+
+} // namespace
+
+OwnershipPolicy::OwnershipPolicy(OwnershipOptions aOptions)
+  : mOptions(std::move(aOptions))
+{
+}
+
+void
+OwnershipPolicy::OnOwnerHeard(Epoch aEpoch, Duration aStoreAge, TimePoint aNow)
+{
+  if (mRow.has_value() && aEpoch < mRow->mEpoch) {
+    return;
+  }
+  mHeardAt = aNow;
+  mStoreAge = aStoreAge;
+}
+
+void
+OwnershipPolicy::OnOwnerGone(TimePoint)
+{
+  mHeardAt.reset();
+}
+
+void
+OwnershipPolicy::OnOwnerDenied(Epoch aEpoch)
+{
+  mDeniedEpoch = std::max(mDeniedEpoch, aEpoch);
+}
+
+void
+OwnershipPolicy::OnHandover(Epoch aEpoch)
+{
+  mHandoverEpoch = std::max(mHandoverEpoch, aEpoch);
+  mHeardAt.reset();
+}
+
+void
+OwnershipPolicy::OnRowRead(const std::optional<OwnerRow>& aRow,
+                           RowVersion aVersion,
+                           TimePoint aNow)
+{
+  if (!mRowKnown || aVersion != mVersion) {
+    mUnchangedSince = aNow;
+  }
+  mRowKnown = true;
+  mRow = aRow;
+  mVersion = aVersion;
+}
+
+void
+OwnershipPolicy::OnReadFailed()
+{
+  // How long the row has stayed the same is not known any more.
+  mRowKnown = false;
+}
+
+bool
+OwnershipPolicy::WantsRow(TimePoint aNow) const
+{
+  if (!mHeardAt.has_value() || *mHeardAt + mOptions.mSilence <= aNow) {
+    return true;
+  }
+  return mStoreAge >= mOptions.mStoreSilence;
+}
+
+Duration
+OwnershipPolicy::Delay() const
+{
+  const std::uint64_t epoch = mRow.has_value() ? mRow->mEpoch.mValue : 0;
+  const std::uint64_t hash = StableHash(mOptions.mNode.mValue, epoch);
+  constexpr std::uint64_t kSteps = 1024;
+  const Duration turn = mOptions.mSpread * (hash % kSteps) / kSteps;
+  const double lack =
+    std::max(0.0, kAmpleShare - mOptions.mProcessorShare) / kAmpleShare;
+  return turn +
+         std::chrono::duration_cast<Duration>(2 * mOptions.mSpread * lack);
+}
+
+std::optional<RowVersion>
+OwnershipPolicy::WantsOwnership(TimePoint aNow) const
+{
+  if (!mRowKnown || !WantsRow(aNow)) {
+    return std::nullopt;
+  }
+  Duration wait = Delay();
+  if (mRow.has_value()) {
+    const bool vacant =
+      mRow->mReleased || mDeniedEpoch >= mRow->mEpoch;
+    if (mHandoverEpoch >= mRow->mEpoch && mRow->mReleased) {
+      wait = Duration::zero();
+    } else if (!vacant) {
+      wait += mOptions.mUnchanged;
+    }
+  }
+  if (mUnchangedSince + wait > aNow) {
+    return std::nullopt;
+  }
+  return mVersion;
+}
+
+} // namespace oriolevane::cellnode
--- /dev/null
+++ b/src/cellnode/internal/recordcodec.cpp
@@ -0,0 +1,332 @@
+#include "cellnode/recordcodec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace oriolevane::cellnode {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+json
+ToJson(const Resources& aResources)
+{
+  return json::array({ aResources.mMilliCores,
+                       aResources.mMemoryMiB,
+                       aResources.mAccelerators });
+}
+
+Resources
+ResourcesFrom(const json& aValue)
+{
+  return { .mMilliCores = aValue.at(0).get<std::int64_t>(),
+           .mMemoryMiB = aValue.at(1).get<std::int64_t>(),
+           .mAccelerators = aValue.at(2).get<std::int64_t>() };
+}
+
+json
+ToJson(const jobs::QueuePolicy& aQueue)
+{
+  json value{ { "name", aQueue.mName.mValue },
+              { "host", aQueue.mHost },
+              { "prefix", aQueue.mPathPrefix },
+              { "pool", aQueue.mPool.mValue },
+              { "priority", aQueue.mPriority },
+              { "attempts", aQueue.mMostAttempts },
+              { "stretch", aQueue.mStretch },
+              { "target_ms", aQueue.mLatencyTarget.count() } };
+  if (aQueue.mAdvice.has_value()) {
+    value["advice"] = json::array({ aQueue.mAdvice->mDecisionTime.count(),
+                                    aQueue.mAdvice->mTimePerWorker.count(),
+                                    aQueue.mAdvice->mValidity.count() });
+  }
+  return value;
+}
+
+jobs::QueuePolicy
+QueueFrom(const json& aValue)
+{
+  jobs::QueuePolicy queue{
+    .mName = jobs::QueueName(aValue.at("name").get<std::string>()),
+    .mHost = aValue.at("host").get<std::string>(),
+    .mPathPrefix = aValue.at("prefix").get<std::string>(),
+    .mPool = jobs::PoolName(aValue.at("pool").get<std::string>()),
+    .mPriority = aValue.at("priority").get<int>(),
+    .mMostAttempts = aValue.at("attempts").get<int>(),
+    .mStretch = aValue.at("stretch").get<double>(),
+    .mLatencyTarget = milliseconds(aValue.at("target_ms").get<std::int64_t>()),
+    .mAdvice = {}
+  };
+  if (const auto advice = aValue.find("advice"); advice != aValue.end()) {
+    queue.mAdvice = jobs::AdvicePolicy{
+      .mDecisionTime = microseconds(advice->at(0).get<std::int64_t>()),
+      .mTimePerWorker = microseconds(advice->at(1).get<std::int64_t>()),
+      .mValidity = milliseconds(advice->at(2).get<std::int64_t>())
+    };
+  }
+  return queue;
+}
+
+// Fields at their usual value are left out, to keep rows small.
+json
+ToJson(const jobs::StepSpec& aStep)
+{
+  json value{ { "count", aStep.mTaskCount },
+              { "resources", ToJson(aStep.mResources) },
+              { "estimate_ms", aStep.mEstimate.count() } };
+  const auto flag = [&value](const char* aName, bool aSet) {
+    if (aSet) {
+      value[aName] = true;
+    }
+  };
+  const auto text = [&value](const char* aName, const std::string& aText) {
+    if (!aText.empty()) {
+      value[aName] = aText;
+    }
+  };
+  const auto number = [&value](const char* aName, std::int64_t aNumber) {
+    if (aNumber != 0) {
+      value[aName] = aNumber;
+    }
+  };
+  if (!aStep.mAfter.empty()) {
+    value["after"] = aStep.mAfter;
+  }
+  flag("checkpointing", aStep.mCheckpointing);
+  flag("gang", aStep.mGang);
+  flag("rack_sensitive", aStep.mRackSensitive);
+  text("label", aStep.mRequiredLabel);
+  text("data_rack", aStep.mDataRack);
+  number("most_per_worker", aStep.mMostPerWorker);
+  flag("speculative", aStep.mSpeculative);
+  flag("long_running", aStep.mLongRunning);
+  text("image", aStep.mImage);
+  number("tail_target_ms", aStep.mTailTarget.count());
+  flag("spare_processors", aStep.mUsesSpareProcessors);
+  number("tolerable_misses", aStep.mTolerableMisses);
+  return value;
+}
+
+jobs::StepSpec
+StepFrom(const json& aValue)
+{
+  jobs::StepSpec step;
+  step.mTaskCount = aValue.at("count").get<int>();
+  step.mResources = ResourcesFrom(aValue.at("resources"));
+  step.mEstimate = milliseconds(aValue.at("estimate_ms").get<std::int64_t>());
+  step.mAfter = aValue.value("after", std::vector<int>());
+  step.mCheckpointing = aValue.value("checkpointing", false);
+  step.mGang = aValue.value("gang", false);
+  step.mRackSensitive = aValue.value("rack_sensitive", false);
+  step.mRequiredLabel = aValue.value("label", "");
+  step.mDataRack = aValue.value("data_rack", "");
+  step.mMostPerWorker = aValue.value("most_per_worker", 0);
+  step.mSpeculative = aValue.value("speculative", false);
+  step.mLongRunning = aValue.value("long_running", false);
+  step.mImage = aValue.value("image", "");
+  step.mTailTarget =
+    milliseconds(aValue.value("tail_target_ms", std::int64_t{ 0 }));
+  step.mUsesSpareProcessors = aValue.value("spare_processors", false);
+  step.mTolerableMisses = aValue.value("tolerable_misses", 0);
+  return step;
+}
+
+json
+ToJson(const jobs::TaskProgress& aTask)
+{
+  return json::array({ aTask.mIndex,
+                       aTask.mSucceeded,
+                       aTask.mFailures,
+                       aTask.mLastFailedRun.mValue,
+                       aTask.mLastRun.mValue,
+                       aTask.mCheckpoint });
+}
+
+jobs::TaskProgress
+TaskFrom(const json& aValue)
+{
+  return { .mIndex = aValue.at(0).get<int>(),
+           .mSucceeded = aValue.at(1).get<bool>(),
+           .mFailures = aValue.at(2).get<int>(),
+           .mLastFailedRun =
+             jobs::RunNumber(aValue.at(3).get<std::uint64_t>()),
+           .mLastRun = jobs::RunNumber(aValue.at(4).get<std::uint64_t>()),
+           .mCheckpoint = aValue.at(5).get<std::string>() };
+}
+
+// Runs a reader over the parsed text; what it throws becomes a status.
+template<typename Value, typename Reader>
+absl::StatusOr<Value>
+Decode(std::string_view aText, const Reader& aReader)
+{
+  try {
+    return aReader(json::parse(aText));
+  } catch (const json::exception& error) {
+    return absl::DataLossError(error.what());
+  }
+}
+
+} // namespace
+
+std::string
+Encode(const jobs::JobRecord& aRecord)
+{
+  json steps = json::array();
+  for (const jobs::StepSpec& step : aRecord.mSpec.mSteps) {
+    steps.push_back(ToJson(step));
+  }
+  json value{ { "id", aRecord.mId.mValue },
+              { "queue", ToJson(aRecord.mQueue) },
+              { "payload", aRecord.mSpec.mPayload },
+              { "steps", std::move(steps) },
+              { "accepted_ms", aRecord.mAcceptedAt.count() } };
+  if (aRecord.mSpec.mRepetition.has_value()) {
+    value["repeat"] = { aRecord.mSpec.mRepetition->mCount,
+                        aRecord.mSpec.mRepetition->mFirstDue.count(),
+                        aRecord.mSpec.mRepetition->mInterval.count() };
+  }
+  return value.dump();
+}
+
+absl::StatusOr<jobs::JobRecord>
+DecodeJob(std::string_view aText)
+{
+  return Decode<jobs::JobRecord>(aText, [](const json& aValue) {
+    jobs::JobRecord record;
+    record.mId = jobs::JobId(aValue.at("id").get<std::string>());
+    record.mQueue = QueueFrom(aValue.at("queue"));
+    record.mSpec.mPayload = aValue.at("payload").get<std::string>();
+    for (const json& step : aValue.at("steps")) {
+      record.mSpec.mSteps.push_back(StepFrom(step));
+    }
+    record.mAcceptedAt =
+      milliseconds(aValue.at("accepted_ms").get<std::int64_t>());
+    if (const auto repeat = aValue.find("repeat"); repeat != aValue.end()) {
+      record.mSpec.mRepetition = jobs::Repetition{
+        .mCount = repeat->at(0).get<int>(),
+        .mFirstDue = milliseconds(repeat->at(1).get<std::int64_t>()),
+        .mInterval = milliseconds(repeat->at(2).get<std::int64_t>())
+      };
+    }
+    return record;
+  });
+}
+
+std::string
+Encode(const jobs::ProgressRecord& aRecord)
+{
+  json steps = json::array();
+  for (const jobs::StepProgress& step : aRecord.mSteps) {
+    json tasks = json::array();
+    for (const jobs::TaskProgress& task : step.mTasks) {
+      tasks.push_back(ToJson(task));
+    }
+    steps.push_back(json::array({ step.mStep,
+                                  step.mGangFailures,
+                                  step.mLastFailedGangRun.mValue,
+                                  std::move(tasks) }));
+  }
+  return json{ { "job", aRecord.mJob.mValue },
+               { "occurrence", aRecord.mOccurrence },
+               { "finished", aRecord.mFinished },
+               { "steps", std::move(steps) } }
+    .dump();
+}
+
+absl::StatusOr<jobs::ProgressRecord>
+DecodeProgress(std::string_view aText)
+{
+  return Decode<jobs::ProgressRecord>(aText, [](const json& aValue) {
+    jobs::ProgressRecord record;
+    record.mJob = jobs::JobId(aValue.at("job").get<std::string>());
+    record.mOccurrence = aValue.at("occurrence").get<int>();
+    record.mFinished = aValue.at("finished").get<bool>();
+    for (const json& entry : aValue.at("steps")) {
+      jobs::StepProgress step;
+      step.mStep = entry.at(0).get<int>();
+      step.mGangFailures = entry.at(1).get<int>();
+      step.mLastFailedGangRun =
+        jobs::RunNumber(entry.at(2).get<std::uint64_t>());
+      for (const json& task : entry.at(3)) {
+        step.mTasks.push_back(TaskFrom(task));
+      }
+      record.mSteps.push_back(std::move(step));
+    }
+    return record;
+  });
+}
+
+std::string
+Encode(const jobs::FinishedRecord& aRecord)
+{
+  return json{ { "id", aRecord.mId.mValue },
+               { "state", static_cast<int>(aRecord.mState) },
+               { "finished_ms", aRecord.mFinishedAt.count() } }
+    .dump();
+}
+
+absl::StatusOr<jobs::FinishedRecord>
+DecodeFinished(std::string_view aText)
+{
+  return Decode<jobs::FinishedRecord>(aText, [](const json& aValue) {
+    return jobs::FinishedRecord{
+      .mId = jobs::JobId(aValue.at("id").get<std::string>()),
+      .mState = static_cast<jobs::JobState>(aValue.at("state").get<int>()),
+      .mFinishedAt =
+        milliseconds(aValue.at("finished_ms").get<std::int64_t>())
+    };
+  });
+}
+
+std::string
+Encode(const jobs::WorkerRecord& aRecord)
+{
+  return json{ { "id", aRecord.mId.mValue },
+               { "address", aRecord.mAddress },
+               { "pool", aRecord.mPool.mValue } }
+    .dump();
+}
+
+absl::StatusOr<jobs::WorkerRecord>
+DecodeWorker(std::string_view aText)
+{
+  return Decode<jobs::WorkerRecord>(aText, [](const json& aValue) {
+    return jobs::WorkerRecord{
+      .mId = WorkerId(aValue.at("id").get<std::string>()),
+      .mAddress = aValue.at("address").get<std::string>(),
+      .mPool = jobs::PoolName(aValue.at("pool").get<std::string>())
+    };
+  });
+}
+
+std::string
+Encode(const OwnerRow& aRow)
+{
+  return json{ { "epoch", aRow.mEpoch.mValue },
+               { "node", aRow.mNode.mValue },
+               { "incarnation", aRow.mIncarnation.mValue },
+               { "address", aRow.mAddress },
+               { "sequence", aRow.mSequence },
+               { "released", aRow.mReleased } }
+    .dump();
+}
+
+absl::StatusOr<OwnerRow>
+DecodeOwner(std::string_view aText)
+{
+  return Decode<OwnerRow>(aText, [](const json& aValue) {
+    return OwnerRow{
+      .mEpoch = Epoch(aValue.at("epoch").get<std::uint64_t>()),
+      .mNode = NodeId(aValue.at("node").get<std::string>()),
+      .mIncarnation =
+        Incarnation(aValue.at("incarnation").get<std::uint64_t>()),
+      .mAddress = aValue.at("address").get<std::string>(),
+      .mSequence = aValue.at("sequence").get<std::uint64_t>(),
+      .mReleased = aValue.at("released").get<bool>()
+    };
+  });
+}
+
+} // namespace oriolevane::cellnode
--- /dev/null
+++ b/src/cellnode/internal/tablewatch.cpp
@@ -0,0 +1,159 @@
+#include "cellnode/internal/tablewatch.h"
+
+#include <utility>
+
+#include "framework/log.h"
+
+namespace oriolevane::cellnode {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds kReadTimeout = 800ms;
+constexpr std::chrono::milliseconds kRetryPause = 200ms;
+
+} // namespace
+
+TableWatch::TableWatch(eventloop::EventLoop& aLoop,
+                       const RowStoreHooks& aStore,
+                       TableWatchOptions aOptions,
+                       TableWatchHooks aHooks)
+  : mStore(aStore)
+  , mOptions(std::move(aOptions))
+  , mHooks(std::move(aHooks))
+{
+  mTimer = aLoop.MakeTimer([this] {
+    if (mCurrent) {
+      Follow();
+    } else {
+      Start();
+    }
+  });
+}
+
+TableWatch::~TableWatch()
+{
+  *mAlive = false;
+}
+
+void
+TableWatch::Start()
+{
+  mCurrent = false;
+  mSeen.clear();
+  mReadVersion = {};
+  ReadFrom("");
+}
+
+void
+TableWatch::RetryLater()
+{
+  mTimer->StartAfter(kRetryPause);
+}
+
+void
+TableWatch::ReadFrom(const std::string& aName)
+{
+  mStore.mRead({ .mTable = mOptions.mTable,
+                 .mPart = mOptions.mPart,
+                 .mFrom = aName },
+               kReadTimeout,
+               [this, alive = mAlive](const absl::StatusOr<RowPage>& aPage) {
+                 if (!*alive) {
+                   return;
+                 }
+                 if (!aPage.ok()) {
+                   LogWarning("table_read_failed")
+                     .With("table", mOptions.mTable)
+                     .With("status", aPage.status().ToString());
+                   RetryLater();
+                   return;
+                 }
+                 OnPage(*aPage);
+               });
+}
+
+void
+TableWatch::OnPage(const RowPage& aPage)
+{
+  if (mReadVersion == RowVersion()) {
+    // Changes during later pages are fed again.
+    mReadVersion = aPage.mVersion;
+  }
+  for (const Row& row : aPage.mRows) {
+    mSeen[row.mKey.mName] = row.mVersion;
+    RowVersion& known = mKnown[row.mKey.mName];
+    if (known < row.mVersion) {
+      known = row.mVersion;
+      mHooks.mOnRow(row);
+    }
+  }
+  if (aPage.mHasMore && !aPage.mRows.empty()) {
+    ReadFrom(aPage.mRows.back().mKey.mName + '\x01');
+    return;
+  }
+  for (auto entry = mKnown.begin(); entry != mKnown.end();) {
+    if (mSeen.contains(entry->first)) {
+      ++entry;
+      continue;
+    }
+    const std::string name = entry->first;
+    entry = mKnown.erase(entry);
+    mHooks.mOnRemoved(name);
+  }
+  mVersion = mReadVersion;
+  mCurrent = true;
+  if (mHooks.mOnCurrent) {
+    mHooks.mOnCurrent();
+  }
+  mTimer->StartAfter(mOptions.mPause);
+}
+
+void
+TableWatch::Follow()
+{
+  mStore.mFeed({ .mTable = mOptions.mTable,
+                 .mAfter = mVersion,
+                 .mWait = mOptions.mWait },
+               mOptions.mWait + kReadTimeout,
+               [this, alive = mAlive](const absl::StatusOr<RowPage>& aPage) {
+                 if (*alive) {
+                   OnChanges(aPage);
+                 }
+               });
+}
+
+void
+TableWatch::OnChanges(const absl::StatusOr<RowPage>& aPage)
+{
+  if (!aPage.ok()) {
+    LogInfo("table_feed_failed")
+      .With("table", mOptions.mTable)
+      .With("after", mVersion)
+      .With("status", aPage.status().ToString());
+    if (absl::IsOutOfRange(aPage.status())) {
+      Start();
+    } else {
+      RetryLater();
+    }
+    return;
+  }
+  mVersion = std::max(mVersion, aPage->mVersion);
+  for (const Row& row : aPage->mRows) {
+    if (row.mKey.mPart != mOptions.mPart) {
+      continue;
+    }
+    if (row.mRemoved) {
+      if (mKnown.erase(row.mKey.mName) > 0) {
+        mHooks.mOnRemoved(row.mKey.mName);
+      }
+      continue;
+    }
+    mKnown[row.mKey.mName] = row.mVersion;
+    mHooks.mOnRow(row);
+  }
+  mTimer->StartAfter(mOptions.mPause);
+}
+
+} // namespace oriolevane::cellnode
--- /dev/null
+++ b/src/eventloop/internal/framelink.cpp
@@ -0,0 +1,182 @@
+#include "eventloop/framelink.h"
+
+#include <utility>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include "eventloop/internal/socketoptions.h"
+#include "framework/log.h"
+
+namespace oriolevane::eventloop {
+
+namespace {
+
+constexpr std::chrono::seconds kUnacknowledgedLimit{ 2 };
+constexpr std::size_t kLengthBytes = sizeof(std::uint32_t);
+
+} // namespace
+
+FrameLink::FrameLink(EventLoop& aLoop, int aSocket)
+  : mLoop(aLoop)
+  , mStream(bufferevent_socket_new(aLoop.Base(),
+                                   aSocket,
+                                   BEV_OPT_CLOSE_ON_FREE |
+                                     BEV_OPT_DEFER_CALLBACKS))
+{
+  SetStreamOptions(aSocket, kUnacknowledgedLimit);
+  Enable();
+}
+
+FrameLink::FrameLink(EventLoop& aLoop, const SocketAddress& aAddress)
+  : mLoop(aLoop)
+  , mStream(bufferevent_socket_new(aLoop.Base(),
+                                   -1,
+                                   BEV_OPT_CLOSE_ON_FREE |
+                                     BEV_OPT_DEFER_CALLBACKS))
+{
+  Enable();
+  sockaddr_in address{};
+  if (!ToSockaddr(aAddress, address) ||
+      bufferevent_socket_connect(mStream,
+                                 reinterpret_cast<sockaddr*>(&address),
+                                 sizeof(address)) != 0) {
+    LogWarning("link_connect_failed").With("address", aAddress.ToText());
+    mLoop.Post([this] { Fail(); });
+    return;
+  }
+  SetStreamOptions(bufferevent_getfd(mStream), kUnacknowledgedLimit);
+}
+
+FrameLink::~FrameLink()
+{
+  Close();
+}
+
+void
+FrameLink::Enable()
+{
+  bufferevent_setcb(
+    mStream, &FrameLink::OnReadable, nullptr, &FrameLink::OnEvent, this);
+  bufferevent_enable(mStream, EV_READ | EV_WRITE);
+}
+
+void
+FrameLink::Send(std::string_view aFrame)
+{
+  if (mStream == nullptr) {
+    return;
+  }
+  const std::uint32_t length = htonl(static_cast<std::uint32_t>(aFrame.size()));
+  bufferevent_write(mStream, &length, kLengthBytes);
+  bufferevent_write(mStream, aFrame.data(), aFrame.size());
+}
+
+void
+FrameLink::Close()
+{
+  if (mStream != nullptr) {
+    bufferevent_free(std::exchange(mStream, nullptr));
+  }
+}
+
+void
+FrameLink::Fail()
+{
+  Close();
+  if (mHooks.mOnClosed) {
+    // Copied, as the owner may replace the hooks.
+    const std::function<void()> closed = mHooks.mOnClosed;
+    closed();
+  }
+}
+
+void
+FrameLink::OnReadable(bufferevent*, void* aContext)
+{
+  static_cast<FrameLink*>(aContext)->TakeFrames();
+}
+
+void
+FrameLink::OnEvent(bufferevent*, short aEvents, void* aContext)
+{
+  if ((aEvents & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+    static_cast<FrameLink*>(aContext)->Fail();
+  }
+}
+
+void
+FrameLink::TakeFrames()
+{
+  while (mStream != nullptr) {
+    evbuffer* input = bufferevent_get_input(mStream);
+    std::uint32_t length = 0;
+    if (evbuffer_copyout(input, &length, kLengthBytes) <
+        static_cast<ev_ssize_t>(kLengthBytes)) {
+      return;
+    }
+    length = ntohl(length);
+    if (length > kMostFrameBytes) {
+      LogWarning("link_frame_refused").With("bytes", length);
+      Fail();
+      return;
+    }
+    if (evbuffer_get_length(input) < kLengthBytes + length) {
+      return;
+    }
+    std::string frame(length, '\0');
+    evbuffer_drain(input, kLengthBytes);
+    evbuffer_remove(input, frame.data(), frame.size());
+    if (mHooks.mOnFrame) {
+      mHooks.mOnFrame(frame);
+    }
+  }
+}
+
+FrameListener::FrameListener(EventLoop& aLoop, AcceptHook aOnAccept)
+  : mLoop(aLoop)
+  , mOnAccept(std::move(aOnAccept))
+{
+}
+
+FrameListener::~FrameListener()
+{
+  if (mListener != nullptr) {
+    evconnlistener_free(mListener);
+  }
+}
+
+absl::Status
+FrameListener::Listen(const SocketAddress& aAddress)
+{
+  sockaddr_in address{};
+  if (!ToSockaddr(aAddress, address)) {
+    return absl::InvalidArgumentError("not an address: " + aAddress.ToText());
+  }
+  constexpr int kBacklog = 256;
+  const auto accept = [](evconnlistener*,
+                         evutil_socket_t aSocket,
+                         sockaddr*,
+                         int,
+                         void* aContext) {
+    auto* listener = static_cast<FrameListener*>(aContext);
+    listener->mOnAccept(std::make_unique<FrameLink>(listener->mLoop, aSocket));
+  };
+  mListener = evconnlistener_new_bind(mLoop.Base(),
+                                      accept,
+                                      this,
+                                      LEV_OPT_CLOSE_ON_FREE |
+                                        LEV_OPT_REUSEABLE,
+                                      kBacklog,
+                                      reinterpret_cast<sockaddr*>(&address),
+                                      sizeof(address));
+  if (mListener == nullptr) {
+    return absl::UnavailableError("cannot listen on " + aAddress.ToText());
+  }
+  return absl::OkStatus();
+}
+
+} // namespace oriolevane::eventloop
--- /dev/null
+++ b/src/eventloop/internal/httpserver.cpp
@@ -0,0 +1,186 @@
+#include "eventloop/httpserver.h"
+
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+
+#include "eventloop/internal/socketoptions.h"
+#include "framework/log.h"
+
+namespace oriolevane::eventloop {
+
+namespace {
+
+constexpr std::chrono::seconds kUnacknowledgedLimit{ 10 };
+
+std::optional<HttpMethod>
+MethodOf(evhttp_request* aRequest)
+{
+  switch (evhttp_request_get_command(aRequest)) {
+    case EVHTTP_REQ_GET:
+      return HttpMethod::Get;
+    case EVHTTP_REQ_POST:
+      return HttpMethod::Post;
+    case EVHTTP_REQ_PUT:
+      return HttpMethod::Put;
+    case EVHTTP_REQ_DELETE:
+      return HttpMethod::Delete;
+    default:
+      return std::nullopt;
+  }
+}
+
+std::string
+BodyOf(evhttp_request* aRequest)
+{
+  evbuffer* buffer = evhttp_request_get_input_buffer(aRequest);
+  std::string body(evbuffer_get_length(buffer), '\0');
+  evbuffer_remove(buffer, body.data(), body.size());
+  return body;
+}
+
+std::string
+HostOf(evhttp_request* aRequest)
+{
+  const char* header =
+    evhttp_find_header(evhttp_request_get_input_headers(aRequest), "Host");
+  const std::string host = header == nullptr ? "" : header;
+  return host.substr(0, host.find(':'));
+}
+
+} // namespace
+
+HttpServer::HttpServer(EventLoop& aLoop,
+                       HttpServerOptions aOptions,
+                       HttpHandler aHandler)
+  : mLoop(aLoop)
+  , mOptions(std::move(aOptions))
+  , mHandler(std::move(aHandler))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  *mAlive = false;
+  if (mHttp != nullptr) {
+    evhttp_free(mHttp);
+  }
+}
+
+absl::Status
+HttpServer::Listen()
+{
+  sockaddr_in address{};
+  if (!ToSockaddr(mOptions.mAddress, address)) {
+    return absl::InvalidArgumentError("not an address: " +
+                                      mOptions.mAddress.ToText());
+  }
+  constexpr int kBacklog = 1024;
+  evconnlistener* listener =
+    evconnlistener_new_bind(mLoop.Base(),
+                            nullptr,
+                            nullptr,
+                            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                            kBacklog,
+                            reinterpret_cast<sockaddr*>(&address),
+                            sizeof(address));
+  if (listener == nullptr) {
+    return absl::UnavailableError("cannot listen on " +
+                                  mOptions.mAddress.ToText());
+  }
+  mHttp = evhttp_new(mLoop.Base());
+  evhttp_set_allowed_methods(mHttp,
+                             EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+                               EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
+  evhttp_set_max_headers_size(mHttp,
+                              static_cast<ev_ssize_t>(mOptions.mMostHeaderBytes));
+  evhttp_set_max_body_size(mHttp,
+                           static_cast<ev_ssize_t>(mOptions.mMostBodyBytes));
+  evhttp_set_timeout(mHttp, static_cast<int>(mOptions.mIdleLimit.count()));
+  evhttp_set_gencb(mHttp, &HttpServer::OnRequest, this);
+  evhttp_bind_listener(mHttp, listener);
+  return absl::OkStatus();
+}
+
+void
+HttpServer::OnRequest(evhttp_request* aRequest, void* aContext)
+{
+  static_cast<HttpServer*>(aContext)->Handle(aRequest);
+}
+
+void
+HttpServer::OnConnectionClosed(evhttp_connection* aConnection, void* aContext)
+{
+  auto* server = static_cast<HttpServer*>(aContext);
+  std::erase_if(server->mPending, [aConnection](const auto& aEntry) {
+    return evhttp_request_get_connection(aEntry.second) == aConnection;
+  });
+}
+
+void
+HttpServer::Handle(evhttp_request* aRequest)
+{
+  evhttp_connection* connection = evhttp_request_get_connection(aRequest);
+  evhttp_connection_set_closecb(
+    connection, &HttpServer::OnConnectionClosed, this);
+  const int socket =
+    bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+  SetStreamOptions(socket, kUnacknowledgedLimit);
+  const std::optional<HttpMethod> method = MethodOf(aRequest);
+  const std::uint64_t serial = ++mLastSerial;
+  mPending.emplace(serial, aRequest);
+  HttpReply reply = [this, serial, alive = mAlive](HttpResponse aResponse) {
+    if (!*alive) {
+      return;
+    }
+    const auto entry = mPending.find(serial);
+    if (entry == mPending.end()) {
+      return;
+    }
+    evhttp_request* request = entry->second;
+    mPending.erase(entry);
+    Send(request, aResponse);
+  };
+  if (!method.has_value()) {
+    reply({ .mStatus = 405, .mHeaders = {}, .mBody = {} });
+    return;
+  }
+  HttpRequest request{ .mMethod = *method,
+                       .mTarget = evhttp_request_get_uri(aRequest),
+                       .mHost = HostOf(aRequest),
+                       .mHeaders = {},
+                       .mBody = BodyOf(aRequest) };
+  for (const std::string& name : mOptions.mKeptHeaders) {
+    const char* value = evhttp_find_header(
+      evhttp_request_get_input_headers(aRequest), name.c_str());
+    if (value != nullptr) {
+      request.mHeaders.emplace(name, value);
+    }
+  }
+  mHandler(std::move(request), std::move(reply));
+}
+
+void
+HttpServer::Send(evhttp_request* aRequest, const HttpResponse& aResponse)
+{
+  evkeyvalq* headers = evhttp_request_get_output_headers(aRequest);
+  for (const auto& [name, value] : aResponse.mHeaders) {
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  }
+  if (!aResponse.mBody.empty()) {
+    evhttp_add_header(headers, "Content-Type", "application/json");
+  }
+  if (mClosing) {
+    evhttp_add_header(headers, "Connection", "close");
+  }
+  evbuffer* body = evbuffer_new();
+  evbuffer_add(body, aResponse.mBody.data(), aResponse.mBody.size());
+  evhttp_send_reply(aRequest, aResponse.mStatus, nullptr, body);
+  evbuffer_free(body);
+}
+
+} // namespace oriolevane::eventloop
--- a/src/framework/internal/log.cpp
+++ b/src/framework/internal/log.cpp
@@ -74,8 +74,11 @@
 } // namespace
 
 LogEvent::LogEvent(LogLevel aLevel, std::string_view aName)
-  : mLevel(aLevel)
+  : mWritten(IsLogged(aLevel))
 {
+  if (!mWritten) {
+    return;
+  }
   const auto now = std::chrono::floor<std::chrono::milliseconds>(
     std::chrono::system_clock::now());
   const auto millis = now.time_since_epoch().count() % 1000;
@@ -89,11 +92,12 @@
 
 LogEvent::~LogEvent()
 {
-  if (mLevel < minimumLevel.load(std::memory_order_relaxed)) {
+  if (!mWritten) {
     return;
   }
   mLine += '\n';
-  std::fwrite(mLine.data(), 1, mLine.size(), stderr);
+  std::fwrite(mLine.data(), 1, mLine.size(), stdout);
+  std::fflush(stdout);
 }
 
 void
--- a/src/framework/log.h
+++ b/src/framework/log.h
@@ -1,4 +1,4 @@
-// Structured logs: each event is one line of key=value pairs on standard error.
+// Structured logs: each event is one line of key=value pairs on standard output.
 #pragma once
 
 #include <string>
@@ -31,14 +31,17 @@
   template<typename Value>
   LogEvent& With(std::string_view aKey, const Value& aValue)
   {
-    Append(aKey, fmt::format("{}", aValue));
+    if (mWritten) {
+      Append(aKey, fmt::format("{}", aValue));
+    }
     return *this;
   }
 
 private:
   void Append(std::string_view aKey, std::string_view aValue);
 
-  LogLevel mLevel;
+  // False for events below the level that is logged.
+  bool mWritten;
   std::string mLine;
 };
 
--- /dev/null
+++ b/src/jobs/internal/job.cpp
@@ -0,0 +1,59 @@
+#include "jobs/internal/job.h"
+
+#include <algorithm>
+
+namespace oriolevane::jobs {
+
+bool
+Step::HasRuns() const
+{
+  return std::any_of(mTasks.begin(), mTasks.end(), [](const Task& aTask) {
+    return !aTask.mRuns.empty();
+  });
+}
+
+bool
+Job::HasRuns() const
+{
+  return std::any_of(
+    mOccurrences.begin(), mOccurrences.end(), [](const auto& aEntry) {
+      const std::vector<Step>& steps = aEntry.second.mSteps;
+      return std::any_of(steps.begin(), steps.end(), [](const Step& aStep) {
+        return aStep.HasRuns();
+      });
+    });
+}
+
+Step*
+Job::FindStep(int aOccurrence, int aStep)
+{
+  const auto found = mOccurrences.find(aOccurrence);
+  if (found == mOccurrences.end() || aStep < 0 ||
+      aStep >= static_cast<int>(found->second.mSteps.size())) {
+    return nullptr;
+  }
+  return &found->second.mSteps[aStep];
+}
+
+Task*
+Job::FindTask(const TaskKey& aKey)
+{
+  Step* step = FindStep(aKey.mStep.mOccurrence, aKey.mStep.mStep);
+  if (step == nullptr || aKey.mIndex < 0 ||
+      aKey.mIndex >= static_cast<int>(step->mTasks.size())) {
+    return nullptr;
+  }
+  return &step->mTasks[aKey.mIndex];
+}
+
+Occurrence
+MakeOccurrence(const JobSpec& aSpec)
+{
+  Occurrence occurrence;
+  for (const StepSpec& step : aSpec.mSteps) {
+    occurrence.mSteps.emplace_back().mTasks.resize(step.mTaskCount);
+  }
+  return occurrence;
+}
+
+} // namespace oriolevane::jobs
--- /dev/null
+++ b/src/jobs/internal/job.h
@@ -0,0 +1,123 @@
+// A job while it is in memory: its occurrences, steps, tasks and their runs.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "framework/types/timepoint.h"
+#include "jobs/types/jobrecord.h"
+#include "jobs/types/orders.h"
+
+namespace oriolevane::jobs {
+
+enum class RunPhase
+{
+  // The order has been sent.
+  Starting,
+  // There was no answer to the order.
+  Uncertain,
+  // The worker has it.
+  Running
+};
+
+// One start of a task on a worker. It takes the worker's capacity until its end
+// is known.
+struct Run
+{
+  TaskKey mTask;
+  RunNumber mNumber;
+  WorkerId mWorker;
+  Resources mResources;
+  RunPhase mPhase = RunPhase::Starting;
+  // Of the order that started it.
+  FencingToken mToken;
+  TimePoint mOrderedAt;
+  // When the worker was first known to have it.
+  TimePoint mSeenAt;
+  int mPercent = 0;
+  // When the percentage last rose.
+  TimePoint mProgressAt;
+  bool mStopWanted = false;
+  bool mStopInFlight = false;
+  TimePoint mNextStopAt;
+  // The task is not of a job that is open here.
+  bool mOrphan = false;
+};
+
+using RunPointer = std::shared_ptr<Run>;
+
+struct Task
+{
+  bool mSucceeded = false;
+  int mFailures = 0;
+  // Ends may be reported again to a later owner; each run counts once.
+  RunNumber mLastFailedRun;
+  RunNumber mLastRun;
+  std::string mCheckpoint;
+  // More than one only where copies are allowed, or while stray ones stop.
+  std::vector<RunPointer> mRuns;
+
+  bool IsWaiting() const { return !mSucceeded && mRuns.empty(); }
+};
+
+struct Step
+{
+  std::vector<Task> mTasks;
+  int mSucceeded = 0;
+  int mGangFailures = 0;
+  RunNumber mLastFailedGangRun;
+  // When all earlier steps had succeeded.
+  std::optional<TimePoint> mReadyAt;
+  // No start before this time, after orders that were refused.
+  TimePoint mNotBefore;
+
+  bool IsDone() const
+  {
+    return mSucceeded == static_cast<int>(mTasks.size());
+  }
+  bool HasRuns() const;
+};
+
+struct Occurrence
+{
+  std::vector<Step> mSteps;
+  bool mFinished = false;
+};
+
+enum class JobPhase
+{
+  // Not recorded yet: nothing may start.
+  Recording,
+  Open,
+  // Nothing more starts; runs are being stopped.
+  Closed
+};
+
+struct Job
+{
+  JobRecord mRecord;
+  JobPhase mPhase = JobPhase::Recording;
+  RecordPosition mRecordedBy;
+  TimePoint mAcceptedAt;
+  // Taken over from another node; its tasks may run on workers that have not
+  // reported yet.
+  bool mRecovered = false;
+  bool mStarted = false;
+  // By number; those that are due.
+  std::map<int, Occurrence> mOccurrences;
+  int mFinishedOccurrences = 0;
+
+  const JobId& Id() const { return mRecord.mId; }
+  bool HasRuns() const;
+  Step* FindStep(int aOccurrence, int aStep);
+  Task* FindTask(const TaskKey& aKey);
+};
+
+// An occurrence in which nothing has happened yet.
+Occurrence
+MakeOccurrence(const JobSpec& aSpec);
+
+} // namespace oriolevane::jobs
--- /dev/null
+++ b/src/jobs/internal/jobtable.cpp
@@ -0,0 +1,279 @@
+#include "jobs/internal/jobtable.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace oriolevane::jobs {
+
+namespace {
+
+RecordKey
+JobKey(const JobId& aId)
+{
+  return { .mKind = RecordKind::Job, .mName = aId.mValue };
+}
+
+RecordKey
+ProgressKey(const JobId& aId, int aOccurrence)
+{
+  return { .mKind = RecordKind::Progress,
+           .mName = fmt::format("{}.{}", aId, aOccurrence) };
+}
+
+bool
+IsUntouched(const Task& aTask)
+{
+  return !aTask.mSucceeded && aTask.mFailures == 0 &&
+         aTask.mCheckpoint.empty();
+}
+
+StepProgress
+ProgressOf(const Step& aStep, int aNumber)
+{
+  StepProgress progress{ .mStep = aNumber,
+                         .mGangFailures = aStep.mGangFailures,
+                         .mLastFailedGangRun = aStep.mLastFailedGangRun,
+                         .mTasks = {} };
+  for (std::size_t index = 0; index < aStep.mTasks.size(); ++index) {
+    const Task& task = aStep.mTasks[index];
+    if (IsUntouched(task)) {
+      continue;
+    }
+    progress.mTasks.push_back({ .mIndex = static_cast<int>(index),
+                                .mSucceeded = task.mSucceeded,
+                                .mFailures = task.mFailures,
+                                .mLastFailedRun = task.mLastFailedRun,
+                                .mLastRun = task.mLastRun,
+                                .mCheckpoint = task.mCheckpoint });
+  }
+  return progress;
+}
+
+void
+ApplyProgress(Step& aStep, const StepProgress& aProgress)
+{
+  aStep.mGangFailures = aProgress.mGangFailures;
+  aStep.mLastFailedGangRun = aProgress.mLastFailedGangRun;
+  for (const TaskProgress& saved : aProgress.mTasks) {
+    if (saved.mIndex < 0 ||
+        saved.mIndex >= static_cast<int>(aStep.mTasks.size())) {
+      continue;
+    }
+    Task& task = aStep.mTasks[saved.mIndex];
+    task.mSucceeded = saved.mSucceeded;
+    task.mFailures = saved.mFailures;
+    task.mLastFailedRun = saved.mLastFailedRun;
+    task.mLastRun = saved.mLastRun;
+    task.mCheckpoint = saved.mCheckpoint;
+  }
+  aStep.mSucceeded = static_cast<int>(
+    std::count_if(aStep.mTasks.begin(),
+                  aStep.mTasks.end(),
+                  [](const Task& aTask) { return aTask.mSucceeded; }));
+}
+
+} // namespace
+
+Job*
+JobTable::Find(const JobId& aId)
+{
+  const auto found = mJobs.find(aId);
+  return found == mJobs.end() ? nullptr : &found->second;
+}
+
+Job&
+JobTable::Add(JobRecord aRecord, const Moment& aNow)
+{
+  const JobId id = aRecord.mId;
+  Job& job = mJobs[id];
+  job.mRecord = std::move(aRecord);
+  job.mAcceptedAt = aNow.mSteady;
+  job.mRecordedBy = mLog.Mark(JobKey(id));
+  OpenDueOccurrences(job, aNow);
+  return job;
+}
+
+void
+JobTable::Recover(const CellRecords& aRecords, const Moment& aNow)
+{
+  for (const FinishedRecord& finished : aRecords.mFinished) {
+    mFinished[finished.mId] = { .mRecord = finished, .mRecordedBy = {} };
+    mFinishedOrder.emplace(finished.mFinishedAt, finished.mId);
+  }
+  for (const JobRecord& record : aRecords.mJobs) {
+    Job& job = mJobs[record.mId];
+    job.mRecord = record;
+    const std::chrono::milliseconds age =
+      std::max(aNow.mUnix - record.mAcceptedAt, std::chrono::milliseconds(0));
+    job.mAcceptedAt = aNow.mSteady - age;
+    job.mRecovered = true;
+    job.mPhase =
+      mFinished.contains(record.mId) ? JobPhase::Closed : JobPhase::Open;
+    OpenDueOccurrences(job, aNow);
+  }
+  for (const ProgressRecord& progress : aRecords.mProgress) {
+    RecoverProgress(progress);
+  }
+}
+
+void
+JobTable::RecoverProgress(const ProgressRecord& aProgress)
+{
+  Job* job = Find(aProgress.mJob);
+  if (job == nullptr) {
+    // Its job was closed before the record of its progress was removed.
+    mLog.Mark(ProgressKey(aProgress.mJob, aProgress.mOccurrence));
+    return;
+  }
+  job->mStarted = true;
+  Occurrence& occurrence =
+    job->mOccurrences
+      .try_emplace(aProgress.mOccurrence, MakeOccurrence(job->mRecord.mSpec))
+      .first->second;
+  occurrence.mFinished = aProgress.mFinished;
+  if (occurrence.mFinished) {
+    ++job->mFinishedOccurrences;
+  }
+  for (const StepProgress& step : aProgress.mSteps) {
+    Step* target = job->FindStep(aProgress.mOccurrence, step.mStep);
+    if (target != nullptr) {
+      ApplyProgress(*target, step);
+    }
+  }
+}
+
+void
+JobTable::OpenDueOccurrences(Job& aJob, const Moment& aNow)
+{
+  const std::optional<Repetition>& repetition =
+    aJob.mRecord.mSpec.mRepetition;
+  if (!repetition.has_value()) {
+    aJob.mOccurrences.try_emplace(0, MakeOccurrence(aJob.mRecord.mSpec));
+    return;
+  }
+  for (int number = aJob.mOccurrences.empty()
+                      ? 0
+                      : aJob.mOccurrences.rbegin()->first + 1;
+       number < repetition->mCount;
+       ++number) {
+    if (repetition->mFirstDue + number * repetition->mInterval > aNow.mUnix) {
+      return;
+    }
+    aJob.mOccurrences.try_emplace(number,
+                                  MakeOccurrence(aJob.mRecord.mSpec));
+  }
+}
+
+void
+JobTable::MarkProgress(const StepKey& aStep)
+{
+  mLog.Mark(ProgressKey(aStep.mJob, aStep.mOccurrence));
+}
+
+RecordPosition
+JobTable::Close(Job& aJob, JobState aState, const Moment& aNow)
+{
+  const JobId& id = aJob.Id();
+  aJob.mPhase = JobPhase::Closed;
+  const RecordPosition position =
+    mLog.Mark({ .mKind = RecordKind::Finished, .mName = id.mValue });
+  mFinished[id] = { .mRecord = { .mId = id,
+                                 .mState = aState,
+                                 .mFinishedAt = aNow.mUnix },
+                    .mRecordedBy = position };
+  mFinishedOrder.emplace(aNow.mUnix, id);
+  return position;
+}
+
+void
+JobTable::Prune(const Moment& aNow, std::chrono::milliseconds aKeepFinished)
+{
+  for (auto entry = mJobs.begin(); entry != mJobs.end();) {
+    Job& job = entry->second;
+    if (job.mPhase != JobPhase::Closed || job.HasRuns()) {
+      ++entry;
+      continue;
+    }
+    for (const auto& [number, occurrence] : job.mOccurrences) {
+      mLog.Mark(ProgressKey(job.Id(), number));
+    }
+    mLog.Mark(JobKey(job.Id()));
+    entry = mJobs.erase(entry);
+  }
+  while (!mFinishedOrder.empty() &&
+         mFinishedOrder.begin()->first + aKeepFinished < aNow.mUnix) {
+    const JobId id = mFinishedOrder.begin()->second;
+    mFinishedOrder.erase(mFinishedOrder.begin());
+    mFinished.erase(id);
+    mLog.Mark({ .mKind = RecordKind::Finished, .mName = id.mValue });
+  }
+}
+
+const FinishedRecord*
+JobTable::FindFinished(const JobId& aId) const
+{
+  const auto found = mFinished.find(aId);
+  return found == mFinished.end() ? nullptr : &found->second.mRecord;
+}
+
+std::optional<RecordPosition>
+JobTable::FinishedBy(const JobId& aId) const
+{
+  const auto found = mFinished.find(aId);
+  if (found == mFinished.end()) {
+    return std::nullopt;
+  }
+  return found->second.mRecordedBy;
+}
+
+std::optional<JobRecord>
+JobTable::JobRecordOf(const JobId& aId) const
+{
+  const auto found = mJobs.find(aId);
+  if (found == mJobs.end()) {
+    return std::nullopt;
+  }
+  return found->second.mRecord;
+}
+
+std::optional<ProgressRecord>
+JobTable::ProgressRecordOf(const std::string& aName) const
+{
+  const std::size_t dot = aName.rfind('.');
+  const JobId id(aName.substr(0, dot));
+  const int number = std::stoi(aName.substr(dot + 1));
+  const auto found = mJobs.find(id);
+  if (found == mJobs.end()) {
+    return std::nullopt;
+  }
+  const auto occurrence = found->second.mOccurrences.find(number);
+  if (occurrence == found->second.mOccurrences.end()) {
+    return std::nullopt;
+  }
+  ProgressRecord record{ .mJob = id,
+                         .mOccurrence = number,
+                         .mFinished = occurrence->second.mFinished,
+                         .mSteps = {} };
+  const std::vector<Step>& steps = occurrence->second.mSteps;
+  for (std::size_t step = 0; step < steps.size(); ++step) {
+    StepProgress progress = ProgressOf(steps[step], static_cast<int>(step));
+    if (!progress.mTasks.empty() || progress.mGangFailures > 0) {
+      record.mSteps.push_back(std::move(progress));
+    }
+  }
+  return record;
+}
+
+std::optional<FinishedRecord>
+JobTable::FinishedRecordOf(const JobId& aId) const
+{
+  const FinishedRecord* finished = FindFinished(aId);
+  if (finished == nullptr) {
+    return std::nullopt;
+  }
+  return *finished;
+}
+
+} // namespace oriolevane::jobs
--- /dev/null
+++ b/src/jobs/internal/outcomes.cpp
@@ -0,0 +1,269 @@
+#include "jobs/internal/outcomes.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "framework/log.h"
+
+namespace oriolevane::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Failed runs of so many jobs in a row make a worker suspect.
+constexpr std::size_t kSuspectAfterJobs = 2;
+constexpr std::chrono::milliseconds kAvoidSuspectFor = 2500ms;
+// Weight of the newest run in a worker's slowness.
+constexpr double kSlownessWeight = 0.3;
+
+const StepSpec&
+SpecOf(const Job& aJob, const StepKey& aStep)
+{
+  return aJob.mRecord.mSpec.mSteps[aStep.mStep];
+}
+
+std::string_view
+ToText(EndKind aKind)
+{
+  switch (aKind) {
+    case EndKind::Succeeded:
+      return "succeeded";
+    case EndKind::Failed:
+      return "failed";
+    case EndKind::Stopped:
+      return "stopped";
+    case EndKind::LeaseExpired:
+      return "lease_expired";
+    case EndKind::GangBroken:
+      return "gang_broken";
+    case EndKind::GangIncomplete:
+      return "gang_incomplete";
+  }
+  return "stopped";
+}
+
+} // namespace
+
+void
+Outcomes::OnEnd(Worker& aWorker, const EndedTask& aEnd, const Moment& aNow)
+{
+  Job* job = mCell.mJobs.Find(aEnd.mTask.mStep.mJob);
+  Run* run = aWorker.FindRun(aEnd.mTask, aEnd.mRun);
+  if (run != nullptr) {
+    if (job != nullptr) {
+      NoteHealth(aWorker, *job, *run, aEnd.mKind, aNow);
+    }
+    mRuns.Drop(aWorker, run);
+  }
+  LogDebug("run_ended")
+    .With("task", aEnd.mTask.ToText())
+    .With("run", aEnd.mRun)
+    .With("worker", aWorker.Id())
+    .With("how", ToText(aEnd.mKind));
+  if (job != nullptr && job->mPhase == JobPhase::Open &&
+      job->FindTask(aEnd.mTask) != nullptr) {
+    ApplyEnd(*job, aEnd, aNow);
+  }
+}
+
+void
+Outcomes::ApplyEnd(Job& aJob, const EndedTask& aEnd, const Moment& aNow)
+{
+  Task& task = *aJob.FindTask(aEnd.mTask);
+  if (task.mSucceeded) {
+    return;
+  }
+  task.mLastRun = std::max(task.mLastRun, aEnd.mRun);
+  if (!aEnd.mCheckpoint.empty()) {
+    task.mCheckpoint = aEnd.mCheckpoint;
+  }
+  const StepSpec& spec = SpecOf(aJob, aEnd.mTask.mStep);
+  if (aEnd.mKind == EndKind::Succeeded && !spec.mLongRunning) {
+    Succeed(aJob, aEnd.mTask, aNow);
+    return;
+  }
+  if (aEnd.mKind == EndKind::Failed && !spec.mLongRunning) {
+    Fail(aJob, aEnd, aNow);
+  }
+  mCell.mJobs.MarkProgress(aEnd.mTask.mStep);
+  if (spec.mGang && aJob.mPhase == JobPhase::Open) {
+    BreakGang(aJob, aEnd.mTask.mStep, aNow);
+  }
+}
+
+void
+Outcomes::Succeed(Job& aJob, const TaskKey& aKey, const Moment& aNow)
+{
+  Step& step = *aJob.FindStep(aKey.mStep.mOccurrence, aKey.mStep.mStep);
+  const bool gang = SpecOf(aJob, aKey.mStep).mGang;
+  for (std::size_t index = 0; index < step.mTasks.size(); ++index) {
+    Task& task = step.mTasks[index];
+    const bool covered = gang || static_cast<int>(index) == aKey.mIndex;
+    if (!covered || task.mSucceeded) {
+      continue;
+    }
+    task.mSucceeded = true;
+    task.mCheckpoint.clear();
+    ++step.mSucceeded;
+    if (!gang) {
+      // Other copies of the task are of no use any more.
+      mRuns.StopAll(task.mRuns, aNow.mSteady);
+    }
+  }
+  mCell.mJobs.MarkProgress(aKey.mStep);
+  mCell.mDispatchWanted = true;
+  if (step.IsDone()) {
+    FinishOccurrence(aJob, aKey.mStep.mOccurrence, aNow);
+  }
+}
+
+void
+Outcomes::Fail(Job& aJob, const EndedTask& aEnd, const Moment& aNow)
+{
+  const StepKey& key = aEnd.mTask.mStep;
+  Step& step = *aJob.FindStep(key.mOccurrence, key.mStep);
+  Task& task = *aJob.FindTask(aEnd.mTask);
+  const bool gang = SpecOf(aJob, key).mGang;
+  RunNumber& counted = gang ? step.mLastFailedGangRun : task.mLastFailedRun;
+  if (aEnd.mRun <= counted) {
+    return;
+  }
+  counted = aEnd.mRun;
+  const int failures = gang ? ++step.mGangFailures : ++task.mFailures;
+  LogInfo("run_failed")
+    .With("job", aJob.Id())
+    .With("task", aEnd.mTask.ToText())
+    .With("run", aEnd.mRun)
+    .With("failures", failures)
+    .With("most", aJob.mRecord.mQueue.mMostAttempts);
+  if (failures >= aJob.mRecord.mQueue.mMostAttempts) {
+    CloseJob(aJob, JobState::Failed, aNow);
+  }
+}
+
+void
+Outcomes::BreakGang(Job& aJob, const StepKey& aStep, const Moment& aNow)
+{
+  Step* step = aJob.FindStep(aStep.mOccurrence, aStep.mStep);
+  if (step != nullptr && !step->IsDone()) {
+    mRuns.StopStep(*step, aNow.mSteady);
+  }
+}
+
+void
+Outcomes::FinishOccurrence(Job& aJob, int aOccurrence, const Moment& aNow)
+{
+  Occurrence& occurrence = aJob.mOccurrences.at(aOccurrence);
+  const bool done =
+    std::all_of(occurrence.mSteps.begin(),
+                occurrence.mSteps.end(),
+                [](const Step& aStep) { return aStep.IsDone(); });
+  if (!done || occurrence.mFinished) {
+    return;
+  }
+  occurrence.mFinished = true;
+  ++aJob.mFinishedOccurrences;
+  const std::optional<Repetition>& repetition =
+    aJob.mRecord.mSpec.mRepetition;
+  const int expected = repetition.has_value() ? repetition->mCount : 1;
+  if (aJob.mFinishedOccurrences >= expected) {
+    CloseJob(aJob, JobState::Completed, aNow);
+  }
+}
+
+RecordPosition
+Outcomes::CloseJob(Job& aJob, JobState aState, const Moment& aNow)
+{
+  LogInfo("job_closed")
+    .With("job", aJob.Id())
+    .With("state", jobs::ToText(aState))
+    .With("queue", aJob.mRecord.mQueue.mName)
+    .With("age_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+            aNow.mSteady - aJob.mAcceptedAt)
+            .count());
+  const RecordPosition position = mCell.mJobs.Close(aJob, aState, aNow);
+  mCell.mAdvice.ForgetJob(aJob.Id());
+  mCell.mDispatchWanted = true;
+  if (aState != JobState::Completed) {
+    mRuns.StopJob(aJob, aNow.mSteady);
+  }
+  return position;
+}
+
+void
+Outcomes::OnLost(Worker& aWorker, const RunPointer& aRun, const Moment& aNow)
+{
+  const EndedTask end{ .mSerial = 0,
+                       .mTask = aRun->mTask,
+                       .mRun = aRun->mNumber,
+                       .mKind = EndKind::LeaseExpired,
+                       .mCheckpoint = {} };
+  LogInfo("run_lost")
+    .With("task", aRun->mTask.ToText())
+    .With("run", aRun->mNumber)
+    .With("worker", aWorker.Id());
+  OnEnd(aWorker, end, aNow);
+}
+
+void
+Outcomes::LoseAll(Worker& aWorker, const Moment& aNow)
+{
+  const std::vector<RunPointer> runs = aWorker.mRuns;
+  for (const RunPointer& run : runs) {
+    OnLost(aWorker, run, aNow);
+  }
+}
+
+void
+Outcomes::OnNotStarted(Worker& aWorker, Run* aRun, const Moment& aNow)
+{
+  Job* job = mCell.mJobs.Find(aRun->mTask.mStep.mJob);
+  const TaskKey key = aRun->mTask;
+  mRuns.Drop(aWorker, aRun);
+  if (job != nullptr && job->mPhase == JobPhase::Open &&
+      key.mStep.mStep <
+        static_cast<int>(job->mRecord.mSpec.mSteps.size()) &&
+      SpecOf(*job, key.mStep).mGang) {
+    BreakGang(*job, key.mStep, aNow);
+  }
+}
+
+void
+Outcomes::NoteHealth(Worker& aWorker,
+                     const Job& aJob,
+                     const Run& aRun,
+                     EndKind aKind,
+                     const Moment& aNow)
+{
+  WorkerHealth& health = aWorker.mHealth;
+  if (aKind == EndKind::Failed) {
+    health.mFailedJobs.insert(aJob.Id());
+    if (health.mFailedJobs.size() >= kSuspectAfterJobs || health.mOnTrial) {
+      health.mAvoidUntil = aNow.mSteady + kAvoidSuspectFor;
+      health.mOnTrial = true;
+      LogWarning("worker_suspected")
+        .With("worker", aWorker.Id())
+        .With("failed_jobs", health.mFailedJobs.size());
+    }
+    return;
+  }
+  if (aKind != EndKind::Succeeded) {
+    return;
+  }
+  health.mFailedJobs.clear();
+  health.mOnTrial = false;
+  const StepSpec& spec = SpecOf(aJob, aRun.mTask.mStep);
+  if (spec.mEstimate <= 0ms || !aRun.mTask.mStep.mJob.mValue.size()) {
+    return;
+  }
+  const double taken =
+    std::chrono::duration<double, std::milli>(aNow.mSteady - aRun.mOrderedAt)
+      .count();
+  const double ratio = taken / static_cast<double>(spec.mEstimate.count());
+  health.mSlowness =
+    (1 - kSlownessWeight) * health.mSlowness + kSlownessWeight * ratio;
+}
+
+} // namespace oriolevane::jobs
--- /dev/null
+++ b/src/jobs/internal/runbook.cpp
@@ -0,0 +1,216 @@
+#include "jobs/internal/runbook.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "framework/log.h"
+
+namespace oriolevane::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A later owner's run numbers begin above those that an earlier one can have
+// reached.
+constexpr std::uint64_t kRunsPerEpoch = 1000;
+constexpr std::chrono::milliseconds kStopAgainAfter = 400ms;
+
+} // namespace
+
+RunNumber
+RunBook::NextNumber(const Task& aTask) const
+{
+  const std::uint64_t floor =
+    (mCell.mOptions.mEpoch.mValue - 1) * kRunsPerEpoch;
+  return RunNumber(std::max(aTask.mLastRun.mValue, floor) + 1);
+}
+
+void
+RunBook::Start(Job& aJob,
+               const TaskKey& aKey,
+               RunNumber aNumber,
+               Worker& aWorker,
+               const std::string& aTicket,
+               const std::string& aCheckpoint,
+               TimePoint aNow)
+{
+  const std::optional<WorkerTime> lease =
+    mCell.mFleet.GrantLease(aWorker, aNow);
+  Task& task = *aJob.FindTask(aKey);
+  auto run = std::make_shared<Run>();
+  run->mTask = aKey;
+  run->mNumber = aNumber;
+  run->mWorker = aWorker.Id();
+  run->mResources = aJob.mRecord.mSpec.mSteps[aKey.mStep.mStep].mResources;
+  run->mToken = aWorker.mToken;
+  run->mOrderedAt = aNow;
+  task.mLastRun = aNumber;
+  task.mRuns.push_back(run);
+  aWorker.AddRun(run);
+  aJob.mStarted = true;
+  mCell.mHooks.mStart({ .mWorker = aWorker.Target(),
+                        .mToken = aWorker.mToken,
+                        .mTask = aKey,
+                        .mRun = aNumber,
+                        .mPayload = aJob.mRecord.mSpec.mPayload,
+                        .mCheckpoint = aCheckpoint,
+                        .mTicket = aTicket,
+                        .mLeaseEnd = lease.value_or(WorkerTime(0)) });
+}
+
+void
+RunBook::Adopt(Worker& aWorker, const RunningTask& aRunning, TimePoint aNow)
+{
+  auto run = std::make_shared<Run>();
+  run->mTask = aRunning.mTask;
+  run->mNumber = aRunning.mRun;
+  run->mWorker = aWorker.Id();
+  run->mPhase = RunPhase::Running;
+  run->mOrderedAt = aNow;
+  run->mSeenAt = aNow;
+  run->mProgressAt = aNow;
+  run->mPercent = aRunning.mPercent;
+  Job* job = mCell.mJobs.Find(aRunning.mTask.mStep.mJob);
+  Task* task = job == nullptr ? nullptr : job->FindTask(aRunning.mTask);
+  if (task == nullptr) {
+    run->mOrphan = true;
+    aWorker.mHasUnknownLoad = true;
+    aWorker.AddRun(run);
+    LogWarning("unknown_run_found")
+      .With("task", aRunning.mTask.ToText())
+      .With("run", aRunning.mRun)
+      .With("worker", aWorker.Id());
+    Stop(*run, aNow);
+    return;
+  }
+  const StepSpec& spec =
+    job->mRecord.mSpec.mSteps[aRunning.mTask.mStep.mStep];
+  run->mResources = spec.mResources;
+  aWorker.AddRun(run);
+  const bool unwanted = job->mPhase != JobPhase::Open || task->mSucceeded ||
+                        (!task->mRuns.empty() && !spec.mSpeculative);
+  task->mRuns.push_back(run);
+  task->mLastRun = std::max(task->mLastRun, aRunning.mRun);
+  job->mStarted = true;
+  LogInfo("run_adopted")
+    .With("task", aRunning.mTask.ToText())
+    .With("run", aRunning.mRun)
+    .With("worker", aWorker.Id())
+    .With("unwanted", unwanted);
+  if (unwanted) {
+    Stop(*run, aNow);
+  }
+}
+
+void
+RunBook::Drop(Worker& aWorker, Run* aRun)
+{
+  Job* job = mCell.mJobs.Find(aRun->mTask.mStep.mJob);
+  Task* task = job == nullptr ? nullptr : job->FindTask(aRun->mTask);
+  const bool orphan = aRun->mOrphan;
+  if (task != nullptr) {
+    std::erase_if(task->mRuns, [aRun](const RunPointer& aEntry) {
+      return aEntry.get() == aRun;
+    });
+  }
+  aWorker.RemoveRun(aRun);
+  if (orphan) {
+    aWorker.mHasUnknownLoad = std::any_of(
+      aWorker.mRuns.begin(), aWorker.mRuns.end(), [](const RunPointer& aEntry) {
+        return aEntry->mOrphan;
+      });
+  }
+  mCell.mDispatchWanted = true;
+}
+
+void
+RunBook::SendStop(Run& aRun, Worker& aWorker, TimePoint aNow)
+{
+  aRun.mStopInFlight = true;
+  aRun.mNextStopAt = aNow + kStopAgainAfter;
+  mCell.mHooks.mStop({ .mWorker = aWorker.Target(),
+                       .mToken = aWorker.mToken,
+                       .mTask = aRun.mTask,
+                       .mRun = aRun.mNumber });
+}
+
+void
+RunBook::Stop(Run& aRun, TimePoint aNow)
+{
+  if (aRun.mStopWanted) {
+    return;
+  }
+  aRun.mStopWanted = true;
+  Worker* worker = mCell.mFleet.Find(aRun.mWorker);
+  if (worker != nullptr) {
+    SendStop(aRun, *worker, aNow);
+  }
+}
+
+void
+RunBook::StopAll(const std::vector<RunPointer>& aRuns, TimePoint aNow)
+{
+  for (const RunPointer& run : aRuns) {
+    Stop(*run, aNow);
+  }
+}
+
+void
+RunBook::StopStep(Step& aStep, TimePoint aNow)
+{
+  for (Task& task : aStep.mTasks) {
+    StopAll(task.mRuns, aNow);
+  }
+}
+
+void
+RunBook::StopJob(Job& aJob, TimePoint aNow)
+{
+  for (auto& [number, occurrence] : aJob.mOccurrences) {
+    for (Step& step : occurrence.mSteps) {
+      StopStep(step, aNow);
+    }
+  }
+}
+
+void
+RunBook::RepeatStops(TimePoint aNow)
+{
+  for (auto& [id, worker] : mCell.mFleet.Workers()) {
+    for (const RunPointer& run : worker.mRuns) {
+      if (run->mStopWanted && !run->mStopInFlight &&
+          run->mNextStopAt <= aNow) {
+        SendStop(*run, worker, aNow);
+      }
+    }
+  }
+}
+
+void
+RunBook::OnStopAnswer(const StopOrder& aOrder,
+                      const OrderAnswer& aAnswer,
+                      TimePoint aNow)
+{
+  Worker* worker = mCell.mFleet.Find(aOrder.mWorker.mId);
+  if (worker == nullptr) {
+    return;
+  }
+  Run* run = worker->FindRun(aOrder.mTask, aOrder.mRun);
+  if (run == nullptr) {
+    return;
+  }
+  run->mStopInFlight = false;
+  if (aAnswer.mResult == OrderResult::Done) {
+    // Its end shows in a report.
+    run->mNextStopAt = aNow + 2 * kStopAgainAfter;
+    return;
+  }
+  if (aAnswer.mResult == OrderResult::Fenced &&
+      aOrder.mToken == worker->mToken) {
+    mCell.mHooks.mOnFenced(worker->Id());
+  }
+}
+
+} // namespace oriolevane::jobs
--- /dev/null
+++ b/src/jobs/internal/values.cpp
@@ -0,0 +1,36 @@
+#include "jobs/types/cellconfiguration.h"
+#include "jobs/types/jobstate.h"
+
+#include <algorithm>
+
+namespace oriolevane::jobs {
+
+const QueuePolicy*
+CellConfiguration::FindQueue(const QueueName& aName) const
+{
+  const auto found =
+    std::find_if(mQueues.begin(), mQueues.end(), [&](const auto& aQueue) {
+      return aQueue.mName == aName;
+    });
+  return found == mQueues.end() ? nullptr : &*found;
+}
+
+std::string_view
+ToText(JobState aState)
+{
+  switch (aState) {
+    case JobState::Queued:
+      return "queued";
+    case JobState::Running:
+      return "running";
+    case JobState::Completed:
+      return "completed";
+    case JobState::Failed:
+      return "failed";
+    case JobState::Cancelled:
+      return "cancelled";
+  }
+  return "queued";
+}
+
+} // namespace oriolevane::jobs
