Count failed runs by number; keep closed jobs until their final state is recorded

Change: sets of failed runs; pruning waits for the final state's record; the owner row counts as unread while the owner is heard.

--- a/src/cellnode/internal/callerqueue.cpp
+++ b/src/cellnode/internal/callerqueue.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "framework/log.h"
+
 namespace oriolevane::cellnode {
 
 namespace {
@@ -14,6 +16,22 @@
 // Other requests are answered by then, as their callers give up soon after.
 constexpr std::chrono::milliseconds kLongestWait = 2500ms;
 
+// Refusals and unknown outcomes explain what a caller saw; the rest is routine.
+void
+LogAnswer(const CallerRequest& aRequest, const CallerAnswer& aAnswer)
+{
+  const bool routine = aAnswer.mKind != CallerAnswerKind::Refused &&
+                       aAnswer.mKind != CallerAnswerKind::Undetermined &&
+                       aAnswer.mKind != CallerAnswerKind::Malformed;
+  LogEvent(routine ? LogLevel::Debug : LogLevel::Info, "caller_answered")
+    .With("verb", static_cast<int>(aRequest.mVerb))
+    .With("path", aRequest.mPath)
+    .With("version", aRequest.mVersion)
+    .With("kind", static_cast<int>(aAnswer.mKind))
+    .With("retry_after_ms", aAnswer.mRetryAfter.count())
+    .With("reason", aAnswer.mMessage);
+}
+
 } // namespace
 
 CallId
@@ -51,6 +69,7 @@
   if (found == mCalls.end()) {
     return;
   }
+  LogAnswer(found->second.mRequest, aAnswer);
   const CallerReply reply = std::move(found->second.mReply);
   mCalls.erase(found);
   reply(aAnswer);
--- a/src/cellnode/internal/celljournal.cpp
+++ b/src/cellnode/internal/celljournal.cpp
@@ -121,6 +121,10 @@
   mInFlight->mConditions.push_back(
     { .mKey = owner, .mVersion = mOwnerVersion });
   mInFlight->mWrites.push_back({ .mKey = owner, .mValue = mInFlightOwner });
+  LogDebug("commit_built")
+    .With("sequence", mOwner.mSequence)
+    .With("entries", entries)
+    .With("condition", mOwnerVersion);
 }
 
 void
@@ -205,6 +209,9 @@
 void
 CellJournal::OnApplied(RowVersion aVersion, TimePoint aSentAt)
 {
+  LogDebug("commit_applied")
+    .With("sequence", mOwner.mSequence)
+    .With("row_version", aVersion);
   mOwnerVersion = aVersion;
   mTimeout = mOptions.mFirstTimeout;
   mReleased = mOwner.mReleased;
--- a/src/cellnode/internal/ownershippolicy.cpp
+++ b/src/cellnode/internal/ownershippolicy.cpp
@@ -27,6 +27,10 @@
   }
   mHeardAt = aNow;
   mStoreAge = aStoreAge;
+  if (!WantsRow(aNow)) {
+    // The row changes unseen from here on.
+    mRowKnown = false;
+  }
 }
 
 void
--- a/src/cellnode/internal/recordcodec.cpp
+++ b/src/cellnode/internal/recordcodec.cpp
@@ -133,13 +133,32 @@
   return step;
 }
 
+json
+ToJson(const std::set<jobs::RunNumber>& aRuns)
+{
+  json value = json::array();
+  for (const jobs::RunNumber run : aRuns) {
+    value.push_back(run.mValue);
+  }
+  return value;
+}
+
+std::set<jobs::RunNumber>
+RunsFrom(const json& aValue)
+{
+  std::set<jobs::RunNumber> runs;
+  for (const json& run : aValue) {
+    runs.insert(jobs::RunNumber(run.get<std::uint64_t>()));
+  }
+  return runs;
+}
+
 json
 ToJson(const jobs::TaskProgress& aTask)
 {
   return json::array({ aTask.mIndex,
                        aTask.mSucceeded,
-                       aTask.mFailures,
-                       aTask.mLastFailedRun.mValue,
+                       ToJson(aTask.mFailedRuns),
                        aTask.mLastRun.mValue,
                        aTask.mCheckpoint });
 }
@@ -149,11 +168,9 @@
 {
   return { .mIndex = aValue.at(0).get<int>(),
            .mSucceeded = aValue.at(1).get<bool>(),
-           .mFailures = aValue.at(2).get<int>(),
-           .mLastFailedRun =
-             jobs::RunNumber(aValue.at(3).get<std::uint64_t>()),
-           .mLastRun = jobs::RunNumber(aValue.at(4).get<std::uint64_t>()),
-           .mCheckpoint = aValue.at(5).get<std::string>() };
+           .mFailedRuns = RunsFrom(aValue.at(2)),
+           .mLastRun = jobs::RunNumber(aValue.at(3).get<std::uint64_t>()),
+           .mCheckpoint = aValue.at(4).get<std::string>() };
 }
 
 // Runs a reader over the parsed text; what it throws becomes a status.
@@ -224,8 +241,7 @@
       tasks.push_back(ToJson(task));
     }
     steps.push_back(json::array({ step.mStep,
-                                  step.mGangFailures,
-                                  step.mLastFailedGangRun.mValue,
+                                  ToJson(step.mFailedGangRuns),
                                   std::move(tasks) }));
   }
   return json{ { "job", aRecord.mJob.mValue },
@@ -246,10 +262,8 @@
     for (const json& entry : aValue.at("steps")) {
       jobs::StepProgress step;
       step.mStep = entry.at(0).get<int>();
-      step.mGangFailures = entry.at(1).get<int>();
-      step.mLastFailedGangRun =
-        jobs::RunNumber(entry.at(2).get<std::uint64_t>());
-      for (const json& task : entry.at(3)) {
+      step.mFailedGangRuns = RunsFrom(entry.at(1));
+      for (const json& task : entry.at(2)) {
         step.mTasks.push_back(TaskFrom(task));
       }
       record.mSteps.push_back(std::move(step));
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,9 +53,9 @@
 struct Task
 {
   bool mSucceeded = false;
-  int mFailures = 0;
-  // Ends may be reported again to a later owner; each run counts once.
-  RunNumber mLastFailedRun;
+  // Ends may be reported again to a later owner, and out of order; each run
+  // counts once.
+  std::set<RunNumber> mFailedRuns;
   RunNumber mLastRun;
   std::string mCheckpoint;
   // More than one only where copies are allowed, or while stray ones stop.
@@ -67,8 +68,7 @@
 {
   std::vector<Task> mTasks;
   int mSucceeded = 0;
-  int mGangFailures = 0;
-  RunNumber mLastFailedGangRun;
+  std::set<RunNumber> mFailedGangRuns;
   // When all earlier steps had succeeded.
   std::optional<TimePoint> mReadyAt;
   // No start before this time, after orders that were refused.
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -25,7 +25,7 @@
 bool
 IsUntouched(const Task& aTask)
 {
-  return !aTask.mSucceeded && aTask.mFailures == 0 &&
+  return !aTask.mSucceeded && aTask.mFailedRuns.empty() &&
          aTask.mCheckpoint.empty();
 }
 
@@ -33,8 +33,7 @@
 ProgressOf(const Step& aStep, int aNumber)
 {
   StepProgress progress{ .mStep = aNumber,
-                         .mGangFailures = aStep.mGangFailures,
-                         .mLastFailedGangRun = aStep.mLastFailedGangRun,
+                         .mFailedGangRuns = aStep.mFailedGangRuns,
                          .mTasks = {} };
   for (std::size_t index = 0; index < aStep.mTasks.size(); ++index) {
     const Task& task = aStep.mTasks[index];
@@ -43,8 +42,7 @@
     }
     progress.mTasks.push_back({ .mIndex = static_cast<int>(index),
                                 .mSucceeded = task.mSucceeded,
-                                .mFailures = task.mFailures,
-                                .mLastFailedRun = task.mLastFailedRun,
+                                .mFailedRuns = task.mFailedRuns,
                                 .mLastRun = task.mLastRun,
                                 .mCheckpoint = task.mCheckpoint });
   }
@@ -54,8 +52,7 @@
 void
 ApplyProgress(Step& aStep, const StepProgress& aProgress)
 {
-  aStep.mGangFailures = aProgress.mGangFailures;
-  aStep.mLastFailedGangRun = aProgress.mLastFailedGangRun;
+  aStep.mFailedGangRuns = aProgress.mFailedGangRuns;
   for (const TaskProgress& saved : aProgress.mTasks) {
     if (saved.mIndex < 0 ||
         saved.mIndex >= static_cast<int>(aStep.mTasks.size())) {
@@ -63,8 +60,7 @@
     }
     Task& task = aStep.mTasks[saved.mIndex];
     task.mSucceeded = saved.mSucceeded;
-    task.mFailures = saved.mFailures;
-    task.mLastFailedRun = saved.mLastFailedRun;
+    task.mFailedRuns = saved.mFailedRuns;
     task.mLastRun = saved.mLastRun;
     task.mCheckpoint = saved.mCheckpoint;
   }
@@ -192,7 +188,11 @@
 {
   for (auto entry = mJobs.begin(); entry != mJobs.end();) {
     Job& job = entry->second;
-    if (job.mPhase != JobPhase::Closed || job.HasRuns()) {
+    // Until its final state is recorded, all that is known of it must be.
+    const auto finished = mFinished.find(entry->first);
+    const bool settled = finished != mFinished.end() &&
+                         finished->second.mRecordedBy <= mLog.Recorded();
+    if (job.mPhase != JobPhase::Closed || job.HasRuns() || !settled) {
       ++entry;
       continue;
     }
@@ -259,7 +259,7 @@
   const std::vector<Step>& steps = occurrence->second.mSteps;
   for (std::size_t step = 0; step < steps.size(); ++step) {
     StepProgress progress = ProgressOf(steps[step], static_cast<int>(step));
-    if (!progress.mTasks.empty() || progress.mGangFailures > 0) {
+    if (!progress.mTasks.empty() || !progress.mFailedGangRuns.empty()) {
       record.mSteps.push_back(std::move(progress));
     }
   }
--- a/src/jobs/internal/outcomes.cpp
+++ b/src/jobs/internal/outcomes.cpp
@@ -125,12 +125,12 @@
   Step& step = *aJob.FindStep(key.mOccurrence, key.mStep);
   Task& task = *aJob.FindTask(aEnd.mTask);
   const bool gang = SpecOf(aJob, key).mGang;
-  RunNumber& counted = gang ? step.mLastFailedGangRun : task.mLastFailedRun;
-  if (aEnd.mRun <= counted) {
+  std::set<RunNumber>& failed =
+    gang ? step.mFailedGangRuns : task.mFailedRuns;
+  if (!failed.insert(aEnd.mRun).second) {
     return;
   }
-  counted = aEnd.mRun;
-  const int failures = gang ? ++step.mGangFailures : ++task.mFailures;
+  const int failures = static_cast<int>(failed.size());
   LogInfo("run_failed")
     .With("job", aJob.Id())
     .With("task", aEnd.mTask.ToText())
--- a/src/jobs/types/jobrecord.h
+++ b/src/jobs/types/jobrecord.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,9 +28,7 @@
 {
   int mIndex = 0;
   bool mSucceeded = false;
-  int mFailures = 0;
-  // The last run that was counted as a failure.
-  RunNumber mLastFailedRun;
+  std::set<RunNumber> mFailedRuns;
   RunNumber mLastRun;
   std::string mCheckpoint;
 };
@@ -37,9 +36,8 @@
 struct StepProgress
 {
   int mStep = 0;
-  // Failed runs of a gang as a whole.
-  int mGangFailures = 0;
-  RunNumber mLastFailedGangRun;
+  // Of a gang as a whole.
+  std::set<RunNumber> mFailedGangRuns;
   // Only of tasks of which anything is known.
   std::vector<TaskProgress> mTasks;
 };
