Let leases of silent workers run out; settle recovered jobs; end in time on a stop

Change: no lease without an answer; recovered jobs whose progress decides them are closed; records of workers without tasks that leave are removed at once, so that the next owner does not wait for them; the process ends at 0.85 of the grace whatever is open.

--- a/src/cellnode/internal/callerqueue.cpp
+++ b/src/cellnode/internal/callerqueue.cpp
@@ -34,6 +34,31 @@
 
 } // namespace
 
+// A request that no owner has seen, or that changes nothing, has not been done.
+CallerAnswer
+CallerQueue::AnswerWithoutOwner(const Call& aCall)
+{
+  if (!aCall.mEverSent || aCall.mRequest.mVerb == CallerVerb::Ask) {
+    return { .mKind = CallerAnswerKind::Refused,
+             .mRetryAfter = kRetryWithoutOwner,
+             .mMessage = "no node owns the shard at the moment" };
+  }
+  return { .mKind = CallerAnswerKind::Undetermined,
+           .mMessage = "the owner of the shard does not answer" };
+}
+
+void
+CallerQueue::AnswerAll()
+{
+  std::vector<std::pair<CallId, CallerAnswer>> answers;
+  for (const auto& [id, call] : mCalls) {
+    answers.emplace_back(id, AnswerWithoutOwner(call));
+  }
+  for (const auto& [id, answer] : answers) {
+    Answer(id, answer);
+  }
+}
+
 CallId
 CallerQueue::Add(CallerRequest aRequest, CallerReply aReply, TimePoint aNow)
 {
@@ -100,19 +125,12 @@
 {
   std::vector<std::pair<CallId, CallerAnswer>> answers;
   for (const auto& [id, call] : mCalls) {
-    const bool neverSent =
-      call.mRequest.mVerb == CallerVerb::Submit && !call.mEverSent;
-    if (neverSent && call.mArrivedAt + kLongestWaitForOwner <= aNow) {
-      answers.emplace_back(
-        id,
-        CallerAnswer{ .mKind = CallerAnswerKind::Refused,
-                      .mRetryAfter = kRetryWithoutOwner,
-                      .mMessage = "no node owns the shard at the moment" });
-    } else if (call.mArrivedAt + kLongestWait <= aNow) {
-      answers.emplace_back(
-        id,
-        CallerAnswer{ .mKind = CallerAnswerKind::Undetermined,
-                      .mMessage = "the owner of the shard does not answer" });
+    const Duration longest =
+      call.mRequest.mVerb == CallerVerb::Submit && !call.mEverSent
+        ? kLongestWaitForOwner
+        : kLongestWait;
+    if (call.mArrivedAt + longest <= aNow) {
+      answers.emplace_back(id, AnswerWithoutOwner(call));
     }
   }
   for (const auto& [id, answer] : answers) {
--- a/src/cellnode/internal/callerqueue.h
+++ b/src/cellnode/internal/callerqueue.h
@@ -31,6 +31,8 @@
   std::vector<CallId> Unsent() const;
   // Answers those that have waited too long.
   void Expire(TimePoint aNow);
+  // Answers all that is left, as the process ends.
+  void AnswerAll();
   bool Empty() const { return mCalls.empty(); }
 
 private:
@@ -44,6 +46,8 @@
     bool mEverSent = false;
   };
 
+  static CallerAnswer AnswerWithoutOwner(const Call& aCall);
+
   std::map<CallId, Call> mCalls;
   CallId mLastId;
 };
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -22,6 +22,8 @@
 // After the signal to stop, requests on open connections are still answered for
 // this share of the time that is left.
 constexpr double kServeShareOfGrace = 0.55;
+// The process ends by then, whatever is open.
+constexpr double kLongestShareOfGrace = 0.85;
 const std::string kShardPart = "s0";
 const std::string kNodeTable = "nodes";
 
@@ -121,11 +123,27 @@
     }
   }
   mCalls.Expire(now);
-  if (mStopping && mSession == nullptr && mCalls.Empty() &&
-      now >= mStopBegan + mOptions.mStopGrace * kServeShareOfGrace &&
-      mOnStopped) {
-    std::exchange(mOnStopped, nullptr)();
+  if (mStopping) {
+    EndWhenStopped(now);
+  }
+}
+
+void
+CellNode::Impl::EndWhenStopped(TimePoint aNow)
+{
+  const bool idle = mSession == nullptr && mCalls.Empty();
+  const bool served =
+    aNow >= mStopBegan + mOptions.mStopGrace * kServeShareOfGrace;
+  const bool late =
+    aNow >= mStopBegan + mOptions.mStopGrace * kLongestShareOfGrace;
+  if (!(idle && served) && !late) {
+    return;
+  }
+  if (!mOnStopped) {
+    return;
   }
+  mCalls.AnswerAll();
+  std::exchange(mOnStopped, nullptr)();
 }
 
 void
--- a/src/cellnode/internal/cellnodeimpl.h
+++ b/src/cellnode/internal/cellnodeimpl.h
@@ -38,6 +38,7 @@
   void BeginSession(const OwnerRow& aRow, RowVersion aVersion, TimePoint aSince);
   void EndSession(std::string_view aReason);
   void OnReleased();
+  void EndWhenStopped(TimePoint aNow);
   bool IsOwnRow(const OwnerRow& aRow) const;
 
   // Other nodes.
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -67,6 +67,9 @@
     options.mAuthority * kClockTolerance + Duration(kMargin));
   mImpl->mCell.mFleet.Recover(aRecords.mWorkers, aNow.mSteady + unknownFor);
   mImpl->mCell.mJobs.Recover(aRecords, aNow);
+  for (auto& [id, job] : mImpl->mCell.mJobs.Jobs()) {
+    mImpl->mOutcomes.Settle(job, aNow);
+  }
   mImpl->mResolved = aRecords.mJobs.empty();
 }
 
--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -72,7 +72,9 @@
       .With("address", aEntry.mAddress)
       .With("life", aEntry.mLife);
   }
-  if (added || moved) {
+  const bool returned = worker.mRetired && !aEntry.mDraining;
+  if (added || moved || returned) {
+    worker.mRetired = false;
     worker.mRecordedBy =
       mLog.Mark({ .mKind = RecordKind::Worker, .mName = aEntry.mId.mValue });
     worker.mRecorded = false;
@@ -156,10 +158,13 @@
   (aWait.count() > 0 ? aWorker.mLongPollOut : aWorker.mShortPollOut) = true;
   aWorker.mEndsConfirmed =
     std::max(aWorker.mEndsConfirmed, aWorker.mEndsRecorded);
+  // A silent worker may hear what it cannot answer: its leases must run out.
+  const std::optional<WorkerTime> lease =
+    aWorker.mReachable ? GrantLease(aWorker, aNow) : std::nullopt;
   aSend({ .mWorker = aWorker.Target(),
           .mToken = aWorker.mToken,
           .mSerial = ++aWorker.mLastPollSerial,
-          .mLeaseEnd = GrantLease(aWorker, aNow),
+          .mLeaseEnd = lease,
           .mConfirmedEnds = aWorker.mEndsRecorded,
           .mWait = aWait });
 }
@@ -192,7 +197,8 @@
 Fleet::OnRecorded(RecordPosition aPosition)
 {
   for (auto& [id, worker] : mWorkers) {
-    worker.mRecorded = worker.mRecorded || worker.mRecordedBy <= aPosition;
+    worker.mRecorded =
+      !worker.mRetired && (worker.mRecorded || worker.mRecordedBy <= aPosition);
     while (!worker.mEndsToRecord.empty() &&
            worker.mEndsToRecord.front().first <= aPosition) {
       worker.mEndsRecorded = worker.mEndsToRecord.front().second;
@@ -211,11 +217,26 @@
          });
 }
 
+// A worker that gets no more tasks and has none is of no concern to the next
+// owner.
+void
+Fleet::ForgetRecord(Worker& aWorker)
+{
+  const bool leaving = !aWorker.mListed || aWorker.mEntry.mDraining;
+  if (leaving && aWorker.mRecorded && aWorker.mResolved &&
+      aWorker.mRuns.empty()) {
+    aWorker.mRecorded = false;
+    aWorker.mRetired = true;
+    mLog.Mark({ .mKind = RecordKind::Worker, .mName = aWorker.Id().mValue });
+  }
+}
+
 void
 Fleet::Prune(TimePoint aNow)
 {
   for (auto entry = mWorkers.begin(); entry != mWorkers.end();) {
     Worker& worker = entry->second;
+    ForgetRecord(worker);
     const bool gone = !worker.mListed && !worker.mReachable &&
                       worker.mRuns.empty() &&
                       worker.mUnlistedSince + kKeepUnlisted <= aNow &&
@@ -234,7 +255,7 @@
 Fleet::RecordOf(const WorkerId& aId) const
 {
   const auto found = mWorkers.find(aId);
-  if (found == mWorkers.end()) {
+  if (found == mWorkers.end() || found->second.mRetired) {
     return std::nullopt;
   }
   return WorkerRecord{ .mId = aId,
--- a/src/jobs/internal/fleet.h
+++ b/src/jobs/internal/fleet.h
@@ -60,6 +60,7 @@
   std::optional<WorkerRecord> RecordOf(const WorkerId& aId) const;
 
 private:
+  void ForgetRecord(Worker& aWorker);
   void SendPoll(Worker& aWorker,
                 TimePoint aNow,
                 std::chrono::milliseconds aWait,
--- a/src/jobs/internal/outcomes.cpp
+++ b/src/jobs/internal/outcomes.cpp
@@ -172,6 +172,32 @@
   }
 }
 
+void
+Outcomes::Settle(Job& aJob, const Moment& aNow)
+{
+  const auto most =
+    static_cast<std::size_t>(aJob.mRecord.mQueue.mMostAttempts);
+  const auto hasFailed = [most](const Step& aStep) {
+    return aStep.mFailedGangRuns.size() >= most ||
+           std::any_of(aStep.mTasks.begin(),
+                       aStep.mTasks.end(),
+                       [most](const Task& aTask) {
+                         return aTask.mFailedRuns.size() >= most;
+                       });
+  };
+  for (auto& [number, occurrence] : aJob.mOccurrences) {
+    if (aJob.mPhase != JobPhase::Open) {
+      return;
+    }
+    const std::vector<Step>& steps = occurrence.mSteps;
+    if (std::any_of(steps.begin(), steps.end(), hasFailed)) {
+      CloseJob(aJob, JobState::Failed, aNow);
+    } else {
+      FinishOccurrence(aJob, number, aNow);
+    }
+  }
+}
+
 RecordPosition
 Outcomes::CloseJob(Job& aJob, JobState aState, const Moment& aNow)
 {
--- a/src/jobs/internal/outcomes.h
+++ b/src/jobs/internal/outcomes.h
@@ -27,6 +27,10 @@
   // Cancels or fails a job: its runs are stopped.
   RecordPosition CloseJob(Job& aJob, JobState aState, const Moment& aNow);
 
+  // Closes a recovered job whose progress was recorded but not what follows
+  // from it.
+  void Settle(Job& aJob, const Moment& aNow);
+
 private:
   void ApplyEnd(Job& aJob, const EndedTask& aEnd, const Moment& aNow);
   void Succeed(Job& aJob, const TaskKey& aKey, const Moment& aNow);
--- a/src/jobs/internal/reports.cpp
+++ b/src/jobs/internal/reports.cpp
@@ -100,7 +100,7 @@
     }
     aWorker.mResolved = true;
   }
-  if (!aPoll.mLeaseEnd.has_value()) {
+  if (!aPoll.mLeaseEnd.has_value() && !aWorker.mRuns.empty()) {
     // The clock is known now: renew the lease at once.
     aWorker.mPollWanted = true;
   }
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -41,6 +41,8 @@
   // Other nodes would know of it.
   bool mRecorded = false;
   RecordPosition mRecordedBy;
+  // Its record is removed: it gets no more tasks.
+  bool mRetired = false;
 
   FencingToken mToken;
   // The highest token that it has answered to.
