Cancel requests that time out, so that late responses cannot reach them

Measured: the new story fails under the address sanitizer without the change (heap-use-after-free in OnResponse) and passes with it.

--- a/src/cellnode/internal/celljournal.cpp
+++ b/src/cellnode/internal/celljournal.cpp
@@ -52,9 +52,7 @@
 RowKey
 CellJournal::KeyOf(const jobs::RecordKey& aKey, const std::string& aPart)
 {
-  return { .mTable = TableOf(aKey.mKind),
-           .mPart = aPart,
-           .mName = aKey.mName };
+  return { .mTable = TableOf(aKey.mKind), .mPart = aPart, .mName = aKey.mName };
 }
 
 CellJournal::CellJournal(JournalOptions aOptions,
@@ -89,8 +87,8 @@
   if (mLog.HasWaiting() && !mWaitingSince.has_value()) {
     mWaitingSince = aNow;
   }
-  const bool gathered = mWaitingSince.has_value() &&
-                        *mWaitingSince + mOptions.mGather <= aNow;
+  const bool gathered =
+    mWaitingSince.has_value() && *mWaitingSince + mOptions.mGather <= aNow;
   const bool renewal = mRenewedAt + mOptions.mRenewEvery <= aNow;
   if (gathered || renewal || mReleasing) {
     Build();
@@ -146,15 +144,14 @@
 {
   mAwaiting = true;
   const std::uint64_t attempt = ++mAttempt;
-  mHooks.mCommit(
-    *mInFlight,
-    mTimeout,
-    [this, alive = mAlive, attempt, aNow](
-      const absl::StatusOr<CommitAnswer>& aAnswer) {
-      if (*alive) {
-        OnAnswer(attempt, aNow, aAnswer);
-      }
-    });
+  mHooks.mCommit(*mInFlight,
+                 mTimeout,
+                 [this, alive = mAlive, attempt, aNow](
+                   const absl::StatusOr<CommitAnswer>& aAnswer) {
+                   if (*alive) {
+                     OnAnswer(attempt, aNow, aAnswer);
+                   }
+                 });
 }
 
 void
@@ -189,10 +186,10 @@
 CellJournal::OnConflict(const CommitAnswer& aAnswer)
 {
   const RowKey owner = OwnerKey(mOptions.mPart);
-  const auto row = std::find_if(
-    aAnswer.mCurrent.begin(), aAnswer.mCurrent.end(), [&](const Row& aRow) {
-      return aRow.mKey == owner;
-    });
+  const auto row =
+    std::find_if(aAnswer.mCurrent.begin(),
+                 aAnswer.mCurrent.end(),
+                 [&](const Row& aRow) { return aRow.mKey == owner; });
   if (row != aAnswer.mCurrent.end() && row->mValue == mInFlightOwner) {
     // An earlier attempt was applied though its answer was lost.
     OnApplied(row->mVersion, mFirstSentAt);
--- a/src/cellnode/internal/cellloader.cpp
+++ b/src/cellnode/internal/cellloader.cpp
@@ -70,15 +70,14 @@
                       const std::string& aFrom,
                       const TakeRow& aTake)
 {
-  mStore.mRead(
-    { .mTable = aTable, .mPart = mPart, .mFrom = aFrom },
-    kReadTimeout,
-    [this, alive = mAlive, aTable, aFrom, aTake](
-      const absl::StatusOr<RowPage>& aPage) {
-      if (*alive) {
-        OnPage(aTable, aFrom, aTake, aPage);
-      }
-    });
+  mStore.mRead({ .mTable = aTable, .mPart = mPart, .mFrom = aFrom },
+               kReadTimeout,
+               [this, alive = mAlive, aTable, aFrom, aTake](
+                 const absl::StatusOr<RowPage>& aPage) {
+                 if (*alive) {
+                   OnPage(aTable, aFrom, aTake, aPage);
+                 }
+               });
 }
 
 void
@@ -91,9 +90,8 @@
     LogWarning("load_failed")
       .With("table", aTable)
       .With("status", aPage.status().ToString());
-    mRetries.push_back(mLoop.MakeTimer([this, aTable, aFrom, aTake] {
-      ReadTable(aTable, aFrom, aTake);
-    }));
+    mRetries.push_back(mLoop.MakeTimer(
+      [this, aTable, aFrom, aTake] { ReadTable(aTable, aFrom, aTake); }));
     mRetries.back()->StartAfter(kRetryPause);
     return;
   }
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -54,18 +54,19 @@
   , mStore(std::move(aStore))
   , mUpstreams(std::move(aUpstreams))
   , mFormats(std::move(aFormats))
-  , mPeers(aLoop,
-           { .mOnHello =
-               [this](const NodeId& aNode, const cellwire::HelloT& aHello) {
-                 OnHello(aNode, aHello);
-               },
-             .mOnMessage =
-               [this](const NodeId& aNode, const cellwire::MessageT& aMessage) {
-                 OnMessage(aNode, aMessage);
-               },
-             .mOnClosed = [this](const NodeId& aNode) { OnPeerClosed(aNode); } })
-  , mPolicy({ .mNode = mOptions.mNode,
-              .mProcessorShare = mOptions.mProcessorShare })
+  , mPeers(
+      aLoop,
+      { .mOnHello =
+          [this](const NodeId& aNode, const cellwire::HelloT& aHello) {
+            OnHello(aNode, aHello);
+          },
+        .mOnMessage =
+          [this](const NodeId& aNode, const cellwire::MessageT& aMessage) {
+            OnMessage(aNode, aMessage);
+          },
+        .mOnClosed = [this](const NodeId& aNode) { OnPeerClosed(aNode); } })
+  , mPolicy(
+      { .mNode = mOptions.mNode, .mProcessorShare = mOptions.mProcessorShare })
 {
   mTimer = mLoop.MakeTimer([this] { Tick(); });
   mConfigurationWatch = std::make_unique<TableWatch>(
@@ -73,9 +74,10 @@
     mStore,
     TableWatchOptions{ .mTable = mFormats.mConfigurationRow.mTable,
                        .mPart = mFormats.mConfigurationRow.mPart },
-    TableWatchHooks{ .mOnRow = [this](const Row& aRow) { OnConfiguration(aRow); },
-                     .mOnRemoved = [](const std::string&) {},
-                     .mOnCurrent = {} });
+    TableWatchHooks{
+      .mOnRow = [this](const Row& aRow) { OnConfiguration(aRow); },
+      .mOnRemoved = [](const std::string&) {},
+      .mOnCurrent = {} });
 }
 
 CellNode::Impl::~Impl()
@@ -117,8 +119,7 @@
     if (mPolicy.WantsRow(now)) {
       ReadOwnerRow();
     }
-    if (const auto version = mPolicy.WantsOwnership(now);
-        version.has_value()) {
+    if (const auto version = mPolicy.WantsOwnership(now); version.has_value()) {
       TryToOwn(*version);
     }
   }
@@ -192,16 +193,17 @@
   }
   mReadingRow = true;
   mNextRead = now + kReadEvery;
-  mStore.mRead({ .mTable = CellJournal::OwnerKey(kShardPart).mTable,
-                 .mPart = kShardPart,
-                 .mFrom = "" },
-               kReadTimeout,
-               [this, alive = mAlive, now](const absl::StatusOr<RowPage>& aPage) {
-                 if (*alive) {
-                   mReadingRow = false;
-                   OnOwnerRow(aPage, now);
-                 }
-               });
+  mStore.mRead(
+    { .mTable = CellJournal::OwnerKey(kShardPart).mTable,
+      .mPart = kShardPart,
+      .mFrom = "" },
+    kReadTimeout,
+    [this, alive = mAlive, now](const absl::StatusOr<RowPage>& aPage) {
+      if (*alive) {
+        mReadingRow = false;
+        OnOwnerRow(aPage, now);
+      }
+    });
 }
 
 void
@@ -219,8 +221,7 @@
   const Row& row = aPage->mRows.front();
   const absl::StatusOr<OwnerRow> owner = DecodeOwner(row.mValue);
   if (!owner.ok()) {
-    LogError("owner_row_unreadable")
-      .With("status", owner.status().ToString());
+    LogError("owner_row_unreadable").With("status", owner.status().ToString());
     mPolicy.OnReadFailed();
     return;
   }
@@ -264,27 +265,26 @@
     .With("row_version", aVersion);
   const RowKey key = CellJournal::OwnerKey(kShardPart);
   const TimePoint sentAt = Now();
-  mStore.mCommit(
-    { .mConditions = { { .mKey = key, .mVersion = aVersion } },
-      .mWrites = { { .mKey = key, .mValue = Encode(row) } },
-      .mRemovals = {} },
-    kTakeOverTimeout,
-    [this, alive = mAlive, row, sentAt](
-      const absl::StatusOr<CommitAnswer>& aAnswer) {
-      if (!*alive) {
-        return;
-      }
-      mTakingOver = false;
-      if (aAnswer.ok() && aAnswer->mApplied) {
-        BeginSession(row, aAnswer->mVersion, sentAt);
-        return;
-      }
-      LogInfo("take_over_failed")
-        .With("epoch", row.mEpoch)
-        .With("status", aAnswer.status().ToString());
-      mPolicy.OnReadFailed();
-      mNextRead = {};
-    });
+  mStore.mCommit({ .mConditions = { { .mKey = key, .mVersion = aVersion } },
+                   .mWrites = { { .mKey = key, .mValue = Encode(row) } },
+                   .mRemovals = {} },
+                 kTakeOverTimeout,
+                 [this, alive = mAlive, row, sentAt](
+                   const absl::StatusOr<CommitAnswer>& aAnswer) {
+                   if (!*alive) {
+                     return;
+                   }
+                   mTakingOver = false;
+                   if (aAnswer.ok() && aAnswer->mApplied) {
+                     BeginSession(row, aAnswer->mVersion, sentAt);
+                     return;
+                   }
+                   LogInfo("take_over_failed")
+                     .With("epoch", row.mEpoch)
+                     .With("status", aAnswer.status().ToString());
+                   mPolicy.OnReadFailed();
+                   mNextRead = {};
+                 });
 }
 
 void
@@ -292,9 +292,7 @@
                              RowVersion aVersion,
                              TimePoint aSince)
 {
-  LogInfo("owning")
-    .With("epoch", aRow.mEpoch)
-    .With("row_version", aVersion);
+  LogInfo("owning").With("epoch", aRow.mEpoch).With("row_version", aVersion);
   mEpoch = aRow.mEpoch;
   mOwner = NodeId();
   mSession = std::make_unique<OwnerSession>(
@@ -565,8 +563,7 @@
 {
   if (aNode == mOptions.mNode) {
     mUpstreams.mAdvise(
-      aQuery,
-      [this, alive = mAlive, aId](const jobs::AdviceAnswer& aAnswer) {
+      aQuery, [this, alive = mAlive, aId](const jobs::AdviceAnswer& aAnswer) {
         if (*alive && mSession != nullptr) {
           mSession->OnAdvice(aId, aAnswer);
         }
@@ -589,14 +586,13 @@
 CellNode::Impl::OnPeerQuery(const NodeId& aNode,
                             const cellwire::AdviceQueryT& aQuery)
 {
-  jobs::AdviceQuery query{
-    .mStep = { .mJob = jobs::JobId(aQuery.job),
-               .mOccurrence = aQuery.occurrence,
-               .mStep = aQuery.step },
-    .mWorkers = {},
-    .mCost = {},
-    .mValidity = std::chrono::milliseconds(aQuery.validity_ms)
-  };
+  jobs::AdviceQuery query{ .mStep = { .mJob = jobs::JobId(aQuery.job),
+                                      .mOccurrence = aQuery.occurrence,
+                                      .mStep = aQuery.step },
+                           .mWorkers = {},
+                           .mCost = {},
+                           .mValidity =
+                             std::chrono::milliseconds(aQuery.validity_ms) };
   for (const std::string& worker : aQuery.workers) {
     query.mWorkers.emplace_back(worker);
   }
@@ -630,15 +626,14 @@
   if (mSession == nullptr) {
     return;
   }
-  jobs::AdviceAnswer answer{
-    .mStep = { .mJob = jobs::JobId(aAnswer.job),
-               .mOccurrence = aAnswer.occurrence,
-               .mStep = aAnswer.step },
-    .mAnswered = aAnswer.answered,
-    .mAsked = {},
-    .mApproved = {},
-    .mValidity = std::chrono::milliseconds(aAnswer.validity_ms)
-  };
+  jobs::AdviceAnswer answer{ .mStep = { .mJob = jobs::JobId(aAnswer.job),
+                                        .mOccurrence = aAnswer.occurrence,
+                                        .mStep = aAnswer.step },
+                             .mAnswered = aAnswer.answered,
+                             .mAsked = {},
+                             .mApproved = {},
+                             .mValidity =
+                               std::chrono::milliseconds(aAnswer.validity_ms) };
   for (const std::string& worker : aAnswer.asked) {
     answer.mAsked.emplace_back(worker);
   }
--- a/src/cellnode/internal/cellnodeimpl.h
+++ b/src/cellnode/internal/cellnodeimpl.h
@@ -35,7 +35,9 @@
   void ReadOwnerRow();
   void OnOwnerRow(const absl::StatusOr<RowPage>& aPage, TimePoint aSentAt);
   void TryToOwn(RowVersion aVersion);
-  void BeginSession(const OwnerRow& aRow, RowVersion aVersion, TimePoint aSince);
+  void BeginSession(const OwnerRow& aRow,
+                    RowVersion aVersion,
+                    TimePoint aSince);
   void EndSession(std::string_view aReason);
   void OnReleased();
   void EndWhenStopped(TimePoint aNow);
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -292,8 +292,7 @@
   }
   const jobs::RecordPosition position =
     mScheduler.Submit(aId, aQueue, *std::move(spec), Now());
-  ReplyWhenRecorded(
-    position, { .mKind = CallerAnswerKind::Accepted }, aReply);
+  ReplyWhenRecorded(position, { .mKind = CallerAnswerKind::Accepted }, aReply);
 }
 
 void
@@ -306,8 +305,7 @@
              .mCount = mScheduler.Waiting(aQueue.mName) });
     return;
   }
-  const std::optional<jobs::JobView> view =
-    mScheduler.Find(jobs::JobId(aRest));
+  const std::optional<jobs::JobView> view = mScheduler.Find(jobs::JobId(aRest));
   if (!view.has_value()) {
     aReply({ .mKind = CallerAnswerKind::UnknownJob });
     return;
--- a/src/cellnode/internal/ownershippolicy.cpp
+++ b/src/cellnode/internal/ownershippolicy.cpp
@@ -102,8 +102,7 @@
   }
   Duration wait = Delay();
   if (mRow.has_value()) {
-    const bool vacant =
-      mRow->mReleased || mDeniedEpoch >= mRow->mEpoch;
+    const bool vacant = mRow->mReleased || mDeniedEpoch >= mRow->mEpoch;
     if (mHandoverEpoch >= mRow->mEpoch && mRow->mReleased) {
       wait = Duration::zero();
     } else if (!vacant) {
--- a/src/cellnode/internal/peerhub.cpp
+++ b/src/cellnode/internal/peerhub.cpp
@@ -66,8 +66,8 @@
   peer.mLink = std::move(aLink);
   peer.mDialled = std::move(aDialled);
   peer.mLink->SetHooks(
-    { .mOnFrame =
-        [this, &peer](std::string_view aFrame) { OnFrame(peer, aFrame); },
+    { .mOnFrame = [this,
+                   &peer](std::string_view aFrame) { OnFrame(peer, aFrame); },
       .mOnClosed = [this, &peer] { Drop(peer); } });
   peer.mTimer = mLoop.MakeTimer([this, &peer] {
     if (peer.mNode.Empty()) {
@@ -145,9 +145,8 @@
 void
 PeerHub::Sweep()
 {
-  std::erase_if(mPeers, [](const std::unique_ptr<Peer>& aPeer) {
-    return aPeer->mClosed;
-  });
+  std::erase_if(
+    mPeers, [](const std::unique_ptr<Peer>& aPeer) { return aPeer->mClosed; });
 }
 
 std::vector<NodeId>
--- a/src/cellnode/internal/queuerouter.cpp
+++ b/src/cellnode/internal/queuerouter.cpp
@@ -15,8 +15,8 @@
   for (const jobs::QueuePolicy& queue : aConfiguration.mQueues) {
     const bool matches =
       queue.mHost == aHost && path.starts_with(queue.mPathPrefix);
-    if (matches && (best == nullptr || queue.mPathPrefix.size() >
-                                         best->mPathPrefix.size())) {
+    if (matches && (best == nullptr ||
+                    queue.mPathPrefix.size() > best->mPathPrefix.size())) {
       best = &queue;
     }
   }
--- a/src/cellnode/internal/recordcodec.cpp
+++ b/src/cellnode/internal/recordcodec.cpp
@@ -240,15 +240,15 @@
     for (const jobs::TaskProgress& task : step.mTasks) {
       tasks.push_back(ToJson(task));
     }
-    steps.push_back(json::array({ step.mStep,
-                                  ToJson(step.mFailedGangRuns),
-                                  std::move(tasks) }));
+    steps.push_back(json::array(
+      { step.mStep, ToJson(step.mFailedGangRuns), std::move(tasks) }));
   }
-  return json{ { "job", aRecord.mJob.mValue },
-               { "occurrence", aRecord.mOccurrence },
-               { "finished", aRecord.mFinished },
-               { "steps", std::move(steps) } }
-    .dump();
+  return json{
+    { "job", aRecord.mJob.mValue },
+    { "occurrence", aRecord.mOccurrence },
+    { "finished", aRecord.mFinished },
+    { "steps", std::move(steps) }
+  }.dump();
 }
 
 absl::StatusOr<jobs::ProgressRecord>
@@ -275,10 +275,11 @@
 std::string
 Encode(const jobs::FinishedRecord& aRecord)
 {
-  return json{ { "id", aRecord.mId.mValue },
-               { "state", static_cast<int>(aRecord.mState) },
-               { "finished_ms", aRecord.mFinishedAt.count() } }
-    .dump();
+  return json{
+    { "id", aRecord.mId.mValue },
+    { "state", static_cast<int>(aRecord.mState) },
+    { "finished_ms", aRecord.mFinishedAt.count() }
+  }.dump();
 }
 
 absl::StatusOr<jobs::FinishedRecord>
@@ -288,8 +289,7 @@
     return jobs::FinishedRecord{
       .mId = jobs::JobId(aValue.at("id").get<std::string>()),
       .mState = static_cast<jobs::JobState>(aValue.at("state").get<int>()),
-      .mFinishedAt =
-        milliseconds(aValue.at("finished_ms").get<std::int64_t>())
+      .mFinishedAt = milliseconds(aValue.at("finished_ms").get<std::int64_t>())
     };
   });
 }
@@ -297,10 +297,11 @@
 std::string
 Encode(const jobs::WorkerRecord& aRecord)
 {
-  return json{ { "id", aRecord.mId.mValue },
-               { "address", aRecord.mAddress },
-               { "pool", aRecord.mPool.mValue } }
-    .dump();
+  return json{
+    { "id", aRecord.mId.mValue },
+    { "address", aRecord.mAddress },
+    { "pool", aRecord.mPool.mValue }
+  }.dump();
 }
 
 absl::StatusOr<jobs::WorkerRecord>
@@ -318,28 +319,27 @@
 std::string
 Encode(const OwnerRow& aRow)
 {
-  return json{ { "epoch", aRow.mEpoch.mValue },
-               { "node", aRow.mNode.mValue },
-               { "incarnation", aRow.mIncarnation.mValue },
-               { "address", aRow.mAddress },
-               { "sequence", aRow.mSequence },
-               { "released", aRow.mReleased } }
-    .dump();
+  return json{
+    { "epoch", aRow.mEpoch.mValue },
+    { "node", aRow.mNode.mValue },
+    { "incarnation", aRow.mIncarnation.mValue },
+    { "address", aRow.mAddress },
+    { "sequence", aRow.mSequence },
+    { "released", aRow.mReleased }
+  }.dump();
 }
 
 absl::StatusOr<OwnerRow>
 DecodeOwner(std::string_view aText)
 {
   return Decode<OwnerRow>(aText, [](const json& aValue) {
-    return OwnerRow{
-      .mEpoch = Epoch(aValue.at("epoch").get<std::uint64_t>()),
-      .mNode = NodeId(aValue.at("node").get<std::string>()),
-      .mIncarnation =
-        Incarnation(aValue.at("incarnation").get<std::uint64_t>()),
-      .mAddress = aValue.at("address").get<std::string>(),
-      .mSequence = aValue.at("sequence").get<std::uint64_t>(),
-      .mReleased = aValue.at("released").get<bool>()
-    };
+    return OwnerRow{ .mEpoch = Epoch(aValue.at("epoch").get<std::uint64_t>()),
+                     .mNode = NodeId(aValue.at("node").get<std::string>()),
+                     .mIncarnation = Incarnation(
+                       aValue.at("incarnation").get<std::uint64_t>()),
+                     .mAddress = aValue.at("address").get<std::string>(),
+                     .mSequence = aValue.at("sequence").get<std::uint64_t>(),
+                     .mReleased = aValue.at("released").get<bool>() };
   });
 }
 
--- a/src/cellnode/internal/tablewatch.cpp
+++ b/src/cellnode/internal/tablewatch.cpp
@@ -55,23 +55,22 @@
 void
 TableWatch::ReadFrom(const std::string& aName)
 {
-  mStore.mRead({ .mTable = mOptions.mTable,
-                 .mPart = mOptions.mPart,
-                 .mFrom = aName },
-               kReadTimeout,
-               [this, alive = mAlive](const absl::StatusOr<RowPage>& aPage) {
-                 if (!*alive) {
-                   return;
-                 }
-                 if (!aPage.ok()) {
-                   LogWarning("table_read_failed")
-                     .With("table", mOptions.mTable)
-                     .With("status", aPage.status().ToString());
-                   RetryLater();
-                   return;
-                 }
-                 OnPage(*aPage);
-               });
+  mStore.mRead(
+    { .mTable = mOptions.mTable, .mPart = mOptions.mPart, .mFrom = aName },
+    kReadTimeout,
+    [this, alive = mAlive](const absl::StatusOr<RowPage>& aPage) {
+      if (!*alive) {
+        return;
+      }
+      if (!aPage.ok()) {
+        LogWarning("table_read_failed")
+          .With("table", mOptions.mTable)
+          .With("status", aPage.status().ToString());
+        RetryLater();
+        return;
+      }
+      OnPage(*aPage);
+    });
 }
 
 void
@@ -113,15 +112,14 @@
 void
 TableWatch::Follow()
 {
-  mStore.mFeed({ .mTable = mOptions.mTable,
-                 .mAfter = mVersion,
-                 .mWait = mOptions.mWait },
-               mOptions.mWait + kReadTimeout,
-               [this, alive = mAlive](const absl::StatusOr<RowPage>& aPage) {
-                 if (*alive) {
-                   OnChanges(aPage);
-                 }
-               });
+  mStore.mFeed(
+    { .mTable = mOptions.mTable, .mAfter = mVersion, .mWait = mOptions.mWait },
+    mOptions.mWait + kReadTimeout,
+    [this, alive = mAlive](const absl::StatusOr<RowPage>& aPage) {
+      if (*alive) {
+        OnChanges(aPage);
+      }
+    });
 }
 
 void
--- a/src/cellnode/types/rows.h
+++ b/src/cellnode/types/rows.h
@@ -89,9 +89,9 @@
   std::chrono::milliseconds mWait{ 0 };
 };
 
-// Calls to the store. Errors: Unavailable when nothing was done; DeadlineExceeded
-// or Unknown when there was no answer, so that a commit may have been applied
-// or may be later; OutOfRange when a feed's history is gone.
+// Calls to the store. Errors: Unavailable when nothing was done;
+// DeadlineExceeded or Unknown when there was no answer, so that a commit may
+// have been applied or may be later; OutOfRange when a feed's history is gone.
 struct RowStoreHooks
 {
   std::function<void(const RowTransaction&,
--- a/src/eventloop/framelink.h
+++ b/src/eventloop/framelink.h
@@ -54,6 +54,8 @@
   EventLoop& mLoop;
   bufferevent* mStream = nullptr;
   FrameLinkHooks mHooks;
+  // Tells of a connection that could not even be tried.
+  std::unique_ptr<Timer> mFailure;
 };
 
 class FrameListener
--- a/src/eventloop/httpclient.h
+++ b/src/eventloop/httpclient.h
@@ -53,6 +53,7 @@
   void KeepConnection(const SocketAddress& aAddress,
                       evhttp_connection* aConnection);
   void DiscardConnection(evhttp_connection* aConnection);
+  void OnTimeout(std::uint64_t aSerial);
   void Finish(std::uint64_t aSerial, HttpOutcome aOutcome, bool aReusable);
   static void OnResponse(evhttp_request* aRequest, void* aContext);
 
--- a/src/eventloop/httpserver.h
+++ b/src/eventloop/httpserver.h
@@ -4,8 +4,8 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -39,7 +39,9 @@
 class HttpServer
 {
 public:
-  HttpServer(EventLoop& aLoop, HttpServerOptions aOptions, HttpHandler aHandler);
+  HttpServer(EventLoop& aLoop,
+             HttpServerOptions aOptions,
+             HttpHandler aHandler);
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
   ~HttpServer();
--- a/src/eventloop/internal/eventloop.cpp
+++ b/src/eventloop/internal/eventloop.cpp
@@ -14,8 +14,7 @@
 ToTimeval(Duration aDelay)
 {
   const auto micros = std::max<std::int64_t>(
-    0,
-    std::chrono::duration_cast<std::chrono::microseconds>(aDelay).count());
+    0, std::chrono::duration_cast<std::chrono::microseconds>(aDelay).count());
   timeval value{};
   value.tv_sec = micros / 1000000;
   value.tv_usec = micros % 1000000;
--- a/src/eventloop/internal/framelink.cpp
+++ b/src/eventloop/internal/framelink.cpp
@@ -22,10 +22,10 @@
 
 FrameLink::FrameLink(EventLoop& aLoop, int aSocket)
   : mLoop(aLoop)
-  , mStream(bufferevent_socket_new(aLoop.Base(),
-                                   aSocket,
-                                   BEV_OPT_CLOSE_ON_FREE |
-                                     BEV_OPT_DEFER_CALLBACKS))
+  , mStream(
+      bufferevent_socket_new(aLoop.Base(),
+                             aSocket,
+                             BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
 {
   SetStreamOptions(aSocket, kUnacknowledgedLimit);
   Enable();
@@ -33,19 +33,19 @@
 
 FrameLink::FrameLink(EventLoop& aLoop, const SocketAddress& aAddress)
   : mLoop(aLoop)
-  , mStream(bufferevent_socket_new(aLoop.Base(),
-                                   -1,
-                                   BEV_OPT_CLOSE_ON_FREE |
-                                     BEV_OPT_DEFER_CALLBACKS))
+  , mStream(
+      bufferevent_socket_new(aLoop.Base(),
+                             -1,
+                             BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
 {
   Enable();
   sockaddr_in address{};
   if (!ToSockaddr(aAddress, address) ||
-      bufferevent_socket_connect(mStream,
-                                 reinterpret_cast<sockaddr*>(&address),
-                                 sizeof(address)) != 0) {
+      bufferevent_socket_connect(
+        mStream, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
     LogWarning("link_connect_failed").With("address", aAddress.ToText());
-    mLoop.Post([this] { Fail(); });
+    mFailure = mLoop.MakeTimer([this] { Fail(); });
+    mFailure->StartAfter(Duration::zero());
     return;
   }
   SetStreamOptions(bufferevent_getfd(mStream), kUnacknowledgedLimit);
@@ -168,8 +168,7 @@
   mListener = evconnlistener_new_bind(mLoop.Base(),
                                       accept,
                                       this,
-                                      LEV_OPT_CLOSE_ON_FREE |
-                                        LEV_OPT_REUSEABLE,
+                                      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
                                       kBacklog,
                                       reinterpret_cast<sockaddr*>(&address),
                                       sizeof(address));
--- a/src/eventloop/internal/httpclient.cpp
+++ b/src/eventloop/internal/httpclient.cpp
@@ -55,8 +55,8 @@
 std::string
 EscapeForUri(const std::string& aText)
 {
-  char* escaped = evhttp_uriencode(
-    aText.data(), static_cast<ev_ssize_t>(aText.size()), 0);
+  char* escaped =
+    evhttp_uriencode(aText.data(), static_cast<ev_ssize_t>(aText.size()), 0);
   std::string result(escaped);
   std::free(escaped);
   return result;
@@ -68,6 +68,8 @@
   std::uint64_t mSerial = 0;
   SocketAddress mAddress;
   evhttp_connection* mConnection = nullptr;
+  // Null once the library has given it up.
+  evhttp_request* mRequest = nullptr;
   std::function<void(HttpOutcome)> mDone;
   std::unique_ptr<Timer> mTimeout;
 };
@@ -161,9 +163,7 @@
   exchange->mConnection = TakeConnection(aAddress);
   exchange->mDone = std::move(aDone);
   exchange->mTimeout =
-    mLoop.MakeTimer([this, serial = exchange->mSerial] {
-      Finish(serial, absl::DeadlineExceededError("no response in time"), false);
-    });
+    mLoop.MakeTimer([this, serial = exchange->mSerial] { OnTimeout(serial); });
   exchange->mTimeout->StartAfter(aTimeout);
 
   evhttp_request* request =
@@ -178,6 +178,7 @@
                  aRequest.mBody.data(),
                  aRequest.mBody.size());
   }
+  exchange->mRequest = request;
   evhttp_connection* connection = exchange->mConnection;
   const std::uint64_t serial = exchange->mSerial;
   mExchanges.emplace(serial, std::move(exchange));
@@ -185,6 +186,7 @@
                           request,
                           CommandOf(aRequest.mMethod),
                           aRequest.mTarget.c_str()) != 0) {
+    mExchanges.at(serial)->mRequest = nullptr;
     mLoop.Post([this, serial] {
       Finish(serial, absl::UnavailableError("cannot connect"), false);
     });
@@ -197,11 +199,28 @@
   }
 }
 
+void
+HttpClient::OnTimeout(std::uint64_t aSerial)
+{
+  const auto entry = mExchanges.find(aSerial);
+  if (entry == mExchanges.end()) {
+    return;
+  }
+  // From here on the library does not touch the exchange any more, even when
+  // the response has already arrived.
+  if (evhttp_request* request = std::exchange(entry->second->mRequest, nullptr);
+      request != nullptr) {
+    evhttp_cancel_request(request);
+  }
+  Finish(aSerial, absl::DeadlineExceededError("no response in time"), false);
+}
+
 void
 HttpClient::OnResponse(evhttp_request* aRequest, void* aContext)
 {
   auto* exchange = static_cast<Exchange*>(aContext);
   HttpClient* client = exchange->mClient;
+  exchange->mRequest = nullptr;
   const bool answered =
     aRequest != nullptr && evhttp_request_get_response_code(aRequest) != 0;
   if (!answered) {
--- a/src/eventloop/internal/httpserver.cpp
+++ b/src/eventloop/internal/httpserver.cpp
@@ -94,10 +94,10 @@
   }
   mHttp = evhttp_new(mLoop.Base());
   evhttp_set_allowed_methods(mHttp,
-                             EVHTTP_REQ_GET | EVHTTP_REQ_POST |
-                               EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
-  evhttp_set_max_headers_size(mHttp,
-                              static_cast<ev_ssize_t>(mOptions.mMostHeaderBytes));
+                             EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+                               EVHTTP_REQ_DELETE);
+  evhttp_set_max_headers_size(
+    mHttp, static_cast<ev_ssize_t>(mOptions.mMostHeaderBytes));
   evhttp_set_max_body_size(mHttp,
                            static_cast<ev_ssize_t>(mOptions.mMostBodyBytes));
   evhttp_set_timeout(mHttp, static_cast<int>(mOptions.mIdleLimit.count()));
--- a/src/eventloop/tests/framelink_test.cpp
+++ b/src/eventloop/tests/framelink_test.cpp
@@ -23,17 +23,16 @@
       bool closed = false;
       FrameListener listener(loop, [&](std::unique_ptr<FrameLink> aLink) {
         accepted = std::move(aLink);
-        accepted->SetHooks(
-          { .mOnFrame =
-              [&](std::string_view aFrame) {
-                received = std::string(aFrame);
-                accepted->Send("answer");
-              },
-            .mOnClosed =
-              [&] {
-                closed = true;
-                loop.Stop();
-              } });
+        accepted->SetHooks({ .mOnFrame =
+                               [&](std::string_view aFrame) {
+                                 received = std::string(aFrame);
+                                 accepted->Send("answer");
+                               },
+                             .mOnClosed =
+                               [&] {
+                                 closed = true;
+                                 loop.Stop();
+                               } });
       });
       CPPUNIT_ASSERT(listener.Listen(kAddress).ok());
       FrameLink link(loop, kAddress);
@@ -56,11 +55,10 @@
       EventLoop loop;
       FrameLink link(loop, { .mHost = "127.0.0.1", .mPort = 17802 });
       bool closed = false;
-      link.SetHooks({ .mOnFrame = {},
-                      .mOnClosed = [&] {
-                        closed = true;
-                        loop.Stop();
-                      } });
+      link.SetHooks({ .mOnFrame = {}, .mOnClosed = [&] {
+                       closed = true;
+                       loop.Stop();
+                     } });
       loop.Run();
       CPPUNIT_ASSERT(closed);
       CPPUNIT_ASSERT(!link.IsOpen());
--- a/src/eventloop/tests/httpexchange_test.cpp
+++ b/src/eventloop/tests/httpexchange_test.cpp
@@ -1,3 +1,5 @@
+#include <thread>
+
 #include "eventloop/httpclient.h"
 #include "eventloop/httpserver.h"
 #include "eventloop/tests/stories.h"
@@ -88,6 +90,41 @@
       kept({ .mStatus = 200 });
     });
   });
+  aStory.Describe(
+    "a response that comes just after its timeout", [](Section& aSection) {
+      aSection.It("does not reach the exchange that is over", [] {
+        EventLoop serverLoop;
+        HttpServer server(serverLoop,
+                          Options(),
+                          [](const HttpRequest&, const HttpReply& aReply) {
+                            std::this_thread::sleep_for(10ms);
+                            aReply({ .mStatus = 200 });
+                          });
+        CPPUNIT_ASSERT(server.Listen().ok());
+        const auto stopServer =
+          serverLoop.MakeTimer([&] { serverLoop.Stop(); });
+        stopServer->StartAfter(150ms);
+        std::thread serving([&] { serverLoop.Run(); });
+        EventLoop loop;
+        HttpClient client(loop);
+        int finished = 0;
+        client.Send(kAddress,
+                    { .mMethod = HttpMethod::Get, .mTarget = "/" },
+                    5ms,
+                    [&](const HttpOutcome& aOutcome) {
+                      ++finished;
+                      CPPUNIT_ASSERT(
+                        absl::IsDeadlineExceeded(aOutcome.status()));
+                      // The response is there before the loop goes on.
+                      std::this_thread::sleep_for(40ms);
+                    });
+        const auto stop = loop.MakeTimer([&] { loop.Stop(); });
+        stop->StartAfter(120ms);
+        loop.Run();
+        serving.join();
+        CPPUNIT_ASSERT_EQUAL(1, finished);
+      });
+    });
 }
 
 } // namespace oriolevane
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -299,10 +299,10 @@
     for (auto& [number, occurrence] : job.mOccurrences) {
       for (std::size_t place = 0; place < occurrence.mSteps.size(); ++place) {
         Step& step = occurrence.mSteps[place];
-        const bool complete = std::none_of(
-          step.mTasks.begin(), step.mTasks.end(), [](const Task& aTask) {
-            return aTask.IsWaiting();
-          });
+        const bool complete =
+          std::none_of(step.mTasks.begin(),
+                       step.mTasks.end(),
+                       [](const Task& aTask) { return aTask.IsWaiting(); });
         if (job.mRecord.mSpec.mSteps[place].mGang && !complete) {
           mRuns.StopStep(step, aNow.mSteady);
         }
--- a/src/jobs/internal/advicebook.cpp
+++ b/src/jobs/internal/advicebook.cpp
@@ -73,10 +73,9 @@
   if (advice.mAsking && advice.mAskedAt + kLostAfter > aNow) {
     return;
   }
-  AdviceQuery query{ .mStep = aStep,
-                     .mWorkers = {},
-                     .mCost = {},
-                     .mValidity = aPolicy.mValidity };
+  AdviceQuery query{
+    .mStep = aStep, .mWorkers = {}, .mCost = {}, .mValidity = aPolicy.mValidity
+  };
   for (const WorkerId& worker : aCandidates) {
     const bool refused =
       advice.mAsked.contains(worker) && !advice.mApproved.contains(worker);
@@ -87,9 +86,9 @@
   if (query.mWorkers.empty()) {
     return;
   }
-  query.mCost = aPolicy.mDecisionTime +
-                aPolicy.mTimePerWorker *
-                  static_cast<std::int64_t>(query.mWorkers.size());
+  query.mCost =
+    aPolicy.mDecisionTime +
+    aPolicy.mTimePerWorker * static_cast<std::int64_t>(query.mWorkers.size());
   advice.mAsking = true;
   advice.mAskedAt = aNow;
   aSend(query);
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -89,8 +89,7 @@
   std::map<QueueName, int> fresh;
   for (const Candidate& candidate : candidates) {
     const QueuePolicy& queue = candidate.mJob->mRecord.mQueue;
-    if (queue.mAdvice.has_value() &&
-        fresh[queue.mName]++ < kStepsKeptFresh) {
+    if (queue.mAdvice.has_value() && fresh[queue.mName]++ < kStepsKeptFresh) {
       KeepAdviceFresh(candidate, aNow.mSteady);
     }
     if (candidate.mStep->mNotBefore > aNow.mSteady) {
@@ -109,8 +108,7 @@
 {
   mUsable.clear();
   for (auto& [id, worker] : mCell.mFleet.Workers()) {
-    const bool trialFull =
-      worker.mHealth.mOnTrial && !worker.mRuns.empty();
+    const bool trialFull = worker.mHealth.mOnTrial && !worker.mRuns.empty();
     // The registry forgets live workers while the store is away.
     const bool listed =
       worker.mListed || worker.mUnlistedSince + kUnlistedUsable > aNow;
@@ -184,8 +182,7 @@
     }
     end = std::max(end, *expected);
   }
-  if (end - QueryTime(*advice, mUsable.size()) - kAdviceAhead <=
-      aNow.mSteady) {
+  if (end - QueryTime(*advice, mUsable.size()) - kAdviceAhead <= aNow.mSteady) {
     AskFor(aJob, aStep, aNow.mSteady);
   }
 }
@@ -199,8 +196,11 @@
       workers.push_back(worker->Id());
     }
   }
-  mCell.mAdvice.Ask(
-    aStep, *aJob.mRecord.mQueue.mAdvice, workers, aNow, mCell.mHooks.mAskAdvice);
+  mCell.mAdvice.Ask(aStep,
+                    *aJob.mRecord.mQueue.mAdvice,
+                    workers,
+                    aNow,
+                    mCell.mHooks.mAskAdvice);
 }
 
 void
@@ -258,9 +258,8 @@
                     : static_cast<double>(aLeft) / static_cast<double>(aOf);
   };
   // The fullest worker that fits, so that room for large tasks stays whole.
-  double cost =
-    share(left.mMilliCores, aWorker.mEntry.mCapacity.mMilliCores) +
-    share(left.mMemoryMiB, aWorker.mEntry.mCapacity.mMemoryMiB);
+  double cost = share(left.mMilliCores, aWorker.mEntry.mCapacity.mMilliCores) +
+                share(left.mMemoryMiB, aWorker.mEntry.mCapacity.mMemoryMiB);
   if (!aSpec.mDataRack.empty() &&
       aSpec.mDataRack != aWorker.mEntry.mRack.mValue) {
     cost += 10 * mCell.mOptions.mRemoteFactor;
@@ -296,8 +295,7 @@
 void
 Dispatcher::PlaceEach(const Candidate& aCandidate, const Moment& aNow)
 {
-  const std::vector<Worker*> allowed =
-    AllowedWorkers(aCandidate, aNow.mSteady);
+  const std::vector<Worker*> allowed = AllowedWorkers(aCandidate, aNow.mSteady);
   if (allowed.empty()) {
     return;
   }
@@ -322,8 +320,7 @@
 void
 Dispatcher::PlaceGang(const Candidate& aCandidate, const Moment& aNow)
 {
-  const std::vector<Worker*> allowed =
-    AllowedWorkers(aCandidate, aNow.mSteady);
+  const std::vector<Worker*> allowed = AllowedWorkers(aCandidate, aNow.mSteady);
   const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
   std::vector<Task>& tasks = aCandidate.mStep->mTasks;
   std::vector<Worker*> chosen;
--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -43,8 +43,7 @@
     worker.mEntry.mPool = record.mPool;
     worker.mRecorded = true;
     worker.mLeaseEndsBy = aUnknownUntil;
-    worker.mToken =
-      FencingToken(mOptions.mEpoch.mValue * kTokensPerEpoch + 1);
+    worker.mToken = FencingToken(mOptions.mEpoch.mValue * kTokensPerEpoch + 1);
   }
 }
 
@@ -62,8 +61,7 @@
   worker.mEntry = aEntry;
   worker.mListed = true;
   if (added) {
-    worker.mToken =
-      FencingToken(mOptions.mEpoch.mValue * kTokensPerEpoch + 1);
+    worker.mToken = FencingToken(mOptions.mEpoch.mValue * kTokensPerEpoch + 1);
     // A worker without a record has been given no task by anybody.
     worker.mResolved = true;
     worker.mNextPollAt = aNow;
--- a/src/jobs/internal/fleet.h
+++ b/src/jobs/internal/fleet.h
@@ -45,7 +45,8 @@
   // not known or this node must not renew leases.
   std::optional<WorkerTime> GrantLease(Worker& aWorker, TimePoint aNow);
   // Sends the polls that are due.
-  void PollDue(TimePoint aNow, const std::function<void(const PollOrder&)>& aSend);
+  void PollDue(TimePoint aNow,
+               const std::function<void(const PollOrder&)>& aSend);
   // Changes up to this position are recorded.
   void OnRecorded(RecordPosition aPosition);
   // True when the runs of the earlier owner are all known.
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -74,10 +74,7 @@
   // No start before this time, after orders that were refused.
   TimePoint mNotBefore;
 
-  bool IsDone() const
-  {
-    return mSucceeded == static_cast<int>(mTasks.size());
-  }
+  bool IsDone() const { return mSucceeded == static_cast<int>(mTasks.size()); }
   bool HasRuns() const;
 };
 
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -64,10 +64,10 @@
     task.mLastRun = saved.mLastRun;
     task.mCheckpoint = saved.mCheckpoint;
   }
-  aStep.mSucceeded = static_cast<int>(
-    std::count_if(aStep.mTasks.begin(),
-                  aStep.mTasks.end(),
-                  [](const Task& aTask) { return aTask.mSucceeded; }));
+  aStep.mSucceeded = static_cast<int>(std::count_if(
+    aStep.mTasks.begin(), aStep.mTasks.end(), [](const Task& aTask) {
+      return aTask.mSucceeded;
+    }));
 }
 
 } // namespace
@@ -143,22 +143,19 @@
 void
 JobTable::OpenDueOccurrences(Job& aJob, const Moment& aNow)
 {
-  const std::optional<Repetition>& repetition =
-    aJob.mRecord.mSpec.mRepetition;
+  const std::optional<Repetition>& repetition = aJob.mRecord.mSpec.mRepetition;
   if (!repetition.has_value()) {
     aJob.mOccurrences.try_emplace(0, MakeOccurrence(aJob.mRecord.mSpec));
     return;
   }
-  for (int number = aJob.mOccurrences.empty()
-                      ? 0
-                      : aJob.mOccurrences.rbegin()->first + 1;
+  for (int number =
+         aJob.mOccurrences.empty() ? 0 : aJob.mOccurrences.rbegin()->first + 1;
        number < repetition->mCount;
        ++number) {
     if (repetition->mFirstDue + number * repetition->mInterval > aNow.mUnix) {
       return;
     }
-    aJob.mOccurrences.try_emplace(number,
-                                  MakeOccurrence(aJob.mRecord.mSpec));
+    aJob.mOccurrences.try_emplace(number, MakeOccurrence(aJob.mRecord.mSpec));
   }
 }
 
@@ -175,10 +172,10 @@
   aJob.mPhase = JobPhase::Closed;
   const RecordPosition position =
     mLog.Mark({ .mKind = RecordKind::Finished, .mName = id.mValue });
-  mFinished[id] = { .mRecord = { .mId = id,
-                                 .mState = aState,
-                                 .mFinishedAt = aNow.mUnix },
-                    .mRecordedBy = position };
+  mFinished[id] = {
+    .mRecord = { .mId = id, .mState = aState, .mFinishedAt = aNow.mUnix },
+    .mRecordedBy = position
+  };
   mFinishedOrder.emplace(aNow.mUnix, id);
   return position;
 }
--- a/src/jobs/internal/jobtable.h
+++ b/src/jobs/internal/jobtable.h
@@ -42,7 +42,8 @@
 
   // Nothing when the record is to be removed.
   std::optional<JobRecord> JobRecordOf(const JobId& aId) const;
-  std::optional<ProgressRecord> ProgressRecordOf(const std::string& aName) const;
+  std::optional<ProgressRecord> ProgressRecordOf(
+    const std::string& aName) const;
   std::optional<FinishedRecord> FinishedRecordOf(const JobId& aId) const;
 
 private:
--- a/src/jobs/internal/outcomes.cpp
+++ b/src/jobs/internal/outcomes.cpp
@@ -125,8 +125,7 @@
   Step& step = *aJob.FindStep(key.mOccurrence, key.mStep);
   Task& task = *aJob.FindTask(aEnd.mTask);
   const bool gang = SpecOf(aJob, key).mGang;
-  std::set<RunNumber>& failed =
-    gang ? step.mFailedGangRuns : task.mFailedRuns;
+  std::set<RunNumber>& failed = gang ? step.mFailedGangRuns : task.mFailedRuns;
   if (!failed.insert(aEnd.mRun).second) {
     return;
   }
@@ -164,8 +163,7 @@
   }
   occurrence.mFinished = true;
   ++aJob.mFinishedOccurrences;
-  const std::optional<Repetition>& repetition =
-    aJob.mRecord.mSpec.mRepetition;
+  const std::optional<Repetition>& repetition = aJob.mRecord.mSpec.mRepetition;
   const int expected = repetition.has_value() ? repetition->mCount : 1;
   if (aJob.mFinishedOccurrences >= expected) {
     CloseJob(aJob, JobState::Completed, aNow);
@@ -175,8 +173,7 @@
 void
 Outcomes::Settle(Job& aJob, const Moment& aNow)
 {
-  const auto most =
-    static_cast<std::size_t>(aJob.mRecord.mQueue.mMostAttempts);
+  const auto most = static_cast<std::size_t>(aJob.mRecord.mQueue.mMostAttempts);
   const auto hasFailed = [most](const Step& aStep) {
     return aStep.mFailedGangRuns.size() >= most ||
            std::any_of(aStep.mTasks.begin(),
@@ -249,8 +246,7 @@
   const TaskKey key = aRun->mTask;
   mRuns.Drop(aWorker, aRun);
   if (job != nullptr && job->mPhase == JobPhase::Open &&
-      key.mStep.mStep <
-        static_cast<int>(job->mRecord.mSpec.mSteps.size()) &&
+      key.mStep.mStep < static_cast<int>(job->mRecord.mSpec.mSteps.size()) &&
       SpecOf(*job, key.mStep).mGang) {
     BreakGang(*job, key.mStep, aNow);
   }
--- a/src/jobs/internal/reports.cpp
+++ b/src/jobs/internal/reports.cpp
@@ -245,10 +245,9 @@
     worker->mReachable = false;
   }
   Job* job = mCell.mJobs.Find(aOrder.mTask.mStep.mJob);
-  Step* step = job == nullptr
-                 ? nullptr
-                 : job->FindStep(aOrder.mTask.mStep.mOccurrence,
-                                 aOrder.mTask.mStep.mStep);
+  Step* step = job == nullptr ? nullptr
+                              : job->FindStep(aOrder.mTask.mStep.mOccurrence,
+                                              aOrder.mTask.mStep.mStep);
   if (step != nullptr) {
     step->mNotBefore = aNow.mSteady + kRefusedPause;
   }
--- a/src/jobs/internal/runbook.cpp
+++ b/src/jobs/internal/runbook.cpp
@@ -85,8 +85,7 @@
     Stop(*run, aNow);
     return;
   }
-  const StepSpec& spec =
-    job->mRecord.mSpec.mSteps[aRunning.mTask.mStep.mStep];
+  const StepSpec& spec = job->mRecord.mSpec.mSteps[aRunning.mTask.mStep.mStep];
   run->mResources = spec.mResources;
   aWorker.AddRun(run);
   const bool unwanted = job->mPhase != JobPhase::Open || task->mSucceeded ||
@@ -117,10 +116,10 @@
   }
   aWorker.RemoveRun(aRun);
   if (orphan) {
-    aWorker.mHasUnknownLoad = std::any_of(
-      aWorker.mRuns.begin(), aWorker.mRuns.end(), [](const RunPointer& aEntry) {
-        return aEntry->mOrphan;
-      });
+    aWorker.mHasUnknownLoad =
+      std::any_of(aWorker.mRuns.begin(),
+                  aWorker.mRuns.end(),
+                  [](const RunPointer& aEntry) { return aEntry->mOrphan; });
   }
   mCell.mDispatchWanted = true;
 }
@@ -180,8 +179,7 @@
 {
   for (auto& [id, worker] : mCell.mFleet.Workers()) {
     for (const RunPointer& run : worker.mRuns) {
-      if (run->mStopWanted && !run->mStopInFlight &&
-          run->mNextStopAt <= aNow) {
+      if (run->mStopWanted && !run->mStopInFlight && run->mNextStopAt <= aNow) {
         SendStop(*run, worker, aNow);
       }
     }
--- a/src/jobs/internal/urgency.cpp
+++ b/src/jobs/internal/urgency.cpp
@@ -30,8 +30,7 @@
 {
   const std::vector<StepSpec>& steps = aRecord.mSpec.mSteps;
   Duration after{};
-  for (int later = aStep + 1; later < static_cast<int>(steps.size());
-       ++later) {
+  for (int later = aStep + 1; later < static_cast<int>(steps.size()); ++later) {
     const std::vector<int>& needs = steps[later].mAfter;
     if (std::find(needs.begin(), needs.end(), aStep) != needs.end()) {
       after = std::max(after, ChainFrom(aRecord, later));
@@ -62,8 +61,7 @@
 UrgencyOf(const Job& aJob, const StepKey& aStep, const Moment& aNow)
 {
   TimePoint begin = aJob.mAcceptedAt;
-  const std::optional<Repetition>& repetition =
-    aJob.mRecord.mSpec.mRepetition;
+  const std::optional<Repetition>& repetition = aJob.mRecord.mSpec.mRepetition;
   if (repetition.has_value()) {
     begin = aNow.mSteady - (aNow.mUnix - repetition->mFirstDue -
                             aStep.mOccurrence * repetition->mInterval);
--- a/src/jobs/internal/urgency.h
+++ b/src/jobs/internal/urgency.h
@@ -39,8 +39,6 @@
 ObjectiveOf(const JobRecord& aRecord);
 
 Urgency
-UrgencyOf(const Job& aJob,
-          const StepKey& aStep,
-          const Moment& aNow);
+UrgencyOf(const Job& aJob, const StepKey& aStep, const Moment& aNow);
 
 } // namespace oriolevane::jobs
