Keep advice with the step; ask about workers by room; try starts only after a gain

Each pass looked up the ticket of every worker for every waiting step (two ordered maps with text keys), passes ran on every registry heartbeat, and queries always named the first 100 workers of 350.

Change: approvals lie in the step as pointers; a step is tried again only when one of its workers has gained room or its tickets are new; passes are 4 ms apart; the workers asked about are those with most room, spread by a hash, and as many as the step's size and the queue's approval share call for; objective and chain are worked out once a job.

--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -4,11 +4,13 @@
 #include <utility>
 
 #include "framework/log.h"
+#include "jobs/internal/adviceplanner.h"
 #include "jobs/internal/cellstate.h"
 #include "jobs/internal/dispatcher.h"
 #include "jobs/internal/outcomes.h"
 #include "jobs/internal/reports.h"
 #include "jobs/internal/runbook.h"
+#include "jobs/internal/urgency.h"
 
 namespace oriolevane::jobs {
 
@@ -17,6 +19,9 @@
 using namespace std::chrono_literals;
 
 constexpr std::chrono::milliseconds kPruneEvery = 250ms;
+constexpr std::chrono::milliseconds kUpkeepEvery = 20ms;
+// Events that come close together are decided on at once.
+constexpr std::chrono::milliseconds kDispatchPause = 4ms;
 // Decisions that depend on time alone are looked at this often.
 constexpr std::chrono::milliseconds kDispatchEvery = 50ms;
 
@@ -29,8 +34,9 @@
     : mCell(std::move(aOptions), std::move(aHooks))
     , mRuns(mCell)
     , mOutcomes(mCell, mRuns)
-    , mReports(mCell, mRuns, mOutcomes)
-    , mDispatcher(mCell, mRuns)
+    , mAdvice(mCell)
+    , mReports(mCell, mRuns, mOutcomes, mAdvice)
+    , mDispatcher(mCell, mRuns, mAdvice)
   {
   }
 
@@ -40,13 +46,15 @@
   CellState mCell;
   RunBook mRuns;
   Outcomes mOutcomes;
+  AdvicePlanner mAdvice;
   Reports mReports;
   Dispatcher mDispatcher;
   // Jobs that wait to be recorded, oldest first.
   std::deque<std::pair<RecordPosition, JobId>> mToOpen;
   bool mResolved = true;
   TimePoint mNextPrune;
-  TimePoint mNextDispatch;
+  TimePoint mNextUpkeep;
+  TimePoint mLastDispatch;
 };
 
 CellScheduler::CellScheduler(SchedulerOptions aOptions, SchedulerHooks aHooks)
@@ -83,6 +91,7 @@
       cell.mConfiguration.FindQueue(job.mRecord.mQueue.mName);
     if (queue != nullptr && *queue != job.mRecord.mQueue) {
       job.mRecord.mQueue = *queue;
+      job.mTimes = TimesOf(job.mRecord);
     }
   }
   cell.mDispatchWanted = true;
@@ -180,9 +189,8 @@
   if (cell.mFleet.List(aEntry, aNow.mSteady)) {
     Worker& worker = *cell.mFleet.Find(aEntry.mId);
     mImpl->mOutcomes.LoseAll(worker, aNow);
-    cell.mAdvice.DropWorker(aEntry.mId);
+    mImpl->mAdvice.Forget(&worker);
   }
-  cell.mDispatchWanted = true;
 }
 
 void
@@ -231,7 +239,7 @@
 void
 CellScheduler::OnAdvice(const AdviceAnswer& aAnswer, const Moment& aNow)
 {
-  mImpl->mCell.mAdvice.Answer(aAnswer, aNow.mSteady);
+  mImpl->mAdvice.OnAnswer(aAnswer, aNow.mSteady);
   mImpl->mCell.mDispatchWanted = true;
 }
 
@@ -317,7 +325,11 @@
 CellScheduler::Advance(const Moment& aNow)
 {
   CellState& cell = mImpl->mCell;
-  mImpl->mReports.ExpireLeases(aNow);
+  if (aNow.mSteady >= mImpl->mNextUpkeep) {
+    mImpl->mNextUpkeep = aNow.mSteady + kUpkeepEvery;
+    mImpl->mReports.ExpireLeases(aNow);
+    mImpl->mRuns.RepeatStops(aNow.mSteady);
+  }
   mImpl->Resolve(aNow);
   if (aNow.mSteady >= mImpl->mNextPrune) {
     mImpl->mNextPrune = aNow.mSteady + kPruneEvery;
@@ -325,14 +337,18 @@
       cell.mJobs.OpenDueOccurrences(job, aNow);
     }
     cell.mJobs.Prune(aNow, cell.mOptions.mKeepFinished);
-    cell.mFleet.Prune(aNow.mSteady);
+    cell.mFleet.Prune(aNow.mSteady, [this](const Worker* aWorker) {
+      mImpl->mAdvice.Forget(aWorker);
+    });
   }
-  if (cell.mDispatchWanted || aNow.mSteady >= mImpl->mNextDispatch) {
+  const TimePoint due = cell.mDispatchWanted
+                          ? mImpl->mLastDispatch + kDispatchPause
+                          : mImpl->mLastDispatch + kDispatchEvery;
+  if (aNow.mSteady >= due) {
     cell.mDispatchWanted = false;
-    mImpl->mNextDispatch = aNow.mSteady + kDispatchEvery;
+    mImpl->mLastDispatch = aNow.mSteady;
     mImpl->mDispatcher.Dispatch(aNow, mImpl->mResolved);
   }
-  mImpl->mRuns.RepeatStops(aNow.mSteady);
   cell.mFleet.PollDue(aNow.mSteady, cell.mHooks.mPoll);
 }
 
--- /dev/null
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -0,0 +1,270 @@
+#include "jobs/internal/adviceplanner.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "framework/stablehash.h"
+
+namespace oriolevane::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// The service takes no more workers in one call.
+constexpr std::size_t kMostWorkersAsked = 100;
+// A query without an answer for so long is asked again.
+constexpr std::chrono::milliseconds kLostAfter = 5000ms;
+// A ticket must still be valid when its order arrives.
+constexpr std::chrono::milliseconds kTicketMargin = 150ms;
+// How long before an earlier step's end the next one's advice should be there.
+constexpr std::chrono::milliseconds kAdviceAhead = 250ms;
+// As many workers are sought as would hold the step this many times over if
+// they were empty, since most are busy.
+constexpr double kRoomSought = 5.0;
+constexpr double kFewestApprovalsSought = 10.0;
+// Share that is allowed, before anything is known of a queue.
+constexpr double kUsualShare = 0.4;
+constexpr double kLeastShare = 0.1;
+constexpr double kShareWeight = 0.05;
+// Chance decides between workers whose free shares differ by less than this.
+constexpr double kSpread = 0.5;
+
+Duration
+QueryTime(const AdvicePolicy& aPolicy, std::size_t aWorkers)
+{
+  return aPolicy.mDecisionTime +
+         aPolicy.mTimePerWorker * static_cast<std::int64_t>(aWorkers);
+}
+
+double
+FreeShare(const Worker& aWorker)
+{
+  const Resources& capacity = aWorker.mEntry.mCapacity;
+  const Resources free = capacity - aWorker.mUsed;
+  const auto share = [](std::int64_t aFree, std::int64_t aOf) {
+    return aOf <= 0 ? 1.0
+                    : static_cast<double>(aFree) / static_cast<double>(aOf);
+  };
+  return std::min(share(free.mMilliCores, capacity.mMilliCores),
+                  share(free.mMemoryMiB, capacity.mMemoryMiB));
+}
+
+// Tasks that an empty worker holds.
+std::int64_t
+TasksPerWorker(const Resources& aCapacity, const Resources& aTask)
+{
+  const auto fits = [](std::int64_t aHas, std::int64_t aTakes) {
+    return aTakes <= 0 ? std::int64_t{ 1000 } : aHas / aTakes;
+  };
+  const std::int64_t most =
+    std::min(fits(aCapacity.mMilliCores, aTask.mMilliCores),
+             fits(aCapacity.mMemoryMiB, aTask.mMemoryMiB));
+  return std::max<std::int64_t>(most, 1);
+}
+
+// When the last run of the step should end; nothing when some wait to start.
+std::optional<TimePoint>
+ExpectedEnd(const Step& aStep, const StepSpec& aSpec)
+{
+  TimePoint end{};
+  for (const Task& task : aStep.mTasks) {
+    if (task.mSucceeded) {
+      continue;
+    }
+    if (task.mRuns.empty()) {
+      return std::nullopt;
+    }
+    end = std::max(end, task.mRuns.front()->mOrderedAt + aSpec.mEstimate);
+  }
+  return end;
+}
+
+} // namespace
+
+std::size_t
+AdvicePlanner::CountToAsk(const Job& aJob,
+                          const StepKey& aKey,
+                          const Step& aStep) const
+{
+  if (mUsable.empty()) {
+    return 0;
+  }
+  const StepSpec& spec = aJob.mRecord.mSpec.mSteps[aKey.mStep];
+  const std::int64_t each =
+    TasksPerWorker(mUsable.front()->mEntry.mCapacity, spec.mResources);
+  const double needed =
+    std::ceil(static_cast<double>(aStep.mTasks.size() - aStep.mSucceeded) /
+              static_cast<double>(each));
+  const auto known = mApprovalShare.find(aJob.mRecord.mQueue.mName);
+  const double share =
+    known == mApprovalShare.end() ? kUsualShare : known->second;
+  const double sought = std::max(kFewestApprovalsSought, kRoomSought * needed);
+  const double count = sought / std::max(share, kLeastShare);
+  return std::min(kMostWorkersAsked, static_cast<std::size_t>(count));
+}
+
+std::vector<Worker*>
+AdvicePlanner::Candidates(const Job& aJob,
+                          const StepKey& aKey,
+                          const Step& aStep) const
+{
+  std::vector<std::pair<double, Worker*>> ranked;
+  const std::uint64_t seed = StableHash(aKey.ToText());
+  for (Worker* worker : mUsable) {
+    if (worker->mEntry.mPool != aJob.mRecord.mQueue.mPool ||
+        aStep.mAdvice.IsRefused(worker)) {
+      continue;
+    }
+    constexpr double kHashSteps = 1024.0;
+    const std::uint64_t hash = StableHash(worker->Id().mValue, seed);
+    const double chance =
+      static_cast<double>(hash % static_cast<std::uint64_t>(kHashSteps)) /
+      kHashSteps;
+    // Those that are allowed come first: their tickets are renewed.
+    const double known = aStep.mAdvice.IsApproved(worker) ? 2.0 : 0.0;
+    ranked.emplace_back(known + FreeShare(*worker) + kSpread * chance, worker);
+  }
+  std::sort(
+    ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first > aRight.first;
+    });
+  std::vector<Worker*> candidates;
+  for (const auto& [rank, worker] : ranked) {
+    candidates.push_back(worker);
+  }
+  return candidates;
+}
+
+void
+AdvicePlanner::Ask(const Job& aJob,
+                   const StepKey& aKey,
+                   Step& aStep,
+                   TimePoint aNow)
+{
+  StepAdvice& advice = aStep.mAdvice;
+  if (advice.mAsking && advice.mAskedAt + kLostAfter > aNow) {
+    return;
+  }
+  std::vector<Worker*> candidates = Candidates(aJob, aKey, aStep);
+  candidates.resize(std::min(candidates.size(), CountToAsk(aJob, aKey, aStep)));
+  if (candidates.empty()) {
+    return;
+  }
+  const AdvicePolicy& policy = *aJob.mRecord.mQueue.mAdvice;
+  AdviceQuery query{ .mStep = aKey,
+                     .mWorkers = {},
+                     .mCost =
+                       std::chrono::duration_cast<std::chrono::microseconds>(
+                         QueryTime(policy, candidates.size())),
+                     .mValidity = policy.mValidity };
+  for (const Worker* worker : candidates) {
+    query.mWorkers.push_back(worker->Id());
+  }
+  advice.mAsking = true;
+  advice.mAskedAt = aNow;
+  mCell.mHooks.mAskAdvice(query);
+}
+
+void
+AdvicePlanner::KeepFresh(const Job& aJob,
+                         const StepKey& aKey,
+                         Step& aStep,
+                         TimePoint aNow)
+{
+  const AdvicePolicy& policy = *aJob.mRecord.mQueue.mAdvice;
+  const TimePoint needed =
+    aNow + QueryTime(policy, CountToAsk(aJob, aKey, aStep));
+  if (aStep.mAdvice.mFreshUntil < needed) {
+    Ask(aJob, aKey, aStep, aNow);
+  }
+}
+
+void
+AdvicePlanner::AskAhead(Job& aJob, const StepKey& aKey, TimePoint aNow)
+{
+  const std::optional<AdvicePolicy>& policy = aJob.mRecord.mQueue.mAdvice;
+  Step& step = *aJob.FindStep(aKey.mOccurrence, aKey.mStep);
+  if (!policy.has_value() || step.mAdvice.mAsking || step.mAdvice.mAnswered) {
+    return;
+  }
+  TimePoint end{};
+  for (const int earlier : aJob.mRecord.mSpec.mSteps[aKey.mStep].mAfter) {
+    const Step& before = *aJob.FindStep(aKey.mOccurrence, earlier);
+    const std::optional<TimePoint> expected =
+      ExpectedEnd(before, aJob.mRecord.mSpec.mSteps[earlier]);
+    if (!expected.has_value()) {
+      return;
+    }
+    end = std::max(end, *expected);
+  }
+  if (end - QueryTime(*policy, CountToAsk(aJob, aKey, step)) - kAdviceAhead <=
+      aNow) {
+    Ask(aJob, aKey, step, aNow);
+  }
+}
+
+void
+AdvicePlanner::OnAnswer(const AdviceAnswer& aAnswer, TimePoint aNow)
+{
+  Job* job = mCell.mJobs.Find(aAnswer.mStep.mJob);
+  Step* step = job == nullptr ? nullptr
+                              : job->FindStep(aAnswer.mStep.mOccurrence,
+                                              aAnswer.mStep.mStep);
+  if (step == nullptr) {
+    return;
+  }
+  StepAdvice& advice = step->mAdvice;
+  advice.mAsking = false;
+  if (!aAnswer.mAnswered) {
+    return;
+  }
+  advice.mAnswered = true;
+  advice.mFreshUntil = aNow + aAnswer.mValidity - kTicketMargin;
+  // Whatever was tried before, there are new tickets.
+  step->mTriedAt = 0;
+  for (const WorkerId& id : aAnswer.mAsked) {
+    if (const Worker* worker = mCell.mFleet.Find(id); worker != nullptr) {
+      advice.mAsked.insert(worker);
+    }
+  }
+  for (const AdviceTicket& ticket : aAnswer.mApproved) {
+    Worker* worker = mCell.mFleet.Find(ticket.mWorker);
+    if (worker == nullptr) {
+      continue;
+    }
+    const auto known = std::find_if(advice.mApproved.begin(),
+                                    advice.mApproved.end(),
+                                    [worker](const Approval& aApproval) {
+                                      return aApproval.mWorker == worker;
+                                    });
+    Approval& approval = known != advice.mApproved.end()
+                           ? *known
+                           : advice.mApproved.emplace_back();
+    approval = { .mWorker = worker,
+                 .mTicket = ticket.mTicket,
+                 .mUsableUntil = advice.mFreshUntil };
+  }
+  if (!aAnswer.mAsked.empty()) {
+    double& share =
+      mApprovalShare.try_emplace(job->mRecord.mQueue.mName, kUsualShare)
+        .first->second;
+    share += kShareWeight * (static_cast<double>(aAnswer.mApproved.size()) /
+                               static_cast<double>(aAnswer.mAsked.size()) -
+                             share);
+  }
+}
+
+void
+AdvicePlanner::Forget(const Worker* aWorker)
+{
+  for (auto& [id, job] : mCell.mJobs.Jobs()) {
+    for (auto& [number, occurrence] : job.mOccurrences) {
+      for (Step& step : occurrence.mSteps) {
+        step.mAdvice.Forget(aWorker);
+      }
+    }
+  }
+}
+
+} // namespace oriolevane::jobs
--- a/src/jobs/internal/cellstate.h
+++ b/src/jobs/internal/cellstate.h
@@ -1,7 +1,6 @@
 // What the parts of a scheduler share.
 #pragma once
 
-#include "jobs/internal/advicebook.h"
 #include "jobs/internal/fleet.h"
 #include "jobs/internal/jobtable.h"
 #include "jobs/recordlog.h"
@@ -26,7 +25,6 @@
   CellConfiguration mConfiguration;
   JobTable mJobs;
   Fleet mFleet;
-  AdviceBook mAdvice;
   // Something has changed that may let tasks start.
   bool mDispatchWanted = false;
 };
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -14,8 +14,6 @@
 constexpr std::chrono::milliseconds kLeastLease = 1500ms;
 // Advice is kept usable for so many waiting steps of each kind of step.
 constexpr int kStepsKeptFresh = 12;
-// How long before an earlier step's end the next one's advice should be there.
-constexpr std::chrono::milliseconds kAdviceAhead = 250ms;
 // A worker is used for so long after it has left the registry.
 constexpr std::chrono::milliseconds kUnlistedUsable = 2500ms;
 // A worker that is slower than expected by this factor is used last.
@@ -47,36 +45,13 @@
     });
 }
 
-// When the last run of the step should end; nothing when some wait to start.
-std::optional<TimePoint>
-ExpectedEnd(const Step& aStep, const StepSpec& aSpec)
-{
-  TimePoint end{};
-  for (const Task& task : aStep.mTasks) {
-    if (task.mSucceeded) {
-      continue;
-    }
-    if (task.mRuns.empty()) {
-      return std::nullopt;
-    }
-    end = std::max(end, task.mRuns.front()->mOrderedAt + aSpec.mEstimate);
-  }
-  return end;
-}
-
-Duration
-QueryTime(const AdvicePolicy& aPolicy, std::size_t aWorkers)
-{
-  return aPolicy.mDecisionTime +
-         aPolicy.mTimePerWorker * static_cast<std::int64_t>(aWorkers);
-}
-
 } // namespace
 
 void
 Dispatcher::Dispatch(const Moment& aNow, bool aResolved)
 {
   FindUsableWorkers(aNow.mSteady);
+  mAdvice.SetUsable(mUsable);
   if (mCell.mFleet.Authority() - aNow.mSteady < kLeastLease) {
     return;
   }
@@ -90,9 +65,11 @@
   for (const Candidate& candidate : candidates) {
     const QueuePolicy& queue = candidate.mJob->mRecord.mQueue;
     if (queue.mAdvice.has_value() && fresh[queue.mName]++ < kStepsKeptFresh) {
-      KeepAdviceFresh(candidate, aNow.mSteady);
+      mAdvice.KeepFresh(
+        *candidate.mJob, candidate.mKey, *candidate.mStep, aNow.mSteady);
     }
-    if (candidate.mStep->mNotBefore > aNow.mSteady) {
+    if (candidate.mStep->mNotBefore > aNow.mSteady ||
+        !IsWorthTrying(candidate)) {
       continue;
     }
     if (SpecOf(*candidate.mJob, candidate.mKey).mGang) {
@@ -112,9 +89,15 @@
     // The registry forgets live workers while the store is away.
     const bool listed =
       worker.mListed || worker.mUnlistedSince + kUnlistedUsable > aNow;
-    if (listed && !worker.mEntry.mDraining && worker.mRecorded &&
-        worker.mReachable && worker.mResolved && worker.mClock.has_value() &&
-        worker.mHealth.mAvoidUntil <= aNow && !trialFull) {
+    const bool usable = listed && !worker.mEntry.mDraining &&
+                        worker.mRecorded && worker.mReachable &&
+                        worker.mResolved && worker.mClock.has_value() &&
+                        worker.mHealth.mAvoidUntil <= aNow && !trialFull;
+    if (usable && !worker.mWasUsable) {
+      mCell.mFleet.NoteGain(worker);
+    }
+    worker.mWasUsable = usable;
+    if (usable) {
       mUsable.push_back(&worker);
     }
   }
@@ -151,7 +134,7 @@
         continue;
       }
       if (!IsReady(occurrence, spec)) {
-        AskAhead(aJob, key, aNow);
+        mAdvice.AskAhead(aJob, key, aNow.mSteady);
         continue;
       }
       if (!step.mReadyAt.has_value()) {
@@ -165,70 +148,54 @@
   }
 }
 
-void
-Dispatcher::AskAhead(Job& aJob, const StepKey& aStep, const Moment& aNow)
+bool
+Dispatcher::IsWorthTrying(const Candidate& aCandidate) const
 {
-  const std::optional<AdvicePolicy>& advice = aJob.mRecord.mQueue.mAdvice;
-  if (!advice.has_value() || mCell.mAdvice.HasAnswer(aStep)) {
-    return;
-  }
-  TimePoint end{};
-  for (const int earlier : SpecOf(aJob, aStep).mAfter) {
-    const Step& before = *aJob.FindStep(aStep.mOccurrence, earlier);
-    const std::optional<TimePoint> expected =
-      ExpectedEnd(before, aJob.mRecord.mSpec.mSteps[earlier]);
-    if (!expected.has_value()) {
-      return;
-    }
-    end = std::max(end, *expected);
-  }
-  if (end - QueryTime(*advice, mUsable.size()) - kAdviceAhead <= aNow.mSteady) {
-    AskFor(aJob, aStep, aNow.mSteady);
+  const Step& step = *aCandidate.mStep;
+  if (step.mTriedAt >= mCell.mFleet.Changes()) {
+    return false;
   }
-}
-
-void
-Dispatcher::AskFor(const Job& aJob, const StepKey& aStep, TimePoint aNow)
-{
-  std::vector<WorkerId> workers;
-  for (const Worker* worker : mUsable) {
-    if (worker->mEntry.mPool == aJob.mRecord.mQueue.mPool) {
-      workers.push_back(worker->Id());
-    }
+  if (!aCandidate.mJob->mRecord.mQueue.mAdvice.has_value()) {
+    return true;
   }
-  mCell.mAdvice.Ask(aStep,
-                    *aJob.mRecord.mQueue.mAdvice,
-                    workers,
-                    aNow,
-                    mCell.mHooks.mAskAdvice);
+  return std::any_of(step.mAdvice.mApproved.begin(),
+                     step.mAdvice.mApproved.end(),
+                     [&step](const Approval& aApproval) {
+                       return aApproval.mWorker->mGainedAt > step.mTriedAt;
+                     });
 }
 
-void
-Dispatcher::KeepAdviceFresh(const Candidate& aCandidate, TimePoint aNow)
+bool
+Dispatcher::MayUse(const Worker& aWorker,
+                   const QueuePolicy& aQueue,
+                   const StepSpec& aSpec)
 {
-  const AdvicePolicy& advice = *aCandidate.mJob->mRecord.mQueue.mAdvice;
-  const TimePoint needed = aNow + QueryTime(advice, mUsable.size());
-  if (!mCell.mAdvice.IsFreshUntil(aCandidate.mKey, needed)) {
-    AskFor(*aCandidate.mJob, aCandidate.mKey, aNow);
-  }
+  const WorkerEntry& entry = aWorker.mEntry;
+  const bool labelled = aSpec.mRequiredLabel.empty() ||
+                        aSpec.mRequiredLabel == entry.mKind ||
+                        aSpec.mRequiredLabel == entry.mRack.mValue;
+  return aWorker.mWasUsable && labelled && entry.mPool == aQueue.mPool;
 }
 
-std::vector<Worker*>
-Dispatcher::AllowedWorkers(const Candidate& aCandidate, TimePoint aNow) const
+std::vector<Dispatcher::Place>
+Dispatcher::AllowedPlaces(const Candidate& aCandidate, TimePoint aNow) const
 {
   const QueuePolicy& queue = aCandidate.mJob->mRecord.mQueue;
   const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
-  std::vector<Worker*> allowed;
-  for (Worker* worker : mUsable) {
-    const WorkerEntry& entry = worker->mEntry;
-    const bool labelled = spec.mRequiredLabel.empty() ||
-                          spec.mRequiredLabel == entry.mKind ||
-                          spec.mRequiredLabel == entry.mRack.mValue;
-    const bool advised =
-      !queue.mAdvice.has_value() ||
-      mCell.mAdvice.TicketFor(aCandidate.mKey, worker->Id(), aNow) != nullptr;
-    if (entry.mPool == queue.mPool && labelled && advised) {
-      allowed.push_back(worker);
+  std::vector<Place> allowed;
+  if (!queue.mAdvice.has_value()) {
+    for (Worker* worker : mUsable) {
+      if (MayUse(*worker, queue, spec)) {
+        allowed.push_back({ .mWorker = worker, .mTicket = nullptr });
+      }
+    }
+    return allowed;
+  }
+  for (const Approval& approval : aCandidate.mStep->mAdvice.mApproved) {
+    if (approval.mUsableUntil > aNow &&
+        MayUse(*approval.mWorker, queue, spec)) {
+      allowed.push_back(
+        { .mWorker = approval.mWorker, .mTicket = &approval.mTicket });
     }
   }
   return allowed;
@@ -270,22 +237,23 @@
   return cost;
 }
 
-Worker*
+const Dispatcher::Place*
 Dispatcher::Choose(const Candidate& aCandidate,
-                   const std::vector<Worker*>& aAllowed) const
+                   const std::vector<Place>& aAllowed) const
 {
   const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
-  Worker* best = nullptr;
+  const Place* best = nullptr;
   double bestCost = 0;
-  for (Worker* worker : aAllowed) {
-    if (!worker->HasRoomFor(spec.mResources) ||
-        !IsBelowLimit(*worker, aCandidate.mKey, spec) ||
-        (worker->mHealth.mOnTrial && !worker->mRuns.empty())) {
+  for (const Place& place : aAllowed) {
+    const Worker& worker = *place.mWorker;
+    if (!worker.HasRoomFor(spec.mResources) ||
+        !IsBelowLimit(worker, aCandidate.mKey, spec) ||
+        (worker.mHealth.mOnTrial && !worker.mRuns.empty())) {
       continue;
     }
-    const double cost = Cost(*worker, spec);
+    const double cost = Cost(worker, spec);
     if (best == nullptr || cost < bestCost) {
-      best = worker;
+      best = &place;
       bestCost = cost;
     }
   }
@@ -295,23 +263,21 @@
 void
 Dispatcher::PlaceEach(const Candidate& aCandidate, const Moment& aNow)
 {
-  const std::vector<Worker*> allowed = AllowedWorkers(aCandidate, aNow.mSteady);
-  if (allowed.empty()) {
-    return;
-  }
+  const std::vector<Place> allowed = AllowedPlaces(aCandidate, aNow.mSteady);
   std::vector<Task>& tasks = aCandidate.mStep->mTasks;
   for (std::size_t index = 0; index < tasks.size(); ++index) {
     if (!tasks[index].IsWaiting()) {
       continue;
     }
-    Worker* worker = Choose(aCandidate, allowed);
-    if (worker == nullptr) {
+    const Place* place = Choose(aCandidate, allowed);
+    if (place == nullptr) {
+      aCandidate.mStep->mTriedAt = mCell.mFleet.Changes();
       return;
     }
     StartOn(aCandidate,
             static_cast<int>(index),
             mRuns.NextNumber(tasks[index]),
-            *worker,
+            *place,
             tasks[index].mCheckpoint,
             aNow.mSteady);
   }
@@ -320,27 +286,28 @@
 void
 Dispatcher::PlaceGang(const Candidate& aCandidate, const Moment& aNow)
 {
-  const std::vector<Worker*> allowed = AllowedWorkers(aCandidate, aNow.mSteady);
+  const std::vector<Place> allowed = AllowedPlaces(aCandidate, aNow.mSteady);
   const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
   std::vector<Task>& tasks = aCandidate.mStep->mTasks;
-  std::vector<Worker*> chosen;
+  std::vector<const Place*> chosen;
   // Reserves room as it goes, and gives it back below.
   for (std::size_t index = 0; index < tasks.size(); ++index) {
-    Worker* worker = Choose(aCandidate, allowed);
-    if (worker == nullptr) {
+    const Place* place = Choose(aCandidate, allowed);
+    if (place == nullptr) {
       break;
     }
-    const auto here = std::count(chosen.begin(), chosen.end(), worker);
+    const auto here = std::count(chosen.begin(), chosen.end(), place);
     if (spec.mMostPerWorker > 0 && here >= spec.mMostPerWorker) {
       break;
     }
-    worker->mUsed += spec.mResources;
-    chosen.push_back(worker);
+    place->mWorker->mUsed += spec.mResources;
+    chosen.push_back(place);
   }
-  for (Worker* worker : chosen) {
-    worker->mUsed -= spec.mResources;
+  for (const Place* place : chosen) {
+    place->mWorker->mUsed -= spec.mResources;
   }
   if (chosen.size() < tasks.size()) {
+    aCandidate.mStep->mTriedAt = mCell.mFleet.Changes();
     return;
   }
   RunNumber number;
@@ -364,17 +331,15 @@
 Dispatcher::StartOn(const Candidate& aCandidate,
                     int aIndex,
                     RunNumber aNumber,
-                    Worker& aWorker,
+                    const Place& aPlace,
                     const std::string& aCheckpoint,
                     TimePoint aNow)
 {
-  const std::string* ticket =
-    mCell.mAdvice.TicketFor(aCandidate.mKey, aWorker.Id(), aNow);
   mRuns.Start(*aCandidate.mJob,
               { .mStep = aCandidate.mKey, .mIndex = aIndex },
               aNumber,
-              aWorker,
-              ticket == nullptr ? std::string() : *ticket,
+              *aPlace.mWorker,
+              aPlace.mTicket == nullptr ? std::string() : *aPlace.mTicket,
               aCheckpoint,
               aNow);
 }
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include <vector>
 
+#include "jobs/internal/adviceplanner.h"
 #include "jobs/internal/cellstate.h"
 #include "jobs/internal/runbook.h"
 #include "jobs/internal/urgency.h"
@@ -12,9 +13,10 @@
 class Dispatcher
 {
 public:
-  Dispatcher(CellState& aCell, RunBook& aRuns)
+  Dispatcher(CellState& aCell, RunBook& aRuns, AdvicePlanner& aAdvice)
     : mCell(aCell)
     , mRuns(aRuns)
+    , mAdvice(aAdvice)
   {
   }
 
@@ -30,10 +32,11 @@
     StepKey mKey;
     Urgency mUrgency;
   };
-  struct Placement
+  // A worker that a step may use, with the ticket for it if one is needed.
+  struct Place
   {
-    int mIndex = 0;
     Worker* mWorker = nullptr;
+    const std::string* mTicket = nullptr;
   };
 
   std::vector<Candidate> Collect(const Moment& aNow, bool aResolved);
@@ -41,17 +44,17 @@
                   const Moment& aNow,
                   std::vector<Candidate>& aCandidates);
   void FindUsableWorkers(TimePoint aNow);
-  // Asks ahead for steps whose earlier steps end soon.
-  void AskAhead(Job& aJob, const StepKey& aStep, const Moment& aNow);
-  void AskFor(const Job& aJob, const StepKey& aStep, TimePoint aNow);
-  void KeepAdviceFresh(const Candidate& aCandidate, TimePoint aNow);
+  // False when nothing has changed since a start was tried in vain.
+  bool IsWorthTrying(const Candidate& aCandidate) const;
   void PlaceEach(const Candidate& aCandidate, const Moment& aNow);
   void PlaceGang(const Candidate& aCandidate, const Moment& aNow);
-  // Workers that the step may use, by the order of the fleet.
-  std::vector<Worker*> AllowedWorkers(const Candidate& aCandidate,
-                                      TimePoint aNow) const;
-  Worker* Choose(const Candidate& aCandidate,
-                 const std::vector<Worker*>& aAllowed) const;
+  std::vector<Place> AllowedPlaces(const Candidate& aCandidate,
+                                   TimePoint aNow) const;
+  static bool MayUse(const Worker& aWorker,
+                     const QueuePolicy& aQueue,
+                     const StepSpec& aSpec);
+  const Place* Choose(const Candidate& aCandidate,
+                      const std::vector<Place>& aAllowed) const;
   double Cost(const Worker& aWorker, const StepSpec& aSpec) const;
   static bool IsBelowLimit(const Worker& aWorker,
                            const StepKey& aStep,
@@ -59,12 +62,13 @@
   void StartOn(const Candidate& aCandidate,
                int aIndex,
                RunNumber aNumber,
-               Worker& aWorker,
+               const Place& aPlace,
                const std::string& aCheckpoint,
                TimePoint aNow);
 
   CellState& mCell;
   RunBook& mRuns;
+  AdvicePlanner& mAdvice;
   std::vector<Worker*> mUsable;
 };
 
--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -230,7 +230,7 @@
 }
 
 void
-Fleet::Prune(TimePoint aNow)
+Fleet::Prune(TimePoint aNow, const std::function<void(const Worker*)>& aOnGone)
 {
   for (auto entry = mWorkers.begin(); entry != mWorkers.end();) {
     Worker& worker = entry->second;
@@ -245,6 +245,7 @@
     }
     LogInfo("worker_gone").With("worker", worker.Id());
     mLog.Mark({ .mKind = RecordKind::Worker, .mName = worker.Id().mValue });
+    aOnGone(&worker);
     entry = mWorkers.erase(entry);
   }
 }
--- a/src/jobs/internal/fleet.h
+++ b/src/jobs/internal/fleet.h
@@ -51,8 +51,13 @@
   void OnRecorded(RecordPosition aPosition);
   // True when the runs of the earlier owner are all known.
   bool IsResolved(TimePoint aNow) const;
-  // Forgets workers that are not listed, silent, and run nothing.
-  void Prune(TimePoint aNow);
+  // Forgets workers that are not listed, silent, and run nothing; aOnGone is
+  // called for each before.
+  void Prune(TimePoint aNow, const std::function<void(const Worker*)>& aOnGone);
+  // The worker can take something that it could not take before.
+  void NoteGain(Worker& aWorker) { aWorker.mGainedAt = ++mChanges; }
+  // Counts what NoteGain() was told.
+  std::uint64_t Changes() const { return mChanges; }
   // Until when leases may be renewed.
   void SetAuthority(TimePoint aUntil) { mAuthorityUntil = aUntil; }
   TimePoint Authority() const { return mAuthorityUntil; }
@@ -72,6 +77,7 @@
   WorkerMap mWorkers;
   TimePoint mAuthorityUntil;
   TimePoint mUnknownUntil;
+  std::uint64_t mChanges = 0;
 };
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "framework/types/timepoint.h"
+#include "jobs/internal/stepadvice.h"
 #include "jobs/types/jobrecord.h"
 #include "jobs/types/orders.h"
 
@@ -73,6 +74,9 @@
   std::optional<TimePoint> mReadyAt;
   // No start before this time, after orders that were refused.
   TimePoint mNotBefore;
+  StepAdvice mAdvice;
+  // Change of the fleet up to which a start has been tried in vain.
+  std::uint64_t mTriedAt = 0;
 
   bool IsDone() const { return mSucceeded == static_cast<int>(mTasks.size()); }
   bool HasRuns() const;
@@ -93,12 +97,23 @@
   Closed
 };
 
+// What follows from a job's estimates and its queue's policy.
+struct JobTimes
+{
+  // From acceptance, or from when an occurrence is due, to when it should be
+  // done.
+  Duration mObjective{};
+  // Of the longest chain from each step to the end.
+  std::vector<Duration> mLeftFrom;
+};
+
 struct Job
 {
   JobRecord mRecord;
   JobPhase mPhase = JobPhase::Recording;
   RecordPosition mRecordedBy;
   TimePoint mAcceptedAt;
+  JobTimes mTimes;
   // Taken over from another node; its tasks may run on workers that have not
   // reported yet.
   bool mRecovered = false;
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include "jobs/internal/urgency.h"
+
 namespace oriolevane::jobs {
 
 namespace {
@@ -85,6 +87,7 @@
   const JobId id = aRecord.mId;
   Job& job = mJobs[id];
   job.mRecord = std::move(aRecord);
+  job.mTimes = TimesOf(job.mRecord);
   job.mAcceptedAt = aNow.mSteady;
   job.mRecordedBy = mLog.Mark(JobKey(id));
   OpenDueOccurrences(job, aNow);
@@ -101,6 +104,7 @@
   for (const JobRecord& record : aRecords.mJobs) {
     Job& job = mJobs[record.mId];
     job.mRecord = record;
+    job.mTimes = TimesOf(job.mRecord);
     const std::chrono::milliseconds age =
       std::max(aNow.mUnix - record.mAcceptedAt, std::chrono::milliseconds(0));
     job.mAcceptedAt = aNow.mSteady - age;
--- a/src/jobs/internal/outcomes.cpp
+++ b/src/jobs/internal/outcomes.cpp
@@ -207,7 +207,6 @@
             aNow.mSteady - aJob.mAcceptedAt)
             .count());
   const RecordPosition position = mCell.mJobs.Close(aJob, aState, aNow);
-  mCell.mAdvice.ForgetJob(aJob.Id());
   mCell.mDispatchWanted = true;
   if (aState != JobState::Completed) {
     mRuns.StopJob(aJob, aNow.mSteady);
--- a/src/jobs/internal/reports.cpp
+++ b/src/jobs/internal/reports.cpp
@@ -75,7 +75,7 @@
     }
     if (known) {
       mOutcomes.LoseAll(aWorker, aNow);
-      mCell.mAdvice.DropWorker(aWorker.Id());
+      mAdvice.Forget(&aWorker);
       mCell.mFleet.BeginLife(aWorker, *aReport.mLife);
     }
     aWorker.mEntry.mLife = *aReport.mLife;
@@ -107,7 +107,6 @@
   const bool unrecorded = aWorker.mEndsSeen > aWorker.mEndsRecorded;
   aWorker.mNextPollAt =
     unrecorded ? aNow.mSteady + kUnrecordedPause : aNow.mSteady;
-  mCell.mDispatchWanted = true;
 }
 
 void
@@ -235,9 +234,6 @@
   if (aAnswer.mResult == OrderResult::Unhealthy) {
     worker->mHealth.mAvoidUntil = aNow.mSteady + kAvoidUnhealthyFor;
   }
-  if (aAnswer.mResult == OrderResult::BadTicket) {
-    mCell.mAdvice.DropTicket(aOrder.mTask.mStep, worker->Id());
-  }
   if (aAnswer.mResult == OrderResult::OtherLife ||
       aAnswer.mResult == OrderResult::TooLate ||
       aAnswer.mResult == OrderResult::NoRoom) {
@@ -250,6 +246,10 @@
                                               aOrder.mTask.mStep.mStep);
   if (step != nullptr) {
     step->mNotBefore = aNow.mSteady + kRefusedPause;
+    step->mTriedAt = 0;
+    if (aAnswer.mResult == OrderResult::BadTicket) {
+      step->mAdvice.DropTicket(worker);
+    }
   }
   mOutcomes.OnNotStarted(*worker, run, aNow);
 }
--- a/src/jobs/internal/reports.h
+++ b/src/jobs/internal/reports.h
@@ -1,6 +1,7 @@
 // Takes in what workers answer to polls and to orders.
 #pragma once
 
+#include "jobs/internal/adviceplanner.h"
 #include "jobs/internal/cellstate.h"
 #include "jobs/internal/outcomes.h"
 #include "jobs/internal/runbook.h"
@@ -10,10 +11,14 @@
 class Reports
 {
 public:
-  Reports(CellState& aCell, RunBook& aRuns, Outcomes& aOutcomes)
+  Reports(CellState& aCell,
+          RunBook& aRuns,
+          Outcomes& aOutcomes,
+          AdvicePlanner& aAdvice)
     : mCell(aCell)
     , mRuns(aRuns)
     , mOutcomes(aOutcomes)
+    , mAdvice(aAdvice)
   {
   }
 
@@ -49,6 +54,7 @@
   CellState& mCell;
   RunBook& mRuns;
   Outcomes& mOutcomes;
+  AdvicePlanner& mAdvice;
 };
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/runbook.cpp
+++ b/src/jobs/internal/runbook.cpp
@@ -121,6 +121,7 @@
                   aWorker.mRuns.end(),
                   [](const RunPointer& aEntry) { return aEntry->mOrphan; });
   }
+  mCell.mFleet.NoteGain(aWorker);
   mCell.mDispatchWanted = true;
 }
 
--- a/src/jobs/internal/urgency.cpp
+++ b/src/jobs/internal/urgency.cpp
@@ -23,8 +23,7 @@
   return time;
 }
 
-} // namespace
-
+// Time of the longest chain of steps from one of them.
 Duration
 ChainFrom(const JobRecord& aRecord, int aStep)
 {
@@ -39,22 +38,21 @@
   return TimeOf(aRecord, steps[aStep]) + after;
 }
 
-Duration
-LongestChain(const JobRecord& aRecord)
+} // namespace
+
+JobTimes
+TimesOf(const JobRecord& aRecord)
 {
+  JobTimes times;
   Duration longest{};
   for (std::size_t step = 0; step < aRecord.mSpec.mSteps.size(); ++step) {
-    longest = std::max(longest, ChainFrom(aRecord, static_cast<int>(step)));
+    times.mLeftFrom.push_back(ChainFrom(aRecord, static_cast<int>(step)));
+    longest = std::max(longest, times.mLeftFrom.back());
   }
-  return longest;
-}
-
-Duration
-ObjectiveOf(const JobRecord& aRecord)
-{
-  return std::chrono::duration_cast<Duration>(LongestChain(aRecord) *
-                                              aRecord.mQueue.mStretch) +
-         aRecord.mQueue.mLatencyTarget;
+  times.mObjective =
+    std::chrono::duration_cast<Duration>(longest * aRecord.mQueue.mStretch) +
+    aRecord.mQueue.mLatencyTarget;
+  return times;
 }
 
 Urgency
@@ -66,8 +64,8 @@
     begin = aNow.mSteady - (aNow.mUnix - repetition->mFirstDue -
                             aStep.mOccurrence * repetition->mInterval);
   }
-  const Duration objective = ObjectiveOf(aJob.mRecord);
-  const Duration left = ChainFrom(aJob.mRecord, aStep.mStep);
+  const Duration objective = aJob.mTimes.mObjective;
+  const Duration left = aJob.mTimes.mLeftFrom[aStep.mStep];
   const Duration slack = begin + objective - aNow.mSteady - left;
   const Duration useful =
     begin + kUsefulObjectives * objective - aNow.mSteady - left;
--- a/src/jobs/internal/urgency.h
+++ b/src/jobs/internal/urgency.h
@@ -27,16 +27,8 @@
   auto operator<=>(const Urgency&) const = default;
 };
 
-// Time of the longest chain of steps, or of what is left of it from one step.
-Duration
-ChainFrom(const JobRecord& aRecord, int aStep);
-Duration
-LongestChain(const JobRecord& aRecord);
-
-// When an occurrence of a job should be done, counted from its acceptance or
-// from when it is due.
-Duration
-ObjectiveOf(const JobRecord& aRecord);
+JobTimes
+TimesOf(const JobRecord& aRecord);
 
 Urgency
 UrgencyOf(const Job& aJob, const StepKey& aStep, const Moment& aNow);
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -76,6 +76,9 @@
   // It runs something whose size is not known.
   bool mHasUnknownLoad = false;
   WorkerHealth mHealth;
+  // Change of the fleet at which it last gained room or could be used again.
+  std::uint64_t mGainedAt = 0;
+  bool mWasUsable = false;
 
   const WorkerId& Id() const { return mEntry.mId; }
   WorkerTarget Target() const { return { mEntry.mId, mEntry.mAddress }; }
