--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -202,7 +202,7 @@
 }
 
 bool
-Dispatcher::IsBelowLimit(const Worker& aWorker,
+Dispatcher::IsBelowLimit(const Place& aPlace,
                          const StepKey& aStep,
                          const StepSpec& aSpec)
 {
@@ -210,10 +210,10 @@
     return true;
   }
   const auto here = std::count_if(
-    aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const RunPointer& aRun) {
-      return aRun->mTask.mStep == aStep;
-    });
-  return here < aSpec.mMostPerWorker;
+    aPlace.mWorker->mRuns.begin(),
+    aPlace.mWorker->mRuns.end(),
+    [&](const RunPointer& aRun) { return aRun->mTask.mStep == aStep; });
+  return here + aPlace.mPlanned < aSpec.mMostPerWorker;
 }
 
 double
@@ -237,17 +237,17 @@
   return cost;
 }
 
-const Dispatcher::Place*
+Dispatcher::Place*
 Dispatcher::Choose(const Candidate& aCandidate,
-                   const std::vector<Place>& aAllowed) const
+                   std::vector<Place>& aAllowed) const
 {
   const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
-  const Place* best = nullptr;
+  Place* best = nullptr;
   double bestCost = 0;
-  for (const Place& place : aAllowed) {
+  for (Place& place : aAllowed) {
     const Worker& worker = *place.mWorker;
     if (!worker.HasRoomFor(spec.mResources) ||
-        !IsBelowLimit(worker, aCandidate.mKey, spec) ||
+        !IsBelowLimit(place, aCandidate.mKey, spec) ||
         (worker.mHealth.mOnTrial && !worker.mRuns.empty())) {
       continue;
     }
@@ -263,7 +263,7 @@
 void
 Dispatcher::PlaceEach(const Candidate& aCandidate, const Moment& aNow)
 {
-  const std::vector<Place> allowed = AllowedPlaces(aCandidate, aNow.mSteady);
+  std::vector<Place> allowed = AllowedPlaces(aCandidate, aNow.mSteady);
   std::vector<Task>& tasks = aCandidate.mStep->mTasks;
   for (std::size_t index = 0; index < tasks.size(); ++index) {
     if (!tasks[index].IsWaiting()) {
@@ -286,20 +286,17 @@
 void
 Dispatcher::PlaceGang(const Candidate& aCandidate, const Moment& aNow)
 {
-  const std::vector<Place> allowed = AllowedPlaces(aCandidate, aNow.mSteady);
+  std::vector<Place> allowed = AllowedPlaces(aCandidate, aNow.mSteady);
   const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
   std::vector<Task>& tasks = aCandidate.mStep->mTasks;
   std::vector<const Place*> chosen;
   // Reserves room as it goes, and gives it back below.
   for (std::size_t index = 0; index < tasks.size(); ++index) {
-    const Place* place = Choose(aCandidate, allowed);
+    Place* place = Choose(aCandidate, allowed);
     if (place == nullptr) {
       break;
     }
-    const auto here = std::count(chosen.begin(), chosen.end(), place);
-    if (spec.mMostPerWorker > 0 && here >= spec.mMostPerWorker) {
-      break;
-    }
+    ++place->mPlanned;
     place->mWorker->mUsed += spec.mResources;
     chosen.push_back(place);
   }
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -37,6 +37,8 @@
   {
     Worker* mWorker = nullptr;
     const std::string* mTicket = nullptr;
+    // Members of the gang that is being placed.
+    int mPlanned = 0;
   };
 
   std::vector<Candidate> Collect(const Moment& aNow, bool aResolved);
@@ -53,10 +55,10 @@
   static bool MayUse(const Worker& aWorker,
                      const QueuePolicy& aQueue,
                      const StepSpec& aSpec);
-  const Place* Choose(const Candidate& aCandidate,
-                      const std::vector<Place>& aAllowed) const;
+  Place* Choose(const Candidate& aCandidate,
+                std::vector<Place>& aAllowed) const;
   double Cost(const Worker& aWorker, const StepSpec& aSpec) const;
-  static bool IsBelowLimit(const Worker& aWorker,
+  static bool IsBelowLimit(const Place& aPlace,
                            const StepKey& aStep,
                            const StepSpec& aSpec);
   void StartOn(const Candidate& aCandidate,
--- /dev/null
+++ b/src/jobs/tests/advice_test.cpp
@@ -0,0 +1,74 @@
+#include "jobs/tests/fakecell.h"
+#include "jobs/tests/stories.h"
+
+namespace oriolevane {
+
+using testing::Section;
+using namespace jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+QueuePolicy
+AdvisedQueue()
+{
+  QueuePolicy queue = MakeQueue();
+  queue.mAdvice = AdvicePolicy{ .mDecisionTime = 40ms,
+                                .mTimePerWorker = 1ms,
+                                .mValidity = 1000ms };
+  return queue;
+}
+
+} // namespace
+
+void
+AdviceStory(Section& aStory)
+{
+  aStory.Describe(
+    "a queue whose workers a policy service allows", [](Section& aSection) {
+      aSection.It("starts tasks only on those", [] {
+        FakeCell cell;
+        cell.mAllowed = [](const StepKey&, const WorkerId& aWorker) {
+          return aWorker == WorkerId("w1") || aWorker == WorkerId("w5");
+        };
+        cell.RunFor(200ms);
+        cell.Submit("job",
+                    { .mPayload = "", .mSteps = { MakeStep(12, 2000, 300ms) } },
+                    AdvisedQueue());
+        cell.RunUntilFinal("job", 5000ms);
+        for (const auto& [task, starts] : cell.mStarts) {
+          CPPUNIT_ASSERT(starts.back() == WorkerId("w1") ||
+                         starts.back() == WorkerId("w5"));
+        }
+      });
+      aSection.It("has fresh tickets while it waits for room", [] {
+        FakeCell cell({ .mWorkers = 1 });
+        cell.RunFor(200ms);
+        cell.Submit("long",
+                    { .mPayload = "", .mSteps = { MakeStep(1, 8000, 3000ms) } },
+                    AdvisedQueue());
+        cell.RunFor(200ms);
+        cell.Submit("next",
+                    { .mPayload = "", .mSteps = { MakeStep(1, 8000, 200ms) } },
+                    AdvisedQueue());
+        cell.RunFor(3000ms);
+        CPPUNIT_ASSERT(cell.StateOf("next") == JobState::Running);
+        CPPUNIT_ASSERT(cell.mQueries >= 4);
+      });
+    });
+  aStory.Describe("a later step", [](Section& aSection) {
+    aSection.It("is asked about before the earlier one ends", [] {
+      FakeCell cell;
+      JobSpec spec{ .mPayload = "",
+                    .mSteps = { MakeStep(1, 1000, 600ms),
+                                MakeStep(1, 1000, 100ms) } };
+      spec.mSteps[1].mAfter = { 0 };
+      cell.RunFor(200ms);
+      cell.Submit("job", spec, AdvisedQueue());
+      cell.RunFor(620ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, cell.mQueries);
+    });
+  });
+}
+
+} // namespace oriolevane
--- /dev/null
+++ b/src/jobs/tests/fakeworker.h
@@ -0,0 +1,92 @@
+// A worker as its protocol describes it, in simulated time.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "jobs/types/orders.h"
+
+namespace oriolevane::jobs {
+
+using Millis = std::chrono::milliseconds;
+
+// How a run goes that nothing disturbs.
+struct RunPlan
+{
+  Millis mDuration{ 100 };
+  bool mFails = false;
+};
+
+struct FakeRun
+{
+  TaskKey mTask;
+  RunNumber mRun;
+  Resources mResources;
+  Millis mStartedAt{ 0 };
+  RunPlan mPlan;
+  bool mStopping = false;
+  Millis mStoppedAt{ 0 };
+};
+
+struct FakeWorkerHooks
+{
+  std::function<RunPlan(const TaskKey&, RunNumber, const WorkerId&)> mPlan;
+  std::function<Resources(const TaskKey&)> mResources;
+  // Members of the task's gang; 1 for a task of its own.
+  std::function<int(const TaskKey&)> mGangSize;
+  // Members of the run that are at work on all workers.
+  std::function<int(const TaskKey&, RunNumber)> mGangPresent;
+  std::function<void(const FakeRun&)> mOnStart;
+  std::function<void(const FakeRun&, EndKind)> mOnEnd;
+  std::function<void(const EndedTask&)> mOnConfirmed;
+};
+
+// Times are of the simulation; the worker's clock has an offset from it.
+class FakeWorker
+{
+public:
+  FakeWorker(WorkerEntry aEntry, Millis aClockOffset, FakeWorkerHooks aHooks);
+
+  const WorkerEntry& Entry() const { return mEntry; }
+  const std::vector<FakeRun>& Runs() const { return mRuns; }
+  bool IsUp() const { return mUp; }
+  Resources Used() const;
+
+  // Ends what is due by then.
+  void AdvanceTo(Millis aNow);
+  OrderAnswer Start(const StartOrder& aOrder, Millis aNow);
+  OrderAnswer Stop(const StopOrder& aOrder, Millis aNow);
+  PollAnswer Poll(const PollOrder& aOrder, Millis aNow);
+  // All runs are gone without an end.
+  void Crash();
+  // Starts anew under the same id.
+  void Restart(WorkerLife aLife, Millis aNow);
+  void Drain() { mEntry.mDraining = true; }
+  // Another member of the run has ended.
+  void EndGang(const TaskKey& aTask,
+               RunNumber aRun,
+               EndKind aKind,
+               Millis aNow);
+
+private:
+  Millis Clock(Millis aNow) const { return aNow + mClockOffset; }
+  void End(std::size_t aPlace, EndKind aKind);
+  bool IsDone(const FakeRun& aRun, Millis aNow) const;
+
+  WorkerEntry mEntry;
+  Millis mClockOffset;
+  FakeWorkerHooks mHooks;
+  bool mUp = true;
+  FencingToken mTokenSeen;
+  // On the worker's clock.
+  Millis mLeaseEnd{ 0 };
+  std::vector<FakeRun> mRuns;
+  std::vector<EndedTask> mEnded;
+  std::uint64_t mLastSerial = 0;
+  std::map<TaskKey, RunNumber> mHighestEnded;
+};
+
+} // namespace oriolevane::jobs
--- /dev/null
+++ b/src/jobs/tests/gang_test.cpp
@@ -0,0 +1,90 @@
+#include "jobs/tests/fakecell.h"
+#include "jobs/tests/stories.h"
+
+namespace oriolevane {
+
+using testing::Section;
+using namespace jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+JobSpec
+Gang(int aCount, std::int64_t aMilliCores, Millis aEstimate)
+{
+  StepSpec step = MakeStep(aCount, aMilliCores, aEstimate);
+  step.mGang = true;
+  return { .mPayload = "payload", .mSteps = { step } };
+}
+
+std::size_t
+RunsOn(FakeCell& aCell, int aWorkers)
+{
+  std::size_t runs = 0;
+  for (int place = 0; place < aWorkers; ++place) {
+    runs += aCell.WorkerAt(place).Runs().size();
+  }
+  return runs;
+}
+
+} // namespace
+
+void
+GangStory(Section& aStory)
+{
+  aStory.Describe("a gang that does not fit", [](Section& aSection) {
+    aSection.It("starts none of its tasks until all have room", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      cell.Submit("first", Gang(10, 4000, 600ms), MakeQueue());
+      cell.RunFor(100ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 10 }, RunsOn(cell, 6));
+      cell.Submit("second", Gang(8, 4000, 300ms), MakeQueue());
+      cell.RunFor(300ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 10 }, RunsOn(cell, 6));
+      cell.RunUntilFinal("second", 3000ms);
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+    });
+  });
+  aStory.Describe("a gang of which a member fails", [](Section& aSection) {
+    aSection.It("starts again as a whole, with one number", [] {
+      FakeCell cell;
+      cell.mPlan = [](const TaskKey& aTask, RunNumber aRun, const WorkerId&) {
+        return RunPlan{ .mDuration = 100ms,
+                        .mFails = aRun.mValue == 1 && aTask.mIndex == 2 };
+      };
+      cell.RunFor(200ms);
+      cell.Submit("job", Gang(4, 1000, 200ms), MakeQueue());
+      cell.RunUntilFinal("job", 4000ms);
+      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Completed);
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+    });
+    aSection.It("counts one failure for each run of the gang", [] {
+      FakeCell cell;
+      cell.mPlan = [](const TaskKey&, RunNumber aRun, const WorkerId&) {
+        return RunPlan{ .mDuration = 100ms, .mFails = aRun.mValue < 3 };
+      };
+      cell.RunFor(200ms);
+      cell.Submit("job", Gang(4, 1000, 200ms), MakeQueue(3));
+      cell.RunUntilFinal("job", 15000ms);
+      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Completed);
+    });
+  });
+  aStory.Describe(
+    "a gang of which an order is not answered", [](Section& aSection) {
+      aSection.It("does not run twice", [] {
+        FakeCell cell;
+        cell.RunFor(200ms);
+        int calls = 0;
+        cell.mDelivery = [&calls](const WorkerId&) {
+          return ++calls == 3 ? Delivery::AnswerLost : Delivery::Normal;
+        };
+        cell.Submit("job", Gang(5, 4000, 400ms), MakeQueue());
+        cell.RunUntilFinal("job", 10000ms);
+        CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Completed);
+        CPPUNIT_ASSERT(cell.mViolations.empty());
+      });
+    });
+}
+
+} // namespace oriolevane
--- /dev/null
+++ b/src/jobs/tests/joblife_test.cpp
@@ -0,0 +1,183 @@
+#include "jobs/tests/fakecell.h"
+#include "jobs/tests/stories.h"
+
+namespace oriolevane {
+
+using testing::Section;
+using namespace jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+JobSpec
+Single(const StepSpec& aStep)
+{
+  return { .mPayload = "payload", .mSteps = { aStep } };
+}
+
+TaskKey
+KeyOf(const std::string& aJob, int aStep, int aIndex)
+{
+  return { .mStep = { .mJob = JobId(aJob), .mStep = aStep }, .mIndex = aIndex };
+}
+
+} // namespace
+
+void
+JobLifeStory(Section& aStory)
+{
+  aStory.Describe("a job of one step", [](Section& aSection) {
+    aSection.It("starts only once its acceptance is recorded", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      cell.SetStoreAway(true);
+      cell.Submit("job", Single(MakeStep(2, 1000, 100ms)), MakeQueue());
+      cell.RunFor(300ms);
+      CPPUNIT_ASSERT(cell.mStarts.empty());
+      cell.SetStoreAway(false);
+      cell.RunUntilFinal("job", 2000ms);
+      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Completed);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, cell.mStarts.size());
+    });
+    aSection.It("is shown as completed only once that is recorded", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      cell.Submit("job", Single(MakeStep(1, 1000, 100ms)), MakeQueue());
+      cell.RunFor(60ms);
+      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Running);
+      cell.SetStoreAway(true);
+      cell.RunFor(500ms);
+      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Running);
+      cell.SetStoreAway(false);
+      cell.RunFor(200ms);
+      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Completed);
+    });
+    aSection.It("is one job however often it is submitted", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      for (int time = 0; time < 3; ++time) {
+        cell.Submit("job", Single(MakeStep(1, 1000, 100ms)), MakeQueue());
+        cell.RunFor(100ms);
+      }
+      cell.RunFor(500ms);
+      cell.Submit("job", Single(MakeStep(1, 1000, 100ms)), MakeQueue());
+      cell.RunFor(500ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                           cell.mStarts.at(KeyOf("job", 0, 0)).size());
+    });
+  });
+
+  aStory.Describe("steps that come after others", [](Section& aSection) {
+    aSection.It("start when all tasks before them have succeeded", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      JobSpec spec = Single(MakeStep(3, 1000, 200ms));
+      spec.mSteps.push_back(MakeStep(2, 1000, 100ms));
+      spec.mSteps[1].mAfter = { 0 };
+      cell.Submit("job", spec, MakeQueue());
+      cell.RunUntilFinal("job", 3000ms);
+      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Completed);
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+    });
+  });
+
+  aStory.Describe("a task that fails", [](Section& aSection) {
+    aSection.It("is started again until its job has failed", [] {
+      FakeCell cell;
+      cell.mPlan = [](const TaskKey&, RunNumber, const WorkerId&) {
+        return RunPlan{ .mDuration = 50ms, .mFails = true };
+      };
+      cell.RunFor(200ms);
+      cell.Submit("job", Single(MakeStep(1, 1000, 50ms)), MakeQueue(3));
+      cell.RunUntilFinal("job", 20000ms);
+      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Failed);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 },
+                           cell.mStarts.at(KeyOf("job", 0, 0)).size());
+    });
+  });
+
+  aStory.Describe("a job that is cancelled", [](Section& aSection) {
+    aSection.It("is stopped, and starts nothing any more", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      cell.Submit("job", Single(MakeStep(40, 4000, 3000ms)), MakeQueue());
+      cell.RunFor(500ms);
+      cell.Cancel("job");
+      cell.RunFor(500ms);
+      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Cancelled);
+      for (std::size_t place = 0; place < 6; ++place) {
+        CPPUNIT_ASSERT(cell.WorkerAt(place).Runs().empty());
+      }
+      cell.RunFor(5000ms);
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+    });
+  });
+
+  aStory.Describe("a job that repeats", [](Section& aSection) {
+    aSection.It("runs each occurrence when it is due", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      JobSpec spec = Single(MakeStep(1, 1000, 50ms));
+      spec.mRepetition =
+        Repetition{ .mCount = 3,
+                    .mFirstDue = cell.NowMoment().mUnix + 1000ms,
+                    .mInterval = 1000ms };
+      cell.Submit("job", spec, MakeQueue());
+      cell.RunFor(900ms);
+      CPPUNIT_ASSERT(cell.mStarts.empty());
+      cell.RunFor(1300ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, cell.mStarts.size());
+      cell.RunUntilFinal("job", 3000ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, cell.mStarts.size());
+    });
+  });
+
+  aStory.Describe("a limit of tasks a worker", [](Section& aSection) {
+    aSection.It("spreads the tasks of the step", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      StepSpec step = MakeStep(6, 500, 300ms);
+      step.mMostPerWorker = 1;
+      cell.Submit("job", Single(step), MakeQueue());
+      cell.RunFor(150ms);
+      for (std::size_t place = 0; place < 6; ++place) {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                             cell.WorkerAt(place).Runs().size());
+      }
+    });
+    aSection.It("holds for gangs too", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      StepSpec step = MakeStep(6, 500, 300ms);
+      step.mMostPerWorker = 1;
+      step.mGang = true;
+      cell.Submit("job", Single(step), MakeQueue());
+      cell.RunUntilFinal("job", 2000ms);
+      for (int index = 0; index < 6; ++index) {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                             cell.mStarts.at(KeyOf("job", 0, index)).size());
+      }
+    });
+  });
+
+  aStory.Describe("a long-running task", [](Section& aSection) {
+    aSection.It("is started again however it ends, until it is cancelled", [] {
+      FakeCell cell;
+      cell.mPlan = [](const TaskKey&, RunNumber aRun, const WorkerId&) {
+        return RunPlan{ .mDuration = 300ms, .mFails = aRun.mValue % 2 == 0 };
+      };
+      cell.RunFor(200ms);
+      StepSpec step = MakeStep(1, 500, 300ms);
+      step.mLongRunning = true;
+      cell.Submit("job", Single(step), MakeQueue(2));
+      cell.RunFor(6000ms);
+      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Running);
+      CPPUNIT_ASSERT(cell.mStarts.at(KeyOf("job", 0, 0)).size() > 4);
+      cell.Cancel("job");
+      cell.RunFor(500ms);
+      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Cancelled);
+    });
+  });
+}
+
+} // namespace oriolevane
--- /dev/null
+++ b/src/jobs/tests/recordlog_test.cpp
@@ -0,0 +1,72 @@
+#include "jobs/recordlog.h"
+#include "jobs/tests/fakecell.h"
+#include "jobs/tests/stories.h"
+
+namespace oriolevane {
+
+using testing::Section;
+using namespace jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+RecordKey
+Key(const std::string& aName)
+{
+  return { .mKind = RecordKind::Job, .mName = aName };
+}
+
+} // namespace
+
+void
+RecordLogStory(Section& aStory)
+{
+  aStory.Describe("records that change while they wait", [](Section& aSection) {
+    aSection.It("are written once, and all their changes count", [] {
+      RecordLog log;
+      log.Mark(Key("a"));
+      log.Mark(Key("b"));
+      const RecordPosition last = log.Mark(Key("a"));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, log.TakeBatch(10).size());
+      CPPUNIT_ASSERT(log.Confirm() == last);
+    });
+    aSection.It("count only up to the first that still waits", [] {
+      RecordLog log;
+      const RecordPosition first = log.Mark(Key("a"));
+      log.Mark(Key("b"));
+      log.Mark(Key("a"));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, log.TakeBatch(1).size());
+      CPPUNIT_ASSERT(log.Confirm() == first);
+    });
+    aSection.It("are written again when they change on their way", [] {
+      RecordLog log;
+      log.Mark(Key("a"));
+      log.TakeBatch(1);
+      const RecordPosition second = log.Mark(Key("a"));
+      CPPUNIT_ASSERT(log.Confirm() < second);
+      CPPUNIT_ASSERT(log.HasWaiting());
+    });
+  });
+  aStory.Describe(
+    "a job that ends while the store is slow", [](Section& aSection) {
+      aSection.It("keeps its progress until its final state is recorded", [] {
+        FakeCell cell;
+        cell.RunFor(200ms);
+        cell.Submit("job",
+                    { .mPayload = "", .mSteps = { MakeStep(2, 1000, 100ms) } },
+                    MakeQueue());
+        cell.RunFor(60ms);
+        cell.SetStoreAway(true);
+        // Long enough for the scheduler to forget what it may forget.
+        cell.RunFor(2000ms);
+        RecordLog& log = cell.Scheduler().Records();
+        for (const RecordKey& key : log.TakeBatch(100)) {
+          const RecordValue value = cell.Scheduler().ValueOf(key);
+          CPPUNIT_ASSERT(key.mKind == RecordKind::Worker ||
+                         !std::holds_alternative<std::monostate>(value));
+        }
+      });
+    });
+}
+
+} // namespace oriolevane
--- /dev/null
+++ b/src/jobs/tests/takeover_test.cpp
@@ -0,0 +1,121 @@
+#include "jobs/tests/fakecell.h"
+#include "jobs/tests/stories.h"
+
+namespace oriolevane {
+
+using testing::Section;
+using namespace jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+JobSpec
+Single(const StepSpec& aStep)
+{
+  return { .mPayload = "payload", .mSteps = { aStep } };
+}
+
+const TaskKey kFirstTask{ .mStep = { .mJob = JobId("job") } };
+
+} // namespace
+
+void
+TakeOverStory(Section& aStory)
+{
+  aStory.Describe("a node that takes over", [](Section& aSection) {
+    aSection.It("adopts what runs and starts nothing twice", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      cell.Submit("job", Single(MakeStep(8, 2000, 1500ms)), MakeQueue());
+      cell.RunFor(600ms);
+      cell.TakeOver(3000ms);
+      cell.RunUntilFinal("job", 5000ms);
+      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Completed);
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+      for (const auto& [task, starts] : cell.mStarts) {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, starts.size());
+      }
+    });
+    aSection.It("knows ends that were confirmed, and takes the others", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      JobSpec spec = Single(MakeStep(10, 1000, 100ms));
+      spec.mSteps.push_back(MakeStep(10, 1000, 300ms));
+      spec.mSteps[1].mAfter = { 0 };
+      cell.Submit("job", spec, MakeQueue());
+      for (int time = 0; time < 6; ++time) {
+        cell.RunFor(90ms);
+        cell.TakeOver();
+      }
+      cell.RunUntilFinal("job", 5000ms);
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+    });
+    aSection.It("leaves alone what may run on a worker it cannot reach", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      StepSpec step = MakeStep(6, 5000, 2000ms);
+      cell.Submit("job", Single(step), MakeQueue());
+      cell.RunFor(300ms);
+      cell.CutWorker(2, true);
+      cell.TakeOver();
+      cell.RunFor(3000ms);
+      for (const auto& [task, starts] : cell.mStarts) {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, starts.size());
+      }
+      cell.RunUntilFinal("job", 20000ms);
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+    });
+  });
+
+  aStory.Describe(
+    "failed runs whose ends come from several workers", [](Section& aSection) {
+      aSection.It("count each once, in whatever order they are read", [] {
+        FakeCell cell;
+        cell.mPlan = [](const TaskKey&, RunNumber, const WorkerId&) {
+          return RunPlan{ .mDuration = 100ms, .mFails = true };
+        };
+        cell.RunFor(200ms);
+        // Ends can be neither recorded nor confirmed.
+        cell.Submit("job", Single(MakeStep(1, 1000, 100ms)), MakeQueue(4));
+        cell.RunFor(60ms);
+        cell.SetStoreAway(true);
+        cell.RunFor(900ms);
+        cell.TakeOver();
+        cell.SetStoreAway(false);
+        cell.RunUntilFinal("job", 20000ms);
+        CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Failed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 },
+                             cell.mStarts.at(kFirstTask).size());
+      });
+    });
+
+  aStory.Describe(
+    "a job whose last progress was recorded, but not its end",
+    [](Section& aSection) {
+      aSection.It("is closed by the next owner", [] {
+        CellScheduler scheduler({ .mEpoch = Epoch(2) },
+                                { .mStart = [](const StartOrder&) {},
+                                  .mStop = [](const StopOrder&) {},
+                                  .mPoll = [](const PollOrder&) {},
+                                  .mAskAdvice = [](const AdviceQuery&) {},
+                                  .mOnFenced = [](const WorkerId&) {} });
+        CellRecords records;
+        records.mJobs.push_back({ .mId = JobId("job"),
+                                  .mQueue = MakeQueue(2),
+                                  .mSpec = Single(MakeStep(1, 1000, 100ms)) });
+        records.mProgress.push_back(
+          { .mJob = JobId("job"),
+            .mSteps = {
+              { .mTasks = {
+                  { .mFailedRuns = { RunNumber(1), RunNumber(2) } } } } } });
+        const Moment now{ .mSteady = TimePoint(1000s), .mUnix = 1000s };
+        scheduler.Recover(records, now);
+        scheduler.Records().TakeBatch(100);
+        scheduler.OnRecorded(scheduler.Records().Confirm(), now);
+        CPPUNIT_ASSERT(scheduler.Find(JobId("job"))->mState ==
+                       JobState::Failed);
+      });
+    });
+}
+
+} // namespace oriolevane
--- /dev/null
+++ b/src/jobs/tests/workertrouble_test.cpp
@@ -0,0 +1,125 @@
+#include <algorithm>
+
+#include "jobs/tests/fakecell.h"
+#include "jobs/tests/stories.h"
+
+namespace oriolevane {
+
+using testing::Section;
+using namespace jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+JobSpec
+Single(const StepSpec& aStep)
+{
+  return { .mPayload = "payload", .mSteps = { aStep } };
+}
+
+} // namespace
+
+void
+WorkerTroubleStory(Section& aStory)
+{
+  aStory.Describe("a worker that crashes", [](Section& aSection) {
+    aSection.It("loses its tasks, which start elsewhere after its lease", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      cell.Submit("job", Single(MakeStep(6, 5000, 1500ms)), MakeQueue());
+      cell.RunFor(300ms);
+      cell.CrashWorker(1);
+      cell.RunUntilFinal("job", 9000ms);
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+    });
+    aSection.It("gives them up at once when it restarts under its id", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      cell.Submit("job", Single(MakeStep(6, 5000, 1500ms)), MakeQueue());
+      cell.RunFor(300ms);
+      cell.CrashWorker(1);
+      cell.RunFor(200ms);
+      cell.RestartWorker(1);
+      cell.RunUntilFinal("job", 4000ms);
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+    });
+  });
+
+  aStory.Describe(
+    "a worker that is cut off and runs on", [](Section& aSection) {
+      aSection.It("runs its tasks alone until its lease is over", [] {
+        FakeCell cell;
+        cell.RunFor(200ms);
+        cell.Submit("job", Single(MakeStep(6, 5000, 10000ms)), MakeQueue());
+        cell.RunFor(300ms);
+        cell.CutWorker(3, true);
+        cell.RunFor(12000ms);
+        cell.CutWorker(3, false);
+        cell.RunUntilFinal("job", 25000ms);
+        CPPUNIT_ASSERT(cell.mViolations.empty());
+      });
+    });
+
+  aStory.Describe("orders that are carried out late", [](Section& aSection) {
+    aSection.It("are refused by then", [] {
+      FakeCell cell({ .mSeed = 5 });
+      cell.RunFor(200ms);
+      int calls = 0;
+      cell.mDelivery = [&calls](const WorkerId&) {
+        return ++calls % 4 == 0 ? Delivery::Late : Delivery::Normal;
+      };
+      for (int job = 0; job < 10; ++job) {
+        cell.Submit("job" + std::to_string(job),
+                    Single(MakeStep(4, 2000, 700ms)),
+                    MakeQueue());
+        cell.RunFor(150ms);
+      }
+      cell.RunFor(20000ms);
+      for (int job = 0; job < 10; ++job) {
+        CPPUNIT_ASSERT(cell.StateOf("job" + std::to_string(job)) ==
+                       JobState::Completed);
+      }
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+    });
+  });
+
+  aStory.Describe(
+    "a worker that fails all that it starts", [](Section& aSection) {
+      aSection.It("is left alone after the failures of two jobs", [] {
+        FakeCell cell;
+        cell.RunFor(200ms);
+        const WorkerId bad("w2");
+        cell.mPlan = [bad](const TaskKey&, RunNumber, const WorkerId& aWorker) {
+          return RunPlan{ .mDuration = 60ms, .mFails = aWorker == bad };
+        };
+        for (int job = 0; job < 20; ++job) {
+          cell.Submit("job" + std::to_string(job),
+                      Single(MakeStep(1, 1000, 200ms)),
+                      MakeQueue(4));
+          cell.RunFor(50ms);
+        }
+        cell.RunFor(3000ms);
+        for (int job = 0; job < 20; ++job) {
+          CPPUNIT_ASSERT(cell.StateOf("job" + std::to_string(job)) ==
+                         JobState::Completed);
+        }
+      });
+    });
+
+  aStory.Describe("a worker that drains", [](Section& aSection) {
+    aSection.It("gets nothing new", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      cell.DrainWorker(4);
+      cell.Submit("job", Single(MakeStep(40, 2000, 200ms)), MakeQueue());
+      cell.RunUntilFinal("job", 5000ms);
+      for (const auto& [task, starts] : cell.mStarts) {
+        for (const WorkerId& worker : starts) {
+          CPPUNIT_ASSERT(worker != WorkerId("w4"));
+        }
+      }
+    });
+  });
+}
+
+} // namespace oriolevane
