Keep room for gangs that cannot start; let fit hosts own the shard

Change: nodes tell their fitness; the fitter take over first, an unfit owner gives way; submissions are refused at once when records take over a second; an owner that is known to have stopped shortens the wait for silent workers to one lease; gangs that do not fit reserve the workers where they can start soonest by the expected ends, and shorter work fills in before.

--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -19,6 +19,10 @@
 constexpr std::chrono::milliseconds kTakeOverTimeout = 900ms;
 constexpr std::chrono::milliseconds kDialEvery = 600ms;
 constexpr std::chrono::milliseconds kAnnounceAgain = 500ms;
+// An owner gives way to a node if its own fitness is below this share of the
+// other's, once it has owned the shard for a while.
+constexpr double kUnfitShare = 0.5;
+constexpr std::chrono::milliseconds kOwnAtLeast = 1500ms;
 // After the signal to stop, requests on open connections are still answered for
 // this share of the time that is left.
 constexpr double kServeShareOfGrace = 0.55;
@@ -65,8 +69,7 @@
             OnMessage(aNode, aMessage);
           },
         .mOnClosed = [this](const NodeId& aNode) { OnPeerClosed(aNode); } })
-  , mPolicy(
-      { .mNode = mOptions.mNode, .mProcessorShare = mOptions.mProcessorShare })
+  , mPolicy({ .mNode = mOptions.mNode, .mFitness = mOptions.mFitness })
 {
   mTimer = mLoop.MakeTimer([this] { Tick(); });
   mConfigurationWatch = std::make_unique<TableWatch>(
@@ -115,6 +118,7 @@
       SendHeartbeats();
     }
     DialMissing();
+    GiveWay();
   } else if (!mStopping) {
     if (mPolicy.WantsRow(now)) {
       ReadOwnerRow();
@@ -249,6 +253,7 @@
   }
   mTakingOver = true;
   const std::optional<OwnerRow>& before = mPolicy.Row();
+  mPredecessor = before;
   const OwnerRow row{
     .mEpoch = Epoch(
       (before.has_value() ? std::max(before->mEpoch, mEpoch) : mEpoch).mValue +
@@ -295,6 +300,8 @@
   LogInfo("owning").With("epoch", aRow.mEpoch).With("row_version", aVersion);
   mEpoch = aRow.mEpoch;
   mOwner = NodeId();
+  mOwnedSince = Now();
+  mGivingWay = false;
   mSession = std::make_unique<OwnerSession>(
     mLoop,
     mOptions,
@@ -316,6 +323,10 @@
   for (const NodeId& node : mPeers.Nodes()) {
     mSession->AddAsker(node);
   }
+  if (!mPredecessor.has_value() || mPredecessor->mReleased ||
+      mPredecessor->mNode == mOptions.mNode) {
+    mSession->OnPredecessorGone();
+  }
   if (mConfiguration.has_value()) {
     mSession->Configure(*mConfiguration);
   }
@@ -359,13 +370,10 @@
 {
   const Epoch epoch = mEpoch;
   EndSession("released");
-  for (const NodeId& node : mPeers.Nodes()) {
-    mPeers.Send(node, [epoch] {
-      cellwire::HandoverT handover;
-      handover.epoch = epoch.mValue;
-      return handover;
-    }());
-  }
+  // The others read the owner row and follow if it does not.
+  cellwire::HandoverT handover;
+  handover.epoch = epoch.mValue;
+  mPeers.Send(FittestPeer(), std::move(handover));
 }
 
 void
@@ -377,6 +385,7 @@
   hello.incarnation = mOptions.mIncarnation.mValue;
   hello.epoch = mEpoch.mValue;
   hello.owns = mSession != nullptr;
+  hello.fitness = static_cast<float>(mOptions.mFitness);
   mPeers.SetHello(std::move(hello));
 }
 
@@ -384,15 +393,50 @@
 CellNode::Impl::SendHeartbeats()
 {
   const std::uint32_t age = ToMillis(mSession->StoreAge(Now()));
+  const double best = std::max(mOptions.mFitness, PeerFitness(FittestPeer()));
   for (const NodeId& node : mPeers.Nodes()) {
     cellwire::HeartbeatT heartbeat;
     heartbeat.epoch = mEpoch.mValue;
     heartbeat.owns = true;
     heartbeat.store_age_ms = age;
+    heartbeat.best_fitness = static_cast<float>(best);
     mPeers.Send(node, std::move(heartbeat));
   }
 }
 
+NodeId
+CellNode::Impl::FittestPeer() const
+{
+  NodeId fittest;
+  for (const NodeId& node : mPeers.Nodes()) {
+    if (fittest.Empty() || PeerFitness(node) > PeerFitness(fittest)) {
+      fittest = node;
+    }
+  }
+  return fittest;
+}
+
+double
+CellNode::Impl::PeerFitness(const NodeId& aNode) const
+{
+  const auto found = mPeerFitness.find(aNode);
+  return found == mPeerFitness.end() ? 0.0 : found->second;
+}
+
+// A host that is too small for the shard owns it only until a larger one can.
+void
+CellNode::Impl::GiveWay()
+{
+  const bool unfit =
+    mOptions.mFitness < kUnfitShare * PeerFitness(FittestPeer());
+  if (unfit && !mGivingWay && mSession->IsServing() &&
+      Now() >= mOwnedSince + kOwnAtLeast) {
+    LogInfo("giving_way").With("to", FittestPeer()).With("epoch", mEpoch);
+    mGivingWay = true;
+    mSession->Release();
+  }
+}
+
 // Nodes that cannot reach the store learn of a new owner this way.
 void
 CellNode::Impl::DialMissing()
@@ -415,7 +459,12 @@
 CellNode::Impl::OnHello(const NodeId& aNode, const cellwire::HelloT& aHello)
 {
   const Epoch epoch(aHello.epoch);
+  mPeerFitness[aNode] = aHello.fitness;
   if (mSession != nullptr) {
+    if (mPredecessor.has_value() && mPredecessor->mNode == aNode &&
+        mPredecessor->mIncarnation != Incarnation(aHello.incarnation)) {
+      mSession->OnPredecessorGone();
+    }
     if (aHello.owns && epoch > mEpoch) {
       mEpoch = epoch;
       EndSession("higher_epoch");
@@ -522,6 +571,7 @@
   }
   mPolicy.OnOwnerHeard(
     epoch, std::chrono::milliseconds(aHeartbeat.store_age_ms), Now());
+  mPolicy.SetBestFitness(aHeartbeat.best_fitness);
 }
 
 void
--- a/src/cellnode/internal/cellnodeimpl.h
+++ b/src/cellnode/internal/cellnodeimpl.h
@@ -48,6 +48,9 @@
   void SayHello();
   void SendHeartbeats();
   void DialMissing();
+  NodeId FittestPeer() const;
+  double PeerFitness(const NodeId& aNode) const;
+  void GiveWay();
   void OnHello(const NodeId& aNode, const cellwire::HelloT& aHello);
   void OnMessage(const NodeId& aNode, const cellwire::MessageT& aMessage);
   void OnPeerClosed(const NodeId& aNode);
@@ -76,11 +79,16 @@
   std::unique_ptr<TableWatch> mConfigurationWatch;
   std::unique_ptr<TableWatch> mNodeWatch;
   std::optional<jobs::CellConfiguration> mConfiguration;
+  // The owner before this node; nothing when there was none.
+  std::optional<OwnerRow> mPredecessor;
   // Addresses of nodes by name, known while this node owns the shard.
   std::map<NodeId, std::string> mNodeAddresses;
   std::unique_ptr<OwnerSession> mSession;
   // Sessions that have ended; destroyed outside their own callbacks.
   std::vector<std::unique_ptr<OwnerSession>> mEndedSessions;
+  std::map<NodeId, double> mPeerFitness;
+  TimePoint mOwnedSince;
+  bool mGivingWay = false;
   // Highest term that this node has heard of.
   Epoch mEpoch;
   // The linked node that owns the shard.
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -171,12 +171,27 @@
     .With("finished", aRecords.mFinished.size())
     .With("workers", aRecords.mWorkers.size());
   mScheduler.Recover(aRecords, Now());
+  if (mPredecessorGone) {
+    mScheduler.OnPredecessorGone(Now());
+  }
   mLoaded = true;
   mWorkerWatch.Start();
   StartServing();
   Wake();
 }
 
+void
+OwnerSession::OnPredecessorGone()
+{
+  if (mPredecessorGone) {
+    return;
+  }
+  mPredecessorGone = true;
+  if (mLoaded) {
+    mScheduler.OnPredecessorGone(Now());
+  }
+}
+
 void
 OwnerSession::Configure(const jobs::CellConfiguration& aConfiguration)
 {
@@ -277,8 +292,7 @@
     aReply({ .mKind = CallerAnswerKind::Accepted });
     return;
   }
-  const TimePoint now = std::chrono::steady_clock::now();
-  if (!known.has_value() && (StoreAge(now) > kStoreAway || mReleasing)) {
+  if (!known.has_value() && (!CanRecordSoon() || mReleasing)) {
     aReply({ .mKind = CallerAnswerKind::Refused,
              .mRetryAfter = kRetryWhenStoreAway,
              .mMessage = "the store does not answer" });
@@ -295,6 +309,17 @@
   ReplyWhenRecorded(position, { .mKind = CallerAnswerKind::Accepted }, aReply);
 }
 
+// A submission that would wait long for its record is better tried later.
+bool
+OwnerSession::CanRecordSoon() const
+{
+  const TimePoint now = std::chrono::steady_clock::now();
+  if (StoreAge(now) > kStoreAway) {
+    return false;
+  }
+  return mWaiting.empty() || mWaiting.front().mSince + kStoreAway > now;
+}
+
 void
 OwnerSession::Ask(const jobs::QueuePolicy& aQueue,
                   const std::string& aRest,
@@ -337,7 +362,8 @@
   }
   mWaiting.push_back({ .mPosition = aPosition,
                        .mAnswer = std::move(aAnswer),
-                       .mReply = std::move(aReply) });
+                       .mReply = std::move(aReply),
+                       .mSince = std::chrono::steady_clock::now() });
   Wake();
 }
 
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -52,6 +52,8 @@
   void Configure(const jobs::CellConfiguration& aConfiguration);
   // Replies at once or later; never after the session's end.
   void Serve(const CallerRequest& aRequest, CallerReply aReply);
+  // The earlier owner is known to have stopped.
+  void OnPredecessorGone();
   void OnAdvice(QueryId aId, const jobs::AdviceAnswer& aAnswer);
   void AddAsker(const NodeId& aNode) { mDesk.AddAsker(aNode); }
   void RemoveAsker(const NodeId& aNode) { mDesk.RemoveAsker(aNode); }
@@ -71,6 +73,7 @@
     jobs::RecordPosition mPosition;
     CallerAnswer mAnswer;
     CallerReply mReply;
+    TimePoint mSince;
   };
 
   jobs::SchedulerHooks SchedulerHooksOf();
@@ -81,6 +84,7 @@
               const jobs::JobId& aId,
               const CallerRequest& aRequest,
               const CallerReply& aReply);
+  bool CanRecordSoon() const;
   void Ask(const jobs::QueuePolicy& aQueue,
            const std::string& aRest,
            const CallerReply& aReply);
@@ -106,6 +110,7 @@
   std::unique_ptr<CellLoader> mLoader;
   TableWatch mWorkerWatch;
   bool mLoaded = false;
+  bool mPredecessorGone = false;
   bool mConfigured = false;
   bool mServing = false;
   bool mReleasing = false;
--- a/src/cellnode/internal/ownershippolicy.cpp
+++ b/src/cellnode/internal/ownershippolicy.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-// Nodes below this share of a core wait longer, as owning costs processor time.
-constexpr double kAmpleShare = 0.5;
+// Nodes whose fitness is at least this share of the best count as alike.
+constexpr double kAlike = 0.7;
 
 } // namespace
 
@@ -88,10 +88,12 @@
   const std::uint64_t hash = StableHash(mOptions.mNode.mValue, epoch);
   constexpr std::uint64_t kSteps = 1024;
   const Duration turn = mOptions.mSpread * (hash % kSteps) / kSteps;
-  const double lack =
-    std::max(0.0, kAmpleShare - mOptions.mProcessorShare) / kAmpleShare;
-  return turn +
-         std::chrono::duration_cast<Duration>(2 * mOptions.mSpread * lack);
+  const double relative = mOptions.mFitness / std::max(mBestFitness, 0.01);
+  if (relative >= kAlike) {
+    return turn;
+  }
+  return turn + std::chrono::duration_cast<Duration>(mOptions.mUnfitWait *
+                                                     (1.0 - relative));
 }
 
 std::optional<RowVersion>
--- a/src/cellnode/ownershippolicy.h
+++ b/src/cellnode/ownershippolicy.h
@@ -17,16 +17,18 @@
 struct OwnershipOptions
 {
   NodeId mNode;
-  // Share of a core that this node may use; nodes with more go first.
-  double mProcessorShare = 0.25;
+  // How well this host can carry the shard, 0 to 1; the fitter go first.
+  double mFitness = 0.5;
   // An owner that says nothing for so long is in doubt.
   std::chrono::milliseconds mSilence{ 800 };
   // An owner that has not written to the store for so long is in doubt.
   std::chrono::milliseconds mStoreSilence{ 1300 };
   // The owner row must have stayed the same for so long.
   std::chrono::milliseconds mUnchanged{ 600 };
-  // Nodes try one after the other within this time.
+  // Nodes that are alike try one after the other within this time.
   std::chrono::milliseconds mSpread{ 160 };
+  // A node waits so long for fitter ones.
+  std::chrono::milliseconds mUnfitWait{ 700 };
 };
 
 class OwnershipPolicy
@@ -37,6 +39,8 @@
   // The owner was heard over its link; aStoreAge is the time since its last
   // write.
   void OnOwnerHeard(Epoch aEpoch, Duration aStoreAge, TimePoint aNow);
+  // The fittest node of the cell, as its owner knows it.
+  void SetBestFitness(double aFitness) { mBestFitness = aFitness; }
   // The link to the owner closed.
   void OnOwnerGone(TimePoint aNow);
   // The process at the owner's address does not own the shard.
@@ -67,6 +71,7 @@
   TimePoint mUnchangedSince;
   std::optional<TimePoint> mHeardAt;
   Duration mStoreAge{};
+  double mBestFitness = 1.0;
   Epoch mDeniedEpoch;
   Epoch mHandoverEpoch;
 };
--- a/src/cellnode/schema/cellpeer_generated.h
+++ b/src/cellnode/schema/cellpeer_generated.h
@@ -262,6 +262,7 @@
   uint64_t incarnation = 0;
   uint64_t epoch = 0;
   bool owns = false;
+  float fitness = 0.0f;
 };
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -272,7 +273,8 @@
     VT_ADDRESS = 6,
     VT_INCARNATION = 8,
     VT_EPOCH = 10,
-    VT_OWNS = 12
+    VT_OWNS = 12,
+    VT_FITNESS = 14
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -289,6 +291,9 @@
   bool owns() const {
     return GetField<uint8_t>(VT_OWNS, 0) != 0;
   }
+  float fitness() const {
+    return GetField<float>(VT_FITNESS, 0.0f);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -298,6 +303,7 @@
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            VerifyField<uint8_t>(verifier, VT_OWNS, 1) &&
+           VerifyField<float>(verifier, VT_FITNESS, 4) &&
            verifier.EndTable();
   }
   HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -324,6 +330,9 @@
   void add_owns(bool owns) {
     fbb_.AddElement<uint8_t>(Hello::VT_OWNS, static_cast<uint8_t>(owns), 0);
   }
+  void add_fitness(float fitness) {
+    fbb_.AddElement<float>(Hello::VT_FITNESS, fitness, 0.0f);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -341,10 +350,12 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint64_t incarnation = 0,
     uint64_t epoch = 0,
-    bool owns = false) {
+    bool owns = false,
+    float fitness = 0.0f) {
   HelloBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_incarnation(incarnation);
+  builder_.add_fitness(fitness);
   builder_.add_address(address);
   builder_.add_node(node);
   builder_.add_owns(owns);
@@ -357,7 +368,8 @@
     const char *address = nullptr,
     uint64_t incarnation = 0,
     uint64_t epoch = 0,
-    bool owns = false) {
+    bool owns = false,
+    float fitness = 0.0f) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   return oriolevane::cellwire::CreateHello(
@@ -366,7 +378,8 @@
       address__,
       incarnation,
       epoch,
-      owns);
+      owns,
+      fitness);
 }
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -376,6 +389,7 @@
   uint64_t epoch = 0;
   bool owns = false;
   uint32_t store_age_ms = 0;
+  float best_fitness = 0.0f;
 };
 
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -384,7 +398,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_EPOCH = 4,
     VT_OWNS = 6,
-    VT_STORE_AGE_MS = 8
+    VT_STORE_AGE_MS = 8,
+    VT_BEST_FITNESS = 10
   };
   uint64_t epoch() const {
     return GetField<uint64_t>(VT_EPOCH, 0);
@@ -395,11 +410,15 @@
   uint32_t store_age_ms() const {
     return GetField<uint32_t>(VT_STORE_AGE_MS, 0);
   }
+  float best_fitness() const {
+    return GetField<float>(VT_BEST_FITNESS, 0.0f);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            VerifyField<uint8_t>(verifier, VT_OWNS, 1) &&
            VerifyField<uint32_t>(verifier, VT_STORE_AGE_MS, 4) &&
+           VerifyField<float>(verifier, VT_BEST_FITNESS, 4) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -420,6 +439,9 @@
   void add_store_age_ms(uint32_t store_age_ms) {
     fbb_.AddElement<uint32_t>(Heartbeat::VT_STORE_AGE_MS, store_age_ms, 0);
   }
+  void add_best_fitness(float best_fitness) {
+    fbb_.AddElement<float>(Heartbeat::VT_BEST_FITNESS, best_fitness, 0.0f);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -435,9 +457,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t epoch = 0,
     bool owns = false,
-    uint32_t store_age_ms = 0) {
+    uint32_t store_age_ms = 0,
+    float best_fitness = 0.0f) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
+  builder_.add_best_fitness(best_fitness);
   builder_.add_store_age_ms(store_age_ms);
   builder_.add_owns(owns);
   return builder_.Finish();
@@ -1252,6 +1276,7 @@
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = owns(); _o->owns = _e; }
+  { auto _e = fitness(); _o->fitness = _e; }
 }
 
 inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1267,13 +1292,15 @@
   auto _incarnation = _o->incarnation;
   auto _epoch = _o->epoch;
   auto _owns = _o->owns;
+  auto _fitness = _o->fitness;
   return oriolevane::cellwire::CreateHello(
       _fbb,
       _node,
       _address,
       _incarnation,
       _epoch,
-      _owns);
+      _owns,
+      _fitness);
 }
 
 inline HeartbeatT *Heartbeat::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1288,6 +1315,7 @@
   { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = owns(); _o->owns = _e; }
   { auto _e = store_age_ms(); _o->store_age_ms = _e; }
+  { auto _e = best_fitness(); _o->best_fitness = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1301,11 +1329,13 @@
   auto _epoch = _o->epoch;
   auto _owns = _o->owns;
   auto _store_age_ms = _o->store_age_ms;
+  auto _best_fitness = _o->best_fitness;
   return oriolevane::cellwire::CreateHeartbeat(
       _fbb,
       _epoch,
       _owns,
-      _store_age_ms);
+      _store_age_ms,
+      _best_fitness);
 }
 
 inline HandoverT *Handover::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/cellnode/types/nodehooks.h
+++ b/src/cellnode/types/nodehooks.h
@@ -22,7 +22,8 @@
   Incarnation mIncarnation;
   // "IP:PORT" for links of other nodes.
   std::string mPeerAddress;
-  double mProcessorShare = 0.25;
+  // How well this host can carry the shard, 0 to 1.
+  double mFitness = 0.5;
   // Template for the shard's scheduler; the epoch is filled in.
   jobs::SchedulerOptions mScheduler;
   // From the signal to stop until the platform kills the process.
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -18,6 +18,9 @@
 
 using namespace std::chrono_literals;
 
+// A worker's clock may be this much slow, which lengthens its leases.
+constexpr double kClockTolerance = 1.0204;
+constexpr std::chrono::milliseconds kUnknownMargin = 300ms;
 constexpr std::chrono::milliseconds kPruneEvery = 250ms;
 constexpr std::chrono::milliseconds kUpkeepEvery = 20ms;
 // Events that come close together are decided on at once.
@@ -68,11 +71,8 @@
 CellScheduler::Recover(const CellRecords& aRecords, const Moment& aNow)
 {
   const SchedulerOptions& options = mImpl->mCell.mOptions;
-  // Leases of the earlier owner are over by then, with a worker's slow clock.
-  constexpr double kClockTolerance = 1.0204;
-  constexpr std::chrono::milliseconds kMargin = 300ms;
   const auto unknownFor = std::chrono::duration_cast<Duration>(
-    options.mAuthority * kClockTolerance + Duration(kMargin));
+    options.mAuthority * kClockTolerance + Duration(kUnknownMargin));
   mImpl->mCell.mFleet.Recover(aRecords.mWorkers, aNow.mSteady + unknownFor);
   mImpl->mCell.mJobs.Recover(aRecords, aNow);
   for (auto& [id, job] : mImpl->mCell.mJobs.Jobs()) {
@@ -81,6 +81,15 @@
   mImpl->mResolved = aRecords.mJobs.empty();
 }
 
+void
+CellScheduler::OnPredecessorGone(const Moment& aNow)
+{
+  mImpl->mCell.mFleet.ShortenUnknown(
+    aNow.mSteady + std::chrono::duration_cast<Duration>(
+                     mImpl->mCell.mOptions.mLease * kClockTolerance +
+                     Duration(kUnknownMargin)));
+}
+
 void
 CellScheduler::Configure(CellConfiguration aConfiguration)
 {
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -48,6 +48,8 @@
 
   // Takes over from an earlier owner. Call before anything else.
   void Recover(const CellRecords& aRecords, const Moment& aNow);
+  // The earlier owner is known to have stopped, so that it renews no leases.
+  void OnPredecessorGone(const Moment& aNow);
   void Configure(CellConfiguration aConfiguration);
   const CellConfiguration& Configuration() const;
   // Until when leases may be renewed and tasks started.
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -14,6 +14,10 @@
 constexpr std::chrono::milliseconds kLeastLease = 1500ms;
 // Advice is kept usable for so many waiting steps of each kind of step.
 constexpr int kStepsKeptFresh = 12;
+// Gangs for which room is kept at a time.
+constexpr int kMostReservations = 6;
+// Of runs whose job is not known.
+constexpr std::chrono::milliseconds kUnknownRunTime = 1000ms;
 // A worker is used for so long after it has left the registry.
 constexpr std::chrono::milliseconds kUnlistedUsable = 2500ms;
 // A worker that is slower than expected by this factor is used last.
@@ -61,6 +65,9 @@
             [](const Candidate& aLeft, const Candidate& aRight) {
               return aLeft.mUrgency < aRight.mUrgency;
             });
+  mNow = aNow.mSteady;
+  mReservations.Clear();
+  mReservationsMade = 0;
   std::map<QueueName, int> fresh;
   for (const Candidate& candidate : candidates) {
     const QueuePolicy& queue = candidate.mJob->mRecord.mQueue;
@@ -68,14 +75,20 @@
       mAdvice.KeepFresh(
         *candidate.mJob, candidate.mKey, *candidate.mStep, aNow.mSteady);
     }
-    if (candidate.mStep->mNotBefore > aNow.mSteady ||
-        !IsWorthTrying(candidate)) {
+    if (candidate.mStep->mNotBefore > aNow.mSteady) {
       continue;
     }
-    if (SpecOf(*candidate.mJob, candidate.mKey).mGang) {
-      PlaceGang(candidate, aNow);
-    } else {
-      PlaceEach(candidate, aNow);
+    const bool gang = SpecOf(*candidate.mJob, candidate.mKey).mGang;
+    if (IsWorthTrying(candidate)) {
+      mHeldBack = false;
+      if (gang) {
+        PlaceGang(candidate, aNow);
+      } else {
+        PlaceEach(candidate, aNow);
+      }
+    }
+    if (gang && !candidate.mStep->HasRuns()) {
+      Reserve(candidate, aNow);
     }
   }
 }
@@ -239,7 +252,7 @@
 
 Dispatcher::Place*
 Dispatcher::Choose(const Candidate& aCandidate,
-                   std::vector<Place>& aAllowed) const
+                   std::vector<Place>& aAllowed)
 {
   const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
   Place* best = nullptr;
@@ -251,6 +264,11 @@
         (worker.mHealth.mOnTrial && !worker.mRuns.empty())) {
       continue;
     }
+    if (!mReservations.Allows(
+          &worker, spec.mResources, mNow + spec.mEstimate)) {
+      mHeldBack = true;
+      continue;
+    }
     const double cost = Cost(worker, spec);
     if (best == nullptr || cost < bestCost) {
       best = &place;
@@ -260,6 +278,59 @@
   return best;
 }
 
+// What is held back for others only for now is tried again.
+void
+Dispatcher::NoteInVain(Step& aStep) const
+{
+  if (!mHeldBack) {
+    aStep.mTriedAt = mCell.mFleet.Changes();
+  }
+}
+
+ReservationCandidate
+Dispatcher::ReservationCandidateOf(Worker& aWorker, const StepSpec& aSpec) const
+{
+  ReservationCandidate candidate{ .mWorker = &aWorker,
+                                  .mEnds = {},
+                                  .mMostTasks = aSpec.mTaskCount };
+  if (aSpec.mMostPerWorker > 0) {
+    candidate.mMostTasks = aSpec.mMostPerWorker;
+  }
+  for (const RunPointer& run : aWorker.mRuns) {
+    const Job* job = mCell.mJobs.Find(run->mTask.mStep.mJob);
+    Duration expected = kUnknownRunTime;
+    if (job != nullptr && !run->mOrphan) {
+      expected = SpecOf(*job, run->mTask.mStep).mEstimate;
+    }
+    candidate.mEnds.Add(std::max(run->mOrderedAt + expected, mNow),
+                        run->mResources);
+  }
+  candidate.mEnds.Sort();
+  return candidate;
+}
+
+void
+Dispatcher::Reserve(const Candidate& aCandidate, const Moment& aNow)
+{
+  if (mReservationsMade >= kMostReservations ||
+      aCandidate.mUrgency.mPunctuality != Punctuality::OnTime) {
+    return;
+  }
+  const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
+  std::vector<ReservationCandidate> candidates;
+  for (const Place& place : AllowedPlaces(aCandidate, aNow.mSteady)) {
+    if (!mReservations.IsReserved(place.mWorker)) {
+      candidates.push_back(ReservationCandidateOf(*place.mWorker, spec));
+    }
+  }
+  const std::optional<Reservation> reservation =
+    PlanReservation(candidates, spec.mResources, spec.mTaskCount, mNow);
+  if (reservation.has_value()) {
+    ++mReservationsMade;
+    mReservations.Add(*reservation, spec.mResources, candidates);
+  }
+}
+
 void
 Dispatcher::PlaceEach(const Candidate& aCandidate, const Moment& aNow)
 {
@@ -271,7 +342,7 @@
     }
     const Place* place = Choose(aCandidate, allowed);
     if (place == nullptr) {
-      aCandidate.mStep->mTriedAt = mCell.mFleet.Changes();
+      NoteInVain(*aCandidate.mStep);
       return;
     }
     StartOn(aCandidate,
@@ -304,7 +375,7 @@
     place->mWorker->mUsed -= spec.mResources;
   }
   if (chosen.size() < tasks.size()) {
-    aCandidate.mStep->mTriedAt = mCell.mFleet.Changes();
+    NoteInVain(*aCandidate.mStep);
     return;
   }
   RunNumber number;
@@ -332,6 +403,9 @@
                     const std::string& aCheckpoint,
                     TimePoint aNow)
 {
+  const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
+  mReservations.NotePlaced(
+    aPlace.mWorker, spec.mResources, aNow + spec.mEstimate);
   mRuns.Start(*aCandidate.mJob,
               { .mStep = aCandidate.mKey, .mIndex = aIndex },
               aNumber,
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -5,6 +5,7 @@
 
 #include "jobs/internal/adviceplanner.h"
 #include "jobs/internal/cellstate.h"
+#include "jobs/internal/reservation.h"
 #include "jobs/internal/runbook.h"
 #include "jobs/internal/urgency.h"
 
@@ -56,8 +57,13 @@
                      const QueuePolicy& aQueue,
                      const StepSpec& aSpec);
   Place* Choose(const Candidate& aCandidate,
-                std::vector<Place>& aAllowed) const;
+                std::vector<Place>& aAllowed);
   double Cost(const Worker& aWorker, const StepSpec& aSpec) const;
+  void NoteInVain(Step& aStep) const;
+  // Keeps room for a gang that did not fit.
+  void Reserve(const Candidate& aCandidate, const Moment& aNow);
+  ReservationCandidate ReservationCandidateOf(Worker& aWorker,
+                                              const StepSpec& aSpec) const;
   static bool IsBelowLimit(const Place& aPlace,
                            const StepKey& aStep,
                            const StepSpec& aSpec);
@@ -72,6 +78,11 @@
   RunBook& mRuns;
   AdvicePlanner& mAdvice;
   std::vector<Worker*> mUsable;
+  ReservationBook mReservations;
+  int mReservationsMade = 0;
+  // Room that is kept for others has held something back in this try.
+  bool mHeldBack = false;
+  TimePoint mNow;
 };
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -47,6 +47,17 @@
   }
 }
 
+void
+Fleet::ShortenUnknown(TimePoint aUntil)
+{
+  mUnknownUntil = std::min(mUnknownUntil, aUntil);
+  for (auto& [id, worker] : mWorkers) {
+    if (!worker.mResolved) {
+      worker.mLeaseEndsBy = std::min(worker.mLeaseEndsBy, aUntil);
+    }
+  }
+}
+
 bool
 Fleet::List(const WorkerEntry& aEntry, TimePoint aNow)
 {
--- a/src/jobs/internal/fleet.h
+++ b/src/jobs/internal/fleet.h
@@ -31,6 +31,8 @@
   // unknown of them is known by aUnknownUntil at the latest.
   void Recover(const std::vector<WorkerRecord>& aRecords,
                TimePoint aUnknownUntil);
+  // The leases of the earlier owner are over by then.
+  void ShortenUnknown(TimePoint aUntil);
   // Takes over an entry of the registry. Returns true when another life of the
   // worker has taken its place; the caller ends the runs of the earlier one.
   bool List(const WorkerEntry& aEntry, TimePoint aNow);
--- a/src/jobs/types/scheduleroptions.h
+++ b/src/jobs/types/scheduleroptions.h
@@ -25,7 +25,7 @@
   // Longest lease that a worker grants.
   std::chrono::milliseconds mLongestLease{ 6000 };
   // Lease that is asked for, renewed by every poll.
-  std::chrono::milliseconds mLease{ 4500 };
+  std::chrono::milliseconds mLease{ 4000 };
   // How long an owner may renew leases after its last write to the store. The
   // next owner waits as long before it starts again what may still run on
   // workers that it cannot reach.
