Refuse submissions that are in no transaction while the store is away

Change: what has not been handed to a transaction is withdrawn and refused at once, with when to come back; the rest stays undetermined, which it is.

--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -1,6 +1,7 @@
 #include "cellnode/internal/ownersession.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "cellnode/queuerouter.h"
@@ -17,13 +18,17 @@
 // Events that come together are handled in one go.
 constexpr std::chrono::milliseconds kTickSoon = 1ms;
 // New work is refused when the store has not answered for so long.
-constexpr std::chrono::milliseconds kStoreAway = 1000ms;
+constexpr std::chrono::milliseconds kStoreAway = 700ms;
 constexpr std::chrono::milliseconds kRetryWhenStoreAway = 1000ms;
 // Retry of a request that names a configuration this node has not read yet.
 constexpr std::chrono::milliseconds kRetryWhenBehind = 300ms;
 // Changes of the registry are gathered for so long.
 constexpr std::chrono::milliseconds kRegistryPause = 250ms;
 
+const CallerAnswer kStoreAwayAnswer{ .mKind = CallerAnswerKind::Refused,
+                                     .mRetryAfter = kRetryWhenStoreAway,
+                                     .mMessage = "the store does not answer" };
+
 jobs::SchedulerOptions
 WithEpoch(jobs::SchedulerOptions aOptions, Epoch aEpoch)
 {
@@ -293,9 +298,7 @@
     return;
   }
   if (!known.has_value() && (!CanRecordSoon() || mReleasing)) {
-    aReply({ .mKind = CallerAnswerKind::Refused,
-             .mRetryAfter = kRetryWhenStoreAway,
-             .mMessage = "the store does not answer" });
+    aReply(kStoreAwayAnswer);
     return;
   }
   absl::StatusOr<jobs::JobSpec> spec = mFormats.mDecodeJob(aRequest.mBody);
@@ -306,7 +309,8 @@
   }
   const jobs::RecordPosition position =
     mScheduler.Submit(aId, aQueue, *std::move(spec), Now());
-  ReplyWhenRecorded(position, { .mKind = CallerAnswerKind::Accepted }, aReply);
+  ReplyWhenRecorded(
+    position, { .mKind = CallerAnswerKind::Accepted }, aReply, aId);
 }
 
 // A submission that would wait long for its record is better tried later.
@@ -320,6 +324,27 @@
   return mWaiting.empty() || mWaiting.front().mSince + kStoreAway > now;
 }
 
+void
+OwnerSession::RefuseUnwritten()
+{
+  std::vector<CallerReply> refused;
+  // One job may have been submitted several times.
+  std::set<jobs::JobId> gone;
+  std::erase_if(mWaiting, [&](WaitingReply& aEntry) {
+    const jobs::JobId& job = aEntry.mSubmitted;
+    const bool withdrawn =
+      !job.Empty() && (gone.contains(job) || mScheduler.Withdraw(job));
+    if (withdrawn) {
+      gone.insert(job);
+      refused.push_back(std::move(aEntry.mReply));
+    }
+    return withdrawn;
+  });
+  for (const CallerReply& reply : refused) {
+    reply(kStoreAwayAnswer);
+  }
+}
+
 void
 OwnerSession::Ask(const jobs::QueuePolicy& aQueue,
                   const std::string& aRest,
@@ -354,7 +379,8 @@
 void
 OwnerSession::ReplyWhenRecorded(jobs::RecordPosition aPosition,
                                 CallerAnswer aAnswer,
-                                CallerReply aReply)
+                                CallerReply aReply,
+                                const jobs::JobId& aSubmitted)
 {
   if (aPosition <= mScheduler.Records().Recorded()) {
     aReply(aAnswer);
@@ -363,7 +389,8 @@
   mWaiting.push_back({ .mPosition = aPosition,
                        .mAnswer = std::move(aAnswer),
                        .mReply = std::move(aReply),
-                       .mSince = std::chrono::steady_clock::now() });
+                       .mSince = std::chrono::steady_clock::now(),
+                       .mSubmitted = aSubmitted });
   Wake();
 }
 
@@ -421,6 +448,9 @@
                             mOptions.mScheduler.mAuthority);
     mScheduler.Advance(now);
   }
+  if (StoreAge(now.mSteady) > kStoreAway) {
+    RefuseUnwritten();
+  }
   const bool waiting = mScheduler.Records().HasWaiting() || mReleasing;
   mJournal.Tick(now.mSteady);
   mTimer->StartWithin(waiting ? kTickSoon * 4 : kTickEvery);
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -74,6 +74,8 @@
     CallerAnswer mAnswer;
     CallerReply mReply;
     TimePoint mSince;
+    // Of a submission; empty otherwise.
+    jobs::JobId mSubmitted;
   };
 
   jobs::SchedulerHooks SchedulerHooksOf();
@@ -85,6 +87,8 @@
               const CallerRequest& aRequest,
               const CallerReply& aReply);
   bool CanRecordSoon() const;
+  // Refuses the submissions that are in no transaction yet.
+  void RefuseUnwritten();
   void Ask(const jobs::QueuePolicy& aQueue,
            const std::string& aRest,
            const CallerReply& aReply);
@@ -92,7 +96,8 @@
   // Replies once the change is recorded.
   void ReplyWhenRecorded(jobs::RecordPosition aPosition,
                          CallerAnswer aAnswer,
-                         CallerReply aReply);
+                         CallerReply aReply,
+                         const jobs::JobId& aSubmitted = {});
   void OnRecorded(jobs::RecordPosition aPosition);
   void Tick();
   void Wake();
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -144,6 +144,19 @@
   return job.mRecordedBy;
 }
 
+bool
+CellScheduler::Withdraw(const JobId& aId)
+{
+  CellState& cell = mImpl->mCell;
+  const Job* job = cell.mJobs.Find(aId);
+  if (job == nullptr || job->mPhase != JobPhase::Recording ||
+      !cell.mLog.Withdraw({ .mKind = RecordKind::Job, .mName = aId.mValue })) {
+    return false;
+  }
+  cell.mJobs.Jobs().erase(aId);
+  return true;
+}
+
 std::optional<RecordPosition>
 CellScheduler::Cancel(const JobId& aId, const Moment& aNow)
 {
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -60,6 +60,9 @@
                         const QueuePolicy& aQueue,
                         JobSpec aSpec,
                         const Moment& aNow);
+  // Gives up a submission of which no record has been given out, so that it has
+  // never been accepted and never will; false when it is too late for that.
+  bool Withdraw(const JobId& aId);
   // Nothing when the job is not known. The cancelling is in force once the
   // change has been recorded.
   std::optional<RecordPosition> Cancel(const JobId& aId, const Moment& aNow);
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -251,8 +251,7 @@
 }
 
 Dispatcher::Place*
-Dispatcher::Choose(const Candidate& aCandidate,
-                   std::vector<Place>& aAllowed)
+Dispatcher::Choose(const Candidate& aCandidate, std::vector<Place>& aAllowed)
 {
   const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
   Place* best = nullptr;
--- a/src/jobs/internal/recordlog.cpp
+++ b/src/jobs/internal/recordlog.cpp
@@ -14,6 +14,17 @@
   return mNewest;
 }
 
+bool
+RecordLog::Withdraw(const RecordKey& aKey)
+{
+  if (mWaitingKeys.erase(aKey) == 0) {
+    return false;
+  }
+  std::erase_if(mWaiting,
+                [&aKey](const Entry& aEntry) { return aEntry.mKey == aKey; });
+  return true;
+}
+
 std::vector<RecordKey>
 RecordLog::TakeBatch(std::size_t aMost)
 {
--- a/src/jobs/recordlog.h
+++ b/src/jobs/recordlog.h
@@ -36,6 +36,8 @@
 {
 public:
   RecordPosition Mark(RecordKey aKey);
+  // Takes back a record that has not been given out yet; false otherwise.
+  bool Withdraw(const RecordKey& aKey);
   // Takes the records to write next, at most so many. Until Confirm() nothing
   // else is given out.
   std::vector<RecordKey> TakeBatch(std::size_t aMost);
--- a/src/jobs/tests/joblife_test.cpp
+++ b/src/jobs/tests/joblife_test.cpp
@@ -67,6 +67,28 @@
     });
   });
 
+  aStory.Describe("a submission that is taken back", [](Section& aSection) {
+    aSection.It("never runs, if no record of it was given out", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      cell.SetStoreAway(true);
+      cell.Submit("job", Single(MakeStep(1, 1000, 100ms)), MakeQueue());
+      CPPUNIT_ASSERT(cell.Scheduler().Withdraw(JobId("job")));
+      cell.SetStoreAway(false);
+      cell.RunFor(1000ms);
+      CPPUNIT_ASSERT(cell.mStarts.empty());
+      CPPUNIT_ASSERT(!cell.StateOf("job").has_value());
+    });
+    aSection.It("stays when its record is on its way", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      cell.Submit("job", Single(MakeStep(1, 1000, 100ms)), MakeQueue());
+      cell.RunFor(4ms);
+      CPPUNIT_ASSERT(!cell.Scheduler().Withdraw(JobId("job")));
+      cell.RunUntilFinal("job", 2000ms);
+    });
+  });
+
   aStory.Describe("steps that come after others", [](Section& aSection) {
     aSection.It("start when all tasks before them have succeeded", [] {
       FakeCell cell;
