--- a/bench/journal/cell.cpp
+++ b/bench/journal/cell.cpp
@@ -5,7 +5,7 @@
 #include <fmt/format.h>
 
 #include "journal/recovery.h"
-#include "platform/tablewire.h"
+#include "store/tablewire.h"
 
 namespace oriolevane::bench {
 
@@ -13,7 +13,7 @@
   : mOptions(aOptions)
   , mCommitted(std::move(aCommitted))
 {
-  mPlatform.mBeforeCommit = [this](const platform::Transaction& aTransaction) {
+  mPlatform.mBeforeCommit = [this](const store::Transaction& aTransaction) {
     Count(aTransaction);
   };
   for (std::uint32_t number = 0; number < mOptions.mNodes; ++number) {
@@ -85,7 +85,7 @@
 {
   std::size_t bytes = 0;
   for (const char* prefix : { "nodes/", "partitions/", "shards/" }) {
-    bytes += platform::EncodeRows(mPlatform.Store().Dump(prefix)).size();
+    bytes += store::EncodeRows(mPlatform.Store().Dump(prefix)).size();
   }
   return bytes;
 }
@@ -217,10 +217,10 @@
 }
 
 void
-Cell::Count(const platform::Transaction& aTransaction)
+Cell::Count(const store::Transaction& aTransaction)
 {
   bool journal = false;
-  for (const platform::RowMutation& mutation : aTransaction.mMutations) {
+  for (const store::RowMutation& mutation : aTransaction.mMutations) {
     if (!mutation.mKey.starts_with("log/")) {
       ++mWrites.mOtherRows;
     } else if (mutation.mValue) {
--- a/bench/journal/cell.h
+++ b/bench/journal/cell.h
@@ -91,7 +91,7 @@
   void OnHandOver(Node& aNode, const membership::RowRef& aRow);
   void OnOutcome(const journal::AppendOutcome& aOutcome);
   void SaveSnapshots();
-  void Count(const platform::Transaction& aTransaction);
+  void Count(const store::Transaction& aTransaction);
 
   CellOptions mOptions;
   Committed mCommitted;
--- a/src/cellnode/internal/cellloader.cpp
+++ b/src/cellnode/internal/cellloader.cpp
@@ -19,10 +19,11 @@
 absl::Status
 Take(absl::StatusOr<Record> aRecord, std::vector<Record>& aList)
 {
-  if (aRecord.ok()) {
-    aList.push_back(*std::move(aRecord));
+  if (!aRecord.ok()) {
+    return aRecord.status();
   }
-  return aRecord.status();
+  aList.push_back(*std::move(aRecord));
+  return absl::OkStatus();
 }
 
 } // namespace
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -96,7 +96,7 @@
     return absl::InvalidArgumentError("not an address: " +
                                       mOptions.mPeerAddress);
   }
-  if (const absl::Status status = mPeers.Listen(*address); !status.ok()) {
+  if (absl::Status status = mPeers.Listen(*address); !status.ok()) {
     return status;
   }
   SayHello();
@@ -373,7 +373,7 @@
   // The others read the owner row and follow if it does not.
   cellwire::HandoverT handover;
   handover.epoch = epoch.mValue;
-  mPeers.Send(FittestPeer(), std::move(handover));
+  mPeers.Send(FittestPeer(), handover);
 }
 
 void
@@ -400,7 +400,7 @@
     heartbeat.owns = true;
     heartbeat.store_age_ms = age;
     heartbeat.best_fitness = static_cast<float>(best);
-    mPeers.Send(node, std::move(heartbeat));
+    mPeers.Send(node, heartbeat);
   }
 }
 
--- a/src/cellnode/internal/peercodec.h
+++ b/src/cellnode/internal/peercodec.h
@@ -5,7 +5,7 @@
 #include <string_view>
 
 #include "absl/status/statusor.h"
-#include "cellnode/schema/cellpeer_generated.h"
+#include "cellpeer_generated.h"
 
 namespace oriolevane::cellnode {
 
--- /dev/null
+++ b/src/cellnode/tests/main.cpp
@@ -0,0 +1,17 @@
+#include "cellnode/tests/stories.h"
+#include "framework/log.h"
+
+int
+main(int aCount, char** aArguments)
+{
+  oriolevane::SetLogLevel(oriolevane::LogLevel::Error);
+  return oriolevane::testing::RunStories(
+    aCount,
+    aArguments,
+    { { "cell journal", oriolevane::CellJournalStory },
+      { "ownership policy", oriolevane::OwnershipPolicyStory },
+      { "advice desk", oriolevane::AdviceDeskStory },
+      { "caller queue", oriolevane::CallerQueueStory },
+      { "record codec", oriolevane::RecordCodecStory },
+      { "queue router", oriolevane::QueueRouterStory } });
+}
--- /dev/null
+++ b/src/cellnode/tests/recordcodec_test.cpp
@@ -0,0 +1,116 @@
+#include "cellnode/recordcodec.h"
+#include "cellnode/tests/stories.h"
+#include "framework/fieldcount.h"
+
+namespace oriolevane {
+
+using testing::Section;
+using namespace cellnode;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A step with a value in every field.
+jobs::StepSpec
+FullStep()
+{
+  return {
+    .mTaskCount = 3,
+    .mResources = { .mMilliCores = 500, .mMemoryMiB = 64, .mAccelerators = 1 },
+    .mEstimate = 900ms,
+    .mAfter = { 0, 1 },
+    .mCheckpointing = true,
+    .mGang = true,
+    .mRackSensitive = true,
+    .mRequiredLabel = "label",
+    .mDataRack = "rack",
+    .mMostPerWorker = 2,
+    .mSpeculative = true,
+    .mLongRunning = true,
+    .mImage = "image",
+    .mTailTarget = 50ms,
+    .mUsesSpareProcessors = true,
+    .mTolerableMisses = 1
+  };
+}
+
+// A new field must be carried by the codec, and be set in FullStep().
+static_assert(FieldCount<jobs::StepSpec>() == 16);
+static_assert(FieldCount<jobs::TaskProgress>() == 5);
+static_assert(FieldCount<jobs::JobRecord>() == 4);
+
+} // namespace
+
+void
+RecordCodecStory(Section& aStory)
+{
+  aStory.Describe("a job", [](Section& aSection) {
+    aSection.It("comes back with all its fields", [] {
+      jobs::JobRecord record;
+      record.mId = jobs::JobId("5c0e7a21d94b36f8");
+      record.mQueue = { .mName = jobs::QueueName("queue"),
+                        .mHost = "host",
+                        .mPathPrefix = "/p/",
+                        .mPool = jobs::PoolName("pool"),
+                        .mPriority = 2,
+                        .mMostAttempts = 4,
+                        .mStretch = 1.5,
+                        .mLatencyTarget = 250ms,
+                        .mAdvice = jobs::AdvicePolicy{ .mDecisionTime = 6500us,
+                                                       .mTimePerWorker = 93us,
+                                                       .mValidity = 2500ms } };
+      record.mSpec = { .mPayload = "payload \"quoted\"",
+                       .mSteps = { FullStep() },
+                       .mRepetition = jobs::Repetition{
+                         .mCount = 3, .mFirstDue = 5ms, .mInterval = 7ms } };
+      record.mAcceptedAt = 1700000000123ms;
+      const auto back = DecodeJob(Encode(record));
+      CPPUNIT_ASSERT(back.ok());
+      CPPUNIT_ASSERT(back->mQueue == record.mQueue);
+      CPPUNIT_ASSERT(back->mAcceptedAt == record.mAcceptedAt);
+      CPPUNIT_ASSERT_EQUAL(Encode(record), Encode(*back));
+      const jobs::StepSpec& step = back->mSpec.mSteps[0];
+      CPPUNIT_ASSERT(step.mResources == FullStep().mResources);
+      CPPUNIT_ASSERT(step.mAfter == FullStep().mAfter);
+      CPPUNIT_ASSERT(step.mSpeculative && step.mLongRunning && step.mGang);
+      CPPUNIT_ASSERT_EQUAL(std::string("rack"), step.mDataRack);
+      CPPUNIT_ASSERT_EQUAL(3, back->mSpec.mRepetition->mCount);
+    });
+  });
+  aStory.Describe("progress", [](Section& aSection) {
+    aSection.It("comes back with failed runs of tasks and gangs", [] {
+      const jobs::ProgressRecord record{
+        .mJob = jobs::JobId("job"),
+        .mOccurrence = 2,
+        .mFinished = true,
+        .mSteps = { { .mStep = 1,
+                      .mFailedGangRuns = { jobs::RunNumber(4) },
+                      .mTasks = { { .mIndex = 3,
+                                    .mSucceeded = true,
+                                    .mFailedRuns = { jobs::RunNumber(1),
+                                                     jobs::RunNumber(9) },
+                                    .mLastRun = jobs::RunNumber(10),
+                                    .mCheckpoint = "point" } } } }
+      };
+      const auto back = DecodeProgress(Encode(record));
+      CPPUNIT_ASSERT(back.ok());
+      CPPUNIT_ASSERT_EQUAL(Encode(record), Encode(*back));
+      CPPUNIT_ASSERT(back->mSteps[0].mTasks[0].mFailedRuns ==
+                     record.mSteps[0].mTasks[0].mFailedRuns);
+    });
+  });
+  aStory.Describe("texts that are no records", [](Section& aSection) {
+    aSection.It("are refused", [] {
+      for (const char* text :
+           { "", "{", "[]", "7", R"({"id":7})", R"({"job":"x","steps":3})" }) {
+        CPPUNIT_ASSERT(absl::IsDataLoss(DecodeJob(text).status()));
+        CPPUNIT_ASSERT(absl::IsDataLoss(DecodeProgress(text).status()));
+        CPPUNIT_ASSERT(absl::IsDataLoss(DecodeFinished(text).status()));
+        CPPUNIT_ASSERT(absl::IsDataLoss(DecodeWorker(text).status()));
+        CPPUNIT_ASSERT(absl::IsDataLoss(DecodeOwner(text).status()));
+      }
+    });
+  });
+}
+
+} // namespace oriolevane
--- a/src/configuration/configurationstore.h
+++ b/src/configuration/configurationstore.h
@@ -16,7 +16,7 @@
 #include "configuration/types/historyentry.h"
 #include "configuration/types/patchrequest.h"
 #include "configuration/types/versionedbody.h"
-#include "platform/platformhooks.h"
+#include "store/platformhooks.h"
 
 namespace oriolevane::configuration {
 
@@ -32,7 +32,7 @@
 class ConfigurationStore
 {
 public:
-  explicit ConfigurationStore(platform::TableHooks aTable,
+  explicit ConfigurationStore(store::TableHooks aTable,
                               ConfigurationStoreOptions aOptions = {});
 
   // Version 0 with an empty body when nothing was ever accepted. Errors as of
@@ -63,7 +63,7 @@
                       const Head& aHead,
                       const std::string& aBody) const;
 
-  platform::TableHooks mTable;
+  store::TableHooks mTable;
   ConfigurationStoreOptions mOptions;
 };
 
--- a/src/configuration/internal/configurationstore.cpp
+++ b/src/configuration/internal/configurationstore.cpp
@@ -40,7 +40,7 @@
 }
 
 absl::StatusOr<HistoryEntry>
-ParseHistoryEntry(const platform::TableRow& aRow)
+ParseHistoryEntry(const store::TableRow& aRow)
 {
   const std::optional<json> row = ParseObject(aRow.mValue);
   if (!row.has_value()) {
@@ -108,7 +108,7 @@
   std::uint64_t mRowVersion = 0;
 };
 
-ConfigurationStore::ConfigurationStore(platform::TableHooks aTable,
+ConfigurationStore::ConfigurationStore(store::TableHooks aTable,
                                        ConfigurationStoreOptions aOptions)
   : mTable(std::move(aTable))
   , mOptions(aOptions)
@@ -118,7 +118,7 @@
 absl::StatusOr<ConfigurationStore::Head>
 ConfigurationStore::ReadHeadRow() const
 {
-  absl::StatusOr<platform::TableRow> row = mTable.mRead(kHeadKey);
+  absl::StatusOr<store::TableRow> row = mTable.mRead(kHeadKey);
   if (!row.ok()) {
     return row.status();
   }
@@ -149,8 +149,7 @@
 absl::StatusOr<PatchOutcome>
 ConfigurationStore::FindAccepted(const std::string& aPatchId) const
 {
-  absl::StatusOr<platform::TableRow> row =
-    mTable.mRead(kPatchesPrefix + aPatchId);
+  absl::StatusOr<store::TableRow> row = mTable.mRead(kPatchesPrefix + aPatchId);
   if (!row.ok()) {
     return row.status();
   }
@@ -229,7 +228,7 @@
                     { "patch", json::parse(aRequest.mPatch) } };
   const json byId{ { "version", next.mValue } };
   const std::string idKey = kPatchesPrefix + aRequest.mPatchId;
-  const platform::Transaction transaction{
+  const store::Transaction transaction{
     .mConditions = { { kHeadKey, aHead.mRowVersion }, { idKey, 0 } },
     .mMutations = { { kHeadKey, head.dump() },
                     { VersionKey(next), entry.dump() },
@@ -311,13 +310,13 @@
 ConfigurationStore::History(ConfigurationVersion aAfter,
                             std::size_t aMost) const
 {
-  absl::StatusOr<std::vector<platform::TableRow>> rows =
+  absl::StatusOr<std::vector<store::TableRow>> rows =
     mTable.mScan(kVersionsPrefix, VersionKey(aAfter), aMost);
   if (!rows.ok()) {
     return rows.status();
   }
   std::vector<HistoryEntry> entries;
-  for (const platform::TableRow& row : *rows) {
+  for (const store::TableRow& row : *rows) {
     absl::StatusOr<HistoryEntry> entry = ParseHistoryEntry(row);
     if (!entry.ok()) {
       return entry.status();
--- a/src/configuration/tests/configurationstore_test.cpp
+++ b/src/configuration/tests/configurationstore_test.cpp
@@ -24,35 +24,35 @@
 // A table in memory whose next commits can be made to fail.
 struct FakeTable
 {
-  std::map<std::string, platform::TableRow> mRows;
+  std::map<std::string, store::TableRow> mRows;
   std::vector<Fault> mFaults;
   std::uint64_t mVersion = 0;
-  std::vector<platform::Transaction> mDelayed;
+  std::vector<store::Transaction> mDelayed;
   // Runs before a commit takes effect, e.g. another operator's patch.
   std::function<void()> mBeforeCommit;
 
-  platform::TableRow Row(const std::string& aKey) const
+  store::TableRow Row(const std::string& aKey) const
   {
     const auto found = mRows.find(aKey);
-    return found == mRows.end() ? platform::TableRow{ .mKey = aKey }
+    return found == mRows.end() ? store::TableRow{ .mKey = aKey }
                                 : found->second;
   }
 
-  absl::Status Apply(const platform::Transaction& aTransaction)
+  absl::Status Apply(const store::Transaction& aTransaction)
   {
-    for (const platform::RowCondition& condition : aTransaction.mConditions) {
+    for (const store::RowCondition& condition : aTransaction.mConditions) {
       if (Row(condition.mKey).mVersion != condition.mVersion) {
         return absl::AbortedError("a condition does not hold");
       }
     }
-    for (const platform::RowMutation& mutation : aTransaction.mMutations) {
+    for (const store::RowMutation& mutation : aTransaction.mMutations) {
       mRows[mutation.mKey] = { mutation.mKey, *mutation.mValue, ++mVersion };
     }
     return absl::OkStatus();
   }
 
-  absl::StatusOr<platform::CommitResult> Commit(
-    const platform::Transaction& aTransaction)
+  absl::StatusOr<store::CommitResult> Commit(
+    const store::Transaction& aTransaction)
   {
     if (mBeforeCommit) {
       const std::function<void()> before =
@@ -77,7 +77,7 @@
     if (!applied.ok()) {
       return applied;
     }
-    return platform::CommitResult{};
+    return store::CommitResult{};
   }
 };
 
@@ -86,18 +86,18 @@
   std::shared_ptr<FakeTable> mTable = std::make_shared<FakeTable>();
   ConfigurationStore mStore{ Hooks(mTable) };
 
-  static platform::TableHooks Hooks(const std::shared_ptr<FakeTable>& aTable)
+  static store::TableHooks Hooks(const std::shared_ptr<FakeTable>& aTable)
   {
     return {
       .mCommit =
-        [aTable](const platform::Transaction& aTransaction) {
+        [aTable](const store::Transaction& aTransaction) {
           return aTable->Commit(aTransaction);
         },
       .mScan =
         [aTable](const std::string& aPrefix,
                  const std::string& aAfter,
                  std::size_t aMost) {
-          std::vector<platform::TableRow> rows;
+          std::vector<store::TableRow> rows;
           for (auto row = aTable->mRows.upper_bound(aAfter);
                row != aTable->mRows.end() && rows.size() < aMost;
                ++row) {
--- a/src/eventloop/httpserver.h
+++ b/src/eventloop/httpserver.h
@@ -22,7 +22,7 @@
 
 // Answers one request, at once or later. Calls after the first, and calls after
 // the caller has gone, do nothing.
-using HttpReply = std::function<void(HttpResponse)>;
+using HttpReply = std::function<void(const HttpResponse&)>;
 using HttpHandler = std::function<void(HttpRequest, HttpReply)>;
 
 struct HttpServerOptions
--- a/src/eventloop/internal/httpclient.cpp
+++ b/src/eventloop/internal/httpclient.cpp
@@ -169,7 +169,9 @@
   evhttp_request* request =
     evhttp_request_new(&HttpClient::OnResponse, exchange.get());
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
-  evhttp_add_header(headers, "Host", aAddress.ToText().c_str());
+  if (!aRequest.mHeaders.contains("Host")) {
+    evhttp_add_header(headers, "Host", aAddress.ToText().c_str());
+  }
   for (const auto& [name, value] : aRequest.mHeaders) {
     evhttp_add_header(headers, name.c_str(), value.c_str());
   }
--- a/src/eventloop/internal/httpserver.cpp
+++ b/src/eventloop/internal/httpserver.cpp
@@ -133,18 +133,19 @@
   const std::optional<HttpMethod> method = MethodOf(aRequest);
   const std::uint64_t serial = ++mLastSerial;
   mPending.emplace(serial, aRequest);
-  HttpReply reply = [this, serial, alive = mAlive](HttpResponse aResponse) {
-    if (!*alive) {
-      return;
-    }
-    const auto entry = mPending.find(serial);
-    if (entry == mPending.end()) {
-      return;
-    }
-    evhttp_request* request = entry->second;
-    mPending.erase(entry);
-    Send(request, aResponse);
-  };
+  HttpReply reply =
+    [this, serial, alive = mAlive](const HttpResponse& aResponse) {
+      if (!*alive) {
+        return;
+      }
+      const auto entry = mPending.find(serial);
+      if (entry == mPending.end()) {
+        return;
+      }
+      evhttp_request* request = entry->second;
+      mPending.erase(entry);
+      Send(request, aResponse);
+    };
   if (!method.has_value()) {
     reply({ .mStatus = 405, .mHeaders = {}, .mBody = {} });
     return;
--- a/src/eventloop/tests/httpexchange_test.cpp
+++ b/src/eventloop/tests/httpexchange_test.cpp
@@ -39,10 +39,8 @@
   return outcome;
 }
 
-} // namespace
-
 void
-HttpExchangeStory(Section& aStory)
+TellWholeExchange(Section& aStory)
 {
   aStory.Describe("a request with a kept header", [](Section& aSection) {
     aSection.It("arrives whole and its response comes back", [] {
@@ -65,6 +63,11 @@
       CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1"), seen.mHost);
     });
   });
+}
+
+void
+TellLargeBody(Section& aStory)
+{
   aStory.Describe("a body above the limit", [](Section& aSection) {
     aSection.It("is refused without reaching the handler", [] {
       bool handled = false;
@@ -77,6 +80,11 @@
       CPPUNIT_ASSERT(!outcome.ok() || outcome->mStatus == 413);
     });
   });
+}
+
+void
+TellSilentServer(Section& aStory)
+{
   aStory.Describe("a server that does not answer", [](Section& aSection) {
     aSection.It("leaves the outcome unknown after the timeout", [] {
       HttpReply kept;
@@ -90,6 +98,11 @@
       kept({ .mStatus = 200 });
     });
   });
+}
+
+void
+TellLateResponse(Section& aStory)
+{
   aStory.Describe(
     "a response that comes just after its timeout", [](Section& aSection) {
       aSection.It("does not reach the exchange that is over", [] {
@@ -127,4 +140,15 @@
     });
 }
 
+} // namespace
+
+void
+HttpExchangeStory(Section& aStory)
+{
+  TellWholeExchange(aStory);
+  TellLargeBody(aStory);
+  TellSilentServer(aStory);
+  TellLateResponse(aStory);
+}
+
 } // namespace oriolevane
--- a/src/framework/log.h
+++ b/src/framework/log.h
@@ -1,4 +1,5 @@
-// Structured logs: each event is one line of key=value pairs on standard output.
+// Structured logs: each event is one line of key=value pairs on standard
+// output.
 #pragma once
 
 #include <string>
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -33,8 +33,8 @@
 class CellScheduler::Impl
 {
 public:
-  Impl(SchedulerOptions aOptions, SchedulerHooks aHooks)
-    : mCell(std::move(aOptions), std::move(aHooks))
+  Impl(const SchedulerOptions& aOptions, SchedulerHooks aHooks)
+    : mCell(aOptions, std::move(aHooks))
     , mRuns(mCell)
     , mOutcomes(mCell, mRuns)
     , mAdvice(mCell)
@@ -60,8 +60,9 @@
   TimePoint mLastDispatch;
 };
 
-CellScheduler::CellScheduler(SchedulerOptions aOptions, SchedulerHooks aHooks)
-  : mImpl(std::make_unique<Impl>(std::move(aOptions), std::move(aHooks)))
+CellScheduler::CellScheduler(const SchedulerOptions& aOptions,
+                             SchedulerHooks aHooks)
+  : mImpl(std::make_unique<Impl>(aOptions, std::move(aHooks)))
 {
 }
 
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -43,7 +43,7 @@
 class CellScheduler
 {
 public:
-  CellScheduler(SchedulerOptions aOptions, SchedulerHooks aHooks);
+  CellScheduler(const SchedulerOptions& aOptions, SchedulerHooks aHooks);
   ~CellScheduler();
 
   // Takes over from an earlier owner. Call before anything else.
--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -130,6 +130,7 @@
       return aLeft.first > aRight.first;
     });
   std::vector<Worker*> candidates;
+  candidates.reserve(ranked.size());
   for (const auto& [rank, worker] : ranked) {
     candidates.push_back(worker);
   }
--- a/src/jobs/internal/cellstate.h
+++ b/src/jobs/internal/cellstate.h
@@ -11,8 +11,8 @@
 
 struct CellState
 {
-  CellState(SchedulerOptions aOptions, SchedulerHooks aHooks)
-    : mOptions(std::move(aOptions))
+  CellState(const SchedulerOptions& aOptions, SchedulerHooks aHooks)
+    : mOptions(aOptions)
     , mHooks(std::move(aHooks))
     , mJobs(mLog)
     , mFleet(mOptions, mLog)
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -56,8 +56,7 @@
   static bool MayUse(const Worker& aWorker,
                      const QueuePolicy& aQueue,
                      const StepSpec& aSpec);
-  Place* Choose(const Candidate& aCandidate,
-                std::vector<Place>& aAllowed);
+  Place* Choose(const Candidate& aCandidate, std::vector<Place>& aAllowed);
   double Cost(const Worker& aWorker, const StepSpec& aSpec) const;
   void NoteInVain(Step& aStep) const;
   // Keeps room for a gang that did not fit.
--- a/src/jobs/tests/fakecell.h
+++ b/src/jobs/tests/fakecell.h
@@ -91,7 +91,8 @@
                const std::shared_ptr<bool>& aAlive,
                const std::function<Answer(FakeWorker&, const Order&)>& aCall,
                const std::function<void(const Order&, const Answer&)>& aDone);
-  void AnswerQuery(const AdviceQuery& aQuery, const std::shared_ptr<bool>& aAlive);
+  void AnswerQuery(const AdviceQuery& aQuery,
+                   const std::shared_ptr<bool>& aAlive);
   FakeWorker* FindWorker(const WorkerId& aId);
   FakeWorkerHooks WorkerHooks(std::size_t aPlace);
   void OnStart(std::size_t aPlace, const FakeRun& aRun);
--- a/src/jobs/tests/joblife_test.cpp
+++ b/src/jobs/tests/joblife_test.cpp
@@ -21,10 +21,8 @@
   return { .mStep = { .mJob = JobId(aJob), .mStep = aStep }, .mIndex = aIndex };
 }
 
-} // namespace
-
 void
-JobLifeStory(Section& aStory)
+TellOneStep(Section& aStory)
 {
   aStory.Describe("a job of one step", [](Section& aSection) {
     aSection.It("starts only once its acceptance is recorded", [] {
@@ -66,7 +64,11 @@
                            cell.mStarts.at(KeyOf("job", 0, 0)).size());
     });
   });
+}
 
+void
+TellWithdrawal(Section& aStory)
+{
   aStory.Describe("a submission that is taken back", [](Section& aSection) {
     aSection.It("never runs, if no record of it was given out", [] {
       FakeCell cell;
@@ -88,7 +90,11 @@
       cell.RunUntilFinal("job", 2000ms);
     });
   });
+}
 
+void
+TellLaterSteps(Section& aStory)
+{
   aStory.Describe("steps that come after others", [](Section& aSection) {
     aSection.It("start when all tasks before them have succeeded", [] {
       FakeCell cell;
@@ -102,7 +108,11 @@
       CPPUNIT_ASSERT(cell.mViolations.empty());
     });
   });
+}
 
+void
+TellFailures(Section& aStory)
+{
   aStory.Describe("a task that fails", [](Section& aSection) {
     aSection.It("is started again until its job has failed", [] {
       FakeCell cell;
@@ -117,7 +127,11 @@
                            cell.mStarts.at(KeyOf("job", 0, 0)).size());
     });
   });
+}
 
+void
+TellCancelling(Section& aStory)
+{
   aStory.Describe("a job that is cancelled", [](Section& aSection) {
     aSection.It("is stopped, and starts nothing any more", [] {
       FakeCell cell;
@@ -134,7 +148,11 @@
       CPPUNIT_ASSERT(cell.mViolations.empty());
     });
   });
+}
 
+void
+TellRepetition(Section& aStory)
+{
   aStory.Describe("a job that repeats", [](Section& aSection) {
     aSection.It("runs each occurrence when it is due", [] {
       FakeCell cell;
@@ -153,7 +171,11 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, cell.mStarts.size());
     });
   });
+}
 
+void
+TellWorkerLimit(Section& aStory)
+{
   aStory.Describe("a limit of tasks a worker", [](Section& aSection) {
     aSection.It("spreads the tasks of the step", [] {
       FakeCell cell;
@@ -181,7 +203,11 @@
       }
     });
   });
+}
 
+void
+TellLongRunning(Section& aStory)
+{
   aStory.Describe("a long-running task", [](Section& aSection) {
     aSection.It("is started again however it ends, until it is cancelled", [] {
       FakeCell cell;
@@ -202,4 +228,19 @@
   });
 }
 
+} // namespace
+
+void
+JobLifeStory(Section& aStory)
+{
+  TellOneStep(aStory);
+  TellWithdrawal(aStory);
+  TellLaterSteps(aStory);
+  TellFailures(aStory);
+  TellCancelling(aStory);
+  TellRepetition(aStory);
+  TellWorkerLimit(aStory);
+  TellLongRunning(aStory);
+}
+
 } // namespace oriolevane
--- a/src/jobs/tests/takeover_test.cpp
+++ b/src/jobs/tests/takeover_test.cpp
@@ -17,10 +17,8 @@
 
 const TaskKey kFirstTask{ .mStep = { .mJob = JobId("job") } };
 
-} // namespace
-
 void
-TakeOverStory(Section& aStory)
+TellTakeOver(Section& aStory)
 {
   aStory.Describe("a node that takes over", [](Section& aSection) {
     aSection.It("adopts what runs and starts nothing twice", [] {
@@ -66,7 +64,11 @@
       CPPUNIT_ASSERT(cell.mViolations.empty());
     });
   });
+}
 
+void
+TellFailedRuns(Section& aStory)
+{
   aStory.Describe(
     "failed runs whose ends come from several workers", [](Section& aSection) {
       aSection.It("count each once, in whatever order they are read", [] {
@@ -88,7 +90,11 @@
                              cell.mStarts.at(kFirstTask).size());
       });
     });
+}
 
+void
+TellUnfinishedClosing(Section& aStory)
+{
   aStory.Describe(
     "a job whose last progress was recorded, but not its end",
     [](Section& aSection) {
@@ -118,4 +124,14 @@
     });
 }
 
+} // namespace
+
+void
+TakeOverStory(Section& aStory)
+{
+  TellTakeOver(aStory);
+  TellFailedRuns(aStory);
+  TellUnfinishedClosing(aStory);
+}
+
 } // namespace oriolevane
--- a/src/jobs/tests/workertrouble_test.cpp
+++ b/src/jobs/tests/workertrouble_test.cpp
@@ -17,10 +17,8 @@
   return { .mPayload = "payload", .mSteps = { aStep } };
 }
 
-} // namespace
-
 void
-WorkerTroubleStory(Section& aStory)
+TellCrash(Section& aStory)
 {
   aStory.Describe("a worker that crashes", [](Section& aSection) {
     aSection.It("loses its tasks, which start elsewhere after its lease", [] {
@@ -44,7 +42,11 @@
       CPPUNIT_ASSERT(cell.mViolations.empty());
     });
   });
+}
 
+void
+TellCutOff(Section& aStory)
+{
   aStory.Describe(
     "a worker that is cut off and runs on", [](Section& aSection) {
       aSection.It("runs its tasks alone until its lease is over", [] {
@@ -59,7 +61,11 @@
         CPPUNIT_ASSERT(cell.mViolations.empty());
       });
     });
+}
 
+void
+TellLateOrders(Section& aStory)
+{
   aStory.Describe("orders that are carried out late", [](Section& aSection) {
     aSection.It("are refused by then", [] {
       FakeCell cell({ .mSeed = 5 });
@@ -82,7 +88,11 @@
       CPPUNIT_ASSERT(cell.mViolations.empty());
     });
   });
+}
 
+void
+TellFailingWorker(Section& aStory)
+{
   aStory.Describe(
     "a worker that fails all that it starts", [](Section& aSection) {
       aSection.It("is left alone after the failures of two jobs", [] {
@@ -105,7 +115,11 @@
         }
       });
     });
+}
 
+void
+TellDraining(Section& aStory)
+{
   aStory.Describe("a worker that drains", [](Section& aSection) {
     aSection.It("gets nothing new", [] {
       FakeCell cell;
@@ -122,4 +136,16 @@
   });
 }
 
+} // namespace
+
+void
+WorkerTroubleStory(Section& aStory)
+{
+  TellCrash(aStory);
+  TellCutOff(aStory);
+  TellLateOrders(aStory);
+  TellFailingWorker(aStory);
+  TellDraining(aStory);
+}
+
 } // namespace oriolevane
--- a/src/journal/groupcommit.h
+++ b/src/journal/groupcommit.h
@@ -24,8 +24,8 @@
 #include "journal/types/logrecord.h"
 #include "journal/types/openpartition.h"
 #include "journal/types/queuedrecord.h"
-#include "platform/types/tablerow.h"
-#include "platform/types/transaction.h"
+#include "store/types/tablerow.h"
+#include "store/types/transaction.h"
 
 namespace oriolevane::journal {
 
@@ -66,7 +66,7 @@
   bool IsIdle() const { return !HasWork(); }
   // The transaction to submit now: the one before again as long as its result
   // is open, otherwise a new one from the queues. Empty without work.
-  platform::Transaction Prepare();
+  store::Transaction Prepare();
 
   // Results of the submitted transaction; each call to Prepare is answered by
   // one of these.
@@ -85,7 +85,7 @@
   // Takes these rows, read after the result. Settles the transaction, or
   // leaves it to be submitted again.
   std::vector<AppendOutcome> OnRowsRead(
-    const std::vector<platform::TableRow>& aRows);
+    const std::vector<store::TableRow>& aRows);
 
   // The partition row was written by this node.
   void SetRowVersion(PartitionId aPartition, std::uint64_t aVersion);
@@ -139,7 +139,7 @@
   std::vector<AppendOutcome> Depose(PartitionId aPartition,
                                     bool aSurelyNotWritten);
   Finding Judge(const Part& aPart,
-                const std::map<std::string, platform::TableRow>& aRows) const;
+                const std::map<std::string, store::TableRow>& aRows) const;
 
   GroupCommitOptions mOptions;
   std::map<PartitionId, PartitionLog> mLogs;
--- a/src/journal/internal/groupcommit.cpp
+++ b/src/journal/internal/groupcommit.cpp
@@ -117,7 +117,7 @@
          });
 }
 
-platform::Transaction
+store::Transaction
 GroupCommit::Prepare()
 {
   if (!mAttempt) {
@@ -128,7 +128,7 @@
     mFirst = PartitionId(attempt.mParts.front().mPartition.mValue + 1);
     mAttempt = std::move(attempt);
   }
-  platform::Transaction transaction;
+  store::Transaction transaction;
   for (const Part& part : mAttempt->mParts) {
     transaction.mConditions.push_back(
       { membership::PartitionRowKey(part.mPartition), part.mRowVersion });
@@ -184,10 +184,10 @@
 }
 
 std::vector<AppendOutcome>
-GroupCommit::OnRowsRead(const std::vector<platform::TableRow>& aRows)
+GroupCommit::OnRowsRead(const std::vector<store::TableRow>& aRows)
 {
-  std::map<std::string, platform::TableRow> rows;
-  for (const platform::TableRow& row : aRows) {
+  std::map<std::string, store::TableRow> rows;
+  for (const store::TableRow& row : aRows) {
     rows[row.mKey] = row;
   }
   std::vector<Finding> findings;
@@ -361,7 +361,7 @@
 
 GroupCommit::Finding
 GroupCommit::Judge(const Part& aPart,
-                   const std::map<std::string, platform::TableRow>& aRows) const
+                   const std::map<std::string, store::TableRow>& aRows) const
 {
   Finding finding;
   const LogRow& expected = aPart.mLog.mRows.front();
--- a/src/journal/internal/journal.cpp
+++ b/src/journal/internal/journal.cpp
@@ -33,8 +33,8 @@
 } // namespace
 
 Journal::Journal(JournalOptions aOptions,
-                 platform::TableHooks aTable,
-                 platform::ObjectHooks aObjects,
+                 store::TableHooks aTable,
+                 store::ObjectHooks aObjects,
                  JournalHooks aHooks)
   : mOptions(aOptions)
   , mTable(std::move(aTable))
--- a/src/journal/internal/journalloop.cpp
+++ b/src/journal/internal/journalloop.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 JournalLoop::JournalLoop(JournalOptions aOptions,
-                         platform::TableHooks aTable,
+                         store::TableHooks aTable,
                          JournalHooks aHooks)
   : mOptions(aOptions)
   , mTable(std::move(aTable))
@@ -102,7 +102,7 @@
     NoteResult(absl::UnavailableError("read back failed"), aNow);
     return;
   }
-  const platform::Transaction transaction = mCommit.Prepare();
+  const store::Transaction transaction = mCommit.Prepare();
   if (transaction.mMutations.empty()) {
     return;
   }
@@ -132,7 +132,7 @@
 bool
 JournalLoop::ReadBack()
 {
-  std::vector<platform::TableRow> rows;
+  std::vector<store::TableRow> rows;
   for (const std::string& key : mCommit.RowsInQuestion()) {
     auto row = mTable.mRead(key);
     if (!row.ok()) {
--- a/src/journal/internal/recovery.cpp
+++ b/src/journal/internal/recovery.cpp
@@ -21,7 +21,7 @@
 }
 
 absl::Status
-FetchSnapshot(const platform::ObjectHooks& aObjects,
+FetchSnapshot(const store::ObjectHooks& aObjects,
               const membership::SnapshotReference& aReference,
               RecoveredPartition& aTo)
 {
@@ -39,7 +39,7 @@
 }
 
 absl::Status
-TakeLogRow(const platform::TableRow& aRow, RecoveredPartition& aTo)
+TakeLogRow(const store::TableRow& aRow, RecoveredPartition& aTo)
 {
   const auto key = ParseLogRowKey(aRow.mKey);
   if (!key.ok()) {
@@ -75,7 +75,7 @@
 }
 
 absl::Status
-ReadLog(const platform::TableHooks& aTable,
+ReadLog(const store::TableHooks& aTable,
         PartitionId aPartition,
         Epoch aFrom,
         const RecoveryLimits& aLimits,
@@ -89,7 +89,7 @@
     if (!rows.ok()) {
       return rows.status();
     }
-    for (const platform::TableRow& row : *rows) {
+    for (const store::TableRow& row : *rows) {
       bytes += row.mValue.size();
       if (bytes > aLimits.mMaxLogBytes) {
         return absl::ResourceExhaustedError("log above the limit");
@@ -108,8 +108,8 @@
 } // namespace
 
 absl::StatusOr<RecoveredPartition>
-RecoverPartition(const platform::TableHooks& aTable,
-                 const platform::ObjectHooks& aObjects,
+RecoverPartition(const store::TableHooks& aTable,
+                 const store::ObjectHooks& aObjects,
                  PartitionId aPartition,
                  const RecoveryLimits& aLimits)
 {
--- a/src/journal/internal/snapshotloop.cpp
+++ b/src/journal/internal/snapshotloop.cpp
@@ -22,7 +22,7 @@
 }
 
 bool
-IsCovered(const platform::TableRow& aRow, const SnapshotId& aSnapshot)
+IsCovered(const store::TableRow& aRow, const SnapshotId& aSnapshot)
 {
   const auto key = ParseLogRowKey(aRow.mKey);
   if (!key.ok() || key->mEpoch > aSnapshot.mEpoch) {
@@ -38,8 +38,8 @@
 } // namespace
 
 SnapshotLoop::SnapshotLoop(JournalOptions aOptions,
-                           platform::TableHooks aTable,
-                           platform::ObjectHooks aObjects,
+                           store::TableHooks aTable,
+                           store::ObjectHooks aObjects,
                            Hooks aHooks)
   : mOptions(aOptions)
   , mTable(std::move(aTable))
@@ -135,8 +135,8 @@
   if (!rows.ok()) {
     return rows.status();
   }
-  platform::Transaction transaction;
-  for (const platform::TableRow& row : *rows) {
+  store::Transaction transaction;
+  for (const store::TableRow& row : *rows) {
     if (!IsCovered(row, aSnapshot)) {
       break;
     }
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -18,7 +18,7 @@
 #include "journal/recovery.h"
 #include "journal/snapshotloop.h"
 #include "journal/types/openpartition.h"
-#include "platform/platformhooks.h"
+#include "store/platformhooks.h"
 
 namespace oriolevane::journal {
 
@@ -30,8 +30,8 @@
 {
 public:
   Journal(JournalOptions aOptions,
-          platform::TableHooks aTable,
-          platform::ObjectHooks aObjects,
+          store::TableHooks aTable,
+          store::ObjectHooks aObjects,
           JournalHooks aHooks);
   Journal(const Journal&) = delete;
   Journal& operator=(const Journal&) = delete;
@@ -80,8 +80,8 @@
   SnapshotLoop::Hooks MakeSnapshotHooks();
 
   JournalOptions mOptions;
-  platform::TableHooks mTable;
-  platform::ObjectHooks mObjects;
+  store::TableHooks mTable;
+  store::ObjectHooks mObjects;
   JournalHooks mHooks;
   JournalLoop mLoop;
   SnapshotLoop mSnapshots;
--- a/src/journal/journalloop.h
+++ b/src/journal/journalloop.h
@@ -17,7 +17,7 @@
 #include "journal/types/openpartition.h"
 #include "journal/types/snapshot.h"
 #include "membership/types/ownershiprow.h"
-#include "platform/platformhooks.h"
+#include "store/platformhooks.h"
 
 namespace oriolevane::journal {
 
@@ -26,7 +26,7 @@
 {
 public:
   JournalLoop(JournalOptions aOptions,
-              platform::TableHooks aTable,
+              store::TableHooks aTable,
               JournalHooks aHooks);
 
   // Does what is due at aNow and returns when to call again at the latest; an
@@ -76,7 +76,7 @@
   void Report(const std::vector<AppendOutcome>& aOutcomes) const;
 
   JournalOptions mOptions;
-  platform::TableHooks mTable;
+  store::TableHooks mTable;
   JournalHooks mHooks;
   GroupCommit mCommit;
   StoreHealthTracker mHealth;
--- a/src/journal/recovery.h
+++ b/src/journal/recovery.h
@@ -8,7 +8,7 @@
 
 #include "framework/types/ids.h"
 #include "journal/types/recoveredpartition.h"
-#include "platform/platformhooks.h"
+#include "store/platformhooks.h"
 
 namespace oriolevane::journal {
 
@@ -25,8 +25,8 @@
 // partition row; kDataLoss, with the key and reason, for a torn row, a missing
 // row or a missing snapshot.
 absl::StatusOr<RecoveredPartition>
-RecoverPartition(const platform::TableHooks& aTable,
-                 const platform::ObjectHooks& aObjects,
+RecoverPartition(const store::TableHooks& aTable,
+                 const store::ObjectHooks& aObjects,
                  PartitionId aPartition,
                  const RecoveryLimits& aLimits = {});
 
--- a/src/journal/snapshotloop.h
+++ b/src/journal/snapshotloop.h
@@ -11,7 +11,7 @@
 #include "framework/types/timepoint.h"
 #include "journal/journaloptions.h"
 #include "journal/types/snapshot.h"
-#include "platform/platformhooks.h"
+#include "store/platformhooks.h"
 
 namespace oriolevane::journal {
 
@@ -28,8 +28,8 @@
   };
 
   SnapshotLoop(JournalOptions aOptions,
-               platform::TableHooks aTable,
-               platform::ObjectHooks aObjects,
+               store::TableHooks aTable,
+               store::ObjectHooks aObjects,
                Hooks aHooks);
 
   // Does at most one upload and one removal; returns when to call again.
@@ -55,8 +55,8 @@
   absl::StatusOr<bool> RemoveLogRows(const SnapshotId& aSnapshot) const;
 
   JournalOptions mOptions;
-  platform::TableHooks mTable;
-  platform::ObjectHooks mObjects;
+  store::TableHooks mTable;
+  store::ObjectHooks mObjects;
   Hooks mHooks;
   std::deque<Snapshot> mUploads;
   std::uint32_t mTries = 0;
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 Membership::Membership(MembershipOptions aOptions,
-                       platform::TableHooks aTable,
+                       store::TableHooks aTable,
                        MembershipHooks aHooks)
   : mLoop(std::move(aOptions), std::move(aTable), std::move(aHooks), Now)
   , mCommands(kMostCommands)
--- a/src/membership/internal/membershiploop.cpp
+++ b/src/membership/internal/membershiploop.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 MembershipLoop::MembershipLoop(MembershipOptions aOptions,
-                               platform::TableHooks aTable,
+                               store::TableHooks aTable,
                                MembershipHooks aHooks,
                                std::function<TimePoint()> aClock)
   : mOptions(std::move(aOptions))
@@ -239,10 +239,9 @@
 
 // A refused or lost write needs no care here: the next read shows what holds.
 void
-MembershipLoop::CommitAll(
-  const std::vector<platform::Transaction>& aTransactions)
+MembershipLoop::CommitAll(const std::vector<store::Transaction>& aTransactions)
 {
-  for (const platform::Transaction& transaction : aTransactions) {
+  for (const store::Transaction& transaction : aTransactions) {
     const auto result = mTable.mCommit(transaction);
     RenewWhenDue();
     if (!result.ok() && !absl::IsAborted(result.status())) {
--- a/src/membership/internal/ownershipplanner.cpp
+++ b/src/membership/internal/ownershipplanner.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-platform::RowCondition
+store::RowCondition
 ConditionOnNode(const NodeId& aNode, const TableView& aView)
 {
   const auto at = aView.mNodes.find(aNode);
@@ -162,7 +162,7 @@
   ++mTakeoversInPace;
   const OwnershipRow before = exists ? at->second.mRow : OwnershipRow{};
   const std::uint64_t version = exists ? at->second.mVersion : 0;
-  platform::Transaction transaction;
+  store::Transaction transaction;
   if (!before.mOwner.Empty() && before.mOwner != mOptions.mNode) {
     transaction.mConditions.push_back(ConditionOnNode(before.mOwner, aView));
   }
--- a/src/membership/internal/viewreader.cpp
+++ b/src/membership/internal/viewreader.cpp
@@ -13,14 +13,14 @@
 constexpr std::size_t kMostRows = 20'000;
 
 absl::Status
-ReadNodes(const platform::TableHooks& aTable, TableView& aView)
+ReadNodes(const store::TableHooks& aTable, TableView& aView)
 {
   const auto rows =
-    platform::ScanAll(aTable, std::string(kNodePrefix), kPageRows, kMostRows);
+    store::ScanAll(aTable, std::string(kNodePrefix), kPageRows, kMostRows);
   if (!rows.ok()) {
     return rows.status();
   }
-  for (const platform::TableRow& row : *rows) {
+  for (const store::TableRow& row : *rows) {
     auto content = ParseNodeRow(row.mKey, row.mValue);
     if (!content.ok()) {
       aView.mErrors.push_back(content.status().ToString());
@@ -33,16 +33,16 @@
 }
 
 absl::Status
-ReadOwnership(const platform::TableHooks& aTable,
+ReadOwnership(const store::TableHooks& aTable,
               std::string_view aPrefix,
               TableView& aView)
 {
   const auto rows =
-    platform::ScanAll(aTable, std::string(aPrefix), kPageRows, kMostRows);
+    store::ScanAll(aTable, std::string(aPrefix), kPageRows, kMostRows);
   if (!rows.ok()) {
     return rows.status();
   }
-  for (const platform::TableRow& row : *rows) {
+  for (const store::TableRow& row : *rows) {
     const auto ref = ParseOwnershipRowKey(row.mKey);
     if (!ref.ok()) {
       aView.mErrors.push_back(row.mKey + ": " + ref.status().ToString());
@@ -62,7 +62,7 @@
 } // namespace
 
 absl::StatusOr<TableView>
-ReadMembershipRows(const platform::TableHooks& aTable,
+ReadMembershipRows(const store::TableHooks& aTable,
                    const std::function<void()>& aBetween)
 {
   TableView view;
--- a/src/membership/internal/viewreader.h
+++ b/src/membership/internal/viewreader.h
@@ -6,7 +6,7 @@
 #include <absl/status/statusor.h>
 
 #include "membership/types/tableview.h"
-#include "platform/platformhooks.h"
+#include "store/platformhooks.h"
 
 namespace oriolevane::membership {
 
@@ -16,7 +16,7 @@
 // as any other unless its node rewrites it. aBetween is called between the
 // scans, as each may take as long as the store's timeouts allow.
 absl::StatusOr<TableView>
-ReadMembershipRows(const platform::TableHooks& aTable,
+ReadMembershipRows(const store::TableHooks& aTable,
                    const std::function<void()>& aBetween);
 
 } // namespace oriolevane::membership
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -9,7 +9,7 @@
 #include "framework/types/ids.h"
 #include "membership/membershiploop.h"
 #include "membership/membershipoptions.h"
-#include "platform/platformhooks.h"
+#include "store/platformhooks.h"
 
 namespace oriolevane::membership {
 
@@ -19,7 +19,7 @@
 {
 public:
   Membership(MembershipOptions aOptions,
-             platform::TableHooks aTable,
+             store::TableHooks aTable,
              MembershipHooks aHooks);
   Membership(const Membership&) = delete;
   Membership& operator=(const Membership&) = delete;
--- a/src/membership/membershiploop.h
+++ b/src/membership/membershiploop.h
@@ -11,7 +11,7 @@
 #include "framework/types/timepoint.h"
 #include "membership/membershipoptions.h"
 #include "membership/ownershipplanner.h"
-#include "platform/platformhooks.h"
+#include "store/platformhooks.h"
 
 namespace oriolevane::membership {
 
@@ -20,7 +20,7 @@
 {
 public:
   MembershipLoop(MembershipOptions aOptions,
-                 platform::TableHooks aTable,
+                 store::TableHooks aTable,
                  MembershipHooks aHooks,
                  std::function<TimePoint()> aClock);
 
@@ -45,12 +45,12 @@
   void Round();
   void Carry(const Plan& aPlan);
   void Tell(const Plan& aPlan);
-  void CommitAll(const std::vector<platform::Transaction>& aTransactions);
+  void CommitAll(const std::vector<store::Transaction>& aTransactions);
   Duration ReadInterval() const;
   Duration EagerInterval() const;
 
   MembershipOptions mOptions;
-  platform::TableHooks mTable;
+  store::TableHooks mTable;
   MembershipHooks mHooks;
   std::function<TimePoint()> mClock;
   OwnershipPlanner mPlanner;
--- a/src/membership/ownershipplanner.h
+++ b/src/membership/ownershipplanner.h
@@ -20,7 +20,7 @@
 #include "membership/types/member.h"
 #include "membership/types/rowref.h"
 #include "membership/types/tableview.h"
-#include "platform/types/transaction.h"
+#include "store/types/transaction.h"
 
 namespace oriolevane::membership {
 
@@ -70,14 +70,14 @@
   std::vector<DeposedRow> mDeposed;
   // Rows that this node should stop serving and then release.
   std::vector<RowRef> mHandOver;
-  std::vector<platform::Transaction> mTakeovers;
+  std::vector<store::Transaction> mTakeovers;
   // More rows are to be taken once the pace allows it.
   bool mTakeoversWithheld = false;
   // Another live node owns a row that should become this node's.
   bool mExpectsRows = false;
-  std::vector<platform::Transaction> mReleases;
+  std::vector<store::Transaction> mReleases;
   // Removals of rows of nodes that are long gone.
-  std::vector<platform::Transaction> mRemovals;
+  std::vector<store::Transaction> mRemovals;
   // Live and leaving nodes in order of their ids.
   std::vector<Member> mMembers;
 };
--- a/src/membership/tests/ownership_test.cpp
+++ b/src/membership/tests/ownership_test.cpp
@@ -248,7 +248,7 @@
     cluster.Add("a");
     cluster.Run(seconds(6));
     TestNode& node = cluster.At("a");
-    platform::TableHooks slow = cluster.mPlatform.Table();
+    store::TableHooks slow = cluster.mPlatform.Table();
     slow.mScan = [&, scan = slow.mScan](const auto& aPrefix,
                                         const auto& aAfterKey,
                                         std::size_t aLimit) {
--- a/src/node/internal/noderuntime.cpp
+++ b/src/node/internal/noderuntime.cpp
@@ -8,7 +8,7 @@
 {
 public:
   explicit Impl(const settings::NodeSettings& aSettings,
-                platform::HttpPlatform aPlatform)
+                store::HttpPlatform aPlatform)
     : mRuntime(aSettings, std::move(aPlatform))
   {
   }
@@ -26,10 +26,9 @@
 absl::StatusOr<std::unique_ptr<NodeRuntime>>
 NodeRuntime::Start(const settings::NodeSettings& aSettings)
 {
-  absl::StatusOr<platform::HttpPlatform> platform =
-    platform::ConnectHttpPlatform(
-      { .mAddress = aSettings.mPlatform.mAddress,
-        .mRequestTimeout = aSettings.mPlatform.mTimeout });
+  absl::StatusOr<store::HttpPlatform> platform = store::ConnectHttpPlatform(
+    { .mAddress = aSettings.mPlatform.mAddress,
+      .mRequestTimeout = aSettings.mPlatform.mTimeout });
   if (!platform.ok()) {
     return platform.status();
   }
--- a/src/node/internal/runtime.cpp
+++ b/src/node/internal/runtime.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 Runtime::Runtime(const settings::NodeSettings& aSettings,
-                 platform::HttpPlatform aPlatform)
+                 store::HttpPlatform aPlatform)
   : mSettings(aSettings)
   , mIncarnation(FreshIncarnation())
   , mPlatform(std::move(aPlatform))
--- a/src/node/internal/runtime.h
+++ b/src/node/internal/runtime.h
@@ -20,9 +20,9 @@
 #include "node/internal/workerreportserver.h"
 #include "node/noderuntime.h"
 #include "peers/peermesh.h"
-#include "platform/httpplatform.h"
 #include "report/burntracker.h"
 #include "settings/types/nodesettings.h"
+#include "store/httpplatform.h"
 #include "workers/workerlink.h"
 
 namespace oriolevane::node {
@@ -31,7 +31,7 @@
 {
 public:
   Runtime(const settings::NodeSettings& aSettings,
-          platform::HttpPlatform aPlatform);
+          store::HttpPlatform aPlatform);
   Runtime(const Runtime&) = delete;
   Runtime& operator=(const Runtime&) = delete;
   ~Runtime();
@@ -76,7 +76,7 @@
 
   settings::NodeSettings mSettings;
   Incarnation mIncarnation;
-  platform::HttpPlatform mPlatform;
+  store::HttpPlatform mPlatform;
   configuration::ConfigurationStore mConfigurationStore;
   configuration::ConfigurationView mConfigurationView;
   CallBoard mCalls;
--- a/src/node/internal/runtimeevents.cpp
+++ b/src/node/internal/runtimeevents.cpp
@@ -161,7 +161,7 @@
 void
 Runtime::ListHosts()
 {
-  absl::StatusOr<std::vector<platform::HostEntry>> hosts =
+  absl::StatusOr<std::vector<store::HostEntry>> hosts =
     mPlatform.mHosts.mList();
   if (!hosts.ok()) {
     LogDebug("host_list_unavailable").With("error", hosts.status().ToString());
--- a/src/platform/httpplatform.h
+++ b/src/store/httpplatform.h
@@ -7,9 +7,9 @@
 #include <cstddef>
 #include <string>
 
-#include "platform/platformhooks.h"
+#include "store/platformhooks.h"
 
-namespace oriolevane::platform {
+namespace oriolevane::store {
 
 struct HttpPlatformOptions
 {
@@ -38,4 +38,4 @@
 absl::StatusOr<HttpPlatform>
 ConnectHttpPlatform(const HttpPlatformOptions& aOptions);
 
-} // namespace oriolevane::platform
+} // namespace oriolevane::store
--- a/src/platform/internal/httpchannel.cpp
+++ b/src/store/internal/httpchannel.cpp
@@ -1,4 +1,4 @@
-#include "platform/internal/httpchannel.h"
+#include "store/internal/httpchannel.h"
 
 #include <array>
 #include <istream>
@@ -10,7 +10,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Timespan.h>
 
-namespace oriolevane::platform {
+namespace oriolevane::store {
 
 namespace {
 
@@ -168,4 +168,4 @@
   return body;
 }
 
-} // namespace oriolevane::platform
+} // namespace oriolevane::store
--- a/src/platform/internal/httpchannel.h
+++ b/src/store/internal/httpchannel.h
@@ -11,9 +11,9 @@
 #include <absl/status/statusor.h>
 
 #include "framework/types/timepoint.h"
-#include "platform/httpplatform.h"
+#include "store/httpplatform.h"
 
-namespace oriolevane::platform {
+namespace oriolevane::store {
 
 struct HttpCall
 {
@@ -66,4 +66,4 @@
   std::vector<std::unique_ptr<Session>> mIdle;
 };
 
-} // namespace oriolevane::platform
+} // namespace oriolevane::store
--- a/src/platform/internal/httpplatform.cpp
+++ b/src/store/internal/httpplatform.cpp
@@ -1,4 +1,4 @@
-#include "platform/httpplatform.h"
+#include "store/httpplatform.h"
 
 #include <memory>
 #include <utility>
@@ -7,10 +7,10 @@
 #include <Poco/URI.h>
 #include <fmt/format.h>
 
-#include "platform/internal/httpchannel.h"
-#include "platform/tablewire.h"
+#include "store/internal/httpchannel.h"
+#include "store/tablewire.h"
 
-namespace oriolevane::platform {
+namespace oriolevane::store {
 
 namespace {
 
@@ -214,4 +214,4 @@
   };
 }
 
-} // namespace oriolevane::platform
+} // namespace oriolevane::store
--- a/src/platform/internal/platformhooks.cpp
+++ b/src/store/internal/platformhooks.cpp
@@ -1,9 +1,9 @@
-#include "platform/platformhooks.h"
+#include "store/platformhooks.h"
 
 #include <iterator>
 #include <utility>
 
-namespace oriolevane::platform {
+namespace oriolevane::store {
 
 absl::StatusOr<std::vector<TableRow>>
 ScanAll(const TableHooks& aTable,
@@ -30,4 +30,4 @@
   }
 }
 
-} // namespace oriolevane::platform
+} // namespace oriolevane::store
--- a/src/platform/internal/tablewire.cpp
+++ b/src/store/internal/tablewire.cpp
@@ -1,4 +1,4 @@
-#include "platform/tablewire.h"
+#include "store/tablewire.h"
 
 #include <cstdint>
 #include <utility>
@@ -6,7 +6,7 @@
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
 
-namespace oriolevane::platform {
+namespace oriolevane::store {
 
 namespace {
 
@@ -270,4 +270,4 @@
   return hosts;
 }
 
-} // namespace oriolevane::platform
+} // namespace oriolevane::store
--- a/src/platform/platformhooks.h
+++ b/src/store/platformhooks.h
@@ -21,11 +21,11 @@
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
-#include "platform/types/tablerow.h"
-#include "platform/types/transaction.h"
 #include "protocol/types/workermessages.h"
+#include "store/types/tablerow.h"
+#include "store/types/transaction.h"
 
-namespace oriolevane::platform {
+namespace oriolevane::store {
 
 // A worker as the platform lists it.
 using HostEntry = protocol::WorkerInfo;
@@ -72,4 +72,4 @@
         std::size_t aPageSize,
         std::size_t aMostRows);
 
-} // namespace oriolevane::platform
+} // namespace oriolevane::store
--- a/src/platform/tablewire.h
+++ b/src/store/tablewire.h
@@ -9,9 +9,9 @@
 
 #include <absl/status/statusor.h>
 
-#include "platform/platformhooks.h"
+#include "store/platformhooks.h"
 
-namespace oriolevane::platform {
+namespace oriolevane::store {
 
 // kInvalidArgument when a key is not UTF-8.
 absl::StatusOr<std::string>
@@ -37,4 +37,4 @@
 absl::StatusOr<std::vector<HostEntry>>
 DecodeHosts(std::string_view aJson);
 
-} // namespace oriolevane::platform
+} // namespace oriolevane::store
--- a/src/platform/tests/badanswers_test.cpp
+++ b/src/store/tests/badanswers_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/httpplatform.h"
+#include "store/httpplatform.h"
 
 #include <functional>
 #include <string>
@@ -8,9 +8,9 @@
 #include <Poco/Net/StreamSocket.h>
 #include <fmt/format.h>
 
-#include "platform/tests/stories.h"
+#include "store/tests/stories.h"
 
-namespace oriolevane::platform {
+namespace oriolevane::store {
 
 using testing::Section;
 
@@ -101,4 +101,4 @@
   });
 }
 
-} // namespace oriolevane::platform
+} // namespace oriolevane::store
--- a/src/platform/tests/main.cpp
+++ b/src/store/tests/main.cpp
@@ -1,9 +1,9 @@
-#include "platform/tests/stories.h"
+#include "store/tests/stories.h"
 
 int
 main(int aCount, char** aArguments)
 {
-  using namespace oriolevane::platform;
+  using namespace oriolevane::store;
   return oriolevane::testing::RunStories(
     aCount,
     aArguments,
--- a/src/platform/tests/stories.h
+++ b/src/store/tests/stories.h
@@ -3,11 +3,11 @@
 
 #include "framework/testing/story.h"
 
-namespace oriolevane::platform {
+namespace oriolevane::store {
 
 void
 BadAnswersStory(testing::Section& aStory);
 void
 TableWireStory(testing::Section& aStory);
 
-} // namespace oriolevane::platform
+} // namespace oriolevane::store
--- a/src/platform/tests/tablewire_test.cpp
+++ b/src/store/tests/tablewire_test.cpp
@@ -1,10 +1,10 @@
-#include "platform/tablewire.h"
+#include "store/tablewire.h"
 
 #include <random>
 
-#include "platform/tests/stories.h"
+#include "store/tests/stories.h"
 
-namespace oriolevane::platform {
+namespace oriolevane::store {
 
 using testing::Section;
 
@@ -80,4 +80,4 @@
   });
 }
 
-} // namespace oriolevane::platform
+} // namespace oriolevane::store
--- a/src/platform/types/tablerow.h
+++ b/src/store/types/tablerow.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <string>
 
-namespace oriolevane::platform {
+namespace oriolevane::store {
 
 // The version rises with each write of the row and is never reused; zero means
 // that the row is absent.
@@ -18,4 +18,4 @@
   bool operator==(const TableRow&) const = default;
 };
 
-} // namespace oriolevane::platform
+} // namespace oriolevane::store
--- a/src/platform/types/transaction.h
+++ b/src/store/types/transaction.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace oriolevane::platform {
+namespace oriolevane::store {
 
 // The row has this version; zero means that the row is absent.
 struct RowCondition
@@ -61,4 +61,4 @@
   }
 };
 
-} // namespace oriolevane::platform
+} // namespace oriolevane::store
--- a/tests/platformstandin/httpplatform_test.cpp
+++ b/tests/platformstandin/httpplatform_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/httpplatform.h"
+#include "store/httpplatform.h"
 
 #include <Poco/Net/ServerSocket.h>
 
@@ -7,9 +7,9 @@
 
 namespace oriolevane::standins {
 
-using platform::ConnectHttpPlatform;
-using platform::HttpPlatform;
-using platform::Transaction;
+using store::ConnectHttpPlatform;
+using store::HttpPlatform;
+using store::Transaction;
 using testing::Section;
 
 namespace {
@@ -72,7 +72,7 @@
     for (const char* key : { "p/3", "p/1", "q/1", "p/2" }) {
       CPPUNIT_ASSERT(fixture.Put(key, key).ok());
     }
-    const auto rows = platform::ScanAll(fixture.mPlatform.mTable, "p/", 2, 100);
+    const auto rows = store::ScanAll(fixture.mPlatform.mTable, "p/", 2, 100);
     CPPUNIT_ASSERT(rows.ok());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, rows->size());
     CPPUNIT_ASSERT_EQUAL(std::string("p/3"), rows->back().mKey);
--- a/tests/platformstandin/takeover_test.cpp
+++ b/tests/platformstandin/takeover_test.cpp
@@ -6,9 +6,9 @@
 
 #include "journal/journal.h"
 #include "membership/membership.h"
-#include "platform/httpplatform.h"
 #include "platformstandin/stories.h"
 #include "standins/platform/platformserver.h"
+#include "store/httpplatform.h"
 
 namespace oriolevane::standins {
 
@@ -28,7 +28,7 @@
 {
 public:
   Node(const std::string& aName, const std::string& aPlatform)
-    : mPlatform(*platform::ConnectHttpPlatform(
+    : mPlatform(*store::ConnectHttpPlatform(
         { .mAddress = aPlatform, .mRequestTimeout = milliseconds(500) }))
     , mJournal(
         {},
@@ -83,7 +83,7 @@
     Await([&] { return mOutcomes.size() == aCount; });
   }
 
-  platform::HttpPlatform mPlatform;
+  store::HttpPlatform mPlatform;
   std::mutex mMutex;
   std::condition_variable mChanged;
   std::map<std::uint64_t, AppendOutcome> mOutcomes;
--- a/tests/standins/platform/hostlist.cpp
+++ b/tests/standins/platform/hostlist.cpp
@@ -11,12 +11,12 @@
 
 } // namespace
 
-HostList::HostList(std::vector<platform::HostEntry> aHosts)
+HostList::HostList(std::vector<store::HostEntry> aHosts)
 {
   mHistory.push_back({ TimePoint::min(), std::move(aHosts) });
 }
 
-std::vector<platform::HostEntry>
+std::vector<store::HostEntry>
 HostList::Visible(TimePoint aNow) const
 {
   const std::lock_guard lock(mMutex);
@@ -36,10 +36,10 @@
 }
 
 void
-HostList::Put(const platform::HostEntry& aHost, TimePoint aNow)
+HostList::Put(const store::HostEntry& aHost, TimePoint aNow)
 {
   const std::lock_guard lock(mMutex);
-  std::vector<platform::HostEntry> hosts = mHistory.back().mHosts;
+  std::vector<store::HostEntry> hosts = mHistory.back().mHosts;
   std::erase_if(
     hosts, [&](const auto& aEntry) { return aEntry.mWorker == aHost.mWorker; });
   hosts.push_back(aHost);
@@ -50,7 +50,7 @@
 HostList::Remove(const WorkerId& aWorker, TimePoint aNow)
 {
   const std::lock_guard lock(mMutex);
-  std::vector<platform::HostEntry> hosts = mHistory.back().mHosts;
+  std::vector<store::HostEntry> hosts = mHistory.back().mHosts;
   std::erase_if(hosts,
                 [&](const auto& aEntry) { return aEntry.mWorker == aWorker; });
   Push(std::move(hosts), aNow);
@@ -60,7 +60,7 @@
 HostList::MarkLeaving(const WorkerId& aWorker, bool aLeaving, TimePoint aNow)
 {
   const std::lock_guard lock(mMutex);
-  std::vector<platform::HostEntry> hosts = mHistory.back().mHosts;
+  std::vector<store::HostEntry> hosts = mHistory.back().mHosts;
   const auto at =
     std::find_if(hosts.begin(), hosts.end(), [&](const auto& aEntry) {
       return aEntry.mWorker == aWorker;
@@ -74,7 +74,7 @@
 }
 
 void
-HostList::Push(std::vector<platform::HostEntry> aHosts, TimePoint aNow)
+HostList::Push(std::vector<store::HostEntry> aHosts, TimePoint aNow)
 {
   mHistory.push_back({ aNow, std::move(aHosts) });
   if (mHistory.size() > kMostStates) {
--- a/tests/standins/platform/hostlist.h
+++ b/tests/standins/platform/hostlist.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "framework/types/timepoint.h"
-#include "platform/platformhooks.h"
+#include "store/platformhooks.h"
 
 namespace oriolevane::standins {
 
@@ -15,13 +15,13 @@
 class HostList
 {
 public:
-  explicit HostList(std::vector<platform::HostEntry> aHosts);
+  explicit HostList(std::vector<store::HostEntry> aHosts);
 
   // The list as it was before the lag.
-  std::vector<platform::HostEntry> Visible(TimePoint aNow) const;
+  std::vector<store::HostEntry> Visible(TimePoint aNow) const;
   void SetLag(std::chrono::milliseconds aLag);
   // Adds the worker or replaces the one of the same id.
-  void Put(const platform::HostEntry& aHost, TimePoint aNow);
+  void Put(const store::HostEntry& aHost, TimePoint aNow);
   void Remove(const WorkerId& aWorker, TimePoint aNow);
   // False when there is no such worker.
   bool MarkLeaving(const WorkerId& aWorker, bool aLeaving, TimePoint aNow);
@@ -30,10 +30,10 @@
   struct State
   {
     TimePoint mSince;
-    std::vector<platform::HostEntry> mHosts;
+    std::vector<store::HostEntry> mHosts;
   };
 
-  void Push(std::vector<platform::HostEntry> aHosts, TimePoint aNow);
+  void Push(std::vector<store::HostEntry> aHosts, TimePoint aNow);
 
   mutable std::mutex mMutex;
   std::chrono::milliseconds mLag{ 0 };
--- a/tests/standins/platform/main.cpp
+++ b/tests/standins/platform/main.cpp
@@ -8,8 +8,8 @@
 #include <gflags/gflags.h>
 
 #include "framework/log.h"
-#include "platform/tablewire.h"
 #include "standins/platform/platformserver.h"
+#include "store/tablewire.h"
 
 DEFINE_string(listen, "127.0.0.1:0", "IP:port; port 0 takes a free one");
 DEFINE_string(hosts, "", "JSON file with the list of workers");
@@ -19,17 +19,17 @@
 
 namespace {
 
-absl::StatusOr<std::vector<platform::HostEntry>>
+absl::StatusOr<std::vector<store::HostEntry>>
 LoadHosts(const std::string& aFile)
 {
   if (aFile.empty()) {
-    return std::vector<platform::HostEntry>{};
+    return std::vector<store::HostEntry>{};
   }
   std::ifstream stream(aFile, std::ios::binary);
   if (!stream) {
     return absl::NotFoundError("cannot read " + aFile);
   }
-  return platform::DecodeHosts(
+  return store::DecodeHosts(
     std::string(std::istreambuf_iterator<char>(stream), {}));
 }
 
--- a/tests/standins/platform/platformserver.h
+++ b/tests/standins/platform/platformserver.h
@@ -17,7 +17,7 @@
 {
   // IP and port; port 0 takes a free one.
   std::string mListen = "127.0.0.1:0";
-  std::vector<platform::HostEntry> mHosts;
+  std::vector<store::HostEntry> mHosts;
   std::uint64_t mSeed = 1;
 };
 
--- a/tests/standins/platform/platformservice.cpp
+++ b/tests/standins/platform/platformservice.cpp
@@ -8,7 +8,7 @@
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
-#include "platform/tablewire.h"
+#include "store/tablewire.h"
 
 namespace oriolevane::standins {
 
@@ -73,7 +73,7 @@
 
 } // namespace
 
-PlatformService::PlatformService(std::vector<platform::HostEntry> aHosts,
+PlatformService::PlatformService(std::vector<store::HostEntry> aHosts,
                                  std::uint64_t aSeed)
   : mHosts(std::move(aHosts))
   , mFaults(aSeed)
@@ -111,13 +111,13 @@
   }
   if (aRequest.mPath == "/table/row") {
     const auto row = mTable.Read(Parameter(aRequest, "key"));
-    return { .mBody = platform::EncodeRows({ row }) };
+    return { .mBody = store::EncodeRows({ row }) };
   }
   if (aRequest.mPath == "/objects") {
     return Object(aRequest);
   }
   if (aRequest.mPath == "/hosts") {
-    return { .mBody = platform::EncodeHosts(mHosts.Visible(Now())) };
+    return { .mBody = store::EncodeHosts(mHosts.Visible(Now())) };
   }
   return Refusal(404, "no such path");
 }
@@ -125,7 +125,7 @@
 ServiceAnswer
 PlatformService::Commit(const ServiceRequest& aRequest)
 {
-  const auto transaction = platform::DecodeTransaction(aRequest.mBody);
+  const auto transaction = store::DecodeTransaction(aRequest.mBody);
   if (!transaction.ok()) {
     return BadRequest(std::string(transaction.status().message()));
   }
@@ -133,7 +133,7 @@
   if (!result.ok()) {
     return Refusal(409, std::string(result.status().message()));
   }
-  return { .mBody = platform::EncodeCommitResult(*result),
+  return { .mBody = store::EncodeCommitResult(*result),
            .mSilent = mFaults.LosesAnswer() };
 }
 
@@ -144,10 +144,9 @@
   if (!limit || *limit == 0 || *limit > kMostScannedRows) {
     return BadRequest("limit out of range");
   }
-  return {
-    .mBody = platform::EncodeRows(mTable.Scan(
-      Parameter(aRequest, "prefix"), Parameter(aRequest, "after"), *limit))
-  };
+  return { .mBody = store::EncodeRows(mTable.Scan(Parameter(aRequest, "prefix"),
+                                                  Parameter(aRequest, "after"),
+                                                  *limit)) };
 }
 
 ServiceAnswer
@@ -230,11 +229,11 @@
     return {};
   }
   if (aRequest.mPath == "/control/hosts/put") {
-    const auto hosts = platform::DecodeHosts(aRequest.mBody);
+    const auto hosts = store::DecodeHosts(aRequest.mBody);
     if (!hosts.ok()) {
       return BadRequest(std::string(hosts.status().message()));
     }
-    for (const platform::HostEntry& host : *hosts) {
+    for (const store::HostEntry& host : *hosts) {
       mHosts.Put(host, Now());
     }
     return {};
@@ -272,7 +271,7 @@
 PlatformService::Dump(const std::string& aPrefix) const
 {
   Json rows = Json::array();
-  for (const platform::TableRow& row : mTable.Dump(aPrefix)) {
+  for (const store::TableRow& row : mTable.Dump(aPrefix)) {
     rows.push_back({ { "key", row.mKey },
                      { "value", row.mValue },
                      { "version", row.mVersion } });
--- a/tests/standins/platform/platformservice.h
+++ b/tests/standins/platform/platformservice.h
@@ -46,7 +46,7 @@
 class PlatformService
 {
 public:
-  PlatformService(std::vector<platform::HostEntry> aHosts, std::uint64_t aSeed);
+  PlatformService(std::vector<store::HostEntry> aHosts, std::uint64_t aSeed);
 
   ServiceAnswer Handle(const ServiceRequest& aRequest);
   // Lets requests go that wait in a fault.
--- a/tests/standins/platform/scriptedplatform.cpp
+++ b/tests/standins/platform/scriptedplatform.cpp
@@ -20,25 +20,25 @@
 
 } // namespace
 
-platform::TableHooks
+store::TableHooks
 ScriptedPlatform::Table()
 {
   return {
     .mCommit =
-      [this](const platform::Transaction& aTransaction) {
+      [this](const store::Transaction& aTransaction) {
         return Commit(aTransaction);
       },
     .mScan = [this](const std::string& aPrefix,
                     const std::string& aAfterKey,
                     std::size_t aLimit)
-      -> absl::StatusOr<std::vector<platform::TableRow>> {
+      -> absl::StatusOr<std::vector<store::TableRow>> {
       if (mAway) {
         return Away();
       }
       return mTable.Scan(aPrefix, aAfterKey, aLimit);
     },
     .mRead =
-      [this](const std::string& aKey) -> absl::StatusOr<platform::TableRow> {
+      [this](const std::string& aKey) -> absl::StatusOr<store::TableRow> {
       if (mAway) {
         return Away();
       }
@@ -47,7 +47,7 @@
   };
 }
 
-platform::ObjectHooks
+store::ObjectHooks
 ScriptedPlatform::Objects()
 {
   return {
@@ -88,7 +88,7 @@
 void
 ScriptedPlatform::ApplyLate()
 {
-  for (const platform::Transaction& late : std::exchange(mLate, {})) {
+  for (const store::Transaction& late : std::exchange(mLate, {})) {
     static_cast<void>(mTable.Commit(late, TimePoint{}));
   }
 }
@@ -101,8 +101,8 @@
   return result->VersionOf(aKey);
 }
 
-absl::StatusOr<platform::CommitResult>
-ScriptedPlatform::Commit(const platform::Transaction& aTransaction)
+absl::StatusOr<store::CommitResult>
+ScriptedPlatform::Commit(const store::Transaction& aTransaction)
 {
   if (mBeforeCommit) {
     mBeforeCommit(aTransaction);
--- a/tests/standins/platform/scriptedplatform.h
+++ b/tests/standins/platform/scriptedplatform.h
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "framework/types/timepoint.h"
-#include "platform/platformhooks.h"
 #include "standins/platform/objectstore.h"
 #include "standins/platform/tablestore.h"
+#include "store/platformhooks.h"
 
 namespace oriolevane::standins {
 
@@ -33,8 +33,8 @@
 class ScriptedPlatform
 {
 public:
-  platform::TableHooks Table();
-  platform::ObjectHooks Objects();
+  store::TableHooks Table();
+  store::ObjectHooks Objects();
 
   // The fates of the next commits, in order; then all are served.
   void Script(std::vector<CommitFate> aFates);
@@ -43,7 +43,7 @@
   // Applies the delayed commits in order.
   void ApplyLate();
   // Called before each commit is decided, e.g. to let another node act first.
-  std::function<void(const platform::Transaction&)> mBeforeCommit;
+  std::function<void(const store::Transaction&)> mBeforeCommit;
 
   // Writes a row without conditions.
   std::uint64_t Put(const std::string& aKey, const std::string& aValue);
@@ -52,13 +52,13 @@
   ObjectStore& ObjectsStore() { return mObjects; }
 
 private:
-  absl::StatusOr<platform::CommitResult> Commit(
-    const platform::Transaction& aTransaction);
+  absl::StatusOr<store::CommitResult> Commit(
+    const store::Transaction& aTransaction);
 
   TableStore mTable;
   ObjectStore mObjects;
   std::deque<CommitFate> mFates;
-  std::vector<platform::Transaction> mLate;
+  std::vector<store::Transaction> mLate;
   bool mAway = false;
 };
 
--- a/tests/standins/platform/tablestore.cpp
+++ b/tests/standins/platform/tablestore.cpp
@@ -11,8 +11,8 @@
 
 } // namespace
 
-absl::StatusOr<platform::CommitResult>
-TableStore::Commit(const platform::Transaction& aTransaction, TimePoint aNow)
+absl::StatusOr<store::CommitResult>
+TableStore::Commit(const store::Transaction& aTransaction, TimePoint aNow)
 {
   const std::lock_guard lock(mMutex);
   const auto& conditions = aTransaction.mConditions;
@@ -24,9 +24,9 @@
     ++mStatistics.mRefusedTransactions;
     return absl::AbortedError("condition failed on " + failed->mKey);
   }
-  platform::CommitResult result;
+  store::CommitResult result;
   ++mLastVersion;
-  for (const platform::RowMutation& mutation : aTransaction.mMutations) {
+  for (const store::RowMutation& mutation : aTransaction.mMutations) {
     if (mutation.mValue) {
       mRows[mutation.mKey] = { *mutation.mValue, mLastVersion };
       result.mRows.push_back({ mutation.mKey, mLastVersion });
@@ -41,7 +41,7 @@
   return result;
 }
 
-platform::TableRow
+store::TableRow
 TableStore::Read(const std::string& aKey)
 {
   const std::lock_guard lock(mMutex);
@@ -56,14 +56,14 @@
            .mVersion = at->second.mVersion };
 }
 
-std::vector<platform::TableRow>
+std::vector<store::TableRow>
 TableStore::Scan(const std::string& aPrefix,
                  const std::string& aAfterKey,
                  std::size_t aLimit)
 {
   const std::lock_guard lock(mMutex);
   ++mStatistics.mReads;
-  std::vector<platform::TableRow> rows;
+  std::vector<store::TableRow> rows;
   auto at = aAfterKey < aPrefix ? mRows.lower_bound(aPrefix)
                                 : mRows.upper_bound(aAfterKey);
   while (at != mRows.end() && at->first.starts_with(aPrefix) &&
@@ -77,11 +77,11 @@
   return rows;
 }
 
-std::vector<platform::TableRow>
+std::vector<store::TableRow>
 TableStore::Dump(const std::string& aPrefix) const
 {
   const std::lock_guard lock(mMutex);
-  std::vector<platform::TableRow> rows;
+  std::vector<store::TableRow> rows;
   for (auto at = mRows.lower_bound(aPrefix);
        at != mRows.end() && at->first.starts_with(aPrefix);
        ++at) {
@@ -112,7 +112,7 @@
 }
 
 bool
-TableStore::Holds(const platform::RowCondition& aCondition) const
+TableStore::Holds(const store::RowCondition& aCondition) const
 {
   const auto at = mRows.find(aCondition.mKey);
   const std::uint64_t version = at == mRows.end() ? 0 : at->second.mVersion;
--- a/tests/standins/platform/tablestore.h
+++ b/tests/standins/platform/tablestore.h
@@ -12,8 +12,8 @@
 #include <absl/status/statusor.h>
 
 #include "framework/types/timepoint.h"
-#include "platform/types/tablerow.h"
-#include "platform/types/transaction.h"
+#include "store/types/tablerow.h"
+#include "store/types/transaction.h"
 
 namespace oriolevane::standins {
 
@@ -35,15 +35,15 @@
 {
 public:
   // kAborted when a condition does not hold.
-  absl::StatusOr<platform::CommitResult> Commit(
-    const platform::Transaction& aTransaction,
+  absl::StatusOr<store::CommitResult> Commit(
+    const store::Transaction& aTransaction,
     TimePoint aNow);
-  platform::TableRow Read(const std::string& aKey);
-  std::vector<platform::TableRow> Scan(const std::string& aPrefix,
-                                       const std::string& aAfterKey,
-                                       std::size_t aLimit);
+  store::TableRow Read(const std::string& aKey);
+  std::vector<store::TableRow> Scan(const std::string& aPrefix,
+                                    const std::string& aAfterKey,
+                                    std::size_t aLimit);
   // As Scan without a limit, not counted as a read.
-  std::vector<platform::TableRow> Dump(const std::string& aPrefix) const;
+  std::vector<store::TableRow> Dump(const std::string& aPrefix) const;
   TableStatistics Statistics(TimePoint aNow) const;
 
 private:
@@ -58,7 +58,7 @@
     std::uint64_t mVersion = 0;
   };
 
-  bool Holds(const platform::RowCondition& aCondition) const;
+  bool Holds(const store::RowCondition& aCondition) const;
   void ForgetOldWrites(TimePoint aNow);
 
   mutable std::mutex mMutex;
