--- /dev/null
+++ b/src/cellnode/internal/metricstext.cpp
@@ -0,0 +1,61 @@
+#include "cellnode/metricstext.h"
+
+#include <vector>
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+namespace oriolevane::cellnode {
+
+namespace {
+
+prometheus::MetricFamily
+Gauge(const std::string& aName, const std::string& aHelp, double aValue)
+{
+  prometheus::MetricFamily family;
+  family.name = "oriolevane_" + aName;
+  family.help = aHelp;
+  family.type = prometheus::MetricType::Gauge;
+  family.metric.emplace_back();
+  family.metric.back().gauge.value = aValue;
+  return family;
+}
+
+} // namespace
+
+std::string
+MetricsText(const NodeStatus& aStatus)
+{
+  const auto number = [](auto aCount) { return static_cast<double>(aCount); };
+  const std::chrono::duration<double> storeAge = aStatus.mStoreAge;
+  const std::vector<prometheus::MetricFamily> families{
+    Gauge("owns_shard",
+          "1 while this node owns the shard",
+          aStatus.mOwnsShard ? 1 : 0),
+    Gauge("epoch",
+          "highest ownership term that this node knows",
+          number(aStatus.mEpoch.mValue)),
+    Gauge("configuration_version",
+          "configuration in force on this node",
+          number(aStatus.mVersion.mValue)),
+    Gauge("links", "links to other nodes", number(aStatus.mLinks)),
+    Gauge("open_jobs",
+          "jobs of the shard that are not forgotten yet, at its owner",
+          number(aStatus.mCounts.mOpenJobs)),
+    Gauge("runs",
+          "runs that take room on workers, at the owner",
+          number(aStatus.mCounts.mRuns)),
+    Gauge("workers",
+          "workers in the registry, at the owner",
+          number(aStatus.mCounts.mWorkers)),
+    Gauge("reachable_workers",
+          "workers that answered their last poll, at the owner",
+          number(aStatus.mCounts.mReachableWorkers)),
+    Gauge("store_age_seconds",
+          "time since the owner's last write to the store",
+          storeAge.count())
+  };
+  return prometheus::TextSerializer().Serialize(families);
+}
+
+} // namespace oriolevane::cellnode
--- a/src/cellnode/tests/main.cpp
+++ b/src/cellnode/tests/main.cpp
@@ -13,5 +13,6 @@
       { "advice desk", oriolevane::AdviceDeskStory },
       { "caller queue", oriolevane::CallerQueueStory },
       { "record codec", oriolevane::RecordCodecStory },
-      { "queue router", oriolevane::QueueRouterStory } });
+      { "queue router", oriolevane::QueueRouterStory },
+      { "metrics text", oriolevane::MetricsTextStory } });
 }
--- a/src/cellnode/tests/stories.h
+++ b/src/cellnode/tests/stories.h
@@ -17,5 +17,7 @@
 RecordCodecStory(testing::Section& aStory);
 void
 QueueRouterStory(testing::Section& aStory);
+void
+MetricsTextStory(testing::Section& aStory);
 
 } // namespace oriolevane
