Take answers only from the owner that a request was last sent to

Ruled out: withdrawal of a job that is in a transaction (not possible in the record log), refusals without an owner (they come after 300 ms, this one came after 11 ms).

Measured: the new story fails without the check (a refusal reaches the caller) by construction of its first assertion; 33 tests of the node's parts pass under the address sanitizer.

--- a/src/cellnode/internal/callerqueue.cpp
+++ b/src/cellnode/internal/callerqueue.cpp
@@ -78,15 +78,36 @@
 }
 
 void
-CallerQueue::MarkSent(CallId aId)
+CallerQueue::MarkSent(CallId aId, const NodeId& aTo)
 {
   const auto found = mCalls.find(aId);
   if (found != mCalls.end()) {
     found->second.mSent = true;
+    found->second.mSentTo = aTo;
     found->second.mEverSent = true;
   }
 }
 
+void
+CallerQueue::AnswerFrom(const NodeId& aFrom,
+                        CallId aId,
+                        const CallerAnswer& aAnswer)
+{
+  const auto found = mCalls.find(aId);
+  if (found == mCalls.end()) {
+    return;
+  }
+  if (found->second.mSentTo != aFrom) {
+    LogInfo("answer_of_earlier_owner")
+      .With("path", found->second.mRequest.mPath)
+      .With("from", aFrom)
+      .With("sent_to", found->second.mSentTo)
+      .With("kind", static_cast<int>(aAnswer.mKind));
+    return;
+  }
+  Answer(aId, aAnswer);
+}
+
 void
 CallerQueue::Answer(CallId aId, const CallerAnswer& aAnswer)
 {
--- a/src/cellnode/internal/callerqueue.h
+++ b/src/cellnode/internal/callerqueue.h
@@ -22,9 +22,11 @@
 public:
   CallId Add(CallerRequest aRequest, CallerReply aReply, TimePoint aNow);
   const CallerRequest* Find(CallId aId) const;
-  // The request is on its way to the owner.
-  void MarkSent(CallId aId);
-  void Answer(CallId aId, const CallerAnswer& aAnswer);
+  // The request is on its way to a node that owns the shard.
+  void MarkSent(CallId aId, const NodeId& aTo);
+  // Takes an answer only from the node that the request was last sent to: what
+  // an earlier owner refuses, the next one may have accepted.
+  void AnswerFrom(const NodeId& aFrom, CallId aId, const CallerAnswer& aAnswer);
   // The owner is gone: what was sent to it can be sent again.
   void MarkAllUnsent();
   // Those that are not on their way, oldest first.
@@ -42,10 +44,12 @@
     CallerReply mReply;
     TimePoint mArrivedAt;
     bool mSent = false;
+    NodeId mSentTo;
     // An owner may have taken it in.
     bool mEverSent = false;
   };
 
+  void Answer(CallId aId, const CallerAnswer& aAnswer);
   static CallerAnswer AnswerWithoutOwner(const Call& aCall);
 
   std::map<CallId, Call> mCalls;
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -535,7 +535,8 @@
       break;
     case cellwire::Body::CallerAnswer: {
       const cellwire::CallerAnswerT& answer = *aMessage.body.AsCallerAnswer();
-      mCalls.Answer(
+      mCalls.AnswerFrom(
+        aNode,
         CallId(answer.id),
         { .mKind = static_cast<CallerAnswerKind>(answer.kind),
           .mState = static_cast<jobs::JobState>(answer.state),
@@ -712,11 +713,11 @@
   }
   if (mSession != nullptr) {
     const CallerRequest copy = *request;
-    mCalls.MarkSent(aId);
+    mCalls.MarkSent(aId, mOptions.mNode);
     mSession->Serve(copy,
                     [this, alive = mAlive, aId](const CallerAnswer& aAnswer) {
                       if (*alive) {
-                        mCalls.Answer(aId, aAnswer);
+                        mCalls.AnswerFrom(mOptions.mNode, aId, aAnswer);
                       }
                     });
     return;
@@ -732,7 +733,7 @@
   call.body = request->mBody;
   call.configuration = request->mVersion.mValue;
   if (mPeers.Send(mOwner, std::move(call))) {
-    mCalls.MarkSent(aId);
+    mCalls.MarkSent(aId, mOwner);
   }
 }
 
--- a/src/cellnode/tests/callerqueue_test.cpp
+++ b/src/cellnode/tests/callerqueue_test.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 const TimePoint kBegin{ 1000s };
+const NodeId kOwner("owner");
+const NodeId kNextOwner("next-owner");
 
 struct Bench
 {
@@ -47,7 +49,7 @@
       aSection.It("is never refused, also when the owner is gone", [] {
         Bench bench;
         const CallId id = bench.Add(CallerVerb::Submit);
-        bench.mQueue.MarkSent(id);
+        bench.mQueue.MarkSent(id, kOwner);
         bench.mQueue.MarkAllUnsent();
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, bench.mQueue.Unsent().size());
         bench.mQueue.Expire(kBegin + 400ms);
@@ -59,17 +61,36 @@
   aStory.Describe("a question", [](Section& aSection) {
     aSection.It("can be refused at any time, as it changes nothing", [] {
       Bench bench;
-      bench.mQueue.MarkSent(bench.Add(CallerVerb::Ask));
+      bench.mQueue.MarkSent(bench.Add(CallerVerb::Ask), kOwner);
       bench.mQueue.AnswerAll();
       CPPUNIT_ASSERT(bench.mAnswers.at(0) == CallerAnswerKind::Refused);
     });
   });
+  aStory.Describe(
+    "a refusal by an owner that has been replaced", [](Section& aSection) {
+      aSection.It("does not reach a caller whose request went on", [] {
+        Bench bench;
+        const CallId id = bench.Add(CallerVerb::Submit);
+        bench.mQueue.MarkSent(id, kOwner);
+        bench.mQueue.MarkAllUnsent();
+        bench.mQueue.MarkSent(id, kNextOwner);
+        bench.mQueue.AnswerFrom(
+          kOwner, id, { .mKind = CallerAnswerKind::Refused });
+        CPPUNIT_ASSERT(bench.mAnswers.empty());
+        bench.mQueue.AnswerFrom(
+          kNextOwner, id, { .mKind = CallerAnswerKind::Accepted });
+        CPPUNIT_ASSERT(bench.mAnswers.at(0) == CallerAnswerKind::Accepted);
+      });
+    });
   aStory.Describe("two answers to one request", [](Section& aSection) {
     aSection.It("give the caller the first", [] {
       Bench bench;
       const CallId id = bench.Add(CallerVerb::Submit);
-      bench.mQueue.Answer(id, { .mKind = CallerAnswerKind::Accepted });
-      bench.mQueue.Answer(id, { .mKind = CallerAnswerKind::Refused });
+      bench.mQueue.MarkSent(id, kOwner);
+      bench.mQueue.AnswerFrom(
+        kOwner, id, { .mKind = CallerAnswerKind::Accepted });
+      bench.mQueue.AnswerFrom(
+        kOwner, id, { .mKind = CallerAnswerKind::Refused });
       CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, bench.mAnswers.size());
       CPPUNIT_ASSERT(bench.mAnswers[0] == CallerAnswerKind::Accepted);
     });
