Split the node: messages between nodes, and the claim of the shard

Change: peermessages turns typed values into messages and back; shardclaim reads the owner row while the owner is in doubt and claims the shard. What ends an owner (three copies) is one function; the name of the shard's part stands once. A failed read of the owner row is logged; it was dropped.

--- a/src/cellnode/celljournal.h
+++ b/src/cellnode/celljournal.h
@@ -16,10 +16,13 @@
 
 namespace oriolevane::cellnode {
 
+// Part of the store that holds all rows of the shard.
+inline const std::string kShardPart = "s0";
+
 struct JournalOptions
 {
   // Part of the store that holds the shard.
-  std::string mPart = "s0";
+  std::string mPart = kShardPart;
   // Entries of one transaction, the owner row included.
   std::size_t mMostEntries = 90;
   // Transactions stay under this size.
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "cellnode/recordcodec.h"
+#include "cellnode/internal/peermessages.h"
 #include "framework/log.h"
 
 namespace oriolevane::cellnode {
@@ -14,9 +14,7 @@
 
 constexpr std::chrono::milliseconds kTickEvery = 50ms;
 constexpr std::chrono::milliseconds kHeartbeatEvery = 200ms;
-constexpr std::chrono::milliseconds kReadEvery = 150ms;
-constexpr std::chrono::milliseconds kReadTimeout = 700ms;
-constexpr std::chrono::milliseconds kTakeOverTimeout = 900ms;
+constexpr std::chrono::milliseconds kAnnounceTimeout = 900ms;
 constexpr std::chrono::milliseconds kDialEvery = 600ms;
 constexpr std::chrono::milliseconds kAnnounceAgain = 500ms;
 // An owner gives way to a node if its own fitness is below this share of the
@@ -28,7 +26,6 @@
 constexpr double kServeShareOfGrace = 0.55;
 // The process ends by then, whatever is open.
 constexpr double kLongestShareOfGrace = 0.85;
-const std::string kShardPart = "s0";
 const std::string kNodeTable = "nodes";
 
 TimePoint
@@ -37,15 +34,6 @@
   return std::chrono::steady_clock::now();
 }
 
-std::uint32_t
-ToMillis(Duration aTime)
-{
-  const auto millis =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
-  return static_cast<std::uint32_t>(
-    std::clamp<std::int64_t>(millis, 0, UINT32_MAX));
-}
-
 } // namespace
 
 CellNode::Impl::Impl(eventloop::EventLoop& aLoop,
@@ -70,6 +58,13 @@
           },
         .mOnClosed = [this](const NodeId& aNode) { OnPeerClosed(aNode); } })
   , mPolicy({ .mNode = mOptions.mNode, .mFitness = mOptions.mFitness })
+  , mClaim(mOptions,
+           mStore,
+           mPolicy,
+           { .mHighestEpoch = [this] { return mEpoch; },
+             .mOnOwnerRow = [this](const OwnerRow& aRow) { OnOwnerRow(aRow); },
+             .mOnClaimed =
+               [this](const ClaimedShard& aShard) { BeginSession(aShard); } })
 {
   mTimer = mLoop.MakeTimer([this] { Tick(); });
   mConfigurationWatch = std::make_unique<TableWatch>(
@@ -120,12 +115,7 @@
     DialMissing();
     GiveWay();
   } else if (!mStopping) {
-    if (mPolicy.WantsRow(now)) {
-      ReadOwnerRow();
-    }
-    if (const auto version = mPolicy.WantsOwnership(now); version.has_value()) {
-      TryToOwn(*version);
-    }
+    mClaim.Advance(now);
   }
   mCalls.Expire(now);
   if (mStopping) {
@@ -166,7 +156,7 @@
                                .mName = mOptions.mNode.mValue },
                      .mValue = mOptions.mPeerAddress } },
       .mRemovals = {} },
-    kTakeOverTimeout,
+    kAnnounceTimeout,
     [this, alive = mAlive](const absl::StatusOr<CommitAnswer>& aAnswer) {
       if (!*alive) {
         return;
@@ -181,124 +171,28 @@
     });
 }
 
-bool
-CellNode::Impl::IsOwnRow(const OwnerRow& aRow) const
-{
-  return aRow.mNode == mOptions.mNode &&
-         aRow.mIncarnation == mOptions.mIncarnation;
-}
-
-void
-CellNode::Impl::ReadOwnerRow()
-{
-  const TimePoint now = Now();
-  if (mReadingRow || mTakingOver || now < mNextRead) {
-    return;
-  }
-  mReadingRow = true;
-  mNextRead = now + kReadEvery;
-  mStore.mRead(
-    { .mTable = CellJournal::OwnerKey(kShardPart).mTable,
-      .mPart = kShardPart,
-      .mFrom = "" },
-    kReadTimeout,
-    [this, alive = mAlive, now](const absl::StatusOr<RowPage>& aPage) {
-      if (*alive) {
-        mReadingRow = false;
-        OnOwnerRow(aPage, now);
-      }
-    });
-}
-
 void
-CellNode::Impl::OnOwnerRow(const absl::StatusOr<RowPage>& aPage,
-                           TimePoint aSentAt)
+CellNode::Impl::OnOwnerRow(const OwnerRow& aRow)
 {
-  if (!aPage.ok()) {
-    mPolicy.OnReadFailed();
-    return;
-  }
-  if (aPage->mRows.empty()) {
-    mPolicy.OnRowRead(std::nullopt, RowVersion(), Now());
-    return;
-  }
-  const Row& row = aPage->mRows.front();
-  const absl::StatusOr<OwnerRow> owner = DecodeOwner(row.mValue);
-  if (!owner.ok()) {
-    LogError("owner_row_unreadable").With("status", owner.status().ToString());
-    mPolicy.OnReadFailed();
-    return;
-  }
-  mPolicy.OnRowRead(*owner, row.mVersion, Now());
-  if (IsOwnRow(*owner) && !owner->mReleased) {
-    // An earlier attempt to own the shard succeeded and its answer was lost.
-    if (mSession == nullptr && owner->mEpoch > mEpoch) {
-      BeginSession(*owner, row.mVersion, aSentAt - kTakeOverTimeout);
-    }
-    return;
-  }
-  mEpoch = std::max(mEpoch, owner->mEpoch);
-  const auto address = eventloop::ParseSocketAddress(owner->mAddress);
-  if (address.has_value() && owner->mNode != mOptions.mNode &&
-      !mPeers.IsLinked(owner->mNode)) {
+  mEpoch = std::max(mEpoch, aRow.mEpoch);
+  const auto address = eventloop::ParseSocketAddress(aRow.mAddress);
+  if (address.has_value() && aRow.mNode != mOptions.mNode &&
+      !mPeers.IsLinked(aRow.mNode)) {
     mPeers.Dial(*address);
   }
 }
 
 void
-CellNode::Impl::TryToOwn(RowVersion aVersion)
+CellNode::Impl::BeginSession(const ClaimedShard& aShard)
 {
-  if (mTakingOver) {
+  if (mSession != nullptr) {
     return;
   }
-  mTakingOver = true;
-  const std::optional<OwnerRow>& before = mPolicy.Row();
-  mPredecessor = before;
-  const OwnerRow row{
-    .mEpoch = Epoch(
-      (before.has_value() ? std::max(before->mEpoch, mEpoch) : mEpoch).mValue +
-      1),
-    .mNode = mOptions.mNode,
-    .mIncarnation = mOptions.mIncarnation,
-    .mAddress = mOptions.mPeerAddress,
-    .mSequence = 0,
-    .mReleased = false
-  };
-  LogInfo("taking_over")
-    .With("epoch", row.mEpoch)
-    .With("from", before.has_value() ? before->mNode.mValue : "")
-    .With("row_version", aVersion);
-  const RowKey key = CellJournal::OwnerKey(kShardPart);
-  const TimePoint sentAt = Now();
-  mStore.mCommit({ .mConditions = { { .mKey = key, .mVersion = aVersion } },
-                   .mWrites = { { .mKey = key, .mValue = Encode(row) } },
-                   .mRemovals = {} },
-                 kTakeOverTimeout,
-                 [this, alive = mAlive, row, sentAt](
-                   const absl::StatusOr<CommitAnswer>& aAnswer) {
-                   if (!*alive) {
-                     return;
-                   }
-                   mTakingOver = false;
-                   if (aAnswer.ok() && aAnswer->mApplied) {
-                     BeginSession(row, aAnswer->mVersion, sentAt);
-                     return;
-                   }
-                   LogInfo("take_over_failed")
-                     .With("epoch", row.mEpoch)
-                     .With("status", aAnswer.status().ToString());
-                   mPolicy.OnReadFailed();
-                   mNextRead = {};
-                 });
-}
-
-void
-CellNode::Impl::BeginSession(const OwnerRow& aRow,
-                             RowVersion aVersion,
-                             TimePoint aSince)
-{
-  LogInfo("owning").With("epoch", aRow.mEpoch).With("row_version", aVersion);
-  mEpoch = aRow.mEpoch;
+  LogInfo("owning")
+    .With("epoch", aShard.mRow.mEpoch)
+    .With("row_version", aShard.mVersion);
+  mEpoch = aShard.mRow.mEpoch;
+  mPredecessor = aShard.mPredecessor;
   mOwner = NodeId();
   mOwnedSince = Now();
   mGivingWay = false;
@@ -308,9 +202,9 @@
     mStore,
     mUpstreams,
     mFormats,
-    aRow,
-    aVersion,
-    aSince,
+    aShard.mRow,
+    aShard.mVersion,
+    aShard.mSince,
     OwnerSessionHooks{ .mOnLost = [this] { EndSession("lost"); },
                        .mOnServing = [this] { SayHello(); },
                        .mOnReleased = [this] { OnReleased(); },
@@ -330,6 +224,14 @@
   if (mConfiguration.has_value()) {
     mSession->Configure(*mConfiguration);
   }
+  FollowNodes();
+  SayHello();
+  SendUnsentCalls();
+}
+
+void
+CellNode::Impl::FollowNodes()
+{
   mNodeWatch = std::make_unique<TableWatch>(
     mLoop,
     mStore,
@@ -344,8 +246,6 @@
                        },
                      .mOnCurrent = {} });
   mNodeWatch->Start();
-  SayHello();
-  SendUnsentCalls();
 }
 
 void
@@ -359,9 +259,7 @@
   mEndedSessions.push_back(std::move(mSession));
   mNodeWatch.reset();
   mNodeAddresses.clear();
-  mCalls.MarkAllUnsent();
-  mPolicy.OnOwnerGone(Now());
-  mNextRead = {};
+  OnOwnerLost();
   SayHello();
 }
 
@@ -392,7 +290,7 @@
 void
 CellNode::Impl::SendHeartbeats()
 {
-  const std::uint32_t age = ToMillis(mSession->StoreAge(Now()));
+  const std::uint32_t age = ToWireMillis(mSession->StoreAge(Now()));
   const double best = std::max(mOptions.mFitness, PeerFitness(FittestPeer()));
   for (const NodeId& node : mPeers.Nodes()) {
     cellwire::HeartbeatT heartbeat;
@@ -495,13 +393,19 @@
     mPolicy.OnOwnerDenied(row->mEpoch);
   }
   if (!aHello.owns && mOwner == aNode) {
-    mOwner = NodeId();
-    mCalls.MarkAllUnsent();
-    mPolicy.OnOwnerGone(Now());
-    mNextRead = {};
+    OnOwnerLost();
   }
 }
 
+void
+CellNode::Impl::OnOwnerLost()
+{
+  mOwner = NodeId();
+  mCalls.MarkAllUnsent();
+  mPolicy.OnOwnerGone(Now());
+  mClaim.ReadSoon();
+}
+
 void
 CellNode::Impl::OnPeerClosed(const NodeId& aNode)
 {
@@ -511,10 +415,7 @@
   }
   if (mOwner == aNode) {
     LogInfo("owner_link_closed").With("owner", aNode).With("epoch", mEpoch);
-    mOwner = NodeId();
-    mCalls.MarkAllUnsent();
-    mPolicy.OnOwnerGone(Now());
-    mNextRead = {};
+    OnOwnerLost();
   }
 }
 
@@ -528,21 +429,14 @@
       break;
     case cellwire::Body::Handover:
       mPolicy.OnHandover(Epoch(aMessage.body.AsHandover()->epoch));
-      mNextRead = {};
+      mClaim.ReadSoon();
       break;
     case cellwire::Body::CallerRequest:
       OnPeerCall(aNode, *aMessage.body.AsCallerRequest());
       break;
     case cellwire::Body::CallerAnswer: {
       const cellwire::CallerAnswerT& answer = *aMessage.body.AsCallerAnswer();
-      mCalls.AnswerFrom(
-        aNode,
-        CallId(answer.id),
-        { .mKind = static_cast<CallerAnswerKind>(answer.kind),
-          .mState = static_cast<jobs::JobState>(answer.state),
-          .mCount = answer.count,
-          .mRetryAfter = std::chrono::milliseconds(answer.retry_after_ms),
-          .mMessage = answer.message });
+      mCalls.AnswerFrom(aNode, CallId(answer.id), FromWire(answer));
       break;
     }
     case cellwire::Body::AdviceQuery:
@@ -584,26 +478,12 @@
     SayHello();
     return;
   }
-  const CallerRequest request{ .mVerb = static_cast<CallerVerb>(aCall.verb),
-                               .mHost = aCall.host,
-                               .mPath = aCall.path,
-                               .mBody = aCall.body,
-                               .mVersion =
-                                 ConfigurationVersion(aCall.configuration) };
   mSession->Serve(
-    request,
+    FromWire(aCall),
     [this, alive = mAlive, aNode, id = aCall.id](const CallerAnswer& aAnswer) {
-      if (!*alive) {
-        return;
+      if (*alive) {
+        mPeers.Send(aNode, ToWire(id, aAnswer));
       }
-      cellwire::CallerAnswerT answer;
-      answer.id = id;
-      answer.kind = static_cast<std::uint8_t>(aAnswer.mKind);
-      answer.state = static_cast<std::uint8_t>(aAnswer.mState);
-      answer.count = aAnswer.mCount;
-      answer.retry_after_ms = ToMillis(aAnswer.mRetryAfter);
-      answer.message = aAnswer.mMessage;
-      mPeers.Send(aNode, std::move(answer));
     });
 }
 
@@ -621,78 +501,28 @@
       });
     return;
   }
-  cellwire::AdviceQueryT query;
-  query.id = aId.mValue;
-  query.job = aQuery.mStep.mJob.mValue;
-  query.occurrence = aQuery.mStep.mOccurrence;
-  query.step = aQuery.mStep.mStep;
-  for (const WorkerId& worker : aQuery.mWorkers) {
-    query.workers.push_back(worker.mValue);
-  }
-  query.validity_ms = ToMillis(aQuery.mValidity);
-  mPeers.Send(aNode, std::move(query));
+  mPeers.Send(aNode, ToWire(aId.mValue, aQuery));
 }
 
 void
 CellNode::Impl::OnPeerQuery(const NodeId& aNode,
                             const cellwire::AdviceQueryT& aQuery)
 {
-  jobs::AdviceQuery query{ .mStep = { .mJob = jobs::JobId(aQuery.job),
-                                      .mOccurrence = aQuery.occurrence,
-                                      .mStep = aQuery.step },
-                           .mWorkers = {},
-                           .mCost = {},
-                           .mValidity =
-                             std::chrono::milliseconds(aQuery.validity_ms) };
-  for (const std::string& worker : aQuery.workers) {
-    query.mWorkers.emplace_back(worker);
-  }
   mUpstreams.mAdvise(
-    query,
+    FromWire(aQuery),
     [this, alive = mAlive, aNode, aQuery](const jobs::AdviceAnswer& aAnswer) {
-      if (!*alive) {
-        return;
-      }
-      cellwire::AdviceAnswerT answer;
-      answer.id = aQuery.id;
-      answer.job = aQuery.job;
-      answer.occurrence = aQuery.occurrence;
-      answer.step = aQuery.step;
-      answer.asked = aQuery.workers;
-      answer.answered = aAnswer.mAnswered;
-      answer.validity_ms = ToMillis(aAnswer.mValidity);
-      for (const jobs::AdviceTicket& ticket : aAnswer.mApproved) {
-        auto entry = std::make_unique<cellwire::TicketT>();
-        entry->worker = ticket.mWorker.mValue;
-        entry->text = ticket.mTicket;
-        answer.approved.push_back(std::move(entry));
+      if (*alive) {
+        mPeers.Send(aNode, ToWire(aQuery, aAnswer));
       }
-      mPeers.Send(aNode, std::move(answer));
     });
 }
 
 void
 CellNode::Impl::OnPeerAdvice(const cellwire::AdviceAnswerT& aAnswer)
 {
-  if (mSession == nullptr) {
-    return;
-  }
-  jobs::AdviceAnswer answer{ .mStep = { .mJob = jobs::JobId(aAnswer.job),
-                                        .mOccurrence = aAnswer.occurrence,
-                                        .mStep = aAnswer.step },
-                             .mAnswered = aAnswer.answered,
-                             .mAsked = {},
-                             .mApproved = {},
-                             .mValidity =
-                               std::chrono::milliseconds(aAnswer.validity_ms) };
-  for (const std::string& worker : aAnswer.asked) {
-    answer.mAsked.emplace_back(worker);
-  }
-  for (const std::unique_ptr<cellwire::TicketT>& ticket : aAnswer.approved) {
-    answer.mApproved.push_back(
-      { .mWorker = WorkerId(ticket->worker), .mTicket = ticket->text });
+  if (mSession != nullptr) {
+    mSession->OnAdvice(QueryId(aAnswer.id), FromWire(aAnswer));
   }
-  mSession->OnAdvice(QueryId(aAnswer.id), answer);
 }
 
 void
@@ -725,14 +555,7 @@
   if (mOwner.Empty()) {
     return;
   }
-  cellwire::CallerRequestT call;
-  call.id = aId.mValue;
-  call.verb = static_cast<std::uint8_t>(request->mVerb);
-  call.host = request->mHost;
-  call.path = request->mPath;
-  call.body = request->mBody;
-  call.configuration = request->mVersion.mValue;
-  if (mPeers.Send(mOwner, std::move(call))) {
+  if (mPeers.Send(mOwner, ToWire(aId.mValue, *request))) {
     mCalls.MarkSent(aId, mOwner);
   }
 }
--- a/src/cellnode/internal/cellnodeimpl.h
+++ b/src/cellnode/internal/cellnodeimpl.h
@@ -8,6 +8,7 @@
 #include "cellnode/internal/callerqueue.h"
 #include "cellnode/internal/ownersession.h"
 #include "cellnode/internal/peerhub.h"
+#include "cellnode/internal/shardclaim.h"
 #include "cellnode/internal/tablewatch.h"
 #include "cellnode/ownershippolicy.h"
 
@@ -32,16 +33,14 @@
 private:
   // Ownership.
   void Tick();
-  void ReadOwnerRow();
-  void OnOwnerRow(const absl::StatusOr<RowPage>& aPage, TimePoint aSentAt);
-  void TryToOwn(RowVersion aVersion);
-  void BeginSession(const OwnerRow& aRow,
-                    RowVersion aVersion,
-                    TimePoint aSince);
+  void OnOwnerRow(const OwnerRow& aRow);
+  void BeginSession(const ClaimedShard& aShard);
+  void FollowNodes();
   void EndSession(std::string_view aReason);
   void OnReleased();
   void EndWhenStopped(TimePoint aNow);
-  bool IsOwnRow(const OwnerRow& aRow) const;
+  // The owner cannot be reached any more, or owns the shard no more.
+  void OnOwnerLost();
 
   // Other nodes.
   void AnnounceNode();
@@ -75,6 +74,7 @@
   OutsideFormats mFormats;
   PeerHub mPeers;
   OwnershipPolicy mPolicy;
+  ShardClaim mClaim;
   CallerQueue mCalls;
   std::unique_ptr<TableWatch> mConfigurationWatch;
   std::unique_ptr<TableWatch> mNodeWatch;
@@ -93,9 +93,6 @@
   Epoch mEpoch;
   // The linked node that owns the shard.
   NodeId mOwner;
-  bool mReadingRow = false;
-  bool mTakingOver = false;
-  TimePoint mNextRead;
   TimePoint mNextHeartbeat;
   TimePoint mNextDial;
   bool mAnnounced = false;
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -91,7 +91,7 @@
   mJournal.SetRenewedAt(aOwnedSince);
   mDesk.AddAsker(mOptions.mNode);
   mLoader = std::make_unique<CellLoader>(
-    mLoop, aStore, "s0", [this](const jobs::CellRecords& aRecords) {
+    mLoop, aStore, kShardPart, [this](const jobs::CellRecords& aRecords) {
       OnLoaded(aRecords);
     });
   Wake();
--- /dev/null
+++ b/src/cellnode/internal/peermessages.cpp
@@ -0,0 +1,134 @@
+#include "cellnode/internal/peermessages.h"
+
+#include <algorithm>
+
+namespace oriolevane::cellnode {
+
+std::uint32_t
+ToWireMillis(Duration aTime)
+{
+  const auto millis =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+  return static_cast<std::uint32_t>(
+    std::clamp<std::int64_t>(millis, 0, UINT32_MAX));
+}
+
+cellwire::CallerRequestT
+ToWire(std::uint64_t aId, const CallerRequest& aRequest)
+{
+  cellwire::CallerRequestT call;
+  call.id = aId;
+  call.verb = static_cast<std::uint8_t>(aRequest.mVerb);
+  call.host = aRequest.mHost;
+  call.path = aRequest.mPath;
+  call.body = aRequest.mBody;
+  call.configuration = aRequest.mVersion.mValue;
+  return call;
+}
+
+CallerRequest
+FromWire(const cellwire::CallerRequestT& aCall)
+{
+  return { .mVerb = static_cast<CallerVerb>(aCall.verb),
+           .mHost = aCall.host,
+           .mPath = aCall.path,
+           .mBody = aCall.body,
+           .mVersion = ConfigurationVersion(aCall.configuration) };
+}
+
+cellwire::CallerAnswerT
+ToWire(std::uint64_t aId, const CallerAnswer& aAnswer)
+{
+  cellwire::CallerAnswerT answer;
+  answer.id = aId;
+  answer.kind = static_cast<std::uint8_t>(aAnswer.mKind);
+  answer.state = static_cast<std::uint8_t>(aAnswer.mState);
+  answer.count = aAnswer.mCount;
+  answer.retry_after_ms = ToWireMillis(aAnswer.mRetryAfter);
+  answer.message = aAnswer.mMessage;
+  return answer;
+}
+
+CallerAnswer
+FromWire(const cellwire::CallerAnswerT& aAnswer)
+{
+  return { .mKind = static_cast<CallerAnswerKind>(aAnswer.kind),
+           .mState = static_cast<jobs::JobState>(aAnswer.state),
+           .mCount = aAnswer.count,
+           .mRetryAfter = std::chrono::milliseconds(aAnswer.retry_after_ms),
+           .mMessage = aAnswer.message };
+}
+
+cellwire::AdviceQueryT
+ToWire(std::uint64_t aId, const jobs::AdviceQuery& aQuery)
+{
+  cellwire::AdviceQueryT query;
+  query.id = aId;
+  query.job = aQuery.mStep.mJob.mValue;
+  query.occurrence = aQuery.mStep.mOccurrence;
+  query.step = aQuery.mStep.mStep;
+  for (const WorkerId& worker : aQuery.mWorkers) {
+    query.workers.push_back(worker.mValue);
+  }
+  query.validity_ms = ToWireMillis(aQuery.mValidity);
+  return query;
+}
+
+jobs::AdviceQuery
+FromWire(const cellwire::AdviceQueryT& aQuery)
+{
+  jobs::AdviceQuery query{ .mStep = { .mJob = jobs::JobId(aQuery.job),
+                                      .mOccurrence = aQuery.occurrence,
+                                      .mStep = aQuery.step },
+                           .mWorkers = {},
+                           .mCost = {},
+                           .mValidity =
+                             std::chrono::milliseconds(aQuery.validity_ms) };
+  for (const std::string& worker : aQuery.workers) {
+    query.mWorkers.emplace_back(worker);
+  }
+  return query;
+}
+
+cellwire::AdviceAnswerT
+ToWire(const cellwire::AdviceQueryT& aQuery, const jobs::AdviceAnswer& aAnswer)
+{
+  cellwire::AdviceAnswerT answer;
+  answer.id = aQuery.id;
+  answer.job = aQuery.job;
+  answer.occurrence = aQuery.occurrence;
+  answer.step = aQuery.step;
+  answer.asked = aQuery.workers;
+  answer.answered = aAnswer.mAnswered;
+  answer.validity_ms = ToWireMillis(aAnswer.mValidity);
+  for (const jobs::AdviceTicket& ticket : aAnswer.mApproved) {
+    auto entry = std::make_unique<cellwire::TicketT>();
+    entry->worker = ticket.mWorker.mValue;
+    entry->text = ticket.mTicket;
+    answer.approved.push_back(std::move(entry));
+  }
+  return answer;
+}
+
+jobs::AdviceAnswer
+FromWire(const cellwire::AdviceAnswerT& aAnswer)
+{
+  jobs::AdviceAnswer answer{ .mStep = { .mJob = jobs::JobId(aAnswer.job),
+                                        .mOccurrence = aAnswer.occurrence,
+                                        .mStep = aAnswer.step },
+                             .mAnswered = aAnswer.answered,
+                             .mAsked = {},
+                             .mApproved = {},
+                             .mValidity =
+                               std::chrono::milliseconds(aAnswer.validity_ms) };
+  for (const std::string& worker : aAnswer.asked) {
+    answer.mAsked.emplace_back(worker);
+  }
+  for (const std::unique_ptr<cellwire::TicketT>& ticket : aAnswer.approved) {
+    answer.mApproved.push_back(
+      { .mWorker = WorkerId(ticket->worker), .mTicket = ticket->text });
+  }
+  return answer;
+}
+
+} // namespace oriolevane::cellnode
--- /dev/null
+++ b/src/cellnode/internal/shardclaim.cpp
@@ -0,0 +1,158 @@
+#include "cellnode/internal/shardclaim.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cellnode/celljournal.h"
+#include "cellnode/recordcodec.h"
+#include "framework/log.h"
+
+namespace oriolevane::cellnode {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds kReadEvery = 150ms;
+constexpr std::chrono::milliseconds kReadTimeout = 700ms;
+constexpr std::chrono::milliseconds kClaimTimeout = 900ms;
+
+} // namespace
+
+ShardClaim::ShardClaim(const NodeOptions& aOptions,
+                       const RowStoreHooks& aStore,
+                       OwnershipPolicy& aPolicy,
+                       ShardClaimHooks aHooks)
+  : mOptions(aOptions)
+  , mStore(aStore)
+  , mPolicy(aPolicy)
+  , mHooks(std::move(aHooks))
+{
+}
+
+ShardClaim::~ShardClaim()
+{
+  *mAlive = false;
+}
+
+void
+ShardClaim::Advance(TimePoint aNow)
+{
+  if (mPolicy.WantsRow(aNow)) {
+    Read(aNow);
+  }
+  if (const auto version = mPolicy.WantsOwnership(aNow); version.has_value()) {
+    Claim(*version, aNow);
+  }
+}
+
+bool
+ShardClaim::IsOwn(const OwnerRow& aRow) const
+{
+  return aRow.mNode == mOptions.mNode &&
+         aRow.mIncarnation == mOptions.mIncarnation;
+}
+
+void
+ShardClaim::Read(TimePoint aNow)
+{
+  if (mReading || mClaiming || aNow < mNextRead) {
+    return;
+  }
+  mReading = true;
+  mNextRead = aNow + kReadEvery;
+  mStore.mRead(
+    { .mTable = CellJournal::OwnerKey(kShardPart).mTable,
+      .mPart = kShardPart,
+      .mFrom = "" },
+    kReadTimeout,
+    [this, alive = mAlive, aNow](const absl::StatusOr<RowPage>& aPage) {
+      if (*alive) {
+        mReading = false;
+        OnPage(aPage, aNow);
+      }
+    });
+}
+
+void
+ShardClaim::OnPage(const absl::StatusOr<RowPage>& aPage, TimePoint aSentAt)
+{
+  const TimePoint now = std::chrono::steady_clock::now();
+  if (!aPage.ok()) {
+    LogWarning("owner_row_not_read").With("status", aPage.status().ToString());
+    mPolicy.OnReadFailed();
+    return;
+  }
+  if (aPage->mRows.empty()) {
+    mPolicy.OnRowRead(std::nullopt, RowVersion(), now);
+    return;
+  }
+  const Row& row = aPage->mRows.front();
+  const absl::StatusOr<OwnerRow> owner = DecodeOwner(row.mValue);
+  if (!owner.ok()) {
+    LogError("owner_row_unreadable").With("status", owner.status().ToString());
+    mPolicy.OnReadFailed();
+    return;
+  }
+  mPolicy.OnRowRead(*owner, row.mVersion, now);
+  if (!IsOwn(*owner) || owner->mReleased) {
+    mHooks.mOnOwnerRow(*owner);
+    return;
+  }
+  // An earlier claim was applied and its answer was lost.
+  if (owner->mEpoch > mHooks.mHighestEpoch()) {
+    mHooks.mOnClaimed({ .mRow = *owner,
+                        .mVersion = row.mVersion,
+                        .mSince = aSentAt - kClaimTimeout,
+                        .mPredecessor = mPredecessor });
+  }
+}
+
+void
+ShardClaim::Claim(RowVersion aVersion, TimePoint aNow)
+{
+  if (mClaiming) {
+    return;
+  }
+  mClaiming = true;
+  mPredecessor = mPolicy.Row();
+  const Epoch before =
+    mPredecessor.has_value() ? mPredecessor->mEpoch : Epoch();
+  const OwnerRow row{ .mEpoch = Epoch(
+                        std::max(before, mHooks.mHighestEpoch()).mValue + 1),
+                      .mNode = mOptions.mNode,
+                      .mIncarnation = mOptions.mIncarnation,
+                      .mAddress = mOptions.mPeerAddress,
+                      .mSequence = 0,
+                      .mReleased = false };
+  LogInfo("taking_over")
+    .With("epoch", row.mEpoch)
+    .With("from", mPredecessor.has_value() ? mPredecessor->mNode.mValue : "")
+    .With("row_version", aVersion);
+  const RowKey key = CellJournal::OwnerKey(kShardPart);
+  mStore.mCommit({ .mConditions = { { .mKey = key, .mVersion = aVersion } },
+                   .mWrites = { { .mKey = key, .mValue = Encode(row) } },
+                   .mRemovals = {} },
+                 kClaimTimeout,
+                 [this, alive = mAlive, row, aNow](
+                   const absl::StatusOr<CommitAnswer>& aAnswer) {
+                   if (!*alive) {
+                     return;
+                   }
+                   mClaiming = false;
+                   if (aAnswer.ok() && aAnswer->mApplied) {
+                     mHooks.mOnClaimed({ .mRow = row,
+                                         .mVersion = aAnswer->mVersion,
+                                         .mSince = aNow,
+                                         .mPredecessor = mPredecessor });
+                     return;
+                   }
+                   LogInfo("take_over_failed")
+                     .With("epoch", row.mEpoch)
+                     .With("status", aAnswer.status().ToString());
+                   mPolicy.OnReadFailed();
+                   ReadSoon();
+                 });
+}
+
+} // namespace oriolevane::cellnode
