Send late transactions again beside the first; learn timeouts from round trips

On a store that answers 60 times slower (600 ms) every transaction so took two calls and 0.95 s, work counted as "the store is away" (0.7 s) and was refused; where answers are lost, each loss cost 350 ms and more.

Change: a late transaction is sent again while the first call goes on, and the first answer counts; a retry that finds the row changed by the first sees its own text there. Timeouts follow smoothed round trips (RFC 6298), 100 ms at least. The store counts as away after three round trips (0.7 s to 2.5 s). A node takes the shard only when its row has stayed the same for six round trips of its own read. A claim counts from when it was first sent: before, a claim that was found applied much later could have been taken for newer than it was.

Ruled out: calls queueing behind each other at the store (retries that were given up slowing the next): round trips stayed at 0.6 s with six calls open.

--- a/src/cellnode/celljournal.h
+++ b/src/cellnode/celljournal.h
@@ -1,7 +1,7 @@
 // Writes the changed records of a shard to the store, as one transaction after
 // another. Each is conditional on the owner row as the one before left it, so
-// that a transaction whose answer was lost can be sent again, is applied once,
-// and can never be applied after a later one.
+// that a transaction whose answer is late can be sent again beside it, is
+// applied once, and can never be applied after a later one.
 #pragma once
 
 #include <functional>
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "cellnode/responsetimer.h"
 #include "cellnode/types/ownerrow.h"
 #include "cellnode/types/rows.h"
 #include "jobs/cellscheduler.h"
@@ -31,9 +32,10 @@
   std::chrono::milliseconds mGather{ 10 };
   // The owner row is renewed this often when nothing changes.
   std::chrono::milliseconds mRenewEvery{ 300 };
-  // First wait for an answer; later ones are longer.
-  std::chrono::milliseconds mFirstTimeout{ 350 };
-  std::chrono::milliseconds mLongestTimeout{ 2000 };
+  // A call without an answer is given up after this.
+  std::chrono::milliseconds mCallTimeout{ 3000 };
+  // The longest pause before a transaction is sent again.
+  std::chrono::milliseconds mLongestPause{ 800 };
 };
 
 struct JournalHooks
@@ -48,6 +50,7 @@
   std::function<void(jobs::RecordPosition)> mOnRecorded;
   // Another node owns the shard.
   std::function<void()> mOnLost;
+  std::function<TimePoint()> mNow;
 };
 
 // Single-threaded; the owner calls Tick() every few milliseconds.
@@ -72,6 +75,8 @@
   TimePoint RenewedAt() const { return mRenewedAt; }
   void SetRenewedAt(TimePoint aTime) { mRenewedAt = aTime; }
   std::uint64_t Commits() const { return mCommits; }
+  // A usual time between sending a transaction and its answer.
+  Duration ExpectedWrite() const { return mTimer.Expected(); }
 
   static RowKey OwnerKey(const std::string& aPart);
   static RowKey KeyOf(const jobs::RecordKey& aKey, const std::string& aPart);
@@ -80,7 +85,7 @@
   void Build();
   void AddRecord(const jobs::RecordKey& aKey);
   void Send(TimePoint aNow);
-  void OnAnswer(std::uint64_t aAttempt,
+  void OnAnswer(std::uint64_t aSequence,
                 TimePoint aSentAt,
                 const absl::StatusOr<CommitAnswer>& aAnswer);
   void OnApplied(RowVersion aVersion, TimePoint aSentAt);
@@ -97,10 +102,14 @@
   std::string mInFlightOwner;
   std::size_t mBytes = 0;
   TimePoint mFirstSentAt;
-  std::uint64_t mAttempt = 0;
-  bool mAwaiting = false;
-  std::chrono::milliseconds mTimeout;
+  // Calls of the transaction, and those of them that have no answer.
+  int mAttempts = 0;
+  int mOutstanding = 0;
+  // The newest call is late from then on.
+  TimePoint mLateAt;
+  // The store has refused; nothing is sent before.
   TimePoint mNextTry;
+  ResponseTimer mTimer;
   TimePoint mRenewedAt;
   std::optional<TimePoint> mWaitingSince;
   bool mReleasing = false;
--- a/src/cellnode/internal/celljournal.cpp
+++ b/src/cellnode/internal/celljournal.cpp
@@ -14,6 +14,7 @@
 
 // Pause after the store has refused a transaction.
 constexpr std::chrono::milliseconds kRefusedPause = 120ms;
+constexpr int kMostOutstanding = 6;
 
 std::string
 TableOf(jobs::RecordKind aKind)
@@ -65,7 +66,7 @@
   , mOwnerVersion(aOwnerVersion)
   , mLog(aLog)
   , mHooks(std::move(aHooks))
-  , mTimeout(mOptions.mFirstTimeout)
+  , mTimer({ .mLongest = mOptions.mLongestPause })
 {
 }
 
@@ -77,11 +78,14 @@
 void
 CellJournal::Tick(TimePoint aNow)
 {
-  if (mLost || mReleased || mAwaiting || aNow < mNextTry) {
+  if (mLost || mReleased || aNow < mNextTry) {
     return;
   }
   if (mInFlight.has_value()) {
-    Send(aNow);
+    const bool late = aNow >= mLateAt && mOutstanding < kMostOutstanding;
+    if (mOutstanding == 0 || late) {
+      Send(aNow);
+    }
     return;
   }
   if (mLog.HasWaiting() && !mWaitingSince.has_value()) {
@@ -102,6 +106,8 @@
 {
   mWaitingSince.reset();
   mInFlight.emplace();
+  mAttempts = 0;
+  mOutstanding = 0;
   mBytes = 0;
   ++mOwner.mSequence;
   std::size_t entries = 1;
@@ -142,39 +148,46 @@
 void
 CellJournal::Send(TimePoint aNow)
 {
-  mAwaiting = true;
-  const std::uint64_t attempt = ++mAttempt;
+  ++mAttempts;
+  ++mOutstanding;
+  mLateAt = aNow + mTimer.Timeout(mAttempts);
+  if (mAttempts > 1) {
+    LogInfo("commit_sent_again")
+      .With("sequence", mOwner.mSequence)
+      .With("attempt", mAttempts)
+      .With("outstanding", mOutstanding);
+  }
   mHooks.mCommit(*mInFlight,
-                 mTimeout,
-                 [this, alive = mAlive, attempt, aNow](
+                 mOptions.mCallTimeout,
+                 [this, alive = mAlive, sequence = mOwner.mSequence, aNow](
                    const absl::StatusOr<CommitAnswer>& aAnswer) {
                    if (*alive) {
-                     OnAnswer(attempt, aNow, aAnswer);
+                     OnAnswer(sequence, aNow, aAnswer);
                    }
                  });
 }
 
 void
-CellJournal::OnAnswer(std::uint64_t aAttempt,
+CellJournal::OnAnswer(std::uint64_t aSequence,
                       TimePoint aSentAt,
                       const absl::StatusOr<CommitAnswer>& aAnswer)
 {
-  if (aAttempt != mAttempt || !mAwaiting) {
+  if (aSequence != mOwner.mSequence || !mInFlight.has_value()) {
+    // Another call of that transaction was answered before.
     return;
   }
-  mAwaiting = false;
+  --mOutstanding;
   if (!aAnswer.ok()) {
     LogWarning("commit_unanswered")
       .With("sequence", mOwner.mSequence)
-      .With("timeout_ms", mTimeout.count())
+      .With("attempt", mAttempts)
       .With("status", aAnswer.status().ToString());
-    if (absl::IsDeadlineExceeded(aAnswer.status())) {
-      mTimeout = std::min(mTimeout * 2, mOptions.mLongestTimeout);
-    } else {
+    if (!absl::IsDeadlineExceeded(aAnswer.status())) {
       mNextTry = aSentAt + kRefusedPause;
     }
     return;
   }
+  mTimer.OnAnswer(mHooks.mNow() - aSentAt);
   if (aAnswer->mApplied) {
     OnApplied(aAnswer->mVersion, aSentAt);
   } else {
@@ -210,7 +223,6 @@
     .With("sequence", mOwner.mSequence)
     .With("row_version", aVersion);
   mOwnerVersion = aVersion;
-  mTimeout = mOptions.mFirstTimeout;
   mReleased = mOwner.mReleased;
   mInFlight.reset();
   mRenewedAt = aSentAt;
--- a/src/cellnode/internal/cellloader.cpp
+++ b/src/cellnode/internal/cellloader.cpp
@@ -11,7 +11,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::chrono::milliseconds kReadTimeout = 900ms;
+constexpr std::chrono::milliseconds kReadTimeout = 2500ms;
 constexpr std::chrono::milliseconds kRetryPause = 80ms;
 
 // Adds a decoded record to a list, or passes the error on.
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -17,8 +17,11 @@
 constexpr std::chrono::milliseconds kTickEvery = 20ms;
 // Events that come together are handled in one go.
 constexpr std::chrono::milliseconds kTickSoon = 1ms;
-// New work is refused when the store has not answered for so long.
+// New work is refused when the store has not answered for so long, or for
+// several usual round trips while it is slow. Callers wait for 3 s.
 constexpr std::chrono::milliseconds kStoreAway = 700ms;
+constexpr std::chrono::milliseconds kStoreAwayAtMost = 2500ms;
+constexpr int kStoreAwayRoundTrips = 3;
 constexpr std::chrono::milliseconds kRetryWhenStoreAway = 1000ms;
 // Retry of a request that names a configuration this node has not read yet.
 constexpr std::chrono::milliseconds kRetryWhenBehind = 300ms;
@@ -73,7 +76,8 @@
           },
         .mOnRecorded =
           [this](jobs::RecordPosition aPosition) { OnRecorded(aPosition); },
-        .mOnLost = [this] { mHooks.mOnLost(); } })
+        .mOnLost = [this] { mHooks.mOnLost(); },
+        .mNow = [] { return std::chrono::steady_clock::now(); } })
   , mWorkerWatch(aLoop,
                  aStore,
                  { .mTable = aFormats.mWorkerTable,
@@ -318,10 +322,18 @@
 OwnerSession::CanRecordSoon() const
 {
   const TimePoint now = std::chrono::steady_clock::now();
-  if (StoreAge(now) > kStoreAway) {
+  if (StoreAge(now) > StoreAwayAfter()) {
     return false;
   }
-  return mWaiting.empty() || mWaiting.front().mSince + kStoreAway > now;
+  return mWaiting.empty() || mWaiting.front().mSince + StoreAwayAfter() > now;
+}
+
+Duration
+OwnerSession::StoreAwayAfter() const
+{
+  return std::clamp<Duration>(kStoreAwayRoundTrips * mJournal.ExpectedWrite(),
+                              kStoreAway,
+                              kStoreAwayAtMost);
 }
 
 void
@@ -448,7 +460,7 @@
                             mOptions.mScheduler.mAuthority);
     mScheduler.Advance(now);
   }
-  if (StoreAge(now.mSteady) > kStoreAway) {
+  if (StoreAge(now.mSteady) > StoreAwayAfter()) {
     RefuseUnwritten();
   }
   const bool waiting = mScheduler.Records().HasWaiting() || mReleasing;
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -87,6 +87,8 @@
               const CallerRequest& aRequest,
               const CallerReply& aReply);
   bool CanRecordSoon() const;
+  // The age of the last write at which the store counts as away.
+  Duration StoreAwayAfter() const;
   // Refuses the submissions that are in no transaction yet.
   void RefuseUnwritten();
   void Ask(const jobs::QueuePolicy& aQueue,
--- a/src/cellnode/internal/ownershippolicy.cpp
+++ b/src/cellnode/internal/ownershippolicy.cpp
@@ -55,8 +55,10 @@
 void
 OwnershipPolicy::OnRowRead(const std::optional<OwnerRow>& aRow,
                            RowVersion aVersion,
-                           TimePoint aNow)
+                           TimePoint aNow,
+                           Duration aRoundTrip)
 {
+  mRoundTrip = aRoundTrip;
   if (!mRowKnown || aVersion != mVersion) {
     mUnchangedSince = aNow;
   }
@@ -108,7 +110,8 @@
     if (mHandoverEpoch >= mRow->mEpoch && mRow->mReleased) {
       wait = Duration::zero();
     } else if (!vacant) {
-      wait += mOptions.mUnchanged;
+      wait += std::max<Duration>(mOptions.mUnchanged,
+                                 mOptions.mUnchangedRoundTrips * mRoundTrip);
     }
   }
   if (mUnchangedSince + wait > aNow) {
--- a/src/cellnode/internal/shardclaim.cpp
+++ b/src/cellnode/internal/shardclaim.cpp
@@ -14,7 +14,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::chrono::milliseconds kReadEvery = 150ms;
-constexpr std::chrono::milliseconds kReadTimeout = 700ms;
+constexpr std::chrono::milliseconds kReadTimeout = 2000ms;
 constexpr std::chrono::milliseconds kClaimTimeout = 900ms;
 
 } // namespace
@@ -84,7 +84,7 @@
     return;
   }
   if (aPage->mRows.empty()) {
-    mPolicy.OnRowRead(std::nullopt, RowVersion(), now);
+    mPolicy.OnRowRead(std::nullopt, RowVersion(), now, now - aSentAt);
     return;
   }
   const Row& row = aPage->mRows.front();
@@ -94,7 +94,7 @@
     mPolicy.OnReadFailed();
     return;
   }
-  mPolicy.OnRowRead(*owner, row.mVersion, now);
+  mPolicy.OnRowRead(*owner, row.mVersion, now, now - aSentAt);
   if (!IsOwn(*owner) || owner->mReleased) {
     mHooks.mOnOwnerRow(*owner);
     return;
@@ -103,7 +103,7 @@
   if (owner->mEpoch > mHooks.mHighestEpoch()) {
     mHooks.mOnClaimed({ .mRow = *owner,
                         .mVersion = row.mVersion,
-                        .mSince = aSentAt - kClaimTimeout,
+                        .mSince = mClaimedAt,
                         .mPredecessor = mPredecessor });
   }
 }
@@ -129,6 +129,10 @@
     .With("epoch", row.mEpoch)
     .With("from", mPredecessor.has_value() ? mPredecessor->mNode.mValue : "")
     .With("row_version", aVersion);
+  if (row.mEpoch != mClaimedEpoch) {
+    mClaimedEpoch = row.mEpoch;
+    mClaimedAt = aNow;
+  }
   const RowKey key = CellJournal::OwnerKey(kShardPart);
   mStore.mCommit({ .mConditions = { { .mKey = key, .mVersion = aVersion } },
                    .mWrites = { { .mKey = key, .mValue = Encode(row) } },
--- a/src/cellnode/internal/shardclaim.h
+++ b/src/cellnode/internal/shardclaim.h
@@ -61,6 +61,10 @@
   bool mReading = false;
   bool mClaiming = false;
   TimePoint mNextRead;
+  // The first claim of the newest term that this node has tried. Its answer may
+  // be lost and it may be applied late, but never before.
+  Epoch mClaimedEpoch;
+  TimePoint mClaimedAt;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
--- a/src/cellnode/ownershippolicy.h
+++ b/src/cellnode/ownershippolicy.h
@@ -23,8 +23,10 @@
   std::chrono::milliseconds mSilence{ 800 };
   // An owner that has not written to the store for so long is in doubt.
   std::chrono::milliseconds mStoreSilence{ 1300 };
-  // The owner row must have stayed the same for so long.
+  // The owner row must have stayed the same for so long, and for several round
+  // trips to a slow store, which is slow for the owner too.
   std::chrono::milliseconds mUnchanged{ 600 };
+  int mUnchangedRoundTrips = 6;
   // Nodes that are alike try one after the other within this time.
   std::chrono::milliseconds mSpread{ 160 };
   // A node waits so long for fitter ones.
@@ -47,10 +49,11 @@
   void OnOwnerDenied(Epoch aEpoch);
   // The owner asked this node to take its place.
   void OnHandover(Epoch aEpoch);
-  // The owner row was read; nothing when there is none.
+  // The owner row was read, which took aRoundTrip; nothing when there is none.
   void OnRowRead(const std::optional<OwnerRow>& aRow,
                  RowVersion aVersion,
-                 TimePoint aNow);
+                 TimePoint aNow,
+                 Duration aRoundTrip = {});
   void OnReadFailed();
 
   // The owner is in doubt, so that its row should be read.
@@ -69,6 +72,7 @@
   // The last read of the row succeeded.
   bool mRowKnown = false;
   TimePoint mUnchangedSince;
+  Duration mRoundTrip{};
   std::optional<TimePoint> mHeardAt;
   Duration mStoreAge{};
   double mBestFitness = 1.0;
--- a/src/cellnode/tests/celljournal_test.cpp
+++ b/src/cellnode/tests/celljournal_test.cpp
@@ -46,7 +46,8 @@
             },
           .mOnRecorded =
             [this](jobs::RecordPosition aPosition) { mRecorded = aPosition; },
-          .mOnLost = [this] { mLost = true; } })
+          .mOnLost = [this] { mLost = true; },
+          .mNow = [this] { return mNow; } })
   {
     mJournal.SetRenewedAt(mNow);
   }
@@ -149,6 +150,59 @@
   });
 }
 
+void
+TellLateAnswer(Section& aStory)
+{
+  aStory.Describe("a transaction whose answer is late", [](Section& aSection) {
+    aSection.It("is sent again beside the first, whose answer counts", [] {
+      Bench bench;
+      const jobs::RecordPosition position = bench.Mark("job");
+      bench.SendNext();
+      bench.Pass(400ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, bench.mSent.size());
+      CPPUNIT_ASSERT_EQUAL(bench.OwnerText(0), bench.OwnerText(1));
+      bench.mDone[0](Applied(11));
+      CPPUNIT_ASSERT(bench.mRecorded == position);
+      // The second finds the row changed by the first.
+      bench.Mark("next");
+      bench.SendNext();
+      bench.mDone[1](Conflict(bench.OwnerText(0), 11));
+      CPPUNIT_ASSERT(!bench.mLost);
+      CPPUNIT_ASSERT(bench.mRecorded == position);
+      CPPUNIT_ASSERT(bench.mSent[2].mConditions[0].mVersion == RowVersion(11));
+    });
+    aSection.It("is awaited longer once the store is known to be slow", [] {
+      Bench bench;
+      for (int turn = 0; turn < 8; ++turn) {
+        bench.Mark("job" + std::to_string(turn));
+        bench.SendNext();
+        bench.mNow += 600ms;
+        bench.mDone.back()(Applied(11 + static_cast<std::uint64_t>(turn)));
+      }
+      const std::size_t sent = bench.mSent.size();
+      bench.Mark("slow");
+      bench.SendNext();
+      bench.Pass(600ms);
+      CPPUNIT_ASSERT_EQUAL(sent + 1, bench.mSent.size());
+      CPPUNIT_ASSERT(bench.mJournal.ExpectedWrite() > 500ms);
+    });
+    aSection.It("is sent again soon while the store is quick", [] {
+      Bench bench;
+      for (int turn = 0; turn < 8; ++turn) {
+        bench.Mark("job" + std::to_string(turn));
+        bench.SendNext();
+        bench.mNow += 10ms;
+        bench.mDone.back()(Applied(11 + static_cast<std::uint64_t>(turn)));
+      }
+      const std::size_t sent = bench.mSent.size();
+      bench.Mark("lost");
+      bench.SendNext();
+      bench.Pass(120ms);
+      CPPUNIT_ASSERT_EQUAL(sent + 2, bench.mSent.size());
+    });
+  });
+}
+
 void
 TellOtherOwner(Section& aStory)
 {
@@ -211,6 +265,7 @@
 {
   TellChange(aStory);
   TellLostAnswer(aStory);
+  TellLateAnswer(aStory);
   TellOtherOwner(aStory);
   TellRenewal(aStory);
   TellRelease(aStory);
--- a/src/cellnode/tests/main.cpp
+++ b/src/cellnode/tests/main.cpp
@@ -12,6 +12,7 @@
       { "ownership policy", oriolevane::OwnershipPolicyStory },
       { "advice desk", oriolevane::AdviceDeskStory },
       { "caller queue", oriolevane::CallerQueueStory },
+      { "response timer", oriolevane::ResponseTimerStory },
       { "record codec", oriolevane::RecordCodecStory },
       { "queue router", oriolevane::QueueRouterStory },
       { "metrics text", oriolevane::MetricsTextStory } });
--- a/src/cellnode/tests/ownershippolicy_test.cpp
+++ b/src/cellnode/tests/ownershippolicy_test.cpp
@@ -61,6 +61,14 @@
       const TimePoint silent = kBegin + 800ms;
       CPPUNIT_ASSERT(TimeToOwn(policy, kRow, silent) < 1200ms);
     });
+    aSection.It("is given several round trips of a slow store", [] {
+      OwnershipPolicy policy = Policy();
+      policy.OnRowRead(kRow, RowVersion(9), kBegin, 600ms);
+      policy.OnRowRead(kRow, RowVersion(9), kBegin + 2000ms, 600ms);
+      CPPUNIT_ASSERT(!policy.WantsOwnership(kBegin + 2000ms).has_value());
+      policy.OnRowRead(kRow, RowVersion(9), kBegin + 4000ms, 600ms);
+      CPPUNIT_ASSERT(policy.WantsOwnership(kBegin + 4000ms).has_value());
+    });
     aSection.It("is not replaced while its row changes", [] {
       OwnershipPolicy policy = Policy();
       for (int read = 0; read < 50; ++read) {
--- a/src/cellnode/tests/stories.h
+++ b/src/cellnode/tests/stories.h
@@ -14,6 +14,8 @@
 void
 CallerQueueStory(testing::Section& aStory);
 void
+ResponseTimerStory(testing::Section& aStory);
+void
 RecordCodecStory(testing::Section& aStory);
 void
 QueueRouterStory(testing::Section& aStory);
