Send start orders again beside a missing answer; count unstarted jobs as waiting

A job counted as started when the order was sent, though no worker had answered it. And an order without an answer was given up after 600 ms: the worker was fenced, asked, and a gang broken for one member.

Change: a start without an answer is sent again after 300 ms, three times at most, to the same worker under the same run number and its newest token: workers start a run once and refuse older tokens, so that a late copy harms nobody. What refuses a repeated order says nothing of the first one, so the run is then uncertain until the worker's list tells. A job has started when a worker is known to have one of its tasks. A worker that leaves three orders unanswered gets nothing new for a second.

Tests: a gang whose order is lost starts once by a second order; unanswered orders leave the job waiting. Both red with the old behaviour put back.

--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -34,8 +34,9 @@
   WorkerId mWorker;
   Resources mResources;
   RunPhase mPhase = RunPhase::Starting;
-  // Of the order that started it.
+  // Of the newest order that started it.
   FencingToken mToken;
+  int mOrdersSent = 1;
   TimePoint mOrderedAt;
   // When the worker was first known to have it.
   TimePoint mSeenAt;
@@ -117,6 +118,7 @@
   // Taken over from another node; its tasks may run on workers that have not
   // reported yet.
   bool mRecovered = false;
+  // A worker has had one of its tasks.
   bool mStarted = false;
   // By number; those that are due.
   std::map<int, Occurrence> mOccurrences;
--- a/src/jobs/internal/outcomes.cpp
+++ b/src/jobs/internal/outcomes.cpp
@@ -56,6 +56,10 @@
     }
     mRuns.Drop(aWorker, run);
   }
+  const bool reported = aEnd.mSerial != 0;
+  if (job != nullptr && reported) {
+    job->mStarted = true;
+  }
   LogDebug("run_ended")
     .With("task", aEnd.mTask.ToText())
     .With("run", aEnd.mRun)
--- a/src/jobs/internal/reports.cpp
+++ b/src/jobs/internal/reports.cpp
@@ -16,7 +16,8 @@
 constexpr std::chrono::milliseconds kPollAgainAfter = 250ms;
 // The same while its ends wait to be recorded.
 constexpr std::chrono::milliseconds kUnrecordedPause = 900ms;
-// A worker that refuses starts as unhealthy is left alone for so long.
+// A worker that refuses starts as unhealthy, or answers none, is left alone for
+// so long.
 constexpr std::chrono::milliseconds kAvoidUnhealthyFor = 1000ms;
 // A step whose orders are refused for other reasons waits so long.
 constexpr std::chrono::milliseconds kRefusedPause = 50ms;
@@ -144,11 +145,7 @@
       mRuns.Adopt(aWorker, running, aNow.mSteady);
       continue;
     }
-    if (run->mPhase != RunPhase::Running) {
-      run->mPhase = RunPhase::Running;
-      run->mSeenAt = aNow.mSteady;
-      run->mProgressAt = aNow.mSteady;
-    }
+    mRuns.NoteRunning(*run, aNow.mSteady);
     if (running.mPercent > run->mPercent) {
       run->mPercent = running.mPercent;
       run->mProgressAt = aNow.mSteady;
@@ -207,11 +204,7 @@
     mCell.mFleet.ReadClock(*worker, *aAnswer.mNow, aNow.mSteady);
   }
   if (aAnswer.mResult == OrderResult::Done) {
-    if (run->mPhase != RunPhase::Running) {
-      run->mPhase = RunPhase::Running;
-      run->mSeenAt = aNow.mSteady;
-      run->mProgressAt = aNow.mSteady;
-    }
+    mRuns.NoteRunning(*run, aNow.mSteady);
     return;
   }
   if (run->mPhase == RunPhase::Running) {
@@ -221,9 +214,16 @@
     .With("task", aOrder.mTask.ToText())
     .With("run", aOrder.mRun)
     .With("worker", worker->Id())
-    .With("result", static_cast<int>(aAnswer.mResult));
-  if (aAnswer.mResult == OrderResult::Unknown) {
+    .With("result", static_cast<int>(aAnswer.mResult))
+    .With("orders", run->mOrdersSent);
+  const bool unknown = aAnswer.mResult == OrderResult::Unknown;
+  if (unknown && mRuns.OrderAgain(aOrder, *run, *worker, aNow.mSteady)) {
+    return;
+  }
+  // What refuses a repeated order says nothing of the one before it.
+  if (unknown || run->mOrdersSent > 1) {
     run->mPhase = RunPhase::Uncertain;
+    worker->mHealth.mAvoidUntil = aNow.mSteady + kAvoidUnhealthyFor;
     mCell.mFleet.RaiseToken(*worker);
     return;
   }
--- a/src/jobs/internal/runbook.cpp
+++ b/src/jobs/internal/runbook.cpp
@@ -16,6 +16,8 @@
 // reached.
 constexpr std::uint64_t kRunsPerEpoch = 1000;
 constexpr std::chrono::milliseconds kStopAgainAfter = 400ms;
+// Orders without an answer for one run, before the run counts as uncertain.
+constexpr int kMostOrders = 3;
 
 } // namespace
 
@@ -49,7 +51,11 @@
   task.mLastRun = aNumber;
   task.mRuns.push_back(run);
   aWorker.AddRun(run);
-  aJob.mStarted = true;
+  LogDebug("run_ordered")
+    .With("task", aKey.ToText())
+    .With("run", aNumber)
+    .With("worker", aWorker.Id())
+    .With("token", aWorker.mToken);
   mCell.mHooks.mStart({ .mWorker = aWorker.Target(),
                         .mToken = aWorker.mToken,
                         .mTask = aKey,
@@ -60,6 +66,47 @@
                         .mLeaseEnd = lease.value_or(WorkerTime(0)) });
 }
 
+bool
+RunBook::OrderAgain(const StartOrder& aOrder,
+                    Run& aRun,
+                    Worker& aWorker,
+                    TimePoint aNow)
+{
+  const Job* job = mCell.mJobs.Find(aRun.mTask.mStep.mJob);
+  const bool wanted =
+    !aRun.mStopWanted && job != nullptr && job->mPhase == JobPhase::Open;
+  if (!wanted || aRun.mOrdersSent >= kMostOrders) {
+    return false;
+  }
+  const std::optional<WorkerTime> lease =
+    mCell.mFleet.GrantLease(aWorker, aNow);
+  if (!lease.has_value()) {
+    return false;
+  }
+  ++aRun.mOrdersSent;
+  aRun.mToken = aWorker.mToken;
+  StartOrder order = aOrder;
+  order.mToken = aWorker.mToken;
+  order.mLeaseEnd = *lease;
+  mCell.mHooks.mStart(order);
+  return true;
+}
+
+void
+RunBook::NoteRunning(Run& aRun, TimePoint aNow)
+{
+  if (aRun.mPhase == RunPhase::Running) {
+    return;
+  }
+  aRun.mPhase = RunPhase::Running;
+  aRun.mSeenAt = aNow;
+  aRun.mProgressAt = aNow;
+  Job* job = mCell.mJobs.Find(aRun.mTask.mStep.mJob);
+  if (job != nullptr) {
+    job->mStarted = true;
+  }
+}
+
 void
 RunBook::Adopt(Worker& aWorker, const RunningTask& aRunning, TimePoint aNow)
 {
--- a/src/jobs/internal/runbook.h
+++ b/src/jobs/internal/runbook.h
@@ -24,6 +24,15 @@
              const std::string& aTicket,
              const std::string& aCheckpoint,
              TimePoint aNow);
+  // Sends the order of a run again, whose answer is missing: a worker starts a
+  // run once, however often it is told to. False when it should not, or has
+  // been often enough.
+  bool OrderAgain(const StartOrder& aOrder,
+                  Run& aRun,
+                  Worker& aWorker,
+                  TimePoint aNow);
+  // The worker has the run.
+  void NoteRunning(Run& aRun, TimePoint aNow);
   // Takes over a run that a worker reports and that no order of this node
   // started.
   void Adopt(Worker& aWorker, const RunningTask& aRunning, TimePoint aNow);
--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -12,7 +12,7 @@
 using namespace std::chrono_literals;
 
 constexpr Millis kTick = 2ms;
-constexpr Millis kOrderTimeout = 600ms;
+constexpr Millis kOrderTimeout = 300ms;
 constexpr Millis kLongPollStep = 10ms;
 const PoolName kPool("pool");
 // The steady clock of the simulation does not begin at zero.
@@ -112,6 +112,9 @@
   FakeWorker* worker = FindWorker(id);
   const auto place = static_cast<std::size_t>(std::stoi(id.mValue.substr(1)));
   Delivery delivery = mDelivery ? mDelivery(id) : Delivery::Normal;
+  if constexpr (std::is_same_v<Order, StartOrder>) {
+    delivery = mStartDelivery ? mStartDelivery(aOrder) : delivery;
+  }
   if (mCut.contains(place) || !worker->IsUp()) {
     delivery = Delivery::Dropped;
   }
@@ -128,8 +131,11 @@
   }
   const Millis delay =
     delivery == Delivery::Late ? Millis(2000 + mRandom() % 10000) : Latency();
-  After(delay, [this, aOrder, aAlive, aCall, aDone, worker, delivery] {
+  After(delay, [=, this] {
     if (!worker->IsUp()) {
+      if (delivery == Delivery::Normal) {
+        unanswered();
+      }
       return;
     }
     const Answer answer = aCall(*worker, aOrder);
--- a/src/jobs/tests/fakecell.h
+++ b/src/jobs/tests/fakecell.h
@@ -69,6 +69,8 @@
 
   // Decides what becomes of each call; Normal by default.
   std::function<Delivery(const WorkerId&)> mDelivery;
+  // The same for start orders alone; goes before mDelivery.
+  std::function<Delivery(const StartOrder&)> mStartDelivery;
   std::function<RunPlan(const TaskKey&, RunNumber, const WorkerId&)> mPlan;
   // Workers that the policy service allows for a step; all by default.
   std::function<bool(const StepKey&, const WorkerId&)> mAllowed;
--- a/src/jobs/tests/gang_test.cpp
+++ b/src/jobs/tests/gang_test.cpp
@@ -72,6 +72,20 @@
   });
   aStory.Describe(
     "a gang of which an order is not answered", [](Section& aSection) {
+      aSection.It("starts once, by a second order", [] {
+        FakeCell cell;
+        cell.RunFor(200ms);
+        int orders = 0;
+        cell.mStartDelivery = [&orders](const StartOrder&) {
+          return ++orders == 3 ? Delivery::Dropped : Delivery::Normal;
+        };
+        cell.Submit("job", Gang(5, 4000, 400ms), MakeQueue());
+        cell.RunUntilFinal("job", 1200ms);
+        for (const auto& [task, starts] : cell.mStarts) {
+          CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, starts.size());
+        }
+        CPPUNIT_ASSERT(cell.mViolations.empty());
+      });
       aSection.It("does not run twice", [] {
         FakeCell cell;
         cell.RunFor(200ms);
--- a/src/jobs/tests/workertrouble_test.cpp
+++ b/src/jobs/tests/workertrouble_test.cpp
@@ -90,6 +90,28 @@
   });
 }
 
+void
+TellLostOrders(Section& aStory)
+{
+  aStory.Describe("orders that no worker answers", [](Section& aSection) {
+    aSection.It("leave their job counted as waiting", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      cell.mDelivery = [](const WorkerId&) { return Delivery::Dropped; };
+      const QueuePolicy queue = MakeQueue();
+      cell.Submit("job", Single(MakeStep(2, 1000, 500ms)), queue);
+      cell.RunFor(250ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                           cell.Scheduler().Waiting(queue.mName));
+      cell.mDelivery = nullptr;
+      cell.RunUntilFinal("job", 8000ms);
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 },
+                           cell.Scheduler().Waiting(queue.mName));
+    });
+  });
+}
+
 void
 TellFailingWorker(Section& aStory)
 {
@@ -144,6 +166,7 @@
   TellCrash(aStory);
   TellCutOff(aStory);
   TellLateOrders(aStory);
+  TellLostOrders(aStory);
   TellFailingWorker(aStory);
   TellDraining(aStory);
 }
