Ask workers again at once while recovery waits for their word

Cause: a new owner starts recovered jobs only when every worker has answered under its token.

Test: a job waits while each worker answers only its fourth call; it starts within 1.2 s of the takeover. Red with the pause of 250 ms.

--- a/src/jobs/internal/reports.cpp
+++ b/src/jobs/internal/reports.cpp
@@ -14,6 +14,8 @@
 
 // Pause before a silent worker is polled again.
 constexpr std::chrono::milliseconds kPollAgainAfter = 250ms;
+// The same while recovery waits for the worker's word.
+constexpr std::chrono::milliseconds kPollUnresolvedAfter = 20ms;
 // The same while its ends wait to be recorded.
 constexpr std::chrono::milliseconds kUnrecordedPause = 900ms;
 // A worker that refuses starts as unhealthy, or answers none, is left alone for
@@ -39,7 +41,8 @@
   if (aPoll.mSerial < worker->mLastAnswerSerial) {
     return;
   }
-  worker->mNextPollAt = aNow.mSteady + kPollAgainAfter;
+  worker->mNextPollAt =
+    aNow.mSteady + (worker->mResolved ? kPollAgainAfter : kPollUnresolvedAfter);
   if (aAnswer.mResult == OrderResult::Done) {
     worker->mLastAnswerSerial = aPoll.mSerial;
     TakeReport(*worker, aPoll, aSentAt, aAnswer.mReport, aNow);
--- a/src/jobs/tests/takeover_test.cpp
+++ b/src/jobs/tests/takeover_test.cpp
@@ -48,6 +48,21 @@
       cell.RunUntilFinal("job", 5000ms);
       CPPUNIT_ASSERT(cell.mViolations.empty());
     });
+    aSection.It("asks workers that do not answer again without a pause", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      cell.mDelivery = [](const WorkerId&) { return Delivery::Dropped; };
+      cell.Submit("job", Single(MakeStep(2, 1000, 100ms)), MakeQueue());
+      cell.RunFor(100ms);
+      cell.TakeOver();
+      std::map<WorkerId, int> calls;
+      cell.mDelivery = [&calls](const WorkerId& aWorker) {
+        return ++calls[aWorker] > 3 ? Delivery::Normal : Delivery::Dropped;
+      };
+      cell.RunFor(1200ms);
+      CPPUNIT_ASSERT(!cell.mStarts.empty());
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+    });
     aSection.It("leaves alone what may run on a worker it cannot reach", [] {
       FakeCell cell;
       cell.RunFor(200ms);
