--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -250,16 +250,7 @@
         return spec.mGang ? spec.mTaskCount : 1;
       },
     .mGangPresent =
-      [this](const TaskKey& aTask, RunNumber aRun) {
-        int present = 0;
-        for (const auto& worker : mWorkers) {
-          for (const FakeRun& run : worker->Runs()) {
-            present += run.mTask.mStep == aTask.mStep && run.mRun == aRun &&
-                       !run.mStopping;
-          }
-        }
-        return present;
-      },
+      [this](const FakeRun& aRun) { return CountMembers(mWorkers, aRun); },
     .mOnStart = [this, aPlace](const FakeRun& aRun) { OnStart(aPlace, aRun); },
     .mOnEnd = [this, aPlace](const FakeRun& aRun,
                              EndKind aKind) { OnEnd(aPlace, aRun, aKind); },
@@ -324,21 +315,13 @@
   if (!spec.mGang) {
     return;
   }
-  const EndKind others =
-    aKind == EndKind::Succeeded ? EndKind::Succeeded : EndKind::GangBroken;
-  if (aKind == EndKind::GangBroken) {
-    return;
-  }
-  for (int index = 0; index < spec.mTaskCount; ++index) {
-    TaskKey key = aRun.mTask;
-    key.mIndex = index;
-    if (aKind == EndKind::Succeeded) {
-      mSucceeded.insert(key);
-    }
-    for (const auto& worker : mWorkers) {
-      worker->EndGang(key, aRun.mRun, others, mNow);
+  if (aKind == EndKind::Succeeded) {
+    TaskKey member = aRun.mTask;
+    for (member.mIndex = 0; member.mIndex < spec.mTaskCount; ++member.mIndex) {
+      mSucceeded.insert(member);
     }
   }
+  EndOtherMembers(mWorkers, aRun, spec.mTaskCount, aKind, mNow);
 }
 
 void
--- a/src/jobs/tests/fakeworker.cpp
+++ b/src/jobs/tests/fakeworker.cpp
@@ -39,7 +39,7 @@
     return false;
   }
   const int members = mHooks.mGangSize(aRun.mTask);
-  if (members > 1 && mHooks.mGangPresent(aRun.mTask, aRun.mRun) < members) {
+  if (members > 1 && mHooks.mGangPresent(aRun) < members) {
     return false;
   }
   return aNow >= aRun.mStartedAt + aRun.mPlan.mDuration;
@@ -198,4 +198,38 @@
   mHighestEnded.clear();
 }
 
+int
+CountMembers(const FakeWorkers& aWorkers, const FakeRun& aRun)
+{
+  int members = 0;
+  for (const auto& worker : aWorkers) {
+    for (const FakeRun& run : worker->Runs()) {
+      members += run.mTask.mStep == aRun.mTask.mStep && run.mRun == aRun.mRun &&
+                 !run.mStopping;
+    }
+  }
+  return members;
+}
+
+void
+EndOtherMembers(const FakeWorkers& aWorkers,
+                const FakeRun& aRun,
+                int aMembers,
+                EndKind aKind,
+                Millis aNow)
+{
+  if (aKind == EndKind::GangBroken) {
+    return;
+  }
+  const EndKind others =
+    aKind == EndKind::Succeeded ? EndKind::Succeeded : EndKind::GangBroken;
+  for (int index = 0; index < aMembers; ++index) {
+    TaskKey key = aRun.mTask;
+    key.mIndex = index;
+    for (const auto& worker : aWorkers) {
+      worker->EndGang(key, aRun.mRun, others, aNow);
+    }
+  }
+}
+
 } // namespace oriolevane::jobs
--- a/src/jobs/tests/fakeworker.h
+++ b/src/jobs/tests/fakeworker.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -38,7 +39,7 @@
   // Members of the task's gang; 1 for a task of its own.
   std::function<int(const TaskKey&)> mGangSize;
   // Members of the run that are at work on all workers.
-  std::function<int(const TaskKey&, RunNumber)> mGangPresent;
+  std::function<int(const FakeRun&)> mGangPresent;
   std::function<void(const FakeRun&)> mOnStart;
   std::function<void(const FakeRun&, EndKind)> mOnEnd;
   std::function<void(const EndedTask&)> mOnConfirmed;
@@ -89,4 +90,19 @@
   std::map<TaskKey, RunNumber> mHighestEnded;
 };
 
+using FakeWorkers = std::vector<std::unique_ptr<FakeWorker>>;
+
+// Members of the run's gang that are at work on any of the workers.
+int
+CountMembers(const FakeWorkers& aWorkers, const FakeRun& aRun);
+
+// Ends the other members of a gang after aRun has ended: with success if it
+// succeeded, else as broken.
+void
+EndOtherMembers(const FakeWorkers& aWorkers,
+                const FakeRun& aRun,
+                int aMembers,
+                EndKind aKind,
+                Millis aNow);
+
 } // namespace oriolevane::jobs
