Do not take orders for lost when their worker is born again

A worker crashed and came back under its id. An order that had had no answer was sent again and started in the new life; then the registry told of that life, everything there was taken for lost and started elsewhere. An order that is merely late can do the same: a new life has seen no fencing token.

Change: a new life leaves the runs of its worker uncertain; the token rises, and only a report to a poll with the risen token tells what runs there and what never will. Until then the worker is unresolved: it gets nothing new, and a recovery waits for it.

Test: an order repeated into the new life, before that is known; red with the runs taken for lost. Ruled out: the repeated order alone as the cause (orders that are carried out seconds late existed before it).

--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -211,7 +211,7 @@
   CellState& cell = mImpl->mCell;
   if (cell.mFleet.List(aEntry, aNow.mSteady)) {
     Worker& worker = *cell.mFleet.Find(aEntry.mId);
-    mImpl->mOutcomes.LoseAll(worker, aNow);
+    RunBook::DoubtAll(worker);
     mImpl->mAdvice.Forget(&worker);
   }
 }
--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -121,9 +121,12 @@
   aWorker.mEndsToRecord.clear();
   aWorker.mHealth = {};
   aWorker.mHasUnknownLoad = false;
-  aWorker.mResolved = true;
   aWorker.mLastAnswerSerial = aWorker.mLastPollSerial;
+  // The new life has seen no token: an order that is still on its way could
+  // start there.
+  aWorker.mResolved = false;
   RaiseToken(aWorker);
+  aWorker.mResolvingToken = aWorker.mToken;
 }
 
 void
--- a/src/jobs/internal/reports.cpp
+++ b/src/jobs/internal/reports.cpp
@@ -78,7 +78,7 @@
       return;
     }
     if (known) {
-      mOutcomes.LoseAll(aWorker, aNow);
+      RunBook::DoubtAll(aWorker);
       mAdvice.Forget(&aWorker);
       mCell.mFleet.BeginLife(aWorker, *aReport.mLife);
     }
@@ -102,7 +102,8 @@
       aWorker.mLeaseEndsBy = std::min<TimePoint>(
         aWorker.mLeaseEndsBy, aNow.mSteady + 2 * mCell.mOptions.mLongestLease);
     }
-    aWorker.mResolved = true;
+    aWorker.mResolved =
+      aWorker.mResolved || aPoll.mToken >= aWorker.mResolvingToken;
   }
   if (!aPoll.mLeaseEnd.has_value() && !aWorker.mRuns.empty()) {
     // The clock is known now: renew the lease at once.
@@ -220,6 +221,9 @@
     .With("result", static_cast<int>(aAnswer.mResult))
     .With("orders", run->mOrdersSent);
   const bool unknown = aAnswer.mResult == OrderResult::Unknown;
+  if (unknown && run->mPhase == RunPhase::Uncertain) {
+    return;
+  }
   if (unknown && mRuns.OrderAgain(aOrder, *run, *worker, aNow.mSteady)) {
     return;
   }
--- a/src/jobs/internal/runbook.cpp
+++ b/src/jobs/internal/runbook.cpp
@@ -150,6 +150,14 @@
   }
 }
 
+void
+RunBook::DoubtAll(Worker& aWorker)
+{
+  for (const RunPointer& run : aWorker.mRuns) {
+    run->mPhase = RunPhase::Uncertain;
+  }
+}
+
 void
 RunBook::Drop(Worker& aWorker, Run* aRun)
 {
--- a/src/jobs/internal/runbook.h
+++ b/src/jobs/internal/runbook.h
@@ -36,6 +36,9 @@
   // Takes over a run that a worker reports and that no order of this node
   // started.
   void Adopt(Worker& aWorker, const RunningTask& aRunning, TimePoint aNow);
+  // The worker has a new life. Its runs are gone, but for orders that came late
+  // enough; its next report tells.
+  static void DoubtAll(Worker& aWorker);
   // The run is over, or never was.
   void Drop(Worker& aWorker, Run* aRun);
   // Asks the worker to stop the run; sent again until its end is known.
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -50,6 +50,9 @@
   // It has told what runs on it since this node took over, or can run nothing
   // from before that.
   bool mResolved = false;
+  // Polls with this token or a higher one tell all that runs there: orders with
+  // lower ones can start nothing any more.
+  FencingToken mResolvingToken;
   // Answered its last poll.
   bool mReachable = false;
   std::optional<ClockReading> mClock;
--- a/src/jobs/tests/workertrouble_test.cpp
+++ b/src/jobs/tests/workertrouble_test.cpp
@@ -44,6 +44,41 @@
   });
 }
 
+void
+TellRebirth(Section& aStory)
+{
+  aStory.Describe("a worker that is born again", [](Section& aSection) {
+    aSection.It("may have started what was ordered from it before", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      const WorkerId reborn("w1");
+      bool old = true;
+      int again = 0;
+      cell.mStartDelivery = [&](const StartOrder& aOrder) {
+        const bool its = aOrder.mWorker.mId == reborn;
+        again += its && !old ? 1 : 0;
+        return its && old ? Delivery::Dropped : Delivery::Normal;
+      };
+      cell.mDelivery = [&](const WorkerId& aWorker) {
+        return aWorker == reborn ? Delivery::Dropped : Delivery::Normal;
+      };
+      cell.Submit("job", Single(MakeStep(12, 2000, 1500ms)), MakeQueue());
+      cell.RunFor(100ms);
+      cell.CrashWorker(1);
+      cell.RunFor(100ms);
+      cell.RestartWorker(1);
+      old = false;
+      // The order is sent again, and comes to the new life, which is not known
+      // here yet.
+      cell.RunFor(500ms);
+      cell.mDelivery = nullptr;
+      cell.RunUntilFinal("job", 9000ms);
+      CPPUNIT_ASSERT(again > 0);
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+    });
+  });
+}
+
 void
 TellCutOff(Section& aStory)
 {
@@ -164,6 +199,7 @@
 WorkerTroubleStory(Section& aStory)
 {
   TellCrash(aStory);
+  TellRebirth(aStory);
   TellCutOff(aStory);
   TellLateOrders(aStory);
   TellLostOrders(aStory);
