Log each step's first start with what decided it

One line "step_started" with the time that the step was ready and waited, its slack, the workers that the policy allows and those asked.

--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -344,6 +344,9 @@
       NoteInVain(*aCandidate.mStep);
       return;
     }
+    if (!aCandidate.mStep->HasRuns() && aCandidate.mStep->mSucceeded == 0) {
+      LogStarted(aCandidate, allowed.size(), aNow);
+    }
     StartOn(aCandidate,
             static_cast<int>(index),
             mRuns.NextNumber(tasks[index]),
@@ -353,6 +356,25 @@
   }
 }
 
+// One line for the first start of each step.
+void
+Dispatcher::LogStarted(const Candidate& aCandidate,
+                       std::size_t aAllowed,
+                       const Moment& aNow)
+{
+  const auto millis = [](Duration aTime) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+  };
+  LogInfo("step_started")
+    .With("step", aCandidate.mKey.ToText())
+    .With("queue", aCandidate.mJob->mRecord.mQueue.mName)
+    .With("tasks", aCandidate.mStep->mTasks.size())
+    .With("waited_ms", millis(aNow.mSteady - *aCandidate.mStep->mReadyAt))
+    .With("slack_ms", millis(aCandidate.mUrgency.mSlack))
+    .With("workers_allowed", aAllowed)
+    .With("workers_asked", aCandidate.mStep->mAdvice.mAsked.size());
+}
+
 void
 Dispatcher::PlaceGang(const Candidate& aCandidate, const Moment& aNow)
 {
@@ -377,6 +399,7 @@
     NoteInVain(*aCandidate.mStep);
     return;
   }
+  LogStarted(aCandidate, allowed.size(), aNow);
   RunNumber number;
   std::string checkpoint;
   for (const Task& task : tasks) {
