Ask about workers in a fixed order for single tasks, so that others stay empty

Cause: all steps asked the policy service about the freest workers, so that single tasks were spread over the empty workers that wide gangs need.

Change: single tasks take workers with room in a fixed order; gangs ask for the freest ones as before.

--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -29,6 +29,8 @@
 constexpr double kShareWeight = 0.05;
 // Chance decides between workers whose free shares differ by less than this.
 constexpr double kSpread = 0.5;
+// The same for workers in their fixed order.
+constexpr double kOrderSpread = 0.1;
 
 Duration
 QueryTime(const AdvicePolicy& aPolicy, std::size_t aWorkers)
@@ -110,8 +112,11 @@
                           const Step& aStep) const
 {
   std::vector<std::pair<double, Worker*>> ranked;
+  const StepSpec& spec = aJob.mRecord.mSpec.mSteps[aKey.mStep];
   const std::uint64_t seed = StableHash(aKey.ToText());
+  double place = 0;
   for (Worker* worker : mUsable) {
+    place += 1.0 / static_cast<double>(mUsable.size());
     if (worker->mEntry.mPool != aJob.mRecord.mQueue.mPool ||
         aStep.mAdvice.IsRefused(worker)) {
       continue;
@@ -123,7 +128,12 @@
       kHashSteps;
     // Those that are allowed come first: their tickets are renewed.
     const double known = aStep.mAdvice.IsApproved(worker) ? 2.0 : 0.0;
-    ranked.emplace_back(known + FreeShare(*worker) + kSpread * chance, worker);
+    // Gangs want empty workers. Single tasks take them in a fixed order, so
+    // that those at its end stay empty.
+    const double room = worker->HasRoomFor(spec.mResources) ? 1.0 : 0.0;
+    const double rank = spec.mGang ? FreeShare(*worker) + kSpread * chance
+                                   : room + 1.0 - place + kOrderSpread * chance;
+    ranked.emplace_back(known + rank, worker);
   }
   std::sort(
     ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
