Keep single tasks with ample slack to a share of the workers while gangs wait

The room that is kept for gangs covers six of them, and only workers that the policy allows.

Change: while an on-time gang has waited for 0.5 s, single tasks with more than 4 s of slack use only the first 45 % of the workers in their fixed order.

--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -20,6 +20,11 @@
 constexpr std::chrono::milliseconds kUnknownRunTime = 1000ms;
 // A worker is used for so long after it has left the registry.
 constexpr std::chrono::milliseconds kUnlistedUsable = 2500ms;
+// While gangs wait for longer than this, single tasks with ample slack keep to
+// a share of the workers.
+constexpr std::chrono::milliseconds kGangWaits = 500ms;
+constexpr std::chrono::milliseconds kAmpleSlack = 4000ms;
+constexpr double kSinglesShare = 0.45;
 // A worker that is slower than expected by this factor is used last.
 constexpr double kSlow = 2.5;
 
@@ -69,6 +74,12 @@
   mReservations.Clear();
   mReservationsMade = 0;
   std::map<QueueName, int> fresh;
+  mGangsWait = std::any_of(
+    candidates.begin(), candidates.end(), [&](const Candidate& aCandidate) {
+      return SpecOf(*aCandidate.mJob, aCandidate.mKey).mGang &&
+             aCandidate.mUrgency.mPunctuality == Punctuality::OnTime &&
+             *aCandidate.mStep->mReadyAt + kGangWaits < mNow;
+    });
   for (const Candidate& candidate : candidates) {
     const QueuePolicy& queue = candidate.mJob->mRecord.mQueue;
     if (queue.mAdvice.has_value() && fresh[queue.mName]++ < kStepsKeptFresh) {
@@ -114,6 +125,10 @@
       mUsable.push_back(&worker);
     }
   }
+  for (std::size_t place = 0; place < mUsable.size(); ++place) {
+    mUsable[place]->mOrder =
+      static_cast<double>(place) / static_cast<double>(mUsable.size());
+  }
 }
 
 std::vector<Dispatcher::Candidate>
@@ -263,6 +278,11 @@
         (worker.mHealth.mOnTrial && !worker.mRuns.empty())) {
       continue;
     }
+    if (mGangsWait && !spec.mGang && worker.mOrder > kSinglesShare &&
+        aCandidate.mUrgency.mSlack > kAmpleSlack) {
+      mHeldBack = true;
+      continue;
+    }
     if (!mReservations.Allows(
           &worker, spec.mResources, mNow + spec.mEstimate)) {
       mHeldBack = true;
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -83,6 +83,7 @@
   ReservationBook mReservations;
   int mReservationsMade = 0;
   // Room that is kept for others has held something back in this try.
+  bool mGangsWait = false;
   bool mHeldBack = false;
   TimePoint mNow;
 };
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -82,6 +82,8 @@
   // Change of the fleet at which it last gained room or could be used again.
   std::uint64_t mGainedAt = 0;
   bool mWasUsable = false;
+  // Its place among the usable ones in their fixed order, 0 to 1.
+  double mOrder = 0;
 
   const WorkerId& Id() const { return mEntry.mId; }
   WorkerTarget Target() const { return { mEntry.mId, mEntry.mAddress }; }
--- a/src/jobs/tests/gang_test.cpp
+++ b/src/jobs/tests/gang_test.cpp
@@ -1,3 +1,4 @@
+#include "framework/stablehash.h"
 #include "jobs/tests/fakecell.h"
 #include "jobs/tests/stories.h"
 
@@ -27,6 +28,59 @@
   return runs;
 }
 
+void
+TellPatientWork(Section& aStory)
+{
+  aStory.Describe("gangs beside work that can wait", [](Section& aSection) {
+    aSection.It("end in time, though that work takes longer than said", [] {
+      FakeCell cell({ .mWorkers = 30 });
+      cell.mPlan = [](const TaskKey& aTask, RunNumber, const WorkerId&) {
+        const bool gang = aTask.mStep.mJob.mValue.starts_with("gang");
+        return RunPlan{ .mDuration = gang ? 600ms : 1500ms };
+      };
+      QueuePolicy patient = MakeQueue();
+      patient.mName = QueueName("patient");
+      patient.mPriority = 2;
+      patient.mStretch = 60;
+      QueuePolicy wide = MakeQueue();
+      wide.mStretch = 8;
+      wide.mAdvice = AdvicePolicy{ .mDecisionTime = 100ms,
+                                   .mTimePerWorker = 2ms,
+                                   .mValidity = 2500ms };
+      patient.mAdvice = AdvicePolicy{ .mDecisionTime = 20ms,
+                                      .mTimePerWorker = 1ms,
+                                      .mValidity = 2500ms };
+      cell.mAllowed = [](const StepKey& aStep, const WorkerId& aWorker) {
+        return StableHash(aStep.mJob.mValue + aWorker.mValue) % 10 < 5;
+      };
+      cell.RunFor(200ms);
+      const auto gangName = [](int aJob) {
+        return "gang" + std::to_string(aJob);
+      };
+      const auto patientName = [](int aJob) {
+        return "patient" + std::to_string(aJob);
+      };
+      for (int job = 0; job < 100; ++job) {
+        cell.Submit(patientName(job),
+                    { .mPayload = "", .mSteps = { MakeStep(6, 1500, 500ms) } },
+                    patient);
+        if (job >= 20 && job < 60 && job % 4 == 0) {
+          cell.Submit(gangName(job), Gang(5, 5500, 600ms), wide);
+        }
+        cell.RunFor(50ms);
+      }
+      for (int job = 20; job < 60; job += 4) {
+        CPPUNIT_ASSERT(cell.StateOf(gangName(job)) == JobState::Completed);
+      }
+      cell.RunFor(30000ms);
+      for (int job = 0; job < 100; ++job) {
+        CPPUNIT_ASSERT(cell.StateOf(patientName(job)) == JobState::Completed);
+      }
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+    });
+  });
+}
+
 } // namespace
 
 void
@@ -99,6 +153,7 @@
         CPPUNIT_ASSERT(cell.mViolations.empty());
       });
     });
+  TellPatientWork(aStory);
 }
 
 } // namespace oriolevane
