Take the store for away by the transaction in flight, not by the last write

The age of the last write runs to twice the round trip when transactions follow each other, and passed the limit in most of each cycle; the smoothed round trip also took several answers to follow.

Change: what counts is how long the transaction in flight has been without an answer, against two round trips (0.7 s to 2.5 s). A submission is refused when it would wait for more than 2.4 s, or when work has waited for more than two transactions. The expected round trip is the newest or the smoothed one, whichever is longer, and a repeated call never comes before one is due.

--- a/src/cellnode/celljournal.h
+++ b/src/cellnode/celljournal.h
@@ -75,6 +75,11 @@
   TimePoint RenewedAt() const { return mRenewedAt; }
   void SetRenewedAt(TimePoint aTime) { mRenewedAt = aTime; }
   std::uint64_t Commits() const { return mCommits; }
+  // How long the transaction in flight has been without an answer.
+  Duration Outstanding(TimePoint aNow) const
+  {
+    return mInFlight.has_value() ? aNow - mFirstSentAt : Duration::zero();
+  }
   // A usual time between sending a transaction and its answer.
   Duration ExpectedWrite() const { return mTimer.Expected(); }
 
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -17,11 +17,13 @@
 constexpr std::chrono::milliseconds kTickEvery = 20ms;
 // Events that come together are handled in one go.
 constexpr std::chrono::milliseconds kTickSoon = 1ms;
-// New work is refused when the store has not answered for so long, or for
-// several usual round trips while it is slow. Callers wait for 3 s.
+// New work is refused when a transaction has had no answer for so long, or for
+// several usual round trips while the store is slow.
 constexpr std::chrono::milliseconds kStoreAway = 700ms;
 constexpr std::chrono::milliseconds kStoreAwayAtMost = 2500ms;
-constexpr int kStoreAwayRoundTrips = 3;
+constexpr int kStoreAwayRoundTrips = 2;
+// Callers wait for 3 s; what takes longer than this is better tried later.
+constexpr std::chrono::milliseconds kLongestWait = 2400ms;
 constexpr std::chrono::milliseconds kRetryWhenStoreAway = 1000ms;
 // Retry of a request that names a configuration this node has not read yet.
 constexpr std::chrono::milliseconds kRetryWhenBehind = 300ms;
@@ -322,10 +324,16 @@
 OwnerSession::CanRecordSoon() const
 {
   const TimePoint now = std::chrono::steady_clock::now();
-  if (StoreAge(now) > StoreAwayAfter()) {
+  const Duration outstanding = mJournal.Outstanding(now);
+  const Duration write = mJournal.ExpectedWrite();
+  if (outstanding > StoreAwayAfter() ||
+      std::max(write - outstanding, Duration::zero()) + write > kLongestWait) {
     return false;
   }
-  return mWaiting.empty() || mWaiting.front().mSince + StoreAwayAfter() > now;
+  // What waits for longer than two transactions shows that more comes than can
+  // be written.
+  return mWaiting.empty() ||
+         mWaiting.front().mSince + 2 * write + kStoreAway > now;
 }
 
 Duration
@@ -460,7 +468,7 @@
                             mOptions.mScheduler.mAuthority);
     mScheduler.Advance(now);
   }
-  if (StoreAge(now.mSteady) > StoreAwayAfter()) {
+  if (mJournal.Outstanding(now.mSteady) > StoreAwayAfter()) {
     RefuseUnwritten();
   }
   const bool waiting = mScheduler.Records().HasWaiting() || mReleasing;
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -87,7 +87,7 @@
               const CallerRequest& aRequest,
               const CallerReply& aReply);
   bool CanRecordSoon() const;
-  // The age of the last write at which the store counts as away.
+  // A transaction without an answer for so long shows that the store is away.
   Duration StoreAwayAfter() const;
   // Refuses the submissions that are in no transaction yet.
   void RefuseUnwritten();
--- a/src/cellnode/internal/responsetimer.cpp
+++ b/src/cellnode/internal/responsetimer.cpp
@@ -18,6 +18,7 @@
 void
 ResponseTimer::OnAnswer(Duration aRoundTrip)
 {
+  mNewest = aRoundTrip;
   if (!mSmoothed.has_value()) {
     mSmoothed = aRoundTrip;
     mDeviation = aRoundTrip / 2;
@@ -36,7 +37,13 @@
       ? std::max(*mSmoothed + kDeviations * mDeviation, mOptions.mShortest)
       : mOptions.mFirst;
   const int doublings = std::clamp(aAttempt - 1, 0, kMostDoublings);
-  return std::min(base * (1 << doublings), mOptions.mLongest);
+  return std::min(base * (1 << doublings), std::max(mOptions.mLongest, base));
+}
+
+Duration
+ResponseTimer::Expected() const
+{
+  return std::max(mSmoothed.value_or(Duration::zero()), mNewest);
 }
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/responsetimer.h
+++ b/src/cellnode/responsetimer.h
@@ -13,6 +13,7 @@
   // Until there is an answer.
   Duration mFirst = std::chrono::milliseconds(350);
   Duration mShortest = std::chrono::milliseconds(100);
+  // Of repeated calls, unless the first one takes longer.
   Duration mLongest = std::chrono::milliseconds(2000);
 };
 
@@ -29,12 +30,14 @@
   void OnAnswer(Duration aRoundTrip);
   // When a call that was made for the aAttempt-th time, from 1, is late.
   Duration Timeout(int aAttempt) const;
-  // A usual round trip; zero until there is an answer.
-  Duration Expected() const { return mSmoothed.value_or(Duration::zero()); }
+  // The next round trip, as the smoothed and the newest ones make it likely;
+  // zero until there is an answer.
+  Duration Expected() const;
 
 private:
   ResponseTimerOptions mOptions;
   std::optional<Duration> mSmoothed;
+  Duration mNewest{};
   Duration mDeviation{};
 };
 
--- a/src/cellnode/tests/celljournal_test.cpp
+++ b/src/cellnode/tests/celljournal_test.cpp
@@ -171,6 +171,15 @@
       CPPUNIT_ASSERT(bench.mRecorded == position);
       CPPUNIT_ASSERT(bench.mSent[2].mConditions[0].mVersion == RowVersion(11));
     });
+    aSection.It("is outstanding from its first call to an answer", [] {
+      Bench bench;
+      bench.Mark("job");
+      bench.SendNext();
+      bench.Pass(400ms);
+      CPPUNIT_ASSERT(bench.mJournal.Outstanding(bench.mNow) == 400ms);
+      bench.mDone[1](Applied(11));
+      CPPUNIT_ASSERT(bench.mJournal.Outstanding(bench.mNow) == 0ms);
+    });
     aSection.It("is awaited longer once the store is known to be slow", [] {
       Bench bench;
       for (int turn = 0; turn < 8; ++turn) {
--- a/src/cellnode/tests/responsetimer_test.cpp
+++ b/src/cellnode/tests/responsetimer_test.cpp
@@ -40,6 +40,15 @@
     timer.OnAnswer(600ms);
     CPPUNIT_ASSERT(timer.Timeout(1) > 600ms);
   });
+  aStory.It("never waits less than a slow store takes",
+            [] { CPPUNIT_ASSERT(AfterMany(3000ms).Timeout(1) >= 3000ms); });
+  aStory.It("expects a slow answer again as soon as there was one", [] {
+    ResponseTimer timer = AfterMany(5ms);
+    timer.OnAnswer(1500ms);
+    CPPUNIT_ASSERT(timer.Expected() == 1500ms);
+    timer.OnAnswer(5ms);
+    CPPUNIT_ASSERT(timer.Expected() < 300ms);
+  });
   aStory.It("comes back down when the store is quick again", [] {
     ResponseTimer timer = AfterMany(600ms);
     for (int answer = 0; answer < 40; ++answer) {
