Serve counters and latency histograms of a node

Cause: the metrics address had gauges only; the users ask for counters and latency histograms.

Change: answers by kind, ownerships, and a histogram for each stage: answer, record, advice, queue, job. Labels are fixed, so that their number is bounded.

--- a/src/cellnode/celljournal.h
+++ b/src/cellnode/celljournal.h
@@ -51,6 +51,8 @@
   // Another node owns the shard.
   std::function<void()> mOnLost;
   std::function<TimePoint()> mNow;
+  // A transaction took so long, from its first call to the answer.
+  std::function<void(Duration)> mOnWritten;
 };
 
 // Single-threaded; the owner calls Tick() every few milliseconds.
--- a/src/cellnode/cellnode.cpp
+++ b/src/cellnode/cellnode.cpp
@@ -51,4 +51,10 @@
   return mImpl->Status();
 }
 
+const NodeMetrics&
+CellNode::Metrics() const
+{
+  return mImpl->Metrics();
+}
+
 } // namespace oriolevane::cellnode
--- a/src/cellnode/cellnode.h
+++ b/src/cellnode/cellnode.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "absl/status/status.h"
+#include "cellnode/nodemetrics.h"
 #include "cellnode/types/caller.h"
 #include "cellnode/types/nodehooks.h"
 #include "eventloop/eventloop.h"
@@ -43,6 +44,7 @@
   // called when the process can end.
   void Stop(std::function<void()> aDone);
   NodeStatus Status() const;
+  const NodeMetrics& Metrics() const;
 
 private:
   class Impl;
--- a/src/cellnode/internal/celljournal.cpp
+++ b/src/cellnode/internal/celljournal.cpp
@@ -223,6 +223,7 @@
     .With("sequence", mOwner.mSequence)
     .With("row_version", aVersion);
   mOwnerVersion = aVersion;
+  mHooks.mOnWritten(mHooks.mNow() - mFirstSentAt);
   mReleased = mOwner.mReleased;
   mInFlight.reset();
   mRenewedAt = aSentAt;
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -191,6 +191,7 @@
   LogInfo("owning")
     .With("epoch", aShard.mRow.mEpoch)
     .With("row_version", aShard.mVersion);
+  mMetrics.CountOwnership();
   mEpoch = aShard.mRow.mEpoch;
   mPredecessor = aShard.mPredecessor;
   mOwner = NodeId();
@@ -205,15 +206,17 @@
     aShard.mRow,
     aShard.mVersion,
     aShard.mSince,
-    OwnerSessionHooks{ .mOnLost = [this] { EndSession("lost"); },
-                       .mOnServing = [this] { SayHello(); },
-                       .mOnReleased = [this] { OnReleased(); },
-                       .mSendAdviceQuery =
-                         [this](const NodeId& aNode,
-                                QueryId aId,
-                                const jobs::AdviceQuery& aQuery) {
-                           SendQuery(aNode, aId, aQuery);
-                         } });
+    OwnerSessionHooks{
+      .mOnLost = [this] { EndSession("lost"); },
+      .mOnServing = [this] { SayHello(); },
+      .mOnReleased = [this] { OnReleased(); },
+      .mOnStage = [this](Stage aStage,
+                         Duration aTime) { mMetrics.Observe(aStage, aTime); },
+      .mSendAdviceQuery =
+        [this](
+          const NodeId& aNode, QueryId aId, const jobs::AdviceQuery& aQuery) {
+          SendQuery(aNode, aId, aQuery);
+        } });
   for (const NodeId& node : mPeers.Nodes()) {
     mSession->AddAsker(node);
   }
@@ -493,22 +496,37 @@
                           const jobs::AdviceQuery& aQuery)
 {
   if (aNode == mOptions.mNode) {
-    mUpstreams.mAdvise(
-      aQuery, [this, alive = mAlive, aId](const jobs::AdviceAnswer& aAnswer) {
-        if (*alive && mSession != nullptr) {
-          mSession->OnAdvice(aId, aAnswer);
-        }
-      });
+    Advise(aQuery,
+           [this, alive = mAlive, aId](const jobs::AdviceAnswer& aAnswer) {
+             if (*alive && mSession != nullptr) {
+               mSession->OnAdvice(aId, aAnswer);
+             }
+           });
     return;
   }
   mPeers.Send(aNode, ToWire(aId.mValue, aQuery));
 }
 
+void
+CellNode::Impl::Advise(const jobs::AdviceQuery& aQuery,
+                       std::function<void(const jobs::AdviceAnswer&)> aDone)
+{
+  mUpstreams.mAdvise(
+    aQuery,
+    [this, alive = mAlive, sentAt = Now(), done = std::move(aDone)](
+      const jobs::AdviceAnswer& aAnswer) {
+      if (*alive) {
+        mMetrics.Observe(Stage::Advice, Now() - sentAt);
+        done(aAnswer);
+      }
+    });
+}
+
 void
 CellNode::Impl::OnPeerQuery(const NodeId& aNode,
                             const cellwire::AdviceQueryT& aQuery)
 {
-  mUpstreams.mAdvise(
+  Advise(
     FromWire(aQuery),
     [this, alive = mAlive, aNode, aQuery](const jobs::AdviceAnswer& aAnswer) {
       if (*alive) {
@@ -531,7 +549,14 @@
   if (mConfiguration.has_value()) {
     aRequest.mVersion = mConfiguration->mVersion;
   }
-  SendCall(mCalls.Add(std::move(aRequest), std::move(aReply), Now()));
+  const TimePoint arrived = Now();
+  CallerReply reply =
+    [this, arrived, inner = std::move(aReply)](const CallerAnswer& aAnswer) {
+      mMetrics.Observe(Stage::Answer, Now() - arrived);
+      mMetrics.CountAnswer(aAnswer.mKind);
+      inner(aAnswer);
+    };
+  SendCall(mCalls.Add(std::move(aRequest), std::move(reply), arrived));
 }
 
 void
--- a/src/cellnode/internal/cellnodeimpl.h
+++ b/src/cellnode/internal/cellnodeimpl.h
@@ -29,6 +29,7 @@
   bool IsReady() const;
   void Stop(std::function<void()> aDone);
   NodeStatus Status() const;
+  const NodeMetrics& Metrics() const { return mMetrics; }
 
 private:
   // Ownership.
@@ -67,7 +68,11 @@
 
   void OnConfiguration(const Row& aRow);
 
+  void Advise(const jobs::AdviceQuery& aQuery,
+              std::function<void(const jobs::AdviceAnswer&)> aDone);
+
   eventloop::EventLoop& mLoop;
+  NodeMetrics mMetrics;
   NodeOptions mOptions;
   RowStoreHooks mStore;
   UpstreamHooks mUpstreams;
--- a/src/cellnode/internal/metricstext.cpp
+++ b/src/cellnode/internal/metricstext.cpp
@@ -1,5 +1,6 @@
 #include "cellnode/metricstext.h"
 
+#include <utility>
 #include <vector>
 
 #include <prometheus/metric_family.h>
@@ -24,11 +25,11 @@
 } // namespace
 
 std::string
-MetricsText(const NodeStatus& aStatus)
+MetricsText(const NodeStatus& aStatus, const NodeMetrics& aMetrics)
 {
   const auto number = [](auto aCount) { return static_cast<double>(aCount); };
   const std::chrono::duration<double> storeAge = aStatus.mStoreAge;
-  const std::vector<prometheus::MetricFamily> families{
+  std::vector<prometheus::MetricFamily> families{
     Gauge("owns_shard",
           "1 while this node owns the shard",
           aStatus.mOwnsShard ? 1 : 0),
@@ -55,6 +56,9 @@
           "time since the owner's last write to the store",
           storeAge.count())
   };
+  for (prometheus::MetricFamily& family : aMetrics.Collect()) {
+    families.push_back(std::move(family));
+  }
   return prometheus::TextSerializer().Serialize(families);
 }
 
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -79,7 +79,9 @@
         .mOnRecorded =
           [this](jobs::RecordPosition aPosition) { OnRecorded(aPosition); },
         .mOnLost = [this] { mHooks.mOnLost(); },
-        .mNow = [] { return std::chrono::steady_clock::now(); } })
+        .mNow = [] { return std::chrono::steady_clock::now(); },
+        .mOnWritten =
+          [this](Duration aTime) { mHooks.mOnStage(Stage::Record, aTime); } })
   , mWorkerWatch(aLoop,
                  aStore,
                  { .mTable = aFormats.mWorkerTable,
@@ -168,7 +170,10 @@
         LogWarning("worker_fenced_us")
           .With("worker", aWorker)
           .With("epoch", mOwner.mEpoch);
-      }
+      },
+    .mOnStepStarted =
+      [this](Duration aWaited) { mHooks.mOnStage(Stage::Queue, aWaited); },
+    .mOnJobClosed = [this](Duration aAge) { mHooks.mOnStage(Stage::Job, aAge); }
   };
 }
 
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -13,6 +13,7 @@
 #include "cellnode/celljournal.h"
 #include "cellnode/internal/cellloader.h"
 #include "cellnode/internal/tablewatch.h"
+#include "cellnode/nodemetrics.h"
 #include "cellnode/types/caller.h"
 #include "cellnode/types/nodehooks.h"
 #include "eventloop/eventloop.h"
@@ -28,6 +29,8 @@
   std::function<void()> mOnServing;
   // All is written and another node may take over.
   std::function<void()> mOnReleased;
+  // Something of the owner's work took so long.
+  std::function<void(Stage, Duration)> mOnStage;
   // Lets a node ask the policy service.
   std::function<void(const NodeId&, QueryId, const jobs::AdviceQuery&)>
     mSendAdviceQuery;
--- a/src/cellnode/metricstext.h
+++ b/src/cellnode/metricstext.h
@@ -8,6 +8,6 @@
 namespace oriolevane::cellnode {
 
 std::string
-MetricsText(const NodeStatus& aStatus);
+MetricsText(const NodeStatus& aStatus, const NodeMetrics& aMetrics);
 
 } // namespace oriolevane::cellnode
--- /dev/null
+++ b/src/cellnode/nodemetrics.h
@@ -0,0 +1,55 @@
+// Counters and latency histograms of a node, for Prometheus.
+#pragma once
+
+#include <array>
+#include <memory>
+#include <vector>
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include "cellnode/types/caller.h"
+#include "framework/types/timepoint.h"
+
+namespace oriolevane::cellnode {
+
+// What a node takes time for; each has a histogram.
+enum class Stage
+{
+  // From a caller's request to its answer, at the node that took it.
+  Answer,
+  // A transaction of the journal, from its first call to the answer.
+  Record,
+  // A query to the policy service, at the node that makes it.
+  Advice,
+  // From when a step could start to its first start, at the owner.
+  Queue,
+  // From a job's acceptance to its end, at the owner.
+  Job,
+  Count
+};
+
+class NodeMetrics
+{
+public:
+  NodeMetrics();
+
+  void Observe(Stage aStage, Duration aTime);
+  void CountAnswer(CallerAnswerKind aKind);
+  // The node has begun to own the shard.
+  void CountOwnership() { mOwnerships->Increment(); }
+  std::vector<prometheus::MetricFamily> Collect() const;
+
+private:
+  static constexpr std::size_t kStages = static_cast<std::size_t>(Stage::Count);
+  static constexpr std::size_t kAnswerKinds =
+    static_cast<std::size_t>(CallerAnswerKind::Undetermined) + 1;
+
+  prometheus::Registry mRegistry;
+  std::array<prometheus::Histogram*, kStages> mStages{};
+  std::array<prometheus::Counter*, kAnswerKinds> mAnswers{};
+  prometheus::Counter* mOwnerships = nullptr;
+};
+
+} // namespace oriolevane::cellnode
--- a/src/cellnode/tests/celljournal_test.cpp
+++ b/src/cellnode/tests/celljournal_test.cpp
@@ -47,7 +47,8 @@
           .mOnRecorded =
             [this](jobs::RecordPosition aPosition) { mRecorded = aPosition; },
           .mOnLost = [this] { mLost = true; },
-          .mNow = [this] { return mNow; } })
+          .mNow = [this] { return mNow; },
+          .mOnWritten = [](Duration) {} })
   {
     mJournal.SetRenewedAt(mNow);
   }
--- a/src/cellnode/tests/metricstext_test.cpp
+++ b/src/cellnode/tests/metricstext_test.cpp
@@ -16,7 +16,8 @@
       const std::string text = MetricsText({ .mOwnsShard = true,
                                              .mEpoch = Epoch(7),
                                              .mCounts = { .mOpenJobs = 3 },
-                                             .mStoreAge = 1500ms });
+                                             .mStoreAge = 1500ms },
+                                           NodeMetrics());
       for (const char* line : { "oriolevane_owns_shard 1",
                                 "oriolevane_epoch 7",
                                 "oriolevane_open_jobs 3",
@@ -25,6 +26,26 @@
       }
     });
   });
+  aStory.Describe("the metrics of a node", [](Section& aSection) {
+    aSection.It("count answers by kind and times by stage", [] {
+      NodeMetrics metrics;
+      metrics.CountAnswer(CallerAnswerKind::Refused);
+      metrics.CountOwnership();
+      metrics.Observe(Stage::Record, 14ms);
+      metrics.Observe(Stage::Job, 60s);
+      const std::string text = MetricsText({}, metrics);
+      for (const char* line :
+           { "oriolevane_answers_total{kind=\"refused\"} 1",
+             "oriolevane_answers_total{kind=\"accepted\"} 0",
+             "oriolevane_ownerships_total 1",
+             "oriolevane_stage_seconds_bucket{stage=\"record\",le=\"0.005\"} 0",
+             "oriolevane_stage_seconds_bucket{stage=\"record\",le=\"0.02\"} 1",
+             "oriolevane_stage_seconds_bucket{stage=\"job\",le=\"30\"} 0",
+             "oriolevane_stage_seconds_count{stage=\"job\"} 1" }) {
+        CPPUNIT_ASSERT_MESSAGE(line, text.find(line) != std::string::npos);
+      }
+    });
+  });
 }
 
 } // namespace oriolevane
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -365,7 +365,7 @@
       return;
     }
     if (!aCandidate.mStep->HasRuns() && aCandidate.mStep->mSucceeded == 0) {
-      LogStarted(aCandidate, allowed.size(), aNow);
+      NoteStarted(aCandidate, allowed.size(), aNow);
     }
     StartOn(aCandidate,
             static_cast<int>(index),
@@ -376,20 +376,22 @@
   }
 }
 
-// One line for the first start of each step.
+// For the first start of each step.
 void
-Dispatcher::LogStarted(const Candidate& aCandidate,
-                       std::size_t aAllowed,
-                       const Moment& aNow)
+Dispatcher::NoteStarted(const Candidate& aCandidate,
+                        std::size_t aAllowed,
+                        const Moment& aNow) const
 {
   const auto millis = [](Duration aTime) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
   };
+  const Duration waited = aNow.mSteady - *aCandidate.mStep->mReadyAt;
+  mCell.mHooks.mOnStepStarted(waited);
   LogInfo("step_started")
     .With("step", aCandidate.mKey.ToText())
     .With("queue", aCandidate.mJob->mRecord.mQueue.mName)
     .With("tasks", aCandidate.mStep->mTasks.size())
-    .With("waited_ms", millis(aNow.mSteady - *aCandidate.mStep->mReadyAt))
+    .With("waited_ms", millis(waited))
     .With("slack_ms", millis(aCandidate.mUrgency.mSlack))
     .With("workers_allowed", aAllowed)
     .With("workers_asked", aCandidate.mStep->mAdvice.mAsked.size());
@@ -419,7 +421,7 @@
     NoteInVain(*aCandidate.mStep);
     return;
   }
-  LogStarted(aCandidate, allowed.size(), aNow);
+  NoteStarted(aCandidate, allowed.size(), aNow);
   RunNumber number;
   std::string checkpoint;
   for (const Task& task : tasks) {
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -50,9 +50,9 @@
   // False when nothing has changed since a start was tried in vain.
   bool IsWorthTrying(const Candidate& aCandidate) const;
   void PlaceEach(const Candidate& aCandidate, const Moment& aNow);
-  static void LogStarted(const Candidate& aCandidate,
-                         std::size_t aAllowed,
-                         const Moment& aNow);
+  void NoteStarted(const Candidate& aCandidate,
+                   std::size_t aAllowed,
+                   const Moment& aNow) const;
   void PlaceGang(const Candidate& aCandidate, const Moment& aNow);
   std::vector<Place> AllowedPlaces(const Candidate& aCandidate,
                                    TimePoint aNow) const;
--- a/src/jobs/internal/outcomes.cpp
+++ b/src/jobs/internal/outcomes.cpp
@@ -202,6 +202,7 @@
 RecordPosition
 Outcomes::CloseJob(Job& aJob, JobState aState, const Moment& aNow)
 {
+  mCell.mHooks.mOnJobClosed(aNow.mSteady - aJob.mAcceptedAt);
   LogInfo("job_closed")
     .With("job", aJob.Id())
     .With("state", jobs::ToText(aState))
--- a/src/jobs/types/scheduleroptions.h
+++ b/src/jobs/types/scheduleroptions.h
@@ -44,6 +44,10 @@
   std::function<void(const AdviceQuery&)> mAskAdvice;
   // A worker has seen a token of a later owner.
   std::function<void(const WorkerId&)> mOnFenced;
+  // A step started, after it could have for so long.
+  std::function<void(Duration)> mOnStepStarted = [](Duration) {};
+  // A job ended, so long after it was accepted.
+  std::function<void(Duration)> mOnJobClosed = [](Duration) {};
 };
 
 } // namespace oriolevane::jobs
