Start a job only when its latest submission is recorded

A submission that was refused while the store was slow is withdrawn, but its entry in the list of jobs that wait to be recorded stayed. When the caller submitted the same id again and the position of the first submission was written, the job opened before its own record was. It ran, its end was reported to the next owner, which knew no such job and confirmed it, and the caller's third submission ran it again.

Change: an entry opens its job only when the job's own position is recorded.

Test: a job that is withdrawn and submitted again while another record is being written; red before.

--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -307,7 +307,9 @@
   while (!mToOpen.empty() && mToOpen.front().first <= recorded) {
     Job* job = mCell.mJobs.Find(mToOpen.front().second);
     mToOpen.pop_front();
-    if (job == nullptr || job->mPhase != JobPhase::Recording) {
+    // An entry of a submission that was withdrawn says nothing of a later one.
+    if (job == nullptr || job->mPhase != JobPhase::Recording ||
+        job->mRecordedBy > recorded) {
       continue;
     }
     job->mPhase = JobPhase::Open;
--- a/src/jobs/tests/recordlog_test.cpp
+++ b/src/jobs/tests/recordlog_test.cpp
@@ -47,6 +47,36 @@
       CPPUNIT_ASSERT(log.HasWaiting());
     });
   });
+  aStory.Describe(
+    "a job that is withdrawn and submitted again", [](Section& aSection) {
+      aSection.It("starts only once its second submission is recorded", [] {
+        CellScheduler scheduler({ .mEpoch = Epoch(1) },
+                                { .mStart = [](const StartOrder&) {},
+                                  .mStop = [](const StopOrder&) {},
+                                  .mPoll = [](const PollOrder&) {},
+                                  .mAskAdvice = [](const AdviceQuery&) {},
+                                  .mOnFenced = [](const WorkerId&) {} });
+        const Moment now{ .mSteady = TimePoint(1000s), .mUnix = 1000s };
+        const QueuePolicy queue = MakeQueue();
+        const JobSpec spec{ .mPayload = "",
+                            .mSteps = { MakeStep(1, 1000, 100ms) } };
+        const auto writeBatch = [&] {
+          scheduler.Records().TakeBatch(10);
+          scheduler.OnRecorded(scheduler.Records().Confirm(), now);
+          scheduler.Advance(now);
+        };
+        scheduler.Submit(JobId("again"), queue, spec, now);
+        scheduler.Submit(JobId("other"), queue, spec, now);
+        CPPUNIT_ASSERT(scheduler.Withdraw(JobId("again")));
+        scheduler.Records().TakeBatch(10);
+        scheduler.Submit(JobId("again"), queue, spec, now);
+        scheduler.OnRecorded(scheduler.Records().Confirm(), now);
+        scheduler.Advance(now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, scheduler.Waiting(queue.mName));
+        writeBatch();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, scheduler.Waiting(queue.mName));
+      });
+    });
   aStory.Describe(
     "a job that ends while the store is slow", [](Section& aSection) {
       aSection.It("keeps its progress until its final state is recorded", [] {
