Mark the states in which the model of runs may rest

model/check takes a state from which nothing goes on for an error, and so called the model broken: once orders and tokens are used up it rests.

--- a/model/runs.pml
+++ b/model/runs.pml
@@ -83,6 +83,7 @@
 
 active proctype Worker() {
   byte each;
+end:
   do
   :: d_step { up && life < MAX_LIVES ->
        up = false; runsHere = false; tokenSeen = 0;
@@ -132,6 +133,7 @@
 byte pollToken;
 
 active proctype Owner() {
+end:
   do
   :: atomic { state == Absent && resolved && !runsThere && orders < MAX_ORDERS ->
        state = Ordered; SendOrder() }
@@ -166,5 +168,6 @@
 }
 
 active proctype Monitor() {
+end:
   atomic { runsHere && runsThere -> assert(false) }
 }
