--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -31,6 +31,12 @@
   return step;
 }
 
+JobSpec
+Single(const StepSpec& aStep)
+{
+  return { .mPayload = "payload", .mSteps = { aStep } };
+}
+
 QueuePolicy
 MakeQueue(int aAttempts)
 {
--- a/src/jobs/tests/fakecell.h
+++ b/src/jobs/tests/fakecell.h
@@ -128,6 +128,10 @@
   std::map<TaskKey, std::set<RunNumber>> mConfirmedFailures;
 };
 
+// A job of one step.
+JobSpec
+Single(const StepSpec& aStep);
+
 // A step of so many tasks.
 StepSpec
 MakeStep(int aCount, std::int64_t aMilliCores, Millis aEstimate);
--- a/src/jobs/tests/joblife_test.cpp
+++ b/src/jobs/tests/joblife_test.cpp
@@ -9,12 +9,6 @@
 
 namespace {
 
-JobSpec
-Single(const StepSpec& aStep)
-{
-  return { .mPayload = "payload", .mSteps = { aStep } };
-}
-
 TaskKey
 KeyOf(const std::string& aJob, int aStep, int aIndex)
 {
--- a/src/jobs/tests/takeover_test.cpp
+++ b/src/jobs/tests/takeover_test.cpp
@@ -9,12 +9,6 @@
 
 namespace {
 
-JobSpec
-Single(const StepSpec& aStep)
-{
-  return { .mPayload = "payload", .mSteps = { aStep } };
-}
-
 const TaskKey kFirstTask{ .mStep = { .mJob = JobId("job") } };
 
 void
--- a/src/jobs/tests/workertrouble_test.cpp
+++ b/src/jobs/tests/workertrouble_test.cpp
@@ -11,12 +11,6 @@
 
 namespace {
 
-JobSpec
-Single(const StepSpec& aStep)
-{
-  return { .mPayload = "payload", .mSteps = { aStep } };
-}
-
 void
 TellCrash(Section& aStory)
 {
