Match answers to the sending of a request, not to the node that answers

Answers had been matched by the node that a request was last sent to; when a node loses the shard and takes it again, a refusal of its earlier term is still taken for the answer of the later one, which may have accepted the job. A second hole: an owner that reads an older configuration than the node that took the request refused it without a look at whether an earlier owner had accepted that job. Ruled out by reading: refusals of submissions that are in no transaction (withdrawn first), an owner that has not loaded (requests wait), refusals after a takeover (the earlier owner's transaction is fenced).

Change: each sending has its own number and only the newest is answered; a known job is never refused for the configuration's age.

Tests: "does not reach a caller whose request went on to owner" (the same node in a later term) failed before by its nature and passes; 52 stories of the node's parts pass.

--- a/src/cellnode/internal/callerqueue.cpp
+++ b/src/cellnode/internal/callerqueue.cpp
@@ -55,7 +55,7 @@
     answers.emplace_back(id, AnswerWithoutOwner(call));
   }
   for (const auto& [id, answer] : answers) {
-    Answer(id, answer);
+    Finish(id, answer);
   }
 }
 
@@ -77,39 +77,47 @@
   return found == mCalls.end() ? nullptr : &found->second.mRequest;
 }
 
-void
-CallerQueue::MarkSent(CallId aId, const NodeId& aTo)
+SendId
+CallerQueue::NextSend()
 {
-  const auto found = mCalls.find(aId);
-  if (found != mCalls.end()) {
-    found->second.mSent = true;
-    found->second.mSentTo = aTo;
-    found->second.mEverSent = true;
-  }
+  ++mLastSend.mValue;
+  return mLastSend;
 }
 
 void
-CallerQueue::AnswerFrom(const NodeId& aFrom,
-                        CallId aId,
-                        const CallerAnswer& aAnswer)
+CallerQueue::MarkSent(CallId aId, SendId aSend, const NodeId& aTo)
 {
   const auto found = mCalls.find(aId);
   if (found == mCalls.end()) {
     return;
   }
-  if (found->second.mSentTo != aFrom) {
-    LogInfo("answer_of_earlier_owner")
-      .With("path", found->second.mRequest.mPath)
-      .With("from", aFrom)
-      .With("sent_to", found->second.mSentTo)
+  Call& call = found->second;
+  LogDebug("call_sent")
+    .With("path", call.mRequest.mPath)
+    .With("send", aSend)
+    .With("to", aTo);
+  mSends.erase(call.mSend);
+  mSends.emplace(aSend, aId);
+  call.mSend = aSend;
+  call.mSent = true;
+  call.mEverSent = true;
+}
+
+void
+CallerQueue::Answer(SendId aSend, const CallerAnswer& aAnswer)
+{
+  const auto found = mSends.find(aSend);
+  if (found == mSends.end()) {
+    LogDebug("answer_of_earlier_owner")
+      .With("send", aSend)
       .With("kind", static_cast<int>(aAnswer.mKind));
     return;
   }
-  Answer(aId, aAnswer);
+  Finish(found->second, aAnswer);
 }
 
 void
-CallerQueue::Answer(CallId aId, const CallerAnswer& aAnswer)
+CallerQueue::Finish(CallId aId, const CallerAnswer& aAnswer)
 {
   const auto found = mCalls.find(aId);
   if (found == mCalls.end()) {
@@ -117,6 +125,7 @@
   }
   LogAnswer(found->second.mRequest, aAnswer);
   const CallerReply reply = std::move(found->second.mReply);
+  mSends.erase(found->second.mSend);
   mCalls.erase(found);
   reply(aAnswer);
 }
@@ -155,7 +164,7 @@
     }
   }
   for (const auto& [id, answer] : answers) {
-    Answer(id, answer);
+    Finish(id, answer);
   }
 }
 
--- a/src/cellnode/internal/callerqueue.h
+++ b/src/cellnode/internal/callerqueue.h
@@ -14,6 +14,8 @@
 namespace oriolevane::cellnode {
 
 using CallId = NumberId<struct CallIdTag, std::uint64_t>;
+// One sending of a call; a call that is sent again has another.
+using SendId = NumberId<struct SendIdTag, std::uint64_t>;
 
 // Deterministic. Requests go to the owner of the shard; all of them can be sent
 // again to the next one.
@@ -22,11 +24,13 @@
 public:
   CallId Add(CallerRequest aRequest, CallerReply aReply, TimePoint aNow);
   const CallerRequest* Find(CallId aId) const;
+  // The number for the next sending.
+  SendId NextSend();
   // The request is on its way to a node that owns the shard.
-  void MarkSent(CallId aId, const NodeId& aTo);
-  // Takes an answer only from the node that the request was last sent to: what
-  // an earlier owner refuses, the next one may have accepted.
-  void AnswerFrom(const NodeId& aFrom, CallId aId, const CallerAnswer& aAnswer);
+  void MarkSent(CallId aId, SendId aSend, const NodeId& aTo);
+  // Takes an answer only to the newest sending of a request: what an earlier
+  // owner refuses, the next one may have accepted, and both may be one node.
+  void Answer(SendId aSend, const CallerAnswer& aAnswer);
   // The owner is gone: what was sent to it can be sent again.
   void MarkAllUnsent();
   // Those that are not on their way, oldest first.
@@ -44,16 +48,19 @@
     CallerReply mReply;
     TimePoint mArrivedAt;
     bool mSent = false;
-    NodeId mSentTo;
+    SendId mSend;
     // An owner may have taken it in.
     bool mEverSent = false;
   };
 
-  void Answer(CallId aId, const CallerAnswer& aAnswer);
+  void Finish(CallId aId, const CallerAnswer& aAnswer);
   static CallerAnswer AnswerWithoutOwner(const Call& aCall);
 
   std::map<CallId, Call> mCalls;
+  // Newest sendings of calls.
+  std::map<SendId, CallId> mSends;
   CallId mLastId;
+  SendId mLastSend;
 };
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -439,7 +439,7 @@
       break;
     case cellwire::Body::CallerAnswer: {
       const cellwire::CallerAnswerT& answer = *aMessage.body.AsCallerAnswer();
-      mCalls.AnswerFrom(aNode, CallId(answer.id), FromWire(answer));
+      mCalls.Answer(SendId(answer.id), FromWire(answer));
       break;
     }
     case cellwire::Body::AdviceQuery:
@@ -566,13 +566,14 @@
   if (request == nullptr) {
     return;
   }
+  const SendId send = mCalls.NextSend();
   if (mSession != nullptr) {
     const CallerRequest copy = *request;
-    mCalls.MarkSent(aId, mOptions.mNode);
+    mCalls.MarkSent(aId, send, mOptions.mNode);
     mSession->Serve(copy,
-                    [this, alive = mAlive, aId](const CallerAnswer& aAnswer) {
+                    [this, alive = mAlive, send](const CallerAnswer& aAnswer) {
                       if (*alive) {
-                        mCalls.AnswerFrom(mOptions.mNode, aId, aAnswer);
+                        mCalls.Answer(send, aAnswer);
                       }
                     });
     return;
@@ -580,8 +581,8 @@
   if (mOwner.Empty()) {
     return;
   }
-  if (mPeers.Send(mOwner, ToWire(aId.mValue, *request))) {
-    mCalls.MarkSent(aId, mOwner);
+  if (mPeers.Send(mOwner, ToWire(send.mValue, *request))) {
+    mCalls.MarkSent(aId, send, mOwner);
   }
 }
 
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -41,6 +41,12 @@
   return aOptions;
 }
 
+std::string
+LastSegment(const std::string& aPath)
+{
+  return aPath.substr(aPath.rfind('/') + 1);
+}
+
 } // namespace
 
 OwnerSession::OwnerSession(eventloop::EventLoop& aLoop,
@@ -252,7 +258,10 @@
     return;
   }
   const jobs::CellConfiguration& configuration = mScheduler.Configuration();
-  if (aRequest.mVersion > configuration.mVersion) {
+  // A job that an earlier owner has accepted is not refused.
+  const bool known =
+    mScheduler.Find(jobs::JobId(LastSegment(aRequest.mPath))).has_value();
+  if (aRequest.mVersion > configuration.mVersion && !known) {
     aReply({ .mKind = CallerAnswerKind::Refused,
              .mRetryAfter = kRetryWhenBehind,
              .mMessage = "the configuration is being read" });
@@ -261,7 +270,12 @@
   const QueueMatch match =
     MatchQueue(configuration, aRequest.mHost, aRequest.mPath);
   if (aRequest.mVerb == CallerVerb::Submit) {
-    if (match.mQueue == nullptr) {
+    if (match.mQueue == nullptr && known &&
+        aRequest.mVersion > configuration.mVersion) {
+      // The queue is newer than the configuration here.
+      aReply({ .mKind = CallerAnswerKind::Undetermined,
+               .mMessage = "the configuration is being read" });
+    } else if (match.mQueue == nullptr) {
       aReply({ .mKind = CallerAnswerKind::UnknownQueue });
     } else if (!IsJobId(match.mRest)) {
       aReply({ .mKind = CallerAnswerKind::Malformed,
@@ -273,9 +287,7 @@
   }
   // Jobs outlive their queue; callers then still ask by the old path.
   const std::string rest =
-    match.mQueue != nullptr
-      ? match.mRest
-      : aRequest.mPath.substr(aRequest.mPath.rfind('/') + 1);
+    match.mQueue != nullptr ? match.mRest : LastSegment(aRequest.mPath);
   if (match.mQueue == nullptr && !IsJobId(rest)) {
     aReply({ .mKind = CallerAnswerKind::UnknownQueue });
     return;
--- a/src/cellnode/tests/callerqueue_test.cpp
+++ b/src/cellnode/tests/callerqueue_test.cpp
@@ -27,6 +27,12 @@
       },
       kBegin);
   }
+  SendId Send(CallId aId, const NodeId& aTo)
+  {
+    const SendId send = mQueue.NextSend();
+    mQueue.MarkSent(aId, send, aTo);
+    return send;
+  }
 };
 
 } // namespace
@@ -49,7 +55,7 @@
       aSection.It("is never refused, also when the owner is gone", [] {
         Bench bench;
         const CallId id = bench.Add(CallerVerb::Submit);
-        bench.mQueue.MarkSent(id, kOwner);
+        bench.Send(id, kOwner);
         bench.mQueue.MarkAllUnsent();
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, bench.mQueue.Unsent().size());
         bench.mQueue.Expire(kBegin + 400ms);
@@ -61,36 +67,37 @@
   aStory.Describe("a question", [](Section& aSection) {
     aSection.It("can be refused at any time, as it changes nothing", [] {
       Bench bench;
-      bench.mQueue.MarkSent(bench.Add(CallerVerb::Ask), kOwner);
+      bench.Send(bench.Add(CallerVerb::Ask), kOwner);
       bench.mQueue.AnswerAll();
       CPPUNIT_ASSERT(bench.mAnswers.at(0) == CallerAnswerKind::Refused);
     });
   });
   aStory.Describe(
     "a refusal by an owner that has been replaced", [](Section& aSection) {
-      aSection.It("does not reach a caller whose request went on", [] {
-        Bench bench;
-        const CallId id = bench.Add(CallerVerb::Submit);
-        bench.mQueue.MarkSent(id, kOwner);
-        bench.mQueue.MarkAllUnsent();
-        bench.mQueue.MarkSent(id, kNextOwner);
-        bench.mQueue.AnswerFrom(
-          kOwner, id, { .mKind = CallerAnswerKind::Refused });
-        CPPUNIT_ASSERT(bench.mAnswers.empty());
-        bench.mQueue.AnswerFrom(
-          kNextOwner, id, { .mKind = CallerAnswerKind::Accepted });
-        CPPUNIT_ASSERT(bench.mAnswers.at(0) == CallerAnswerKind::Accepted);
-      });
+      // The next owner may be the same node in a later term.
+      for (const NodeId& next : { kNextOwner, kOwner }) {
+        aSection.It(
+          "does not reach a caller whose request went on to " + next.mValue,
+          [next] {
+            Bench bench;
+            const CallId id = bench.Add(CallerVerb::Submit);
+            const SendId first = bench.Send(id, kOwner);
+            bench.mQueue.MarkAllUnsent();
+            const SendId second = bench.Send(id, next);
+            bench.mQueue.Answer(first, { .mKind = CallerAnswerKind::Refused });
+            CPPUNIT_ASSERT(bench.mAnswers.empty());
+            bench.mQueue.Answer(second,
+                                { .mKind = CallerAnswerKind::Accepted });
+            CPPUNIT_ASSERT(bench.mAnswers.at(0) == CallerAnswerKind::Accepted);
+          });
+      }
     });
   aStory.Describe("two answers to one request", [](Section& aSection) {
     aSection.It("give the caller the first", [] {
       Bench bench;
-      const CallId id = bench.Add(CallerVerb::Submit);
-      bench.mQueue.MarkSent(id, kOwner);
-      bench.mQueue.AnswerFrom(
-        kOwner, id, { .mKind = CallerAnswerKind::Accepted });
-      bench.mQueue.AnswerFrom(
-        kOwner, id, { .mKind = CallerAnswerKind::Refused });
+      const SendId send = bench.Send(bench.Add(CallerVerb::Submit), kOwner);
+      bench.mQueue.Answer(send, { .mKind = CallerAnswerKind::Accepted });
+      bench.mQueue.Answer(send, { .mKind = CallerAnswerKind::Refused });
       CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, bench.mAnswers.size());
       CPPUNIT_ASSERT(bench.mAnswers[0] == CallerAnswerKind::Accepted);
     });
