--- a/src/cellnode/internal/metricstext.cpp
+++ b/src/cellnode/internal/metricstext.cpp
@@ -6,6 +6,8 @@
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
+#include "framework/log.h"
+
 namespace oriolevane::cellnode {
 
 namespace {
@@ -22,6 +24,18 @@
   return family;
 }
 
+prometheus::MetricFamily
+Counter(const std::string& aName, const std::string& aHelp, double aValue)
+{
+  prometheus::MetricFamily family;
+  family.name = "oriolevane_" + aName;
+  family.help = aHelp;
+  family.type = prometheus::MetricType::Counter;
+  family.metric.emplace_back();
+  family.metric.back().counter.value = aValue;
+  return family;
+}
+
 } // namespace
 
 std::string
@@ -54,7 +68,10 @@
           number(aStatus.mCounts.mReachableWorkers)),
     Gauge("store_age_seconds",
           "time since the owner's last write to the store",
-          storeAge.count())
+          storeAge.count()),
+    Counter("log_lines_dropped_total",
+            "log lines over their budget, or not taken by standard output",
+            number(DroppedLogLines()))
   };
   for (prometheus::MetricFamily& family : aMetrics.Collect()) {
     families.push_back(std::move(family));
--- a/src/cellnode/internal/workercalls.cpp
+++ b/src/cellnode/internal/workercalls.cpp
@@ -17,6 +17,14 @@
 constexpr int kPatientAttempt = 3;
 constexpr int kPollAttempt = 2;
 
+// Timeouts that lead to longer ones must end somewhere: a silent worker is to
+// be asked again soon.
+Duration
+TimeoutOf(const ResponseTimer& aTimer, int aAttempt)
+{
+  return std::min(aTimer.Timeout(aAttempt), kTiming.mLongest);
+}
+
 // A missing answer counts as one that took as long as the timeout, so that
 // timeouts grow when all answers are slow.
 void
@@ -54,14 +62,14 @@
 void
 WorkerCalls::Start(const jobs::StartOrder& aOrder, OrderReply aReply)
 {
-  const Duration timeout = mTimer->Timeout(aOrder.mAttempt);
+  const Duration timeout = TimeoutOf(*mTimer, aOrder.mAttempt);
   mUpstreams.mStart(aOrder, timeout, Timed(timeout, std::move(aReply)));
 }
 
 void
 WorkerCalls::Stop(const jobs::StopOrder& aOrder, OrderReply aReply)
 {
-  const Duration timeout = mTimer->Timeout(kPatientAttempt);
+  const Duration timeout = TimeoutOf(*mTimer, kPatientAttempt);
   mUpstreams.mStop(aOrder, timeout, Timed(timeout, std::move(aReply)));
 }
 
@@ -69,7 +77,7 @@
 WorkerCalls::Poll(const jobs::PollOrder& aOrder, PollReply aReply)
 {
   const TimePoint sentAt = std::chrono::steady_clock::now();
-  const Duration timeout = mTimer->Timeout(kPollAttempt);
+  const Duration timeout = TimeoutOf(*mTimer, kPollAttempt);
   const bool waits = aOrder.mWait.count() > 0;
   mUpstreams.mPoll(
     aOrder,
--- a/src/cellnode/ownershippolicy.h
+++ b/src/cellnode/ownershippolicy.h
@@ -22,10 +22,10 @@
   // An owner that says nothing for so long is in doubt.
   std::chrono::milliseconds mSilence{ 800 };
   // An owner that has not written to the store for so long is in doubt.
-  std::chrono::milliseconds mStoreSilence{ 1300 };
+  std::chrono::milliseconds mStoreSilence{ 900 };
   // The owner row must have stayed the same for so long, and for several round
   // trips to a slow store, which is slow for the owner too.
-  std::chrono::milliseconds mUnchanged{ 600 };
+  std::chrono::milliseconds mUnchanged{ 450 };
   int mUnchangedRoundTrips = 6;
   // Nodes that are alike try one after the other within this time.
   std::chrono::milliseconds mSpread{ 160 };
--- a/src/cellnode/tests/workercalls_test.cpp
+++ b/src/cellnode/tests/workercalls_test.cpp
@@ -73,6 +73,19 @@
       CPPUNIT_ASSERT(calls.mStarts.back() > 150ms);
     });
   });
+  aStory.Describe(
+    "the timeout for workers that never answer", [](Section& aSection) {
+      aSection.It("does not grow without end", [] {
+        Calls calls;
+        calls.mResult = jobs::OrderResult::Unknown;
+        for (int start = 0; start < 100; ++start) {
+          calls.Start(1 + start % 3);
+          calls.mCalls->Poll({}, [](TimePoint, const jobs::PollAnswer&) {});
+        }
+        CPPUNIT_ASSERT(calls.mStarts.back() <= 600ms);
+        CPPUNIT_ASSERT(calls.mPolls.back() <= 600ms);
+      });
+    });
   aStory.Describe("the timeout of a poll", [](Section& aSection) {
     aSection.It("allows for the time that the worker may wait", [] {
       Calls calls;
--- a/src/framework/internal/log.cpp
+++ b/src/framework/internal/log.cpp
@@ -6,14 +6,41 @@
 #include <chrono>
 #include <cstdio>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <fmt/chrono.h>
 
+#include "framework/internal/logbudget.h"
+
 namespace oriolevane {
 
 namespace {
 
 constexpr std::size_t kMaxValueBytes = 512;
 
+// A pipe takes a line of this size whole or not at all.
+constexpr std::size_t kMaxLineBytes = 4000;
+
+LogBudget&
+Budget()
+{
+  static LogBudget budget;
+  return budget;
+}
+
+// Never waits for a reader.
+void
+WriteLine(const std::string& aLine)
+{
+  pollfd output{ .fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0 };
+  const bool takes =
+    poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+  if (!takes || write(STDOUT_FILENO, aLine.data(), aLine.size()) < 0) {
+    Budget().NoteDropped();
+  }
+}
+
 std::atomic<LogLevel> minimumLevel{ LogLevel::Info };
 std::string logContext;
 
@@ -76,6 +103,16 @@
 LogEvent::LogEvent(LogLevel aLevel, std::string_view aName)
   : mWritten(IsLogged(aLevel))
 {
+  if (!mWritten) {
+    return;
+  }
+  std::uint64_t droppedBefore = 0;
+  if (aLevel != LogLevel::Debug) {
+    const auto admitted =
+      Budget().Admit(aName, std::chrono::steady_clock::now());
+    mWritten = admitted.has_value();
+    droppedBefore = admitted.value_or(0);
+  }
   if (!mWritten) {
     return;
   }
@@ -88,6 +125,9 @@
                       LevelName(aLevel),
                       logContext);
   AppendPair(mLine, "event", aName);
+  if (droppedBefore > 0) {
+    AppendPair(mLine, "dropped_before", fmt::format("{}", droppedBefore));
+  }
 }
 
 LogEvent::~LogEvent()
@@ -95,9 +135,9 @@
   if (!mWritten) {
     return;
   }
+  mLine.resize(std::min(mLine.size(), kMaxLineBytes));
   mLine += '\n';
-  std::fwrite(mLine.data(), 1, mLine.size(), stdout);
-  std::fflush(stdout);
+  WriteLine(mLine);
 }
 
 void
@@ -112,6 +152,12 @@
   return aLevel >= minimumLevel.load(std::memory_order_relaxed);
 }
 
+std::uint64_t
+DroppedLogLines()
+{
+  return Budget().Dropped();
+}
+
 void
 SetLogLevel(LogLevel aLevel)
 {
--- a/src/framework/log.h
+++ b/src/framework/log.h
@@ -1,7 +1,10 @@
 // Structured logs: each event is one line of key=value pairs on standard
-// output.
+// output. Lines of one kind are bounded in their rate, and a line that standard
+// output does not take at once is dropped; the next line of the kind tells how
+// many were, as dropped_before.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -55,6 +58,10 @@
 void
 SetLogContext(std::string_view aKey, std::string_view aValue);
 
+// Lines that were dropped since the start.
+std::uint64_t
+DroppedLogLines();
+
 inline LogEvent
 LogInfo(std::string_view aName)
 {
--- a/src/framework/tests/main.cpp
+++ b/src/framework/tests/main.cpp
@@ -4,5 +4,8 @@
 main(int aCount, char** aArguments)
 {
   return oriolevane::testing::RunStories(
-    aCount, aArguments, { { "bounded ring", oriolevane::BoundedRingStory } });
+    aCount,
+    aArguments,
+    { { "bounded ring", oriolevane::BoundedRingStory },
+      { "log budget", oriolevane::LogBudgetStory } });
 }
--- a/src/framework/tests/stories.h
+++ b/src/framework/tests/stories.h
@@ -7,5 +7,7 @@
 
 void
 BoundedRingStory(testing::Section& aStory);
+void
+LogBudgetStory(testing::Section& aStory);
 
 } // namespace oriolevane
