--- a/src/cellnode/internal/metricstext.cpp
+++ b/src/cellnode/internal/metricstext.cpp
@@ -12,14 +12,24 @@
 
 namespace {
 
+// A family of one figure, whose value is still to be set.
 prometheus::MetricFamily
-Gauge(const std::string& aName, const std::string& aHelp, double aValue)
+Family(const std::string& aName,
+       const std::string& aHelp,
+       prometheus::MetricType aType)
 {
   prometheus::MetricFamily family;
   family.name = "oriolevane_" + aName;
   family.help = aHelp;
-  family.type = prometheus::MetricType::Gauge;
+  family.type = aType;
   family.metric.emplace_back();
+  return family;
+}
+
+prometheus::MetricFamily
+Gauge(const std::string& aName, const std::string& aHelp, double aValue)
+{
+  auto family = Family(aName, aHelp, prometheus::MetricType::Gauge);
   family.metric.back().gauge.value = aValue;
   return family;
 }
@@ -27,11 +37,7 @@
 prometheus::MetricFamily
 Counter(const std::string& aName, const std::string& aHelp, double aValue)
 {
-  prometheus::MetricFamily family;
-  family.name = "oriolevane_" + aName;
-  family.help = aHelp;
-  family.type = prometheus::MetricType::Counter;
-  family.metric.emplace_back();
+  auto family = Family(aName, aHelp, prometheus::MetricType::Counter);
   family.metric.back().counter.value = aValue;
   return family;
 }
--- a/src/jobs/tests/advice_test.cpp
+++ b/src/jobs/tests/advice_test.cpp
@@ -19,43 +19,9 @@
   return queue;
 }
 
-} // namespace
-
 void
-AdviceStory(Section& aStory)
+TellWaitingGangs(Section& aStory)
 {
-  aStory.Describe(
-    "a queue whose workers a policy service allows", [](Section& aSection) {
-      aSection.It("starts tasks only on those", [] {
-        FakeCell cell;
-        cell.mAllowed = [](const StepKey&, const WorkerId& aWorker) {
-          return aWorker == WorkerId("w1") || aWorker == WorkerId("w5");
-        };
-        cell.RunFor(200ms);
-        cell.Submit("job",
-                    { .mPayload = "", .mSteps = { MakeStep(12, 2000, 300ms) } },
-                    AdvisedQueue());
-        cell.RunUntilFinal("job", 5000ms);
-        for (const auto& [task, starts] : cell.mStarts) {
-          CPPUNIT_ASSERT(starts.back() == WorkerId("w1") ||
-                         starts.back() == WorkerId("w5"));
-        }
-      });
-      aSection.It("has fresh tickets while it waits for room", [] {
-        FakeCell cell({ .mWorkers = 1 });
-        cell.RunFor(200ms);
-        cell.Submit("long",
-                    { .mPayload = "", .mSteps = { MakeStep(1, 8000, 3000ms) } },
-                    AdvisedQueue());
-        cell.RunFor(200ms);
-        cell.Submit("next",
-                    { .mPayload = "", .mSteps = { MakeStep(1, 8000, 200ms) } },
-                    AdvisedQueue());
-        cell.RunFor(3000ms);
-        CPPUNIT_ASSERT(cell.StateOf("next") == JobState::Running);
-        CPPUNIT_ASSERT(cell.mQueries >= 4);
-      });
-    });
   aStory.Describe("gangs that wait for room", [](Section& aSection) {
     aSection.It("are all asked about as soon as they are accepted", [] {
       constexpr int kGangs = 40;
@@ -96,6 +62,46 @@
       CPPUNIT_ASSERT_EQUAL(1, asked[WorkerId("w5")]);
     });
   });
+}
+
+} // namespace
+
+void
+AdviceStory(Section& aStory)
+{
+  aStory.Describe(
+    "a queue whose workers a policy service allows", [](Section& aSection) {
+      aSection.It("starts tasks only on those", [] {
+        FakeCell cell;
+        cell.mAllowed = [](const StepKey&, const WorkerId& aWorker) {
+          return aWorker == WorkerId("w1") || aWorker == WorkerId("w5");
+        };
+        cell.RunFor(200ms);
+        cell.Submit("job",
+                    { .mPayload = "", .mSteps = { MakeStep(12, 2000, 300ms) } },
+                    AdvisedQueue());
+        cell.RunUntilFinal("job", 5000ms);
+        for (const auto& [task, starts] : cell.mStarts) {
+          CPPUNIT_ASSERT(starts.back() == WorkerId("w1") ||
+                         starts.back() == WorkerId("w5"));
+        }
+      });
+      aSection.It("has fresh tickets while it waits for room", [] {
+        FakeCell cell({ .mWorkers = 1 });
+        cell.RunFor(200ms);
+        cell.Submit("long",
+                    { .mPayload = "", .mSteps = { MakeStep(1, 8000, 3000ms) } },
+                    AdvisedQueue());
+        cell.RunFor(200ms);
+        cell.Submit("next",
+                    { .mPayload = "", .mSteps = { MakeStep(1, 8000, 200ms) } },
+                    AdvisedQueue());
+        cell.RunFor(3000ms);
+        CPPUNIT_ASSERT(cell.StateOf("next") == JobState::Running);
+        CPPUNIT_ASSERT(cell.mQueries >= 4);
+      });
+    });
+  TellWaitingGangs(aStory);
   aStory.Describe("a later step", [](Section& aSection) {
     aSection.It("is asked about before the earlier one ends", [] {
       FakeCell cell;
--- a/src/jobs/tests/recordlog_test.cpp
+++ b/src/jobs/tests/recordlog_test.cpp
@@ -16,37 +16,9 @@
   return { .mKind = RecordKind::Job, .mName = aName };
 }
 
-} // namespace
-
 void
-RecordLogStory(Section& aStory)
+TellReplacedAndRemoved(Section& aStory)
 {
-  aStory.Describe("records that change while they wait", [](Section& aSection) {
-    aSection.It("are written once, and all their changes count", [] {
-      RecordLog log;
-      log.Mark(Key("a"));
-      log.Mark(Key("b"));
-      const RecordPosition last = log.Mark(Key("a"));
-      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, log.TakeBatch(10).size());
-      CPPUNIT_ASSERT(log.Confirm() == last);
-    });
-    aSection.It("count only up to the first that still waits", [] {
-      RecordLog log;
-      const RecordPosition first = log.Mark(Key("a"));
-      log.Mark(Key("b"));
-      log.Mark(Key("a"));
-      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, log.TakeBatch(1).size());
-      CPPUNIT_ASSERT(log.Confirm() == first);
-    });
-    aSection.It("are written again when they change on their way", [] {
-      RecordLog log;
-      log.Mark(Key("a"));
-      log.TakeBatch(1);
-      const RecordPosition second = log.Mark(Key("a"));
-      CPPUNIT_ASSERT(log.Confirm() < second);
-      CPPUNIT_ASSERT(log.HasWaiting());
-    });
-  });
   aStory.Describe(
     "a record that says what another would", [](Section& aSection) {
       aSection.It(
@@ -95,6 +67,40 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, log.TakeBatch(10).size());
     });
   });
+}
+
+} // namespace
+
+void
+RecordLogStory(Section& aStory)
+{
+  aStory.Describe("records that change while they wait", [](Section& aSection) {
+    aSection.It("are written once, and all their changes count", [] {
+      RecordLog log;
+      log.Mark(Key("a"));
+      log.Mark(Key("b"));
+      const RecordPosition last = log.Mark(Key("a"));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, log.TakeBatch(10).size());
+      CPPUNIT_ASSERT(log.Confirm() == last);
+    });
+    aSection.It("count only up to the first that still waits", [] {
+      RecordLog log;
+      const RecordPosition first = log.Mark(Key("a"));
+      log.Mark(Key("b"));
+      log.Mark(Key("a"));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, log.TakeBatch(1).size());
+      CPPUNIT_ASSERT(log.Confirm() == first);
+    });
+    aSection.It("are written again when they change on their way", [] {
+      RecordLog log;
+      log.Mark(Key("a"));
+      log.TakeBatch(1);
+      const RecordPosition second = log.Mark(Key("a"));
+      CPPUNIT_ASSERT(log.Confirm() < second);
+      CPPUNIT_ASSERT(log.HasWaiting());
+    });
+  });
+  TellReplacedAndRemoved(aStory);
   aStory.Describe(
     "a job that is withdrawn and submitted again", [](Section& aSection) {
       aSection.It("starts only once its second submission is recorded", [] {
