--- a/src/jobs/tests/fakeworker.h
+++ b/src/jobs/tests/fakeworker.h
@@ -62,6 +62,8 @@
   // Some order or poll of its life has reached it.
   bool IsFenced() const { return mTokenSeen != FencingToken(); }
   Resources Used() const;
+  // The worker's clock at a time of the simulation.
+  Millis Clock(Millis aNow) const { return aNow + mClockOffset; }
 
   // Ends what is due by then.
   void AdvanceTo(Millis aNow);
@@ -80,7 +82,6 @@
                Millis aNow);
 
 private:
-  Millis Clock(Millis aNow) const { return aNow + mClockOffset; }
   void End(std::size_t aPlace, EndKind aKind);
   bool IsDone(const FakeRun& aRun, Millis aNow) const;
 
