--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -14,10 +14,6 @@
 constexpr std::chrono::milliseconds kLeastLease = 1500ms;
 // Advice is kept usable for so many waiting steps of each kind of step.
 constexpr int kStepsKeptFresh = 24;
-// Gangs for which room is kept at a time.
-constexpr int kMostReservations = 12;
-// Of runs whose job is not known.
-constexpr std::chrono::milliseconds kUnknownRunTime = 1000ms;
 // A worker is used for so long after it has left the registry.
 constexpr std::chrono::milliseconds kUnlistedUsable = 2500ms;
 // While gangs wait for longer than this, single tasks with ample slack keep to
@@ -28,8 +24,6 @@
 constexpr double kAmpleShare = 0.35;
 constexpr double kMostSinglesShare = 0.45;
 constexpr double kLeastSinglesShare = 0.2;
-// An overdue run is expected to go on for this part of its estimate.
-constexpr int kOverdueShare = 10;
 // A worker that is slower than expected by this factor is used last.
 constexpr double kSlow = 2.5;
 
@@ -83,8 +77,7 @@
               return aLeft.mUrgency < aRight.mUrgency;
             });
   mNow = aNow.mSteady;
-  mReservations.Clear();
-  mReservationsMade = 0;
+  mGangRoom.Begin(mNow);
   std::map<QueueName, int> fresh;
   mSinglesShare = SinglesShare(candidates);
   for (const Candidate& candidate : candidates) {
@@ -106,8 +99,10 @@
         PlaceEach(candidate, aNow);
       }
     }
-    if (gang && !candidate.mStep->HasRuns()) {
-      Reserve(candidate);
+    if (gang && !candidate.mStep->HasRuns() && !mGangRoom.IsFull() &&
+        candidate.mUrgency.mPunctuality == Punctuality::OnTime) {
+      mGangRoom.Keep(SpecOf(*candidate.mJob, candidate.mKey),
+                     ApprovedWorkers(candidate));
     }
   }
 }
@@ -338,8 +333,7 @@
       mHeldBack = true;
       continue;
     }
-    if (!mReservations.Allows(
-          &worker, spec.mResources, mNow + spec.mEstimate)) {
+    if (!mGangRoom.Allows(&worker, spec)) {
       mHeldBack = true;
       continue;
     }
@@ -361,64 +355,6 @@
   }
 }
 
-// Overdue runs are taken to go on for a share of their estimate.
-TimePoint
-Dispatcher::ExpectedEnd(const Worker& aWorker, const Run& aRun) const
-{
-  const Job* job = mCell.mJobs.Find(aRun.mTask.mStep.mJob);
-  Duration expected = kUnknownRunTime;
-  if (job != nullptr && !aRun.mOrphan) {
-    expected = std::chrono::duration_cast<Duration>(
-      SpecOf(*job, aRun.mTask.mStep).mEstimate *
-      std::clamp(aWorker.mHealth.mSlowness, 1.0, kSlow));
-  }
-  TimePoint end = aRun.mOrderedAt + expected;
-  if (aRun.mStopWanted) {
-    end = std::min<TimePoint>(
-      end, aRun.mStopOrderedAt + mCell.mOptions.mLongestStop);
-  }
-  return std::max<TimePoint>(end, mNow + expected / kOverdueShare);
-}
-
-ReservationCandidate
-Dispatcher::ReservationCandidateOf(Worker& aWorker, const StepSpec& aSpec) const
-{
-  ReservationCandidate candidate{ .mWorker = &aWorker,
-                                  .mEnds = {},
-                                  .mMostTasks = aSpec.mTaskCount };
-  if (aSpec.mMostPerWorker > 0) {
-    candidate.mMostTasks = aSpec.mMostPerWorker;
-  }
-  for (const RunPointer& run : aWorker.mRuns) {
-    candidate.mEnds.Add(ExpectedEnd(aWorker, *run), run->mResources);
-  }
-  candidate.mEnds.Sort();
-  return candidate;
-}
-
-void
-Dispatcher::Reserve(const Candidate& aCandidate)
-{
-  if (mReservationsMade >= kMostReservations ||
-      aCandidate.mUrgency.mPunctuality != Punctuality::OnTime) {
-    return;
-  }
-  const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
-  std::vector<ReservationCandidate> candidates;
-  for (Worker* worker : ApprovedWorkers(aCandidate)) {
-    if (!mReservations.IsReserved(worker)) {
-      candidates.push_back(ReservationCandidateOf(*worker, spec));
-    }
-  }
-  const std::optional<Reservation> reservation =
-    PlanReservation(candidates, spec.mResources, spec.mTaskCount, mNow);
-  if (!reservation.has_value()) {
-    return;
-  }
-  ++mReservationsMade;
-  mReservations.Add(*reservation, spec.mResources, candidates);
-}
-
 void
 Dispatcher::PlaceEach(const Candidate& aCandidate, const Moment& aNow)
 {
@@ -517,8 +453,7 @@
                     TimePoint aNow)
 {
   const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
-  mReservations.NotePlaced(
-    aPlace.mWorker, spec.mResources, aNow + spec.mEstimate);
+  mGangRoom.NotePlaced(aPlace.mWorker, spec);
   mRuns.Start(*aCandidate.mJob,
               { .mStep = aCandidate.mKey, .mIndex = aIndex },
               aNumber,
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -5,7 +5,7 @@
 
 #include "jobs/internal/adviceplanner.h"
 #include "jobs/internal/cellstate.h"
-#include "jobs/internal/reservation.h"
+#include "jobs/internal/gangroom.h"
 #include "jobs/internal/runbook.h"
 #include "jobs/internal/urgency.h"
 
@@ -18,6 +18,7 @@
     : mCell(aCell)
     , mRuns(aRuns)
     , mAdvice(aAdvice)
+    , mGangRoom(aCell)
   {
   }
 
@@ -65,11 +66,6 @@
   Place* Choose(const Candidate& aCandidate, std::vector<Place>& aAllowed);
   double Cost(const Worker& aWorker, const StepSpec& aSpec) const;
   void NoteInVain(Step& aStep) const;
-  // Keeps room for a gang that did not fit.
-  void Reserve(const Candidate& aCandidate);
-  TimePoint ExpectedEnd(const Worker& aWorker, const Run& aRun) const;
-  ReservationCandidate ReservationCandidateOf(Worker& aWorker,
-                                              const StepSpec& aSpec) const;
   static bool IsBelowLimit(const Place& aPlace,
                            const StepKey& aStep,
                            const StepSpec& aSpec);
@@ -84,8 +80,7 @@
   RunBook& mRuns;
   AdvicePlanner& mAdvice;
   std::vector<Worker*> mUsable;
-  ReservationBook mReservations;
-  int mReservationsMade = 0;
+  GangRoom mGangRoom;
   // Share of the workers that single tasks with ample slack may use.
   double mSinglesShare = 1.0;
   // Room that is kept for others has held something back in this try.
