Ask the policy service in parallel, and about more workers when the approved ones are full

Cause 1: a step has one query at a time, of 100 workers at most. Where a query takes 1.2 s and tickets live 2.5 s, a gang that needs 80 workers never has enough live tickets (large site: gangs of over 120 members waited 9 s at the median). Change: one more query at the same time for each 30 hosts that can ask, four at most; small cells ask as before. Change: the target rises while a step finds no room, 1 s after the first failed attempt. Tests failed without it: "is asked about in parallel where many hosts can ask", "ask about further workers while the approved ones are full".

--- a/bench/jobs/main.cpp
+++ b/bench/jobs/main.cpp
@@ -8,7 +8,7 @@
 #include "jobs/tests/loadtrial.h"
 
 DEFINE_int32(seeds, 3, "number of seeds to run, starting from 1");
-DEFINE_string(load, "all", "model_350, route_48 or all");
+DEFINE_string(load, "all", "route_1100, model_350, route_48 or all");
 DEFINE_string(policy,
               "all",
               "urgency, first_in_first_out, strict_priority or all");
@@ -37,7 +37,8 @@
 Loads()
 {
   std::vector<NamedLoad> loads{ { "route_48", RouteAndBookingLoad() },
-                                { "model_350", LargeModelAndPreviewLoad() } };
+                                { "model_350", LargeModelAndPreviewLoad() },
+                                { "route_1100", WideRouteAndBookingLoad() } };
   using namespace std::chrono_literals;
   for (NamedLoad& load : loads) {
     for (JobClass& jobClass : load.mOptions.mJobClasses) {
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -129,6 +129,12 @@
   mImpl->mCell.mFleet.SetOwnershipEnd(aUntil);
 }
 
+void
+CellScheduler::SetQueryHosts(std::size_t aHosts)
+{
+  mImpl->mCell.mQueryHosts = aHosts;
+}
+
 RecordPosition
 CellScheduler::Submit(const JobId& aId,
                       const QueuePolicy& aQueue,
@@ -235,16 +241,10 @@
   mImpl->mCell.mFleet.Unregister(aId, aNow.mSteady);
 }
 
-std::vector<WorkerId>
-CellScheduler::RegisteredWorkers() const
+std::size_t
+CellScheduler::WorkerCount() const
 {
-  std::vector<WorkerId> registered;
-  for (const auto& [id, worker] : mImpl->mCell.mFleet.Workers()) {
-    if (worker.mRegistered) {
-      registered.push_back(id);
-    }
-  }
-  return registered;
+  return mImpl->mCell.mFleet.Workers().size();
 }
 
 void
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -67,6 +67,10 @@
   // tasks started only until then.
   void SetOwnershipEnd(TimePoint aUntil);
 
+  // Sets the number of hosts that can query the policy service at the same
+  // time; 1 until it is set.
+  void SetQueryHosts(std::size_t aHosts);
+
   // Submits a job. It is accepted once the change at the returned position has
   // been recorded. If the id is already known, the existing job is kept.
   RecordPosition Submit(const JobId& aId,
@@ -89,8 +93,9 @@
   void RegisterWorker(const WorkerEntry& aEntry, const Moment& aNow);
   // Notes that a worker has left the registry.
   void UnregisterWorker(const WorkerId& aId, const Moment& aNow);
-  // Returns the ids of the workers that are in the registry.
-  std::vector<WorkerId> RegisteredWorkers() const;
+  // The number of workers, including those that have left the registry and may
+  // still have runs.
+  std::size_t WorkerCount() const;
 
   // Processes the answer to a poll that was sent at aSentAt.
   void OnPollAnswer(const PollOrder& aPoll,
--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "framework/stablehash.h"
 
@@ -13,6 +14,10 @@
 
 // The policy service accepts no more workers in one call.
 constexpr std::size_t kMaxWorkersPerQuery = 100;
+// A step is asked about in one more query at the same time for each this many
+// hosts that can query the service, up to a maximum.
+constexpr std::size_t kQueryHostsPerParallelQuery = 30;
+constexpr std::size_t kMaxParallelQueries = 4;
 // A query without an answer counts as lost after this time and is sent again.
 constexpr std::chrono::milliseconds kQueryTimeout = 5000ms;
 // A ticket is used only up to this long before it expires, so that it is still
@@ -29,6 +34,10 @@
 // While the approvals are fewer than the target divided by this number, a query
 // for further workers is sent before the tickets need to be renewed.
 constexpr std::size_t kLowApprovalsDivisor = 2;
+// Once a step has found no room on its approved workers for the first time, the
+// target is raised by its own amount again each time the second time passes.
+constexpr std::chrono::milliseconds kNoRoomTolerance = 1000ms;
+constexpr std::chrono::milliseconds kTargetRaiseInterval = 1000ms;
 // The share of approvals that is assumed until the first answer for a queue.
 constexpr double kDefaultApprovalShare = 0.4;
 constexpr double kMinApprovalShare = 0.1;
@@ -121,6 +130,33 @@
     std::max(kMinTargetApprovals, kTargetRoomFactor * workersNeeded));
 }
 
+std::size_t
+AdvicePlanner::TargetWithoutRoom(const Job& aJob,
+                                 const StepKey& aKey,
+                                 const Step& aStep,
+                                 TimePoint aNow) const
+{
+  const std::size_t target = TargetApprovals(aJob, aKey, aStep);
+  // A gang waits for all of its members, and its target allows for that.
+  const bool gang = aJob.mRecord.mSpec.mSteps[aKey.mStep].mGang;
+  if (gang || !aStep.mNoRoomSince.has_value() ||
+      *aStep.mNoRoomSince + kNoRoomTolerance > aNow) {
+    return target;
+  }
+  const auto raises =
+    (aNow - *aStep.mNoRoomSince - kNoRoomTolerance) / kTargetRaiseInterval + 1;
+  return std::max(target, aStep.mAdvice.mApproved.size()) *
+         static_cast<std::size_t>(1 + raises);
+}
+
+std::size_t
+AdvicePlanner::MaxWorkersPerRound() const
+{
+  const std::size_t queries = std::clamp<std::size_t>(
+    mCell.mQueryHosts / kQueryHostsPerParallelQuery, 1, kMaxParallelQueries);
+  return queries * kMaxWorkersPerQuery;
+}
+
 std::size_t
 AdvicePlanner::CountToQuery(const Job& aJob,
                             const Step& aStep,
@@ -184,51 +220,69 @@
     }
   }
   const std::size_t target = TargetApprovals(aJob, aKey, aStep);
+  const std::size_t maxWorkers = MaxWorkersPerRound();
   std::vector<Worker*> selected;
-  const auto append = [&selected](ScoredWorkers& aScored, std::size_t aLimit) {
+  const auto append = [&selected, maxWorkers](ScoredWorkers& aScored,
+                                              std::size_t aLimit) {
     std::sort(aScored.begin(),
               aScored.end(),
               [](const auto& aLeft, const auto& aRight) {
                 return aLeft.first > aRight.first;
               });
-    aLimit = std::min(aLimit, kMaxWorkersPerQuery - selected.size());
+    aLimit = std::min(aLimit, maxWorkers - selected.size());
     for (std::size_t index = 0; index < std::min(aLimit, aScored.size());
          ++index) {
       selected.push_back(aScored[index].second);
     }
   };
   append(expiring, target);
-  append(unqueried, CountToQuery(aJob, aStep, target));
+  append(unqueried,
+         CountToQuery(aJob, aStep, TargetWithoutRoom(aJob, aKey, aStep, aNow)));
   return selected;
 }
 
 void
-AdvicePlanner::SendQuery(const Job& aJob,
-                         const StepKey& aKey,
-                         Step& aStep,
-                         TimePoint aNow)
+AdvicePlanner::SendQueries(const Job& aJob,
+                           const StepKey& aKey,
+                           Step& aStep,
+                           TimePoint aNow)
 {
   StepAdvice& advice = aStep.mAdvice;
-  if (advice.mQueryPending && advice.mQueriedAt + kQueryTimeout > aNow) {
+  if (advice.mPendingQueries > 0 && advice.mQueriedAt + kQueryTimeout > aNow) {
     return;
   }
   const std::vector<Worker*> selected = SelectWorkers(aJob, aKey, aStep, aNow);
   if (selected.empty()) {
     return;
   }
-  const AdvicePolicy& policy = *aJob.mRecord.mQueue.mAdvice;
-  AdviceQuery query{ .mStep = aKey,
-                     .mWorkers = {},
-                     .mServiceTime =
-                       std::chrono::duration_cast<std::chrono::microseconds>(
-                         QueryTime(policy, selected.size())),
-                     .mValidity = policy.mValidity };
-  for (const Worker* worker : selected) {
-    query.mWorkers.push_back(worker->Id());
+  const std::size_t queries =
+    (selected.size() + kMaxWorkersPerQuery - 1) / kMaxWorkersPerQuery;
+  // The selected workers are dealt out in turn, so that each answer names some
+  // of those with the highest scores.
+  std::vector<std::vector<WorkerId>> workers(queries);
+  for (std::size_t index = 0; index < selected.size(); ++index) {
+    workers[index % queries].push_back(selected[index]->Id());
   }
-  advice.mQueryPending = true;
+  advice.mPendingQueries = static_cast<int>(queries);
   advice.mQueriedAt = aNow;
-  mCell.mHooks.mAskAdvice(query);
+  for (std::vector<WorkerId>& part : workers) {
+    SendQuery(aJob, aKey, std::move(part));
+  }
+}
+
+void
+AdvicePlanner::SendQuery(const Job& aJob,
+                         const StepKey& aKey,
+                         std::vector<WorkerId> aWorkers)
+{
+  const AdvicePolicy& policy = *aJob.mRecord.mQueue.mAdvice;
+  const auto serviceTime =
+    std::chrono::duration_cast<std::chrono::microseconds>(
+      QueryTime(policy, aWorkers.size()));
+  mCell.mHooks.mAskAdvice({ .mStep = aKey,
+                            .mWorkers = std::move(aWorkers),
+                            .mServiceTime = serviceTime,
+                            .mValidity = policy.mValidity });
 }
 
 void
@@ -241,14 +295,15 @@
   const std::size_t target = TargetApprovals(aJob, aKey, aStep);
   const auto inPool = mUsableInPool.find(aJob.mRecord.mQueue.mPool);
   const bool mayFindMore =
-    advice.mApproved.size() < target / kLowApprovalsDivisor &&
+    advice.mApproved.size() <
+      TargetWithoutRoom(aJob, aKey, aStep, aNow) / kLowApprovalsDivisor &&
     inPool != mUsableInPool.end() && advice.mQueried.size() < inPool->second;
   const std::size_t renewed =
     std::min({ advice.mApproved.size(), target, kMaxWorkersPerQuery });
   const TimePoint answeredBy =
     aNow + QueryTime(*aJob.mRecord.mQueue.mAdvice, renewed);
   if (mayFindMore || advice.TicketsUsableUntil(target) < answeredBy) {
-    SendQuery(aJob, aKey, aStep, aNow);
+    SendQueries(aJob, aKey, aStep, aNow);
   }
 }
 
@@ -257,7 +312,7 @@
 {
   const std::optional<AdvicePolicy>& policy = aJob.mRecord.mQueue.mAdvice;
   Step& step = *aJob.FindStep(aKey.mOccurrence, aKey.mStep);
-  if (!policy.has_value() || step.mAdvice.mQueryPending ||
+  if (!policy.has_value() || step.mAdvice.mPendingQueries > 0 ||
       step.mAdvice.mAnswered) {
     return;
   }
@@ -275,7 +330,7 @@
     std::min(kMaxWorkersPerQuery,
              CountToQuery(aJob, step, TargetApprovals(aJob, aKey, step)));
   if (end - QueryTime(*policy, count) - kQueryAheadMargin <= aNow) {
-    SendQuery(aJob, aKey, step, aNow);
+    SendQueries(aJob, aKey, step, aNow);
   }
 }
 
@@ -290,7 +345,7 @@
     return;
   }
   StepAdvice& advice = step->mAdvice;
-  advice.mQueryPending = false;
+  advice.mPendingQueries = std::max(advice.mPendingQueries - 1, 0);
   if (!aAnswer.mAnswered) {
     return;
   }
--- a/src/jobs/internal/adviceplanner.h
+++ b/src/jobs/internal/adviceplanner.h
@@ -37,14 +37,19 @@
   void RemoveWorker(const Worker* aWorker);
 
 private:
-  // Sends a query unless one is pending or there is no worker to ask about.
+  // Sends a round of queries unless one is pending or there is no worker to ask
+  // about.
+  void SendQueries(const Job& aJob,
+                   const StepKey& aKey,
+                   Step& aStep,
+                   TimePoint aNow);
   void SendQuery(const Job& aJob,
                  const StepKey& aKey,
-                 Step& aStep,
-                 TimePoint aNow);
-  // Selects the workers for a query, up to the limit of one call: workers whose
-  // tickets are about to expire, then workers not yet asked about, the highest
-  // score first.
+                 std::vector<WorkerId> aWorkers);
+  // The number of workers that one round of queries may name.
+  std::size_t MaxWorkersPerRound() const;
+  // Selects the workers for a round of queries: workers whose tickets are about
+  // to expire, then workers not yet asked about, the highest score first.
   std::vector<Worker*> SelectWorkers(const Job& aJob,
                                      const StepKey& aKey,
                                      const Step& aStep,
@@ -53,6 +58,11 @@
   std::size_t TargetApprovals(const Job& aJob,
                               const StepKey& aKey,
                               const Step& aStep) const;
+  // The same, raised while the approved workers have no room for the step.
+  std::size_t TargetWithoutRoom(const Job& aJob,
+                                const StepKey& aKey,
+                                const Step& aStep,
+                                TimePoint aNow) const;
   // The number of further workers to ask about to reach the target, going by
   // the share of approvals in the queue's earlier answers.
   std::size_t CountToQuery(const Job& aJob,
--- a/src/jobs/internal/cellstate.h
+++ b/src/jobs/internal/cellstate.h
@@ -26,6 +26,8 @@
   CellConfiguration mConfiguration;
   JobTable mJobs;
   Fleet mFleet;
+  // Number of hosts that can query the policy service at the same time.
+  std::size_t mQueryHosts = 1;
   // Requests a placement pass, after a change that may allow tasks to start.
   bool mDispatchWanted = false;
 };
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -358,6 +358,9 @@
 void
 Dispatcher::RecordFailedAttempt(Step& aStep) const
 {
+  if (!aStep.mNoRoomSince.has_value()) {
+    aStep.mNoRoomSince = mNow;
+  }
   if (!mCapacityWithheld) {
     aStep.mTriedGeneration = mCell.mFleet.CapacityGeneration();
   }
@@ -463,6 +466,7 @@
                       TimePoint aNow)
 {
   const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
+  aCandidate.mStep->mNoRoomSince.reset();
   mGangReservations.RecordPlacement(aChoice.mWorker, spec);
   mRuns.Start(*aCandidate.mJob,
               { .mStep = aCandidate.mKey, .mIndex = aIndex },
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -87,6 +87,9 @@
   std::set<RunNumber> mFailedGangRuns;
   // When all steps that this one depends on had succeeded.
   std::optional<TimePoint> mReadyAt;
+  // When the first attempt since the step last started a task found no worker;
+  // nothing when the last attempt started one.
+  std::optional<TimePoint> mNoRoomSince;
   // No task is started before this time, because a worker refused a start.
   TimePoint mNotBefore;
   StepAdvice mAdvice;
--- a/src/jobs/internal/stepadvice.h
+++ b/src/jobs/internal/stepadvice.h
@@ -25,8 +25,8 @@
 // The answers of the policy service about one step.
 struct StepAdvice
 {
-  // A query has been sent and not yet answered.
-  bool mQueryPending = false;
+  // Number of queries that have been sent and not yet answered.
+  int mPendingQueries = 0;
   TimePoint mQueriedAt;
   // At least one answer has arrived since this node learned of the step.
   bool mAnswered = false;
--- a/src/jobs/tests/advice_test.cpp
+++ b/src/jobs/tests/advice_test.cpp
@@ -19,6 +19,40 @@
   return queue;
 }
 
+// Plays a task that must start again after all workers that were approved for
+// it have been filled by more urgent work. One more worker is free and allowed,
+// but was not part of the first query.
+bool
+RestartsOnWorkerNotAskedAbout()
+{
+  constexpr int kWorkers = 60;
+  constexpr int kFilledWorkers = 30;
+  const WorkerId freeWorker("w59");
+  FakeCell cell({ .mWorkers = kWorkers });
+  cell.mIsAllowed = [&](const StepKey& aStep, const WorkerId& aWorker) {
+    const bool filled = std::stoi(aWorker.mValue.substr(1)) < kFilledWorkers;
+    return filled || (aStep.mJob.mValue == "restarts" && aWorker == freeWorker);
+  };
+  cell.mPlan = [](const TaskKey& aTask, RunNumber aRun, const WorkerId&) {
+    const bool restarted = aTask.mStep.mJob.mValue == "restarts";
+    return RunPlan{ .mDuration = restarted ? 1500ms : 60000ms,
+                    .mFails = restarted && aRun == RunNumber(1) };
+  };
+  cell.RunFor(200ms);
+  QueuePolicy queue = MakeQueueWithAdvice();
+  queue.mPriority = 1;
+  cell.Submit("restarts",
+              { .mPayload = "", .mSteps = { MakeStep(1, 8000, 1500ms) } },
+              queue);
+  cell.RunFor(500ms);
+  cell.Submit("fills",
+              { .mPayload = "",
+                .mSteps = { MakeStep(kFilledWorkers + 1, 8000, 1500ms) } },
+              MakeQueueWithAdvice());
+  cell.RunFor(8000ms);
+  return cell.StateOf("restarts") == JobState::Completed;
+}
+
 void
 DescribeWaitingSteps(Section& aRoot)
 {
@@ -61,6 +95,47 @@
       CPPUNIT_ASSERT(queried[WorkerId("w1")] >= 3);
       CPPUNIT_ASSERT_EQUAL(1, queried[WorkerId("w5")]);
     });
+    aSection.It("ask about further workers while the approved ones are full",
+                [] { CPPUNIT_ASSERT(RestartsOnWorkerNotAskedAbout()); });
+  });
+}
+
+// Whether a gang that needs most of a large cell has more than one query in
+// progress at the same time.
+bool
+SendsParallelQueries(std::size_t aQueryHosts)
+{
+  constexpr int kWorkers = 240;
+  FakeCell cell({ .mWorkers = kWorkers, .mMaxBatchRecords = kWorkers });
+  cell.Scheduler().SetQueryHosts(aQueryHosts);
+  std::vector<AdviceQuery> queries;
+  cell.mOnAdviceQuery = [&queries](const AdviceQuery& aQuery) {
+    queries.push_back(aQuery);
+  };
+  cell.RunFor(200ms);
+  StepSpec step = MakeStep(kWorkers, 4000, 3000ms);
+  step.mGang = true;
+  cell.Submit(
+    "gang", { .mPayload = "", .mSteps = { step } }, MakeQueueWithAdvice());
+  cell.RunFor(500ms);
+  std::set<WorkerId> named;
+  for (const AdviceQuery& query : queries) {
+    CPPUNIT_ASSERT(query.mWorkers.size() <= 100);
+    for (const WorkerId& worker : query.mWorkers) {
+      CPPUNIT_ASSERT(named.insert(worker).second);
+    }
+  }
+  return queries.size() > 1;
+}
+
+void
+DescribeWideGangs(Section& aRoot)
+{
+  aRoot.Describe("a gang that needs many workers", [](Section& aSection) {
+    aSection.It("is asked about in parallel where many hosts can ask",
+                [] { CPPUNIT_ASSERT(SendsParallelQueries(147)); });
+    aSection.It("leaves few hosts free for the queries of other jobs",
+                [] { CPPUNIT_ASSERT(!SendsParallelQueries(7)); });
   });
 }
 
@@ -101,6 +176,7 @@
     });
   });
   DescribeWaitingSteps(aRoot);
+  DescribeWideGangs(aRoot);
   aRoot.Describe("a later step", [](Section& aSection) {
     aSection.It("gets its advice query before the earlier step ends", [] {
       FakeCell cell;
--- a/src/jobs/tests/loadmixes.cpp
+++ b/src/jobs/tests/loadmixes.cpp
@@ -131,4 +131,52 @@
   return options;
 }
 
+LoadTrialOptions
+WideRouteAndBookingLoad()
+{
+  LoadTrialOptions options = RouteAndBookingLoad();
+  options.mWorkers = 1100;
+  options.mQueryHosts = 147;
+  JobClass& route = options.mJobClasses[0];
+  route.mQueue.mAdvice = AdvicePolicy{ .mDecisionTime = 494ms,
+                                       .mTimePerWorker = 7150us,
+                                       .mValidity = 2500ms };
+  route.mJobsPerSecond = 9.33;
+  route.mTasksPerStep = { .mMean = 40, .mVariation = 0.8, .mMax = 240 };
+  route.mRunTimeMs = { .mMean = 4000, .mVariation = 0.5, .mMax = 10000 };
+  route.mEstimateError = 0.5;
+  route.mFailedShare = 0.005;
+  route.mValueInTime = 6.27;
+  route.mValueWhenLate = 1.25;
+  JobClass& certificate = options.mJobClasses[1];
+  certificate.mQueue.mAdvice = AdvicePolicy{ .mDecisionTime = 182ms,
+                                             .mTimePerWorker = 2600us,
+                                             .mValidity = 2500ms };
+  certificate.mJobsPerSecond = 12.3;
+  certificate.mTasksPerStep = { .mMean = 40, .mVariation = 0.6, .mMax = 200 };
+  certificate.mMilliCores = { .mMean = 11000,
+                              .mVariation = 0.45,
+                              .mMax = 33000 };
+  certificate.mMemoryMiB = { .mMean = 31000, .mVariation = 0.6, .mMax = 94000 };
+  certificate.mRunTimeMs = { .mMean = 2700, .mVariation = 0.5, .mMax = 6800 };
+  certificate.mEstimateError = 0.9;
+  certificate.mFailedShare = 0.05;
+  certificate.mValueInTime = 2.97;
+  certificate.mValueWhenLate = 0.594;
+  JobClass& booking = options.mJobClasses[2];
+  booking.mQueue.mAdvice = AdvicePolicy{ .mDecisionTime = 18200us,
+                                         .mTimePerWorker = 260us,
+                                         .mValidity = 2500ms };
+  booking.mJobsPerSecond = 125;
+  booking.mTasksPerStep = { .mMean = 4.5, .mVariation = 0.8, .mMax = 27 };
+  booking.mMilliCores = { .mMean = 16000, .mVariation = 0.45, .mMax = 47000 };
+  booking.mMemoryMiB = { .mMean = 45000, .mVariation = 0.6, .mMax = 130000 };
+  booking.mRunTimeMs = { .mMean = 1000, .mVariation = 0.5, .mMax = 2500 };
+  booking.mEstimateError = 0.2;
+  booking.mFailedShare = 0.005;
+  booking.mValueInTime = 0.409;
+  booking.mValueWhenLate = 0.0818;
+  return options;
+}
+
 } // namespace oriolevane::jobs
--- a/src/jobs/tests/loadtrial.cpp
+++ b/src/jobs/tests/loadtrial.cpp
@@ -219,6 +219,7 @@
     , mCompletedAt(mJobs.size())
   {
     mOutcome.mJobClasses.resize(aOptions.mJobClasses.size());
+    mCell.Scheduler().SetQueryHosts(aOptions.mQueryHosts);
     mCell.mOnAdviceQuery = [this](const AdviceQuery& aQuery) {
       mPolicyService.Add(aQuery);
     };
--- a/src/jobs/tests/loadtrial.h
+++ b/src/jobs/tests/loadtrial.h
@@ -119,6 +119,10 @@
 // model jobs, match jobs and short preview jobs.
 LoadTrialOptions
 LargeModelAndPreviewLoad();
+// Returns the workload mix of the first site, grown to 1,100 workers: wide
+// gangs of route jobs, certificate jobs and short booking jobs.
+LoadTrialOptions
+WideRouteAndBookingLoad();
 
 // Runs the load until twice its duration has passed and returns the results.
 LoadOutcome
