--- a/src/cellnode/advicedispatcher.h
+++ b/src/cellnode/advicedispatcher.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "framework/types/ids.h"
@@ -31,8 +32,10 @@
   void RemoveNode(const NodeId& aNode);
   // Sends the query to a node, or keeps it until one has capacity.
   void Add(const jobs::AdviceQuery& aQuery);
-  // Takes an answer. Returns false when the query is not outstanding any more.
-  bool OnAnswer(QueryId aId);
+  // Takes an answer and returns its query, or nothing when the query is not
+  // outstanding any more.
+  std::optional<jobs::AdviceQuery> OnAnswer(QueryId aId);
+  std::size_t NodeCount() const { return mNodeLoads.size(); }
   // The number of queries that are not sent to a node.
   std::size_t Waiting() const { return mWaiting.size(); }
 
--- a/src/cellnode/internal/advicedispatcher.cpp
+++ b/src/cellnode/internal/advicedispatcher.cpp
@@ -55,7 +55,7 @@
   Assign();
 }
 
-bool
+std::optional<jobs::AdviceQuery>
 AdviceDispatcher::OnAnswer(QueryId aId)
 {
   for (auto& [name, load] : mNodeLoads) {
@@ -63,12 +63,13 @@
     if (found == load.mQueries.end()) {
       continue;
     }
-    load.mServiceTime -= found->second.mServiceTime;
+    jobs::AdviceQuery query = std::move(found->second);
+    load.mServiceTime -= query.mServiceTime;
     load.mQueries.erase(found);
     Assign();
-    return true;
+    return query;
   }
-  return false;
+  return std::nullopt;
 }
 
 AdviceDispatcher::NodeLoad*
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -27,6 +27,8 @@
 // The process exits after this fraction of the grace period, even with open
 // requests.
 constexpr double kStopDeadlineShareOfGrace = 0.85;
+// A relay collects answers of workers for this time before it sends them.
+constexpr std::chrono::milliseconds kRelayAnswerDelay = 2ms;
 const std::string kNodeTable = "nodes";
 
 TimePoint
@@ -67,7 +69,9 @@
         .mOnOwnerRow = [this](const OwnerRow& aRow) { OnOwnerRow(aRow); },
         .mOnClaimed =
           [this](const ClaimedShard& aShard) { BeginSession(aShard); } })
+  , mRelayServer(MakeRelayServerHooks())
 {
+  mRelayFlushTimer = mLoop.MakeTimer([this] { mRelayServer.Flush(); });
   mTimer = mLoop.MakeTimer([this] { Tick(); });
   mConfigurationWatch = std::make_unique<TableWatch>(
     mLoop,
@@ -85,6 +89,18 @@
   *mAlive = false;
 }
 
+RelayServerHooks
+CellNode::Impl::MakeRelayServerHooks()
+{
+  return { .mUpstreams = mUpstreams,
+           .mSend =
+             [this](const NodeId& aNode, cellwire::WorkerAnswerBatchT aBatch) {
+               mPeers.Send(aNode, std::move(aBatch));
+             },
+           .mRequestFlush =
+             [this] { mRelayFlushTimer->StartWithin(kRelayAnswerDelay); } };
+}
+
 absl::Status
 CellNode::Impl::Start()
 {
@@ -208,21 +224,25 @@
     aShard.mRow,
     aShard.mVersion,
     aShard.mOwnedSince,
-    OwnerSessionHooks{ .mOnOwnershipLost = [this] { EndSession("lost"); },
-                       .mOnServing = [this] { UpdateHello(); },
-                       .mOnReleased = [this] { OnReleased(); },
-                       .mOnStageTime =
-                         [this](Stage aStage, Duration aTime) {
-                           mMetrics.Observe(aStage, aTime);
-                         },
-                       .mSendAdviceQuery =
-                         [this](const NodeId& aNode,
-                                QueryId aId,
-                                const jobs::AdviceQuery& aQuery) {
-                           SendAdviceQuery(aNode, aId, aQuery);
-                         } });
+    OwnerSessionHooks{
+      .mOnOwnershipLost = [this] { EndSession("lost"); },
+      .mOnServing = [this] { UpdateHello(); },
+      .mOnReleased = [this] { OnReleased(); },
+      .mOnStageTime =
+        [this](Stage aStage, Duration aTime) {
+          mMetrics.Observe(aStage, aTime);
+        },
+      .mSendAdviceQuery =
+        [this](
+          const NodeId& aNode, QueryId aId, const jobs::AdviceQuery& aQuery) {
+          SendAdviceQuery(aNode, aId, aQuery);
+        },
+      .mSendWorkerCalls =
+        [this](const NodeId& aNode, cellwire::WorkerCallBatchT aBatch) {
+          mPeers.Send(aNode, std::move(aBatch));
+        } });
   for (const NodeId& node : mPeers.LinkedNodes()) {
-    mSession->AddNode(node);
+    AddToSession(node);
   }
   if (!mPredecessor.has_value() || mPredecessor->mReleased ||
       mPredecessor->mNode == mOptions.mNode) {
@@ -236,6 +256,15 @@
   SendUnsentCalls();
 }
 
+void
+CellNode::Impl::AddToSession(const NodeId& aNode)
+{
+  const PeerState& peer = mPeerStates[aNode];
+  mSession->AddNode(
+    { .mNode = aNode, .mZone = peer.mZone, .mFitness = peer.mFitness },
+    peer.mRelays);
+}
+
 void
 CellNode::Impl::WatchNodeTable()
 {
@@ -292,6 +321,8 @@
   hello.epoch = mEpoch.mValue;
   hello.owns = mSession != nullptr;
   hello.fitness = static_cast<float>(mOptions.mFitness);
+  hello.zone = mOptions.mZone.mValue;
+  hello.relays = !mStopping;
   mPeers.SetHello(std::move(hello));
 }
 
@@ -325,8 +356,8 @@
 double
 CellNode::Impl::PeerFitness(const NodeId& aNode) const
 {
-  const auto found = mPeerFitness.find(aNode);
-  return found == mPeerFitness.end() ? 0.0 : found->second;
+  const auto found = mPeerStates.find(aNode);
+  return found == mPeerStates.end() ? 0.0 : found->second.mFitness;
 }
 
 // Releases the shard when a linked node is much fitter, so that a host too
@@ -369,7 +400,9 @@
 CellNode::Impl::OnHello(const NodeId& aNode, const cellwire::HelloT& aHello)
 {
   const Epoch epoch(aHello.epoch);
-  mPeerFitness[aNode] = aHello.fitness;
+  mPeerStates[aNode] = { .mFitness = aHello.fitness,
+                         .mZone = ZoneId(aHello.zone),
+                         .mRelays = aHello.relays };
   if (mSession != nullptr) {
     if (mPredecessor.has_value() && mPredecessor->mNode == aNode &&
         mPredecessor->mIncarnation != Incarnation(aHello.incarnation)) {
@@ -379,7 +412,7 @@
       mEpoch = epoch;
       EndSession("higher_epoch");
     } else {
-      mSession->AddNode(aNode);
+      AddToSession(aNode);
       return;
     }
   }
@@ -421,6 +454,7 @@
 void
 CellNode::Impl::OnPeerClosed(const NodeId& aNode)
 {
+  mRelayServer.OnNodeGone(aNode);
   if (mSession != nullptr) {
     mSession->RemoveNode(aNode);
     return;
@@ -457,6 +491,14 @@
     case cellwire::Body::AdviceAnswer:
       OnPeerAdviceAnswer(*aMessage.body.AsAdviceAnswer());
       break;
+    case cellwire::Body::WorkerCallBatch:
+      mRelayServer.OnCalls(aNode, *aMessage.body.AsWorkerCallBatch());
+      break;
+    case cellwire::Body::WorkerAnswerBatch:
+      if (mSession != nullptr) {
+        mSession->OnWorkerAnswers(*aMessage.body.AsWorkerAnswerBatch());
+      }
+      break;
     case cellwire::Body::Hello:
     case cellwire::Body::NONE:
       break;
@@ -649,6 +691,7 @@
   mStopping = true;
   mStopStartedAt = Now();
   mOnStopped = std::move(aDone);
+  UpdateHello();
   if (mSession != nullptr) {
     mSession->Release();
   }
--- a/src/cellnode/internal/cellnodeimpl.h
+++ b/src/cellnode/internal/cellnodeimpl.h
@@ -9,6 +9,7 @@
 #include "cellnode/internal/ownersession.h"
 #include "cellnode/internal/peerlinks.h"
 #include "cellnode/internal/pendingcalls.h"
+#include "cellnode/internal/relayserver.h"
 #include "cellnode/internal/shardclaimer.h"
 #include "cellnode/internal/tablewatch.h"
 #include "cellnode/ownershippolicy.h"
@@ -33,6 +34,15 @@
   const NodeMetrics& Metrics() const { return mMetrics; }
 
 private:
+  // What a node has said of itself.
+  struct PeerState
+  {
+    double mFitness = 0.0;
+    ZoneId mZone;
+    // The node calls workers on behalf of the owner.
+    bool mRelays = false;
+  };
+
   // Ownership of the shard.
   void Tick();
   void OnOwnerRow(const OwnerRow& aRow);
@@ -52,6 +62,9 @@
   void ConnectMissingPeers();
   NodeId FittestPeer() const;
   double PeerFitness(const NodeId& aNode) const;
+  RelayServerHooks MakeRelayServerHooks();
+  // Tells the session of a linked node.
+  void AddToSession(const NodeId& aNode);
   void YieldToFitterPeer();
   void OnHello(const NodeId& aNode, const cellwire::HelloT& aHello);
   void OnMessage(const NodeId& aNode, const cellwire::MessageT& aMessage);
@@ -97,7 +110,10 @@
   // Sessions that have ended. They are destroyed in Tick(), because a session
   // cannot be destroyed within its own callbacks.
   std::vector<std::unique_ptr<OwnerSession>> mEndedSessions;
-  std::map<NodeId, double> mPeerFitness;
+  // What the linked nodes have said of themselves.
+  std::map<NodeId, PeerState> mPeerStates;
+  RelayServer mRelayServer;
+  std::unique_ptr<eventloop::Timer> mRelayFlushTimer;
   TimePoint mOwnedSince;
   bool mYielding = false;
   // The highest epoch that this node knows.
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -66,10 +66,14 @@
                            OwnerSessionHooks aHooks)
   : mLoop(aLoop)
   , mOptions(aOptions)
-  , mWorkerCalls(aUpstreams)
-  , mFormats(aFormats)
   , mOwner(std::move(aOwner))
   , mHooks(std::move(aHooks))
+  , mRelayedCalls(mOwner.mEpoch,
+                  { .mOwnerFitness = aOptions.mFitness },
+                  MakeRelayedCallsHooks(aUpstreams))
+  , mUpstreams(mRelayedCalls.MakeHooks())
+  , mWorkerCalls(mUpstreams)
+  , mFormats(aFormats)
   , mScheduler(WithEpoch(aOptions.mScheduler, mOwner.mEpoch),
                MakeSchedulerHooks())
   , mAdviceDispatcher({ .mSend =
@@ -465,12 +469,60 @@
 }
 
 void
-OwnerSession::OnAdvice(QueryId aId, const jobs::AdviceAnswer& aAnswer)
+OwnerSession::OnAdvice(QueryId aId, jobs::AdviceAnswer aAnswer)
 {
-  if (mAdviceDispatcher.OnAnswer(aId)) {
-    mScheduler.OnAdvice(aAnswer, Now());
-    ScheduleTick();
+  std::optional<jobs::AdviceQuery> query = mAdviceDispatcher.OnAnswer(aId);
+  if (!query.has_value()) {
+    return;
   }
+  aAnswer.mAsked = std::move(query->mWorkers);
+  mScheduler.OnAdvice(aAnswer, Now());
+  ScheduleTick();
+}
+
+RelayedCallsHooks
+OwnerSession::MakeRelayedCallsHooks(const UpstreamHooks& aUpstreams)
+{
+  return { .mDirect = aUpstreams,
+           .mSend =
+             [this](const NodeId& aNode, cellwire::WorkerCallBatchT aBatch) {
+               mHooks.mSendWorkerCalls(aNode, std::move(aBatch));
+             },
+           .mRequestFlush =
+             [this] {
+               mLoop.Post([this, alive = mAlive] {
+                 if (*alive) {
+                   mRelayedCalls.Flush();
+                 }
+               });
+             },
+           .mNow = [] { return std::chrono::steady_clock::now(); } };
+}
+
+void
+OwnerSession::OnWorkerAnswers(const cellwire::WorkerAnswerBatchT& aAnswers)
+{
+  mRelayedCalls.OnAnswers(aAnswers);
+}
+
+void
+OwnerSession::AddNode(const RelayNode& aNode, bool aRelays)
+{
+  if (aRelays) {
+    mRelayedCalls.AddNode(aNode);
+  } else {
+    mRelayedCalls.RetireNode(aNode.mNode);
+  }
+  mAdviceDispatcher.AddNode(aNode.mNode);
+  mScheduler.SetQueryHosts(mAdviceDispatcher.NodeCount());
+}
+
+void
+OwnerSession::RemoveNode(const NodeId& aNode)
+{
+  mRelayedCalls.RemoveNode(aNode);
+  mAdviceDispatcher.RemoveNode(aNode);
+  mScheduler.SetQueryHosts(mAdviceDispatcher.NodeCount());
 }
 
 void
@@ -494,6 +546,8 @@
     return;
   }
   const jobs::Moment now = Now();
+  mRelayedCalls.SetWorkerCount(mScheduler.WorkerCount());
+  mRelayedCalls.Expire(now.mSteady);
   if (mLoaded && !mReleasing) {
     mScheduler.SetOwnershipEnd(mJournal.RenewedAt() +
                                mOptions.mScheduler.mOwnershipLease);
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -12,6 +12,7 @@
 #include "cellnode/advicedispatcher.h"
 #include "cellnode/celljournal.h"
 #include "cellnode/internal/cellloader.h"
+#include "cellnode/internal/relayedcalls.h"
 #include "cellnode/internal/tablewatch.h"
 #include "cellnode/internal/workercalls.h"
 #include "cellnode/nodemetrics.h"
@@ -35,6 +36,9 @@
   // Sends a query to a node, which passes it to the policy service.
   std::function<void(const NodeId&, QueryId, const jobs::AdviceQuery&)>
     mSendAdviceQuery;
+  // Sends calls to workers to a node, which makes them.
+  std::function<void(const NodeId&, cellwire::WorkerCallBatchT)>
+    mSendWorkerCalls;
 };
 
 class OwnerSession
@@ -62,9 +66,13 @@
   // Notes that the previous owner has stopped.
   void OnPredecessorGone();
   // Takes the answer of the policy service to a query.
-  void OnAdvice(QueryId aId, const jobs::AdviceAnswer& aAnswer);
-  void AddNode(const NodeId& aNode) { mAdviceDispatcher.AddNode(aNode); }
-  void RemoveNode(const NodeId& aNode) { mAdviceDispatcher.RemoveNode(aNode); }
+  void OnAdvice(QueryId aId, jobs::AdviceAnswer aAnswer);
+  // Takes the answers of workers that a relay has called.
+  void OnWorkerAnswers(const cellwire::WorkerAnswerBatchT& aAnswers);
+  // Adds a node that this node has a link to, or replaces what is known of it.
+  // aRelays is true when the node calls workers on behalf of the owner.
+  void AddNode(const RelayNode& aNode, bool aRelays);
+  void RemoveNode(const NodeId& aNode);
   // Writes the pending changes and releases the shard.
   void Release();
   // Stops all work, because the session is about to be destroyed.
@@ -112,14 +120,17 @@
   void OnRecorded(jobs::RecordPosition aPosition);
   void Tick();
   void ScheduleTick();
+  RelayedCallsHooks MakeRelayedCallsHooks(const UpstreamHooks& aUpstreams);
   static jobs::Moment Now();
 
   eventloop::EventLoop& mLoop;
   NodeOptions mOptions;
-  WorkerCalls mWorkerCalls;
-  const ExternalFormats& mFormats;
   OwnerRow mOwner;
   OwnerSessionHooks mHooks;
+  RelayedCalls mRelayedCalls;
+  UpstreamHooks mUpstreams;
+  WorkerCalls mWorkerCalls;
+  const ExternalFormats& mFormats;
   jobs::CellScheduler mScheduler;
   AdviceDispatcher mAdviceDispatcher;
   CellJournal mJournal;
--- a/src/cellnode/internal/peermessages.cpp
+++ b/src/cellnode/internal/peermessages.cpp
@@ -98,7 +98,6 @@
   answer.job = aQuery.job;
   answer.occurrence = aQuery.occurrence;
   answer.step = aQuery.step;
-  answer.asked = aQuery.workers;
   answer.answered = aAnswer.mAnswered;
   answer.validity_ms = ToWireMillis(aAnswer.mValidity);
   for (const jobs::AdviceTicket& ticket : aAnswer.mApproved) {
@@ -121,9 +120,6 @@
                              .mApproved = {},
                              .mValidity =
                                std::chrono::milliseconds(aAnswer.validity_ms) };
-  for (const std::string& worker : aAnswer.asked) {
-    answer.mAsked.emplace_back(worker);
-  }
   for (const std::unique_ptr<cellwire::TicketT>& ticket : aAnswer.approved) {
     answer.mApproved.push_back(
       { .mWorker = WorkerId(ticket->worker), .mTicket = ticket->text });
--- a/src/cellnode/internal/peermessages.h
+++ b/src/cellnode/internal/peermessages.h
@@ -28,6 +28,7 @@
 FromWire(const cellwire::AdviceQueryT& aQuery);
 
 // Builds the answer to aQuery.
+// The answer does not repeat the workers of the query.
 cellwire::AdviceAnswerT
 ToWire(const cellwire::AdviceQueryT& aQuery, const jobs::AdviceAnswer& aAnswer);
 jobs::AdviceAnswer
--- a/src/cellnode/schema/cellpeer_generated.h
+++ b/src/cellnode/schema/cellpeer_generated.h
@@ -48,6 +48,46 @@
 struct AdviceAnswerBuilder;
 struct AdviceAnswerT;
 
+struct JobPayload;
+struct JobPayloadBuilder;
+struct JobPayloadT;
+
+struct StartCall;
+struct StartCallBuilder;
+struct StartCallT;
+
+struct StopCall;
+struct StopCallBuilder;
+struct StopCallT;
+
+struct PollCall;
+struct PollCallBuilder;
+struct PollCallT;
+
+struct WorkerCallBatch;
+struct WorkerCallBatchBuilder;
+struct WorkerCallBatchT;
+
+struct OrderReply;
+struct OrderReplyBuilder;
+struct OrderReplyT;
+
+struct RunningEntry;
+struct RunningEntryBuilder;
+struct RunningEntryT;
+
+struct EndedEntry;
+struct EndedEntryBuilder;
+struct EndedEntryT;
+
+struct PollReply;
+struct PollReplyBuilder;
+struct PollReplyT;
+
+struct WorkerAnswerBatch;
+struct WorkerAnswerBatchBuilder;
+struct WorkerAnswerBatchT;
+
 struct Message;
 struct MessageBuilder;
 struct MessageT;
@@ -61,11 +101,13 @@
   CallerAnswer = 5,
   AdviceQuery = 6,
   AdviceAnswer = 7,
+  WorkerCallBatch = 8,
+  WorkerAnswerBatch = 9,
   MIN = NONE,
-  MAX = AdviceAnswer
+  MAX = WorkerAnswerBatch
 };
 
-inline const Body (&EnumValuesBody())[8] {
+inline const Body (&EnumValuesBody())[10] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -74,13 +116,15 @@
     Body::CallerRequest,
     Body::CallerAnswer,
     Body::AdviceQuery,
-    Body::AdviceAnswer
+    Body::AdviceAnswer,
+    Body::WorkerCallBatch,
+    Body::WorkerAnswerBatch
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[9] = {
+  static const char * const names[11] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -89,13 +133,15 @@
     "CallerAnswer",
     "AdviceQuery",
     "AdviceAnswer",
+    "WorkerCallBatch",
+    "WorkerAnswerBatch",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::AdviceAnswer)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::WorkerAnswerBatch)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -132,6 +178,14 @@
   static const Body enum_value = Body::AdviceAnswer;
 };
 
+template<> struct BodyTraits<oriolevane::cellwire::WorkerCallBatch> {
+  static const Body enum_value = Body::WorkerCallBatch;
+};
+
+template<> struct BodyTraits<oriolevane::cellwire::WorkerAnswerBatch> {
+  static const Body enum_value = Body::WorkerAnswerBatch;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -164,6 +218,14 @@
   static const Body enum_value = Body::AdviceAnswer;
 };
 
+template<> struct BodyUnionTraits<oriolevane::cellwire::WorkerCallBatchT> {
+  static const Body enum_value = Body::WorkerCallBatch;
+};
+
+template<> struct BodyUnionTraits<oriolevane::cellwire::WorkerAnswerBatchT> {
+  static const Body enum_value = Body::WorkerAnswerBatch;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -250,6 +312,22 @@
     return type == Body::AdviceAnswer ?
       reinterpret_cast<const oriolevane::cellwire::AdviceAnswerT *>(value) : nullptr;
   }
+  oriolevane::cellwire::WorkerCallBatchT *AsWorkerCallBatch() {
+    return type == Body::WorkerCallBatch ?
+      reinterpret_cast<oriolevane::cellwire::WorkerCallBatchT *>(value) : nullptr;
+  }
+  const oriolevane::cellwire::WorkerCallBatchT *AsWorkerCallBatch() const {
+    return type == Body::WorkerCallBatch ?
+      reinterpret_cast<const oriolevane::cellwire::WorkerCallBatchT *>(value) : nullptr;
+  }
+  oriolevane::cellwire::WorkerAnswerBatchT *AsWorkerAnswerBatch() {
+    return type == Body::WorkerAnswerBatch ?
+      reinterpret_cast<oriolevane::cellwire::WorkerAnswerBatchT *>(value) : nullptr;
+  }
+  const oriolevane::cellwire::WorkerAnswerBatchT *AsWorkerAnswerBatch() const {
+    return type == Body::WorkerAnswerBatch ?
+      reinterpret_cast<const oriolevane::cellwire::WorkerAnswerBatchT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -263,6 +341,8 @@
   uint64_t epoch = 0;
   bool owns = false;
   float fitness = 0.0f;
+  std::string zone{};
+  bool relays = false;
 };
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -274,7 +354,9 @@
     VT_INCARNATION = 8,
     VT_EPOCH = 10,
     VT_OWNS = 12,
-    VT_FITNESS = 14
+    VT_FITNESS = 14,
+    VT_ZONE = 16,
+    VT_RELAYS = 18
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -294,6 +376,12 @@
   float fitness() const {
     return GetField<float>(VT_FITNESS, 0.0f);
   }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool relays() const {
+    return GetField<uint8_t>(VT_RELAYS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -304,6 +392,9 @@
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            VerifyField<uint8_t>(verifier, VT_OWNS, 1) &&
            VerifyField<float>(verifier, VT_FITNESS, 4) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint8_t>(verifier, VT_RELAYS, 1) &&
            verifier.EndTable();
   }
   HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -333,6 +424,12 @@
   void add_fitness(float fitness) {
     fbb_.AddElement<float>(Hello::VT_FITNESS, fitness, 0.0f);
   }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(Hello::VT_ZONE, zone);
+  }
+  void add_relays(bool relays) {
+    fbb_.AddElement<uint8_t>(Hello::VT_RELAYS, static_cast<uint8_t>(relays), 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -351,13 +448,17 @@
     uint64_t incarnation = 0,
     uint64_t epoch = 0,
     bool owns = false,
-    float fitness = 0.0f) {
+    float fitness = 0.0f,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    bool relays = false) {
   HelloBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_incarnation(incarnation);
+  builder_.add_zone(zone);
   builder_.add_fitness(fitness);
   builder_.add_address(address);
   builder_.add_node(node);
+  builder_.add_relays(relays);
   builder_.add_owns(owns);
   return builder_.Finish();
 }
@@ -369,9 +470,12 @@
     uint64_t incarnation = 0,
     uint64_t epoch = 0,
     bool owns = false,
-    float fitness = 0.0f) {
+    float fitness = 0.0f,
+    const char *zone = nullptr,
+    bool relays = false) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   return oriolevane::cellwire::CreateHello(
       _fbb,
       node__,
@@ -379,7 +483,9 @@
       incarnation,
       epoch,
       owns,
-      fitness);
+      fitness,
+      zone__,
+      relays);
 }
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -992,7 +1098,6 @@
   std::string job{};
   int32_t occurrence = 0;
   int32_t step = 0;
-  std::vector<std::string> asked{};
   bool answered = false;
   std::vector<std::unique_ptr<oriolevane::cellwire::TicketT>> approved{};
   uint32_t validity_ms = 0;
@@ -1010,7 +1115,6 @@
     VT_JOB = 6,
     VT_OCCURRENCE = 8,
     VT_STEP = 10,
-    VT_ASKED = 12,
     VT_ANSWERED = 14,
     VT_APPROVED = 16,
     VT_VALIDITY_MS = 18
@@ -1027,9 +1131,6 @@
   int32_t step() const {
     return GetField<int32_t>(VT_STEP, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *asked() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ASKED);
-  }
   bool answered() const {
     return GetField<uint8_t>(VT_ANSWERED, 0) != 0;
   }
@@ -1046,9 +1147,6 @@
            verifier.VerifyString(job()) &&
            VerifyField<int32_t>(verifier, VT_OCCURRENCE, 4) &&
            VerifyField<int32_t>(verifier, VT_STEP, 4) &&
-           VerifyOffset(verifier, VT_ASKED) &&
-           verifier.VerifyVector(asked()) &&
-           verifier.VerifyVectorOfStrings(asked()) &&
            VerifyField<uint8_t>(verifier, VT_ANSWERED, 1) &&
            VerifyOffset(verifier, VT_APPROVED) &&
            verifier.VerifyVector(approved()) &&
@@ -1077,9 +1175,6 @@
   void add_step(int32_t step) {
     fbb_.AddElement<int32_t>(AdviceAnswer::VT_STEP, step, 0);
   }
-  void add_asked(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> asked) {
-    fbb_.AddOffset(AdviceAnswer::VT_ASKED, asked);
-  }
   void add_answered(bool answered) {
     fbb_.AddElement<uint8_t>(AdviceAnswer::VT_ANSWERED, static_cast<uint8_t>(answered), 0);
   }
@@ -1106,7 +1201,6 @@
     flatbuffers::Offset<flatbuffers::String> job = 0,
     int32_t occurrence = 0,
     int32_t step = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> asked = 0,
     bool answered = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::Ticket>>> approved = 0,
     uint32_t validity_ms = 0) {
@@ -1114,7 +1208,6 @@
   builder_.add_id(id);
   builder_.add_validity_ms(validity_ms);
   builder_.add_approved(approved);
-  builder_.add_asked(asked);
   builder_.add_step(step);
   builder_.add_occurrence(occurrence);
   builder_.add_job(job);
@@ -1128,12 +1221,10 @@
     const char *job = nullptr,
     int32_t occurrence = 0,
     int32_t step = 0,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *asked = nullptr,
     bool answered = false,
     const std::vector<flatbuffers::Offset<oriolevane::cellwire::Ticket>> *approved = nullptr,
     uint32_t validity_ms = 0) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
-  auto asked__ = asked ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*asked) : 0;
   auto approved__ = approved ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::Ticket>>(*approved) : 0;
   return oriolevane::cellwire::CreateAdviceAnswer(
       _fbb,
@@ -1141,7 +1232,6 @@
       job__,
       occurrence,
       step,
-      asked__,
       answered,
       approved__,
       validity_ms);
@@ -1149,121 +1239,1348 @@
 
 flatbuffers::Offset<AdviceAnswer> CreateAdviceAnswer(flatbuffers::FlatBufferBuilder &_fbb, const AdviceAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct MessageT : public flatbuffers::NativeTable {
-  typedef Message TableType;
-  oriolevane::cellwire::BodyUnion body{};
+struct JobPayloadT : public flatbuffers::NativeTable {
+  typedef JobPayload TableType;
+  std::string job{};
+  std::string text{};
 };
 
-struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef MessageT NativeTableType;
-  typedef MessageBuilder Builder;
+struct JobPayload FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobPayloadT NativeTableType;
+  typedef JobPayloadBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_BODY_TYPE = 4,
-    VT_BODY = 6
+    VT_JOB = 4,
+    VT_TEXT = 6
   };
-  oriolevane::cellwire::Body body_type() const {
-    return static_cast<oriolevane::cellwire::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
   }
-  const void *body() const {
-    return GetPointer<const void *>(VT_BODY);
+  const flatbuffers::String *text() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEXT);
   }
-  template<typename T> const T *body_as() const;
-  const oriolevane::cellwire::Hello *body_as_Hello() const {
-    return body_type() == oriolevane::cellwire::Body::Hello ? static_cast<const oriolevane::cellwire::Hello *>(body()) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyOffset(verifier, VT_TEXT) &&
+           verifier.VerifyString(text()) &&
+           verifier.EndTable();
   }
-  const oriolevane::cellwire::Heartbeat *body_as_Heartbeat() const {
-    return body_type() == oriolevane::cellwire::Body::Heartbeat ? static_cast<const oriolevane::cellwire::Heartbeat *>(body()) : nullptr;
+  JobPayloadT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobPayloadT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobPayload> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobPayloadT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobPayloadBuilder {
+  typedef JobPayload Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(JobPayload::VT_JOB, job);
   }
-  const oriolevane::cellwire::Handover *body_as_Handover() const {
-    return body_type() == oriolevane::cellwire::Body::Handover ? static_cast<const oriolevane::cellwire::Handover *>(body()) : nullptr;
+  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+    fbb_.AddOffset(JobPayload::VT_TEXT, text);
   }
-  const oriolevane::cellwire::CallerRequest *body_as_CallerRequest() const {
-    return body_type() == oriolevane::cellwire::Body::CallerRequest ? static_cast<const oriolevane::cellwire::CallerRequest *>(body()) : nullptr;
+  explicit JobPayloadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const oriolevane::cellwire::CallerAnswer *body_as_CallerAnswer() const {
-    return body_type() == oriolevane::cellwire::Body::CallerAnswer ? static_cast<const oriolevane::cellwire::CallerAnswer *>(body()) : nullptr;
+  flatbuffers::Offset<JobPayload> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobPayload>(end);
+    return o;
   }
-  const oriolevane::cellwire::AdviceQuery *body_as_AdviceQuery() const {
-    return body_type() == oriolevane::cellwire::Body::AdviceQuery ? static_cast<const oriolevane::cellwire::AdviceQuery *>(body()) : nullptr;
+};
+
+inline flatbuffers::Offset<JobPayload> CreateJobPayload(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    flatbuffers::Offset<flatbuffers::String> text = 0) {
+  JobPayloadBuilder builder_(_fbb);
+  builder_.add_text(text);
+  builder_.add_job(job);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<JobPayload> CreateJobPayloadDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *job = nullptr,
+    const char *text = nullptr) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto text__ = text ? _fbb.CreateString(text) : 0;
+  return oriolevane::cellwire::CreateJobPayload(
+      _fbb,
+      job__,
+      text__);
+}
+
+flatbuffers::Offset<JobPayload> CreateJobPayload(flatbuffers::FlatBufferBuilder &_fbb, const JobPayloadT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StartCallT : public flatbuffers::NativeTable {
+  typedef StartCall TableType;
+  uint64_t id = 0;
+  std::string worker{};
+  std::string address{};
+  uint64_t token = 0;
+  std::string task{};
+  uint64_t run = 0;
+  std::string checkpoint{};
+  std::string ticket{};
+  int64_t lease_end_ms = 0;
+  uint32_t timeout_ms = 0;
+};
+
+struct StartCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StartCallT NativeTableType;
+  typedef StartCallBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_WORKER = 6,
+    VT_ADDRESS = 8,
+    VT_TOKEN = 10,
+    VT_TASK = 12,
+    VT_RUN = 14,
+    VT_CHECKPOINT = 16,
+    VT_TICKET = 18,
+    VT_LEASE_END_MS = 20,
+    VT_TIMEOUT_MS = 22
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
   }
-  const oriolevane::cellwire::AdviceAnswer *body_as_AdviceAnswer() const {
-    return body_type() == oriolevane::cellwire::Body::AdviceAnswer ? static_cast<const oriolevane::cellwire::AdviceAnswer *>(body()) : nullptr;
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint64_t token() const {
+    return GetField<uint64_t>(VT_TOKEN, 0);
+  }
+  const flatbuffers::String *task() const {
+    return GetPointer<const flatbuffers::String *>(VT_TASK);
+  }
+  uint64_t run() const {
+    return GetField<uint64_t>(VT_RUN, 0);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  const flatbuffers::String *ticket() const {
+    return GetPointer<const flatbuffers::String *>(VT_TICKET);
+  }
+  int64_t lease_end_ms() const {
+    return GetField<int64_t>(VT_LEASE_END_MS, 0);
+  }
+  uint32_t timeout_ms() const {
+    return GetField<uint32_t>(VT_TIMEOUT_MS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
-           VerifyOffset(verifier, VT_BODY) &&
-           VerifyBody(verifier, body(), body_type()) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint64_t>(verifier, VT_TOKEN, 8) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyString(task()) &&
+           VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           VerifyOffset(verifier, VT_TICKET) &&
+           verifier.VerifyString(ticket()) &&
+           VerifyField<int64_t>(verifier, VT_LEASE_END_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_TIMEOUT_MS, 4) &&
            verifier.EndTable();
   }
-  MessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(MessageT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<Message> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MessageT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  StartCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StartCallT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StartCall> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StartCallT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-template<> inline const oriolevane::cellwire::Hello *Message::body_as<oriolevane::cellwire::Hello>() const {
-  return body_as_Hello();
-}
-
-template<> inline const oriolevane::cellwire::Heartbeat *Message::body_as<oriolevane::cellwire::Heartbeat>() const {
-  return body_as_Heartbeat();
-}
+struct StartCallBuilder {
+  typedef StartCall Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(StartCall::VT_ID, id, 0);
+  }
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(StartCall::VT_WORKER, worker);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(StartCall::VT_ADDRESS, address);
+  }
+  void add_token(uint64_t token) {
+    fbb_.AddElement<uint64_t>(StartCall::VT_TOKEN, token, 0);
+  }
+  void add_task(flatbuffers::Offset<flatbuffers::String> task) {
+    fbb_.AddOffset(StartCall::VT_TASK, task);
+  }
+  void add_run(uint64_t run) {
+    fbb_.AddElement<uint64_t>(StartCall::VT_RUN, run, 0);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(StartCall::VT_CHECKPOINT, checkpoint);
+  }
+  void add_ticket(flatbuffers::Offset<flatbuffers::String> ticket) {
+    fbb_.AddOffset(StartCall::VT_TICKET, ticket);
+  }
+  void add_lease_end_ms(int64_t lease_end_ms) {
+    fbb_.AddElement<int64_t>(StartCall::VT_LEASE_END_MS, lease_end_ms, 0);
+  }
+  void add_timeout_ms(uint32_t timeout_ms) {
+    fbb_.AddElement<uint32_t>(StartCall::VT_TIMEOUT_MS, timeout_ms, 0);
+  }
+  explicit StartCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StartCall> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StartCall>(end);
+    return o;
+  }
+};
 
-template<> inline const oriolevane::cellwire::Handover *Message::body_as<oriolevane::cellwire::Handover>() const {
-  return body_as_Handover();
+inline flatbuffers::Offset<StartCall> CreateStartCall(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint64_t token = 0,
+    flatbuffers::Offset<flatbuffers::String> task = 0,
+    uint64_t run = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
+    flatbuffers::Offset<flatbuffers::String> ticket = 0,
+    int64_t lease_end_ms = 0,
+    uint32_t timeout_ms = 0) {
+  StartCallBuilder builder_(_fbb);
+  builder_.add_lease_end_ms(lease_end_ms);
+  builder_.add_run(run);
+  builder_.add_token(token);
+  builder_.add_id(id);
+  builder_.add_timeout_ms(timeout_ms);
+  builder_.add_ticket(ticket);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_task(task);
+  builder_.add_address(address);
+  builder_.add_worker(worker);
+  return builder_.Finish();
 }
 
-template<> inline const oriolevane::cellwire::CallerRequest *Message::body_as<oriolevane::cellwire::CallerRequest>() const {
-  return body_as_CallerRequest();
+inline flatbuffers::Offset<StartCall> CreateStartCallDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const char *worker = nullptr,
+    const char *address = nullptr,
+    uint64_t token = 0,
+    const char *task = nullptr,
+    uint64_t run = 0,
+    const char *checkpoint = nullptr,
+    const char *ticket = nullptr,
+    int64_t lease_end_ms = 0,
+    uint32_t timeout_ms = 0) {
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto task__ = task ? _fbb.CreateString(task) : 0;
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  auto ticket__ = ticket ? _fbb.CreateString(ticket) : 0;
+  return oriolevane::cellwire::CreateStartCall(
+      _fbb,
+      id,
+      worker__,
+      address__,
+      token,
+      task__,
+      run,
+      checkpoint__,
+      ticket__,
+      lease_end_ms,
+      timeout_ms);
 }
 
-template<> inline const oriolevane::cellwire::CallerAnswer *Message::body_as<oriolevane::cellwire::CallerAnswer>() const {
-  return body_as_CallerAnswer();
-}
+flatbuffers::Offset<StartCall> CreateStartCall(flatbuffers::FlatBufferBuilder &_fbb, const StartCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-template<> inline const oriolevane::cellwire::AdviceQuery *Message::body_as<oriolevane::cellwire::AdviceQuery>() const {
-  return body_as_AdviceQuery();
-}
+struct StopCallT : public flatbuffers::NativeTable {
+  typedef StopCall TableType;
+  uint64_t id = 0;
+  std::string worker{};
+  std::string address{};
+  uint64_t token = 0;
+  std::string task{};
+  uint64_t run = 0;
+  uint32_t timeout_ms = 0;
+};
 
-template<> inline const oriolevane::cellwire::AdviceAnswer *Message::body_as<oriolevane::cellwire::AdviceAnswer>() const {
-  return body_as_AdviceAnswer();
-}
+struct StopCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StopCallT NativeTableType;
+  typedef StopCallBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_WORKER = 6,
+    VT_ADDRESS = 8,
+    VT_TOKEN = 10,
+    VT_TASK = 12,
+    VT_RUN = 14,
+    VT_TIMEOUT_MS = 16
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint64_t token() const {
+    return GetField<uint64_t>(VT_TOKEN, 0);
+  }
+  const flatbuffers::String *task() const {
+    return GetPointer<const flatbuffers::String *>(VT_TASK);
+  }
+  uint64_t run() const {
+    return GetField<uint64_t>(VT_RUN, 0);
+  }
+  uint32_t timeout_ms() const {
+    return GetField<uint32_t>(VT_TIMEOUT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint64_t>(verifier, VT_TOKEN, 8) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyString(task()) &&
+           VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
+           VerifyField<uint32_t>(verifier, VT_TIMEOUT_MS, 4) &&
+           verifier.EndTable();
+  }
+  StopCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StopCallT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StopCall> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StopCallT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
 
-struct MessageBuilder {
-  typedef Message Table;
+struct StopCallBuilder {
+  typedef StopCall Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_body_type(oriolevane::cellwire::Body body_type) {
-    fbb_.AddElement<uint8_t>(Message::VT_BODY_TYPE, static_cast<uint8_t>(body_type), 0);
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(StopCall::VT_ID, id, 0);
   }
-  void add_body(flatbuffers::Offset<void> body) {
-    fbb_.AddOffset(Message::VT_BODY, body);
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(StopCall::VT_WORKER, worker);
   }
-  explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(StopCall::VT_ADDRESS, address);
+  }
+  void add_token(uint64_t token) {
+    fbb_.AddElement<uint64_t>(StopCall::VT_TOKEN, token, 0);
+  }
+  void add_task(flatbuffers::Offset<flatbuffers::String> task) {
+    fbb_.AddOffset(StopCall::VT_TASK, task);
+  }
+  void add_run(uint64_t run) {
+    fbb_.AddElement<uint64_t>(StopCall::VT_RUN, run, 0);
+  }
+  void add_timeout_ms(uint32_t timeout_ms) {
+    fbb_.AddElement<uint32_t>(StopCall::VT_TIMEOUT_MS, timeout_ms, 0);
+  }
+  explicit StopCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<Message> Finish() {
+  flatbuffers::Offset<StopCall> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Message>(end);
+    auto o = flatbuffers::Offset<StopCall>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<Message> CreateMessage(
+inline flatbuffers::Offset<StopCall> CreateStopCall(
     flatbuffers::FlatBufferBuilder &_fbb,
-    oriolevane::cellwire::Body body_type = oriolevane::cellwire::Body::NONE,
-    flatbuffers::Offset<void> body = 0) {
-  MessageBuilder builder_(_fbb);
-  builder_.add_body(body);
-  builder_.add_body_type(body_type);
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint64_t token = 0,
+    flatbuffers::Offset<flatbuffers::String> task = 0,
+    uint64_t run = 0,
+    uint32_t timeout_ms = 0) {
+  StopCallBuilder builder_(_fbb);
+  builder_.add_run(run);
+  builder_.add_token(token);
+  builder_.add_id(id);
+  builder_.add_timeout_ms(timeout_ms);
+  builder_.add_task(task);
+  builder_.add_address(address);
+  builder_.add_worker(worker);
   return builder_.Finish();
 }
 
-flatbuffers::Offset<Message> CreateMessage(flatbuffers::FlatBufferBuilder &_fbb, const MessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
-inline HelloT *Hello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::unique_ptr<HelloT>(new HelloT());
+inline flatbuffers::Offset<StopCall> CreateStopCallDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const char *worker = nullptr,
+    const char *address = nullptr,
+    uint64_t token = 0,
+    const char *task = nullptr,
+    uint64_t run = 0,
+    uint32_t timeout_ms = 0) {
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto task__ = task ? _fbb.CreateString(task) : 0;
+  return oriolevane::cellwire::CreateStopCall(
+      _fbb,
+      id,
+      worker__,
+      address__,
+      token,
+      task__,
+      run,
+      timeout_ms);
+}
+
+flatbuffers::Offset<StopCall> CreateStopCall(flatbuffers::FlatBufferBuilder &_fbb, const StopCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PollCallT : public flatbuffers::NativeTable {
+  typedef PollCall TableType;
+  uint64_t id = 0;
+  std::string worker{};
+  std::string address{};
+  uint64_t token = 0;
+  flatbuffers::Optional<int64_t> lease_end_ms = flatbuffers::nullopt;
+  uint64_t confirmed = 0;
+  uint32_t wait_ms = 0;
+  uint32_t timeout_ms = 0;
+};
+
+struct PollCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PollCallT NativeTableType;
+  typedef PollCallBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_WORKER = 6,
+    VT_ADDRESS = 8,
+    VT_TOKEN = 10,
+    VT_LEASE_END_MS = 12,
+    VT_CONFIRMED = 14,
+    VT_WAIT_MS = 16,
+    VT_TIMEOUT_MS = 18
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint64_t token() const {
+    return GetField<uint64_t>(VT_TOKEN, 0);
+  }
+  flatbuffers::Optional<int64_t> lease_end_ms() const {
+    return GetOptional<int64_t, int64_t>(VT_LEASE_END_MS);
+  }
+  uint64_t confirmed() const {
+    return GetField<uint64_t>(VT_CONFIRMED, 0);
+  }
+  uint32_t wait_ms() const {
+    return GetField<uint32_t>(VT_WAIT_MS, 0);
+  }
+  uint32_t timeout_ms() const {
+    return GetField<uint32_t>(VT_TIMEOUT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint64_t>(verifier, VT_TOKEN, 8) &&
+           VerifyField<int64_t>(verifier, VT_LEASE_END_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIRMED, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_TIMEOUT_MS, 4) &&
+           verifier.EndTable();
+  }
+  PollCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PollCallT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PollCall> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PollCallT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PollCallBuilder {
+  typedef PollCall Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(PollCall::VT_ID, id, 0);
+  }
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(PollCall::VT_WORKER, worker);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(PollCall::VT_ADDRESS, address);
+  }
+  void add_token(uint64_t token) {
+    fbb_.AddElement<uint64_t>(PollCall::VT_TOKEN, token, 0);
+  }
+  void add_lease_end_ms(int64_t lease_end_ms) {
+    fbb_.AddElement<int64_t>(PollCall::VT_LEASE_END_MS, lease_end_ms);
+  }
+  void add_confirmed(uint64_t confirmed) {
+    fbb_.AddElement<uint64_t>(PollCall::VT_CONFIRMED, confirmed, 0);
+  }
+  void add_wait_ms(uint32_t wait_ms) {
+    fbb_.AddElement<uint32_t>(PollCall::VT_WAIT_MS, wait_ms, 0);
+  }
+  void add_timeout_ms(uint32_t timeout_ms) {
+    fbb_.AddElement<uint32_t>(PollCall::VT_TIMEOUT_MS, timeout_ms, 0);
+  }
+  explicit PollCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PollCall> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PollCall>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PollCall> CreatePollCall(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint64_t token = 0,
+    flatbuffers::Optional<int64_t> lease_end_ms = flatbuffers::nullopt,
+    uint64_t confirmed = 0,
+    uint32_t wait_ms = 0,
+    uint32_t timeout_ms = 0) {
+  PollCallBuilder builder_(_fbb);
+  builder_.add_confirmed(confirmed);
+  if(lease_end_ms) { builder_.add_lease_end_ms(*lease_end_ms); }
+  builder_.add_token(token);
+  builder_.add_id(id);
+  builder_.add_timeout_ms(timeout_ms);
+  builder_.add_wait_ms(wait_ms);
+  builder_.add_address(address);
+  builder_.add_worker(worker);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PollCall> CreatePollCallDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const char *worker = nullptr,
+    const char *address = nullptr,
+    uint64_t token = 0,
+    flatbuffers::Optional<int64_t> lease_end_ms = flatbuffers::nullopt,
+    uint64_t confirmed = 0,
+    uint32_t wait_ms = 0,
+    uint32_t timeout_ms = 0) {
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return oriolevane::cellwire::CreatePollCall(
+      _fbb,
+      id,
+      worker__,
+      address__,
+      token,
+      lease_end_ms,
+      confirmed,
+      wait_ms,
+      timeout_ms);
+}
+
+flatbuffers::Offset<PollCall> CreatePollCall(flatbuffers::FlatBufferBuilder &_fbb, const PollCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct WorkerCallBatchT : public flatbuffers::NativeTable {
+  typedef WorkerCallBatch TableType;
+  std::vector<std::unique_ptr<oriolevane::cellwire::JobPayloadT>> payloads{};
+  std::vector<std::unique_ptr<oriolevane::cellwire::StartCallT>> starts{};
+  std::vector<std::unique_ptr<oriolevane::cellwire::StopCallT>> stops{};
+  std::vector<std::unique_ptr<oriolevane::cellwire::PollCallT>> polls{};
+  WorkerCallBatchT() = default;
+  WorkerCallBatchT(const WorkerCallBatchT &o);
+  WorkerCallBatchT(WorkerCallBatchT&&) FLATBUFFERS_NOEXCEPT = default;
+  WorkerCallBatchT &operator=(WorkerCallBatchT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct WorkerCallBatch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WorkerCallBatchT NativeTableType;
+  typedef WorkerCallBatchBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PAYLOADS = 4,
+    VT_STARTS = 6,
+    VT_STOPS = 8,
+    VT_POLLS = 10
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::JobPayload>> *payloads() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::JobPayload>> *>(VT_PAYLOADS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::StartCall>> *starts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::StartCall>> *>(VT_STARTS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::StopCall>> *stops() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::StopCall>> *>(VT_STOPS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::PollCall>> *polls() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::PollCall>> *>(VT_POLLS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_PAYLOADS) &&
+           verifier.VerifyVector(payloads()) &&
+           verifier.VerifyVectorOfTables(payloads()) &&
+           VerifyOffset(verifier, VT_STARTS) &&
+           verifier.VerifyVector(starts()) &&
+           verifier.VerifyVectorOfTables(starts()) &&
+           VerifyOffset(verifier, VT_STOPS) &&
+           verifier.VerifyVector(stops()) &&
+           verifier.VerifyVectorOfTables(stops()) &&
+           VerifyOffset(verifier, VT_POLLS) &&
+           verifier.VerifyVector(polls()) &&
+           verifier.VerifyVectorOfTables(polls()) &&
+           verifier.EndTable();
+  }
+  WorkerCallBatchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(WorkerCallBatchT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<WorkerCallBatch> Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkerCallBatchT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct WorkerCallBatchBuilder {
+  typedef WorkerCallBatch Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_payloads(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::JobPayload>>> payloads) {
+    fbb_.AddOffset(WorkerCallBatch::VT_PAYLOADS, payloads);
+  }
+  void add_starts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::StartCall>>> starts) {
+    fbb_.AddOffset(WorkerCallBatch::VT_STARTS, starts);
+  }
+  void add_stops(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::StopCall>>> stops) {
+    fbb_.AddOffset(WorkerCallBatch::VT_STOPS, stops);
+  }
+  void add_polls(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::PollCall>>> polls) {
+    fbb_.AddOffset(WorkerCallBatch::VT_POLLS, polls);
+  }
+  explicit WorkerCallBatchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<WorkerCallBatch> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<WorkerCallBatch>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<WorkerCallBatch> CreateWorkerCallBatch(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::JobPayload>>> payloads = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::StartCall>>> starts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::StopCall>>> stops = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::PollCall>>> polls = 0) {
+  WorkerCallBatchBuilder builder_(_fbb);
+  builder_.add_polls(polls);
+  builder_.add_stops(stops);
+  builder_.add_starts(starts);
+  builder_.add_payloads(payloads);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<WorkerCallBatch> CreateWorkerCallBatchDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<oriolevane::cellwire::JobPayload>> *payloads = nullptr,
+    const std::vector<flatbuffers::Offset<oriolevane::cellwire::StartCall>> *starts = nullptr,
+    const std::vector<flatbuffers::Offset<oriolevane::cellwire::StopCall>> *stops = nullptr,
+    const std::vector<flatbuffers::Offset<oriolevane::cellwire::PollCall>> *polls = nullptr) {
+  auto payloads__ = payloads ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::JobPayload>>(*payloads) : 0;
+  auto starts__ = starts ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::StartCall>>(*starts) : 0;
+  auto stops__ = stops ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::StopCall>>(*stops) : 0;
+  auto polls__ = polls ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::PollCall>>(*polls) : 0;
+  return oriolevane::cellwire::CreateWorkerCallBatch(
+      _fbb,
+      payloads__,
+      starts__,
+      stops__,
+      polls__);
+}
+
+flatbuffers::Offset<WorkerCallBatch> CreateWorkerCallBatch(flatbuffers::FlatBufferBuilder &_fbb, const WorkerCallBatchT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct OrderReplyT : public flatbuffers::NativeTable {
+  typedef OrderReply TableType;
+  uint64_t id = 0;
+  uint8_t result = 0;
+  bool payload_missing = false;
+  flatbuffers::Optional<int64_t> now_ms = flatbuffers::nullopt;
+};
+
+struct OrderReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OrderReplyT NativeTableType;
+  typedef OrderReplyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_RESULT = 6,
+    VT_PAYLOAD_MISSING = 8,
+    VT_NOW_MS = 10
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  uint8_t result() const {
+    return GetField<uint8_t>(VT_RESULT, 0);
+  }
+  bool payload_missing() const {
+    return GetField<uint8_t>(VT_PAYLOAD_MISSING, 0) != 0;
+  }
+  flatbuffers::Optional<int64_t> now_ms() const {
+    return GetOptional<int64_t, int64_t>(VT_NOW_MS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RESULT, 1) &&
+           VerifyField<uint8_t>(verifier, VT_PAYLOAD_MISSING, 1) &&
+           VerifyField<int64_t>(verifier, VT_NOW_MS, 8) &&
+           verifier.EndTable();
+  }
+  OrderReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OrderReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OrderReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrderReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OrderReplyBuilder {
+  typedef OrderReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(OrderReply::VT_ID, id, 0);
+  }
+  void add_result(uint8_t result) {
+    fbb_.AddElement<uint8_t>(OrderReply::VT_RESULT, result, 0);
+  }
+  void add_payload_missing(bool payload_missing) {
+    fbb_.AddElement<uint8_t>(OrderReply::VT_PAYLOAD_MISSING, static_cast<uint8_t>(payload_missing), 0);
+  }
+  void add_now_ms(int64_t now_ms) {
+    fbb_.AddElement<int64_t>(OrderReply::VT_NOW_MS, now_ms);
+  }
+  explicit OrderReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OrderReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OrderReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OrderReply> CreateOrderReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint8_t result = 0,
+    bool payload_missing = false,
+    flatbuffers::Optional<int64_t> now_ms = flatbuffers::nullopt) {
+  OrderReplyBuilder builder_(_fbb);
+  if(now_ms) { builder_.add_now_ms(*now_ms); }
+  builder_.add_id(id);
+  builder_.add_payload_missing(payload_missing);
+  builder_.add_result(result);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<OrderReply> CreateOrderReply(flatbuffers::FlatBufferBuilder &_fbb, const OrderReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RunningEntryT : public flatbuffers::NativeTable {
+  typedef RunningEntry TableType;
+  std::string task{};
+  uint64_t run = 0;
+  std::string checkpoint{};
+  uint8_t percent = 0;
+};
+
+struct RunningEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RunningEntryT NativeTableType;
+  typedef RunningEntryBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TASK = 4,
+    VT_RUN = 6,
+    VT_CHECKPOINT = 8,
+    VT_PERCENT = 10
+  };
+  const flatbuffers::String *task() const {
+    return GetPointer<const flatbuffers::String *>(VT_TASK);
+  }
+  uint64_t run() const {
+    return GetField<uint64_t>(VT_RUN, 0);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  uint8_t percent() const {
+    return GetField<uint8_t>(VT_PERCENT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyString(task()) &&
+           VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           VerifyField<uint8_t>(verifier, VT_PERCENT, 1) &&
+           verifier.EndTable();
+  }
+  RunningEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RunningEntryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RunningEntry> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunningEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RunningEntryBuilder {
+  typedef RunningEntry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_task(flatbuffers::Offset<flatbuffers::String> task) {
+    fbb_.AddOffset(RunningEntry::VT_TASK, task);
+  }
+  void add_run(uint64_t run) {
+    fbb_.AddElement<uint64_t>(RunningEntry::VT_RUN, run, 0);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(RunningEntry::VT_CHECKPOINT, checkpoint);
+  }
+  void add_percent(uint8_t percent) {
+    fbb_.AddElement<uint8_t>(RunningEntry::VT_PERCENT, percent, 0);
+  }
+  explicit RunningEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RunningEntry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RunningEntry>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RunningEntry> CreateRunningEntry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> task = 0,
+    uint64_t run = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
+    uint8_t percent = 0) {
+  RunningEntryBuilder builder_(_fbb);
+  builder_.add_run(run);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_task(task);
+  builder_.add_percent(percent);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RunningEntry> CreateRunningEntryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *task = nullptr,
+    uint64_t run = 0,
+    const char *checkpoint = nullptr,
+    uint8_t percent = 0) {
+  auto task__ = task ? _fbb.CreateString(task) : 0;
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  return oriolevane::cellwire::CreateRunningEntry(
+      _fbb,
+      task__,
+      run,
+      checkpoint__,
+      percent);
+}
+
+flatbuffers::Offset<RunningEntry> CreateRunningEntry(flatbuffers::FlatBufferBuilder &_fbb, const RunningEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct EndedEntryT : public flatbuffers::NativeTable {
+  typedef EndedEntry TableType;
+  uint64_t serial = 0;
+  std::string task{};
+  uint64_t run = 0;
+  uint8_t kind = 0;
+  std::string checkpoint{};
+};
+
+struct EndedEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EndedEntryT NativeTableType;
+  typedef EndedEntryBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERIAL = 4,
+    VT_TASK = 6,
+    VT_RUN = 8,
+    VT_KIND = 10,
+    VT_CHECKPOINT = 12
+  };
+  uint64_t serial() const {
+    return GetField<uint64_t>(VT_SERIAL, 0);
+  }
+  const flatbuffers::String *task() const {
+    return GetPointer<const flatbuffers::String *>(VT_TASK);
+  }
+  uint64_t run() const {
+    return GetField<uint64_t>(VT_RUN, 0);
+  }
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SERIAL, 8) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyString(task()) &&
+           VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           verifier.EndTable();
+  }
+  EndedEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EndedEntryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EndedEntry> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndedEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EndedEntryBuilder {
+  typedef EndedEntry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_serial(uint64_t serial) {
+    fbb_.AddElement<uint64_t>(EndedEntry::VT_SERIAL, serial, 0);
+  }
+  void add_task(flatbuffers::Offset<flatbuffers::String> task) {
+    fbb_.AddOffset(EndedEntry::VT_TASK, task);
+  }
+  void add_run(uint64_t run) {
+    fbb_.AddElement<uint64_t>(EndedEntry::VT_RUN, run, 0);
+  }
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(EndedEntry::VT_KIND, kind, 0);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(EndedEntry::VT_CHECKPOINT, checkpoint);
+  }
+  explicit EndedEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EndedEntry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EndedEntry>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EndedEntry> CreateEndedEntry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t serial = 0,
+    flatbuffers::Offset<flatbuffers::String> task = 0,
+    uint64_t run = 0,
+    uint8_t kind = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0) {
+  EndedEntryBuilder builder_(_fbb);
+  builder_.add_run(run);
+  builder_.add_serial(serial);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_task(task);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<EndedEntry> CreateEndedEntryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t serial = 0,
+    const char *task = nullptr,
+    uint64_t run = 0,
+    uint8_t kind = 0,
+    const char *checkpoint = nullptr) {
+  auto task__ = task ? _fbb.CreateString(task) : 0;
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  return oriolevane::cellwire::CreateEndedEntry(
+      _fbb,
+      serial,
+      task__,
+      run,
+      kind,
+      checkpoint__);
+}
+
+flatbuffers::Offset<EndedEntry> CreateEndedEntry(flatbuffers::FlatBufferBuilder &_fbb, const EndedEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PollReplyT : public flatbuffers::NativeTable {
+  typedef PollReply TableType;
+  uint64_t id = 0;
+  uint8_t result = 0;
+  int64_t now_ms = 0;
+  flatbuffers::Optional<int64_t> incarnation = flatbuffers::nullopt;
+  std::vector<std::unique_ptr<oriolevane::cellwire::RunningEntryT>> running{};
+  std::vector<std::unique_ptr<oriolevane::cellwire::EndedEntryT>> ended{};
+  bool ends_truncated = false;
+  PollReplyT() = default;
+  PollReplyT(const PollReplyT &o);
+  PollReplyT(PollReplyT&&) FLATBUFFERS_NOEXCEPT = default;
+  PollReplyT &operator=(PollReplyT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct PollReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PollReplyT NativeTableType;
+  typedef PollReplyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_RESULT = 6,
+    VT_NOW_MS = 8,
+    VT_INCARNATION = 10,
+    VT_RUNNING = 12,
+    VT_ENDED = 14,
+    VT_ENDS_TRUNCATED = 16
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  uint8_t result() const {
+    return GetField<uint8_t>(VT_RESULT, 0);
+  }
+  int64_t now_ms() const {
+    return GetField<int64_t>(VT_NOW_MS, 0);
+  }
+  flatbuffers::Optional<int64_t> incarnation() const {
+    return GetOptional<int64_t, int64_t>(VT_INCARNATION);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::RunningEntry>> *running() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::RunningEntry>> *>(VT_RUNNING);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::EndedEntry>> *ended() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::EndedEntry>> *>(VT_ENDED);
+  }
+  bool ends_truncated() const {
+    return GetField<uint8_t>(VT_ENDS_TRUNCATED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RESULT, 1) &&
+           VerifyField<int64_t>(verifier, VT_NOW_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyOffset(verifier, VT_RUNNING) &&
+           verifier.VerifyVector(running()) &&
+           verifier.VerifyVectorOfTables(running()) &&
+           VerifyOffset(verifier, VT_ENDED) &&
+           verifier.VerifyVector(ended()) &&
+           verifier.VerifyVectorOfTables(ended()) &&
+           VerifyField<uint8_t>(verifier, VT_ENDS_TRUNCATED, 1) &&
+           verifier.EndTable();
+  }
+  PollReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PollReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PollReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PollReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PollReplyBuilder {
+  typedef PollReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(PollReply::VT_ID, id, 0);
+  }
+  void add_result(uint8_t result) {
+    fbb_.AddElement<uint8_t>(PollReply::VT_RESULT, result, 0);
+  }
+  void add_now_ms(int64_t now_ms) {
+    fbb_.AddElement<int64_t>(PollReply::VT_NOW_MS, now_ms, 0);
+  }
+  void add_incarnation(int64_t incarnation) {
+    fbb_.AddElement<int64_t>(PollReply::VT_INCARNATION, incarnation);
+  }
+  void add_running(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::RunningEntry>>> running) {
+    fbb_.AddOffset(PollReply::VT_RUNNING, running);
+  }
+  void add_ended(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::EndedEntry>>> ended) {
+    fbb_.AddOffset(PollReply::VT_ENDED, ended);
+  }
+  void add_ends_truncated(bool ends_truncated) {
+    fbb_.AddElement<uint8_t>(PollReply::VT_ENDS_TRUNCATED, static_cast<uint8_t>(ends_truncated), 0);
+  }
+  explicit PollReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PollReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PollReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PollReply> CreatePollReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint8_t result = 0,
+    int64_t now_ms = 0,
+    flatbuffers::Optional<int64_t> incarnation = flatbuffers::nullopt,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::RunningEntry>>> running = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::EndedEntry>>> ended = 0,
+    bool ends_truncated = false) {
+  PollReplyBuilder builder_(_fbb);
+  if(incarnation) { builder_.add_incarnation(*incarnation); }
+  builder_.add_now_ms(now_ms);
+  builder_.add_id(id);
+  builder_.add_ended(ended);
+  builder_.add_running(running);
+  builder_.add_ends_truncated(ends_truncated);
+  builder_.add_result(result);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PollReply> CreatePollReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint8_t result = 0,
+    int64_t now_ms = 0,
+    flatbuffers::Optional<int64_t> incarnation = flatbuffers::nullopt,
+    const std::vector<flatbuffers::Offset<oriolevane::cellwire::RunningEntry>> *running = nullptr,
+    const std::vector<flatbuffers::Offset<oriolevane::cellwire::EndedEntry>> *ended = nullptr,
+    bool ends_truncated = false) {
+  auto running__ = running ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::RunningEntry>>(*running) : 0;
+  auto ended__ = ended ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::EndedEntry>>(*ended) : 0;
+  return oriolevane::cellwire::CreatePollReply(
+      _fbb,
+      id,
+      result,
+      now_ms,
+      incarnation,
+      running__,
+      ended__,
+      ends_truncated);
+}
+
+flatbuffers::Offset<PollReply> CreatePollReply(flatbuffers::FlatBufferBuilder &_fbb, const PollReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct WorkerAnswerBatchT : public flatbuffers::NativeTable {
+  typedef WorkerAnswerBatch TableType;
+  std::vector<std::unique_ptr<oriolevane::cellwire::OrderReplyT>> orders{};
+  std::vector<std::unique_ptr<oriolevane::cellwire::PollReplyT>> polls{};
+  WorkerAnswerBatchT() = default;
+  WorkerAnswerBatchT(const WorkerAnswerBatchT &o);
+  WorkerAnswerBatchT(WorkerAnswerBatchT&&) FLATBUFFERS_NOEXCEPT = default;
+  WorkerAnswerBatchT &operator=(WorkerAnswerBatchT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct WorkerAnswerBatch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WorkerAnswerBatchT NativeTableType;
+  typedef WorkerAnswerBatchBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ORDERS = 4,
+    VT_POLLS = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::OrderReply>> *orders() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::OrderReply>> *>(VT_ORDERS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::PollReply>> *polls() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::PollReply>> *>(VT_POLLS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ORDERS) &&
+           verifier.VerifyVector(orders()) &&
+           verifier.VerifyVectorOfTables(orders()) &&
+           VerifyOffset(verifier, VT_POLLS) &&
+           verifier.VerifyVector(polls()) &&
+           verifier.VerifyVectorOfTables(polls()) &&
+           verifier.EndTable();
+  }
+  WorkerAnswerBatchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(WorkerAnswerBatchT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<WorkerAnswerBatch> Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkerAnswerBatchT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct WorkerAnswerBatchBuilder {
+  typedef WorkerAnswerBatch Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_orders(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::OrderReply>>> orders) {
+    fbb_.AddOffset(WorkerAnswerBatch::VT_ORDERS, orders);
+  }
+  void add_polls(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::PollReply>>> polls) {
+    fbb_.AddOffset(WorkerAnswerBatch::VT_POLLS, polls);
+  }
+  explicit WorkerAnswerBatchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<WorkerAnswerBatch> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<WorkerAnswerBatch>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<WorkerAnswerBatch> CreateWorkerAnswerBatch(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::OrderReply>>> orders = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<oriolevane::cellwire::PollReply>>> polls = 0) {
+  WorkerAnswerBatchBuilder builder_(_fbb);
+  builder_.add_polls(polls);
+  builder_.add_orders(orders);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<WorkerAnswerBatch> CreateWorkerAnswerBatchDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<oriolevane::cellwire::OrderReply>> *orders = nullptr,
+    const std::vector<flatbuffers::Offset<oriolevane::cellwire::PollReply>> *polls = nullptr) {
+  auto orders__ = orders ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::OrderReply>>(*orders) : 0;
+  auto polls__ = polls ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::PollReply>>(*polls) : 0;
+  return oriolevane::cellwire::CreateWorkerAnswerBatch(
+      _fbb,
+      orders__,
+      polls__);
+}
+
+flatbuffers::Offset<WorkerAnswerBatch> CreateWorkerAnswerBatch(flatbuffers::FlatBufferBuilder &_fbb, const WorkerAnswerBatchT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct MessageT : public flatbuffers::NativeTable {
+  typedef Message TableType;
+  oriolevane::cellwire::BodyUnion body{};
+};
+
+struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MessageT NativeTableType;
+  typedef MessageBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BODY_TYPE = 4,
+    VT_BODY = 6
+  };
+  oriolevane::cellwire::Body body_type() const {
+    return static_cast<oriolevane::cellwire::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
+  }
+  const void *body() const {
+    return GetPointer<const void *>(VT_BODY);
+  }
+  template<typename T> const T *body_as() const;
+  const oriolevane::cellwire::Hello *body_as_Hello() const {
+    return body_type() == oriolevane::cellwire::Body::Hello ? static_cast<const oriolevane::cellwire::Hello *>(body()) : nullptr;
+  }
+  const oriolevane::cellwire::Heartbeat *body_as_Heartbeat() const {
+    return body_type() == oriolevane::cellwire::Body::Heartbeat ? static_cast<const oriolevane::cellwire::Heartbeat *>(body()) : nullptr;
+  }
+  const oriolevane::cellwire::Handover *body_as_Handover() const {
+    return body_type() == oriolevane::cellwire::Body::Handover ? static_cast<const oriolevane::cellwire::Handover *>(body()) : nullptr;
+  }
+  const oriolevane::cellwire::CallerRequest *body_as_CallerRequest() const {
+    return body_type() == oriolevane::cellwire::Body::CallerRequest ? static_cast<const oriolevane::cellwire::CallerRequest *>(body()) : nullptr;
+  }
+  const oriolevane::cellwire::CallerAnswer *body_as_CallerAnswer() const {
+    return body_type() == oriolevane::cellwire::Body::CallerAnswer ? static_cast<const oriolevane::cellwire::CallerAnswer *>(body()) : nullptr;
+  }
+  const oriolevane::cellwire::AdviceQuery *body_as_AdviceQuery() const {
+    return body_type() == oriolevane::cellwire::Body::AdviceQuery ? static_cast<const oriolevane::cellwire::AdviceQuery *>(body()) : nullptr;
+  }
+  const oriolevane::cellwire::AdviceAnswer *body_as_AdviceAnswer() const {
+    return body_type() == oriolevane::cellwire::Body::AdviceAnswer ? static_cast<const oriolevane::cellwire::AdviceAnswer *>(body()) : nullptr;
+  }
+  const oriolevane::cellwire::WorkerCallBatch *body_as_WorkerCallBatch() const {
+    return body_type() == oriolevane::cellwire::Body::WorkerCallBatch ? static_cast<const oriolevane::cellwire::WorkerCallBatch *>(body()) : nullptr;
+  }
+  const oriolevane::cellwire::WorkerAnswerBatch *body_as_WorkerAnswerBatch() const {
+    return body_type() == oriolevane::cellwire::Body::WorkerAnswerBatch ? static_cast<const oriolevane::cellwire::WorkerAnswerBatch *>(body()) : nullptr;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           VerifyBody(verifier, body(), body_type()) &&
+           verifier.EndTable();
+  }
+  MessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(MessageT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Message> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MessageT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+template<> inline const oriolevane::cellwire::Hello *Message::body_as<oriolevane::cellwire::Hello>() const {
+  return body_as_Hello();
+}
+
+template<> inline const oriolevane::cellwire::Heartbeat *Message::body_as<oriolevane::cellwire::Heartbeat>() const {
+  return body_as_Heartbeat();
+}
+
+template<> inline const oriolevane::cellwire::Handover *Message::body_as<oriolevane::cellwire::Handover>() const {
+  return body_as_Handover();
+}
+
+template<> inline const oriolevane::cellwire::CallerRequest *Message::body_as<oriolevane::cellwire::CallerRequest>() const {
+  return body_as_CallerRequest();
+}
+
+template<> inline const oriolevane::cellwire::CallerAnswer *Message::body_as<oriolevane::cellwire::CallerAnswer>() const {
+  return body_as_CallerAnswer();
+}
+
+template<> inline const oriolevane::cellwire::AdviceQuery *Message::body_as<oriolevane::cellwire::AdviceQuery>() const {
+  return body_as_AdviceQuery();
+}
+
+template<> inline const oriolevane::cellwire::AdviceAnswer *Message::body_as<oriolevane::cellwire::AdviceAnswer>() const {
+  return body_as_AdviceAnswer();
+}
+
+template<> inline const oriolevane::cellwire::WorkerCallBatch *Message::body_as<oriolevane::cellwire::WorkerCallBatch>() const {
+  return body_as_WorkerCallBatch();
+}
+
+template<> inline const oriolevane::cellwire::WorkerAnswerBatch *Message::body_as<oriolevane::cellwire::WorkerAnswerBatch>() const {
+  return body_as_WorkerAnswerBatch();
+}
+
+struct MessageBuilder {
+  typedef Message Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_body_type(oriolevane::cellwire::Body body_type) {
+    fbb_.AddElement<uint8_t>(Message::VT_BODY_TYPE, static_cast<uint8_t>(body_type), 0);
+  }
+  void add_body(flatbuffers::Offset<void> body) {
+    fbb_.AddOffset(Message::VT_BODY, body);
+  }
+  explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Message> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Message>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Message> CreateMessage(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    oriolevane::cellwire::Body body_type = oriolevane::cellwire::Body::NONE,
+    flatbuffers::Offset<void> body = 0) {
+  MessageBuilder builder_(_fbb);
+  builder_.add_body(body);
+  builder_.add_body_type(body_type);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<Message> CreateMessage(flatbuffers::FlatBufferBuilder &_fbb, const MessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+inline HelloT *Hello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<HelloT>(new HelloT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
@@ -1277,6 +2594,8 @@
   { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = owns(); _o->owns = _e; }
   { auto _e = fitness(); _o->fitness = _e; }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = relays(); _o->relays = _e; }
 }
 
 inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1293,6 +2612,8 @@
   auto _epoch = _o->epoch;
   auto _owns = _o->owns;
   auto _fitness = _o->fitness;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _relays = _o->relays;
   return oriolevane::cellwire::CreateHello(
       _fbb,
       _node,
@@ -1300,7 +2621,9 @@
       _incarnation,
       _epoch,
       _owns,
-      _fitness);
+      _fitness,
+      _zone,
+      _relays);
 }
 
 inline HeartbeatT *Heartbeat::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1521,7 +2844,6 @@
         job(o.job),
         occurrence(o.occurrence),
         step(o.step),
-        asked(o.asked),
         answered(o.answered),
         validity_ms(o.validity_ms) {
   approved.reserve(o.approved.size());
@@ -1533,7 +2855,6 @@
   std::swap(job, o.job);
   std::swap(occurrence, o.occurrence);
   std::swap(step, o.step);
-  std::swap(asked, o.asked);
   std::swap(answered, o.answered);
   std::swap(approved, o.approved);
   std::swap(validity_ms, o.validity_ms);
@@ -1553,7 +2874,6 @@
   { auto _e = job(); if (_e) _o->job = _e->str(); }
   { auto _e = occurrence(); _o->occurrence = _e; }
   { auto _e = step(); _o->step = _e; }
-  { auto _e = asked(); if (_e) { _o->asked.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->asked[_i] = _e->Get(_i)->str(); } } }
   { auto _e = answered(); _o->answered = _e; }
   { auto _e = approved(); if (_e) { _o->approved.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->approved[_i] = std::unique_ptr<oriolevane::cellwire::TicketT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = validity_ms(); _o->validity_ms = _e; }
@@ -1571,7 +2891,6 @@
   auto _job = _o->job.empty() ? 0 : _fbb.CreateString(_o->job);
   auto _occurrence = _o->occurrence;
   auto _step = _o->step;
-  auto _asked = _o->asked.size() ? _fbb.CreateVectorOfStrings(_o->asked) : 0;
   auto _answered = _o->answered;
   auto _approved = _o->approved.size() ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::Ticket>> (_o->approved.size(), [](size_t i, _VectorArgs *__va) { return CreateTicket(*__va->__fbb, __va->__o->approved[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _validity_ms = _o->validity_ms;
@@ -1581,12 +2900,455 @@
       _job,
       _occurrence,
       _step,
-      _asked,
       _answered,
       _approved,
       _validity_ms);
 }
 
+inline JobPayloadT *JobPayload::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<JobPayloadT>(new JobPayloadT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void JobPayload::UnPackTo(JobPayloadT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = job(); if (_e) _o->job = _e->str(); }
+  { auto _e = text(); if (_e) _o->text = _e->str(); }
+}
+
+inline flatbuffers::Offset<JobPayload> JobPayload::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobPayloadT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobPayload(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobPayload> CreateJobPayload(flatbuffers::FlatBufferBuilder &_fbb, const JobPayloadT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobPayloadT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _job = _o->job.empty() ? 0 : _fbb.CreateString(_o->job);
+  auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
+  return oriolevane::cellwire::CreateJobPayload(
+      _fbb,
+      _job,
+      _text);
+}
+
+inline StartCallT *StartCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<StartCallT>(new StartCallT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StartCall::UnPackTo(StartCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = token(); _o->token = _e; }
+  { auto _e = task(); if (_e) _o->task = _e->str(); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
+  { auto _e = ticket(); if (_e) _o->ticket = _e->str(); }
+  { auto _e = lease_end_ms(); _o->lease_end_ms = _e; }
+  { auto _e = timeout_ms(); _o->timeout_ms = _e; }
+}
+
+inline flatbuffers::Offset<StartCall> StartCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StartCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStartCall(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StartCall> CreateStartCall(flatbuffers::FlatBufferBuilder &_fbb, const StartCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StartCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _token = _o->token;
+  auto _task = _o->task.empty() ? 0 : _fbb.CreateString(_o->task);
+  auto _run = _o->run;
+  auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateString(_o->checkpoint);
+  auto _ticket = _o->ticket.empty() ? 0 : _fbb.CreateString(_o->ticket);
+  auto _lease_end_ms = _o->lease_end_ms;
+  auto _timeout_ms = _o->timeout_ms;
+  return oriolevane::cellwire::CreateStartCall(
+      _fbb,
+      _id,
+      _worker,
+      _address,
+      _token,
+      _task,
+      _run,
+      _checkpoint,
+      _ticket,
+      _lease_end_ms,
+      _timeout_ms);
+}
+
+inline StopCallT *StopCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<StopCallT>(new StopCallT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StopCall::UnPackTo(StopCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = token(); _o->token = _e; }
+  { auto _e = task(); if (_e) _o->task = _e->str(); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = timeout_ms(); _o->timeout_ms = _e; }
+}
+
+inline flatbuffers::Offset<StopCall> StopCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StopCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStopCall(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StopCall> CreateStopCall(flatbuffers::FlatBufferBuilder &_fbb, const StopCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StopCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _token = _o->token;
+  auto _task = _o->task.empty() ? 0 : _fbb.CreateString(_o->task);
+  auto _run = _o->run;
+  auto _timeout_ms = _o->timeout_ms;
+  return oriolevane::cellwire::CreateStopCall(
+      _fbb,
+      _id,
+      _worker,
+      _address,
+      _token,
+      _task,
+      _run,
+      _timeout_ms);
+}
+
+inline PollCallT *PollCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<PollCallT>(new PollCallT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PollCall::UnPackTo(PollCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = token(); _o->token = _e; }
+  { auto _e = lease_end_ms(); _o->lease_end_ms = _e; }
+  { auto _e = confirmed(); _o->confirmed = _e; }
+  { auto _e = wait_ms(); _o->wait_ms = _e; }
+  { auto _e = timeout_ms(); _o->timeout_ms = _e; }
+}
+
+inline flatbuffers::Offset<PollCall> PollCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PollCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePollCall(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PollCall> CreatePollCall(flatbuffers::FlatBufferBuilder &_fbb, const PollCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PollCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _token = _o->token;
+  auto _lease_end_ms = _o->lease_end_ms;
+  auto _confirmed = _o->confirmed;
+  auto _wait_ms = _o->wait_ms;
+  auto _timeout_ms = _o->timeout_ms;
+  return oriolevane::cellwire::CreatePollCall(
+      _fbb,
+      _id,
+      _worker,
+      _address,
+      _token,
+      _lease_end_ms,
+      _confirmed,
+      _wait_ms,
+      _timeout_ms);
+}
+
+inline WorkerCallBatchT::WorkerCallBatchT(const WorkerCallBatchT &o) {
+  payloads.reserve(o.payloads.size());
+  for (const auto &payloads_ : o.payloads) { payloads.emplace_back((payloads_) ? new oriolevane::cellwire::JobPayloadT(*payloads_) : nullptr); }
+  starts.reserve(o.starts.size());
+  for (const auto &starts_ : o.starts) { starts.emplace_back((starts_) ? new oriolevane::cellwire::StartCallT(*starts_) : nullptr); }
+  stops.reserve(o.stops.size());
+  for (const auto &stops_ : o.stops) { stops.emplace_back((stops_) ? new oriolevane::cellwire::StopCallT(*stops_) : nullptr); }
+  polls.reserve(o.polls.size());
+  for (const auto &polls_ : o.polls) { polls.emplace_back((polls_) ? new oriolevane::cellwire::PollCallT(*polls_) : nullptr); }
+}
+
+inline WorkerCallBatchT &WorkerCallBatchT::operator=(WorkerCallBatchT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(payloads, o.payloads);
+  std::swap(starts, o.starts);
+  std::swap(stops, o.stops);
+  std::swap(polls, o.polls);
+  return *this;
+}
+
+inline WorkerCallBatchT *WorkerCallBatch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<WorkerCallBatchT>(new WorkerCallBatchT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void WorkerCallBatch::UnPackTo(WorkerCallBatchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = payloads(); if (_e) { _o->payloads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->payloads[_i] = std::unique_ptr<oriolevane::cellwire::JobPayloadT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = starts(); if (_e) { _o->starts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->starts[_i] = std::unique_ptr<oriolevane::cellwire::StartCallT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = stops(); if (_e) { _o->stops.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->stops[_i] = std::unique_ptr<oriolevane::cellwire::StopCallT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = polls(); if (_e) { _o->polls.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->polls[_i] = std::unique_ptr<oriolevane::cellwire::PollCallT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<WorkerCallBatch> WorkerCallBatch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkerCallBatchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateWorkerCallBatch(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<WorkerCallBatch> CreateWorkerCallBatch(flatbuffers::FlatBufferBuilder &_fbb, const WorkerCallBatchT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WorkerCallBatchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _payloads = _o->payloads.size() ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::JobPayload>> (_o->payloads.size(), [](size_t i, _VectorArgs *__va) { return CreateJobPayload(*__va->__fbb, __va->__o->payloads[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _starts = _o->starts.size() ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::StartCall>> (_o->starts.size(), [](size_t i, _VectorArgs *__va) { return CreateStartCall(*__va->__fbb, __va->__o->starts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _stops = _o->stops.size() ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::StopCall>> (_o->stops.size(), [](size_t i, _VectorArgs *__va) { return CreateStopCall(*__va->__fbb, __va->__o->stops[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _polls = _o->polls.size() ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::PollCall>> (_o->polls.size(), [](size_t i, _VectorArgs *__va) { return CreatePollCall(*__va->__fbb, __va->__o->polls[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return oriolevane::cellwire::CreateWorkerCallBatch(
+      _fbb,
+      _payloads,
+      _starts,
+      _stops,
+      _polls);
+}
+
+inline OrderReplyT *OrderReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<OrderReplyT>(new OrderReplyT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OrderReply::UnPackTo(OrderReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = result(); _o->result = _e; }
+  { auto _e = payload_missing(); _o->payload_missing = _e; }
+  { auto _e = now_ms(); _o->now_ms = _e; }
+}
+
+inline flatbuffers::Offset<OrderReply> OrderReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrderReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOrderReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OrderReply> CreateOrderReply(flatbuffers::FlatBufferBuilder &_fbb, const OrderReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OrderReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _result = _o->result;
+  auto _payload_missing = _o->payload_missing;
+  auto _now_ms = _o->now_ms;
+  return oriolevane::cellwire::CreateOrderReply(
+      _fbb,
+      _id,
+      _result,
+      _payload_missing,
+      _now_ms);
+}
+
+inline RunningEntryT *RunningEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<RunningEntryT>(new RunningEntryT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RunningEntry::UnPackTo(RunningEntryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = task(); if (_e) _o->task = _e->str(); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
+  { auto _e = percent(); _o->percent = _e; }
+}
+
+inline flatbuffers::Offset<RunningEntry> RunningEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunningEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRunningEntry(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RunningEntry> CreateRunningEntry(flatbuffers::FlatBufferBuilder &_fbb, const RunningEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RunningEntryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task.empty() ? 0 : _fbb.CreateString(_o->task);
+  auto _run = _o->run;
+  auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateString(_o->checkpoint);
+  auto _percent = _o->percent;
+  return oriolevane::cellwire::CreateRunningEntry(
+      _fbb,
+      _task,
+      _run,
+      _checkpoint,
+      _percent);
+}
+
+inline EndedEntryT *EndedEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<EndedEntryT>(new EndedEntryT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EndedEntry::UnPackTo(EndedEntryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = serial(); _o->serial = _e; }
+  { auto _e = task(); if (_e) _o->task = _e->str(); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
+}
+
+inline flatbuffers::Offset<EndedEntry> EndedEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndedEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEndedEntry(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EndedEntry> CreateEndedEntry(flatbuffers::FlatBufferBuilder &_fbb, const EndedEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EndedEntryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _serial = _o->serial;
+  auto _task = _o->task.empty() ? 0 : _fbb.CreateString(_o->task);
+  auto _run = _o->run;
+  auto _kind = _o->kind;
+  auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateString(_o->checkpoint);
+  return oriolevane::cellwire::CreateEndedEntry(
+      _fbb,
+      _serial,
+      _task,
+      _run,
+      _kind,
+      _checkpoint);
+}
+
+inline PollReplyT::PollReplyT(const PollReplyT &o)
+      : id(o.id),
+        result(o.result),
+        now_ms(o.now_ms),
+        incarnation(o.incarnation),
+        ends_truncated(o.ends_truncated) {
+  running.reserve(o.running.size());
+  for (const auto &running_ : o.running) { running.emplace_back((running_) ? new oriolevane::cellwire::RunningEntryT(*running_) : nullptr); }
+  ended.reserve(o.ended.size());
+  for (const auto &ended_ : o.ended) { ended.emplace_back((ended_) ? new oriolevane::cellwire::EndedEntryT(*ended_) : nullptr); }
+}
+
+inline PollReplyT &PollReplyT::operator=(PollReplyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(id, o.id);
+  std::swap(result, o.result);
+  std::swap(now_ms, o.now_ms);
+  std::swap(incarnation, o.incarnation);
+  std::swap(running, o.running);
+  std::swap(ended, o.ended);
+  std::swap(ends_truncated, o.ends_truncated);
+  return *this;
+}
+
+inline PollReplyT *PollReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<PollReplyT>(new PollReplyT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PollReply::UnPackTo(PollReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = result(); _o->result = _e; }
+  { auto _e = now_ms(); _o->now_ms = _e; }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = running(); if (_e) { _o->running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->running[_i] = std::unique_ptr<oriolevane::cellwire::RunningEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = ended(); if (_e) { _o->ended.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ended[_i] = std::unique_ptr<oriolevane::cellwire::EndedEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = ends_truncated(); _o->ends_truncated = _e; }
+}
+
+inline flatbuffers::Offset<PollReply> PollReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PollReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePollReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PollReply> CreatePollReply(flatbuffers::FlatBufferBuilder &_fbb, const PollReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PollReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _result = _o->result;
+  auto _now_ms = _o->now_ms;
+  auto _incarnation = _o->incarnation;
+  auto _running = _o->running.size() ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::RunningEntry>> (_o->running.size(), [](size_t i, _VectorArgs *__va) { return CreateRunningEntry(*__va->__fbb, __va->__o->running[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _ended = _o->ended.size() ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::EndedEntry>> (_o->ended.size(), [](size_t i, _VectorArgs *__va) { return CreateEndedEntry(*__va->__fbb, __va->__o->ended[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _ends_truncated = _o->ends_truncated;
+  return oriolevane::cellwire::CreatePollReply(
+      _fbb,
+      _id,
+      _result,
+      _now_ms,
+      _incarnation,
+      _running,
+      _ended,
+      _ends_truncated);
+}
+
+inline WorkerAnswerBatchT::WorkerAnswerBatchT(const WorkerAnswerBatchT &o) {
+  orders.reserve(o.orders.size());
+  for (const auto &orders_ : o.orders) { orders.emplace_back((orders_) ? new oriolevane::cellwire::OrderReplyT(*orders_) : nullptr); }
+  polls.reserve(o.polls.size());
+  for (const auto &polls_ : o.polls) { polls.emplace_back((polls_) ? new oriolevane::cellwire::PollReplyT(*polls_) : nullptr); }
+}
+
+inline WorkerAnswerBatchT &WorkerAnswerBatchT::operator=(WorkerAnswerBatchT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(orders, o.orders);
+  std::swap(polls, o.polls);
+  return *this;
+}
+
+inline WorkerAnswerBatchT *WorkerAnswerBatch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<WorkerAnswerBatchT>(new WorkerAnswerBatchT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void WorkerAnswerBatch::UnPackTo(WorkerAnswerBatchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = orders(); if (_e) { _o->orders.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->orders[_i] = std::unique_ptr<oriolevane::cellwire::OrderReplyT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = polls(); if (_e) { _o->polls.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->polls[_i] = std::unique_ptr<oriolevane::cellwire::PollReplyT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<WorkerAnswerBatch> WorkerAnswerBatch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkerAnswerBatchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateWorkerAnswerBatch(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<WorkerAnswerBatch> CreateWorkerAnswerBatch(flatbuffers::FlatBufferBuilder &_fbb, const WorkerAnswerBatchT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WorkerAnswerBatchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _orders = _o->orders.size() ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::OrderReply>> (_o->orders.size(), [](size_t i, _VectorArgs *__va) { return CreateOrderReply(*__va->__fbb, __va->__o->orders[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _polls = _o->polls.size() ? _fbb.CreateVector<flatbuffers::Offset<oriolevane::cellwire::PollReply>> (_o->polls.size(), [](size_t i, _VectorArgs *__va) { return CreatePollReply(*__va->__fbb, __va->__o->polls[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return oriolevane::cellwire::CreateWorkerAnswerBatch(
+      _fbb,
+      _orders,
+      _polls);
+}
+
 inline MessageT *Message::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<MessageT>(new MessageT());
   UnPackTo(_o.get(), _resolver);
@@ -1649,6 +3411,14 @@
       auto ptr = reinterpret_cast<const oriolevane::cellwire::AdviceAnswer *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::WorkerCallBatch: {
+      auto ptr = reinterpret_cast<const oriolevane::cellwire::WorkerCallBatch *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::WorkerAnswerBatch: {
+      auto ptr = reinterpret_cast<const oriolevane::cellwire::WorkerAnswerBatch *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -1696,6 +3466,14 @@
       auto ptr = reinterpret_cast<const oriolevane::cellwire::AdviceAnswer *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::WorkerCallBatch: {
+      auto ptr = reinterpret_cast<const oriolevane::cellwire::WorkerCallBatch *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::WorkerAnswerBatch: {
+      auto ptr = reinterpret_cast<const oriolevane::cellwire::WorkerAnswerBatch *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -1731,6 +3509,14 @@
       auto ptr = reinterpret_cast<const oriolevane::cellwire::AdviceAnswerT *>(value);
       return CreateAdviceAnswer(_fbb, ptr, _rehasher).Union();
     }
+    case Body::WorkerCallBatch: {
+      auto ptr = reinterpret_cast<const oriolevane::cellwire::WorkerCallBatchT *>(value);
+      return CreateWorkerCallBatch(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::WorkerAnswerBatch: {
+      auto ptr = reinterpret_cast<const oriolevane::cellwire::WorkerAnswerBatchT *>(value);
+      return CreateWorkerAnswerBatch(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -1765,6 +3551,14 @@
       value = new oriolevane::cellwire::AdviceAnswerT(*reinterpret_cast<oriolevane::cellwire::AdviceAnswerT *>(u.value));
       break;
     }
+    case Body::WorkerCallBatch: {
+      value = new oriolevane::cellwire::WorkerCallBatchT(*reinterpret_cast<oriolevane::cellwire::WorkerCallBatchT *>(u.value));
+      break;
+    }
+    case Body::WorkerAnswerBatch: {
+      value = new oriolevane::cellwire::WorkerAnswerBatchT(*reinterpret_cast<oriolevane::cellwire::WorkerAnswerBatchT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -1807,6 +3601,16 @@
       delete ptr;
       break;
     }
+    case Body::WorkerCallBatch: {
+      auto ptr = reinterpret_cast<oriolevane::cellwire::WorkerCallBatchT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::WorkerAnswerBatch: {
+      auto ptr = reinterpret_cast<oriolevane::cellwire::WorkerAnswerBatchT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/cellnode/tests/main.cpp
+++ b/src/cellnode/tests/main.cpp
@@ -14,6 +14,8 @@
       { "pending calls", oriolevane::PendingCallsTests },
       { "timeout estimator", oriolevane::TimeoutEstimatorTests },
       { "worker calls", oriolevane::WorkerCallsTests },
+      { "relay selector", oriolevane::RelaySelectorTests },
+      { "relayed calls", oriolevane::RelayedCallsTests },
       { "record codec", oriolevane::RecordCodecTests },
       { "queue router", oriolevane::QueueRouterTests },
       { "metrics text", oriolevane::MetricsTextTests } });
--- a/src/cellnode/tests/testgroups.h
+++ b/src/cellnode/tests/testgroups.h
@@ -18,6 +18,10 @@
 void
 WorkerCallsTests(testing::Section& aRoot);
 void
+RelaySelectorTests(testing::Section& aRoot);
+void
+RelayedCallsTests(testing::Section& aRoot);
+void
 RecordCodecTests(testing::Section& aRoot);
 void
 QueueRouterTests(testing::Section& aRoot);
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -97,7 +97,10 @@
   double mFillPosition = 0;
 
   const WorkerId& Id() const { return mEntry.mId; }
-  WorkerTarget Target() const { return { mEntry.mId, mEntry.mAddress }; }
+  WorkerTarget Target() const
+  {
+    return { mEntry.mId, mEntry.mAddress, mEntry.mZone };
+  }
   // Returns nullptr when there is no such run.
   Run* FindRun(const TaskKey& aTask, RunNumber aNumber) const;
   void AddRun(RunPointer aRun);
--- a/src/jobs/types/orders.h
+++ b/src/jobs/types/orders.h
@@ -21,6 +21,8 @@
 {
   WorkerId mId;
   std::string mAddress;
+  // Empty when it is not known.
+  ZoneId mZone;
 };
 
 // Starts a run of a task.
