Make placement passes and polls cheaper in large cells

Change: the interval of placement passes grows with the workers above 350, polls are sent in passes each 4 ms, reports are compared without copies, queries sort only what they name.

--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -27,8 +27,12 @@
 constexpr std::chrono::milliseconds kPruneInterval = 250ms;
 constexpr std::chrono::milliseconds kUpkeepInterval = 20ms;
 // Minimum time between placement passes, so that events that arrive close
-// together are handled in one pass.
+// together are handled in one pass. The cost of a pass grows with the number of
+// workers, so the interval grows with it above kWorkersPerMinInterval.
 constexpr std::chrono::milliseconds kMinDispatchInterval = 4ms;
+constexpr std::int64_t kWorkersPerMinInterval = 350;
+// Time between passes over all workers that send the polls that are due.
+constexpr std::chrono::milliseconds kPollPassInterval = 4ms;
 // Maximum time between placement passes, for decisions that depend on time
 // alone.
 constexpr std::chrono::milliseconds kMaxDispatchInterval = 50ms;
@@ -51,6 +55,8 @@
   // Ends the recovery once all runs that an earlier owner started are known.
   // Gangs with missing members are stopped then.
   void FinishRecovery(const Moment& aNow);
+  // The minimum time between placement passes.
+  Duration MinDispatchInterval() const;
   // Opens the jobs whose records have been written.
   void OpenRecordedJobs(const Moment& aNow);
 
@@ -65,6 +71,7 @@
   bool mRecoveryFinished = true;
   TimePoint mNextPrune;
   TimePoint mNextUpkeep;
+  TimePoint mNextPollPass;
   TimePoint mLastDispatch;
 };
 
@@ -359,6 +366,15 @@
   mCell.mDispatchWanted = true;
 }
 
+Duration
+CellScheduler::Impl::MinDispatchInterval() const
+{
+  const auto workers = static_cast<std::int64_t>(mCell.mFleet.Workers().size());
+  return std::max<Duration>(kMinDispatchInterval,
+                            Duration(kMinDispatchInterval) * workers /
+                              kWorkersPerMinInterval);
+}
+
 void
 CellScheduler::Advance(const Moment& aNow)
 {
@@ -380,14 +396,17 @@
     });
   }
   const TimePoint due = cell.mDispatchWanted
-                          ? mImpl->mLastDispatch + kMinDispatchInterval
+                          ? mImpl->mLastDispatch + mImpl->MinDispatchInterval()
                           : mImpl->mLastDispatch + kMaxDispatchInterval;
   if (aNow.mSteady >= due) {
     cell.mDispatchWanted = false;
     mImpl->mLastDispatch = aNow.mSteady;
     mImpl->mDispatcher.Dispatch(aNow, mImpl->mRecoveryFinished);
   }
-  cell.mFleet.SendDuePolls(aNow.mSteady, cell.mHooks.mPoll);
+  if (aNow.mSteady >= mImpl->mNextPollPass) {
+    mImpl->mNextPollPass = aNow.mSteady + kPollPassInterval;
+    cell.mFleet.SendDuePolls(aNow.mSteady, cell.mHooks.mPoll);
+  }
 }
 
 SchedulerCounts
--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -224,14 +224,15 @@
   std::vector<Worker*> selected;
   const auto append = [&selected, maxWorkers](ScoredWorkers& aScored,
                                               std::size_t aLimit) {
-    std::sort(aScored.begin(),
-              aScored.end(),
-              [](const auto& aLeft, const auto& aRight) {
-                return aLeft.first > aRight.first;
-              });
-    aLimit = std::min(aLimit, maxWorkers - selected.size());
-    for (std::size_t index = 0; index < std::min(aLimit, aScored.size());
-         ++index) {
+    const std::size_t count =
+      std::min({ aLimit, maxWorkers - selected.size(), aScored.size() });
+    std::partial_sort(aScored.begin(),
+                      aScored.begin() + static_cast<std::ptrdiff_t>(count),
+                      aScored.end(),
+                      [](const auto& aLeft, const auto& aRight) {
+                        return aLeft.first > aRight.first;
+                      });
+    for (std::size_t index = 0; index < count; ++index) {
       selected.push_back(aScored[index].second);
     }
   };
--- a/src/jobs/internal/workeranswerhandler.cpp
+++ b/src/jobs/internal/workeranswerhandler.cpp
@@ -1,7 +1,6 @@
 #include "jobs/internal/workeranswerhandler.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "framework/log.h"
@@ -182,13 +181,17 @@
                                       const WorkerReport& aReport,
                                       const Moment& aNow)
 {
-  std::set<std::pair<TaskKey, RunNumber>> present;
-  for (const RunningTask& running : aReport.mRunning) {
-    present.emplace(running.mTask, running.mRun);
-  }
+  const auto isPresent = [&aReport](const Run& aRun) {
+    return std::any_of(aReport.mRunning.begin(),
+                       aReport.mRunning.end(),
+                       [&aRun](const RunningTask& aRunning) {
+                         return aRunning.mRun == aRun.mNumber &&
+                                aRunning.mTask == aRun.mTask;
+                       });
+  };
   const std::vector<RunPointer> runs = aWorker.mRuns;
   for (const RunPointer& run : runs) {
-    if (present.contains({ run->mTask, run->mNumber })) {
+    if (isPresent(*run)) {
       continue;
     }
     if (run->mPhase == RunPhase::Running && run->mConfirmedAt < aSentAt) {
