Let gangs choose from more workers while hosts for advice queries are free

Cause: a step sought approvals for five times the workers that it needs. Change: sixteen times while at most half of the hosts have a query pending, down to five at nine tenths; tickets of up to 36 waiting steps are renewed instead of 24, one for each four hosts.

--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -28,8 +28,14 @@
 constexpr std::chrono::milliseconds kQueryAheadMargin = 250ms;
 // The number of approved workers to aim for, as a multiple of the empty workers
 // that would hold the step. Most workers are busy, so several times as many
-// must be approved.
-constexpr double kTargetRoomFactor = 5.0;
+// must be approved. The more a step may choose from, the sooner it starts, but
+// queries and the renewal of tickets occupy the hosts that send them. The
+// multiple is therefore the largest while at most kLowQueryLoad queries are
+// pending for each host, and falls to the smallest at kHighQueryLoad.
+constexpr double kMaxTargetRoomFactor = 16.0;
+constexpr double kMinTargetRoomFactor = 5.0;
+constexpr double kLowQueryLoad = 0.5;
+constexpr double kHighQueryLoad = 0.9;
 constexpr double kMinTargetApprovals = 10.0;
 // While the approvals are fewer than the target divided by this number, a query
 // for further workers is sent before the tickets need to be renewed.
@@ -127,7 +133,7 @@
     std::ceil(static_cast<double>(aStep.mTasks.size() - aStep.mSucceeded) /
               static_cast<double>(perWorker));
   return static_cast<std::size_t>(
-    std::max(kMinTargetApprovals, kTargetRoomFactor * workersNeeded));
+    std::max(kMinTargetApprovals, TargetRoomFactor() * workersNeeded));
 }
 
 std::size_t
@@ -149,6 +155,18 @@
          static_cast<std::size_t>(1 + raises);
 }
 
+double
+AdvicePlanner::TargetRoomFactor() const
+{
+  const double load =
+    static_cast<double>(mPendingQueries) /
+    static_cast<double>(std::max<std::size_t>(mCell.mQueryHosts, 1));
+  const double excess = std::clamp(
+    (load - kLowQueryLoad) / (kHighQueryLoad - kLowQueryLoad), 0.0, 1.0);
+  return kMaxTargetRoomFactor +
+         excess * (kMinTargetRoomFactor - kMaxTargetRoomFactor);
+}
+
 std::size_t
 AdvicePlanner::MaxWorkersPerRound() const
 {
--- a/src/jobs/internal/adviceplanner.h
+++ b/src/jobs/internal/adviceplanner.h
@@ -20,6 +20,8 @@
   // Sets the workers that queries may name, in the fixed order in which single
   // tasks fill them.
   void SetUsableWorkers(const std::vector<Worker*>& aUsable);
+  // Sets the number of queries that all steps have pending.
+  void SetPendingQueries(int aQueries) { mPendingQueries = aQueries; }
   // Sends a query for a step that is waiting to start when too few workers are
   // approved, or when tickets would expire before the answer arrives.
   void QueryIfNeeded(const Job& aJob,
@@ -46,6 +48,9 @@
   void SendQuery(const Job& aJob,
                  const StepKey& aKey,
                  std::vector<WorkerId> aWorkers);
+  // The number of approved workers to aim for, relative to the workers that
+  // would hold the step if they were empty.
+  double TargetRoomFactor() const;
   // The number of workers that one round of queries may name.
   std::size_t MaxWorkersPerRound() const;
   // Selects the workers for a round of queries: workers whose tickets are about
@@ -78,6 +83,7 @@
   CellState& mCell;
   std::vector<Worker*> mUsable;
   std::map<PoolName, std::size_t> mUsableInPool;
+  int mPendingQueries = 0;
   // Moving average of the share of queried workers that are approved, by queue.
   std::map<QueueName, double> mApprovalShare;
 };
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -14,8 +14,11 @@
 // as the new runs might soon lose their lease.
 constexpr std::chrono::milliseconds kMinLeaseToStart = 1500ms;
 // Number of waiting steps of each queue, the most urgent first, whose tickets
-// are renewed. Steps without an answer yet do not count.
-constexpr int kMaxStepsRenewedPerQueue = 24;
+// are renewed: one for each few hosts that can query the policy service, within
+// limits. Steps without an answer yet do not count.
+constexpr std::size_t kQueryHostsPerRenewedStep = 4;
+constexpr std::size_t kMinStepsRenewedPerQueue = 24;
+constexpr std::size_t kMaxStepsRenewedPerQueue = 36;
 // A worker that has left the registry is still used for this long, because the
 // registry also drops live workers while the store is unavailable.
 constexpr std::chrono::milliseconds kUnregisteredGracePeriod = 2500ms;
@@ -81,13 +84,16 @@
             });
   mNow = aNow.mSteady;
   mGangReservations.BeginPass(mNow);
-  std::map<QueueName, int> renewed;
+  std::map<QueueName, std::size_t> renewed;
+  const std::size_t stepsRenewed =
+    std::clamp(mCell.mQueryHosts / kQueryHostsPerRenewedStep,
+               kMinStepsRenewedPerQueue,
+               kMaxStepsRenewedPerQueue);
   mSingleTaskShare = SingleTaskShare(candidates);
   for (const Candidate& candidate : candidates) {
     const QueuePolicy& queue = candidate.mJob->mRecord.mQueue;
-    if (queue.mAdvice.has_value() &&
-        (!candidate.mStep->mAdvice.mAnswered ||
-         renewed[queue.mName]++ < kMaxStepsRenewedPerQueue)) {
+    if (queue.mAdvice.has_value() && (!candidate.mStep->mAdvice.mAnswered ||
+                                      renewed[queue.mName]++ < stepsRenewed)) {
       mAdvice.QueryIfNeeded(
         *candidate.mJob, candidate.mKey, *candidate.mStep, aNow.mSteady);
     }
@@ -168,11 +174,13 @@
 Dispatcher::CollectCandidates(const Moment& aNow, bool aReconciled)
 {
   std::vector<Candidate> candidates;
+  mPendingQueries = 0;
   for (auto& [id, job] : mCell.mJobs.Jobs()) {
     if (job.mPhase == JobPhase::Open && (aReconciled || !job.mRecovered)) {
       CollectJobCandidates(job, aNow, candidates);
     }
   }
+  mAdvice.SetPendingQueries(mPendingQueries);
   return candidates;
 }
 
@@ -191,6 +199,7 @@
                          .mOccurrence = number,
                          .mStep = static_cast<int>(index) };
       const StepSpec& spec = SpecOf(aJob, key);
+      mPendingQueries += step.mAdvice.mPendingQueries;
       if (step.IsDone() || !HasWaitingTasks(step, spec)) {
         continue;
       }
--- a/src/jobs/tests/load_test.cpp
+++ b/src/jobs/tests/load_test.cpp
@@ -27,6 +27,22 @@
   return options;
 }
 
+// Wide gangs on a cell that is a fifth of the size of the site, with as many
+// hosts for each worker that can query the policy service.
+LoadTrialOptions
+WideGangMix()
+{
+  constexpr int kScale = 5;
+  LoadTrialOptions options = WideRouteAndBookingLoad();
+  options.mWorkers /= kScale;
+  options.mQueryHosts /= kScale;
+  options.mDuration = 20000ms;
+  for (JobClass& jobClass : options.mJobClasses) {
+    jobClass.mJobsPerSecond *= 1.2 / kScale;
+  }
+  return options;
+}
+
 } // namespace
 
 void
@@ -56,6 +72,18 @@
         CPPUNIT_ASSERT(singles.EarnedShare() > 0.8);
       });
     });
+  aRoot.Describe(
+    "gangs that need a large part of the cell", [](Section& aSection) {
+      aSection.It("are served beside shorter work", [] {
+        // The share that the users ask for on days of this load.
+        constexpr double kTargetShare = 0.72;
+        const LoadOutcome outcome = RunLoadTrial(WideGangMix());
+        CPPUNIT_ASSERT(outcome.mViolations.empty());
+        for (const JobClassOutcome& jobClass : outcome.mJobClasses) {
+          CPPUNIT_ASSERT(jobClass.EarnedShare() > kTargetShare);
+        }
+      });
+    });
 }
 
 } // namespace oriolevane
