Split the owner's request handling, the node registry and the advice budget into files of their own

Change: CallerRequestHandler (submissions, cancellations, queries), NodeRegistry (addresses of nodes), AdviceBudget (parallel queries, room sought, tickets renewed). No decision changes, but the worker registry's feed calls wait 1 s instead of 2 s, as a lost answer delays the news that a worker drains.

--- /dev/null
+++ b/src/cellnode/internal/callerrequesthandler.h
@@ -0,0 +1,81 @@
+// Answers the requests of callers at the owner of the shard: submissions,
+// cancellations and queries.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <string>
+
+#include "cellnode/celljournal.h"
+#include "cellnode/types/caller.h"
+#include "cellnode/types/nodehooks.h"
+#include "jobs/cellscheduler.h"
+
+namespace oriolevane::cellnode {
+
+struct CallerRequestHooks
+{
+  std::function<jobs::Moment()> mNow;
+  // Called when there are changes to write or jobs to schedule.
+  std::function<void()> mOnWork;
+};
+
+class CallerRequestHandler
+{
+public:
+  CallerRequestHandler(const ExternalFormats& aFormats,
+                       jobs::CellScheduler& aScheduler,
+                       const CellJournal& aJournal,
+                       CallerRequestHooks aHooks);
+
+  // Calls aReply before it returns, or once the change that the answer reports
+  // is stored.
+  void Serve(const CallerRequest& aRequest, const AnswerCallback& aReply);
+  // Refuses jobs that are not known from now on.
+  void RefuseNewJobs() { mRefusesNewJobs = true; }
+  // Answers the requests whose changes are stored.
+  void OnRecorded(jobs::RecordPosition aPosition);
+  // While the store does not answer, refuses the submissions that are not part
+  // of a transaction yet.
+  void RefuseIfStoreUnavailable(TimePoint aNow);
+
+private:
+  struct WaitingReply
+  {
+    jobs::RecordPosition mPosition;
+    CallerAnswer mAnswer;
+    AnswerCallback mReply;
+    TimePoint mQueuedAt;
+    // The submitted job; empty for other requests.
+    jobs::JobId mSubmitted;
+  };
+
+  void Submit(const jobs::QueuePolicy& aQueue,
+              const jobs::JobId& aId,
+              const CallerRequest& aRequest,
+              const AnswerCallback& aReply);
+  bool CanRecordSoon() const;
+  // The time without an answer to a transaction after which the store counts as
+  // unavailable.
+  Duration StoreUnavailableAfter() const;
+  // Refuses the submissions that are not part of a transaction yet.
+  void RefuseUnbatchedSubmissions();
+  void AnswerQuery(const jobs::QueuePolicy& aQueue,
+                   const std::string& aRest,
+                   const AnswerCallback& aReply);
+  void Cancel(const jobs::JobId& aId, const AnswerCallback& aReply);
+  // Replies once the change at aPosition is stored.
+  void ReplyWhenRecorded(jobs::RecordPosition aPosition,
+                         CallerAnswer aAnswer,
+                         AnswerCallback aReply,
+                         const jobs::JobId& aSubmitted = {});
+
+  const ExternalFormats& mFormats;
+  jobs::CellScheduler& mScheduler;
+  const CellJournal& mJournal;
+  CallerRequestHooks mHooks;
+  bool mRefusesNewJobs = false;
+  std::deque<WaitingReply> mWaitingReplies;
+};
+
+} // namespace oriolevane::cellnode
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -14,9 +14,6 @@
 
 constexpr std::chrono::milliseconds kTickInterval = 50ms;
 constexpr std::chrono::milliseconds kHeartbeatInterval = 200ms;
-constexpr std::chrono::milliseconds kRegistrationTimeout = 900ms;
-constexpr std::chrono::milliseconds kConnectInterval = 600ms;
-constexpr std::chrono::milliseconds kRegistrationRetryDelay = 500ms;
 // An owner hands the shard over to a node if its own fitness is below this
 // fraction of the other's, once it has owned the shard for kMinOwnershipTime.
 constexpr double kYieldFitnessRatio = 0.5;
@@ -29,7 +26,6 @@
 constexpr double kStopDeadlineShareOfGrace = 0.85;
 // A relay collects answers of workers for this time before it sends them.
 constexpr std::chrono::milliseconds kRelayAnswerDelay = 2ms;
-const std::string kNodeTable = "nodes";
 
 TimePoint
 Now()
@@ -60,6 +56,7 @@
             OnMessage(aNode, aMessage);
           },
         .mOnClosed = [this](const NodeId& aNode) { OnPeerClosed(aNode); } })
+  , mNodeRegistry(aLoop, mOptions, mStore)
   , mPolicy({ .mNode = mOptions.mNode, .mFitness = mOptions.mFitness })
   , mShardClaimer(
       mOptions,
@@ -124,13 +121,18 @@
   const TimePoint now = Now();
   mTimer->StartAfter(kTickInterval);
   mEndedSessions.clear();
-  RegisterAddress();
+  mNodeRegistry.Register(now);
   if (mSession != nullptr) {
     if (now >= mNextHeartbeat) {
       mNextHeartbeat = now + kHeartbeatInterval;
       SendHeartbeats();
     }
-    ConnectMissingPeers();
+    mNodeRegistry.ConnectMissing(
+      now,
+      [this](const NodeId& aNode) { return mPeers.IsLinked(aNode); },
+      [this](const eventloop::SocketAddress& aAddress) {
+        mPeers.Connect(aAddress);
+      });
     YieldToFitterPeer();
   } else if (!mStopping) {
     mShardClaimer.Advance(now);
@@ -159,36 +161,6 @@
   std::exchange(mOnStopped, nullptr)();
 }
 
-void
-CellNode::Impl::RegisterAddress()
-{
-  const TimePoint now = Now();
-  if (mAddressRegistered || mRegisteringAddress || now < mNextRegistration) {
-    return;
-  }
-  mRegisteringAddress = true;
-  mStore.mCommit(
-    { .mConditions = {},
-      .mWrites = { { .mKey = { .mTable = kNodeTable,
-                               .mPart = "",
-                               .mName = mOptions.mNode.mValue },
-                     .mValue = mOptions.mPeerAddress } },
-      .mRemovals = {} },
-    kRegistrationTimeout,
-    [this, alive = mAlive](const absl::StatusOr<CommitAnswer>& aAnswer) {
-      if (!*alive) {
-        return;
-      }
-      mRegisteringAddress = false;
-      mAddressRegistered = aAnswer.ok() && aAnswer->mApplied;
-      mNextRegistration = Now() + kRegistrationRetryDelay;
-      if (!mAddressRegistered) {
-        LogWarning("address_registration_failed")
-          .With("status", aAnswer.status().ToString());
-      }
-    });
-}
-
 void
 CellNode::Impl::OnOwnerRow(const OwnerRow& aRow)
 {
@@ -251,7 +223,7 @@
   if (mConfiguration.has_value()) {
     mSession->Configure(*mConfiguration);
   }
-  WatchNodeTable();
+  mNodeRegistry.Watch();
   UpdateHello();
   SendUnsentCalls();
 }
@@ -265,25 +237,6 @@
     peer.mRelays);
 }
 
-void
-CellNode::Impl::WatchNodeTable()
-{
-  mNodeWatch = std::make_unique<TableWatch>(
-    mLoop,
-    mStore,
-    TableWatchOptions{ .mTable = kNodeTable, .mPart = "", .mWait = 5000ms },
-    TableWatchHooks{ .mOnRow =
-                       [this](const Row& aRow) {
-                         mNodeAddresses[NodeId(aRow.mKey.mName)] = aRow.mValue;
-                       },
-                     .mOnRemoved =
-                       [this](const std::string& aName) {
-                         mNodeAddresses.erase(NodeId(aName));
-                       },
-                     .mOnSynchronized = {} });
-  mNodeWatch->Start();
-}
-
 void
 CellNode::Impl::EndSession(std::string_view aReason)
 {
@@ -293,8 +246,7 @@
   LogWarning("ownership_ended").With("epoch", mEpoch).With("reason", aReason);
   mSession->Halt();
   mEndedSessions.push_back(std::move(mSession));
-  mNodeWatch.reset();
-  mNodeAddresses.clear();
+  mNodeRegistry.Forget();
   OnOwnerLost();
   UpdateHello();
 }
@@ -377,25 +329,6 @@
   }
 }
 
-// Connects to registered nodes without a link. Nodes that cannot reach the
-// store learn of a new owner this way.
-void
-CellNode::Impl::ConnectMissingPeers()
-{
-  const TimePoint now = Now();
-  if (now < mNextConnect) {
-    return;
-  }
-  mNextConnect = now + kConnectInterval;
-  for (const auto& [node, text] : mNodeAddresses) {
-    const auto address = eventloop::ParseSocketAddress(text);
-    if (address.has_value() && node != mOptions.mNode &&
-        !mPeers.IsLinked(node)) {
-      mPeers.Connect(*address);
-    }
-  }
-}
-
 void
 CellNode::Impl::OnHello(const NodeId& aNode, const cellwire::HelloT& aHello)
 {
--- a/src/cellnode/internal/cellnodeimpl.h
+++ b/src/cellnode/internal/cellnodeimpl.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "cellnode/cellnode.h"
+#include "cellnode/internal/noderegistry.h"
 #include "cellnode/internal/ownersession.h"
 #include "cellnode/internal/peerlinks.h"
 #include "cellnode/internal/pendingcalls.h"
@@ -47,7 +48,6 @@
   void Tick();
   void OnOwnerRow(const OwnerRow& aRow);
   void BeginSession(const ClaimedShard& aShard);
-  void WatchNodeTable();
   void EndSession(std::string_view aReason);
   void OnReleased();
   void FinishStopWhenIdle(TimePoint aNow);
@@ -56,10 +56,8 @@
   void OnOwnerLost();
 
   // Links to other nodes.
-  void RegisterAddress();
   void UpdateHello();
   void SendHeartbeats();
-  void ConnectMissingPeers();
   NodeId FittestPeer() const;
   double PeerFitness(const NodeId& aNode) const;
   RelayServerHooks MakeRelayServerHooks();
@@ -95,17 +93,14 @@
   UpstreamHooks mUpstreams;
   ExternalFormats mFormats;
   PeerLinks mPeers;
+  NodeRegistry mNodeRegistry;
   OwnershipPolicy mPolicy;
   ShardClaimer mShardClaimer;
   PendingCalls mCalls;
   std::unique_ptr<TableWatch> mConfigurationWatch;
-  std::unique_ptr<TableWatch> mNodeWatch;
   std::optional<jobs::CellConfiguration> mConfiguration;
   // The previous owner; nullopt when there was none.
   std::optional<OwnerRow> mPredecessor;
-  // The addresses of all nodes of the cell, known only while this node owns the
-  // shard.
-  std::map<NodeId, std::string> mNodeAddresses;
   std::unique_ptr<OwnerSession> mSession;
   // Sessions that have ended. They are destroyed in Tick(), because a session
   // cannot be destroyed within its own callbacks.
@@ -121,10 +116,6 @@
   // The linked node that owns the shard; empty when it is unknown.
   NodeId mOwner;
   TimePoint mNextHeartbeat;
-  TimePoint mNextConnect;
-  bool mAddressRegistered = false;
-  bool mRegisteringAddress = false;
-  TimePoint mNextRegistration;
   bool mStopping = false;
   TimePoint mStopStartedAt;
   std::function<void()> mOnStopped;
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -1,10 +1,8 @@
 #include "cellnode/internal/ownersession.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
-#include "cellnode/queuerouter.h"
 #include "framework/log.h"
 
 namespace oriolevane::cellnode {
@@ -18,27 +16,11 @@
 // The delay before Tick() after an event, so that simultaneous events are
 // handled together.
 constexpr std::chrono::milliseconds kSoonTickDelay = 1ms;
-// New work is refused when a transaction has had no answer for this time. While
-// the store is slow, the limit is a multiple of the expected round trip, up to
-// a maximum.
-constexpr std::chrono::milliseconds kStoreUnavailableAfter = 700ms;
-constexpr std::chrono::milliseconds kMaxStoreUnavailableAfter = 2500ms;
-constexpr int kStoreUnavailableRoundTrips = 2;
-// Callers wait for 3 s. A submission that is expected to take longer than this
-// to store is refused, so that the caller retries later.
-constexpr std::chrono::milliseconds kMaxRecordingWait = 2400ms;
-constexpr std::chrono::milliseconds kRetryAfterStoreUnavailable = 1000ms;
-// Sent with the refusal of a request that names a newer configuration than this
-// node has read.
-constexpr std::chrono::milliseconds kRetryAfterStaleConfiguration = 300ms;
 // The pause between feed calls for the worker registry, which collects changes.
 constexpr std::chrono::milliseconds kRegistryBatchDelay = 250ms;
-
-const CallerAnswer kStoreUnavailableAnswer{ .mKind = CallerAnswerKind::Refused,
-                                            .mRetryAfter =
-                                              kRetryAfterStoreUnavailable,
-                                            .mMessage =
-                                              "the store does not answer" };
+// How long the store may hold a feed call for the worker registry. It is short
+// because a lost answer delays the news that a worker is draining by this time.
+constexpr std::chrono::milliseconds kRegistryFeedWait = 1000ms;
 
 jobs::SchedulerOptions
 WithEpoch(jobs::SchedulerOptions aOptions, Epoch aEpoch)
@@ -47,12 +29,6 @@
   return aOptions;
 }
 
-std::string
-LastSegment(const std::string& aPath)
-{
-  return aPath.substr(aPath.rfind('/') + 1);
-}
-
 } // namespace
 
 OwnerSession::OwnerSession(eventloop::EventLoop& aLoop,
@@ -100,10 +76,16 @@
           [this](Duration aTime) {
             mHooks.mOnStageTime(Stage::Record, aTime);
           } })
+  , mRequestHandler(
+      aFormats,
+      mScheduler,
+      mJournal,
+      { .mNow = [] { return Now(); }, .mOnWork = [this] { ScheduleTick(); } })
   , mWorkerWatch(aLoop,
                  aStore,
                  { .mTable = aFormats.mWorkerTable,
                    .mPart = "",
+                   .mWait = kRegistryFeedWait,
                    .mPauseBetweenCalls = kRegistryBatchDelay },
                  { .mOnRow = [this](const Row& aRow) { OnWorkerRow(aRow); },
                    .mOnRemoved =
@@ -272,195 +254,14 @@
     mEarlyRequests.emplace_back(aRequest, std::move(aReply));
     return;
   }
-  const jobs::CellConfiguration& configuration = mScheduler.Configuration();
-  // A job that an earlier owner accepted must not be refused.
-  const bool known =
-    mScheduler.Find(jobs::JobId(LastSegment(aRequest.mPath))).has_value();
-  if (aRequest.mVersion > configuration.mVersion && !known) {
-    aReply({ .mKind = CallerAnswerKind::Refused,
-             .mRetryAfter = kRetryAfterStaleConfiguration,
-             .mMessage = "the configuration is being read" });
-    return;
-  }
-  const QueueMatch match =
-    MatchQueue(configuration, aRequest.mHost, aRequest.mPath);
-  if (aRequest.mVerb == CallerVerb::Submit) {
-    if (match.mQueue == nullptr && known &&
-        aRequest.mVersion > configuration.mVersion) {
-      // The queue may exist in a newer configuration than this node has read.
-      aReply({ .mKind = CallerAnswerKind::Undetermined,
-               .mMessage = "the configuration is being read" });
-    } else if (match.mQueue == nullptr) {
-      aReply({ .mKind = CallerAnswerKind::UnknownQueue });
-    } else if (!IsJobId(match.mRest)) {
-      aReply({ .mKind = CallerAnswerKind::Malformed,
-               .mMessage = "a job id has 16 hexadecimal digits" });
-    } else {
-      Submit(*match.mQueue, jobs::JobId(match.mRest), aRequest, aReply);
-    }
-    return;
-  }
-  // A job outlives its queue, and callers still use the old path for it.
-  const std::string rest =
-    match.mQueue != nullptr ? match.mRest : LastSegment(aRequest.mPath);
-  if (match.mQueue == nullptr && !IsJobId(rest)) {
-    aReply({ .mKind = CallerAnswerKind::UnknownQueue });
-    return;
-  }
-  if (aRequest.mVerb == CallerVerb::Cancel) {
-    Cancel(jobs::JobId(rest), aReply);
-    return;
-  }
-  if (match.mQueue != nullptr) {
-    AnswerQuery(*match.mQueue, rest, aReply);
-    return;
-  }
-  const std::optional<jobs::JobView> view = mScheduler.Find(jobs::JobId(rest));
-  if (view.has_value()) {
-    aReply({ .mKind = CallerAnswerKind::State, .mState = view->mState });
-  } else {
-    aReply({ .mKind = CallerAnswerKind::UnknownQueue });
-  }
-}
-
-void
-OwnerSession::Submit(const jobs::QueuePolicy& aQueue,
-                     const jobs::JobId& aId,
-                     const CallerRequest& aRequest,
-                     const AnswerCallback& aReply)
-{
-  const std::optional<jobs::JobView> known = mScheduler.Find(aId);
-  if (known.has_value() && known->mRecorded) {
-    aReply({ .mKind = CallerAnswerKind::Accepted });
-    return;
-  }
-  if (!known.has_value() && (!CanRecordSoon() || mReleasing)) {
-    aReply(kStoreUnavailableAnswer);
-    return;
-  }
-  absl::StatusOr<jobs::JobSpec> spec = mFormats.mDecodeJob(aRequest.mBody);
-  if (!spec.ok()) {
-    aReply({ .mKind = CallerAnswerKind::Malformed,
-             .mMessage = std::string(spec.status().message()) });
-    return;
-  }
-  const jobs::RecordPosition position =
-    mScheduler.Submit(aId, aQueue, *std::move(spec), Now());
-  ReplyWhenRecorded(
-    position, { .mKind = CallerAnswerKind::Accepted }, aReply, aId);
-}
-
-// Returns false when a submission would wait too long for its record to be
-// stored; the caller should retry it later.
-bool
-OwnerSession::CanRecordSoon() const
-{
-  const TimePoint now = std::chrono::steady_clock::now();
-  const Duration outstanding = mJournal.OutstandingTime(now);
-  const Duration write = mJournal.ExpectedCommitTime();
-  if (outstanding > StoreUnavailableAfter() ||
-      std::max(write - outstanding, Duration::zero()) + write >
-        kMaxRecordingWait) {
-    return false;
-  }
-  // A reply that has waited for more than two transactions shows that changes
-  // arrive faster than they can be written.
-  return mWaitingReplies.empty() || mWaitingReplies.front().mQueuedAt +
-                                        2 * write + kStoreUnavailableAfter >
-                                      now;
-}
-
-Duration
-OwnerSession::StoreUnavailableAfter() const
-{
-  return std::clamp<Duration>(kStoreUnavailableRoundTrips *
-                                mJournal.ExpectedCommitTime(),
-                              kStoreUnavailableAfter,
-                              kMaxStoreUnavailableAfter);
-}
-
-void
-OwnerSession::RefuseUnbatchedSubmissions()
-{
-  std::vector<AnswerCallback> refused;
-  // The same job may have been submitted several times.
-  std::set<jobs::JobId> withdrawnJobs;
-  std::erase_if(mWaitingReplies, [&](WaitingReply& aEntry) {
-    const jobs::JobId& job = aEntry.mSubmitted;
-    const bool withdrawn =
-      !job.Empty() && (withdrawnJobs.contains(job) || mScheduler.Withdraw(job));
-    if (withdrawn) {
-      withdrawnJobs.insert(job);
-      refused.push_back(std::move(aEntry.mReply));
-    }
-    return withdrawn;
-  });
-  for (const AnswerCallback& reply : refused) {
-    reply(kStoreUnavailableAnswer);
-  }
-}
-
-void
-OwnerSession::AnswerQuery(const jobs::QueuePolicy& aQueue,
-                          const std::string& aRest,
-                          const AnswerCallback& aReply)
-{
-  if (aRest.empty()) {
-    aReply({ .mKind = CallerAnswerKind::Count,
-             .mCount = mScheduler.Waiting(aQueue.mName) });
-    return;
-  }
-  const std::optional<jobs::JobView> view = mScheduler.Find(jobs::JobId(aRest));
-  if (!view.has_value()) {
-    aReply({ .mKind = CallerAnswerKind::UnknownJob });
-    return;
-  }
-  aReply({ .mKind = CallerAnswerKind::State, .mState = view->mState });
-}
-
-void
-OwnerSession::Cancel(const jobs::JobId& aId, const AnswerCallback& aReply)
-{
-  const std::optional<jobs::RecordPosition> position =
-    mScheduler.Cancel(aId, Now());
-  if (!position.has_value()) {
-    aReply({ .mKind = CallerAnswerKind::UnknownJob });
-    return;
-  }
-  ReplyWhenRecorded(
-    *position, { .mKind = CallerAnswerKind::Cancelled }, aReply);
-}
-
-void
-OwnerSession::ReplyWhenRecorded(jobs::RecordPosition aPosition,
-                                CallerAnswer aAnswer,
-                                AnswerCallback aReply,
-                                const jobs::JobId& aSubmitted)
-{
-  if (aPosition <= mScheduler.Records().Recorded()) {
-    aReply(aAnswer);
-    return;
-  }
-  mWaitingReplies.push_back({ .mPosition = aPosition,
-                              .mAnswer = std::move(aAnswer),
-                              .mReply = std::move(aReply),
-                              .mQueuedAt = std::chrono::steady_clock::now(),
-                              .mSubmitted = aSubmitted });
-  ScheduleTick();
+  mRequestHandler.Serve(aRequest, aReply);
 }
 
 void
 OwnerSession::OnRecorded(jobs::RecordPosition aPosition)
 {
   mScheduler.OnRecorded(aPosition, Now());
-  std::deque<WaitingReply> waiting = std::exchange(mWaitingReplies, {});
-  for (WaitingReply& entry : waiting) {
-    if (entry.mPosition <= aPosition) {
-      entry.mReply(entry.mAnswer);
-    } else {
-      mWaitingReplies.push_back(std::move(entry));
-    }
-  }
+  mRequestHandler.OnRecorded(aPosition);
   if (mJournal.IsReleased()) {
     mHooks.mOnReleased();
     return;
@@ -529,6 +330,7 @@
 OwnerSession::Release()
 {
   mReleasing = true;
+  mRequestHandler.RefuseNewJobs();
   mJournal.Release();
   ScheduleTick();
 }
@@ -553,9 +355,7 @@
                                mOptions.mScheduler.mOwnershipLease);
     mScheduler.Advance(now);
   }
-  if (mJournal.OutstandingTime(now.mSteady) > StoreUnavailableAfter()) {
-    RefuseUnbatchedSubmissions();
-  }
+  mRequestHandler.RefuseIfStoreUnavailable(now.mSteady);
   const bool waiting = mScheduler.Records().HasWaiting() || mReleasing;
   mJournal.Tick(now.mSteady);
   mTimer->StartWithin(waiting ? kSoonTickDelay * 4 : kTickInterval);
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -2,7 +2,6 @@
 // workers and answers callers.
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -11,6 +10,7 @@
 
 #include "cellnode/advicedispatcher.h"
 #include "cellnode/celljournal.h"
+#include "cellnode/internal/callerrequesthandler.h"
 #include "cellnode/internal/cellloader.h"
 #include "cellnode/internal/relayedcalls.h"
 #include "cellnode/internal/tablewatch.h"
@@ -84,39 +84,10 @@
   jobs::SchedulerCounts Counts() const { return mScheduler.Counts(); }
 
 private:
-  struct WaitingReply
-  {
-    jobs::RecordPosition mPosition;
-    CallerAnswer mAnswer;
-    AnswerCallback mReply;
-    TimePoint mQueuedAt;
-    // The submitted job; empty for other requests.
-    jobs::JobId mSubmitted;
-  };
-
   jobs::SchedulerHooks MakeSchedulerHooks();
   void OnLoaded(const jobs::CellRecords& aRecords);
   void StartServing();
   void OnWorkerRow(const Row& aRow);
-  void Submit(const jobs::QueuePolicy& aQueue,
-              const jobs::JobId& aId,
-              const CallerRequest& aRequest,
-              const AnswerCallback& aReply);
-  bool CanRecordSoon() const;
-  // The time without an answer to a transaction after which the store counts as
-  // unavailable.
-  Duration StoreUnavailableAfter() const;
-  // Refuses the submissions that are not part of a transaction yet.
-  void RefuseUnbatchedSubmissions();
-  void AnswerQuery(const jobs::QueuePolicy& aQueue,
-                   const std::string& aRest,
-                   const AnswerCallback& aReply);
-  void Cancel(const jobs::JobId& aId, const AnswerCallback& aReply);
-  // Replies once the change at aPosition is stored.
-  void ReplyWhenRecorded(jobs::RecordPosition aPosition,
-                         CallerAnswer aAnswer,
-                         AnswerCallback aReply,
-                         const jobs::JobId& aSubmitted = {});
   void OnRecorded(jobs::RecordPosition aPosition);
   void Tick();
   void ScheduleTick();
@@ -134,6 +105,7 @@
   jobs::CellScheduler mScheduler;
   AdviceDispatcher mAdviceDispatcher;
   CellJournal mJournal;
+  CallerRequestHandler mRequestHandler;
   std::unique_ptr<CellLoader> mLoader;
   TableWatch mWorkerWatch;
   bool mLoaded = false;
@@ -143,7 +115,6 @@
   bool mReleasing = false;
   bool mHalted = false;
   std::vector<std::pair<CallerRequest, AnswerCallback>> mEarlyRequests;
-  std::deque<WaitingReply> mWaitingReplies;
   std::unique_ptr<eventloop::Timer> mTimer;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -14,10 +14,6 @@
 
 // The policy service accepts no more workers in one call.
 constexpr std::size_t kMaxWorkersPerQuery = 100;
-// A step is asked about in one more query at the same time for each this many
-// hosts that can query the service, up to a maximum.
-constexpr std::size_t kQueryHostsPerParallelQuery = 30;
-constexpr std::size_t kMaxParallelQueries = 4;
 // A query without an answer counts as lost after this time and is sent again.
 constexpr std::chrono::milliseconds kQueryTimeout = 5000ms;
 // A ticket is used only up to this long before it expires, so that it is still
@@ -26,16 +22,6 @@
 // An answer for a step should arrive this long before the last of its
 // prerequisites is expected to end.
 constexpr std::chrono::milliseconds kQueryAheadMargin = 250ms;
-// The number of approved workers to aim for, as a multiple of the empty workers
-// that would hold the step. Most workers are busy, so several times as many
-// must be approved. The more a step may choose from, the sooner it starts, but
-// queries and the renewal of tickets occupy the hosts that send them. The
-// multiple is therefore the largest while at most kLowQueryLoad queries are
-// pending for each host, and falls to the smallest at kHighQueryLoad.
-constexpr double kMaxTargetRoomFactor = 16.0;
-constexpr double kMinTargetRoomFactor = 5.0;
-constexpr double kLowQueryLoad = 0.5;
-constexpr double kHighQueryLoad = 0.9;
 constexpr double kMinTargetApprovals = 10.0;
 // While the approvals are fewer than the target divided by this number, a query
 // for further workers is sent before the tickets need to be renewed.
@@ -133,7 +119,7 @@
     std::ceil(static_cast<double>(aStep.mTasks.size() - aStep.mSucceeded) /
               static_cast<double>(perWorker));
   return static_cast<std::size_t>(
-    std::max(kMinTargetApprovals, TargetRoomFactor() * workersNeeded));
+    std::max(kMinTargetApprovals, mBudget.TargetRoomFactor() * workersNeeded));
 }
 
 std::size_t
@@ -155,26 +141,6 @@
          static_cast<std::size_t>(1 + raises);
 }
 
-double
-AdvicePlanner::TargetRoomFactor() const
-{
-  const double load =
-    static_cast<double>(mPendingQueries) /
-    static_cast<double>(std::max<std::size_t>(mCell.mQueryHosts, 1));
-  const double excess = std::clamp(
-    (load - kLowQueryLoad) / (kHighQueryLoad - kLowQueryLoad), 0.0, 1.0);
-  return kMaxTargetRoomFactor +
-         excess * (kMinTargetRoomFactor - kMaxTargetRoomFactor);
-}
-
-std::size_t
-AdvicePlanner::MaxWorkersPerRound() const
-{
-  const std::size_t queries = std::clamp<std::size_t>(
-    mCell.mQueryHosts / kQueryHostsPerParallelQuery, 1, kMaxParallelQueries);
-  return queries * kMaxWorkersPerQuery;
-}
-
 std::size_t
 AdvicePlanner::CountToQuery(const Job& aJob,
                             const Step& aStep,
@@ -238,7 +204,8 @@
     }
   }
   const std::size_t target = TargetApprovals(aJob, aKey, aStep);
-  const std::size_t maxWorkers = MaxWorkersPerRound();
+  const std::size_t maxWorkers =
+    mBudget.MaxParallelQueries() * kMaxWorkersPerQuery;
   std::vector<Worker*> selected;
   const auto append = [&selected, maxWorkers](ScoredWorkers& aScored,
                                               std::size_t aLimit) {
@@ -282,7 +249,7 @@
   for (std::size_t index = 0; index < selected.size(); ++index) {
     workers[index % queries].push_back(selected[index]->Id());
   }
-  advice.mPendingQueries = static_cast<int>(queries);
+  advice.mPendingQueries = queries;
   advice.mQueriedAt = aNow;
   for (std::vector<WorkerId>& part : workers) {
     SendQuery(aJob, aKey, std::move(part));
@@ -364,7 +331,9 @@
     return;
   }
   StepAdvice& advice = step->mAdvice;
-  advice.mPendingQueries = std::max(advice.mPendingQueries - 1, 0);
+  if (advice.mPendingQueries > 0) {
+    --advice.mPendingQueries;
+  }
   if (!aAnswer.mAnswered) {
     return;
   }
--- a/src/jobs/internal/adviceplanner.h
+++ b/src/jobs/internal/adviceplanner.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <vector>
 
+#include "jobs/internal/advicebudget.h"
 #include "jobs/internal/cellstate.h"
 
 namespace oriolevane::jobs {
@@ -21,7 +22,11 @@
   // tasks fill them.
   void SetUsableWorkers(const std::vector<Worker*>& aUsable);
   // Sets the number of queries that all steps have pending.
-  void SetPendingQueries(int aQueries) { mPendingQueries = aQueries; }
+  void SetPendingQueries(std::size_t aQueries)
+  {
+    mBudget.SetLoad(mCell.mQueryHosts, aQueries);
+  }
+  const AdviceBudget& Budget() const { return mBudget; }
   // Sends a query for a step that is waiting to start when too few workers are
   // approved, or when tickets would expire before the answer arrives.
   void QueryIfNeeded(const Job& aJob,
@@ -48,11 +53,6 @@
   void SendQuery(const Job& aJob,
                  const StepKey& aKey,
                  std::vector<WorkerId> aWorkers);
-  // The number of approved workers to aim for, relative to the workers that
-  // would hold the step if they were empty.
-  double TargetRoomFactor() const;
-  // The number of workers that one round of queries may name.
-  std::size_t MaxWorkersPerRound() const;
   // Selects the workers for a round of queries: workers whose tickets are about
   // to expire, then workers not yet asked about, the highest score first.
   std::vector<Worker*> SelectWorkers(const Job& aJob,
@@ -83,7 +83,7 @@
   CellState& mCell;
   std::vector<Worker*> mUsable;
   std::map<PoolName, std::size_t> mUsableInPool;
-  int mPendingQueries = 0;
+  AdviceBudget mBudget;
   // Moving average of the share of queried workers that are approved, by queue.
   std::map<QueueName, double> mApprovalShare;
 };
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -13,12 +13,6 @@
 // Nothing is started when this node may renew leases for less than this time,
 // as the new runs might soon lose their lease.
 constexpr std::chrono::milliseconds kMinLeaseToStart = 1500ms;
-// Number of waiting steps of each queue, the most urgent first, whose tickets
-// are renewed: one for each few hosts that can query the policy service, within
-// limits. Steps without an answer yet do not count.
-constexpr std::size_t kQueryHostsPerRenewedStep = 4;
-constexpr std::size_t kMinStepsRenewedPerQueue = 24;
-constexpr std::size_t kMaxStepsRenewedPerQueue = 36;
 // A worker that has left the registry is still used for this long, because the
 // registry also drops live workers while the store is unavailable.
 constexpr std::chrono::milliseconds kUnregisteredGracePeriod = 2500ms;
@@ -85,10 +79,8 @@
   mNow = aNow.mSteady;
   mGangReservations.BeginPass(mNow);
   std::map<QueueName, std::size_t> renewed;
-  const std::size_t stepsRenewed =
-    std::clamp(mCell.mQueryHosts / kQueryHostsPerRenewedStep,
-               kMinStepsRenewedPerQueue,
-               kMaxStepsRenewedPerQueue);
+  // Steps without an answer yet do not count.
+  const std::size_t stepsRenewed = mAdvice.Budget().MaxStepsRenewedPerQueue();
   mSingleTaskShare = SingleTaskShare(candidates);
   for (const Candidate& candidate : candidates) {
     const QueuePolicy& queue = candidate.mJob->mRecord.mQueue;
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -106,7 +106,7 @@
   // this pass.
   double mSingleTaskShare = 1.0;
   // Advice queries of the open jobs that have not been answered.
-  int mPendingQueries = 0;
+  std::size_t mPendingQueries = 0;
   // A worker with room was passed over in the current attempt, because its
   // capacity is withheld for gangs.
   bool mCapacityWithheld = false;
--- a/src/jobs/internal/stepadvice.h
+++ b/src/jobs/internal/stepadvice.h
@@ -26,7 +26,7 @@
 struct StepAdvice
 {
   // Number of queries that have been sent and not yet answered.
-  int mPendingQueries = 0;
+  std::size_t mPendingQueries = 0;
   TimePoint mQueriedAt;
   // At least one answer has arrived since this node learned of the step.
   bool mAnswered = false;
