--- a/src/jobs/tests/workerfailures_test.cpp
+++ b/src/jobs/tests/workerfailures_test.cpp
@@ -206,6 +206,20 @@
         }
       }
     });
+    aSection.It("gets no start a second time when the first was lost", [] {
+      FakeCell cell({ .mWorkers = 1 });
+      cell.RunFor(200ms);
+      int orders = 0;
+      cell.mStartDelivery = [&orders](const StartOrder&) {
+        ++orders;
+        return Delivery::Dropped;
+      };
+      cell.Submit("job", SingleStepJob(MakeStep(1, 2000, 200ms)), MakeQueue());
+      cell.RunFor(60ms);
+      cell.DrainWorker(0);
+      cell.RunFor(5000ms);
+      CPPUNIT_ASSERT_EQUAL(1, orders);
+    });
   });
 }
 
