--- a/src/jobs/internal/runtracker.cpp
+++ b/src/jobs/internal/runtracker.cpp
@@ -76,7 +76,8 @@
   const Job* job = mCell.mJobs.Find(aRun.mTask.mStep.mJob);
   const bool wanted =
     !aRun.mStopWanted && job != nullptr && job->mPhase == JobPhase::Open;
-  if (!wanted || aWorker.mEntry.mDraining || aRun.mOrdersSent >= kMaxStartOrders) {
+  if (!wanted || aWorker.mEntry.mDraining ||
+      aRun.mOrdersSent >= kMaxStartOrders) {
     return false;
   }
   const std::optional<WorkerTime> lease =
