--- a/src/cellnode/advicedispatcher.h
+++ b/src/cellnode/advicedispatcher.h
@@ -36,8 +36,6 @@
   // outstanding any more.
   std::optional<jobs::AdviceQuery> OnAnswer(QueryId aId);
   std::size_t NodeCount() const { return mNodeLoads.size(); }
-  // The number of queries that are not sent to a node.
-  std::size_t Waiting() const { return mWaiting.size(); }
 
 private:
   // The outstanding queries of a node and their total service time.
--- a/src/cellnode/celljournal.h
+++ b/src/cellnode/celljournal.h
@@ -82,8 +82,6 @@
   TimePoint RenewedAt() const { return mRenewedAt; }
   // Sets the time at which the ownership was claimed, before the first Tick().
   void SetRenewedAt(TimePoint aTime) { mRenewedAt = aTime; }
-  // The number of applied transactions.
-  std::uint64_t Commits() const { return mCommits; }
   // How long the current transaction has been without an answer; zero when
   // there is none.
   Duration OutstandingTime(TimePoint aNow) const
@@ -136,7 +134,6 @@
   bool mReleasing = false;
   bool mReleased = false;
   bool mLost = false;
-  std::uint64_t mCommits = 0;
   // Set to false by the destructor, so that callbacks which run later return
   // without using this object.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
--- a/src/cellnode/internal/celljournal.cpp
+++ b/src/cellnode/internal/celljournal.cpp
@@ -237,7 +237,6 @@
   mReleased = mOwner.mReleased;
   mInFlight.reset();
   mRenewedAt = aSentAt;
-  ++mCommits;
   mHooks.mOnRecorded(mWriteQueue.Confirm());
 }
 
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -77,7 +77,6 @@
   void Release();
   // Stops all work, because the session is about to be destroyed.
   void Halt() { mHalted = true; }
-  Epoch OwnershipEpoch() const { return mOwner.mEpoch; }
   // The time since the last applied write to the store was sent.
   Duration StoreAge(TimePoint aNow) const;
   bool IsServing() const { return mServing; }
--- a/src/cellnode/internal/peerlinks.cpp
+++ b/src/cellnode/internal/peerlinks.cpp
@@ -133,15 +133,6 @@
   }
 }
 
-void
-PeerLinks::Close(const NodeId& aNode)
-{
-  const auto found = mNodes.find(aNode);
-  if (found != mNodes.end()) {
-    CloseLink(*found->second);
-  }
-}
-
 // Destroys closed links. This runs from a timer because a link cannot be
 // destroyed within its own callbacks.
 void
--- a/src/cellnode/internal/peerlinks.h
+++ b/src/cellnode/internal/peerlinks.h
@@ -44,7 +44,6 @@
     found->second->mLink->Send(EncodeFrame(std::move(aBody)));
     return true;
   }
-  void Close(const NodeId& aNode);
   bool IsLinked(const NodeId& aNode) const { return mNodes.contains(aNode); }
   std::vector<NodeId> LinkedNodes() const;
 
--- a/src/cellnode/internal/recentjobs.h
+++ b/src/cellnode/internal/recentjobs.h
@@ -39,11 +39,6 @@
       mOrder.pop_front();
     }
   }
-  void Clear()
-  {
-    mValues.clear();
-    mOrder.clear();
-  }
 
 private:
   static constexpr std::size_t kMaxJobs = 1024;
--- a/src/cellnode/internal/relayedcalls.cpp
+++ b/src/cellnode/internal/relayedcalls.cpp
@@ -77,7 +77,7 @@
 RelayedCalls::AddPayload(const NodeId& aRelay, const jobs::StartOrder& aOrder)
 {
   const jobs::JobId& job = aOrder.mTask.mStep.mJob;
-  RecentJobs<Nothing>& sent = mSentPayloads[aRelay];
+  RecentJobs<std::monostate>& sent = mSentPayloads[aRelay];
   if (sent.Contains(job)) {
     return;
   }
--- a/src/cellnode/internal/relayedcalls.h
+++ b/src/cellnode/internal/relayedcalls.h
@@ -91,9 +91,8 @@
   // Calls by the time at which they end without an answer.
   std::multimap<TimePoint, RelayedCallId> mExpiry;
   std::map<NodeId, cellwire::WorkerCallBatchT> mBatches;
-  struct Nothing
-  {};
-  std::map<NodeId, RecentJobs<Nothing>> mSentPayloads;
+  // The jobs whose payload each relay has.
+  std::map<NodeId, RecentJobs<std::monostate>> mSentPayloads;
   RelayedCallId mLastId;
 };
 
--- a/src/cellnode/internal/tablewatch.h
+++ b/src/cellnode/internal/tablewatch.h
@@ -46,7 +46,6 @@
 
   // Starts a full read of the table, after which changes are reported.
   void Start();
-  bool IsSynchronized() const { return mSynchronized; }
 
 private:
   void ReadFrom(const std::string& aName);
--- a/src/cellnode/ownershippolicy.h
+++ b/src/cellnode/ownershippolicy.h
@@ -71,7 +71,6 @@
   std::optional<RowVersion> VersionToClaim(TimePoint aNow) const;
   // The owner row as it was last read.
   const std::optional<OwnerRow>& Row() const { return mRow; }
-  RowVersion RowVersionRead() const { return mVersion; }
 
 private:
   Duration TakeoverDelay() const;
--- a/src/eventloop/httpclient.h
+++ b/src/eventloop/httpclient.h
@@ -47,8 +47,6 @@
             const HttpRequest& aRequest,
             Duration aTimeout,
             std::function<void(HttpOutcome)> aDone);
-  // Closes the idle connections to an address.
-  void CloseIdleConnections(const SocketAddress& aAddress);
 
 private:
   struct Exchange;
--- a/src/eventloop/httpserver.h
+++ b/src/eventloop/httpserver.h
@@ -56,8 +56,6 @@
   absl::Status Listen();
   // Closes each connection after its next response from now on.
   void CloseAfterResponses() { mClosing = true; }
-  // Returns the number of requests that have no response yet.
-  std::size_t PendingRequests() const { return mPending.size(); }
 
 private:
   static void OnRequest(evhttp_request* aRequest, void* aContext);
--- a/src/eventloop/internal/httpclient.cpp
+++ b/src/eventloop/internal/httpclient.cpp
@@ -138,19 +138,6 @@
   mDiscardTimer->StartWithin(Duration::zero());
 }
 
-void
-HttpClient::CloseIdleConnections(const SocketAddress& aAddress)
-{
-  const auto idle = mIdle.find(aAddress);
-  if (idle == mIdle.end()) {
-    return;
-  }
-  for (evhttp_connection* connection : idle->second) {
-    DiscardConnection(connection);
-  }
-  mIdle.erase(idle);
-}
-
 void
 HttpClient::Send(const SocketAddress& aAddress,
                  const HttpRequest& aRequest,
