Finish reading the worker registry at a busy node

A page of the registry had 0.8 s, and a failed page began the whole read again. Change: pages of 100 rows; a failed page is read again, not the whole table; its timeout doubles up to 3.2 s. Tests: "goes on with the page whose answer was lost" and "waits longer for a page that did not arrive in time" failed before (5 reads instead of 4; equal timeouts).

--- a/src/cellnode/internal/tablewatch.cpp
+++ b/src/cellnode/internal/tablewatch.cpp
@@ -1,5 +1,6 @@
 #include "cellnode/internal/tablewatch.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "framework/log.h"
@@ -11,6 +12,11 @@
 using namespace std::chrono_literals;
 
 constexpr std::chrono::milliseconds kReadTimeout = 800ms;
+// A busy node needs several passes of its event loop for one page. The timeout
+// of a page therefore doubles with each failure, up to this time.
+constexpr std::chrono::milliseconds kMaxReadTimeout = 3200ms;
+// Small pages arrive in time also at a busy node.
+constexpr std::size_t kRowsPerPage = 100;
 constexpr std::chrono::milliseconds kRetryPause = 200ms;
 
 } // namespace
@@ -27,7 +33,7 @@
     if (mSynchronized) {
       ReadFeed();
     } else {
-      Start();
+      ReadFrom(mNextName);
     }
   });
 }
@@ -43,6 +49,7 @@
   mSynchronized = false;
   mSeenInRead.clear();
   mReadVersion = {};
+  mReadTimeout = kReadTimeout;
   ReadFrom("");
 }
 
@@ -55,22 +62,28 @@
 void
 TableWatch::ReadFrom(const std::string& aName)
 {
-  mStore.mRead(
-    { .mTable = mOptions.mTable, .mPart = mOptions.mPart, .mFrom = aName },
-    kReadTimeout,
-    [this, alive = mAlive](const absl::StatusOr<RowPage>& aPage) {
-      if (!*alive) {
-        return;
-      }
-      if (!aPage.ok()) {
-        LogWarning("table_read_failed")
-          .With("table", mOptions.mTable)
-          .With("status", aPage.status().ToString());
-        RetryLater();
-        return;
-      }
-      OnPage(*aPage);
-    });
+  mNextName = aName;
+  mStore.mRead({ .mTable = mOptions.mTable,
+                 .mPart = mOptions.mPart,
+                 .mFrom = aName,
+                 .mLimit = kRowsPerPage },
+               mReadTimeout,
+               [this, alive = mAlive](const absl::StatusOr<RowPage>& aPage) {
+                 if (!*alive) {
+                   return;
+                 }
+                 if (!aPage.ok()) {
+                   LogWarning("table_read_failed")
+                     .With("table", mOptions.mTable)
+                     .With("from", mNextName)
+                     .With("status", aPage.status().ToString());
+                   mReadTimeout = std::min<std::chrono::milliseconds>(
+                     2 * mReadTimeout, kMaxReadTimeout);
+                   RetryLater();
+                   return;
+                 }
+                 OnPage(*aPage);
+               });
 }
 
 void
@@ -89,6 +102,7 @@
       mHooks.mOnRow(row);
     }
   }
+  mReadTimeout = kReadTimeout;
   if (aPage.mHasMore && !aPage.mRows.empty()) {
     ReadFrom(aPage.mRows.back().mKey.mName + '\x01');
     return;
--- a/src/cellnode/internal/tablewatch.h
+++ b/src/cellnode/internal/tablewatch.h
@@ -52,6 +52,7 @@
   void OnPage(const RowPage& aPage);
   void ReadFeed();
   void OnChanges(const absl::StatusOr<RowPage>& aPage);
+  // Repeats the call that failed after a pause.
   void RetryLater();
 
   const RowStoreHooks& mStore;
@@ -60,6 +61,10 @@
   std::unique_ptr<eventloop::Timer> mTimer;
   bool mSynchronized = false;
   RowVersion mVersion;
+  // The first row of the page that the current full read waits for, and the
+  // timeout of that page.
+  std::string mNextName;
+  std::chrono::milliseconds mReadTimeout{ 0 };
   // The store version at the start of the current full read.
   RowVersion mReadVersion;
   std::map<std::string, RowVersion> mSeenInRead;
--- a/src/cellnode/tests/main.cpp
+++ b/src/cellnode/tests/main.cpp
@@ -16,6 +16,7 @@
       { "worker calls", oriolevane::WorkerCallsTests },
       { "relay selector", oriolevane::RelaySelectorTests },
       { "relayed calls", oriolevane::RelayedCallsTests },
+      { "table watch", oriolevane::TableWatchTests },
       { "record codec", oriolevane::RecordCodecTests },
       { "queue router", oriolevane::QueueRouterTests },
       { "metrics text", oriolevane::MetricsTextTests } });
--- /dev/null
+++ b/src/cellnode/tests/tablewatch_test.cpp
@@ -0,0 +1,98 @@
+#include "cellnode/internal/tablewatch.h"
+
+#include <string>
+#include <vector>
+
+#include "cellnode/tests/testgroups.h"
+
+namespace oriolevane {
+
+using testing::Section;
+using namespace cellnode;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A table of three rows in pages of one row. The page of row "b" has no answer
+// mLostAnswers times.
+struct Fixture
+{
+  struct ReadCall
+  {
+    std::string mFrom;
+    Duration mTimeout;
+  };
+
+  eventloop::EventLoop mLoop;
+  int mLostAnswers = 0;
+  std::vector<ReadCall> mReads;
+  std::vector<std::string> mReported;
+  RowStoreHooks mStore;
+
+  Fixture()
+  {
+    mStore.mRead =
+      [this](const RowQuery& aQuery, Duration aTimeout, const auto& aDone) {
+        mReads.push_back({ aQuery.mFrom, aTimeout });
+        aDone(PageFrom(aQuery.mFrom));
+      };
+    mStore.mFeed = [](const FeedQuery&, Duration, const auto&) {};
+  }
+  absl::StatusOr<RowPage> PageFrom(const std::string& aFrom)
+  {
+    const std::string name = aFrom.empty() ? "a" : aFrom[0] == 'a' ? "b" : "c";
+    if (name == "b" && mLostAnswers-- > 0) {
+      return absl::DeadlineExceededError("no response in time");
+    }
+    RowPage page;
+    page.mVersion = RowVersion(7);
+    page.mHasMore = name != "c";
+    page.mRows.emplace_back();
+    page.mRows[0].mKey.mName = name;
+    page.mRows[0].mVersion = RowVersion(7);
+    return page;
+  }
+  // Reads the table in full.
+  void Read()
+  {
+    TableWatch watch(
+      mLoop,
+      mStore,
+      { .mTable = "workers", .mPart = "" },
+      { .mOnRow =
+          [this](const Row& aRow) { mReported.push_back(aRow.mKey.mName); },
+        .mOnRemoved = [](const std::string&) {},
+        .mOnSynchronized = [this] { mLoop.Stop(); } });
+    mLoop.Post([&watch] { watch.Start(); });
+    mLoop.Run();
+  }
+};
+
+} // namespace
+
+void
+TableWatchTests(Section& aRoot)
+{
+  aRoot.Describe("a full read of several pages", [](Section& aSection) {
+    aSection.It("goes on with the page whose answer was lost", [] {
+      Fixture fixture;
+      fixture.mLostAnswers = 1;
+      fixture.Read();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, fixture.mReads.size());
+      CPPUNIT_ASSERT_EQUAL(fixture.mReads[1].mFrom, fixture.mReads[2].mFrom);
+      CPPUNIT_ASSERT(
+        (fixture.mReported == std::vector<std::string>{ "a", "b", "c" }));
+    });
+    aSection.It("waits longer for a page that did not arrive in time", [] {
+      Fixture fixture;
+      fixture.mLostAnswers = 2;
+      fixture.Read();
+      const std::vector<Fixture::ReadCall>& reads = fixture.mReads;
+      CPPUNIT_ASSERT(reads[2].mTimeout == 2 * reads[1].mTimeout);
+      CPPUNIT_ASSERT(reads[3].mTimeout == 4 * reads[1].mTimeout);
+      CPPUNIT_ASSERT(reads[4].mTimeout == reads[0].mTimeout);
+    });
+  });
+}
+
+} // namespace oriolevane
--- a/src/cellnode/tests/testgroups.h
+++ b/src/cellnode/tests/testgroups.h
@@ -22,6 +22,8 @@
 void
 RelayedCallsTests(testing::Section& aRoot);
 void
+TableWatchTests(testing::Section& aRoot);
+void
 RecordCodecTests(testing::Section& aRoot);
 void
 QueueRouterTests(testing::Section& aRoot);
