Read the worker registry in the store's own pages again

Change: the store's own page size again; the failed page is still read again by itself, with twice the time, which is what ends the endless read.

--- a/src/cellnode/internal/tablewatch.cpp
+++ b/src/cellnode/internal/tablewatch.cpp
@@ -15,8 +15,6 @@
 // A busy node needs several passes of its event loop for one page. The timeout
 // of a page therefore doubles with each failure, up to this time.
 constexpr std::chrono::milliseconds kMaxReadTimeout = 3200ms;
-// Small pages arrive in time also at a busy node.
-constexpr std::size_t kRowsPerPage = 100;
 constexpr std::chrono::milliseconds kRetryPause = 200ms;
 
 } // namespace
@@ -63,27 +61,25 @@
 TableWatch::ReadFrom(const std::string& aName)
 {
   mNextName = aName;
-  mStore.mRead({ .mTable = mOptions.mTable,
-                 .mPart = mOptions.mPart,
-                 .mFrom = aName,
-                 .mLimit = kRowsPerPage },
-               mReadTimeout,
-               [this, alive = mAlive](const absl::StatusOr<RowPage>& aPage) {
-                 if (!*alive) {
-                   return;
-                 }
-                 if (!aPage.ok()) {
-                   LogWarning("table_read_failed")
-                     .With("table", mOptions.mTable)
-                     .With("from", mNextName)
-                     .With("status", aPage.status().ToString());
-                   mReadTimeout = std::min<std::chrono::milliseconds>(
-                     2 * mReadTimeout, kMaxReadTimeout);
-                   RetryLater();
-                   return;
-                 }
-                 OnPage(*aPage);
-               });
+  mStore.mRead(
+    { .mTable = mOptions.mTable, .mPart = mOptions.mPart, .mFrom = aName },
+    mReadTimeout,
+    [this, alive = mAlive](const absl::StatusOr<RowPage>& aPage) {
+      if (!*alive) {
+        return;
+      }
+      if (!aPage.ok()) {
+        LogWarning("table_read_failed")
+          .With("table", mOptions.mTable)
+          .With("from", mNextName)
+          .With("status", aPage.status().ToString());
+        mReadTimeout = std::min<std::chrono::milliseconds>(2 * mReadTimeout,
+                                                           kMaxReadTimeout);
+        RetryLater();
+        return;
+      }
+      OnPage(*aPage);
+    });
 }
 
 void
--- a/src/cellnode/types/rows.h
+++ b/src/cellnode/types/rows.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -76,8 +75,6 @@
   std::string mPart;
   // The first row name to return, inclusive. Empty reads from the start.
   std::string mFrom;
-  // The largest number of rows in one page; 0 for the store's own limit.
-  std::size_t mLimit = 0;
 };
 
 // One page of a read or a change feed.
