Treat a read that finds less than a microsecond left as late, not as the end of a body

The time left for a body was cut down to whole microseconds, so in the last microsecond a read was refused (no time left) while the deadline had not passed; the body then looked shorter than its Content-Length. Change: ReadDeadline answers both questions from the same comparison and rounds the timeout up. Its test asks at each nanosecond of the last three microseconds.

--- a/src/gateway/internal/httphandler.cpp
+++ b/src/gateway/internal/httphandler.cpp
@@ -17,6 +17,7 @@
 
 #include "framework/log.h"
 #include "framework/types/timepoint.h"
+#include "gateway/internal/readdeadline.h"
 
 namespace oriolevane::gateway {
 
@@ -28,9 +29,6 @@
 constexpr std::size_t kMostDiscardedBytes = 16'777'216;
 // How long a caller may still send after it has been refused.
 constexpr milliseconds kLingerLimit{ 500 };
-// A read that times out must not end before the body's time does, or it would
-// look like the end of the body.
-constexpr milliseconds kTimeoutSlack{ 2 };
 constexpr std::size_t kMaxPathBytes = 2'048;
 constexpr std::size_t kMaxAuthorBytes = 128;
 
@@ -70,55 +68,58 @@
   std::optional<HttpAnswer> mRefusal;
 };
 
-// Bounds each read of a body by what is left of the body's time; the
-// connection's own limit is put back at the end.
-class BodyClock
+// Bounds each read of a body by its deadline. The connection's own receive
+// timeout is restored at the end.
+class BodyTimer
 {
 public:
-  BodyClock(Poco::Net::HTTPServerRequest& aRequest, milliseconds aLimit)
+  BodyTimer(Poco::Net::HTTPServerRequest& aRequest, milliseconds aLimit)
     : mSocket(
         dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(aRequest).socket())
-    , mEarlier(mSocket.getReceiveTimeout())
-    , mEnd(std::chrono::steady_clock::now() + aLimit)
+    , mConnectionTimeout(mSocket.getReceiveTimeout())
+    , mDeadline(std::chrono::steady_clock::now() + aLimit)
   {
   }
-  BodyClock(const BodyClock&) = delete;
-  BodyClock& operator=(const BodyClock&) = delete;
-  ~BodyClock()
+  BodyTimer(const BodyTimer&) = delete;
+  BodyTimer& operator=(const BodyTimer&) = delete;
+  ~BodyTimer()
   {
     try {
-      mSocket.setReceiveTimeout(mEarlier);
+      mSocket.setReceiveTimeout(mConnectionTimeout);
     } catch (const Poco::Exception&) {
-      // The connection is gone, and its limits with it.
+      // The connection is gone, and its timeout with it.
     }
   }
 
-  // False once the time is over.
+  // Returns false once the deadline has passed.
   bool StartRead()
   {
-    const auto left = std::chrono::duration_cast<std::chrono::microseconds>(
-      mEnd - std::chrono::steady_clock::now());
-    if (left.count() <= 0) {
+    const auto timeout =
+      mDeadline.ReadTimeout(std::chrono::steady_clock::now());
+    if (!timeout.has_value()) {
       return false;
     }
-    const Poco::Timespan wait((left + kTimeoutSlack).count());
-    mSocket.setReceiveTimeout(std::min(mEarlier, wait));
+    mSocket.setReceiveTimeout(
+      std::min(mConnectionTimeout, Poco::Timespan(timeout->count())));
     return true;
   }
-  bool IsOver() const { return std::chrono::steady_clock::now() >= mEnd; }
+  bool HasExpired() const
+  {
+    return mDeadline.HasPassed(std::chrono::steady_clock::now());
+  }
 
 private:
   Poco::Net::StreamSocket& mSocket;
-  Poco::Timespan mEarlier;
-  TimePoint mEnd;
+  Poco::Timespan mConnectionTimeout;
+  ReadDeadline mDeadline;
 };
 
 // Takes what has arrived, or waits for more; none at the end of the body, when
 // the time is over, or when the connection is gone.
 std::size_t
-ReadSome(std::istream& aStream, BodyClock& aClock, std::span<char> aChunk)
+ReadSome(std::istream& aStream, BodyTimer& aTimer, std::span<char> aChunk)
 {
-  if (!aClock.StartRead() ||
+  if (!aTimer.StartRead() ||
       aStream.peek() == std::istream::traits_type::eof()) {
     return 0;
   }
@@ -129,13 +130,13 @@
 // Reads on for a while after a refusal: closing with unread input would reset
 // the connection, and the caller might not see the answer.
 void
-Discard(std::istream& aStream, BodyClock& aClock)
+Discard(std::istream& aStream, BodyTimer& aTimer)
 {
   std::array<char, kReadChunkBytes> chunk{};
   std::size_t discarded = 0;
   std::size_t taken = 1;
   while (taken > 0 && discarded < kMostDiscardedBytes) {
-    taken = ReadSome(aStream, aClock, chunk);
+    taken = ReadSome(aStream, aTimer, chunk);
     discarded += taken;
   }
 }
@@ -146,7 +147,7 @@
          const HttpHandlerLimits& aLimits)
 {
   BodyRead read;
-  BodyClock clock(aRequest, aLimits.mBodyTimeout);
+  BodyTimer timer(aRequest, aLimits.mBodyTimeout);
   std::istream& stream = aRequest.stream();
   const auto declared = aRequest.getContentLength64();
   const bool tooLarge =
@@ -154,18 +155,19 @@
   std::array<char, kReadChunkBytes> chunk{};
   std::size_t taken = tooLarge ? 0 : 1;
   while (taken > 0 && read.mBody.size() <= aLimits.mMaxBodyBytes) {
-    taken = ReadSome(stream, clock, chunk);
+    taken = ReadSome(stream, timer, chunk);
     read.mBody.append(chunk.data(), taken);
   }
   if (tooLarge || read.mBody.size() > aLimits.mMaxBodyBytes) {
-    Discard(stream, clock);
+    Discard(stream, timer);
     read.mRefusal = TooLarge(aLimits.mMaxBodyBytes);
   } else if (declared >= 0 &&
              read.mBody.size() != static_cast<std::size_t>(declared)) {
     read.mRefusal =
-      clock.IsOver() ? SlowBody()
-                     : Malformed("the body is shorter than its Content-Length");
-  } else if (declared < 0 && clock.IsOver()) {
+      timer.HasExpired()
+        ? SlowBody()
+        : Malformed("the body is shorter than its Content-Length");
+  } else if (declared < 0 && timer.HasExpired()) {
     read.mRefusal = SlowBody();
   }
   return read;
--- a/src/gateway/tests/main.cpp
+++ b/src/gateway/tests/main.cpp
@@ -8,6 +8,8 @@
 void
 OutcomesStory(testing::Section& aStory);
 void
+ReadDeadlineTests(testing::Section& aRoot);
+void
 ServerStory(testing::Section& aStory);
 void
 SubmissionsStory(testing::Section& aStory);
@@ -24,5 +26,6 @@
       { "a submission", gateway::SubmissionsStory },
       { "the configuration", gateway::ConfigurationStory },
       { "an answer", gateway::AnswersStory },
+      { "a read deadline", gateway::ReadDeadlineTests },
       { "the server", gateway::ServerStory } });
 }
