Hand the shard over when the owner's event loop falls behind; refuse new jobs when nobody can take it

YieldPolicy, a decision of its own, hands the shard to a fit peer then, but not again within 10 s of a handover. While the owner is overloaded, new jobs are refused at once, with times to come back that differ by job. A refusal during a handover no longer says that the store does not answer.

--- a/src/cellnode/internal/callerrequesthandler.cpp
+++ b/src/cellnode/internal/callerrequesthandler.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "cellnode/queuerouter.h"
+#include "framework/stablehash.h"
 
 namespace oriolevane::cellnode {
 
@@ -27,12 +28,33 @@
 // node has read.
 constexpr std::chrono::milliseconds kRetryAfterStaleConfiguration = 300ms;
 
+// Callers that are refused because the owner is overloaded return at different
+// times: after the first time, and up to the spread later.
+constexpr std::chrono::milliseconds kRetryAfterOverload = 1000ms;
+constexpr std::chrono::milliseconds kOverloadRetrySpread = 2000ms;
+constexpr std::chrono::milliseconds kRetryAfterHandover = 1000ms;
+
+const CallerAnswer kHandoverAnswer{ .mKind = CallerAnswerKind::Refused,
+                                    .mRetryAfter = kRetryAfterHandover,
+                                    .mMessage = "the owner is changing" };
+
 const CallerAnswer kStoreUnavailableAnswer{ .mKind = CallerAnswerKind::Refused,
                                             .mRetryAfter =
                                               kRetryAfterStoreUnavailable,
                                             .mMessage =
                                               "the store does not answer" };
 
+CallerAnswer
+OverloadedAnswer(const jobs::JobId& aId)
+{
+  const std::chrono::milliseconds spread(
+    StableHash(aId.mValue) %
+    static_cast<std::uint64_t>(kOverloadRetrySpread.count()));
+  return { .mKind = CallerAnswerKind::Refused,
+           .mRetryAfter = kRetryAfterOverload + spread,
+           .mMessage = "the scheduler is overloaded" };
+}
+
 std::string
 LastSegment(const std::string& aPath)
 {
@@ -118,9 +140,11 @@
     aReply({ .mKind = CallerAnswerKind::Accepted });
     return;
   }
-  if (!known.has_value() && (mRefusesNewJobs || !CanRecordSoon())) {
-    aReply(kStoreUnavailableAnswer);
-    return;
+  if (!known.has_value()) {
+    if (const auto refusal = RefusalOfNewJob(aId); refusal.has_value()) {
+      aReply(*refusal);
+      return;
+    }
   }
   absl::StatusOr<jobs::JobSpec> spec = mFormats.mDecodeJob(aRequest.mBody);
   if (!spec.ok()) {
@@ -134,6 +158,21 @@
     position, { .mKind = CallerAnswerKind::Accepted }, aReply, aId);
 }
 
+std::optional<CallerAnswer>
+CallerRequestHandler::RefusalOfNewJob(const jobs::JobId& aId) const
+{
+  if (mRefusesNewJobs) {
+    return kHandoverAnswer;
+  }
+  if (mOverloaded) {
+    return OverloadedAnswer(aId);
+  }
+  if (!CanRecordSoon()) {
+    return kStoreUnavailableAnswer;
+  }
+  return std::nullopt;
+}
+
 // Returns false when a submission would wait too long for its record to be
 // stored; the caller should retry it later.
 bool
--- a/src/cellnode/internal/callerrequesthandler.h
+++ b/src/cellnode/internal/callerrequesthandler.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "cellnode/celljournal.h"
@@ -31,8 +32,12 @@
   // Calls aReply before it returns, or once the change that the answer reports
   // is stored.
   void Serve(const CallerRequest& aRequest, const AnswerCallback& aReply);
-  // Refuses jobs that are not known from now on.
+  // Refuses jobs that are not known from now on, because the shard is being
+  // handed over.
   void RefuseNewJobs() { mRefusesNewJobs = true; }
+  // While set, jobs that are not known are refused. The jobs accepted before
+  // then get the processor time.
+  void SetOverloaded(bool aOverloaded) { mOverloaded = aOverloaded; }
   // Answers the requests whose changes are stored.
   void OnRecorded(jobs::RecordPosition aPosition);
   // While the store does not answer, refuses the submissions that are not part
@@ -54,6 +59,9 @@
               const jobs::JobId& aId,
               const CallerRequest& aRequest,
               const AnswerCallback& aReply);
+  // Returns the refusal of a job that is not known, if it must not be accepted
+  // now.
+  std::optional<CallerAnswer> RefusalOfNewJob(const jobs::JobId& aId) const;
   bool CanRecordSoon() const;
   // The time without an answer to a transaction after which the store counts as
   // unavailable.
@@ -75,6 +83,7 @@
   const CellJournal& mJournal;
   CallerRequestHooks mHooks;
   bool mRefusesNewJobs = false;
+  bool mOverloaded = false;
   std::deque<WaitingReply> mWaitingReplies;
 };
 
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -13,11 +13,9 @@
 using namespace std::chrono_literals;
 
 constexpr std::chrono::milliseconds kTickInterval = 50ms;
+// An owner's ticks also show whether its event loop keeps up.
+constexpr std::chrono::milliseconds kOwnerTickInterval = 20ms;
 constexpr std::chrono::milliseconds kHeartbeatInterval = 200ms;
-// An owner hands the shard over to a node if its own fitness is below this
-// fraction of the other's, once it has owned the shard for kMinOwnershipTime.
-constexpr double kYieldFitnessRatio = 0.5;
-constexpr std::chrono::milliseconds kMinOwnershipTime = 1500ms;
 // After the stop signal, the node still answers requests on open connections
 // for this fraction of the grace period.
 constexpr double kServeShareOfGrace = 0.55;
@@ -119,7 +117,14 @@
 CellNode::Impl::Tick()
 {
   const TimePoint now = Now();
-  mTimer->StartAfter(kTickInterval);
+  if (mSession != nullptr) {
+    mLoopLag.OnTimer(mTickDue, now);
+    mSession->SetOverloaded(mLoopLag.IsOverloaded());
+  }
+  const Duration interval =
+    mSession != nullptr ? kOwnerTickInterval : kTickInterval;
+  mTickDue = now + interval;
+  mTimer->StartAfter(interval);
   mEndedSessions.clear();
   mNodeRegistry.Register(now);
   if (mSession != nullptr) {
@@ -133,7 +138,7 @@
       [this](const eventloop::SocketAddress& aAddress) {
         mPeers.Connect(aAddress);
       });
-    YieldToFitterPeer();
+    YieldIfNeeded(now);
   } else if (!mStopping) {
     mShardClaimer.Advance(now);
   }
@@ -185,7 +190,9 @@
   mEpoch = aShard.mRow.mEpoch;
   mPredecessor = aShard.mPredecessor;
   mOwner = NodeId();
-  mOwnedSince = Now();
+  mLoopLag = LoopLagMonitor();
+  mYieldPolicy.OnOwnershipAcquired(
+    mPredecessor.has_value() && mPredecessor->mReleased, Now());
   mYielding = false;
   mSession = std::make_unique<OwnerSession>(
     mLoop,
@@ -312,21 +319,31 @@
   return found == mPeerStates.end() ? 0.0 : found->second.mFitness;
 }
 
-// Releases the shard when a linked node is much fitter, so that a host too
-// small for the shard owns it only until a larger one is available.
+// Releases the shard when another node's host would serve it better.
 void
-CellNode::Impl::YieldToFitterPeer()
-{
-  const bool unfit =
-    mOptions.mFitness < kYieldFitnessRatio * PeerFitness(FittestPeer());
-  if (unfit && !mYielding && mSession->IsServing() &&
-      Now() >= mOwnedSince + kMinOwnershipTime) {
-    LogInfo("ownership_yielded")
-      .With("to", FittestPeer())
-      .With("epoch", mEpoch);
-    mYielding = true;
-    mSession->Release();
+CellNode::Impl::YieldIfNeeded(TimePoint aNow)
+{
+  if (mYielding || !mSession->IsServing()) {
+    return;
+  }
+  const NodeId peer = FittestPeer();
+  const YieldReason reason =
+    mYieldPolicy.ReasonToYield({ .mOwnFitness = mOptions.mFitness,
+                                 .mPeerFitness = PeerFitness(peer),
+                                 .mOverloaded = mLoopLag.IsOverloaded() },
+                               aNow);
+  if (reason == YieldReason::None) {
+    return;
   }
+  LogInfo("ownership_yielded")
+    .With("to", peer)
+    .With("epoch", mEpoch)
+    .With("reason", reason == YieldReason::Overload ? "overload" : "unfit_host")
+    .With("loop_lag_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(mLoopLag.Lag())
+            .count());
+  mYielding = true;
+  mSession->Release();
 }
 
 void
--- a/src/cellnode/internal/cellnodeimpl.h
+++ b/src/cellnode/internal/cellnodeimpl.h
@@ -13,7 +13,9 @@
 #include "cellnode/internal/relayserver.h"
 #include "cellnode/internal/shardclaimer.h"
 #include "cellnode/internal/tablewatch.h"
+#include "cellnode/looplagmonitor.h"
 #include "cellnode/ownershippolicy.h"
+#include "cellnode/yieldpolicy.h"
 
 namespace oriolevane::cellnode {
 
@@ -63,7 +65,7 @@
   RelayServerHooks MakeRelayServerHooks();
   // Tells the session of a linked node.
   void AddToSession(const NodeId& aNode);
-  void YieldToFitterPeer();
+  void YieldIfNeeded(TimePoint aNow);
   void OnHello(const NodeId& aNode, const cellwire::HelloT& aHello);
   void OnMessage(const NodeId& aNode, const cellwire::MessageT& aMessage);
   void OnPeerClosed(const NodeId& aNode);
@@ -109,7 +111,8 @@
   std::map<NodeId, PeerState> mPeerStates;
   RelayServer mRelayServer;
   std::unique_ptr<eventloop::Timer> mRelayFlushTimer;
-  TimePoint mOwnedSince;
+  LoopLagMonitor mLoopLag;
+  YieldPolicy mYieldPolicy;
   bool mYielding = false;
   // The highest epoch that this node knows.
   Epoch mEpoch;
@@ -120,6 +123,8 @@
   TimePoint mStopStartedAt;
   std::function<void()> mOnStopped;
   std::unique_ptr<eventloop::Timer> mTimer;
+  // When mTimer is due next.
+  TimePoint mTickDue;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -75,6 +75,11 @@
   void RemoveNode(const NodeId& aNode);
   // Writes the pending changes and releases the shard.
   void Release();
+  // Refuses new jobs while the node has more work than its host can do.
+  void SetOverloaded(bool aOverloaded)
+  {
+    mRequestHandler.SetOverloaded(aOverloaded);
+  }
   // Stops all work, because the session is about to be destroyed.
   void Halt() { mHalted = true; }
   // The time since the last applied write to the store was sent.
--- a/src/cellnode/tests/testgroups.h
+++ b/src/cellnode/tests/testgroups.h
@@ -10,6 +10,12 @@
 void
 OwnershipPolicyTests(testing::Section& aRoot);
 void
+CallerRequestHandlerTests(testing::Section& aRoot);
+void
+LoopLagMonitorTests(testing::Section& aRoot);
+void
+YieldPolicyTests(testing::Section& aRoot);
+void
 AdviceDispatcherTests(testing::Section& aRoot);
 void
 PendingCallsTests(testing::Section& aRoot);
