Keep gangs off slow workers once the speeds of nearly all workers are known; a truer gang in the fake worker

Cause: on a copy of the large site with exact estimates, single tasks take 1.0 or 1.3 of their estimate, by worker, and 95 of 100 gangs of route-plan take 1.31 and more: a gang runs as fast as its slowest member, and a third of the workers is slow. With the truer fake, "does not starve large gangs" failed on the code before. Change: the run times of a step's tasks are compared once all have ended (those that end first are the short ones), corrected by what is known of the other workers. Gangs prefer fast workers, and take slow ones when they would then end sooner. All of it begins when the speed of nine in ten workers is known. The trial has unequal tasks and prints how many of the largest tenth of jobs are served.

--- a/bench/jobs/main.cpp
+++ b/bench/jobs/main.cpp
@@ -77,13 +77,16 @@
   for (std::size_t jobClass = 0; jobClass < aOutcome.mJobClasses.size();
        ++jobClass) {
     const JobClassOutcome& outcome = aOutcome.mJobClasses[jobClass];
-    fmt::print("{}.kind_{}={:.3f} jobs={} in_time={} late={}\n",
+    fmt::print("{}.kind_{}={:.3f} jobs={} in_time={} late={} served={:.3f} "
+               "largest_served={:.3f}\n",
                aName,
                jobClass,
                outcome.EarnedShare(),
                outcome.mJobs,
                outcome.mInTime,
-               outcome.mLate);
+               outcome.mLate,
+               outcome.mServedShare,
+               outcome.mLargestServedShare);
   }
   for (const std::string& violation : aOutcome.mViolations) {
     fmt::print("{}.violation={}\n", aName, violation);
--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -37,6 +37,10 @@
 // Weight of the random component in the score of a worker for a gang. It
 // decides between workers whose free shares differ by less than this.
 constexpr double kFreeShareJitter = 0.5;
+// In the score for a gang, workers of unknown speed come behind fast ones with
+// as much room, and slow ones behind all others.
+constexpr double kUnknownSpeedPenalty = 0.5;
+constexpr double kSlowPenalty = 2.0;
 // Weight of the random component in the score of a worker for a single task,
 // relative to the position in the fixed order.
 constexpr double kWorkerOrderJitter = 0.1;
@@ -61,6 +65,20 @@
                   share(free.mMemoryMiB, capacity.mMemoryMiB));
 }
 
+double
+SpeedPenalty(WorkerSpeed aSpeed)
+{
+  switch (aSpeed) {
+    case WorkerSpeed::Unknown:
+      return kUnknownSpeedPenalty;
+    case WorkerSpeed::Slow:
+      return kSlowPenalty;
+    case WorkerSpeed::Fast:
+      return 0.0;
+  }
+  return 0.0;
+}
+
 // The number of tasks that an empty worker holds; at least 1.
 std::int64_t
 TasksPerWorker(const Resources& aCapacity, const Resources& aTask)
@@ -95,9 +113,11 @@
 } // namespace
 
 void
-AdvicePlanner::SetUsableWorkers(const std::vector<Worker*>& aUsable)
+AdvicePlanner::SetUsableWorkers(const std::vector<Worker*>& aUsable,
+                                bool aSpeedsKnown)
 {
   mUsable = aUsable;
+  mSpeedsKnown = aSpeedsKnown;
   mUsableInPool.clear();
   for (const Worker* worker : mUsable) {
     ++mUsableInPool[worker->mEntry.mPool];
@@ -161,7 +181,7 @@
 AdvicePlanner::Score(const Worker& aWorker,
                      double aFillPosition,
                      const StepSpec& aSpec,
-                     std::uint64_t aSeed)
+                     std::uint64_t aSeed) const
 {
   constexpr double kHashSteps = 1024.0;
   const std::uint64_t hash = StableHash(aWorker.Id().mValue, aSeed);
@@ -171,7 +191,9 @@
   // Gangs need empty workers. Single tasks fill the workers in a fixed order,
   // so that the last ones stay empty for gangs.
   if (aSpec.mGang) {
-    return FreeShare(aWorker) + kFreeShareJitter * jitter;
+    return FreeShare(aWorker) + kFreeShareJitter * jitter -
+           (mSpeedsKnown ? SpeedPenalty(aWorker.mHealth.mRunTime.Speed())
+                         : 0.0);
   }
   const double room = aWorker.HasRoomFor(aSpec.mResources) ? 1.0 : 0.0;
   return room + 1.0 - aFillPosition + kWorkerOrderJitter * jitter;
--- a/src/jobs/internal/adviceplanner.h
+++ b/src/jobs/internal/adviceplanner.h
@@ -20,7 +20,8 @@
 
   // Sets the workers that queries may name, in the fixed order in which single
   // tasks fill them.
-  void SetUsableWorkers(const std::vector<Worker*>& aUsable);
+  // aSpeedsKnown is true when gangs should avoid slow workers.
+  void SetUsableWorkers(const std::vector<Worker*>& aUsable, bool aSpeedsKnown);
   // Sets the number of queries that all steps have pending.
   void SetPendingQueries(std::size_t aQueries)
   {
@@ -75,12 +76,13 @@
                            std::size_t aTarget) const;
   // Rates a worker for a step; the highest score is queried first.
   // aFillPosition is the worker's position in the fixed order, from 0 to 1.
-  static double Score(const Worker& aWorker,
-                      double aFillPosition,
-                      const StepSpec& aSpec,
-                      std::uint64_t aSeed);
+  double Score(const Worker& aWorker,
+               double aFillPosition,
+               const StepSpec& aSpec,
+               std::uint64_t aSeed) const;
 
   CellState& mCell;
+  bool mSpeedsKnown = false;
   std::vector<Worker*> mUsable;
   std::map<PoolName, std::size_t> mUsableInPool;
   AdviceBudget mBudget;
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -24,6 +24,13 @@
 constexpr double kAmpleSlackShare = 0.35;
 constexpr double kMaxSingleTaskShare = 0.45;
 constexpr double kMinSingleTaskShare = 0.2;
+// Gangs avoid slow workers once the speed of all but this share of the workers
+// is known. Before, some slow members would be left in most gangs anyway.
+constexpr double kMaxUnknownSpeedShare = 0.1;
+// Added to the cost of workers that are not known to be fast, for members of
+// gangs. It is more than the other terms of workers that are neither remote nor
+// very slow.
+constexpr double kGangSpeedCost = 3.0;
 // Workers with a higher slowness than this are used last.
 constexpr double kSlowWorkerThreshold = 2.5;
 
@@ -66,7 +73,7 @@
 Dispatcher::Dispatch(const Moment& aNow, bool aReconciled)
 {
   FindUsableWorkers(aNow.mSteady);
-  mAdvice.SetUsableWorkers(mUsable);
+  mAdvice.SetUsableWorkers(mUsable, mSpeedsKnown);
   if (mCell.mFleet.OwnershipEnd() - aNow.mSteady < kMinLeaseToStart) {
     return;
   }
@@ -103,12 +110,26 @@
     }
     if (gang && !candidate.mStep->HasRuns() && !mGangReservations.IsFull() &&
         candidate.mUrgency.mObjectiveStatus == ObjectiveStatus::OnTime) {
-      mGangReservations.Reserve(SpecOf(*candidate.mJob, candidate.mKey),
-                                ApprovedWorkers(candidate));
+      ReserveForGang(candidate);
     }
   }
 }
 
+void
+Dispatcher::ReserveForGang(const Candidate& aCandidate)
+{
+  Step& step = *aCandidate.mStep;
+  const bool withSlow =
+    mGangReservations.Reserve(SpecOf(*aCandidate.mJob, aCandidate.mKey),
+                              ApprovedWorkers(aCandidate),
+                              !mSpeedsKnown);
+  if (withSlow && !step.mMayUseSlowWorkers) {
+    // The last attempt left the slow workers out.
+    step.mTriedGeneration = 0;
+  }
+  step.mMayUseSlowWorkers = withSlow;
+}
+
 double
 Dispatcher::SingleTaskShare(const std::vector<Candidate>& aCandidates) const
 {
@@ -156,6 +177,12 @@
       mUsable.push_back(&worker);
     }
   }
+  const auto unknown =
+    std::count_if(mUsable.begin(), mUsable.end(), [](const Worker* aWorker) {
+      return aWorker->mHealth.mRunTime.Speed() == WorkerSpeed::Unknown;
+    });
+  mSpeedsKnown = static_cast<double>(unknown) <=
+                 kMaxUnknownSpeedShare * static_cast<double>(mUsable.size());
   for (std::size_t index = 0; index < mUsable.size(); ++index) {
     mUsable[index]->mFillPosition =
       static_cast<double>(index) / static_cast<double>(mUsable.size());
@@ -318,6 +345,10 @@
       aSpec.mDataRack != aWorker.mEntry.mRack.mValue) {
     cost += 10 * mCell.mOptions.mRemoteFactor;
   }
+  if (aSpec.mGang && mSpeedsKnown &&
+      aWorker.mHealth.mRunTime.Speed() != WorkerSpeed::Fast) {
+    cost += kGangSpeedCost;
+  }
   if (aWorker.mHealth.mSlowness > kSlowWorkerThreshold) {
     cost += 10 * aWorker.mHealth.mSlowness;
   }
@@ -414,18 +445,25 @@
     .With("workers_asked", aCandidate.mStep->mAdvice.mQueried.size());
 }
 
-void
-Dispatcher::PlaceGang(const Candidate& aCandidate, const Moment& aNow)
+bool
+Dispatcher::MayUseSlowWorkers(const Candidate& aCandidate) const
+{
+  // A late gang has no reservation, and takes what it can get.
+  return !mSpeedsKnown || aCandidate.mStep->mMayUseSlowWorkers ||
+         aCandidate.mUrgency.mObjectiveStatus != ObjectiveStatus::OnTime;
+}
+
+std::vector<const Dispatcher::EligibleWorker*>
+Dispatcher::ChooseGangWorkers(const Candidate& aCandidate,
+                              std::vector<EligibleWorker>& aEligible)
 {
-  std::vector<EligibleWorker> eligible =
-    CollectEligibleWorkers(aCandidate, aNow.mSteady);
   const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
-  std::vector<Task>& tasks = aCandidate.mStep->mTasks;
   std::vector<const EligibleWorker*> chosen;
   // Counts the capacity of each chosen member as used while choosing the next
   // one, and undoes that below.
-  for (std::size_t index = 0; index < tasks.size(); ++index) {
-    EligibleWorker* choice = ChooseWorker(aCandidate, eligible);
+  for (std::size_t index = 0; index < aCandidate.mStep->mTasks.size();
+       ++index) {
+    EligibleWorker* choice = ChooseWorker(aCandidate, aEligible);
     if (choice == nullptr) {
       break;
     }
@@ -436,6 +474,22 @@
   for (const EligibleWorker* choice : chosen) {
     choice->mWorker->mUsed -= spec.mResources;
   }
+  return chosen;
+}
+
+void
+Dispatcher::PlaceGang(const Candidate& aCandidate, const Moment& aNow)
+{
+  std::vector<EligibleWorker> eligible =
+    CollectEligibleWorkers(aCandidate, aNow.mSteady);
+  if (!MayUseSlowWorkers(aCandidate)) {
+    std::erase_if(eligible, [](const EligibleWorker& aChoice) {
+      return aChoice.mWorker->mHealth.mRunTime.IsSlow();
+    });
+  }
+  std::vector<Task>& tasks = aCandidate.mStep->mTasks;
+  const std::vector<const EligibleWorker*> chosen =
+    ChooseGangWorkers(aCandidate, eligible);
   if (chosen.size() < tasks.size()) {
     RecordFailedAttempt(*aCandidate.mStep);
     return;
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -64,6 +64,13 @@
   void ReportStepStarted(const Candidate& aCandidate,
                          std::size_t aEligible,
                          const Moment& aNow) const;
+  // Reserves capacity for a gang that has to wait.
+  void ReserveForGang(const Candidate& aCandidate);
+  bool MayUseSlowWorkers(const Candidate& aCandidate) const;
+  // A worker for each member of a gang, as far as they fit.
+  std::vector<const EligibleWorker*> ChooseGangWorkers(
+    const Candidate& aCandidate,
+    std::vector<EligibleWorker>& aEligible);
   // Starts all members of a gang, or none when they do not all fit.
   void PlaceGang(const Candidate& aCandidate, const Moment& aNow);
   // The workers that the step may use, including those whose ticket has
@@ -105,6 +112,8 @@
   // Share of the usable workers that single tasks with ample slack may use in
   // this pass.
   double mSingleTaskShare = 1.0;
+  // The speed of nearly all usable workers is known.
+  bool mSpeedsKnown = false;
   // Advice queries of the open jobs that have not been answered.
   std::size_t mPendingQueries = 0;
   // A worker with room was passed over in the current attempt, because its
--- a/src/jobs/internal/gangreservations.cpp
+++ b/src/jobs/internal/gangreservations.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace oriolevane::jobs {
 
@@ -9,13 +10,16 @@
 
 using namespace std::chrono_literals;
 
-// Limit of gangs that have a reservation at the same time.
+// Limit of gangs that have a reservation at the same time. Capacity that waits
+// for one gang is kept from all others, so only the most urgent ones have it.
 constexpr int kMaxReservedGangs = 12;
 // Expected run time of runs whose job is unknown here.
 constexpr std::chrono::milliseconds kDefaultRunTime = 1000ms;
 // The slowness of a worker lengthens the expected run time by up to this
 // factor.
 constexpr double kMaxSlowness = 2.5;
+// A gang starts soon when it waits for less than its estimate divided by this.
+constexpr int kSoonDivisor = 5;
 // An overdue run is expected to last for another fraction of its estimate, with
 // this divisor.
 constexpr int kOverdueDivisor = 10;
@@ -71,22 +75,68 @@
   return candidate;
 }
 
-void
-GangReservations::Reserve(const StepSpec& aSpec,
-                          const std::vector<Worker*>& aWorkers)
+GangReservations::Candidates
+GangReservations::MakeCandidates(const StepSpec& aSpec,
+                                 const std::vector<Worker*>& aWorkers,
+                                 bool aWithSlow) const
 {
-  std::vector<ReservationCandidate> candidates;
+  Candidates candidates;
   for (Worker* worker : aWorkers) {
-    if (!mReservations.IsReserved(worker)) {
+    const bool suitable = aWithSlow || !worker->mHealth.mRunTime.IsSlow();
+    if (suitable && !mReservations.IsReserved(worker)) {
       candidates.push_back(MakeCandidate(*worker, aSpec));
     }
   }
-  const std::optional<Reservation> reservation =
-    PlanReservation(candidates, aSpec.mResources, aSpec.mTaskCount, mNow);
+  return candidates;
+}
+
+std::optional<Reservation>
+GangReservations::Plan(const StepSpec& aSpec,
+                       const Candidates& aCandidates) const
+{
+  return PlanReservation(aCandidates, aSpec.mResources, aSpec.mTaskCount, mNow);
+}
+
+TimePoint
+GangReservations::ExpectedGangEnd(const Reservation& aReservation,
+                                  const StepSpec& aSpec)
+{
+  double slowest = 0;
+  for (const ReservedWorker& reserved : aReservation.mWorkers) {
+    slowest = std::max(slowest, reserved.mWorker->mHealth.mRunTime.Factor());
+  }
+  return aReservation.mStart +
+         std::chrono::duration_cast<Duration>(aSpec.mEstimate * slowest);
+}
+
+bool
+GangReservations::Reserve(const StepSpec& aSpec,
+                          const std::vector<Worker*>& aWorkers,
+                          bool aWithSlow)
+{
+  Candidates candidates = MakeCandidates(aSpec, aWorkers, aWithSlow);
+  std::optional<Reservation> reservation = Plan(aSpec, candidates);
+  bool withSlow = aWithSlow;
+  // When the gang can start soon, slower workers cannot let it end sooner.
+  const bool soon =
+    reservation.has_value() &&
+    reservation->mStart <= mNow + aSpec.mEstimate / kSoonDivisor;
+  if (!aWithSlow && !soon) {
+    Candidates all = MakeCandidates(aSpec, aWorkers, true);
+    std::optional<Reservation> other = Plan(aSpec, all);
+    withSlow = other.has_value() && (!reservation.has_value() ||
+                                     ExpectedGangEnd(*other, aSpec) <
+                                       ExpectedGangEnd(*reservation, aSpec));
+    if (withSlow) {
+      candidates = std::move(all);
+      reservation = std::move(other);
+    }
+  }
   if (reservation.has_value()) {
     ++mReservedGangs;
     mReservations.Add(*reservation, aSpec.mResources, candidates);
   }
+  return withSlow;
 }
 
 bool
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "framework/types/timepoint.h"
@@ -38,6 +39,8 @@
   // Fencing token of the latest start order.
   FencingToken mToken;
   int mOrdersSent = 1;
+  // Started by an earlier owner, so that the time of its start is not known.
+  bool mAdopted = false;
   TimePoint mOrderedAt;
   // When the worker first confirmed the run.
   TimePoint mConfirmedAt;
@@ -93,6 +96,12 @@
   // No task is started before this time, because a worker refused a start.
   TimePoint mNotBefore;
   StepAdvice mAdvice;
+  // Run times of the tasks that have succeeded, with their workers; not for
+  // gangs.
+  std::vector<std::pair<WorkerId, Duration>> mRunTimes;
+  // A gang may use workers that are slower than others, because it would end
+  // later if it waited for faster ones.
+  bool mMayUseSlowWorkers = false;
   // Generation of the fleet's capacity at which the last attempt to start tasks
   // failed.
   std::uint64_t mTriedGeneration = 0;
--- a/src/jobs/internal/runendhandler.cpp
+++ b/src/jobs/internal/runendhandler.cpp
@@ -124,6 +124,7 @@
   mCell.mJobs.MarkProgress(aKey.mStep);
   mCell.mDispatchWanted = true;
   if (step.IsDone()) {
+    CompareRunTimes(step);
     FinishOccurrenceIfDone(aJob, aKey.mStep.mOccurrence, aNow);
   }
 }
@@ -271,7 +272,7 @@
 
 void
 RunEndHandler::UpdateHealth(Worker& aWorker,
-                            const Job& aJob,
+                            Job& aJob,
                             const Run& aRun,
                             EndKind aKind,
                             const Moment& aNow)
@@ -294,16 +295,54 @@
   }
   health.mFailedJobs.clear();
   health.mOnTrial = false;
+  UpdateRunTime(aWorker, aJob, aRun, aNow.mSteady);
+}
+
+void
+RunEndHandler::UpdateRunTime(Worker& aWorker,
+                             Job& aJob,
+                             const Run& aRun,
+                             TimePoint aNow)
+{
+  const Task* task = aJob.FindTask(aRun.mTask);
+  if (aRun.mAdopted || task == nullptr) {
+    return;
+  }
+  WorkerHealth& health = aWorker.mHealth;
+  const Duration taken = aNow - aRun.mOrderedAt;
   const StepSpec& spec = SpecOf(aJob, aRun.mTask.mStep);
-  if (spec.mEstimate <= 0ms || !aRun.mTask.mStep.mJob.mValue.size()) {
+  if (spec.mEstimate > 0ms) {
+    const double ratio = std::chrono::duration<double>(taken) /
+                         std::chrono::duration<double>(spec.mEstimate);
+    health.mSlowness =
+      (1 - kSlownessWeight) * health.mSlowness + kSlownessWeight * ratio;
+  }
+  // A gang's tasks end together, and a run from a checkpoint is shorter.
+  if (spec.mGang || !task->mCheckpoint.empty()) {
     return;
   }
-  const double taken =
-    std::chrono::duration<double, std::milli>(aNow.mSteady - aRun.mOrderedAt)
-      .count();
-  const double ratio = taken / static_cast<double>(spec.mEstimate.count());
-  health.mSlowness =
-    (1 - kSlownessWeight) * health.mSlowness + kSlownessWeight * ratio;
+  const StepKey& key = aRun.mTask.mStep;
+  aJob.FindStep(key.mOccurrence, key.mStep)
+    ->mRunTimes.emplace_back(aWorker.Id(), taken);
+}
+
+void
+RunEndHandler::CompareRunTimes(const Step& aStep)
+{
+  std::vector<Worker*> workers;
+  std::vector<TaskRunTime> times;
+  for (const auto& [id, time] : aStep.mRunTimes) {
+    Worker* worker = mCell.mFleet.Find(id);
+    if (worker != nullptr) {
+      workers.push_back(worker);
+      times.push_back(
+        { .mTime = time, .mWorkerFactor = worker->mHealth.mRunTime.Factor() });
+    }
+  }
+  const std::vector<double> ratios = RelativeTimes(times);
+  for (std::size_t index = 0; index < ratios.size(); ++index) {
+    workers[index]->mHealth.mRunTime.AddSample(ratios[index]);
+  }
 }
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/runendhandler.h
+++ b/src/jobs/internal/runendhandler.h
@@ -45,10 +45,17 @@
   // after its last occurrence.
   void FinishOccurrenceIfDone(Job& aJob, int aOccurrence, const Moment& aNow);
   void UpdateHealth(Worker& aWorker,
-                    const Job& aJob,
+                    Job& aJob,
                     const Run& aRun,
                     EndKind aKind,
                     const Moment& aNow);
+  // Notes how long a successful run took on a worker.
+  static void UpdateRunTime(Worker& aWorker,
+                            Job& aJob,
+                            const Run& aRun,
+                            TimePoint aNow);
+  // Compares the run times of a step whose tasks have all succeeded.
+  void CompareRunTimes(const Step& aStep);
 
   CellState& mCell;
   RunTracker& mRuns;
--- a/src/jobs/internal/runtracker.cpp
+++ b/src/jobs/internal/runtracker.cpp
@@ -118,6 +118,7 @@
   run->mNumber = aRunning.mRun;
   run->mWorker = aWorker.Id();
   run->mPhase = RunPhase::Running;
+  run->mAdopted = true;
   run->mOrderedAt = aNow;
   run->mConfirmedAt = aNow;
   run->mProgressAt = aNow;
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "jobs/internal/job.h"
+#include "jobs/internal/relativeruntime.h"
 #include "jobs/types/workerreport.h"
 
 namespace oriolevane::jobs {
@@ -31,6 +32,7 @@
   bool mOnTrial = false;
   // Ratio of actual to estimated run times, smoothed; 1 is as estimated.
   double mSlowness = 1.0;
+  RelativeRunTime mRunTime;
 };
 
 // A worker of the shard.
--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -267,9 +267,9 @@
         const StepSpec& spec = *FindStepSpec(aTask);
         return spec.mGang ? spec.mTaskCount : 1;
       },
-    .mRunningGangMembers =
+    .mGangEnd =
       [this](const FakeRun& aRun) {
-        return CountRunningMembers(mWorkers, aRun);
+        return GangEnd(mWorkers, aRun, FindStepSpec(aRun.mTask)->mTaskCount);
       },
     .mOnStart = [this, aWorkerIndex](
                   const FakeRun& aRun) { OnStart(aWorkerIndex, aRun); },
--- a/src/jobs/tests/fakeworker.cpp
+++ b/src/jobs/tests/fakeworker.cpp
@@ -44,16 +44,21 @@
 }
 
 bool
-FakeWorker::IsDone(const FakeRun& aRun, Millis aNow) const
+FakeWorker::IsDone(FakeRun& aRun, Millis aNow) const
 {
   if (aRun.mStopping) {
     return false;
   }
-  if (aNow < aRun.mStartedAt + aRun.mPlan.mDuration - aRun.mSavedProgress) {
+  if (aNow < aRun.End()) {
     return false;
   }
-  const int members = mHooks.mGangSize(aRun.mTask);
-  return members == 1 || mHooks.mRunningGangMembers(aRun) >= members;
+  if (mHooks.mGangSize(aRun.mTask) == 1) {
+    return true;
+  }
+  if (!aRun.mGangEnd.has_value()) {
+    aRun.mGangEnd = mHooks.mGangEnd(aRun);
+  }
+  return aRun.mGangEnd.has_value() && aNow >= *aRun.mGangEnd;
 }
 
 void
@@ -78,7 +83,7 @@
     return;
   }
   for (std::size_t runIndex = 0; runIndex < mRuns.size();) {
-    const FakeRun& run = mRuns[runIndex];
+    FakeRun& run = mRuns[runIndex];
     const std::size_t before = mRuns.size();
     if (Clock(aNow) >= mLeaseEnd) {
       EndRun(runIndex, EndKind::LeaseExpired);
@@ -217,17 +222,24 @@
   mHighestEndedRun.clear();
 }
 
-int
-CountRunningMembers(const FakeWorkers& aWorkers, const FakeRun& aRun)
+std::optional<Millis>
+GangEnd(const FakeWorkers& aWorkers, const FakeRun& aRun, int aMembers)
 {
   int members = 0;
+  Millis end{ 0 };
   for (const auto& worker : aWorkers) {
     for (const FakeRun& run : worker->Runs()) {
-      members += run.mTask.mStep == aRun.mTask.mStep && run.mRun == aRun.mRun &&
-                 !run.mStopping;
+      if (run.mTask.mStep == aRun.mTask.mStep && run.mRun == aRun.mRun &&
+          !run.mStopping) {
+        ++members;
+        end = std::max(end, run.End());
+      }
     }
   }
-  return members;
+  if (members < aMembers) {
+    return std::nullopt;
+  }
+  return end;
 }
 
 void
--- a/src/jobs/tests/fakeworker.h
+++ b/src/jobs/tests/fakeworker.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,11 @@
   RunPlan mPlan;
   bool mStopping = false;
   Millis mStopRequestedAt{ 0 };
+  // When the whole gang of the run is done; nothing while members are missing.
+  std::optional<Millis> mGangEnd;
+
+  // When this run alone is done.
+  Millis End() const { return mStartedAt + mPlan.mDuration - mSavedProgress; }
 };
 
 // Callbacks through which a worker asks the test about tasks and reports to it.
@@ -49,8 +55,9 @@
   std::function<Resources(const TaskKey&)> mResources;
   // Returns the size of the task's gang; 1 for a task without a gang.
   std::function<int(const TaskKey&)> mGangSize;
-  // Returns how many members of the run's gang are running on all workers.
-  std::function<int(const FakeRun&)> mRunningGangMembers;
+  // Returns when the slowest member of the run's gang is done; nothing while
+  // members are missing.
+  std::function<std::optional<Millis>(const FakeRun&)> mGangEnd;
   std::function<void(const FakeRun&)> mOnStart;
   std::function<void(const FakeRun&, EndKind)> mOnEnd;
   // Called when a poll confirms an end as recorded.
@@ -95,7 +102,7 @@
 
 private:
   void EndRun(std::size_t aRunIndex, EndKind aKind);
-  bool IsDone(const FakeRun& aRun, Millis aNow) const;
+  bool IsDone(FakeRun& aRun, Millis aNow) const;
 
   WorkerEntry mEntry;
   Millis mClockOffset;
@@ -112,10 +119,11 @@
 
 using FakeWorkers = std::vector<std::unique_ptr<FakeWorker>>;
 
-// Counts the members of the run's gang that are running on any of the workers
-// and are not being stopped.
-int
-CountRunningMembers(const FakeWorkers& aWorkers, const FakeRun& aRun);
+// Returns when the slowest of the aMembers members of the run's gang is done.
+// Returns nothing unless all of them are running on some worker, and none is
+// being stopped.
+std::optional<Millis>
+GangEnd(const FakeWorkers& aWorkers, const FakeRun& aRun, int aMembers);
 
 // Ends the other members of a gang after aRun has ended: as succeeded if aRun
 // succeeded, otherwise as broken. Does nothing if aRun itself was ended as
--- a/src/jobs/tests/loadtrial.cpp
+++ b/src/jobs/tests/loadtrial.cpp
@@ -203,6 +203,24 @@
   std::multimap<std::chrono::microseconds, AdviceQuery> mWaitingQueries;
 };
 
+// The work of a job, and whether it was of use to its caller.
+struct ScoredJob
+{
+  double mCoreSeconds = 0;
+  bool mServed = false;
+};
+
+double
+ServedShare(std::vector<ScoredJob>::const_iterator aBegin,
+            std::vector<ScoredJob>::const_iterator aEnd)
+{
+  const auto served = std::count_if(
+    aBegin, aEnd, [](const ScoredJob& aJob) { return aJob.mServed; });
+  return aBegin == aEnd
+           ? 0
+           : static_cast<double>(served) / static_cast<double>(aEnd - aBegin);
+}
+
 // One run of a load through a simulated cell.
 class Trial
 {
@@ -219,6 +237,7 @@
     , mCompletedAt(mJobs.size())
   {
     mOutcome.mJobClasses.resize(aOptions.mJobClasses.size());
+    mScoredJobs.resize(aOptions.mJobClasses.size());
     mCell.Scheduler().SetQueryHosts(aOptions.mQueryHosts);
     mCell.mOnAdviceQuery = [this](const AdviceQuery& aQuery) {
       mPolicyService.Add(aQuery);
@@ -255,6 +274,7 @@
     for (std::size_t jobIndex = 0; jobIndex < mJobs.size(); ++jobIndex) {
       ScoreJob(jobIndex);
     }
+    ComputeServedShares();
     mOutcome.mUtilization /= mUtilizationSamples;
     mOutcome.mViolations = mCell.mViolations;
     return std::move(mOutcome);
@@ -277,11 +297,16 @@
     // All members of a gang fail together, so their hash is that of the step.
     const std::uint64_t hash = StableHash(
       spec.mGang ? aTask.mStep.ToText() : aTask.ToText(), aRun.mValue);
-    const double failedShare = mOptions.mJobClasses[job.mJobClass].mFailedShare;
+    const JobClass& jobClass = mOptions.mJobClasses[job.mJobClass];
+    const double share =
+      static_cast<double>(StableHash(aTask.ToText()) % kHashBuckets) /
+      kHashBuckets;
+    const double work =
+      spec.mGang ? 1.0 : 1.0 + jobClass.mUnevenness * (2 * share - 1);
     return { .mDuration = std::chrono::duration_cast<Millis>(
-               job.mRunTimes[step] * (slow ? kSlowWorkerFactor : 1.0)),
+               job.mRunTimes[step] * work * (slow ? kSlowWorkerFactor : 1.0)),
              .mFails = static_cast<double>(hash % kHashBuckets) <
-                       failedShare * kHashBuckets,
+                       jobClass.mFailedShare * kHashBuckets,
              .mSavesCheckpoint = spec.mCheckpointing,
              .mStopTime = kStopTime };
   }
@@ -339,6 +364,8 @@
                  (1 - kFixedValueShare) * job.mCoreSeconds / meanCoreSeconds);
     ++outcome.mJobs;
     outcome.mPossibleValue += size * jobClass.mValueInTime;
+    ScoredJob& scored = mScoredJobs[job.mJobClass].emplace_back(
+      ScoredJob{ .mCoreSeconds = job.mCoreSeconds });
     if (!mCompletedAt[aJobIndex].has_value()) {
       return;
     }
@@ -346,20 +373,44 @@
                       .mQueue = jobClass.mQueue,
                       .mSpec = job.mSpec };
     for (std::size_t step = 0; step < job.mRunTimes.size(); ++step) {
-      record.mSpec.mSteps[step].mEstimate = job.mRunTimes[step];
+      StepSpec& spec = record.mSpec.mSteps[step];
+      // The longest task decides, on a worker of normal speed.
+      const double longest = spec.mGang ? 1.0 : 1.0 + jobClass.mUnevenness;
+      spec.mEstimate =
+        std::chrono::duration_cast<Millis>(job.mRunTimes[step] * longest);
     }
     const Duration objective = ComputeJobTimes(record).mObjective;
     const Millis elapsed =
       *mCompletedAt[aJobIndex] - kWarmUpTime - job.mSubmitAt;
     if (elapsed <= objective) {
       ++outcome.mInTime;
+      scored.mServed = true;
       outcome.mEarnedValue += size * jobClass.mValueInTime;
     } else if (elapsed <= kMaxUsefulObjectives * objective) {
       ++outcome.mLate;
+      scored.mServed = true;
       outcome.mEarnedValue += size * jobClass.mValueWhenLate;
     }
   }
 
+  void ComputeServedShares()
+  {
+    for (std::size_t jobClass = 0; jobClass < mOutcome.mJobClasses.size();
+         ++jobClass) {
+      std::vector<ScoredJob>& jobs = mScoredJobs[jobClass];
+      std::sort(jobs.begin(),
+                jobs.end(),
+                [](const ScoredJob& aLeft, const ScoredJob& aRight) {
+                  return aLeft.mCoreSeconds > aRight.mCoreSeconds;
+                });
+      const auto largest =
+        jobs.begin() + static_cast<std::ptrdiff_t>((jobs.size() + 9) / 10);
+      JobClassOutcome& outcome = mOutcome.mJobClasses[jobClass];
+      outcome.mServedShare = ServedShare(jobs.begin(), jobs.end());
+      outcome.mLargestServedShare = ServedShare(jobs.begin(), largest);
+    }
+  }
+
   const LoadTrialOptions& mOptions;
   FakeCell mCell;
   PolicyServiceQueue mPolicyService;
@@ -367,6 +418,8 @@
   std::map<std::string, std::size_t> mJobIndexById;
   std::vector<std::optional<Millis>> mCompletedAt;
   std::vector<std::size_t> mUnfinishedJobs;
+  // By job class.
+  std::vector<std::vector<ScoredJob>> mScoredJobs;
   std::size_t mNextJob = 0;
   int mUtilizationSamples = 0;
   LoadOutcome mOutcome;
--- a/src/jobs/tests/loadtrial.h
+++ b/src/jobs/tests/loadtrial.h
@@ -39,6 +39,9 @@
   double mCheckpointingShare = 0.0;
   // Maximum error of the run time estimates, as a share of the run time.
   double mEstimateError = 0.0;
+  // How much the run times of tasks of one step differ, as a share of their
+  // mean to either side. The members of a gang end together.
+  double mUnevenness = 0.0;
   // Share of the runs that fail.
   double mFailedShare = 0.0;
   // Share of the workers that the policy service allows for a step.
@@ -90,6 +93,11 @@
   // Value of the jobs as they completed.
   double mEarnedValue = 0;
 
+  // The share of all jobs, and of the tenth with the most work, that completed
+  // in time or late.
+  double mServedShare = 0;
+  double mLargestServedShare = 0;
+
   // Earned value as a share of the possible value; 0 without any jobs.
   double EarnedShare() const
   {
--- a/src/jobs/tests/main.cpp
+++ b/src/jobs/tests/main.cpp
@@ -14,6 +14,7 @@
       { "worker failures", oriolevane::WorkerFailureTests },
       { "advice", oriolevane::AdviceTests },
       { "record write queue", oriolevane::RecordWriteQueueTests },
+      { "relative run time", oriolevane::RelativeRunTimeTests },
       { "load", oriolevane::LoadTests },
       { "random trouble", oriolevane::RandomFaultTests } });
 }
--- a/src/jobs/tests/testgroups.h
+++ b/src/jobs/tests/testgroups.h
@@ -18,6 +18,8 @@
 void
 RecordWriteQueueTests(testing::Section& aRoot);
 void
+RelativeRunTimeTests(testing::Section& aRoot);
+void
 LoadTests(testing::Section& aRoot);
 void
 RandomFaultTests(testing::Section& aRoot);
