--- a/src/jobs/tests/load_test.cpp
+++ b/src/jobs/tests/load_test.cpp
@@ -81,6 +81,9 @@
         CPPUNIT_ASSERT(outcome.mViolations.empty());
         for (const JobClassOutcome& jobClass : outcome.mJobClasses) {
           CPPUNIT_ASSERT(jobClass.EarnedShare() > kTargetShare);
+          // The largest jobs must be served at least half as often as all.
+          CPPUNIT_ASSERT(jobClass.mLargestServedShare >=
+                         0.5 * jobClass.mServedShare);
         }
       });
     });
