Ask the change feed again at once, with more time, after a call without an answer; split the usable workers off the dispatcher

Found by reading: a feed call that had no answer in 1.8 s was made again with the same time for ever, and waited for changes first; a busy owner then never learns of the notices, as it was with the pages of a full read before. Change: the next call does not wait, and has twice the time to answer, up to 3.2 s.

--- a/src/cellnode/internal/tablewatch.cpp
+++ b/src/cellnode/internal/tablewatch.cpp
@@ -52,8 +52,10 @@
 }
 
 void
-TableWatch::RetryLater()
+TableWatch::RetryWithLongerTimeout()
 {
+  mReadTimeout =
+    std::min<std::chrono::milliseconds>(2 * mReadTimeout, kMaxReadTimeout);
   mTimer->StartAfter(kRetryPause);
 }
 
@@ -73,9 +75,7 @@
           .With("table", mOptions.mTable)
           .With("from", mNextName)
           .With("status", aPage.status().ToString());
-        mReadTimeout = std::min<std::chrono::milliseconds>(2 * mReadTimeout,
-                                                           kMaxReadTimeout);
-        RetryLater();
+        RetryWithLongerTimeout();
         return;
       }
       OnPage(*aPage);
@@ -123,14 +123,17 @@
 void
 TableWatch::ReadFeed()
 {
-  mStore.mFeed(
-    { .mTable = mOptions.mTable, .mAfter = mVersion, .mWait = mOptions.mWait },
-    mOptions.mWait + kReadTimeout,
-    [this, alive = mAlive](const absl::StatusOr<RowPage>& aPage) {
-      if (*alive) {
-        OnChanges(aPage);
-      }
-    });
+  // Changes may have been missed by a call that failed, so the next one does
+  // not wait for further ones.
+  const std::chrono::milliseconds wait =
+    mReadTimeout == kReadTimeout ? mOptions.mWait : 0ms;
+  mStore.mFeed({ .mTable = mOptions.mTable, .mAfter = mVersion, .mWait = wait },
+               wait + mReadTimeout,
+               [this, alive = mAlive](const absl::StatusOr<RowPage>& aPage) {
+                 if (*alive) {
+                   OnChanges(aPage);
+                 }
+               });
 }
 
 void
@@ -144,10 +147,11 @@
     if (absl::IsOutOfRange(aPage.status())) {
       Start();
     } else {
-      RetryLater();
+      RetryWithLongerTimeout();
     }
     return;
   }
+  mReadTimeout = kReadTimeout;
   mVersion = std::max(mVersion, aPage->mVersion);
   for (const Row& row : aPage->mRows) {
     if (row.mKey.mPart != mOptions.mPart) {
--- a/src/cellnode/internal/tablewatch.h
+++ b/src/cellnode/internal/tablewatch.h
@@ -52,8 +52,9 @@
   void OnPage(const RowPage& aPage);
   void ReadFeed();
   void OnChanges(const absl::StatusOr<RowPage>& aPage);
-  // Repeats the call that failed after a pause.
-  void RetryLater();
+  // Repeats the call that failed after a pause, with twice the time for its
+  // answer.
+  void RetryWithLongerTimeout();
 
   const RowStoreHooks& mStore;
   TableWatchOptions mOptions;
@@ -61,9 +62,9 @@
   std::unique_ptr<eventloop::Timer> mTimer;
   bool mSynchronized = false;
   RowVersion mVersion;
-  // The first row of the page that the current full read waits for, and the
-  // timeout of that page.
+  // The first row of the page that the current full read waits for.
   std::string mNextName;
+  // The time for the answer of the next call, in addition to its wait.
   std::chrono::milliseconds mReadTimeout{ 0 };
   // The store version at the start of the current full read.
   RowVersion mReadVersion;
--- a/src/cellnode/tests/tablewatch_test.cpp
+++ b/src/cellnode/tests/tablewatch_test.cpp
@@ -25,7 +25,15 @@
 
   eventloop::EventLoop mLoop;
   int mLostAnswers = 0;
+  struct FeedCall
+  {
+    Duration mWait;
+    Duration mTimeout;
+  };
   std::vector<ReadCall> mReads;
+  std::vector<FeedCall> mFeeds;
+  // Feed calls that have no answer before one is answered.
+  int mLostFeeds = 0;
   std::vector<std::string> mReported;
   RowStoreHooks mStore;
 
@@ -36,7 +44,11 @@
         mReads.push_back({ aQuery.mFrom, aTimeout });
         aDone(PageFrom(aQuery.mFrom));
       };
-    mStore.mFeed = [](const FeedQuery&, Duration, const auto&) {};
+    mStore.mFeed =
+      [this](const FeedQuery& aQuery, Duration aTimeout, const auto& aDone) {
+        mFeeds.push_back({ aQuery.mWait, aTimeout });
+        AnswerFeed(aDone);
+      };
   }
   absl::StatusOr<RowPage> PageFrom(const std::string& aFrom)
   {
@@ -52,6 +64,30 @@
     page.mRows[0].mVersion = RowVersion(7);
     return page;
   }
+  void AnswerFeed(
+    const std::function<void(const absl::StatusOr<RowPage>&)>& aDone)
+  {
+    if (mLostFeeds-- > 0) {
+      aDone(absl::DeadlineExceededError("no response in time"));
+    } else if (mLostFeeds == -1) {
+      aDone(RowPage{});
+    } else {
+      mLoop.Stop();
+    }
+  }
+  // Reads the table in full, and follows its feed until a call after the first
+  // one that is answered.
+  void Follow()
+  {
+    TableWatch watch(mLoop,
+                     mStore,
+                     { .mTable = "workers", .mPart = "" },
+                     { .mOnRow = [](const Row&) {},
+                       .mOnRemoved = [](const std::string&) {},
+                       .mOnSynchronized = {} });
+    mLoop.Post([&watch] { watch.Start(); });
+    mLoop.Run();
+  }
   // Reads the table in full.
   void Read()
   {
@@ -73,6 +109,29 @@
 void
 TableWatchTests(Section& aRoot)
 {
+  aRoot.Describe("a feed call without an answer", [](Section& aSection) {
+    aSection.It("is followed by one that does not wait for changes", [] {
+      Fixture fixture;
+      fixture.mLostFeeds = 1;
+      fixture.Follow();
+      const auto& feeds = fixture.mFeeds;
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, feeds.size());
+      CPPUNIT_ASSERT(feeds[0].mWait > 0ms);
+      CPPUNIT_ASSERT(feeds[1].mWait == 0ms);
+      CPPUNIT_ASSERT(feeds[2].mWait == feeds[0].mWait);
+    });
+    aSection.It("leaves the next one more time to answer", [] {
+      Fixture fixture;
+      fixture.mLostFeeds = 2;
+      fixture.Follow();
+      const auto& feeds = fixture.mFeeds;
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, feeds.size());
+      const Duration first = feeds[0].mTimeout - feeds[0].mWait;
+      CPPUNIT_ASSERT(feeds[1].mTimeout == 2 * first);
+      CPPUNIT_ASSERT(feeds[2].mTimeout == 4 * first);
+      CPPUNIT_ASSERT(feeds[3].mTimeout == feeds[0].mTimeout);
+    });
+  });
   aRoot.Describe("a full read of several pages", [](Section& aSection) {
     aSection.It("goes on with the page whose answer was lost", [] {
       Fixture fixture;
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -13,9 +13,6 @@
 // Nothing is started when this node may renew leases for less than this time,
 // as the new runs might soon lose their lease.
 constexpr std::chrono::milliseconds kMinLeaseToStart = 1500ms;
-// A worker that has left the registry is still used for this long, because the
-// registry also drops live workers while the store is unavailable.
-constexpr std::chrono::milliseconds kUnregisteredGracePeriod = 2500ms;
 // Once a gang has waited for this long, single tasks with ample slack are
 // limited to a share of the workers.
 constexpr std::chrono::milliseconds kGangWaitThreshold = 500ms;
@@ -24,9 +21,6 @@
 constexpr double kAmpleSlackShare = 0.35;
 constexpr double kMaxSingleTaskShare = 0.45;
 constexpr double kMinSingleTaskShare = 0.2;
-// Gangs avoid slow workers once the speed of all but this share of the workers
-// is known. Before, some slow members would be left in most gangs anyway.
-constexpr double kMaxUnknownSpeedShare = 0.1;
 // Added to the cost of workers that are not known to be fast, for members of
 // gangs. It is more than the other terms of workers that are neither remote nor
 // very slow.
@@ -72,8 +66,8 @@
 void
 Dispatcher::Dispatch(const Moment& aNow, bool aReconciled)
 {
-  FindUsableWorkers(aNow.mSteady);
-  mAdvice.SetUsableWorkers(mUsable, mSpeedsKnown);
+  mUsable.Update(aNow.mSteady);
+  mAdvice.SetUsableWorkers(mUsable.Workers(), mUsable.SpeedsKnown());
   if (mCell.mFleet.OwnershipEnd() - aNow.mSteady < kMinLeaseToStart) {
     return;
   }
@@ -122,7 +116,7 @@
   const bool withSlow =
     mGangReservations.Reserve(SpecOf(*aCandidate.mJob, aCandidate.mKey),
                               ApprovedWorkers(aCandidate),
-                              !mSpeedsKnown);
+                              !mUsable.SpeedsKnown());
   if (withSlow && !step.mMayUseSlowWorkers) {
     // The last attempt left the slow workers out.
     step.mTriedGeneration = 0;
@@ -147,7 +141,7 @@
     return 1.0;
   }
   double all = 0;
-  for (const Worker* worker : mUsable) {
+  for (const Worker* worker : mUsable.Workers()) {
     all += static_cast<double>(worker->mEntry.mCapacity.mMilliCores);
   }
   return std::clamp(kMaxSingleTaskShare - waiting / all,
@@ -155,40 +149,6 @@
                     kMaxSingleTaskShare);
 }
 
-void
-Dispatcher::FindUsableWorkers(TimePoint aNow)
-{
-  mUsable.clear();
-  for (auto& [id, worker] : mCell.mFleet.Workers()) {
-    const bool trialFull = worker.mHealth.mOnTrial && !worker.mRuns.empty();
-    // The registry drops live workers while the store is unavailable.
-    const bool registered =
-      worker.mRegistered ||
-      worker.mUnregisteredSince + kUnregisteredGracePeriod > aNow;
-    const bool usable = registered && !worker.mEntry.mDraining &&
-                        worker.mRecorded && worker.mReachable &&
-                        worker.mReconciled && worker.mClock.has_value() &&
-                        worker.mHealth.mAvoidUntil <= aNow && !trialFull;
-    if (usable && !worker.mWasUsable) {
-      mCell.mFleet.NoteCapacityGain(worker);
-    }
-    worker.mWasUsable = usable;
-    if (usable) {
-      mUsable.push_back(&worker);
-    }
-  }
-  const auto unknown =
-    std::count_if(mUsable.begin(), mUsable.end(), [](const Worker* aWorker) {
-      return aWorker->mHealth.mRunTime.Speed() == WorkerSpeed::Unknown;
-    });
-  mSpeedsKnown = static_cast<double>(unknown) <=
-                 kMaxUnknownSpeedShare * static_cast<double>(mUsable.size());
-  for (std::size_t index = 0; index < mUsable.size(); ++index) {
-    mUsable[index]->mFillPosition =
-      static_cast<double>(index) / static_cast<double>(mUsable.size());
-  }
-}
-
 std::vector<Dispatcher::Candidate>
 Dispatcher::CollectCandidates(const Moment& aNow, bool aReconciled)
 {
@@ -280,7 +240,8 @@
     }
   };
   if (!queue.mAdvice.has_value()) {
-    std::for_each(mUsable.begin(), mUsable.end(), add);
+    const std::vector<Worker*>& usable = mUsable.Workers();
+    std::for_each(usable.begin(), usable.end(), add);
     return workers;
   }
   for (const Approval& approval : aCandidate.mStep->mAdvice.mApproved) {
@@ -297,7 +258,7 @@
   const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
   std::vector<EligibleWorker> eligible;
   if (!queue.mAdvice.has_value()) {
-    for (Worker* worker : mUsable) {
+    for (Worker* worker : mUsable.Workers()) {
       if (IsEligible(*worker, queue, spec)) {
         eligible.push_back({ .mWorker = worker, .mTicket = nullptr });
       }
@@ -345,7 +306,7 @@
       aSpec.mDataRack != aWorker.mEntry.mRack.mValue) {
     cost += 10 * mCell.mOptions.mRemoteFactor;
   }
-  if (aSpec.mGang && mSpeedsKnown &&
+  if (aSpec.mGang && mUsable.SpeedsKnown() &&
       aWorker.mHealth.mRunTime.Speed() != WorkerSpeed::Fast) {
     cost += kGangSpeedCost;
   }
@@ -449,7 +410,7 @@
 Dispatcher::MayUseSlowWorkers(const Candidate& aCandidate) const
 {
   // A late gang has no reservation, and takes what it can get.
-  return !mSpeedsKnown || aCandidate.mStep->mMayUseSlowWorkers ||
+  return !mUsable.SpeedsKnown() || aCandidate.mStep->mMayUseSlowWorkers ||
          aCandidate.mUrgency.mObjectiveStatus != ObjectiveStatus::OnTime;
 }
 
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -8,6 +8,7 @@
 #include "jobs/internal/gangreservations.h"
 #include "jobs/internal/runtracker.h"
 #include "jobs/internal/urgency.h"
+#include "jobs/internal/usableworkers.h"
 
 namespace oriolevane::jobs {
 
@@ -18,6 +19,7 @@
     : mCell(aCell)
     , mRuns(aRuns)
     , mAdvice(aAdvice)
+    , mUsable(aCell)
     , mGangReservations(aCell)
   {
   }
@@ -54,7 +56,6 @@
   // The share of the usable workers that single tasks with ample slack may use.
   // It shrinks as waiting gangs need more capacity.
   double SingleTaskShare(const std::vector<Candidate>& aCandidates) const;
-  void FindUsableWorkers(TimePoint aNow);
   // Returns false when no worker has gained room since the last attempt to
   // start the step failed.
   bool IsWorthTrying(const Candidate& aCandidate) const;
@@ -107,13 +108,11 @@
   CellState& mCell;
   RunTracker& mRuns;
   AdvicePlanner& mAdvice;
-  std::vector<Worker*> mUsable;
+  UsableWorkers mUsable;
   GangReservations mGangReservations;
   // Share of the usable workers that single tasks with ample slack may use in
   // this pass.
   double mSingleTaskShare = 1.0;
-  // The speed of nearly all usable workers is known.
-  bool mSpeedsKnown = false;
   // Advice queries of the open jobs that have not been answered.
   std::size_t mPendingQueries = 0;
   // A worker with room was passed over in the current attempt, because its
--- /dev/null
+++ b/src/jobs/internal/usableworkers.cpp
@@ -0,0 +1,54 @@
+#include "jobs/internal/usableworkers.h"
+
+#include <algorithm>
+
+namespace oriolevane::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A worker that has left the registry is still used for this long, because the
+// registry also drops live workers while the store is unavailable.
+constexpr std::chrono::milliseconds kUnregisteredGracePeriod = 2500ms;
+// Gangs avoid slow workers once the speed of all but this share of the workers
+// is known. Before, some slow members would be left in most gangs anyway.
+constexpr double kMaxUnknownSpeedShare = 0.1;
+
+} // namespace
+
+void
+UsableWorkers::Update(TimePoint aNow)
+{
+  mWorkers.clear();
+  for (auto& [id, worker] : mCell.mFleet.Workers()) {
+    const bool trialFull = worker.mHealth.mOnTrial && !worker.mRuns.empty();
+    // The registry drops live workers while the store is unavailable.
+    const bool registered =
+      worker.mRegistered ||
+      worker.mUnregisteredSince + kUnregisteredGracePeriod > aNow;
+    const bool usable = registered && !worker.mEntry.mDraining &&
+                        worker.mRecorded && worker.mReachable &&
+                        worker.mReconciled && worker.mClock.has_value() &&
+                        worker.mHealth.mAvoidUntil <= aNow && !trialFull;
+    if (usable && !worker.mWasUsable) {
+      mCell.mFleet.NoteCapacityGain(worker);
+    }
+    worker.mWasUsable = usable;
+    if (usable) {
+      mWorkers.push_back(&worker);
+    }
+  }
+  const auto unknown =
+    std::count_if(mWorkers.begin(), mWorkers.end(), [](const Worker* aWorker) {
+      return aWorker->mHealth.mRunTime.Speed() == WorkerSpeed::Unknown;
+    });
+  mSpeedsKnown = static_cast<double>(unknown) <=
+                 kMaxUnknownSpeedShare * static_cast<double>(mWorkers.size());
+  for (std::size_t index = 0; index < mWorkers.size(); ++index) {
+    mWorkers[index]->mFillPosition =
+      static_cast<double>(index) / static_cast<double>(mWorkers.size());
+  }
+}
+
+} // namespace oriolevane::jobs
--- /dev/null
+++ b/src/jobs/internal/usableworkers.h
@@ -0,0 +1,31 @@
+// Finds the workers that may get tasks in a dispatch pass.
+#pragma once
+
+#include <vector>
+
+#include "jobs/internal/cellstate.h"
+
+namespace oriolevane::jobs {
+
+class UsableWorkers
+{
+public:
+  explicit UsableWorkers(CellState& aCell)
+    : mCell(aCell)
+  {
+  }
+
+  // Finds the usable workers, and notes on each its position in the fixed order
+  // in which single tasks fill them.
+  void Update(TimePoint aNow);
+  const std::vector<Worker*>& Workers() const { return mWorkers; }
+  // True when the speed of nearly all of them is known.
+  bool SpeedsKnown() const { return mSpeedsKnown; }
+
+private:
+  CellState& mCell;
+  std::vector<Worker*> mWorkers;
+  bool mSpeedsKnown = false;
+};
+
+} // namespace oriolevane::jobs
