--- a/src/cellnode/internal/callerrequesthandler.cpp
+++ b/src/cellnode/internal/callerrequesthandler.cpp
@@ -152,8 +152,9 @@
              .mMessage = std::string(spec.status().message()) });
     return;
   }
-  const jobs::RecordPosition position =
-    mScheduler.Submit(aId, aQueue, *std::move(spec), mHooks.mNow());
+  const jobs::RecordPosition position = mScheduler.Submit(
+    { .mId = aId, .mQueue = aQueue, .mSpec = *std::move(spec), .mTeam = {} },
+    mHooks.mNow());
   ReplyWhenRecorded(
     position, { .mKind = CallerAnswerKind::Accepted }, aReply, aId);
 }
--- a/src/cellnode/internal/recordcodec.cpp
+++ b/src/cellnode/internal/recordcodec.cpp
@@ -42,6 +42,9 @@
                                     aQueue.mAdvice->mTimePerWorker.count(),
                                     aQueue.mAdvice->mValidity.count() });
   }
+  if (aQueue.mPublic) {
+    value["public"] = true;
+  }
   return value;
 }
 
@@ -66,6 +69,7 @@
       .mValidity = milliseconds(advice->at(2).get<std::int64_t>())
     };
   }
+  queue.mPublic = aValue.value("public", false);
   return queue;
 }
 
@@ -204,6 +208,12 @@
                         aRecord.mSpec.mRepetition->mFirstDue.count(),
                         aRecord.mSpec.mRepetition->mInterval.count() };
   }
+  if (!aRecord.mTeam.Empty()) {
+    value["team"] = aRecord.mTeam.mValue;
+  }
+  if (aRecord.mBorrows) {
+    value["borrows"] = true;
+  }
   return value.dump();
 }
 
@@ -227,6 +237,8 @@
         .mInterval = milliseconds(repeat->at(2).get<std::int64_t>())
       };
     }
+    record.mTeam = TeamId(aValue.value("team", ""));
+    record.mBorrows = aValue.value("borrows", false);
     return record;
   });
 }
@@ -275,11 +287,13 @@
 std::string
 Encode(const jobs::FinishedRecord& aRecord)
 {
-  return json{
-    { "id", aRecord.mId.mValue },
-    { "state", static_cast<int>(aRecord.mState) },
-    { "finished_ms", aRecord.mFinishedAt.count() }
-  }.dump();
+  json value{ { "id", aRecord.mId.mValue },
+              { "state", static_cast<int>(aRecord.mState) },
+              { "finished_ms", aRecord.mFinishedAt.count() } };
+  if (!aRecord.mTeam.Empty()) {
+    value["team"] = aRecord.mTeam.mValue;
+  }
+  return value.dump();
 }
 
 absl::StatusOr<jobs::FinishedRecord>
@@ -289,7 +303,8 @@
     return jobs::FinishedRecord{
       .mId = jobs::JobId(aValue.at("id").get<std::string>()),
       .mState = static_cast<jobs::JobState>(aValue.at("state").get<int>()),
-      .mFinishedAt = milliseconds(aValue.at("finished_ms").get<std::int64_t>())
+      .mFinishedAt = milliseconds(aValue.at("finished_ms").get<std::int64_t>()),
+      .mTeam = TeamId(aValue.value("team", ""))
     };
   });
 }
--- a/src/cellnode/tests/recordcodec_test.cpp
+++ b/src/cellnode/tests/recordcodec_test.cpp
@@ -37,7 +37,8 @@
 // A new field must be handled by the codec and set in FullStep().
 static_assert(FieldCount<jobs::StepSpec>() == 16);
 static_assert(FieldCount<jobs::TaskProgress>() == 5);
-static_assert(FieldCount<jobs::JobRecord>() == 4);
+static_assert(FieldCount<jobs::JobRecord>() == 6);
+static_assert(FieldCount<jobs::FinishedRecord>() == 4);
 
 } // namespace
 
@@ -58,12 +59,15 @@
                         .mLatencyTarget = 250ms,
                         .mAdvice = jobs::AdvicePolicy{ .mDecisionTime = 6500us,
                                                        .mTimePerWorker = 93us,
-                                                       .mValidity = 2500ms } };
+                                                       .mValidity = 2500ms },
+                        .mPublic = true };
       record.mSpec = { .mPayload = "payload \"quoted\"",
                        .mSteps = { FullStep() },
                        .mRepetition = jobs::Repetition{
                          .mCount = 3, .mFirstDue = 5ms, .mInterval = 7ms } };
       record.mAcceptedAt = 1700000000123ms;
+      record.mTeam = TeamId("team");
+      record.mBorrows = true;
       const auto back = DecodeJob(Encode(record));
       CPPUNIT_ASSERT(back.ok());
       CPPUNIT_ASSERT(back->mQueue == record.mQueue);
@@ -75,6 +79,37 @@
       CPPUNIT_ASSERT(step.mSpeculative && step.mLongRunning && step.mGang);
       CPPUNIT_ASSERT_EQUAL(std::string("rack"), step.mDataRack);
       CPPUNIT_ASSERT_EQUAL(3, back->mSpec.mRepetition->mCount);
+      CPPUNIT_ASSERT(back->mTeam == record.mTeam);
+      CPPUNIT_ASSERT(back->mBorrows);
+    });
+    // Guards against jobs that are lost when a new build takes over from an old
+    // one, which stored no team.
+    aSection.It("that an older build stored belongs to no team", [] {
+      const auto record = DecodeJob(
+        R"({"id":"5c0e7a21d94b36f8","payload":"p","accepted_ms":7,)"
+        R"("queue":{"name":"queue","host":"host","prefix":"/p/",)"
+        R"("pool":"pool","priority":2,"attempts":4,"stretch":1.5,)"
+        R"("target_ms":250},)"
+        R"("steps":[{"count":1,"resources":[1,2,0],"estimate_ms":9}]})");
+      CPPUNIT_ASSERT(record.ok());
+      CPPUNIT_ASSERT(record->mTeam.Empty());
+      CPPUNIT_ASSERT(!record->mBorrows);
+      const auto finished = DecodeFinished(
+        R"({"id":"5c0e7a21d94b36f8","state":2,"finished_ms":7})");
+      CPPUNIT_ASSERT(finished.ok());
+      CPPUNIT_ASSERT(finished->mTeam.Empty());
+    });
+  });
+  aRoot.Describe("a final state", [](Section& aSection) {
+    aSection.It("is decoded with its team", [] {
+      const jobs::FinishedRecord record{ .mId = jobs::JobId("job"),
+                                         .mState = jobs::JobState::Completed,
+                                         .mFinishedAt = 1700000000123ms,
+                                         .mTeam = TeamId("team") };
+      const auto back = DecodeFinished(Encode(record));
+      CPPUNIT_ASSERT(back.ok());
+      CPPUNIT_ASSERT_EQUAL(Encode(record), Encode(*back));
+      CPPUNIT_ASSERT(back->mTeam == record.mTeam);
     });
   });
   aRoot.Describe("progress", [](Section& aSection) {
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -143,28 +143,28 @@
 }
 
 RecordPosition
-CellScheduler::Submit(const JobId& aId,
-                      const QueuePolicy& aQueue,
-                      JobSpec aSpec,
-                      const Moment& aNow)
+CellScheduler::Submit(Submission aSubmission, const Moment& aNow)
 {
   CellState& cell = mImpl->mCell;
-  if (const Job* job = cell.mJobs.Find(aId); job != nullptr) {
+  const JobId id = aSubmission.mId;
+  if (const Job* job = cell.mJobs.Find(id); job != nullptr) {
     return job->mRecordPosition;
   }
-  if (const auto finished = cell.mJobs.FinalStatePosition(aId);
+  if (const auto finished = cell.mJobs.FinalStatePosition(id);
       finished.has_value()) {
     return *finished;
   }
-  Job& job = cell.mJobs.Add({ .mId = aId,
-                              .mQueue = aQueue,
-                              .mSpec = std::move(aSpec),
-                              .mAcceptedAt = aNow.mUnix },
+  Job& job = cell.mJobs.Add({ .mId = id,
+                              .mQueue = std::move(aSubmission.mQueue),
+                              .mSpec = std::move(aSubmission.mSpec),
+                              .mAcceptedAt = aNow.mUnix,
+                              .mTeam = std::move(aSubmission.mTeam) },
                             aNow);
-  mImpl->mJobsToOpen.emplace_back(job.mRecordPosition, aId);
+  mImpl->mJobsToOpen.emplace_back(job.mRecordPosition, id);
   LogDebug("job_submitted")
-    .With("job", aId)
-    .With("queue", aQueue.mName)
+    .With("job", id)
+    .With("queue", job.mRecord.mQueue.mName)
+    .With("team", job.mRecord.mTeam)
     .With("version", cell.mConfiguration.mVersion);
   return job.mRecordPosition;
 }
@@ -205,19 +205,24 @@
   const RecordPosition recorded = cell.mWriteQueue.Recorded();
   const auto finalStatePosition = cell.mJobs.FinalStatePosition(aId);
   if (finalStatePosition.has_value() && *finalStatePosition <= recorded) {
-    return JobView{ .mState = cell.mJobs.FindFinished(aId)->mState,
-                    .mRecorded = true };
+    const FinishedRecord& finished = *cell.mJobs.FindFinished(aId);
+    return JobView{ .mState = finished.mState,
+                    .mRecorded = true,
+                    .mTeam = finished.mTeam };
   }
   const Job* job = cell.mJobs.Find(aId);
   if (job == nullptr) {
     if (finalStatePosition.has_value()) {
-      return JobView{ .mState = JobState::Running, .mRecorded = true };
+      return JobView{ .mState = JobState::Running,
+                      .mRecorded = true,
+                      .mTeam = cell.mJobs.FindFinished(aId)->mTeam };
     }
     return std::nullopt;
   }
   return JobView{ .mState =
                     job->mStarted ? JobState::Running : JobState::Queued,
-                  .mRecorded = job->mRecordPosition <= recorded };
+                  .mRecorded = job->mRecordPosition <= recorded,
+                  .mTeam = job->mRecord.mTeam };
 }
 
 std::size_t
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -30,6 +30,18 @@
   JobState mState = JobState::Queued;
   // True once the store holds the record of the accepted job.
   bool mRecorded = false;
+  // The team that the job belongs to; empty for none.
+  TeamId mTeam;
+};
+
+// A job to be accepted.
+struct Submission
+{
+  JobId mId;
+  QueuePolicy mQueue;
+  JobSpec mSpec;
+  // The team of the caller's key; empty when none was needed.
+  TeamId mTeam;
 };
 
 // Gauges for metrics.
@@ -73,10 +85,7 @@
 
   // Submits a job. It is accepted once the change at the returned position has
   // been recorded. If the id is already known, the existing job is kept.
-  RecordPosition Submit(const JobId& aId,
-                        const QueuePolicy& aQueue,
-                        JobSpec aSpec,
-                        const Moment& aNow);
+  RecordPosition Submit(Submission aSubmission, const Moment& aNow);
   // Removes a submitted job whose record has not been handed out for writing
   // yet, so that it is never accepted. Returns false when it is too late.
   bool Withdraw(const JobId& aId);
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -189,10 +189,11 @@
     aJob.mRecord.mSpec.mRepetition.has_value()
       ? mWriteQueue.Mark(FinishedKey(id))
       : mWriteQueue.MarkInsteadOf(FinishedKey(id), ProgressKey(id, 0));
-  mFinished[id] = {
-    .mRecord = { .mId = id, .mState = aState, .mFinishedAt = aNow.mUnix },
-    .mRecordPosition = position
-  };
+  mFinished[id] = { .mRecord = { .mId = id,
+                                 .mState = aState,
+                                 .mFinishedAt = aNow.mUnix,
+                                 .mTeam = aJob.mRecord.mTeam },
+                    .mRecordPosition = position };
   mFinishedOrder.emplace(aNow.mUnix, id);
   return position;
 }
--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -366,7 +366,9 @@
 {
   mSpecs[aId] = aSpec;
   mQueues[aId] = aQueue;
-  mScheduler->Submit(JobId(aId), aQueue, aSpec, NowMoment());
+  mScheduler->Submit(
+    { .mId = JobId(aId), .mQueue = aQueue, .mSpec = aSpec, .mTeam = {} },
+    NowMoment());
 }
 
 void
--- a/src/jobs/tests/recordwritequeue_test.cpp
+++ b/src/jobs/tests/recordwritequeue_test.cpp
@@ -117,11 +117,16 @@
           scheduler.OnRecorded(scheduler.Records().Confirm(), now);
           scheduler.Advance(now);
         };
-        scheduler.Submit(JobId("again"), queue, spec, now);
-        scheduler.Submit(JobId("other"), queue, spec, now);
+        const auto submit = [&](const char* aId) {
+          scheduler.Submit(
+            { .mId = JobId(aId), .mQueue = queue, .mSpec = spec, .mTeam = {} },
+            now);
+        };
+        submit("again");
+        submit("other");
         CPPUNIT_ASSERT(scheduler.Withdraw(JobId("again")));
         scheduler.Records().TakeBatch(10);
-        scheduler.Submit(JobId("again"), queue, spec, now);
+        submit("again");
         scheduler.OnRecorded(scheduler.Records().Confirm(), now);
         scheduler.Advance(now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, scheduler.Waiting(queue.mName));
--- a/src/jobs/types/cellconfiguration.h
+++ b/src/jobs/types/cellconfiguration.h
@@ -8,6 +8,7 @@
 
 #include "framework/types/ids.h"
 #include "jobs/types/taskkey.h"
+#include "teams/types/teampolicy.h"
 
 namespace oriolevane::jobs {
 
@@ -45,6 +46,8 @@
   std::chrono::milliseconds mLatencyTarget{ 0 };
   // Empty when the queue needs no approval by the policy service.
   std::optional<AdvicePolicy> mAdvice;
+  // Callers need no key, and the queue's jobs belong to no team.
+  bool mPublic = false;
 
   bool operator==(const QueuePolicy&) const = default;
 };
@@ -67,6 +70,9 @@
   ConfigurationVersion mVersion;
   std::vector<QueuePolicy> mQueues;
   std::vector<PoolPolicy> mPools;
+  // The teams whose callers the cell serves. Empty when callers need no keys
+  // and there are no teams.
+  std::optional<std::vector<teams::TeamPolicy>> mTeams;
 
   // Returns nullptr when there is no such queue.
   const QueuePolicy* FindQueue(const QueueName& aName) const;
--- a/src/jobs/types/jobrecord.h
+++ b/src/jobs/types/jobrecord.h
@@ -23,6 +23,11 @@
   JobSpec mSpec;
   // Unix time.
   std::chrono::milliseconds mAcceptedAt{ 0 };
+  // The team whose key the caller presented; empty when it needed no key.
+  TeamId mTeam;
+  // The job arrived above its team's guaranteed rate, and so uses what other
+  // teams leave.
+  bool mBorrows = false;
 };
 
 // The progress of one task.
@@ -63,6 +68,8 @@
   JobState mState = JobState::Completed;
   // Unix time.
   std::chrono::milliseconds mFinishedAt{ 0 };
+  // As in JobRecord.
+  TeamId mTeam;
 };
 
 // A worker that tasks may have been assigned to.
