--- a/src/jobs/types/scheduleroptions.h
+++ b/src/jobs/types/scheduleroptions.h
@@ -50,6 +50,8 @@
   // Maximum time from a stop order to the end of the run.
   std::chrono::milliseconds mMaxStopDuration{ 900 };
   SchedulingOrder mOrder = SchedulingOrder::Urgency;
+  // The part of a team's quota by which a gang may exceed it.
+  double mQuotaExcess = 0.0;
 };
 
 // Functions through which a scheduler sends orders and reports events.
