Compress frames between nodes and stored records on thin links

Cause: the owner of a cell with links of 2 Mbit/s sends 180 KB/s of worker calls, job rows and advice queries on a link that carries 250 KB/s, and calls time out from 1.7 s on. Change: frames of one direction of a link share a zstd context; record values are compressed one by one with a dictionary. A hello says whether a node accepts and wants compressed frames. Damaged and oversized data is refused. Result: the tests of cellnode (100) and hostplatform (18) pass. Bytes saved are not measured yet.

--- a/src/cellnode/celljournal.h
+++ b/src/cellnode/celljournal.h
@@ -40,6 +40,9 @@
   // The longest time to wait for an answer before a transaction is sent again,
   // unless the store is known to take longer.
   std::chrono::milliseconds mMaxResendTimeout{ 800 };
+  // Compresses the values of records. The owner row is not compressed, so that
+  // nodes of older builds can read it.
+  bool mCompressRecords = false;
 };
 
 struct CellJournalHooks
--- a/src/cellnode/internal/celljournal.cpp
+++ b/src/cellnode/internal/celljournal.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cellnode/compression.h"
 #include "cellnode/recordcodec.h"
 #include "framework/log.h"
 
@@ -149,6 +150,9 @@
     return;
   }
   std::string text = std::visit(Encoder{}, value);
+  if (mOptions.mCompressRecords) {
+    text = CompressRow(std::move(text));
+  }
   mBytes += text.size();
   mInFlight->mWrites.push_back({ .mKey = key, .mValue = std::move(text) });
 }
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -282,6 +282,8 @@
   hello.fitness = static_cast<float>(mOptions.mFitness);
   hello.zone = mOptions.mZone.mValue;
   hello.relays = !mStopping;
+  hello.accepts_compression = true;
+  hello.wants_compression = mOptions.mCompress;
   mPeers.SetHello(std::move(hello));
 }
 
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -59,7 +59,7 @@
                             mHooks.mSendAdviceQuery(aNode, aId, aQuery);
                           } })
   , mJournal(
-      {},
+      { .mCompressRecords = aOptions.mCompress },
       mOwner,
       aOwnerVersion,
       mScheduler.Records(),
--- a/src/cellnode/internal/peerlinks.cpp
+++ b/src/cellnode/internal/peerlinks.cpp
@@ -39,7 +39,7 @@
   mHello = std::move(aHello);
   for (const std::unique_ptr<Peer>& peer : mPeers) {
     if (!peer->mClosed) {
-      peer->mLink->Send(EncodeFrame(mHello));
+      SendFrame(*peer, EncodeFrame(mHello));
     }
   }
 }
@@ -75,13 +75,46 @@
     }
   });
   peer.mTimer->StartAfter(kHelloTimeout);
-  peer.mLink->Send(EncodeFrame(mHello));
+  SendFrame(peer, EncodeFrame(mHello));
+}
+
+void
+PeerLinks::SendFrame(Peer& aPeer, const std::string& aFrame)
+{
+  if (aPeer.mCompressor != nullptr) {
+    if (const auto compressed = aPeer.mCompressor->Compress(aFrame);
+        compressed.has_value()) {
+      aPeer.mLink->Send(*compressed);
+      return;
+    }
+    LogWarning("peer_compression_failed").With("peer", aPeer.mNode);
+    aPeer.mCompressor.reset();
+    aPeer.mCompressionFailed = true;
+  }
+  aPeer.mLink->Send(aFrame);
+}
+
+absl::StatusOr<cellwire::MessageT>
+PeerLinks::Decode(Peer& aPeer, std::string_view aFrame)
+{
+  if (!IsCompressedFrame(aFrame)) {
+    return DecodeFrame(aFrame);
+  }
+  if (aPeer.mDecompressor == nullptr) {
+    aPeer.mDecompressor = std::make_unique<FrameDecompressor>();
+  }
+  const absl::StatusOr<std::string> frame =
+    aPeer.mDecompressor->Decompress(aFrame);
+  if (!frame.ok()) {
+    return frame.status();
+  }
+  return DecodeFrame(*frame);
 }
 
 void
 PeerLinks::OnFrame(Peer& aPeer, std::string_view aFrame)
 {
-  const absl::StatusOr<cellwire::MessageT> message = DecodeFrame(aFrame);
+  const absl::StatusOr<cellwire::MessageT> message = Decode(aPeer, aFrame);
   if (!message.ok()) {
     LogWarning("peer_frame_refused")
       .With("peer", aPeer.mNode)
@@ -104,6 +137,11 @@
 PeerLinks::OnHello(Peer& aPeer, const cellwire::HelloT& aHello)
 {
   const NodeId node(aHello.node);
+  if (aHello.accepts_compression && aPeer.mCompressor == nullptr &&
+      !aPeer.mCompressionFailed &&
+      (aHello.wants_compression || mHello.wants_compression)) {
+    aPeer.mCompressor = std::make_unique<FrameCompressor>();
+  }
   if (aPeer.mNode.Empty()) {
     aPeer.mNode = node;
     const auto [place, added] = mNodes.emplace(node, &aPeer);
--- a/src/cellnode/internal/peerlinks.h
+++ b/src/cellnode/internal/peerlinks.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "cellnode/compression.h"
 #include "cellnode/internal/peercodec.h"
 #include "eventloop/framelink.h"
 #include "framework/types/ids.h"
@@ -41,7 +42,7 @@
     if (found == mNodes.end()) {
       return false;
     }
-    found->second->mLink->Send(EncodeFrame(std::move(aBody)));
+    SendFrame(*found->second, EncodeFrame(std::move(aBody)));
     return true;
   }
   bool IsLinked(const NodeId& aNode) const { return mNodes.contains(aNode); }
@@ -57,11 +58,19 @@
     std::string mConnectedAddress;
     std::unique_ptr<eventloop::Timer> mTimer;
     bool mClosed = false;
+    // Set from the first hello on when frames to the node are compressed.
+    std::unique_ptr<FrameCompressor> mCompressor;
+    bool mCompressionFailed = false;
+    // Set from the first compressed frame on.
+    std::unique_ptr<FrameDecompressor> mDecompressor;
   };
 
   void AddLink(std::unique_ptr<eventloop::FrameLink> aLink,
                std::string aConnectedAddress);
   void OnFrame(Peer& aPeer, std::string_view aFrame);
+  static void SendFrame(Peer& aPeer, const std::string& aFrame);
+  static absl::StatusOr<cellwire::MessageT> Decode(Peer& aPeer,
+                                                   std::string_view aFrame);
   void OnHello(Peer& aPeer, const cellwire::HelloT& aHello);
   void CloseLink(Peer& aPeer);
   void RemoveClosedLinks();
--- a/src/cellnode/internal/recordcodec.cpp
+++ b/src/cellnode/internal/recordcodec.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cellnode/compression.h"
+
 namespace oriolevane::cellnode {
 
 namespace {
@@ -177,13 +179,18 @@
            .mCheckpoint = aValue.at(4).get<std::string>() };
 }
 
-// Parses the text and calls a reader on it; a JSON exception becomes DataLoss.
+// Decompresses and parses the text, and calls a reader on it; a JSON exception
+// becomes DataLoss.
 template<typename Value, typename Reader>
 absl::StatusOr<Value>
 Decode(std::string_view aText, const Reader& aReader)
 {
+  const absl::StatusOr<std::string> text = DecompressRow(aText);
+  if (!text.ok()) {
+    return text.status();
+  }
   try {
-    return aReader(json::parse(aText));
+    return aReader(json::parse(*text));
   } catch (const json::exception& error) {
     return absl::DataLossError(error.what());
   }
--- a/src/cellnode/recordcodec.h
+++ b/src/cellnode/recordcodec.h
@@ -1,5 +1,6 @@
 // Encodes and decodes row values: the records of jobs and workers, and the
-// owner row. The values are JSON.
+// owner row. The values are JSON, which the decoders also read when it is
+// compressed.
 #pragma once
 
 #include <string>
--- a/src/cellnode/schema/cellpeer_generated.h
+++ b/src/cellnode/schema/cellpeer_generated.h
@@ -343,6 +343,8 @@
   float fitness = 0.0f;
   std::string zone{};
   bool relays = false;
+  bool accepts_compression = false;
+  bool wants_compression = false;
 };
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -356,7 +358,9 @@
     VT_OWNS = 12,
     VT_FITNESS = 14,
     VT_ZONE = 16,
-    VT_RELAYS = 18
+    VT_RELAYS = 18,
+    VT_ACCEPTS_COMPRESSION = 20,
+    VT_WANTS_COMPRESSION = 22
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -382,6 +386,12 @@
   bool relays() const {
     return GetField<uint8_t>(VT_RELAYS, 0) != 0;
   }
+  bool accepts_compression() const {
+    return GetField<uint8_t>(VT_ACCEPTS_COMPRESSION, 0) != 0;
+  }
+  bool wants_compression() const {
+    return GetField<uint8_t>(VT_WANTS_COMPRESSION, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -395,6 +405,8 @@
            VerifyOffset(verifier, VT_ZONE) &&
            verifier.VerifyString(zone()) &&
            VerifyField<uint8_t>(verifier, VT_RELAYS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ACCEPTS_COMPRESSION, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_COMPRESSION, 1) &&
            verifier.EndTable();
   }
   HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -430,6 +442,12 @@
   void add_relays(bool relays) {
     fbb_.AddElement<uint8_t>(Hello::VT_RELAYS, static_cast<uint8_t>(relays), 0);
   }
+  void add_accepts_compression(bool accepts_compression) {
+    fbb_.AddElement<uint8_t>(Hello::VT_ACCEPTS_COMPRESSION, static_cast<uint8_t>(accepts_compression), 0);
+  }
+  void add_wants_compression(bool wants_compression) {
+    fbb_.AddElement<uint8_t>(Hello::VT_WANTS_COMPRESSION, static_cast<uint8_t>(wants_compression), 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -450,7 +468,9 @@
     bool owns = false,
     float fitness = 0.0f,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
-    bool relays = false) {
+    bool relays = false,
+    bool accepts_compression = false,
+    bool wants_compression = false) {
   HelloBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_incarnation(incarnation);
@@ -458,6 +478,8 @@
   builder_.add_fitness(fitness);
   builder_.add_address(address);
   builder_.add_node(node);
+  builder_.add_wants_compression(wants_compression);
+  builder_.add_accepts_compression(accepts_compression);
   builder_.add_relays(relays);
   builder_.add_owns(owns);
   return builder_.Finish();
@@ -472,7 +494,9 @@
     bool owns = false,
     float fitness = 0.0f,
     const char *zone = nullptr,
-    bool relays = false) {
+    bool relays = false,
+    bool accepts_compression = false,
+    bool wants_compression = false) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -485,7 +509,9 @@
       owns,
       fitness,
       zone__,
-      relays);
+      relays,
+      accepts_compression,
+      wants_compression);
 }
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2596,6 +2622,8 @@
   { auto _e = fitness(); _o->fitness = _e; }
   { auto _e = zone(); if (_e) _o->zone = _e->str(); }
   { auto _e = relays(); _o->relays = _e; }
+  { auto _e = accepts_compression(); _o->accepts_compression = _e; }
+  { auto _e = wants_compression(); _o->wants_compression = _e; }
 }
 
 inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2614,6 +2642,8 @@
   auto _fitness = _o->fitness;
   auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
   auto _relays = _o->relays;
+  auto _accepts_compression = _o->accepts_compression;
+  auto _wants_compression = _o->wants_compression;
   return oriolevane::cellwire::CreateHello(
       _fbb,
       _node,
@@ -2623,7 +2653,9 @@
       _owns,
       _fitness,
       _zone,
-      _relays);
+      _relays,
+      _accepts_compression,
+      _wants_compression);
 }
 
 inline HeartbeatT *Heartbeat::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/cellnode/types/nodehooks.h
+++ b/src/cellnode/types/nodehooks.h
@@ -26,6 +26,9 @@
   // How suitable this host is to own the shard, from 0 to 1. Nodes compare it
   // when they choose the next owner.
   double mFitness = 0.5;
+  // The host's link is thin: the node compresses frames to nodes that accept
+  // it, asks them to do the same, and compresses the records that it stores.
+  bool mCompress = false;
   // Options for the shard's scheduler. The node sets the epoch when it becomes
   // the owner.
   jobs::SchedulerOptions mScheduler;
