--- a/src/cellnode/cellnode.h
+++ b/src/cellnode/cellnode.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "absl/status/status.h"
 #include "cellnode/nodemetrics.h"
@@ -20,6 +21,9 @@
   bool mOwnsShard = false;
   Epoch mEpoch;
   ConfigurationVersion mVersion;
+  // The time for which the configuration has not been known to be the newest
+  // one; nothing until it was read for the first time.
+  std::optional<std::chrono::milliseconds> mConfigurationAge;
   // The number of links to other nodes.
   std::size_t mLinks = 0;
   // Set only while the node owns the shard, like mStoreAge.
--- a/src/cellnode/internal/callerrequesthandler.cpp
+++ b/src/cellnode/internal/callerrequesthandler.cpp
@@ -55,10 +55,12 @@
            .mMessage = "the scheduler is overloaded" };
 }
 
+// The query string is ignored.
 std::string
 LastSegment(const std::string& aPath)
 {
-  return aPath.substr(aPath.rfind('/') + 1);
+  const std::string path = aPath.substr(0, aPath.find('?'));
+  return path.substr(path.rfind('/') + 1);
 }
 
 } // namespace
@@ -90,48 +92,88 @@
   }
   const QueueMatch match =
     MatchQueue(configuration, aRequest.mHost, aRequest.mPath);
+  // A job outlives its queue, and callers still use the old path for it.
+  const std::string rest =
+    match.mQueue != nullptr ? match.mRest : LastSegment(aRequest.mPath);
+  const std::optional<jobs::JobView> view = mScheduler.Find(jobs::JobId(rest));
+  if (match.mQueue == nullptr && aRequest.mVerb == CallerVerb::Submit &&
+      known && aRequest.mVersion > configuration.mVersion) {
+    // The queue may exist in a newer configuration than this node has read.
+    aReply({ .mKind = CallerAnswerKind::Undetermined,
+             .mMessage = "the configuration is being read" });
+    return;
+  }
+  if (match.mQueue == nullptr &&
+      (aRequest.mVerb == CallerVerb::Submit || !view.has_value())) {
+    AnswerUnknownTarget(aRequest, rest, aReply);
+    return;
+  }
+  const bool isPublic =
+    match.mQueue != nullptr ? match.mQueue->mPublic : view->mTeam.Empty();
+  const CallerAuthorization caller = mHooks.mAuthorize(
+    aRequest, { .mPublic = isPublic, .mJobKnown = view.has_value() });
+  if (caller.mRefusal.has_value()) {
+    aReply(*caller.mRefusal);
+    return;
+  }
+  if (view.has_value() && !caller.MayAccessJobOf(view->mTeam)) {
+    aReply({ .mKind = aRequest.mVerb == CallerVerb::Submit
+                        ? CallerAnswerKind::Forbidden
+                        : CallerAnswerKind::UnknownJob });
+    return;
+  }
+  Execute(aRequest, caller, match.mQueue, rest, aReply);
+}
+
+void
+CallerRequestHandler::AnswerUnknownTarget(const CallerRequest& aRequest,
+                                          const std::string& aRest,
+                                          const AnswerCallback& aReply)
+{
+  const bool cancelsJob =
+    aRequest.mVerb == CallerVerb::Cancel && IsJobId(aRest);
+  aReply({ .mKind = cancelsJob ? CallerAnswerKind::UnknownJob
+                               : CallerAnswerKind::UnknownQueue });
+}
+
+void
+CallerRequestHandler::Execute(const CallerRequest& aRequest,
+                              const CallerAuthorization& aCaller,
+                              const jobs::QueuePolicy* aQueue,
+                              const std::string& aRest,
+                              const AnswerCallback& aReply)
+{
+  const jobs::JobId job(aRest);
   if (aRequest.mVerb == CallerVerb::Submit) {
-    if (match.mQueue == nullptr && known &&
-        aRequest.mVersion > configuration.mVersion) {
-      // The queue may exist in a newer configuration than this node has read.
-      aReply({ .mKind = CallerAnswerKind::Undetermined,
-               .mMessage = "the configuration is being read" });
-    } else if (match.mQueue == nullptr) {
-      aReply({ .mKind = CallerAnswerKind::UnknownQueue });
-    } else if (!IsJobId(match.mRest)) {
+    if (IsJobId(aRest)) {
+      Submit(*aQueue, job, aCaller.mTeam, aRequest, aReply);
+    } else {
       aReply({ .mKind = CallerAnswerKind::Malformed,
                .mMessage = "a job id has 16 hexadecimal digits" });
-    } else {
-      Submit(*match.mQueue, jobs::JobId(match.mRest), aRequest, aReply);
     }
     return;
   }
-  // A job outlives its queue, and callers still use the old path for it.
-  const std::string rest =
-    match.mQueue != nullptr ? match.mRest : LastSegment(aRequest.mPath);
-  if (match.mQueue == nullptr && !IsJobId(rest)) {
-    aReply({ .mKind = CallerAnswerKind::UnknownQueue });
-    return;
-  }
   if (aRequest.mVerb == CallerVerb::Cancel) {
-    Cancel(jobs::JobId(rest), aReply);
+    Cancel(job, aReply);
     return;
   }
-  if (match.mQueue != nullptr) {
-    AnswerQuery(*match.mQueue, rest, aReply);
+  if (aQueue != nullptr && aRest.empty()) {
+    aReply({ .mKind = CallerAnswerKind::Count,
+             .mCount = mScheduler.Waiting(aQueue->mName) });
     return;
   }
-  const std::optional<jobs::JobView> view = mScheduler.Find(jobs::JobId(rest));
-  if (view.has_value()) {
-    aReply({ .mKind = CallerAnswerKind::State, .mState = view->mState });
-  } else {
-    aReply({ .mKind = CallerAnswerKind::UnknownQueue });
+  const std::optional<jobs::JobView> view = mScheduler.Find(job);
+  if (!view.has_value()) {
+    aReply({ .mKind = CallerAnswerKind::UnknownJob });
+    return;
   }
+  aReply({ .mKind = CallerAnswerKind::State, .mState = view->mState });
 }
 
 void
 CallerRequestHandler::Submit(const jobs::QueuePolicy& aQueue,
                              const jobs::JobId& aId,
+                             const TeamId& aTeam,
                              const CallerRequest& aRequest,
                              const AnswerCallback& aReply)
 {
@@ -153,7 +195,7 @@
     return;
   }
   const jobs::RecordPosition position = mScheduler.Submit(
-    { .mId = aId, .mQueue = aQueue, .mSpec = *std::move(spec), .mTeam = {} },
+    { .mId = aId, .mQueue = aQueue, .mSpec = *std::move(spec), .mTeam = aTeam },
     mHooks.mNow());
   ReplyWhenRecorded(
     position, { .mKind = CallerAnswerKind::Accepted }, aReply, aId);
@@ -224,24 +266,6 @@
   }
 }
 
-void
-CallerRequestHandler::AnswerQuery(const jobs::QueuePolicy& aQueue,
-                                  const std::string& aRest,
-                                  const AnswerCallback& aReply)
-{
-  if (aRest.empty()) {
-    aReply({ .mKind = CallerAnswerKind::Count,
-             .mCount = mScheduler.Waiting(aQueue.mName) });
-    return;
-  }
-  const std::optional<jobs::JobView> view = mScheduler.Find(jobs::JobId(aRest));
-  if (!view.has_value()) {
-    aReply({ .mKind = CallerAnswerKind::UnknownJob });
-    return;
-  }
-  aReply({ .mKind = CallerAnswerKind::State, .mState = view->mState });
-}
-
 void
 CallerRequestHandler::Cancel(const jobs::JobId& aId,
                              const AnswerCallback& aReply)
--- a/src/cellnode/internal/callerrequesthandler.h
+++ b/src/cellnode/internal/callerrequesthandler.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "cellnode/callerauthorizer.h"
 #include "cellnode/celljournal.h"
 #include "cellnode/types/caller.h"
 #include "cellnode/types/nodehooks.h"
@@ -17,6 +18,10 @@
 struct CallerRequestHooks
 {
   std::function<jobs::Moment()> mNow;
+  // Decides whether a request may be carried out, at the time of the call.
+  std::function<CallerAuthorization(const CallerRequest&,
+                                    const AuthorizationTarget&)>
+    mAuthorize;
   // Called when there are changes to write or jobs to schedule.
   std::function<void()> mOnWork;
 };
@@ -55,8 +60,20 @@
     jobs::JobId mSubmitted;
   };
 
+  // Answers a request that names neither a queue nor a job that is known. No
+  // key is needed for that.
+  static void AnswerUnknownTarget(const CallerRequest& aRequest,
+                                  const std::string& aRest,
+                                  const AnswerCallback& aReply);
+  // Carries out a request that is authorized.
+  void Execute(const CallerRequest& aRequest,
+               const CallerAuthorization& aCaller,
+               const jobs::QueuePolicy* aQueue,
+               const std::string& aRest,
+               const AnswerCallback& aReply);
   void Submit(const jobs::QueuePolicy& aQueue,
               const jobs::JobId& aId,
+              const TeamId& aTeam,
               const CallerRequest& aRequest,
               const AnswerCallback& aReply);
   // Returns the refusal of a job that is not known, if it must not be accepted
@@ -68,9 +85,6 @@
   Duration StoreUnavailableAfter() const;
   // Refuses the submissions that are not part of a transaction yet.
   void RefuseUnbatchedSubmissions();
-  void AnswerQuery(const jobs::QueuePolicy& aQueue,
-                   const std::string& aRest,
-                   const AnswerCallback& aReply);
   void Cancel(const jobs::JobId& aId, const AnswerCallback& aReply);
   // Replies once the change at aPosition is stored.
   void ReplyWhenRecorded(jobs::RecordPosition aPosition,
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -1,6 +1,7 @@
 #include "cellnode/internal/cellnodeimpl.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "cellnode/internal/peermessages.h"
@@ -31,6 +32,13 @@
   return std::chrono::steady_clock::now();
 }
 
+std::uint64_t
+RandomSeed()
+{
+  std::random_device device;
+  return std::uniform_int_distribution<std::uint64_t>()(device);
+}
+
 } // namespace
 
 CellNode::Impl::Impl(eventloop::EventLoop& aLoop,
@@ -64,19 +72,20 @@
         .mOnOwnerRow = [this](const OwnerRow& aRow) { OnOwnerRow(aRow); },
         .mOnClaimed =
           [this](const ClaimedShard& aShard) { BeginSession(aShard); } })
+  , mConfiguration(
+      aLoop,
+      mStore,
+      mFormats,
+      { .mHashSeed = RandomSeed(), .mKeyWithdrawal = mOptions.mKeyWithdrawal },
+      [this](const jobs::CellConfiguration& aConfiguration) {
+        if (mSession != nullptr) {
+          mSession->Configure(aConfiguration);
+        }
+      })
   , mRelayServer(MakeRelayServerHooks())
 {
   mRelayFlushTimer = mLoop.MakeTimer([this] { mRelayServer.Flush(); });
   mTimer = mLoop.MakeTimer([this] { Tick(); });
-  mConfigurationWatch = std::make_unique<TableWatch>(
-    mLoop,
-    mStore,
-    TableWatchOptions{ .mTable = mFormats.mConfigurationRow.mTable,
-                       .mPart = mFormats.mConfigurationRow.mPart },
-    TableWatchHooks{
-      .mOnRow = [this](const Row& aRow) { OnConfiguration(aRow); },
-      .mOnRemoved = [](const std::string&) {},
-      .mOnSynchronized = {} });
 }
 
 CellNode::Impl::~Impl()
@@ -108,7 +117,7 @@
     return status;
   }
   UpdateHello();
-  mConfigurationWatch->Start();
+  mConfiguration.Start();
   Tick();
   return absl::OkStatus();
 }
@@ -143,6 +152,7 @@
     mShardClaimer.Advance(now);
   }
   mCalls.Expire(now);
+  mConfiguration.LogFreshness(BootClock::now());
   if (mStopping) {
     FinishStopWhenIdle(now);
   }
@@ -211,6 +221,11 @@
         [this](Stage aStage, Duration aTime) {
           mMetrics.Observe(aStage, aTime);
         },
+      .mAuthorize =
+        [this](const CallerRequest& aRequest,
+               const AuthorizationTarget& aTarget) {
+          return mConfiguration.Authorize(aRequest, aTarget, BootClock::now());
+        },
       .mSendAdviceQuery =
         [this](
           const NodeId& aNode, QueryId aId, const jobs::AdviceQuery& aQuery) {
@@ -227,8 +242,8 @@
       mPredecessor->mNode == mOptions.mNode) {
     mSession->OnPredecessorGone();
   }
-  if (mConfiguration.has_value()) {
-    mSession->Configure(*mConfiguration);
+  if (mConfiguration.Current().has_value()) {
+    mSession->Configure(*mConfiguration.Current());
   }
   mNodeRegistry.Watch();
   UpdateHello();
@@ -430,11 +445,9 @@
     case cellwire::Body::CallerRequest:
       OnPeerCallerRequest(aNode, *aMessage.body.AsCallerRequest());
       break;
-    case cellwire::Body::CallerAnswer: {
-      const cellwire::CallerAnswerT& answer = *aMessage.body.AsCallerAnswer();
-      mCalls.Answer(SendId(answer.id), FromWire(answer));
+    case cellwire::Body::CallerAnswer:
+      OnPeerCallerAnswer(aNode, *aMessage.body.AsCallerAnswer());
       break;
-    }
     case cellwire::Body::AdviceQuery:
       OnPeerAdviceQuery(aNode, *aMessage.body.AsAdviceQuery());
       break;
@@ -482,15 +495,41 @@
     UpdateHello();
     return;
   }
+  const absl::StatusOr<CallerRequest> request = FromWire(aCall);
+  if (!request.ok()) {
+    LogWarning("peer_message_refused")
+      .With("peer", aNode)
+      .With("status", request.status().ToString());
+    return;
+  }
+  const bool knowsKeys = request->mCredential != CredentialKind::Unknown;
   mSession->Serve(
-    FromWire(aCall),
-    [this, alive = mAlive, aNode, id = aCall.id](const CallerAnswer& aAnswer) {
+    *request,
+    [this, alive = mAlive, aNode, knowsKeys, id = aCall.id](
+      CallerAnswer aAnswer) {
       if (*alive) {
-        mPeers.Send(aNode, ToWire(id, aAnswer));
+        aAnswer.mVersion = mConfiguration.Version();
+        mPeers.Send(
+          aNode, ToWire(id, knowsKeys ? aAnswer : ForNodeWithoutKeys(aAnswer)));
       }
     });
 }
 
+void
+CellNode::Impl::OnPeerCallerAnswer(const NodeId& aNode,
+                                   const cellwire::CallerAnswerT& aAnswer)
+{
+  const absl::StatusOr<CallerAnswer> answer = FromWire(aAnswer);
+  if (!answer.ok()) {
+    LogWarning("peer_message_refused")
+      .With("peer", aNode)
+      .With("status", answer.status().ToString());
+    return;
+  }
+  mConfiguration.OnVersionObserved(answer->mVersion);
+  mCalls.Answer(SendId(aAnswer.id), *answer);
+}
+
 void
 CellNode::Impl::SendAdviceQuery(const NodeId& aNode,
                                 QueryId aId,
@@ -548,12 +587,14 @@
 void
 CellNode::Impl::Handle(CallerRequest aRequest, AnswerCallback aReply)
 {
-  if (mConfiguration.has_value()) {
-    aRequest.mVersion = mConfiguration->mVersion;
-  }
+  mConfiguration.Stamp(aRequest, BootClock::now());
   const TimePoint arrived = Now();
   AnswerCallback reply =
-    [this, arrived, inner = std::move(aReply)](const CallerAnswer& aAnswer) {
+    [this, arrived, path = aRequest.mPath, inner = std::move(aReply)](
+      const CallerAnswer& aAnswer) {
+      if (aAnswer.mKind == CallerAnswerKind::Unauthorized) {
+        LogInfo("key_refused").With("path", path);
+      }
       mMetrics.Observe(Stage::Answer, Now() - arrived);
       mMetrics.CountAnswer(aAnswer.mKind);
       inner(aAnswer);
@@ -596,37 +637,10 @@
   }
 }
 
-void
-CellNode::Impl::OnConfiguration(const Row& aRow)
-{
-  if (aRow.mKey.mName != mFormats.mConfigurationRow.mName) {
-    return;
-  }
-  absl::StatusOr<jobs::CellConfiguration> configuration =
-    mFormats.mDecodeConfiguration(aRow.mValue);
-  if (!configuration.ok()) {
-    LogError("configuration_refused")
-      .With("row_version", aRow.mVersion)
-      .With("status", configuration.status().ToString());
-    return;
-  }
-  if (mConfiguration.has_value() &&
-      configuration->mVersion < mConfiguration->mVersion) {
-    return;
-  }
-  LogInfo("configuration_in_force")
-    .With("version", configuration->mVersion)
-    .With("queues", configuration->mQueues.size());
-  mConfiguration = *std::move(configuration);
-  if (mSession != nullptr) {
-    mSession->Configure(*mConfiguration);
-  }
-}
-
 bool
 CellNode::Impl::IsReady() const
 {
-  if (mStopping || !mConfiguration.has_value()) {
+  if (mStopping || !mConfiguration.Current().has_value()) {
     return false;
   }
   return mSession != nullptr ? mSession->IsServing() : !mOwner.Empty();
@@ -654,8 +668,10 @@
   status.mOwnsShard = mSession != nullptr;
   status.mEpoch = mEpoch;
   status.mLinks = mPeers.LinkedNodes().size();
-  if (mConfiguration.has_value()) {
-    status.mVersion = mConfiguration->mVersion;
+  status.mVersion = mConfiguration.Version();
+  if (const auto age = mConfiguration.Age(BootClock::now()); age.has_value()) {
+    status.mConfigurationAge =
+      std::chrono::duration_cast<std::chrono::milliseconds>(*age);
   }
   if (mSession != nullptr) {
     status.mCounts = mSession->Counts();
--- a/src/cellnode/internal/cellnodeimpl.h
+++ b/src/cellnode/internal/cellnodeimpl.h
@@ -6,13 +6,13 @@
 #include <optional>
 
 #include "cellnode/cellnode.h"
+#include "cellnode/internal/configurationtracker.h"
 #include "cellnode/internal/noderegistry.h"
 #include "cellnode/internal/ownersession.h"
 #include "cellnode/internal/peerlinks.h"
 #include "cellnode/internal/pendingcalls.h"
 #include "cellnode/internal/relayserver.h"
 #include "cellnode/internal/shardclaimer.h"
-#include "cellnode/internal/tablewatch.h"
 #include "cellnode/looplagmonitor.h"
 #include "cellnode/ownershippolicy.h"
 #include "cellnode/yieldpolicy.h"
@@ -72,6 +72,8 @@
   void OnHeartbeat(const NodeId& aNode, const cellwire::HeartbeatT& aHeartbeat);
   void OnPeerCallerRequest(const NodeId& aNode,
                            const cellwire::CallerRequestT& aCall);
+  void OnPeerCallerAnswer(const NodeId& aNode,
+                          const cellwire::CallerAnswerT& aAnswer);
   void OnPeerAdviceQuery(const NodeId& aNode,
                          const cellwire::AdviceQueryT& aQuery);
   void OnPeerAdviceAnswer(const cellwire::AdviceAnswerT& aAnswer);
@@ -83,8 +85,6 @@
   void SendCall(CallId aId);
   void SendUnsentCalls();
 
-  void OnConfiguration(const Row& aRow);
-
   void QueryPolicyService(const jobs::AdviceQuery& aQuery,
                           std::function<void(const jobs::AdviceAnswer&)> aDone);
 
@@ -99,8 +99,7 @@
   OwnershipPolicy mPolicy;
   ShardClaimer mShardClaimer;
   PendingCalls mCalls;
-  std::unique_ptr<TableWatch> mConfigurationWatch;
-  std::optional<jobs::CellConfiguration> mConfiguration;
+  ConfigurationTracker mConfiguration;
   // The previous owner; nullopt when there was none.
   std::optional<OwnerRow> mPredecessor;
   std::unique_ptr<OwnerSession> mSession;
--- a/src/cellnode/internal/metricstext.cpp
+++ b/src/cellnode/internal/metricstext.cpp
@@ -79,6 +79,13 @@
             "log lines over their budget, or not taken by standard output",
             number(DroppedLogLines()))
   };
+  if (aStatus.mConfigurationAge.has_value()) {
+    const std::chrono::duration<double> age = *aStatus.mConfigurationAge;
+    families.push_back(
+      Gauge("configuration_age_seconds",
+            "time since the configuration was known to be the newest one",
+            age.count()));
+  }
   for (prometheus::MetricFamily& family : aMetrics.Collect()) {
     families.push_back(std::move(family));
   }
--- a/src/cellnode/internal/nodemetrics.cpp
+++ b/src/cellnode/internal/nodemetrics.cpp
@@ -15,8 +15,9 @@
                                   "queue",
                                   "job" };
 constexpr std::array kAnswerNames{
-  "accepted",    "cancelled", "state",   "count",       "unknown_queue",
-  "unknown_job", "malformed", "refused", "undetermined"
+  "accepted",      "cancelled",    "state",     "count",
+  "unknown_queue", "unknown_job",  "malformed", "refused",
+  "undetermined",  "unauthorized", "forbidden", "rate_limited"
 };
 
 } // namespace
@@ -24,7 +25,7 @@
 NodeMetrics::NodeMetrics()
 {
   static_assert(kStageNames.size() == kStages);
-  static_assert(kAnswerNames.size() == kAnswerKinds);
+  static_assert(kAnswerNames.size() == kCallerAnswerKinds);
   auto& stages = prometheus::BuildHistogram()
                    .Name("oriolevane_stage_seconds")
                    .Help("time that each stage took")
@@ -36,7 +37,7 @@
                     .Name("oriolevane_answers_total")
                     .Help("answers to callers of this node, by kind")
                     .Register(mRegistry);
-  for (std::size_t kind = 0; kind < kAnswerKinds; ++kind) {
+  for (std::size_t kind = 0; kind < kCallerAnswerKinds; ++kind) {
     mAnswers[kind] = &answers.Add({ { "kind", kAnswerNames[kind] } });
   }
   mOwnerships = &prometheus::BuildCounter()
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -76,11 +76,16 @@
           [this](Duration aTime) {
             mHooks.mOnStageTime(Stage::Record, aTime);
           } })
-  , mRequestHandler(
-      aFormats,
-      mScheduler,
-      mJournal,
-      { .mNow = [] { return Now(); }, .mOnWork = [this] { ScheduleTick(); } })
+  , mRequestHandler(aFormats,
+                    mScheduler,
+                    mJournal,
+                    { .mNow = [] { return Now(); },
+                      .mAuthorize =
+                        [this](const CallerRequest& aRequest,
+                               const AuthorizationTarget& aTarget) {
+                          return mHooks.mAuthorize(aRequest, aTarget);
+                        },
+                      .mOnWork = [this] { ScheduleTick(); } })
   , mWorkerWatch(aLoop,
                  aStore,
                  { .mTable = aFormats.mWorkerTable,
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -33,6 +33,10 @@
   std::function<void()> mOnReleased;
   // Reports the duration of one of the owner's operations.
   std::function<void(Stage, Duration)> mOnStageTime;
+  // Decides whether a request may be carried out, at the time of the call.
+  std::function<CallerAuthorization(const CallerRequest&,
+                                    const AuthorizationTarget&)>
+    mAuthorize;
   // Sends a query to a node, which passes it to the policy service.
   std::function<void(const NodeId&, QueryId, const jobs::AdviceQuery&)>
     mSendAdviceQuery;
--- a/src/cellnode/internal/peermessages.cpp
+++ b/src/cellnode/internal/peermessages.cpp
@@ -1,9 +1,24 @@
 #include "cellnode/internal/peermessages.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace oriolevane::cellnode {
 
+namespace {
+
+// Returns nothing for a number above that of the enum's last value.
+template<typename Enum>
+std::optional<Enum>
+FromNumber(std::uint8_t aNumber, Enum aLast)
+{
+  return aNumber <= static_cast<std::uint8_t>(aLast)
+           ? std::optional(static_cast<Enum>(aNumber))
+           : std::nullopt;
+}
+
+} // namespace
+
 std::uint32_t
 ToWireMillis(Duration aTime)
 {
@@ -23,17 +38,29 @@
   call.path = aRequest.mPath;
   call.body = aRequest.mBody;
   call.configuration = aRequest.mVersion.mValue;
+  call.credential = static_cast<std::uint8_t>(aRequest.mCredential);
+  call.key = aRequest.mKey;
+  call.configuration_fresh = aRequest.mConfigurationFresh;
   return call;
 }
 
-CallerRequest
+absl::StatusOr<CallerRequest>
 FromWire(const cellwire::CallerRequestT& aCall)
 {
-  return { .mVerb = static_cast<CallerVerb>(aCall.verb),
-           .mHost = aCall.host,
-           .mPath = aCall.path,
-           .mBody = aCall.body,
-           .mVersion = ConfigurationVersion(aCall.configuration) };
+  const auto verb = FromNumber(aCall.verb, CallerVerb::Cancel);
+  const auto credential =
+    FromNumber(aCall.credential, CredentialKind::Repeated);
+  if (!verb.has_value() || !credential.has_value()) {
+    return absl::InvalidArgumentError("caller request with unknown values");
+  }
+  return CallerRequest{ .mVerb = *verb,
+                        .mHost = aCall.host,
+                        .mPath = aCall.path,
+                        .mBody = aCall.body,
+                        .mVersion = ConfigurationVersion(aCall.configuration),
+                        .mCredential = *credential,
+                        .mKey = aCall.key,
+                        .mConfigurationFresh = aCall.configuration_fresh };
 }
 
 cellwire::CallerAnswerT
@@ -46,17 +73,43 @@
   answer.count = aAnswer.mCount;
   answer.retry_after_ms = ToWireMillis(aAnswer.mRetryAfter);
   answer.message = aAnswer.mMessage;
+  answer.configuration = aAnswer.mVersion.mValue;
   return answer;
 }
 
-CallerAnswer
+absl::StatusOr<CallerAnswer>
 FromWire(const cellwire::CallerAnswerT& aAnswer)
 {
-  return { .mKind = static_cast<CallerAnswerKind>(aAnswer.kind),
-           .mState = static_cast<jobs::JobState>(aAnswer.state),
-           .mCount = aAnswer.count,
-           .mRetryAfter = std::chrono::milliseconds(aAnswer.retry_after_ms),
-           .mMessage = aAnswer.message };
+  const auto kind = FromNumber(aAnswer.kind, CallerAnswerKind::RateLimited);
+  const auto state = FromNumber(aAnswer.state, jobs::JobState::Cancelled);
+  if (!kind.has_value() || !state.has_value()) {
+    return absl::InvalidArgumentError("caller answer with unknown values");
+  }
+  return CallerAnswer{ .mKind = *kind,
+                       .mState = *state,
+                       .mCount = aAnswer.count,
+                       .mRetryAfter =
+                         std::chrono::milliseconds(aAnswer.retry_after_ms),
+                       .mMessage = aAnswer.message,
+                       .mVersion =
+                         ConfigurationVersion(aAnswer.configuration) };
+}
+
+CallerAnswer
+ForNodeWithoutKeys(CallerAnswer aAnswer)
+{
+  switch (aAnswer.mKind) {
+    case CallerAnswerKind::Unauthorized:
+    case CallerAnswerKind::Forbidden:
+      aAnswer.mKind = CallerAnswerKind::Malformed;
+      break;
+    case CallerAnswerKind::RateLimited:
+      aAnswer.mKind = CallerAnswerKind::Refused;
+      break;
+    default:
+      break;
+  }
+  return aAnswer;
 }
 
 cellwire::AdviceQueryT
--- a/src/cellnode/internal/peermessages.h
+++ b/src/cellnode/internal/peermessages.h
@@ -1,6 +1,7 @@
 // Converts values of the node to messages between nodes, and back.
 #pragma once
 
+#include "absl/status/statusor.h"
 #include "cellnode/internal/peercodec.h"
 #include "cellnode/types/caller.h"
 #include "framework/types/timepoint.h"
@@ -14,13 +15,19 @@
 
 cellwire::CallerRequestT
 ToWire(std::uint64_t aId, const CallerRequest& aRequest);
-CallerRequest
+// Returns InvalidArgument when a value is out of range, like the conversion of
+// an answer.
+absl::StatusOr<CallerRequest>
 FromWire(const cellwire::CallerRequestT& aCall);
 
 cellwire::CallerAnswerT
 ToWire(std::uint64_t aId, const CallerAnswer& aAnswer);
-CallerAnswer
+absl::StatusOr<CallerAnswer>
 FromWire(const cellwire::CallerAnswerT& aAnswer);
+// Replaces an answer to a node that does not forward keys by one of a kind that
+// such a node knows.
+CallerAnswer
+ForNodeWithoutKeys(CallerAnswer aAnswer);
 
 cellwire::AdviceQueryT
 ToWire(std::uint64_t aId, const jobs::AdviceQuery& aQuery);
--- a/src/cellnode/internal/tablewatch.cpp
+++ b/src/cellnode/internal/tablewatch.cpp
@@ -11,7 +11,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::chrono::milliseconds kReadTimeout = 800ms;
 // A busy node needs several passes of its event loop for one page. The timeout
 // of a page therefore doubles with each failure, up to this time.
 constexpr std::chrono::milliseconds kMaxReadTimeout = 3200ms;
@@ -47,7 +46,7 @@
   mSynchronized = false;
   mSeenInRead.clear();
   mReadVersion = {};
-  mReadTimeout = kReadTimeout;
+  mReadTimeout = mOptions.mAnswerTimeout;
   ReadFrom("");
 }
 
@@ -66,7 +65,8 @@
   mStore.mRead(
     { .mTable = mOptions.mTable, .mPart = mOptions.mPart, .mFrom = aName },
     mReadTimeout,
-    [this, alive = mAlive](const absl::StatusOr<RowPage>& aPage) {
+    [this, alive = mAlive, sentAt = BootClock::now()](
+      const absl::StatusOr<RowPage>& aPage) {
       if (!*alive) {
         return;
       }
@@ -78,6 +78,9 @@
         RetryWithLongerTimeout();
         return;
       }
+      if (mNextName.empty()) {
+        mReadSentAt = sentAt;
+      }
       OnPage(*aPage);
     });
 }
@@ -98,11 +101,24 @@
       mHooks.mOnRow(row);
     }
   }
-  mReadTimeout = kReadTimeout;
+  mReadTimeout = mOptions.mAnswerTimeout;
   if (aPage.mHasMore && !aPage.mRows.empty()) {
     ReadFrom(aPage.mRows.back().mKey.mName + '\x01');
     return;
   }
+  RemoveRowsNotSeenInRead();
+  mVersion = mReadVersion;
+  mSynchronized = true;
+  if (mHooks.mOnSynchronized) {
+    mHooks.mOnSynchronized();
+  }
+  ReportUpToDate(mReadSentAt);
+  mTimer->StartAfter(mOptions.mPauseBetweenCalls);
+}
+
+void
+TableWatch::RemoveRowsNotSeenInRead()
+{
   for (auto entry = mKnownVersions.begin(); entry != mKnownVersions.end();) {
     if (mSeenInRead.contains(entry->first)) {
       ++entry;
@@ -112,12 +128,14 @@
     entry = mKnownVersions.erase(entry);
     mHooks.mOnRemoved(name);
   }
-  mVersion = mReadVersion;
-  mSynchronized = true;
-  if (mHooks.mOnSynchronized) {
-    mHooks.mOnSynchronized();
+}
+
+void
+TableWatch::ReportUpToDate(BootTimePoint aTime)
+{
+  if (mHooks.mOnUpToDate) {
+    mHooks.mOnUpToDate(aTime);
   }
-  mTimer->StartAfter(mOptions.mPauseBetweenCalls);
 }
 
 void
@@ -126,18 +144,20 @@
   // Changes may have been missed by a call that failed, so the next one does
   // not wait for further ones.
   const std::chrono::milliseconds wait =
-    mReadTimeout == kReadTimeout ? mOptions.mWait : 0ms;
+    mReadTimeout == mOptions.mAnswerTimeout ? mOptions.mWait : 0ms;
   mStore.mFeed({ .mTable = mOptions.mTable, .mAfter = mVersion, .mWait = wait },
                wait + mReadTimeout,
-               [this, alive = mAlive](const absl::StatusOr<RowPage>& aPage) {
+               [this, alive = mAlive, sentAt = BootClock::now()](
+                 const absl::StatusOr<RowPage>& aPage) {
                  if (*alive) {
-                   OnChanges(aPage);
+                   OnChanges(aPage, sentAt);
                  }
                });
 }
 
 void
-TableWatch::OnChanges(const absl::StatusOr<RowPage>& aPage)
+TableWatch::OnChanges(const absl::StatusOr<RowPage>& aPage,
+                      BootTimePoint aSentAt)
 {
   if (!aPage.ok()) {
     LogInfo("table_feed_failed")
@@ -151,7 +171,7 @@
     }
     return;
   }
-  mReadTimeout = kReadTimeout;
+  mReadTimeout = mOptions.mAnswerTimeout;
   mVersion = std::max(mVersion, aPage->mVersion);
   for (const Row& row : aPage->mRows) {
     if (row.mKey.mPart != mOptions.mPart) {
@@ -166,6 +186,10 @@
     mKnownVersions[row.mKey.mName] = row.mVersion;
     mHooks.mOnRow(row);
   }
+  // A page that was cut short does not show what comes after it.
+  if (!aPage->mHasMore) {
+    ReportUpToDate(aSentAt);
+  }
   mTimer->StartAfter(mOptions.mPauseBetweenCalls);
 }
 
--- a/src/cellnode/internal/tablewatch.h
+++ b/src/cellnode/internal/tablewatch.h
@@ -10,6 +10,7 @@
 
 #include "cellnode/types/rows.h"
 #include "eventloop/eventloop.h"
+#include "framework/types/boottime.h"
 
 namespace oriolevane::cellnode {
 
@@ -22,6 +23,9 @@
   std::chrono::milliseconds mWait{ 2000 };
   // The pause between feed calls, which collects changes.
   std::chrono::milliseconds mPauseBetweenCalls{ 0 };
+  // The time for the answer of a call, in addition to its wait. It doubles with
+  // each failure, up to a maximum.
+  std::chrono::milliseconds mAnswerTimeout{ 800 };
 };
 
 struct TableWatchHooks
@@ -31,6 +35,9 @@
   std::function<void(const std::string& aName)> mOnRemoved;
   // Called when a full read is complete.
   std::function<void()> mOnSynchronized;
+  // Called when all changes up to aTime have been reported: the time at which
+  // the call was sent whose answer proves it.
+  std::function<void(BootTimePoint aTime)> mOnUpToDate;
 };
 
 class TableWatch
@@ -50,8 +57,10 @@
 private:
   void ReadFrom(const std::string& aName);
   void OnPage(const RowPage& aPage);
+  void RemoveRowsNotSeenInRead();
   void ReadFeed();
-  void OnChanges(const absl::StatusOr<RowPage>& aPage);
+  void OnChanges(const absl::StatusOr<RowPage>& aPage, BootTimePoint aSentAt);
+  void ReportUpToDate(BootTimePoint aTime);
   // Repeats the call that failed after a pause, with twice the time for its
   // answer.
   void RetryWithLongerTimeout();
@@ -68,6 +77,8 @@
   std::chrono::milliseconds mReadTimeout{ 0 };
   // The store version at the start of the current full read.
   RowVersion mReadVersion;
+  // When the call for the first page of the current full read was sent.
+  BootTimePoint mReadSentAt;
   std::map<std::string, RowVersion> mSeenInRead;
   std::map<std::string, RowVersion> mKnownVersions;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
--- a/src/cellnode/nodemetrics.h
+++ b/src/cellnode/nodemetrics.h
@@ -45,12 +45,10 @@
 
 private:
   static constexpr std::size_t kStages = static_cast<std::size_t>(Stage::Count);
-  static constexpr std::size_t kAnswerKinds =
-    static_cast<std::size_t>(CallerAnswerKind::Undetermined) + 1;
 
   prometheus::Registry mRegistry;
   std::array<prometheus::Histogram*, kStages> mStages{};
-  std::array<prometheus::Counter*, kAnswerKinds> mAnswers{};
+  std::array<prometheus::Counter*, kCallerAnswerKinds> mAnswers{};
   prometheus::Counter* mOwnerships = nullptr;
 };
 
--- a/src/cellnode/schema/cellpeer_generated.h
+++ b/src/cellnode/schema/cellpeer_generated.h
@@ -635,6 +635,9 @@
   std::string path{};
   std::string body{};
   uint64_t configuration = 0;
+  uint8_t credential = 0;
+  std::string key{};
+  bool configuration_fresh = false;
 };
 
 struct CallerRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -646,7 +649,10 @@
     VT_HOST = 8,
     VT_PATH = 10,
     VT_BODY = 12,
-    VT_CONFIGURATION = 14
+    VT_CONFIGURATION = 14,
+    VT_CREDENTIAL = 16,
+    VT_KEY = 18,
+    VT_CONFIGURATION_FRESH = 20
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -666,6 +672,15 @@
   uint64_t configuration() const {
     return GetField<uint64_t>(VT_CONFIGURATION, 0);
   }
+  uint8_t credential() const {
+    return GetField<uint8_t>(VT_CREDENTIAL, 0);
+  }
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  bool configuration_fresh() const {
+    return GetField<uint8_t>(VT_CONFIGURATION_FRESH, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -677,6 +692,10 @@
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyString(body()) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_CREDENTIAL, 1) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyField<uint8_t>(verifier, VT_CONFIGURATION_FRESH, 1) &&
            verifier.EndTable();
   }
   CallerRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -706,6 +725,15 @@
   void add_configuration(uint64_t configuration) {
     fbb_.AddElement<uint64_t>(CallerRequest::VT_CONFIGURATION, configuration, 0);
   }
+  void add_credential(uint8_t credential) {
+    fbb_.AddElement<uint8_t>(CallerRequest::VT_CREDENTIAL, credential, 0);
+  }
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(CallerRequest::VT_KEY, key);
+  }
+  void add_configuration_fresh(bool configuration_fresh) {
+    fbb_.AddElement<uint8_t>(CallerRequest::VT_CONFIGURATION_FRESH, static_cast<uint8_t>(configuration_fresh), 0);
+  }
   explicit CallerRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -724,13 +752,19 @@
     flatbuffers::Offset<flatbuffers::String> host = 0,
     flatbuffers::Offset<flatbuffers::String> path = 0,
     flatbuffers::Offset<flatbuffers::String> body = 0,
-    uint64_t configuration = 0) {
+    uint64_t configuration = 0,
+    uint8_t credential = 0,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    bool configuration_fresh = false) {
   CallerRequestBuilder builder_(_fbb);
   builder_.add_configuration(configuration);
   builder_.add_id(id);
+  builder_.add_key(key);
   builder_.add_body(body);
   builder_.add_path(path);
   builder_.add_host(host);
+  builder_.add_configuration_fresh(configuration_fresh);
+  builder_.add_credential(credential);
   builder_.add_verb(verb);
   return builder_.Finish();
 }
@@ -742,10 +776,14 @@
     const char *host = nullptr,
     const char *path = nullptr,
     const char *body = nullptr,
-    uint64_t configuration = 0) {
+    uint64_t configuration = 0,
+    uint8_t credential = 0,
+    const char *key = nullptr,
+    bool configuration_fresh = false) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto path__ = path ? _fbb.CreateString(path) : 0;
   auto body__ = body ? _fbb.CreateString(body) : 0;
+  auto key__ = key ? _fbb.CreateString(key) : 0;
   return oriolevane::cellwire::CreateCallerRequest(
       _fbb,
       id,
@@ -753,7 +791,10 @@
       host__,
       path__,
       body__,
-      configuration);
+      configuration,
+      credential,
+      key__,
+      configuration_fresh);
 }
 
 flatbuffers::Offset<CallerRequest> CreateCallerRequest(flatbuffers::FlatBufferBuilder &_fbb, const CallerRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -766,6 +807,7 @@
   uint64_t count = 0;
   uint32_t retry_after_ms = 0;
   std::string message{};
+  uint64_t configuration = 0;
 };
 
 struct CallerAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -777,7 +819,8 @@
     VT_STATE = 8,
     VT_COUNT = 10,
     VT_RETRY_AFTER_MS = 12,
-    VT_MESSAGE = 14
+    VT_MESSAGE = 14,
+    VT_CONFIGURATION = 16
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -797,6 +840,9 @@
   const flatbuffers::String *message() const {
     return GetPointer<const flatbuffers::String *>(VT_MESSAGE);
   }
+  uint64_t configuration() const {
+    return GetField<uint64_t>(VT_CONFIGURATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -806,6 +852,7 @@
            VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
            VerifyOffset(verifier, VT_MESSAGE) &&
            verifier.VerifyString(message()) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION, 8) &&
            verifier.EndTable();
   }
   CallerAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -835,6 +882,9 @@
   void add_message(flatbuffers::Offset<flatbuffers::String> message) {
     fbb_.AddOffset(CallerAnswer::VT_MESSAGE, message);
   }
+  void add_configuration(uint64_t configuration) {
+    fbb_.AddElement<uint64_t>(CallerAnswer::VT_CONFIGURATION, configuration, 0);
+  }
   explicit CallerAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -853,8 +903,10 @@
     uint8_t state = 0,
     uint64_t count = 0,
     uint32_t retry_after_ms = 0,
-    flatbuffers::Offset<flatbuffers::String> message = 0) {
+    flatbuffers::Offset<flatbuffers::String> message = 0,
+    uint64_t configuration = 0) {
   CallerAnswerBuilder builder_(_fbb);
+  builder_.add_configuration(configuration);
   builder_.add_count(count);
   builder_.add_id(id);
   builder_.add_message(message);
@@ -871,7 +923,8 @@
     uint8_t state = 0,
     uint64_t count = 0,
     uint32_t retry_after_ms = 0,
-    const char *message = nullptr) {
+    const char *message = nullptr,
+    uint64_t configuration = 0) {
   auto message__ = message ? _fbb.CreateString(message) : 0;
   return oriolevane::cellwire::CreateCallerAnswer(
       _fbb,
@@ -880,7 +933,8 @@
       state,
       count,
       retry_after_ms,
-      message__);
+      message__,
+      configuration);
 }
 
 flatbuffers::Offset<CallerAnswer> CreateCallerAnswer(flatbuffers::FlatBufferBuilder &_fbb, const CallerAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2702,6 +2756,9 @@
   { auto _e = path(); if (_e) _o->path = _e->str(); }
   { auto _e = body(); if (_e) _o->body = _e->str(); }
   { auto _e = configuration(); _o->configuration = _e; }
+  { auto _e = credential(); _o->credential = _e; }
+  { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = configuration_fresh(); _o->configuration_fresh = _e; }
 }
 
 inline flatbuffers::Offset<CallerRequest> CallerRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallerRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2718,6 +2775,9 @@
   auto _path = _o->path.empty() ? 0 : _fbb.CreateString(_o->path);
   auto _body = _o->body.empty() ? 0 : _fbb.CreateString(_o->body);
   auto _configuration = _o->configuration;
+  auto _credential = _o->credential;
+  auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
+  auto _configuration_fresh = _o->configuration_fresh;
   return oriolevane::cellwire::CreateCallerRequest(
       _fbb,
       _id,
@@ -2725,7 +2785,10 @@
       _host,
       _path,
       _body,
-      _configuration);
+      _configuration,
+      _credential,
+      _key,
+      _configuration_fresh);
 }
 
 inline CallerAnswerT *CallerAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2743,6 +2806,7 @@
   { auto _e = count(); _o->count = _e; }
   { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
   { auto _e = message(); if (_e) _o->message = _e->str(); }
+  { auto _e = configuration(); _o->configuration = _e; }
 }
 
 inline flatbuffers::Offset<CallerAnswer> CallerAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallerAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2759,6 +2823,7 @@
   auto _count = _o->count;
   auto _retry_after_ms = _o->retry_after_ms;
   auto _message = _o->message.empty() ? 0 : _fbb.CreateString(_o->message);
+  auto _configuration = _o->configuration;
   return oriolevane::cellwire::CreateCallerAnswer(
       _fbb,
       _id,
@@ -2766,7 +2831,8 @@
       _state,
       _count,
       _retry_after_ms,
-      _message);
+      _message,
+      _configuration);
 }
 
 inline AdviceQueryT *AdviceQuery::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/cellnode/tests/callerrequesthandler_test.cpp
+++ b/src/cellnode/tests/callerrequesthandler_test.cpp
@@ -26,6 +26,7 @@
   ExternalFormats mFormats;
   jobs::CellScheduler mScheduler;
   CellJournal mJournal;
+  CallerAuthorizer mAuthorizer{ {} };
   CallerRequestHandler mHandler;
   std::vector<CallerAnswer> mAnswers;
 
@@ -58,6 +59,12 @@
         mScheduler,
         mJournal,
         { .mNow = [] { return jobs::Moment{ .mSteady = TimePoint(1000s) }; },
+          .mAuthorize =
+            [this](const CallerRequest& aRequest,
+                   const AuthorizationTarget& aTarget) {
+              return mAuthorizer.Authorize(
+                aRequest, aTarget, BootTimePoint(1s));
+            },
           .mOnWork = [] {} })
   {
     mScheduler.Configure({ .mVersion = ConfigurationVersion(1),
@@ -66,6 +73,42 @@
                                           .mPathPrefix = "/q/" } } });
   }
 
+  // Adds teams "a" and "b", each with its name as key, and a public queue.
+  void RequireKeys()
+  {
+    jobs::CellConfiguration configuration = mScheduler.Configuration();
+    configuration.mTeams = { { .mName = TeamId("a"), .mKeys = { "a" } },
+                             { .mName = TeamId("b"), .mKeys = { "b" } } };
+    configuration.mQueues.push_back({ .mName = jobs::QueueName("p"),
+                                      .mHost = "cell.example",
+                                      .mPathPrefix = "/p/",
+                                      .mPublic = true });
+    Configure(configuration);
+  }
+  void Configure(const jobs::CellConfiguration& aConfiguration)
+  {
+    mScheduler.Configure(aConfiguration);
+    mAuthorizer.Configure(aConfiguration);
+  }
+  // Returns the kind of the answer, or nothing while a change is being stored.
+  // An empty key sends none.
+  std::optional<CallerAnswerKind> Call(CallerVerb aVerb,
+                                       const std::string& aPath,
+                                       const std::string& aKey)
+  {
+    const CallerRequest request{ .mVerb = aVerb,
+                                 .mHost = "cell.example",
+                                 .mPath = aPath,
+                                 .mCredential = aKey.empty()
+                                                  ? CredentialKind::Absent
+                                                  : CredentialKind::Key,
+                                 .mKey = aKey };
+    std::optional<CallerAnswerKind> kind;
+    mHandler.Serve(
+      request, [&kind](const CallerAnswer& aAnswer) { kind = aAnswer.mKind; });
+    return kind;
+  }
+
   void Submit(const std::string& aJob)
   {
     mHandler.Serve(Submission(aJob), [this](const CallerAnswer& aAnswer) {
@@ -74,11 +117,142 @@
   }
 };
 
+void
+DescribeOrderOfChecks(Section& aRoot)
+{
+  aRoot.Describe("with teams", [](Section& aSection) {
+    aSection.It("answers 404 before it looks at the key", [] {
+      Fixture fixture;
+      fixture.RequireKeys();
+      for (const char* path : { "/none/", "/none/x", "/none" }) {
+        CPPUNIT_ASSERT(fixture.Call(CallerVerb::Query, path, "") ==
+                       CallerAnswerKind::UnknownQueue);
+      }
+      CPPUNIT_ASSERT(fixture.Call(CallerVerb::Submit,
+                                  "/none/" + kFirstJob,
+                                  "x") == CallerAnswerKind::UnknownQueue);
+    });
+    aSection.It("needs a key before it looks at the rest of the request", [] {
+      Fixture fixture;
+      fixture.RequireKeys();
+      for (const CallerVerb verb :
+           { CallerVerb::Submit, CallerVerb::Query, CallerVerb::Cancel }) {
+        for (const std::string path :
+             { "/q/", "/q/x", "/q/00000000000000a1" }) {
+          CPPUNIT_ASSERT(fixture.Call(verb, path, "") ==
+                         CallerAnswerKind::Unauthorized);
+          CPPUNIT_ASSERT(fixture.Call(verb, path, "c") ==
+                         CallerAnswerKind::Unauthorized);
+        }
+      }
+      CPPUNIT_ASSERT(!fixture.mScheduler.Records().HasWaiting());
+    });
+    aSection.It("serves every team's keys, and public queues without one", [] {
+      Fixture fixture;
+      fixture.RequireKeys();
+      CPPUNIT_ASSERT(fixture.Call(CallerVerb::Query, "/q/", "b") ==
+                     CallerAnswerKind::Count);
+      CPPUNIT_ASSERT(fixture.Call(CallerVerb::Query, "/p/", "") ==
+                     CallerAnswerKind::Count);
+      CPPUNIT_ASSERT(fixture.Call(CallerVerb::Query, "/q/" + kFirstJob, "b") ==
+                     CallerAnswerKind::UnknownJob);
+    });
+  });
+}
+
+void
+DescribeJobsOfTeams(Section& aRoot)
+{
+  aRoot.Describe("a job of a team", [](Section& aSection) {
+    aSection.It("belongs to the team of the key", [] {
+      Fixture fixture;
+      fixture.RequireKeys();
+      fixture.Call(CallerVerb::Submit, "/q/" + kFirstJob, "a");
+      CPPUNIT_ASSERT(fixture.mScheduler.Find(jobs::JobId(kFirstJob))->mTeam ==
+                     TeamId("a"));
+      CPPUNIT_ASSERT(fixture.Call(CallerVerb::Query, "/q/" + kFirstJob, "a") ==
+                     CallerAnswerKind::State);
+    });
+    aSection.It("is hidden from other teams, also through public queues", [] {
+      Fixture fixture;
+      fixture.RequireKeys();
+      fixture.Call(CallerVerb::Submit, "/q/" + kFirstJob, "a");
+      for (const CallerVerb verb : { CallerVerb::Query, CallerVerb::Cancel }) {
+        CPPUNIT_ASSERT(fixture.Call(verb, "/q/" + kFirstJob, "b") ==
+                       CallerAnswerKind::UnknownJob);
+        CPPUNIT_ASSERT(fixture.Call(verb, "/p/" + kFirstJob, "") ==
+                       CallerAnswerKind::UnknownJob);
+      }
+      CPPUNIT_ASSERT(fixture.Call(CallerVerb::Submit, "/q/" + kFirstJob, "b") ==
+                     CallerAnswerKind::Forbidden);
+      CPPUNIT_ASSERT(fixture.Call(CallerVerb::Query, "/q/" + kFirstJob, "a") ==
+                     CallerAnswerKind::State);
+    });
+    aSection.It("stays accessible to its team after its queue was removed", [] {
+      Fixture fixture;
+      fixture.RequireKeys();
+      fixture.Call(CallerVerb::Submit, "/q/" + kFirstJob, "a");
+      jobs::CellConfiguration configuration =
+        fixture.mScheduler.Configuration();
+      configuration.mQueues.clear();
+      fixture.Configure(configuration);
+      const std::string path = "/q/" + kFirstJob;
+      CPPUNIT_ASSERT(fixture.Call(CallerVerb::Query, path, "a") ==
+                     CallerAnswerKind::State);
+      CPPUNIT_ASSERT(fixture.Call(CallerVerb::Query, path, "b") ==
+                     CallerAnswerKind::UnknownJob);
+      CPPUNIT_ASSERT(fixture.Call(CallerVerb::Query, path, "") ==
+                     CallerAnswerKind::Unauthorized);
+    });
+    aSection.It("is accessible to everyone when there are no teams", [] {
+      Fixture fixture;
+      fixture.RequireKeys();
+      fixture.Call(CallerVerb::Submit, "/q/" + kFirstJob, "a");
+      jobs::CellConfiguration configuration =
+        fixture.mScheduler.Configuration();
+      configuration.mTeams.reset();
+      fixture.Configure(configuration);
+      CPPUNIT_ASSERT(fixture.Call(CallerVerb::Query, "/q/" + kFirstJob, "") ==
+                     CallerAnswerKind::State);
+    });
+  });
+  aRoot.Describe("a job of a public queue", [](Section& aSection) {
+    aSection.It("is accessible with and without a key", [] {
+      Fixture fixture;
+      fixture.RequireKeys();
+      fixture.Call(CallerVerb::Submit, "/p/" + kFirstJob, "");
+      for (const char* key : { "", "a" }) {
+        CPPUNIT_ASSERT(fixture.Call(CallerVerb::Query,
+                                    "/p/" + kFirstJob,
+                                    key) == CallerAnswerKind::State);
+      }
+    });
+  });
+  // The key must be judged when the request is served, as it may have waited.
+  aRoot.It("a key that was withdrawn gets no answer about its team's job", [] {
+    Fixture fixture;
+    fixture.RequireKeys();
+    fixture.Call(CallerVerb::Submit, "/q/" + kFirstJob, "a");
+    jobs::CellConfiguration configuration = fixture.mScheduler.Configuration();
+    configuration.mTeams->front().mKeys = { "new" };
+    fixture.Configure(configuration);
+    for (const CallerVerb verb :
+         { CallerVerb::Submit, CallerVerb::Query, CallerVerb::Cancel }) {
+      CPPUNIT_ASSERT(fixture.Call(verb, "/q/" + kFirstJob, "a") ==
+                     CallerAnswerKind::Unauthorized);
+    }
+    CPPUNIT_ASSERT(fixture.Call(CallerVerb::Query, "/q/" + kFirstJob, "new") ==
+                   CallerAnswerKind::State);
+  });
+}
+
 } // namespace
 
 void
 CallerRequestHandlerTests(Section& aRoot)
 {
+  DescribeOrderOfChecks(aRoot);
+  DescribeJobsOfTeams(aRoot);
   aRoot.Describe("while the owner is overloaded", [](Section& aSection) {
     aSection.It("refuses a new job at once, and says when to come back", [] {
       Fixture fixture;
--- a/src/cellnode/tests/metricstext_test.cpp
+++ b/src/cellnode/tests/metricstext_test.cpp
@@ -16,12 +16,14 @@
       "show its epoch, its open jobs and the age of its last write", [] {
         const std::string text = MetricsText({ .mOwnsShard = true,
                                                .mEpoch = Epoch(7),
+                                               .mConfigurationAge = 250ms,
                                                .mCounts = { .mOpenJobs = 3 },
                                                .mStoreAge = 1500ms },
                                              NodeMetrics());
         for (const char* line : { "oriolevane_owns_shard 1",
                                   "oriolevane_epoch 7",
                                   "oriolevane_open_jobs 3",
+                                  "oriolevane_configuration_age_seconds 0.25",
                                   "oriolevane_store_age_seconds 1.5" }) {
           CPPUNIT_ASSERT(text.find(line) != std::string::npos);
         }
@@ -31,6 +33,7 @@
     aSection.It("count answers by kind and times by stage", [] {
       NodeMetrics metrics;
       metrics.CountAnswer(CallerAnswerKind::Refused);
+      metrics.CountAnswer(CallerAnswerKind::RateLimited);
       metrics.CountOwnership();
       metrics.Observe(Stage::Record, 14ms);
       metrics.Observe(Stage::Job, 60s);
@@ -38,6 +41,7 @@
       for (const char* line :
            { "oriolevane_answers_total{kind=\"refused\"} 1",
              "oriolevane_answers_total{kind=\"accepted\"} 0",
+             "oriolevane_answers_total{kind=\"rate_limited\"} 1",
              "oriolevane_ownerships_total 1",
              "oriolevane_stage_seconds_bucket{stage=\"record\",le=\"0.005\"} 0",
              "oriolevane_stage_seconds_bucket{stage=\"record\",le=\"0.02\"} 1",
--- a/src/cellnode/tests/tablewatch_test.cpp
+++ b/src/cellnode/tests/tablewatch_test.cpp
@@ -35,6 +35,11 @@
   // Feed calls that have no answer before one is answered.
   int mLostFeeds = 0;
   std::vector<std::string> mReported;
+  // When each call was received, and up to when all changes were reported.
+  std::vector<BootTimePoint> mCalledAt;
+  std::vector<BootTimePoint> mUpToDate;
+  // The feed call that is answered is cut short.
+  bool mFeedHasMore = false;
   RowStoreHooks mStore;
 
   Fixture()
@@ -42,11 +47,13 @@
     mStore.mRead =
       [this](const RowQuery& aQuery, Duration aTimeout, const auto& aDone) {
         mReads.push_back({ aQuery.mFrom, aTimeout });
+        mCalledAt.push_back(BootClock::now());
         aDone(PageFrom(aQuery.mFrom));
       };
     mStore.mFeed =
       [this](const FeedQuery& aQuery, Duration aTimeout, const auto& aDone) {
         mFeeds.push_back({ aQuery.mWait, aTimeout });
+        mCalledAt.push_back(BootClock::now());
         AnswerFeed(aDone);
       };
   }
@@ -70,7 +77,7 @@
     if (mLostFeeds-- > 0) {
       aDone(absl::DeadlineExceededError("no response in time"));
     } else if (mLostFeeds == -1) {
-      aDone(RowPage{});
+      aDone(RowPage{ .mHasMore = mFeedHasMore });
     } else {
       mLoop.Stop();
     }
@@ -79,12 +86,15 @@
   // one that is answered.
   void Follow()
   {
-    TableWatch watch(mLoop,
-                     mStore,
-                     { .mTable = "workers", .mPart = "" },
-                     { .mOnRow = [](const Row&) {},
-                       .mOnRemoved = [](const std::string&) {},
-                       .mOnSynchronized = {} });
+    TableWatch watch(
+      mLoop,
+      mStore,
+      { .mTable = "workers", .mPart = "" },
+      { .mOnRow = [](const Row&) {},
+        .mOnRemoved = [](const std::string&) {},
+        .mOnSynchronized = {},
+        .mOnUpToDate =
+          [this](BootTimePoint aTime) { mUpToDate.push_back(aTime); } });
     mLoop.Post([&watch] { watch.Start(); });
     mLoop.Run();
   }
@@ -104,11 +114,42 @@
   }
 };
 
+void
+DescribeProofs(Section& aRoot)
+{
+  aRoot.Describe("what is known to be up to date", [](Section& aSection) {
+    // A later time would be a proof for changes that the answer does not show.
+    aSection.It("counts from the first page of a full read", [] {
+      Fixture fixture;
+      fixture.mLostAnswers = 1;
+      fixture.Follow();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, fixture.mReads.size());
+      CPPUNIT_ASSERT(fixture.mUpToDate.at(0) <= fixture.mCalledAt[0]);
+    });
+    aSection.It("counts from the feed call that was answered", [] {
+      Fixture fixture;
+      fixture.mLostFeeds = 1;
+      fixture.Follow();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.mUpToDate.size());
+      // Three reads, then a feed call that is lost and one that is answered.
+      CPPUNIT_ASSERT(fixture.mUpToDate[1] > fixture.mCalledAt[3]);
+      CPPUNIT_ASSERT(fixture.mUpToDate[1] <= fixture.mCalledAt[4]);
+    });
+    aSection.It("is not shown by changes that were cut short", [] {
+      Fixture fixture;
+      fixture.mFeedHasMore = true;
+      fixture.Follow();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mUpToDate.size());
+    });
+  });
+}
+
 } // namespace
 
 void
 TableWatchTests(Section& aRoot)
 {
+  DescribeProofs(aRoot);
   aRoot.Describe("a feed call without an answer", [](Section& aSection) {
     aSection.It("is followed by one that does not wait for changes", [] {
       Fixture fixture;
--- a/src/cellnode/tests/testgroups.h
+++ b/src/cellnode/tests/testgroups.h
@@ -12,6 +12,12 @@
 void
 CallerRequestHandlerTests(testing::Section& aRoot);
 void
+CallerAuthorizerTests(testing::Section& aRoot);
+void
+ConfigurationTrackerTests(testing::Section& aRoot);
+void
+PeerMessagesTests(testing::Section& aRoot);
+void
 LoopLagMonitorTests(testing::Section& aRoot);
 void
 YieldPolicyTests(testing::Section& aRoot);
--- a/src/cellnode/types/caller.h
+++ b/src/cellnode/types/caller.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -20,6 +21,19 @@
   Cancel
 };
 
+// What a request says of its caller. The values are part of the messages
+// between nodes.
+enum class CredentialKind : std::uint8_t
+{
+  // The request came through a node of a build that does not forward keys.
+  Unknown,
+  Absent,
+  Key,
+  Malformed,
+  // More than one credential.
+  Repeated
+};
+
 struct CallerRequest
 {
   CallerVerb mVerb = CallerVerb::Query;
@@ -29,8 +43,15 @@
   // The newest configuration version known to the node that received the
   // request.
   ConfigurationVersion mVersion;
+  CredentialKind mCredential = CredentialKind::Absent;
+  // The API key; set when mCredential is Key. It must not be logged.
+  std::string mKey;
+  // True when the node that received the request had the configuration mVersion
+  // and knew it to be the newest one after the request had arrived.
+  bool mConfigurationFresh = false;
 };
 
+// The values are part of the messages between nodes, and new ones come last.
 enum class CallerAnswerKind : std::uint8_t
 {
   Accepted,
@@ -45,9 +66,18 @@
   Refused,
   // It is unknown whether the request was carried out. Sending it again is
   // safe.
-  Undetermined
+  Undetermined,
+  // The key is missing or not known.
+  Unauthorized,
+  // The job belongs to another team.
+  Forbidden,
+  // As Refused, because of what the caller's own team has sent.
+  RateLimited
 };
 
+constexpr std::size_t kCallerAnswerKinds =
+  static_cast<std::size_t>(CallerAnswerKind::RateLimited) + 1;
+
 struct CallerAnswer
 {
   CallerAnswerKind mKind = CallerAnswerKind::Undetermined;
@@ -59,6 +89,8 @@
   std::chrono::milliseconds mRetryAfter{ 0 };
   // A human-readable reason.
   std::string mMessage;
+  // The owner's configuration version; 0 when no owner gave the answer.
+  ConfigurationVersion mVersion;
 };
 
 using AnswerCallback = std::function<void(const CallerAnswer&)>;
--- a/src/cellnode/types/nodehooks.h
+++ b/src/cellnode/types/nodehooks.h
@@ -2,7 +2,9 @@
 // services around it.
 #pragma once
 
+#include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -32,6 +34,9 @@
   // The time between the stop signal and the moment when the platform kills the
   // process.
   std::chrono::milliseconds mStopGrace{ 6000 };
+  // The time after which an API key that was withdrawn must have no effect.
+  // Without it, the age of a node's configuration does not matter.
+  std::optional<std::chrono::milliseconds> mKeyWithdrawal;
 };
 
 // Calls to workers and to the policy service. A worker call without an answer
--- a/src/eventloop/internal/httpserver.cpp
+++ b/src/eventloop/internal/httpserver.cpp
@@ -54,6 +54,24 @@
   return host.substr(0, host.find(':'));
 }
 
+void
+ReadExposedHeaders(evhttp_request* aRequest,
+                   const std::vector<std::string>& aNames,
+                   HttpRequest& aResult)
+{
+  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+  for (const evkeyval* header = headers->tqh_first; header != nullptr;
+       header = header->next.tqe_next) {
+    for (const std::string& name : aNames) {
+      const bool matches =
+        evutil_ascii_strcasecmp(header->key, name.c_str()) == 0;
+      if (matches && !aResult.mHeaders.emplace(name, header->value).second) {
+        aResult.mRepeatedHeaders.insert(name);
+      }
+    }
+  }
+}
+
 } // namespace
 
 HttpServer::HttpServer(EventLoop& aLoop,
@@ -156,14 +174,9 @@
                        .mTarget = evhttp_request_get_uri(aRequest),
                        .mHost = HostOf(aRequest),
                        .mHeaders = {},
+                       .mRepeatedHeaders = {},
                        .mBody = BodyOf(aRequest) };
-  for (const std::string& name : mOptions.mExposedHeaders) {
-    const char* value = evhttp_find_header(
-      evhttp_request_get_input_headers(aRequest), name.c_str());
-    if (value != nullptr) {
-      request.mHeaders.emplace(name, value);
-    }
-  }
+  ReadExposedHeaders(aRequest, mOptions.mExposedHeaders, request);
   mHandler(std::move(request), std::move(reply));
 }
 
--- a/src/eventloop/tests/httpexchange_test.cpp
+++ b/src/eventloop/tests/httpexchange_test.cpp
@@ -22,7 +22,9 @@
 HttpServerOptions
 Options()
 {
+  constexpr std::size_t kMaxHeaderBytes = 1280 * 1024;
   return { .mAddress = kAddress,
+           .mMaxHeaderBytes = kMaxHeaderBytes,
            .mMaxBodyBytes = 1000,
            .mExposedHeaders = { "X-Exposed" } };
 }
@@ -87,6 +89,41 @@
   });
 }
 
+void
+TestRepeatedHeader(Section& aRoot)
+{
+  aRoot.Describe("an exposed header", [](Section& aSection) {
+    // Taking one of two values would leave open which one counts.
+    aSection.It("is marked when it occurs twice, in any case of letters", [] {
+      HttpRequest seen;
+      const HttpOutcome outcome =
+        Exchange({ .mTarget = "/",
+                   .mHeaders = { { "X-Exposed", "a" }, { "x-exposed", "b" } } },
+                 [&](HttpRequest aRequest, const HttpReplyCallback& aReply) {
+                   seen = std::move(aRequest);
+                   aReply({ .mStatus = 200 });
+                 });
+      CPPUNIT_ASSERT(outcome.ok());
+      CPPUNIT_ASSERT(seen.mRepeatedHeaders.contains("X-Exposed"));
+    });
+    // A server that stops to read closes the connection, and the client may see
+    // no response.
+    aSection.It("of 1 MB is read when the limit allows it", [] {
+      std::size_t size = 0;
+      const HttpOutcome outcome = Exchange(
+        { .mTarget = "/",
+          .mHeaders = { { "X-Exposed", std::string(1 << 20, 'k') } } },
+        [&](const HttpRequest& aRequest, const HttpReplyCallback& aReply) {
+          size = aRequest.mHeaders.at("X-Exposed").size();
+          aReply({ .mStatus = 401 });
+        });
+      CPPUNIT_ASSERT_MESSAGE(outcome.status().ToString(), outcome.ok());
+      CPPUNIT_ASSERT_EQUAL(401, outcome->mStatus);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 << 20 }, size);
+    });
+  });
+}
+
 void
 TestUnresponsiveServer(Section& aRoot)
 {
@@ -199,6 +236,7 @@
 {
   TestWholeExchange(aRoot);
   TestOversizedBody(aRoot);
+  TestRepeatedHeader(aRoot);
   TestUnresponsiveServer(aRoot);
   TestLateResponse(aRoot);
 }
--- a/src/eventloop/types/httpmessage.h
+++ b/src/eventloop/types/httpmessage.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace oriolevane::eventloop {
@@ -30,6 +31,9 @@
   // All headers to send, or for a received request only those that
   // HttpServerOptions::mExposedHeaders names.
   HttpHeaders mHeaders;
+  // Names of the exposed headers that a received request has more than once.
+  // mHeaders holds the value of the first.
+  std::set<std::string, std::less<>> mRepeatedHeaders;
   std::string mBody;
 };
 
