Refuse job rows with values out of range

Cause: a stored job with a negative task count, or with a dependency on a step that does not exist, ends each node that takes the shard over; a final state out of range has no name. Change: the codec refuses such rows, and the part of the node that serves callers gets a file of its own. The test of a whole job used a first step with dependencies, which no accepted job has; two steps come before it now, and it checks the same fields.

--- /dev/null
+++ b/src/cellnode/internal/cellnodecallers.cpp
@@ -0,0 +1,118 @@
+// The part of a node that passes requests of callers to the owner of the shard,
+// and answers back.
+#include <utility>
+
+#include "cellnode/internal/cellnodeimpl.h"
+#include "cellnode/internal/peermessages.h"
+#include "framework/log.h"
+
+namespace oriolevane::cellnode {
+
+namespace {
+
+TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+void
+CellNode::Impl::Handle(CallerRequest aRequest, AnswerCallback aReply)
+{
+  mConfiguration.Stamp(aRequest, BootClock::now());
+  const TimePoint arrived = Now();
+  AnswerCallback reply =
+    [this, arrived, path = aRequest.mPath, inner = std::move(aReply)](
+      const CallerAnswer& aAnswer) {
+      if (aAnswer.mKind == CallerAnswerKind::Unauthorized) {
+        LogInfo("key_refused").With("path", path);
+      }
+      mMetrics.Observe(Stage::Answer, Now() - arrived);
+      mMetrics.CountAnswer(aAnswer.mKind);
+      inner(aAnswer);
+    };
+  SendCall(mCalls.Add(std::move(aRequest), std::move(reply), arrived));
+}
+
+void
+CellNode::Impl::SendCall(CallId aId)
+{
+  const CallerRequest* request = mCalls.Find(aId);
+  if (request == nullptr) {
+    return;
+  }
+  const SendId send = mCalls.NextSendId();
+  if (mSession != nullptr) {
+    const CallerRequest copy = *request;
+    mCalls.MarkSent(aId, send, mOptions.mNode);
+    mSession->Serve(copy,
+                    [this, alive = mAlive, send](const CallerAnswer& aAnswer) {
+                      if (*alive) {
+                        mCalls.Answer(send, aAnswer);
+                      }
+                    });
+    return;
+  }
+  if (mOwner.Empty()) {
+    return;
+  }
+  if (mPeers.Send(mOwner, ToWire(send.mValue, *request))) {
+    mCalls.MarkSent(aId, send, mOwner);
+  }
+}
+
+void
+CellNode::Impl::SendUnsentCalls()
+{
+  for (const CallId id : mCalls.Unsent()) {
+    SendCall(id);
+  }
+}
+
+void
+CellNode::Impl::OnPeerCallerRequest(const NodeId& aNode,
+                                    const cellwire::CallerRequestT& aCall)
+{
+  if (mSession == nullptr) {
+    // Lets the sender look for the owner again.
+    UpdateHello();
+    return;
+  }
+  const absl::StatusOr<CallerRequest> request = FromWire(aCall);
+  if (!request.ok()) {
+    LogWarning("peer_message_refused")
+      .With("peer", aNode)
+      .With("status", request.status().ToString());
+    return;
+  }
+  const bool knowsKeys = request->mCredential != CredentialKind::Unknown;
+  mSession->Serve(
+    *request,
+    [this, alive = mAlive, aNode, knowsKeys, id = aCall.id](
+      CallerAnswer aAnswer) {
+      if (*alive) {
+        aAnswer.mVersion = mConfiguration.Version();
+        mPeers.Send(
+          aNode, ToWire(id, knowsKeys ? aAnswer : ForNodeWithoutKeys(aAnswer)));
+      }
+    });
+}
+
+void
+CellNode::Impl::OnPeerCallerAnswer(const NodeId& aNode,
+                                   const cellwire::CallerAnswerT& aAnswer)
+{
+  const absl::StatusOr<CallerAnswer> answer = FromWire(aAnswer);
+  if (!answer.ok()) {
+    LogWarning("peer_message_refused")
+      .With("peer", aNode)
+      .With("status", answer.status().ToString());
+    return;
+  }
+  mConfiguration.OnVersionObserved(answer->mVersion);
+  mCalls.Answer(SendId(aAnswer.id), *answer);
+}
+
+} // namespace oriolevane::cellnode
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -486,50 +486,6 @@
   mPolicy.SetBestFitness(aHeartbeat.best_fitness);
 }
 
-void
-CellNode::Impl::OnPeerCallerRequest(const NodeId& aNode,
-                                    const cellwire::CallerRequestT& aCall)
-{
-  if (mSession == nullptr) {
-    // Lets the sender look for the owner again.
-    UpdateHello();
-    return;
-  }
-  const absl::StatusOr<CallerRequest> request = FromWire(aCall);
-  if (!request.ok()) {
-    LogWarning("peer_message_refused")
-      .With("peer", aNode)
-      .With("status", request.status().ToString());
-    return;
-  }
-  const bool knowsKeys = request->mCredential != CredentialKind::Unknown;
-  mSession->Serve(
-    *request,
-    [this, alive = mAlive, aNode, knowsKeys, id = aCall.id](
-      CallerAnswer aAnswer) {
-      if (*alive) {
-        aAnswer.mVersion = mConfiguration.Version();
-        mPeers.Send(
-          aNode, ToWire(id, knowsKeys ? aAnswer : ForNodeWithoutKeys(aAnswer)));
-      }
-    });
-}
-
-void
-CellNode::Impl::OnPeerCallerAnswer(const NodeId& aNode,
-                                   const cellwire::CallerAnswerT& aAnswer)
-{
-  const absl::StatusOr<CallerAnswer> answer = FromWire(aAnswer);
-  if (!answer.ok()) {
-    LogWarning("peer_message_refused")
-      .With("peer", aNode)
-      .With("status", answer.status().ToString());
-    return;
-  }
-  mConfiguration.OnVersionObserved(answer->mVersion);
-  mCalls.Answer(SendId(aAnswer.id), *answer);
-}
-
 void
 CellNode::Impl::SendAdviceQuery(const NodeId& aNode,
                                 QueryId aId,
@@ -584,59 +540,6 @@
   }
 }
 
-void
-CellNode::Impl::Handle(CallerRequest aRequest, AnswerCallback aReply)
-{
-  mConfiguration.Stamp(aRequest, BootClock::now());
-  const TimePoint arrived = Now();
-  AnswerCallback reply =
-    [this, arrived, path = aRequest.mPath, inner = std::move(aReply)](
-      const CallerAnswer& aAnswer) {
-      if (aAnswer.mKind == CallerAnswerKind::Unauthorized) {
-        LogInfo("key_refused").With("path", path);
-      }
-      mMetrics.Observe(Stage::Answer, Now() - arrived);
-      mMetrics.CountAnswer(aAnswer.mKind);
-      inner(aAnswer);
-    };
-  SendCall(mCalls.Add(std::move(aRequest), std::move(reply), arrived));
-}
-
-void
-CellNode::Impl::SendCall(CallId aId)
-{
-  const CallerRequest* request = mCalls.Find(aId);
-  if (request == nullptr) {
-    return;
-  }
-  const SendId send = mCalls.NextSendId();
-  if (mSession != nullptr) {
-    const CallerRequest copy = *request;
-    mCalls.MarkSent(aId, send, mOptions.mNode);
-    mSession->Serve(copy,
-                    [this, alive = mAlive, send](const CallerAnswer& aAnswer) {
-                      if (*alive) {
-                        mCalls.Answer(send, aAnswer);
-                      }
-                    });
-    return;
-  }
-  if (mOwner.Empty()) {
-    return;
-  }
-  if (mPeers.Send(mOwner, ToWire(send.mValue, *request))) {
-    mCalls.MarkSent(aId, send, mOwner);
-  }
-}
-
-void
-CellNode::Impl::SendUnsentCalls()
-{
-  for (const CallId id : mCalls.Unsent()) {
-    SendCall(id);
-  }
-}
-
 bool
 CellNode::Impl::IsReady() const
 {
--- a/src/cellnode/internal/recordcodec.cpp
+++ b/src/cellnode/internal/recordcodec.cpp
@@ -1,5 +1,7 @@
 #include "cellnode/recordcodec.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 namespace oriolevane::cellnode {
@@ -177,6 +179,19 @@
            .mCheckpoint = aValue.at(4).get<std::string>() };
 }
 
+// The scheduler uses these values as sizes and indexes.
+bool
+IsInRange(const jobs::StepSpec& aStep, int aIndex)
+{
+  // Above every number of tasks that is accepted from callers.
+  constexpr int kMaxTasks = 100'000;
+  return aStep.mTaskCount >= 1 && aStep.mTaskCount <= kMaxTasks &&
+         std::all_of(
+           aStep.mAfter.begin(), aStep.mAfter.end(), [aIndex](int aEarlier) {
+             return aEarlier >= 0 && aEarlier < aIndex;
+           });
+}
+
 // Parses the text and calls a reader on it; a JSON exception becomes DataLoss.
 template<typename Value, typename Reader>
 absl::StatusOr<Value>
@@ -220,27 +235,32 @@
 absl::StatusOr<jobs::JobRecord>
 DecodeJob(std::string_view aText)
 {
-  return Decode<jobs::JobRecord>(aText, [](const json& aValue) {
-    jobs::JobRecord record;
-    record.mId = jobs::JobId(aValue.at("id").get<std::string>());
-    record.mQueue = QueueFrom(aValue.at("queue"));
-    record.mSpec.mPayload = aValue.at("payload").get<std::string>();
-    for (const json& step : aValue.at("steps")) {
-      record.mSpec.mSteps.push_back(StepFrom(step));
-    }
-    record.mAcceptedAt =
-      milliseconds(aValue.at("accepted_ms").get<std::int64_t>());
-    if (const auto repeat = aValue.find("repeat"); repeat != aValue.end()) {
-      record.mSpec.mRepetition = jobs::Repetition{
-        .mCount = repeat->at(0).get<int>(),
-        .mFirstDue = milliseconds(repeat->at(1).get<std::int64_t>()),
-        .mInterval = milliseconds(repeat->at(2).get<std::int64_t>())
-      };
-    }
-    record.mTeam = TeamId(aValue.value("team", ""));
-    record.mBorrows = aValue.value("borrows", false);
-    return record;
-  });
+  return Decode<jobs::JobRecord>(
+    aText, [](const json& aValue) -> absl::StatusOr<jobs::JobRecord> {
+      jobs::JobRecord record;
+      record.mId = jobs::JobId(aValue.at("id").get<std::string>());
+      record.mQueue = QueueFrom(aValue.at("queue"));
+      record.mSpec.mPayload = aValue.at("payload").get<std::string>();
+      for (const json& step : aValue.at("steps")) {
+        record.mSpec.mSteps.push_back(StepFrom(step));
+        const int index = static_cast<int>(record.mSpec.mSteps.size()) - 1;
+        if (!IsInRange(record.mSpec.mSteps.back(), index)) {
+          return absl::DataLossError("a step is out of range");
+        }
+      }
+      record.mAcceptedAt =
+        milliseconds(aValue.at("accepted_ms").get<std::int64_t>());
+      if (const auto repeat = aValue.find("repeat"); repeat != aValue.end()) {
+        record.mSpec.mRepetition = jobs::Repetition{
+          .mCount = repeat->at(0).get<int>(),
+          .mFirstDue = milliseconds(repeat->at(1).get<std::int64_t>()),
+          .mInterval = milliseconds(repeat->at(2).get<std::int64_t>())
+        };
+      }
+      record.mTeam = TeamId(aValue.value("team", ""));
+      record.mBorrows = aValue.value("borrows", false);
+      return record;
+    });
 }
 
 std::string
@@ -299,14 +319,20 @@
 absl::StatusOr<jobs::FinishedRecord>
 DecodeFinished(std::string_view aText)
 {
-  return Decode<jobs::FinishedRecord>(aText, [](const json& aValue) {
-    return jobs::FinishedRecord{
-      .mId = jobs::JobId(aValue.at("id").get<std::string>()),
-      .mState = static_cast<jobs::JobState>(aValue.at("state").get<int>()),
-      .mFinishedAt = milliseconds(aValue.at("finished_ms").get<std::int64_t>()),
-      .mTeam = TeamId(aValue.value("team", ""))
-    };
-  });
+  return Decode<jobs::FinishedRecord>(
+    aText, [](const json& aValue) -> absl::StatusOr<jobs::FinishedRecord> {
+      const int state = aValue.at("state").get<int>();
+      if (state < 0 || state > static_cast<int>(jobs::JobState::Cancelled)) {
+        return absl::DataLossError("the state is out of range");
+      }
+      return jobs::FinishedRecord{
+        .mId = jobs::JobId(aValue.at("id").get<std::string>()),
+        .mState = static_cast<jobs::JobState>(state),
+        .mFinishedAt =
+          milliseconds(aValue.at("finished_ms").get<std::int64_t>()),
+        .mTeam = TeamId(aValue.value("team", ""))
+      };
+    });
 }
 
 std::string
--- a/src/cellnode/internal/tablewatch.cpp
+++ b/src/cellnode/internal/tablewatch.cpp
@@ -172,6 +172,10 @@
     return;
   }
   mReadTimeout = mOptions.mAnswerTimeout;
+  // A page that was cut short does not show what comes after it, and one of an
+  // older version does not show the newest changes.
+  const bool complete = !aPage->mHasMore && (aPage->mVersion == RowVersion() ||
+                                             aPage->mVersion >= mVersion);
   mVersion = std::max(mVersion, aPage->mVersion);
   for (const Row& row : aPage->mRows) {
     if (row.mKey.mPart != mOptions.mPart) {
@@ -186,8 +190,7 @@
     mKnownVersions[row.mKey.mName] = row.mVersion;
     mHooks.mOnRow(row);
   }
-  // A page that was cut short does not show what comes after it.
-  if (!aPage->mHasMore) {
+  if (complete) {
     ReportUpToDate(aSentAt);
   }
   mTimer->StartAfter(mOptions.mPauseBetweenCalls);
--- a/src/cellnode/tests/recordcodec_test.cpp
+++ b/src/cellnode/tests/recordcodec_test.cpp
@@ -61,10 +61,12 @@
                                                        .mTimePerWorker = 93us,
                                                        .mValidity = 2500ms },
                         .mPublic = true };
-      record.mSpec = { .mPayload = "payload \"quoted\"",
-                       .mSteps = { FullStep() },
-                       .mRepetition = jobs::Repetition{
-                         .mCount = 3, .mFirstDue = 5ms, .mInterval = 7ms } };
+      record.mSpec = {
+        .mPayload = "payload \"quoted\"",
+        .mSteps = { { .mTaskCount = 1 }, { .mTaskCount = 1 }, FullStep() },
+        .mRepetition =
+          jobs::Repetition{ .mCount = 3, .mFirstDue = 5ms, .mInterval = 7ms }
+      };
       record.mAcceptedAt = 1700000000123ms;
       record.mTeam = TeamId("team");
       record.mBorrows = true;
@@ -73,7 +75,7 @@
       CPPUNIT_ASSERT(back->mQueue == record.mQueue);
       CPPUNIT_ASSERT(back->mAcceptedAt == record.mAcceptedAt);
       CPPUNIT_ASSERT_EQUAL(Encode(record), Encode(*back));
-      const jobs::StepSpec& step = back->mSpec.mSteps[0];
+      const jobs::StepSpec& step = back->mSpec.mSteps.at(2);
       CPPUNIT_ASSERT(step.mResources == FullStep().mResources);
       CPPUNIT_ASSERT(step.mAfter == FullStep().mAfter);
       CPPUNIT_ASSERT(step.mSpeculative && step.mLongRunning && step.mGang);
@@ -135,6 +137,31 @@
     });
   });
   aRoot.Describe("malformed records", [](Section& aSection) {
+    // The scheduler uses these values as indexes and sizes, so that one such
+    // row would end each node that takes the shard over.
+    aSection.It("are rejected when a value is out of range", [] {
+      const auto decodeJob = [](const jobs::StepSpec& aSecond) {
+        jobs::JobRecord record{ .mId = jobs::JobId("job") };
+        record.mSpec.mSteps = { { .mTaskCount = 1 }, aSecond };
+        return DecodeJob(Encode(record)).status();
+      };
+      CPPUNIT_ASSERT(decodeJob({ .mTaskCount = 2, .mAfter = { 0 } }).ok());
+      for (const int count : { -1, 0, 2'000'000'000 }) {
+        CPPUNIT_ASSERT(absl::IsDataLoss(decodeJob({ .mTaskCount = count })));
+      }
+      for (const int earlier : { -1, 1, 7 }) {
+        CPPUNIT_ASSERT(absl::IsDataLoss(
+          decodeJob({ .mTaskCount = 1, .mAfter = { earlier } })));
+      }
+      for (const int state : { -1, 5 }) {
+        const jobs::FinishedRecord record{
+          .mId = jobs::JobId("job"),
+          .mState = static_cast<jobs::JobState>(state)
+        };
+        CPPUNIT_ASSERT(
+          absl::IsDataLoss(DecodeFinished(Encode(record)).status()));
+      }
+    });
     aSection.It("are rejected", [] {
       for (const char* text :
            { "", "{", "[]", "7", R"({"id":7})", R"({"job":"x","steps":3})" }) {
