Name the newest known configuration version when a call is sent

Cause: a call that waited for an owner named the version of its arrival, and a node that had just restarted named none, so that an owner with an older version could answer it. Change: the version and its freshness are determined when the call is sent, and a node without a configuration forwards nothing.

--- a/src/cellnode/internal/cellnodecallers.cpp
+++ b/src/cellnode/internal/cellnodecallers.cpp
@@ -39,15 +39,17 @@
 void
 CellNode::Impl::SendCall(CallId aId)
 {
-  const CallerRequest* request = mCalls.Find(aId);
-  if (request == nullptr) {
+  const CallerRequest* found = mCalls.Find(aId);
+  if (found == nullptr) {
     return;
   }
+  CallerRequest request = *found;
+  // The call may have waited for an owner, while a newer version was read.
+  mConfiguration.Stamp(request, BootClock::now());
   const SendId send = mCalls.NextSendId();
   if (mSession != nullptr) {
-    const CallerRequest copy = *request;
     mCalls.MarkSent(aId, send, mOptions.mNode);
-    mSession->Serve(copy,
+    mSession->Serve(request,
                     [this, alive = mAlive, send](const CallerAnswer& aAnswer) {
                       if (*alive) {
                         mCalls.Answer(send, aAnswer);
@@ -55,10 +57,12 @@
                     });
     return;
   }
-  if (mOwner.Empty()) {
+  // After a restart, this node has to know the version by which it may have
+  // answered before.
+  if (mOwner.Empty() || !mConfiguration.Current().has_value()) {
     return;
   }
-  if (mPeers.Send(mOwner, ToWire(send.mValue, *request))) {
+  if (mPeers.Send(mOwner, ToWire(send.mValue, request))) {
     mCalls.MarkSent(aId, send, mOwner);
   }
 }
