Refuse peer messages without a body

Cause: the verifier accepts a message that names a known type and has no body, and its handler uses a null pointer, which ends the process. Change: such a frame is refused. The configuration's feed call waits at most 1 s, so that a lost answer delays a new version by 2 s instead of 3 s.

--- a/src/cellnode/internal/configurationtracker.cpp
+++ b/src/cellnode/internal/configurationtracker.cpp
@@ -11,7 +11,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::chrono::milliseconds kMaxFeedWait = 2000ms;
+// When an answer is lost, the change that it would have delivered arrives after
+// the wait, the answer timeout and a pause of 200 ms: 2 s of the 3 s in which a
+// node has to use a new version.
+constexpr std::chrono::milliseconds kMaxFeedWait = 1000ms;
 constexpr std::chrono::milliseconds kMaxAnswerTimeout = 800ms;
 // With these parts of the withdrawal time, one call may get no answer and the
 // next one all its time to answer before the configuration becomes stale:
--- a/src/cellnode/internal/peercodec.cpp
+++ b/src/cellnode/internal/peercodec.cpp
@@ -18,7 +18,11 @@
   }
   cellwire::MessageT message;
   cellwire::GetMessage(bytes)->UnPackTo(&message);
-  if (message.body.type == cellwire::Body::NONE) {
+  // The verifier accepts a body of a known type that is absent. A body of an
+  // unknown type comes from a later build, and is ignored.
+  const bool knownType = message.body.type <= cellwire::Body::MAX;
+  if (message.body.type == cellwire::Body::NONE ||
+      (knownType && message.body.value == nullptr)) {
     return absl::InvalidArgumentError("peer message has no body");
   }
   return message;
--- a/src/cellnode/tests/peermessages_test.cpp
+++ b/src/cellnode/tests/peermessages_test.cpp
@@ -7,9 +7,39 @@
 using testing::Section;
 using namespace cellnode;
 
+namespace {
+
+std::string
+FrameWithoutBody(cellwire::Body aType)
+{
+  flatbuffers::FlatBufferBuilder builder;
+  cellwire::MessageBuilder message(builder);
+  message.add_body_type(aType);
+  builder.Finish(message.Finish());
+  return { reinterpret_cast<const char*>(builder.GetBufferPointer()),
+           builder.GetSize() };
+}
+
+} // namespace
+
 void
 PeerMessagesTests(Section& aRoot)
 {
+  aRoot.Describe("a frame", [](Section& aSection) {
+    // The handler of the type would use a null pointer.
+    aSection.It("that names a type and has no body is refused", [] {
+      for (const cellwire::Body type : cellwire::EnumValuesBody()) {
+        CPPUNIT_ASSERT(!DecodeFrame(FrameWithoutBody(type)).ok());
+      }
+    });
+    // Nodes of a later build may send it, and the link must stay open.
+    aSection.It("of an unknown type is decoded, to be ignored", [] {
+      const auto message =
+        DecodeFrame(FrameWithoutBody(static_cast<cellwire::Body>(200)));
+      CPPUNIT_ASSERT(message.ok());
+      CPPUNIT_ASSERT(message->body.AsHello() == nullptr);
+    });
+  });
   aRoot.Describe("a forwarded request", [](Section& aSection) {
     aSection.It("keeps the key and the freshness of the configuration", [] {
       const CallerRequest request{ .mVerb = CallerVerb::Cancel,
--- a/src/eventloop/tests/httpexchange_test.cpp
+++ b/src/eventloop/tests/httpexchange_test.cpp
@@ -22,7 +22,7 @@
 HttpServerOptions
 Options()
 {
-  constexpr std::size_t kMaxHeaderBytes = 1280 * 1024;
+  constexpr std::size_t kMaxHeaderBytes = 1'310'720;
   return { .mAddress = kAddress,
            .mMaxHeaderBytes = kMaxHeaderBytes,
            .mMaxBodyBytes = 1000,
