--- a/src/cellnode/configurationfreshness.h
+++ b/src/cellnode/configurationfreshness.h
@@ -42,7 +42,7 @@
            aNow - *mProvenAt < *mKeyWithdrawal - kMargin;
   }
   // Returns nothing until the configuration was proven for the first time.
-  std::optional<BootClock::duration> Age(BootTimePoint aNow) const
+  std::optional<BootDuration> Age(BootTimePoint aNow) const
   {
     return mProvenAt.has_value() ? std::optional(aNow - *mProvenAt)
                                  : std::nullopt;
--- a/src/cellnode/internal/cellnodecallers.cpp
+++ b/src/cellnode/internal/cellnodecallers.cpp
@@ -21,7 +21,7 @@
 void
 CellNode::Impl::Handle(CallerRequest aRequest, AnswerCallback aReply)
 {
-  mConfiguration.Stamp(aRequest, BootClock::now());
+  mConfiguration.Stamp(aRequest, BootClock::Now());
   const TimePoint arrived = Now();
   AnswerCallback reply =
     [this, arrived, path = aRequest.mPath, inner = std::move(aReply)](
@@ -45,7 +45,7 @@
   }
   CallerRequest request = *found;
   // The call may have waited for an owner, while a newer version was read.
-  mConfiguration.Stamp(request, BootClock::now());
+  mConfiguration.Stamp(request, BootClock::Now());
   const SendId send = mCalls.NextSendId();
   if (mSession != nullptr) {
     mCalls.MarkSent(aId, send, mOptions.mNode);
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -152,7 +152,7 @@
     mShardClaimer.Advance(now);
   }
   mCalls.Expire(now);
-  mConfiguration.LogFreshness(BootClock::now());
+  mConfiguration.LogFreshness(BootClock::Now());
   if (mStopping) {
     FinishStopWhenIdle(now);
   }
@@ -224,7 +224,7 @@
       .mAuthorize =
         [this](const CallerRequest& aRequest,
                const AuthorizationTarget& aTarget) {
-          return mConfiguration.Authorize(aRequest, aTarget, BootClock::now());
+          return mConfiguration.Authorize(aRequest, aTarget, BootClock::Now());
         },
       .mSendAdviceQuery =
         [this](
@@ -572,7 +572,7 @@
   status.mEpoch = mEpoch;
   status.mLinks = mPeers.LinkedNodes().size();
   status.mVersion = mConfiguration.Version();
-  if (const auto age = mConfiguration.Age(BootClock::now()); age.has_value()) {
+  if (const auto age = mConfiguration.Age(BootClock::Now()); age.has_value()) {
     status.mConfigurationAge =
       std::chrono::duration_cast<std::chrono::milliseconds>(*age);
   }
--- a/src/cellnode/internal/configurationtracker.cpp
+++ b/src/cellnode/internal/configurationtracker.cpp
@@ -100,7 +100,7 @@
   }
   mLoggedFresh = fresh;
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-    Age(aNow).value_or(BootClock::duration::zero()));
+    Age(aNow).value_or(BootDuration::zero()));
   LogEvent(fresh ? LogLevel::Info : LogLevel::Warning,
            fresh ? "configuration_fresh" : "configuration_stale")
     .With("version", Version())
--- a/src/cellnode/internal/configurationtracker.h
+++ b/src/cellnode/internal/configurationtracker.h
@@ -47,7 +47,7 @@
   void LogFreshness(BootTimePoint aNow);
   // The time for which the configuration has not been known to be the newest
   // one; nothing until it was read for the first time.
-  std::optional<BootClock::duration> Age(BootTimePoint aNow) const
+  std::optional<BootDuration> Age(BootTimePoint aNow) const
   {
     return mAuthorizer.Freshness().Age(aNow);
   }
--- a/src/cellnode/internal/tablewatch.cpp
+++ b/src/cellnode/internal/tablewatch.cpp
@@ -65,7 +65,7 @@
   mStore.mRead(
     { .mTable = mOptions.mTable, .mPart = mOptions.mPart, .mFrom = aName },
     mReadTimeout,
-    [this, alive = mAlive, sentAt = BootClock::now()](
+    [this, alive = mAlive, sentAt = BootClock::Now()](
       const absl::StatusOr<RowPage>& aPage) {
       if (!*alive) {
         return;
@@ -147,7 +147,7 @@
     mReadTimeout == mOptions.mAnswerTimeout ? mOptions.mWait : 0ms;
   mStore.mFeed({ .mTable = mOptions.mTable, .mAfter = mVersion, .mWait = wait },
                wait + mReadTimeout,
-               [this, alive = mAlive, sentAt = BootClock::now()](
+               [this, alive = mAlive, sentAt = BootClock::Now()](
                  const absl::StatusOr<RowPage>& aPage) {
                  if (*alive) {
                    OnChanges(aPage, sentAt);
--- a/src/cellnode/tests/configurationtracker_test.cpp
+++ b/src/cellnode/tests/configurationtracker_test.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+// Between a feed call that failed and the next one.
+constexpr std::chrono::milliseconds kRetryPause = 200ms;
+
 // A node whose store holds one configuration. The value of the row is the
 // version, and "x" is an invalid one; each version has the one key "key-N".
 struct Fixture
@@ -40,7 +43,9 @@
   std::optional<ConfigurationTracker> mTracker;
 
   // The store returns one value after another, and then stops the loop.
-  explicit Fixture(std::vector<std::string> aValues)
+  explicit Fixture(
+    std::vector<std::string> aValues,
+    std::optional<std::chrono::milliseconds> aKeyWithdrawal = 5000ms)
     : mValues(std::move(aValues))
   {
     mStore.mRead = [this](const RowQuery&, Duration, const auto& aDone) {
@@ -56,13 +61,14 @@
           mLoop.Stop();
         }
       };
-    mTracker.emplace(mLoop,
-                     mStore,
-                     mFormats,
-                     CallerAuthorizerOptions{ .mKeyWithdrawal = 5000ms },
-                     [this](const jobs::CellConfiguration& aConfiguration) {
-                       mInForce.push_back(aConfiguration.mVersion);
-                     });
+    mTracker.emplace(
+      mLoop,
+      mStore,
+      mFormats,
+      CallerAuthorizerOptions{ .mKeyWithdrawal = aKeyWithdrawal },
+      [this](const jobs::CellConfiguration& aConfiguration) {
+        mInForce.push_back(aConfiguration.mVersion);
+      });
     mLoop.Post([this] { mTracker->Start(); });
     mLoop.Run();
   }
@@ -94,7 +100,7 @@
   aRoot.Describe("a node's configuration", [](Section& aSection) {
     aSection.It("is the newest valid version, with its keys", [] {
       const Fixture fixture({ "1", "2" });
-      const BootTimePoint now = BootClock::now();
+      const BootTimePoint now = BootClock::Now();
       CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.mInForce.size());
       CPPUNIT_ASSERT(fixture.Serves(fixture.Arrived("key-2", now), now));
       CPPUNIT_ASSERT(!fixture.Serves(fixture.Arrived("key-1", now), now));
@@ -102,7 +108,7 @@
     // The keys of the version that stays in force must go on working.
     aSection.It("stays in force when the next version is invalid", [] {
       const Fixture fixture({ "1", "x" });
-      const BootTimePoint now = BootClock::now();
+      const BootTimePoint now = BootClock::Now();
       CPPUNIT_ASSERT(fixture.mTracker->Version() == ConfigurationVersion(1));
       CPPUNIT_ASSERT(fixture.Serves(fixture.Arrived("key-1", now), now));
     });
@@ -122,7 +128,7 @@
     // of the store.
     aSection.It("proves nothing for other nodes and serves no key", [] {
       const Fixture fixture({ "1" });
-      const BootTimePoint now = BootClock::now();
+      const BootTimePoint now = BootClock::Now();
       CPPUNIT_ASSERT(fixture.Arrived("key-1", now).mConfigurationFresh);
       const CallerRequest late = fixture.Arrived("key-1", now + 5000ms);
       CPPUNIT_ASSERT(!late.mConfigurationFresh);
@@ -135,7 +141,7 @@
       aSection.It("makes the next owner answer by that version", [] {
         Fixture fixture({ "1" });
         fixture.mTracker->OnVersionObserved(ConfigurationVersion(2));
-        const BootTimePoint now = BootClock::now();
+        const BootTimePoint now = BootClock::Now();
         const CallerRequest request = fixture.Arrived("key-1", now);
         CPPUNIT_ASSERT(request.mVersion == ConfigurationVersion(2));
         CPPUNIT_ASSERT(!request.mConfigurationFresh);
@@ -153,6 +159,14 @@
       const Duration age = wait + (wait + answer) + kRetryPause + 2 * answer;
       CPPUNIT_ASSERT(age < 5000ms - ConfigurationFreshness::kMargin);
     });
+  // A node has to use a new version within 3 s. In the worst case the answer
+  // that would have delivered it is lost.
+  aRoot.It("a new version arrives in time when a call is lost", [] {
+    const Fixture fixture({ "1" }, std::nullopt);
+    const Duration wait = fixture.mFeeds.at(0).mWait;
+    const Duration answer = fixture.mFeedTimeouts.at(0) - wait;
+    CPPUNIT_ASSERT(wait + answer + kRetryPause + answer < 3000ms);
+  });
 }
 
 } // namespace
--- a/src/cellnode/tests/tablewatch_test.cpp
+++ b/src/cellnode/tests/tablewatch_test.cpp
@@ -47,13 +47,13 @@
     mStore.mRead =
       [this](const RowQuery& aQuery, Duration aTimeout, const auto& aDone) {
         mReads.push_back({ aQuery.mFrom, aTimeout });
-        mCalledAt.push_back(BootClock::now());
+        mCalledAt.push_back(BootClock::Now());
         aDone(PageFrom(aQuery.mFrom));
       };
     mStore.mFeed =
       [this](const FeedQuery& aQuery, Duration aTimeout, const auto& aDone) {
         mFeeds.push_back({ aQuery.mWait, aTimeout });
-        mCalledAt.push_back(BootClock::now());
+        mCalledAt.push_back(BootClock::Now());
         AnswerFeed(aDone);
       };
   }
