Limit what a team has running to its quota

Cause: a team's maxCount was read from the configuration and used nowhere. Change: teams::QuotaLedger holds usage and quotas; jobs::TeamAccounts feeds it with every run that is added to or removed from a worker, and with the runs that an earlier owner may have left. A step that waits for its quota takes no part in the placement pass. The collection of candidates moves out of the dispatcher.

--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -113,6 +113,7 @@
 {
   CellState& cell = mImpl->mCell;
   cell.mConfiguration = std::move(aConfiguration);
+  cell.mTeams.Configure(cell.mConfiguration);
   for (auto& [id, job] : cell.mJobs.Jobs()) {
     const QueuePolicy* queue =
       cell.mConfiguration.FindQueue(job.mRecord.mQueue.mName);
@@ -350,6 +351,7 @@
     return;
   }
   mRecoveryFinished = true;
+  mCell.mTeams.ClearPresumed();
   std::size_t open = 0;
   for (auto& [id, job] : mCell.mJobs.Jobs()) {
     open += job.mPhase == JobPhase::Open ? 1 : 0;
@@ -395,7 +397,8 @@
     for (auto& [id, job] : cell.mJobs.Jobs()) {
       cell.mJobs.OpenDueOccurrences(job, aNow);
     }
-    cell.mJobs.Prune(aNow, cell.mOptions.mFinishedRetention);
+    cell.mJobs.Prune(
+      aNow, cell.mOptions.mFinishedRetention, mImpl->mRecoveryFinished);
     cell.mFleet.Prune(aNow.mSteady, [this](const Worker* aWorker) {
       mImpl->mAdvice.RemoveWorker(aWorker);
     });
@@ -406,6 +409,9 @@
   if (aNow.mSteady >= due) {
     cell.mDispatchWanted = false;
     mImpl->mLastDispatch = aNow.mSteady;
+    if (!mImpl->mRecoveryFinished) {
+      cell.mTeams.UpdatePresumed(cell.mJobs, cell.mFleet);
+    }
     mImpl->mDispatcher.Dispatch(aNow, mImpl->mRecoveryFinished);
   }
   if (aNow.mSteady >= mImpl->mNextPollPass) {
--- /dev/null
+++ b/src/jobs/internal/candidates.cpp
@@ -0,0 +1,85 @@
+#include "jobs/internal/candidates.h"
+
+#include <algorithm>
+
+namespace oriolevane::jobs {
+
+namespace {
+
+bool
+HasWaitingTasks(const Step& aStep, const StepSpec& aSpec)
+{
+  if (aSpec.mGang) {
+    return !aStep.IsDone() && !aStep.HasRuns();
+  }
+  return std::any_of(aStep.mTasks.begin(),
+                     aStep.mTasks.end(),
+                     [](const Task& aTask) { return aTask.IsWaiting(); });
+}
+
+bool
+IsReady(const Occurrence& aOccurrence, const StepSpec& aSpec)
+{
+  return std::all_of(
+    aSpec.mAfter.begin(), aSpec.mAfter.end(), [&](int aEarlier) {
+      return aOccurrence.mSteps[aEarlier].IsDone();
+    });
+}
+
+} // namespace
+
+std::vector<Candidate>
+CandidateCollector::Collect(const Moment& aNow, bool aReconciled)
+{
+  std::vector<Candidate> candidates;
+  mPendingQueries = 0;
+  for (auto& [id, job] : mCell.mJobs.Jobs()) {
+    if (job.mPhase == JobPhase::Open && (aReconciled || !job.mRecovered)) {
+      CollectJobCandidates(job, aNow, candidates);
+    }
+  }
+  mAdvice.SetPendingQueries(mPendingQueries);
+  std::sort(candidates.begin(),
+            candidates.end(),
+            [](const Candidate& aLeft, const Candidate& aRight) {
+              return aLeft.mUrgency < aRight.mUrgency;
+            });
+  return candidates;
+}
+
+void
+CandidateCollector::CollectJobCandidates(Job& aJob,
+                                         const Moment& aNow,
+                                         std::vector<Candidate>& aCandidates)
+{
+  for (auto& [number, occurrence] : aJob.mOccurrences) {
+    if (occurrence.mFinished) {
+      continue;
+    }
+    for (std::size_t index = 0; index < occurrence.mSteps.size(); ++index) {
+      Step& step = occurrence.mSteps[index];
+      const StepKey key{ .mJob = aJob.Id(),
+                         .mOccurrence = number,
+                         .mStep = static_cast<int>(index) };
+      const StepSpec& spec = aJob.mRecord.mSpec.mSteps[index];
+      mPendingQueries += step.mAdvice.mPendingQueries;
+      if (step.IsDone() || !HasWaitingTasks(step, spec)) {
+        continue;
+      }
+      if (!IsReady(occurrence, spec)) {
+        mAdvice.QueryAhead(aJob, key, aNow.mSteady);
+        continue;
+      }
+      if (!step.mReadyAt.has_value()) {
+        step.mReadyAt = aNow.mSteady;
+      }
+      aCandidates.push_back(
+        { .mJob = &aJob,
+          .mStep = &step,
+          .mKey = key,
+          .mUrgency = UrgencyInOrder(mCell.mOptions.mOrder, aJob, key, aNow) });
+    }
+  }
+}
+
+} // namespace oriolevane::jobs
--- a/src/jobs/internal/cellstate.h
+++ b/src/jobs/internal/cellstate.h
@@ -3,6 +3,7 @@
 
 #include "jobs/internal/fleet.h"
 #include "jobs/internal/jobtable.h"
+#include "jobs/internal/teamaccounts.h"
 #include "jobs/recordwritequeue.h"
 #include "jobs/types/cellconfiguration.h"
 #include "jobs/types/scheduleroptions.h"
@@ -17,6 +18,7 @@
     , mHooks(std::move(aHooks))
     , mJobs(mWriteQueue)
     , mFleet(mOptions, mWriteQueue)
+    , mTeams(mOptions)
   {
   }
 
@@ -26,6 +28,7 @@
   CellConfiguration mConfiguration;
   JobTable mJobs;
   Fleet mFleet;
+  TeamAccounts mTeams;
   // Number of hosts that can query the policy service at the same time.
   std::size_t mQueryHosts = 1;
   // Requests a placement pass, after a change that may allow tasks to start.
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -28,23 +28,6 @@
 // Workers with a higher slowness than this are used last.
 constexpr double kSlowWorkerThreshold = 2.5;
 
-const StepSpec&
-SpecOf(const Job& aJob, const StepKey& aStep)
-{
-  return aJob.mRecord.mSpec.mSteps[aStep.mStep];
-}
-
-bool
-HasWaitingTasks(const Step& aStep, const StepSpec& aSpec)
-{
-  if (aSpec.mGang) {
-    return !aStep.IsDone() && !aStep.HasRuns();
-  }
-  return std::any_of(aStep.mTasks.begin(),
-                     aStep.mTasks.end(),
-                     [](const Task& aTask) { return aTask.IsWaiting(); });
-}
-
 bool
 HasAmpleSlack(const Job& aJob, const Urgency& aUrgency)
 {
@@ -52,15 +35,6 @@
          aUrgency.mSlack > aJob.mTimes.mObjective * kAmpleSlackShare;
 }
 
-bool
-IsReady(const Occurrence& aOccurrence, const StepSpec& aSpec)
-{
-  return std::all_of(
-    aSpec.mAfter.begin(), aSpec.mAfter.end(), [&](int aEarlier) {
-      return aOccurrence.mSteps[aEarlier].IsDone();
-    });
-}
-
 } // namespace
 
 void
@@ -71,52 +45,68 @@
   if (mCell.mFleet.OwnershipEnd() - aNow.mSteady < kMinLeaseToStart) {
     return;
   }
-  std::vector<Candidate> candidates = CollectCandidates(aNow, aReconciled);
-  std::sort(candidates.begin(),
-            candidates.end(),
-            [](const Candidate& aLeft, const Candidate& aRight) {
-              return aLeft.mUrgency < aRight.mUrgency;
-            });
+  std::vector<Candidate> candidates = mCandidates.Collect(aNow, aReconciled);
   mNow = aNow.mSteady;
   mGangReservations.BeginPass(mNow);
   std::map<QueueName, std::size_t> renewed;
   // Steps without an answer yet do not count.
   const std::size_t stepsRenewed = mAdvice.Budget().MaxStepsRenewedPerQueue();
   mSingleTaskShare = SingleTaskShare(candidates);
+  mCell.mTeams.BeginPass();
   for (const Candidate& candidate : candidates) {
+    if (!QuotaAllowsStart(candidate)) {
+      continue;
+    }
     const QueuePolicy& queue = candidate.mJob->mRecord.mQueue;
     if (queue.mAdvice.has_value() && (!candidate.mStep->mAdvice.mAnswered ||
                                       renewed[queue.mName]++ < stepsRenewed)) {
       mAdvice.QueryIfNeeded(
         *candidate.mJob, candidate.mKey, *candidate.mStep, aNow.mSteady);
     }
-    if (candidate.mStep->mNotBefore > aNow.mSteady) {
-      continue;
-    }
-    const bool gang = SpecOf(*candidate.mJob, candidate.mKey).mGang;
-    if (IsWorthTrying(candidate)) {
-      mCapacityWithheld = false;
-      if (gang) {
-        PlaceGang(candidate, aNow);
-      } else {
-        PlaceTasks(candidate, aNow);
-      }
+    if (candidate.mStep->mNotBefore <= aNow.mSteady) {
+      Place(candidate, aNow);
     }
-    if (gang && !candidate.mStep->HasRuns() && !mGangReservations.IsFull() &&
-        candidate.mUrgency.mObjectiveStatus == ObjectiveStatus::OnTime) {
-      ReserveForGang(candidate);
+  }
+  mCell.mTeams.EndPass();
+}
+
+bool
+Dispatcher::QuotaAllowsStart(const Candidate& aCandidate)
+{
+  const bool onTime =
+    aCandidate.mUrgency.mObjectiveStatus == ObjectiveStatus::OnTime;
+  if (mCell.mTeams.AllowsStart(*aCandidate.mJob, aCandidate.Spec(), onTime)) {
+    return true;
+  }
+  // The step does not wait for workers.
+  aCandidate.mStep->mNoRoomSince.reset();
+  return false;
+}
+
+void
+Dispatcher::Place(const Candidate& aCandidate, const Moment& aNow)
+{
+  const bool gang = aCandidate.Spec().mGang;
+  if (IsWorthTrying(aCandidate)) {
+    mCapacityWithheld = false;
+    if (gang) {
+      PlaceGang(aCandidate, aNow);
+    } else {
+      PlaceTasks(aCandidate, aNow);
     }
   }
+  if (gang && !aCandidate.mStep->HasRuns() && !mGangReservations.IsFull() &&
+      aCandidate.mUrgency.mObjectiveStatus == ObjectiveStatus::OnTime) {
+    ReserveForGang(aCandidate);
+  }
 }
 
 void
 Dispatcher::ReserveForGang(const Candidate& aCandidate)
 {
   Step& step = *aCandidate.mStep;
-  const bool withSlow =
-    mGangReservations.Reserve(SpecOf(*aCandidate.mJob, aCandidate.mKey),
-                              ApprovedWorkers(aCandidate),
-                              !mUsable.SpeedsKnown());
+  const bool withSlow = mGangReservations.Reserve(
+    aCandidate.Spec(), ApprovedWorkers(aCandidate), !mUsable.SpeedsKnown());
   if (withSlow && !step.mMayUseSlowWorkers) {
     // The last attempt left the slow workers out.
     step.mTriedGeneration = 0;
@@ -129,10 +119,11 @@
 {
   double waiting = 0;
   for (const Candidate& candidate : aCandidates) {
-    const StepSpec& spec = SpecOf(*candidate.mJob, candidate.mKey);
+    const StepSpec& spec = candidate.Spec();
     if (spec.mGang &&
         candidate.mUrgency.mObjectiveStatus == ObjectiveStatus::OnTime &&
-        *candidate.mStep->mReadyAt + kGangWaitThreshold < mNow) {
+        *candidate.mStep->mReadyAt + kGangWaitThreshold < mNow &&
+        mCell.mTeams.QuotaAllows(*candidate.mJob, spec)) {
       waiting +=
         static_cast<double>(spec.mResources.mMilliCores) * spec.mTaskCount;
     }
@@ -149,55 +140,6 @@
                     kMaxSingleTaskShare);
 }
 
-std::vector<Dispatcher::Candidate>
-Dispatcher::CollectCandidates(const Moment& aNow, bool aReconciled)
-{
-  std::vector<Candidate> candidates;
-  mPendingQueries = 0;
-  for (auto& [id, job] : mCell.mJobs.Jobs()) {
-    if (job.mPhase == JobPhase::Open && (aReconciled || !job.mRecovered)) {
-      CollectJobCandidates(job, aNow, candidates);
-    }
-  }
-  mAdvice.SetPendingQueries(mPendingQueries);
-  return candidates;
-}
-
-void
-Dispatcher::CollectJobCandidates(Job& aJob,
-                                 const Moment& aNow,
-                                 std::vector<Candidate>& aCandidates)
-{
-  for (auto& [number, occurrence] : aJob.mOccurrences) {
-    if (occurrence.mFinished) {
-      continue;
-    }
-    for (std::size_t index = 0; index < occurrence.mSteps.size(); ++index) {
-      Step& step = occurrence.mSteps[index];
-      const StepKey key{ .mJob = aJob.Id(),
-                         .mOccurrence = number,
-                         .mStep = static_cast<int>(index) };
-      const StepSpec& spec = SpecOf(aJob, key);
-      mPendingQueries += step.mAdvice.mPendingQueries;
-      if (step.IsDone() || !HasWaitingTasks(step, spec)) {
-        continue;
-      }
-      if (!IsReady(occurrence, spec)) {
-        mAdvice.QueryAhead(aJob, key, aNow.mSteady);
-        continue;
-      }
-      if (!step.mReadyAt.has_value()) {
-        step.mReadyAt = aNow.mSteady;
-      }
-      aCandidates.push_back(
-        { .mJob = &aJob,
-          .mStep = &step,
-          .mKey = key,
-          .mUrgency = UrgencyInOrder(mCell.mOptions.mOrder, aJob, key, aNow) });
-    }
-  }
-}
-
 bool
 Dispatcher::IsWorthTrying(const Candidate& aCandidate) const
 {
@@ -232,7 +174,7 @@
 Dispatcher::ApprovedWorkers(const Candidate& aCandidate) const
 {
   const QueuePolicy& queue = aCandidate.mJob->mRecord.mQueue;
-  const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
+  const StepSpec& spec = aCandidate.Spec();
   std::vector<Worker*> workers;
   const auto add = [&](Worker* aWorker) {
     if (IsEligible(*aWorker, queue, spec)) {
@@ -255,7 +197,7 @@
                                    TimePoint aNow) const
 {
   const QueuePolicy& queue = aCandidate.mJob->mRecord.mQueue;
-  const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
+  const StepSpec& spec = aCandidate.Spec();
   std::vector<EligibleWorker> eligible;
   if (!queue.mAdvice.has_value()) {
     for (Worker* worker : mUsable.Workers()) {
@@ -320,7 +262,7 @@
 Dispatcher::ChooseWorker(const Candidate& aCandidate,
                          std::vector<EligibleWorker>& aEligible)
 {
-  const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
+  const StepSpec& spec = aCandidate.Spec();
   const bool ample = HasAmpleSlack(*aCandidate.mJob, aCandidate.mUrgency);
   EligibleWorker* best = nullptr;
   double bestCost = 0;
@@ -369,6 +311,9 @@
     if (!tasks[index].IsWaiting()) {
       continue;
     }
+    if (!QuotaAllowsStart(aCandidate)) {
+      return;
+    }
     const EligibleWorker* choice = ChooseWorker(aCandidate, eligible);
     if (choice == nullptr) {
       RecordFailedAttempt(*aCandidate.mStep);
@@ -418,7 +363,7 @@
 Dispatcher::ChooseGangWorkers(const Candidate& aCandidate,
                               std::vector<EligibleWorker>& aEligible)
 {
-  const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
+  const StepSpec& spec = aCandidate.Spec();
   std::vector<const EligibleWorker*> chosen;
   // Counts the capacity of each chosen member as used while choosing the next
   // one, and undoes that below.
@@ -481,7 +426,7 @@
                       const std::string& aCheckpoint,
                       TimePoint aNow)
 {
-  const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
+  const StepSpec& spec = aCandidate.Spec();
   aCandidate.mStep->mNoRoomSince.reset();
   mGangReservations.RecordPlacement(aChoice.mWorker, spec);
   mRuns.Start(*aCandidate.mJob,
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -3,11 +3,9 @@
 
 #include <vector>
 
-#include "jobs/internal/adviceplanner.h"
-#include "jobs/internal/cellstate.h"
+#include "jobs/internal/candidates.h"
 #include "jobs/internal/gangreservations.h"
 #include "jobs/internal/runtracker.h"
-#include "jobs/internal/urgency.h"
 #include "jobs/internal/usableworkers.h"
 
 namespace oriolevane::jobs {
@@ -19,6 +17,7 @@
     : mCell(aCell)
     , mRuns(aRuns)
     , mAdvice(aAdvice)
+    , mCandidates(aCell, aAdvice)
     , mUsable(aCell)
     , mGangReservations(aCell)
   {
@@ -30,14 +29,6 @@
   void Dispatch(const Moment& aNow, bool aReconciled);
 
 private:
-  // A step with tasks that are waiting to start.
-  struct Candidate
-  {
-    Job* mJob = nullptr;
-    Step* mStep = nullptr;
-    StepKey mKey;
-    Urgency mUrgency;
-  };
   // A worker that may run a step's tasks.
   struct EligibleWorker
   {
@@ -48,11 +39,12 @@
     int mPlannedMembers = 0;
   };
 
-  std::vector<Candidate> CollectCandidates(const Moment& aNow,
-                                           bool aReconciled);
-  void CollectJobCandidates(Job& aJob,
-                            const Moment& aNow,
-                            std::vector<Candidate>& aCandidates);
+  // Returns false when the step has to wait for its team's quota. It then takes
+  // no part in the pass.
+  bool QuotaAllowsStart(const Candidate& aCandidate);
+  // Starts what fits of a step, and reserves capacity for a gang that has to
+  // wait.
+  void Place(const Candidate& aCandidate, const Moment& aNow);
   // The share of the usable workers that single tasks with ample slack may use.
   // It shrinks as waiting gangs need more capacity.
   double SingleTaskShare(const std::vector<Candidate>& aCandidates) const;
@@ -108,13 +100,12 @@
   CellState& mCell;
   RunTracker& mRuns;
   AdvicePlanner& mAdvice;
+  CandidateCollector mCandidates;
   UsableWorkers mUsable;
   GangReservations mGangReservations;
   // Share of the usable workers that single tasks with ample slack may use in
   // this pass.
   double mSingleTaskShare = 1.0;
-  // Advice queries of the open jobs that have not been answered.
-  std::size_t mPendingQueries = 0;
   // A worker with room was passed over in the current attempt, because its
   // capacity is withheld for gangs.
   bool mCapacityWithheld = false;
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -35,6 +35,8 @@
   RunNumber mNumber;
   WorkerId mWorker;
   Resources mResources;
+  // The team of the run's job; empty for none.
+  TeamId mTeam;
   RunPhase mPhase = RunPhase::Starting;
   // Fencing token of the latest start order.
   FencingToken mToken;
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -199,7 +199,9 @@
 }
 
 void
-JobTable::Prune(const Moment& aNow, std::chrono::milliseconds aKeepFinished)
+JobTable::Prune(const Moment& aNow,
+                std::chrono::milliseconds aKeepFinished,
+                bool aReconciled)
 {
   for (auto entry = mJobs.begin(); entry != mJobs.end();) {
     Job& job = entry->second;
@@ -208,8 +210,10 @@
     const bool finalStateRecorded =
       finished != mFinished.end() &&
       finished->second.mRecordPosition <= mWriteQueue.Recorded();
+    const bool mayHaveUnfoundRuns =
+      !aReconciled && job.mRecovered && !job.mRecord.mTeam.Empty();
     if (job.mPhase != JobPhase::Closed || job.HasRuns() ||
-        !finalStateRecorded) {
+        !finalStateRecorded || mayHaveUnfoundRuns) {
       ++entry;
       continue;
     }
--- a/src/jobs/internal/jobtable.h
+++ b/src/jobs/internal/jobtable.h
@@ -37,8 +37,11 @@
   // Returns the position of the change.
   RecordPosition Close(Job& aJob, JobState aState, const Moment& aNow);
   // Removes closed jobs that have no more runs, and final states older than
-  // aKeepFinished.
-  void Prune(const Moment& aNow, std::chrono::milliseconds aKeepFinished);
+  // aKeepFinished. Until aReconciled, a team's closed jobs stay whose runs may
+  // not have been found yet.
+  void Prune(const Moment& aNow,
+             std::chrono::milliseconds aKeepFinished,
+             bool aReconciled);
   // Returns nullptr when the job has no final state or is not known.
   const FinishedRecord* FindFinished(const JobId& aId) const;
   // Returns the position of the change that records the final state, or nothing
--- a/src/jobs/internal/runtracker.cpp
+++ b/src/jobs/internal/runtracker.cpp
@@ -47,11 +47,12 @@
   run->mNumber = aNumber;
   run->mWorker = aWorker.Id();
   run->mResources = aJob.mRecord.mSpec.mSteps[aKey.mStep.mStep].mResources;
+  run->mTeam = aJob.mRecord.mTeam;
   run->mToken = aWorker.mToken;
   run->mOrderedAt = aNow;
   task.mLastRun = aNumber;
   task.mRuns.push_back(run);
-  aWorker.AddRun(run);
+  AddRun(aWorker, run);
   LogDebug("run_ordered")
     .With("task", aKey.ToText())
     .With("run", aNumber)
@@ -125,10 +126,11 @@
   run->mPercent = aRunning.mPercent;
   Job* job = mCell.mJobs.Find(aRunning.mTask.mStep.mJob);
   Task* task = job == nullptr ? nullptr : job->FindTask(aRunning.mTask);
+  run->mTeam = TeamOf(aRunning.mTask.mStep.mJob);
   if (task == nullptr) {
     run->mOrphan = true;
     aWorker.mHasUnknownLoad = true;
-    aWorker.AddRun(run);
+    AddRun(aWorker, run);
     LogWarning("unknown_run_found")
       .With("task", aRunning.mTask.ToText())
       .With("run", aRunning.mRun)
@@ -138,7 +140,7 @@
   }
   const StepSpec& spec = job->mRecord.mSpec.mSteps[aRunning.mTask.mStep.mStep];
   run->mResources = spec.mResources;
-  aWorker.AddRun(run);
+  AddRun(aWorker, run);
   const bool unwanted = job->mPhase != JobPhase::Open || task->mSucceeded ||
                         (!task->mRuns.empty() && !spec.mSpeculative);
   task->mRuns.push_back(run);
@@ -154,6 +156,23 @@
   }
 }
 
+TeamId
+RunTracker::TeamOf(const JobId& aJob) const
+{
+  if (const Job* job = mCell.mJobs.Find(aJob); job != nullptr) {
+    return job->mRecord.mTeam;
+  }
+  const FinishedRecord* finished = mCell.mJobs.FindFinished(aJob);
+  return finished == nullptr ? TeamId() : finished->mTeam;
+}
+
+void
+RunTracker::AddRun(Worker& aWorker, const RunPointer& aRun)
+{
+  mCell.mTeams.AddRun(*aRun);
+  aWorker.AddRun(aRun);
+}
+
 void
 RunTracker::MarkAllUncertain(Worker& aWorker)
 {
@@ -173,6 +192,7 @@
       return aEntry.get() == aRun;
     });
   }
+  mCell.mTeams.RemoveRun(*aRun);
   aWorker.RemoveRun(aRun);
   if (orphan) {
     aWorker.mHasUnknownLoad =
--- a/src/jobs/internal/runtracker.h
+++ b/src/jobs/internal/runtracker.h
@@ -57,6 +57,11 @@
                     TimePoint aNow);
 
 private:
+  // The team of a job that is open or whose final state is kept; empty for
+  // none.
+  TeamId TeamOf(const JobId& aJob) const;
+  // Adds a run to its worker and to the usage of its team.
+  void AddRun(Worker& aWorker, const RunPointer& aRun);
   void SendStop(Run& aRun, Worker& aWorker, TimePoint aNow);
 
   CellState& mCell;
