Tests of quotas; quotas in the random trouble test

Cause: nothing showed that the quota holds across takeovers and late orders. Change: FakeCell has teams and reports starts beyond a quota; half of the seeds of the random trouble test have teams with quotas. The checks of FakeCell and the values of records move to files of their own.

--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -7,6 +7,7 @@
 #include "jobs/internal/adviceplanner.h"
 #include "jobs/internal/cellstate.h"
 #include "jobs/internal/dispatcher.h"
+#include "jobs/internal/recordvalues.h"
 #include "jobs/internal/runendhandler.h"
 #include "jobs/internal/runtracker.h"
 #include "jobs/internal/urgency.h"
@@ -301,21 +302,7 @@
 RecordValue
 CellScheduler::ValueOf(const RecordKey& aKey) const
 {
-  const auto valueOrNothing = [](const auto& aValue) {
-    return aValue.has_value() ? RecordValue(*aValue) : RecordValue();
-  };
-  const CellState& cell = mImpl->mCell;
-  switch (aKey.mKind) {
-    case RecordKind::Job:
-      return valueOrNothing(cell.mJobs.JobRecordOf(JobId(aKey.mName)));
-    case RecordKind::Progress:
-      return valueOrNothing(cell.mJobs.ProgressRecordOf(aKey.mName));
-    case RecordKind::Finished:
-      return valueOrNothing(cell.mJobs.FinishedRecordOf(JobId(aKey.mName)));
-    case RecordKind::Worker:
-      return valueOrNothing(cell.mFleet.RecordOf(WorkerId(aKey.mName)));
-  }
-  return {};
+  return CurrentValue(mImpl->mCell, aKey);
 }
 
 void
@@ -355,19 +342,7 @@
   std::size_t open = 0;
   for (auto& [id, job] : mCell.mJobs.Jobs()) {
     open += job.mPhase == JobPhase::Open ? 1 : 0;
-    for (auto& [number, occurrence] : job.mOccurrences) {
-      for (std::size_t stepIndex = 0; stepIndex < occurrence.mSteps.size();
-           ++stepIndex) {
-        Step& step = occurrence.mSteps[stepIndex];
-        const bool complete =
-          std::none_of(step.mTasks.begin(),
-                       step.mTasks.end(),
-                       [](const Task& aTask) { return aTask.IsWaiting(); });
-        if (job.mRecord.mSpec.mSteps[stepIndex].mGang && !complete) {
-          mRuns.StopStep(step, aNow.mSteady);
-        }
-      }
-    }
+    mRuns.StopIncompleteGangs(job, aNow.mSteady);
   }
   LogInfo("recovery_finished").With("open_jobs", open);
   mCell.mDispatchWanted = true;
--- a/src/jobs/internal/runtracker.cpp
+++ b/src/jobs/internal/runtracker.cpp
@@ -255,6 +255,23 @@
   }
 }
 
+void
+RunTracker::StopIncompleteGangs(Job& aJob, TimePoint aNow)
+{
+  for (auto& [number, occurrence] : aJob.mOccurrences) {
+    for (std::size_t index = 0; index < occurrence.mSteps.size(); ++index) {
+      Step& step = occurrence.mSteps[index];
+      const bool complete =
+        std::none_of(step.mTasks.begin(),
+                     step.mTasks.end(),
+                     [](const Task& aTask) { return aTask.IsWaiting(); });
+      if (aJob.mRecord.mSpec.mSteps[index].mGang && !complete) {
+        StopStep(step, aNow);
+      }
+    }
+  }
+}
+
 void
 RunTracker::ResendStops(TimePoint aNow)
 {
--- a/src/jobs/internal/runtracker.h
+++ b/src/jobs/internal/runtracker.h
@@ -50,6 +50,8 @@
   void StopAll(const std::vector<RunPointer>& aRuns, TimePoint aNow);
   void StopStep(Step& aStep, TimePoint aNow);
   void StopJob(Job& aJob, TimePoint aNow);
+  // Stops the gangs of a job of which a member is missing.
+  void StopIncompleteGangs(Job& aJob, TimePoint aNow);
   // Sends the stop orders again that are due.
   void ResendStops(TimePoint aNow);
   void OnStopAnswer(const StopOrder& aOrder,
--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -281,96 +281,27 @@
   };
 }
 
-void
-FakeCell::ReportViolation(const std::string& aRule, const TaskKey& aTask)
-{
-  mViolations.push_back(aRule + " " + aTask.ToText() + " at " +
-                        std::to_string(mNow.count()) + " ms");
-}
-
-void
-FakeCell::OnStart(std::size_t aWorkerIndex, const FakeRun& aRun)
-{
-  const TaskKey& task = aRun.mTask;
-  FakeWorker& worker = *mWorkers[aWorkerIndex];
-  mStarts[task].push_back(worker.Entry().mId);
-  if (!worker.Used().FitsIn(worker.Entry().mCapacity)) {
-    ReportViolation("over capacity", task);
-  }
-  for (std::size_t other = 0; other < mWorkers.size(); ++other) {
-    for (const FakeRun& run : mWorkers[other]->Runs()) {
-      const bool same = other == aWorkerIndex && run.mRun == aRun.mRun;
-      if (run.mTask == task && !same) {
-        ReportViolation("two runs at once", task);
-      }
-    }
-  }
-  if (mConfirmedSuccesses.contains(task)) {
-    ReportViolation("started after success", task);
-  }
-  for (const int earlier : FindStepSpec(task)->mAfter) {
-    const StepSpec& before = mSpecs.at(task.mStep.mJob.mValue).mSteps[earlier];
-    for (int index = 0; index < before.mTaskCount; ++index) {
-      TaskKey key = task;
-      key.mStep.mStep = earlier;
-      key.mIndex = index;
-      if (!mSucceededTasks.contains(key)) {
-        ReportViolation("started before an earlier step", task);
-      }
-    }
-  }
-  const std::size_t maxAttempts =
-    mQueues.at(task.mStep.mJob.mValue).mMaxAttempts;
-  if (mConfirmedFailures[task].size() >= maxAttempts) {
-    ReportViolation("started after too many failures", task);
-  }
-  if (mCancelledJobs.contains(task.mStep.mJob.mValue)) {
-    ReportViolation("started after cancelling", task);
-  }
-}
-
-void
-FakeCell::OnEnd(std::size_t, const FakeRun& aRun, EndKind aKind)
-{
-  const StepSpec& spec = *FindStepSpec(aRun.mTask);
-  if (aKind == EndKind::Succeeded) {
-    mSucceededTasks.insert(aRun.mTask);
-  }
-  if (!spec.mGang) {
-    return;
-  }
-  if (aKind == EndKind::Succeeded) {
-    TaskKey member = aRun.mTask;
-    for (member.mIndex = 0; member.mIndex < spec.mTaskCount; ++member.mIndex) {
-      mSucceededTasks.insert(member);
-    }
-  }
-  EndOtherGangMembers(mWorkers, aRun, spec.mTaskCount, aKind, mNow);
-}
-
-void
-FakeCell::OnConfirmed(const EndedTask& aEnd)
-{
-  if (aEnd.mKind == EndKind::Succeeded) {
-    mConfirmedSuccesses.insert(aEnd.mTask);
-  }
-  if (aEnd.mKind == EndKind::Failed) {
-    mConfirmedFailures[aEnd.mTask].insert(aEnd.mRun);
-  }
-}
-
 void
 FakeCell::Submit(const std::string& aId,
                  const JobSpec& aSpec,
-                 const QueuePolicy& aQueue)
+                 const QueuePolicy& aQueue,
+                 const TeamId& aTeam)
 {
   mSpecs[aId] = aSpec;
   mQueues[aId] = aQueue;
+  mTeams[aId] = aTeam;
   mScheduler->Submit(
-    { .mId = JobId(aId), .mQueue = aQueue, .mSpec = aSpec, .mTeam = {} },
+    { .mId = JobId(aId), .mQueue = aQueue, .mSpec = aSpec, .mTeam = aTeam },
     NowMoment());
 }
 
+void
+FakeCell::Configure(std::vector<teams::TeamPolicy> aTeams)
+{
+  mConfiguration.mTeams = std::move(aTeams);
+  mScheduler->Configure(mConfiguration);
+}
+
 void
 FakeCell::Cancel(const std::string& aId)
 {
@@ -481,6 +412,9 @@
     }
   }
   mScheduler->Recover(records, NowMoment());
+  if (mConfiguration.mTeams.has_value()) {
+    mScheduler->Configure(mConfiguration);
+  }
   for (const auto& worker : mWorkers) {
     if (worker->IsUp()) {
       mScheduler->RegisterWorker(worker->Entry(), NowMoment());
--- a/src/jobs/tests/fakecell.h
+++ b/src/jobs/tests/fakecell.h
@@ -67,10 +67,18 @@
   // The simulated time on the scheduler's steady clock and wall clock.
   Moment NowMoment() const;
 
-  // Submits a job to a queue of the current scheduler.
+  // Submits a job of a team, if it is not empty, to a queue of the current
+  // scheduler.
   void Submit(const std::string& aId,
               const JobSpec& aSpec,
-              const QueuePolicy& aQueue);
+              const QueuePolicy& aQueue,
+              const TeamId& aTeam = {});
+  // Sets the teams of this and all later owners. Starts that exceed a quota,
+  // with its excess and one task, count as violations from then on.
+  void Configure(std::vector<teams::TeamPolicy> aTeams);
+  // What the team's tasks use on all workers, including those that are being
+  // stopped.
+  Resources UsageOf(const TeamId& aTeam) const;
   // Cancels a job. Starts more than 200 ms later count as violations.
   void Cancel(const std::string& aId);
   // Returns nothing for a job that the scheduler does not know.
@@ -138,6 +146,8 @@
   FakeWorkerHooks MakeWorkerHooks(std::size_t aWorkerIndex);
   // Checks the invariants that hold at the start of a run.
   void OnStart(std::size_t aWorkerIndex, const FakeRun& aRun);
+  // Checks the quota of the team of a run that has just started.
+  void CheckQuota(const FakeRun& aRun);
   // Notes the success of a run and ends the other members of its gang.
   void OnEnd(std::size_t aWorkerIndex, const FakeRun& aRun, EndKind aKind);
   // Called when the scheduler confirms an end as recorded.
@@ -159,7 +169,9 @@
   std::set<std::size_t> mUnreachableWorkers;
   std::map<std::string, JobSpec> mSpecs;
   std::map<std::string, QueuePolicy> mQueues;
+  std::map<std::string, TeamId> mTeams;
   std::set<std::string> mCancelledJobs;
+  CellConfiguration mConfiguration;
   // Contents of the store.
   std::map<RecordKey, RecordValue> mRecords;
   bool mStoreUnavailable = false;
--- a/src/jobs/tests/main.cpp
+++ b/src/jobs/tests/main.cpp
@@ -15,6 +15,7 @@
       { "advice", oriolevane::AdviceTests },
       { "record write queue", oriolevane::RecordWriteQueueTests },
       { "relative run time", oriolevane::RelativeRunTimeTests },
+      { "quota", oriolevane::QuotaTests },
       { "load", oriolevane::LoadTests },
       { "random trouble", oriolevane::RandomFaultTests } });
 }
--- a/src/jobs/tests/randomtrouble_test.cpp
+++ b/src/jobs/tests/randomtrouble_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cstdlib>
 
 #include "jobs/tests/fakecell.h"
@@ -14,6 +15,17 @@
 // Number of seeds run when ORIOLEVANE_SEED is not set.
 constexpr int kSeeds = 60;
 constexpr int kJobs = 30;
+// Every so many seeds, the jobs belong to teams with quotas.
+constexpr std::uint64_t kTeamSeedInterval = 2;
+
+// Quotas that a few tasks of the jobs below exhaust.
+std::vector<teams::TeamPolicy>
+MakeTeams()
+{
+  return { { .mName = TeamId("small"),
+             .mQuota = { .mMilliCores = 6000, .mMemoryMiB = 400 } },
+           { .mName = TeamId("medium"), .mQuota = { .mMilliCores = 18000 } } };
+}
 
 // Submits random jobs to a cell while workers crash or become unreachable,
 // calls and the store fail, and the shard changes its owner.
@@ -25,6 +37,7 @@
     // The variable also allows the late starts on restarted workers that no
     // scheduler can prevent; see FakeCellOptions and KNOWN-RED.txt.
     , mCell({ .mSeed = aSeed,
+              .mScheduling = { .mQuotaExcess = 0.1 },
               .mLateOrdersReachUnfencedIncarnations =
                 std::getenv("ORIOLEVANE_UNFENCED_LIVES") != nullptr })
   {
@@ -32,6 +45,10 @@
       return PlanOf(aTask);
     };
     mCell.mDelivery = [this](const WorkerId&) { return RandomDelivery(); };
+    mHasTeams = aSeed % kTeamSeedInterval == 0;
+    if (mHasTeams) {
+      mCell.Configure(MakeTeams());
+    }
   }
 
   void Run()
@@ -98,6 +115,20 @@
     }
   }
 
+  // The team of a job; none for a gang that can never fit the quota.
+  TeamId TeamOf(int aJob, const JobSpec& aSpec) const
+  {
+    const bool wideGang = std::any_of(
+      aSpec.mSteps.begin(), aSpec.mSteps.end(), [](const StepSpec& aStep) {
+        return aStep.mGang &&
+               aStep.mResources.mMilliCores * aStep.mTaskCount > 6000;
+      });
+    if (!mHasTeams || aJob % 5 == 0) {
+      return {};
+    }
+    return TeamId(wideGang ? "medium" : "small");
+  }
+
   void SubmitJob(int aJob)
   {
     JobSpec spec;
@@ -114,7 +145,7 @@
     if (mRandom() % 10 == 0) {
       mFailingJobs.insert(JobName(aJob));
     }
-    mCell.Submit(JobName(aJob), spec, MakeQueue(3));
+    mCell.Submit(JobName(aJob), spec, MakeQueue(3), TeamOf(aJob, spec));
     // The acceptance must be recorded before the next fault, since a takeover
     // loses an unrecorded job.
     mCell.SetStoreUnavailable(false);
@@ -159,6 +190,7 @@
 
   std::mt19937_64 mRandom;
   FakeCell mCell;
+  bool mHasTeams = false;
   // Jobs whose tasks always fail.
   std::set<std::string> mFailingJobs;
   // Percentage of calls to workers that fail.
--- a/src/jobs/tests/testgroups.h
+++ b/src/jobs/tests/testgroups.h
@@ -22,6 +22,8 @@
 void
 LoadTests(testing::Section& aRoot);
 void
+QuotaTests(testing::Section& aRoot);
+void
 RandomFaultTests(testing::Section& aRoot);
 
 } // namespace oriolevane
