Share the cell between teams by guarantee and dominant share

Cause: a team that sends more than its share competed with all others by urgency alone, and a gang that can never fit its quota was accepted. Change: teams::RateMeter marks jobs beyond a team's guaranteed rate as borrowers; their steps follow guaranteed ones, ordered by teams::FairOrder. CellScheduler::RefusalFor says which jobs to refuse; the metrics have counts by team.

--- a/src/cellnode/internal/metricstext.cpp
+++ b/src/cellnode/internal/metricstext.cpp
@@ -1,5 +1,6 @@
 #include "cellnode/metricstext.h"
 
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -42,6 +43,85 @@
   return family;
 }
 
+// Teams beyond this number are reported together, which bounds the number of
+// label values.
+constexpr std::size_t kMaxNamedTeams = 200;
+constexpr const char* kOtherTeams = "other";
+
+// Adds up what is reported under one team label.
+void
+Merge(jobs::TeamCounts& aSum, const jobs::TeamCounts& aTeam)
+{
+  aSum.mRunning += aTeam.mRunning;
+  aSum.mWaitingJobs += aTeam.mWaitingJobs;
+  aSum.mQuota += aTeam.mQuota;
+  aSum.mDominantShare += aTeam.mDominantShare;
+  for (const auto& [reason, count] : aTeam.mRefused) {
+    aSum.mRefused[reason] += count;
+  }
+}
+
+// The counts by team label, in the order of the names.
+std::map<std::string, jobs::TeamCounts>
+LabelledCounts(const std::vector<jobs::TeamCounts>& aTeams)
+{
+  std::map<std::string, jobs::TeamCounts> sorted;
+  for (const jobs::TeamCounts& team : aTeams) {
+    sorted[team.mTeam.mValue] = team;
+  }
+  std::map<std::string, jobs::TeamCounts> labelled;
+  std::size_t named = 0;
+  for (const auto& [name, team] : sorted) {
+    Merge(labelled[named < kMaxNamedTeams ? name : kOtherTeams], team);
+    ++named;
+  }
+  return labelled;
+}
+
+void
+AddTeamFamilies(const std::vector<jobs::TeamCounts>& aTeams,
+                std::vector<prometheus::MetricFamily>& aFamilies)
+{
+  const auto counts = LabelledCounts(aTeams);
+  const auto addGauge = [&](const std::string& aName,
+                            const std::string& aHelp,
+                            const auto& aValueOf) {
+    auto family = Family(aName, aHelp, prometheus::MetricType::Gauge);
+    family.metric.clear();
+    for (const auto& [name, team] : counts) {
+      prometheus::ClientMetric& metric = family.metric.emplace_back();
+      metric.label.push_back({ "team", name });
+      metric.gauge.value = static_cast<double>(aValueOf(team));
+    }
+    aFamilies.push_back(std::move(family));
+  };
+  addGauge("team_running_millicores",
+           "processors that the team's runs take on workers",
+           [](const auto& aTeam) { return aTeam.mRunning.mMilliCores; });
+  addGauge("team_waiting_jobs",
+           "accepted jobs of the team that have not started",
+           [](const auto& aTeam) { return aTeam.mWaitingJobs; });
+  addGauge("team_quota_millicores",
+           "limit of the processors that the team's runs take; 0 is no limit",
+           [](const auto& aTeam) { return aTeam.mQuota.mMilliCores; });
+  addGauge("team_dominant_share",
+           "largest part of any one resource of the cell that the team uses",
+           [](const auto& aTeam) { return aTeam.mDominantShare; });
+  auto refused = Family("team_refused_total",
+                        "jobs refused on account of their team",
+                        prometheus::MetricType::Counter);
+  refused.metric.clear();
+  for (const auto& [name, team] : counts) {
+    for (const auto& [reason, count] : team.mRefused) {
+      prometheus::ClientMetric& metric = refused.metric.emplace_back();
+      metric.label = { { "team", name },
+                       { "reason", std::string(jobs::ToText(reason)) } };
+      metric.counter.value = static_cast<double>(count);
+    }
+  }
+  aFamilies.push_back(std::move(refused));
+}
+
 } // namespace
 
 std::string
@@ -79,6 +159,9 @@
             "log lines over their budget, or not taken by standard output",
             number(DroppedLogLines()))
   };
+  if (!aStatus.mCounts.mTeams.empty()) {
+    AddTeamFamilies(aStatus.mCounts.mTeams, families);
+  }
   for (prometheus::MetricFamily& family : aMetrics.Collect()) {
     families.push_back(std::move(family));
   }
--- a/src/cellnode/tests/metricstext_test.cpp
+++ b/src/cellnode/tests/metricstext_test.cpp
@@ -27,6 +27,29 @@
         }
       });
   });
+  aRoot.Describe("the metrics of teams", [](Section& aSection) {
+    aSection.It("name 200 teams, and add the others up", [] {
+      // Guards against label values that grow with the configuration.
+      NodeStatus status;
+      for (int team = 0; team < 203; ++team) {
+        status.mCounts.mTeams.push_back(
+          { .mTeam = TeamId("team" + std::to_string(1000 + team)),
+            .mRunning = { .mMilliCores = 100 },
+            .mWaitingJobs = 2,
+            .mRefused = { { jobs::RefusalReason::GuaranteedWorkWaits, 4 } } });
+      }
+      const std::string text = MetricsText(status, NodeMetrics());
+      for (const char* line :
+           { "oriolevane_team_running_millicores{team=\"team1199\"} 100",
+             "oriolevane_team_running_millicores{team=\"other\"} 300",
+             "oriolevane_team_waiting_jobs{team=\"other\"} 6",
+             "oriolevane_team_refused_total{team=\"team1000\",reason="
+             "\"guaranteed_work_waits\"} 4" }) {
+        CPPUNIT_ASSERT_MESSAGE(line, text.find(line) != std::string::npos);
+      }
+      CPPUNIT_ASSERT(text.find("team1200") == std::string::npos);
+    });
+  });
   aRoot.Describe("the metrics of a node", [](Section& aSection) {
     aSection.It("count answers by kind and times by stage", [] {
       NodeMetrics metrics;
--- a/src/framework/types/resources.h
+++ b/src/framework/types/resources.h
@@ -33,4 +33,14 @@
   bool IsNonNegative() const;
 };
 
+// The amounts of aCount tasks.
+constexpr Resources
+Times(const Resources& aTask, std::int64_t aCount)
+{
+  return { .mMilliCores = aTask.mMilliCores * aCount,
+           .mMemoryMiB = aTask.mMemoryMiB * aCount,
+           .mAccelerators = aTask.mAccelerators * aCount,
+           .mSlots = aTask.mSlots * aCount };
+}
+
 } // namespace oriolevane
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -10,6 +10,7 @@
 #include "jobs/internal/recordvalues.h"
 #include "jobs/internal/runendhandler.h"
 #include "jobs/internal/runtracker.h"
+#include "jobs/internal/schedulercounts.h"
 #include "jobs/internal/urgency.h"
 #include "jobs/internal/workeranswerhandler.h"
 
@@ -144,6 +145,16 @@
   mImpl->mCell.mQueryHosts = aHosts;
 }
 
+std::optional<Refusal>
+CellScheduler::RefusalFor(const Submission& aSubmission, const Moment& aNow)
+{
+  if (Find(aSubmission.mId).has_value()) {
+    return std::nullopt;
+  }
+  return mImpl->mCell.mTeams.RefusalFor(
+    aSubmission.mId, aSubmission.mTeam, aSubmission.mSpec, aNow.mSteady);
+}
+
 RecordPosition
 CellScheduler::Submit(Submission aSubmission, const Moment& aNow)
 {
@@ -156,11 +167,14 @@
       finished.has_value()) {
     return *finished;
   }
+  const bool borrows =
+    cell.mTeams.MeterSubmission(aSubmission.mTeam, aNow.mSteady);
   Job& job = cell.mJobs.Add({ .mId = id,
                               .mQueue = std::move(aSubmission.mQueue),
                               .mSpec = std::move(aSubmission.mSpec),
                               .mAcceptedAt = aNow.mUnix,
-                              .mTeam = std::move(aSubmission.mTeam) },
+                              .mTeam = std::move(aSubmission.mTeam),
+                              .mBorrows = borrows },
                             aNow);
   mImpl->mJobsToOpen.emplace_back(job.mRecordPosition, id);
   LogDebug("job_submitted")
@@ -398,15 +412,7 @@
 SchedulerCounts
 CellScheduler::Counts() const
 {
-  const CellState& cell = mImpl->mCell;
-  SchedulerCounts counts;
-  counts.mOpenJobs = cell.mJobs.Jobs().size();
-  for (const auto& [id, worker] : cell.mFleet.Workers()) {
-    counts.mRuns += worker.mRuns.size();
-    counts.mWorkers += worker.mRegistered ? 1 : 0;
-    counts.mReachableWorkers += worker.mReachable ? 1 : 0;
-  }
-  return counts;
+  return CountsOf(mImpl->mCell);
 }
 
 } // namespace oriolevane::jobs
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -14,6 +14,7 @@
 #include "jobs/types/jobrecord.h"
 #include "jobs/types/orders.h"
 #include "jobs/types/scheduleroptions.h"
+#include "jobs/types/teamcounts.h"
 
 namespace oriolevane::jobs {
 
@@ -56,6 +57,8 @@
   std::size_t mWorkers = 0;
   // Workers that answered their last poll.
   std::size_t mReachableWorkers = 0;
+  // The teams of the configuration.
+  std::vector<TeamCounts> mTeams;
 };
 
 // Accepts jobs, places their tasks on workers and tracks their progress.
@@ -83,6 +86,11 @@
   // time; 1 until it is set.
   void SetQueryHosts(std::size_t aHosts);
 
+  // Returns why a job must be refused on account of its team, or nothing when
+  // it can be submitted. To be called once before Submit(), with the same time;
+  // each refusal is counted. A job that is known already is not refused.
+  std::optional<Refusal> RefusalFor(const Submission& aSubmission,
+                                    const Moment& aNow);
   // Submits a job. It is accepted once the change at the returned position has
   // been recorded. If the id is already known, the existing job is kept.
   RecordPosition Submit(Submission aSubmission, const Moment& aNow);
--- a/src/jobs/internal/candidates.cpp
+++ b/src/jobs/internal/candidates.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "jobs/internal/teamorder.h"
+
 namespace oriolevane::jobs {
 
 namespace {
@@ -44,6 +46,10 @@
             [](const Candidate& aLeft, const Candidate& aRight) {
               return aLeft.mUrgency < aRight.mUrgency;
             });
+  if (mCell.mTeams.HasTeams() &&
+      mCell.mOptions.mOrder == SchedulingOrder::Urgency) {
+    OrderForTeams(candidates, mCell.mTeams);
+  }
   return candidates;
 }
 
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -45,6 +45,7 @@
   if (mCell.mFleet.OwnershipEnd() - aNow.mSteady < kMinLeaseToStart) {
     return;
   }
+  mCell.mTeams.BeginPass(mCell.mFleet);
   std::vector<Candidate> candidates = mCandidates.Collect(aNow, aReconciled);
   mNow = aNow.mSteady;
   mGangReservations.BeginPass(mNow);
@@ -52,7 +53,6 @@
   // Steps without an answer yet do not count.
   const std::size_t stepsRenewed = mAdvice.Budget().MaxStepsRenewedPerQueue();
   mSingleTaskShare = SingleTaskShare(candidates);
-  mCell.mTeams.BeginPass();
   for (const Candidate& candidate : candidates) {
     if (!QuotaAllowsStart(candidate)) {
       continue;
@@ -95,7 +95,11 @@
       PlaceTasks(aCandidate, aNow);
     }
   }
+  if (aCandidate.mUrgency.mObjectiveStatus != ObjectiveStatus::Expired) {
+    mCell.mTeams.NoteWaiting(*aCandidate.mJob, *aCandidate.mStep, mNow);
+  }
   if (gang && !aCandidate.mStep->HasRuns() && !mGangReservations.IsFull() &&
+      mCell.mTeams.MayReserve(*aCandidate.mJob) &&
       aCandidate.mUrgency.mObjectiveStatus == ObjectiveStatus::OnTime) {
     ReserveForGang(aCandidate);
   }
@@ -120,7 +124,7 @@
   double waiting = 0;
   for (const Candidate& candidate : aCandidates) {
     const StepSpec& spec = candidate.Spec();
-    if (spec.mGang &&
+    if (spec.mGang && !candidate.mJob->mRecord.mBorrows &&
         candidate.mUrgency.mObjectiveStatus == ObjectiveStatus::OnTime &&
         *candidate.mStep->mReadyAt + kGangWaitThreshold < mNow &&
         mCell.mTeams.QuotaAllows(*candidate.mJob, spec)) {
--- a/src/jobs/internal/teamaccounts.cpp
+++ b/src/jobs/internal/teamaccounts.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <utility>
 
 #include "framework/log.h"
 
@@ -62,8 +63,17 @@
 TeamAccounts::Configure(const CellConfiguration& aConfiguration)
 {
   mHasTeams = aConfiguration.mTeams.has_value();
-  mLedger.Configure(
-    aConfiguration.mTeams.value_or(std::vector<teams::TeamPolicy>()));
+  const std::vector<teams::TeamPolicy> policies =
+    aConfiguration.mTeams.value_or(std::vector<teams::TeamPolicy>());
+  mLedger.Configure(policies);
+  mMeter.Configure(policies);
+  mOrder.Configure(policies);
+  mAdmission.Configure(policies);
+  std::map<TeamId, std::map<RefusalReason, std::uint64_t>> refused;
+  for (const teams::TeamPolicy& team : policies) {
+    refused[team.mName] = mRefused[team.mName];
+  }
+  mRefused = std::move(refused);
 }
 
 void
@@ -126,10 +136,35 @@
 }
 
 void
-TeamAccounts::BeginPass()
+TeamAccounts::BeginPass(const Fleet& aFleet)
 {
   mBoundInPass.clear();
   mHeldForGang.clear();
+  mGuaranteedWaits = false;
+  if (!mHasTeams) {
+    return;
+  }
+  mAdmission.BeginPass();
+  Resources capacity;
+  for (const auto& [id, worker] : aFleet.Workers()) {
+    capacity += worker.mRegistered ? worker.mEntry.mCapacity : Resources();
+  }
+  mOrder.SetCapacity(capacity);
+}
+
+void
+TeamAccounts::NoteWaiting(const Job& aJob, const Step& aStep, TimePoint aNow)
+{
+  if (!mHasTeams || !aStep.mNoRoomSince.has_value()) {
+    return;
+  }
+  if (aJob.mRecord.mBorrows) {
+    mAdmission.NoteBorrowingStep();
+  } else {
+    mGuaranteedWaits = true;
+    mAdmission.NoteGuaranteedWait(aJob.mRecord.mTeam,
+                                  aNow - *aStep.mNoRoomSince);
+  }
 }
 
 void
@@ -138,4 +173,86 @@
   mBound.swap(mBoundInPass);
 }
 
+bool
+TeamAccounts::MeterSubmission(const TeamId& aTeam, TimePoint aNow)
+{
+  return mHasTeams && !aTeam.Empty() && !mMeter.TakeToken(aTeam, aNow);
+}
+
+std::optional<Refusal>
+TeamAccounts::FindRefusal(const JobId& aId,
+                          const TeamId& aTeam,
+                          const JobSpec& aSpec,
+                          TimePoint aNow) const
+{
+  for (const StepSpec& step : aSpec.mSteps) {
+    if (step.mGang &&
+        !mLedger.CanEverFit(aTeam, step.mResources, step.mTaskCount)) {
+      return Refusal{ .mReason = RefusalReason::GangExceedsQuota,
+                      .mRetryAfter = std::nullopt,
+                      .mMessage =
+                        "a gang of the job exceeds the team's quota" };
+    }
+  }
+  if (mMeter.HasToken(aTeam, aNow)) {
+    return std::nullopt;
+  }
+  const std::optional<std::chrono::seconds> delay =
+    mAdmission.RetryAfter(aTeam, aId.mValue);
+  if (!delay.has_value()) {
+    return std::nullopt;
+  }
+  return Refusal{ .mReason = RefusalReason::GuaranteedWorkWaits,
+                  .mRetryAfter = delay,
+                  .mMessage = "the team exceeds its guaranteed rate while "
+                              "other teams wait for capacity" };
+}
+
+std::optional<Refusal>
+TeamAccounts::RefusalFor(const JobId& aId,
+                         const TeamId& aTeam,
+                         const JobSpec& aSpec,
+                         TimePoint aNow)
+{
+  if (!mHasTeams || aTeam.Empty()) {
+    return std::nullopt;
+  }
+  std::optional<Refusal> refusal = FindRefusal(aId, aTeam, aSpec, aNow);
+  if (!refusal.has_value()) {
+    return std::nullopt;
+  }
+  if (const auto refused = mRefused.find(aTeam); refused != mRefused.end()) {
+    ++refused->second[refusal->mReason];
+  }
+  LogInfo(refusal->mReason == RefusalReason::GangExceedsQuota
+            ? "gang_exceeds_quota"
+            : "borrowing_job_refused")
+    .With("team", aTeam)
+    .With("job", aId)
+    .With("retry_after_s",
+          refusal->mRetryAfter.value_or(std::chrono::seconds(0)).count());
+  return refusal;
+}
+
+std::vector<double>
+TeamAccounts::FairKeys(const std::vector<teams::WaitingDemand>& aDemands) const
+{
+  return mOrder.SortKeys(
+    aDemands, [this](const TeamId& aTeam) { return mLedger.UsageOf(aTeam); });
+}
+
+TeamCounts
+TeamAccounts::CountsOf(const TeamId& aTeam) const
+{
+  const Resources usage = mLedger.UsageOf(aTeam);
+  const auto refused = mRefused.find(aTeam);
+  return { .mTeam = aTeam,
+           .mRunning = usage,
+           .mQuota = mLedger.QuotaOf(aTeam),
+           .mDominantShare = mOrder.DominantShare(usage),
+           .mRefused = refused == mRefused.end()
+                         ? std::map<RefusalReason, std::uint64_t>()
+                         : refused->second };
+}
+
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/types.cpp
+++ b/src/jobs/internal/types.cpp
@@ -1,5 +1,6 @@
 #include "jobs/types/cellconfiguration.h"
 #include "jobs/types/jobstate.h"
+#include "jobs/types/teamcounts.h"
 
 #include <algorithm>
 
@@ -33,4 +34,16 @@
   return "queued";
 }
 
+std::string_view
+ToText(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::GangExceedsQuota:
+      return "gang_exceeds_quota";
+    case RefusalReason::GuaranteedWorkWaits:
+      return "guaranteed_work_waits";
+  }
+  return "guaranteed_work_waits";
+}
+
 } // namespace oriolevane::jobs
--- a/src/jobs/tests/quota_test.cpp
+++ b/src/jobs/tests/quota_test.cpp
@@ -140,11 +140,12 @@
         cell.RunFor(200ms);
         QueuePolicy tolerant = MakeQueue();
         tolerant.mLatencyTarget = 60000ms;
-        for (int job = 0; job < 20; ++job) {
-          cell.Submit("single" + std::to_string(job),
-                      SingleStepJob(MakeStep(4, 1000, 300ms + 20ms * job)),
-                      tolerant,
-                      kTeam);
+        for (int job = 0; job < 40; ++job) {
+          cell.Submit(
+            "single" + std::to_string(job),
+            SingleStepJob(MakeStep(1, 1000, 200ms + 70ms * (job % 4))),
+            tolerant,
+            kTeam);
         }
         cell.RunFor(100ms);
         QueuePolicy gangQueue = MakeQueue();
--- a/src/teams/internal/quotaledger.cpp
+++ b/src/teams/internal/quotaledger.cpp
@@ -2,19 +2,6 @@
 
 namespace oriolevane::teams {
 
-namespace {
-
-Resources
-Times(const Resources& aTask, std::int64_t aCount)
-{
-  return { .mMilliCores = aTask.mMilliCores * aCount,
-           .mMemoryMiB = aTask.mMemoryMiB * aCount,
-           .mAccelerators = aTask.mAccelerators * aCount,
-           .mSlots = aTask.mSlots * aCount };
-}
-
-} // namespace
-
 void
 QuotaLedger::Configure(const std::vector<TeamPolicy>& aTeams)
 {
