Load trial of teams, one of which sends five times its usual load

Cause: no measurement showed what a team loses when another one floods the cell. The simulated policy service moves to a file of its own.

--- a/bench/jobs/main.cpp
+++ b/bench/jobs/main.cpp
@@ -8,10 +8,15 @@
 #include "jobs/tests/loadtrial.h"
 
 DEFINE_int32(seeds, 3, "number of seeds to run, starting from 1");
-DEFINE_string(load, "all", "route_1100, model_350, route_48 or all");
+DEFINE_string(
+  load,
+  "all",
+  "route_1100, model_350, route_48, teams_48, team_flood_48 or all; the "
+  "last two only by name");
 DEFINE_string(policy,
               "all",
-              "urgency, first_in_first_out, strict_priority or all");
+              "urgency, urgency_without_teams, first_in_first_out, "
+              "strict_priority or all");
 DEFINE_bool(verbose, false, "log the scheduler's decisions");
 DEFINE_double(factor, 1.0, "factor applied to the arrival rates of all jobs");
 
@@ -31,6 +36,8 @@
 {
   std::string mName;
   SchedulerOptions mScheduling;
+  // Whether the configuration has the teams of the load.
+  bool mUsesTeams = false;
 };
 
 std::vector<NamedLoad>
@@ -53,6 +60,8 @@
                                 .mUntil = 20000ms,
                                 .mRateFactor = 1.8 } };
   }
+  loads.push_back({ "teams_48", TeamLoad() });
+  loads.push_back({ "team_flood_48", TeamFloodLoad() });
   return loads;
 }
 
@@ -64,13 +73,16 @@
   arrival.mOrder = SchedulingOrder::Arrival;
   SchedulerOptions priority;
   priority.mOrder = SchedulingOrder::Priority;
-  return { { "urgency", urgency },
+  return { { "urgency", urgency, true },
+           { "urgency_without_teams", urgency },
            { "first_in_first_out", arrival },
            { "strict_priority", priority } };
 }
 
 void
-Print(const std::string& aName, const LoadOutcome& aOutcome)
+Print(const std::string& aName,
+      const LoadTrialOptions& aOptions,
+      const LoadOutcome& aOutcome)
 {
   fmt::print("{}.worth={:.3f}\n", aName, aOutcome.EarnedShare());
   fmt::print("{}.used_share={:.3f}\n", aName, aOutcome.mUtilization);
@@ -88,11 +100,35 @@
                outcome.mServedShare,
                outcome.mLargestServedShare);
   }
+  for (const auto& [team, outcome] : OutcomeByTeam(aOptions, aOutcome)) {
+    if (!team.Empty()) {
+      fmt::print("{}.{}={:.3f} jobs={} in_time={} late={} refusals={}\n",
+                 aName,
+                 team.mValue,
+                 outcome.EarnedShare(),
+                 outcome.mJobs,
+                 outcome.mInTime,
+                 outcome.mLate,
+                 outcome.mRefusals);
+    }
+  }
   for (const std::string& violation : aOutcome.mViolations) {
     fmt::print("{}.violation={}\n", aName, violation);
   }
 }
 
+// Loads of teams run only by name, and nothing but them without teams.
+bool
+IsSelected(const NamedLoad& aLoad, const NamedPolicy& aPolicy)
+{
+  const bool hasTeams = !aLoad.mOptions.mTeams.empty();
+  if (!hasTeams && aPolicy.mName == "urgency_without_teams") {
+    return false;
+  }
+  return ((FLAGS_load == "all" && !hasTeams) || FLAGS_load == aLoad.mName) &&
+         (FLAGS_policy == "all" || FLAGS_policy == aPolicy.mName);
+}
+
 } // namespace
 
 int
@@ -101,16 +137,19 @@
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
   oriolevane::SetLogLevel(FLAGS_verbose ? oriolevane::LogLevel::Info
                                         : oriolevane::LogLevel::Error);
-  for (NamedLoad& load : Loads()) {
+  for (const NamedLoad& load : Loads()) {
     for (const NamedPolicy& policy : Policies()) {
-      const bool selected =
-        (FLAGS_load == "all" || FLAGS_load == load.mName) &&
-        (FLAGS_policy == "all" || FLAGS_policy == policy.mName);
-      for (int seed = 1; selected && seed <= FLAGS_seeds; ++seed) {
-        load.mOptions.mSeed = seed;
-        load.mOptions.mScheduling = policy.mScheduling;
+      for (int seed = 1; IsSelected(load, policy) && seed <= FLAGS_seeds;
+           ++seed) {
+        LoadTrialOptions options = load.mOptions;
+        options.mSeed = seed;
+        options.mScheduling = policy.mScheduling;
+        if (!policy.mUsesTeams) {
+          options.mTeams.clear();
+        }
         Print(fmt::format("jobs.{}.{}.seed_{}", load.mName, policy.mName, seed),
-              RunLoadTrial(load.mOptions));
+              options,
+              RunLoadTrial(options));
       }
     }
   }
--- a/src/jobs/tests/loadtrial.cpp
+++ b/src/jobs/tests/loadtrial.cpp
@@ -7,6 +7,7 @@
 
 #include "framework/stablehash.h"
 #include "jobs/internal/urgency.h"
+#include "jobs/tests/policyservicequeue.h"
 
 namespace oriolevane::jobs {
 
@@ -143,66 +144,6 @@
   return jobs;
 }
 
-// Simulates the hosts that query the policy service. Each host has one query in
-// progress at a time; waiting queries are sent shortest first. Long queries go
-// only to a part of the hosts, so that they cannot block all short ones.
-class PolicyServiceQueue
-{
-public:
-  PolicyServiceQueue(FakeCell& aCell, int aQueryHosts)
-    : mCell(aCell)
-    , mBusyHosts(aQueryHosts, false)
-  {
-  }
-
-  void Add(const AdviceQuery& aQuery)
-  {
-    mWaitingQueries.emplace(aQuery.mServiceTime, aQuery);
-    AssignQueries();
-  }
-
-private:
-  static constexpr std::chrono::microseconds kLongQueryCost = 200ms;
-
-  void AssignQueries()
-  {
-    for (auto entry = mWaitingQueries.begin();
-         entry != mWaitingQueries.end();) {
-      const std::size_t host = FindFreeHost(entry->first >= kLongQueryCost);
-      if (host == mBusyHosts.size()) {
-        ++entry;
-        continue;
-      }
-      SendQuery(host, entry->second);
-      entry = mWaitingQueries.erase(entry);
-    }
-  }
-
-  std::size_t FindFreeHost(bool aIsLong) const
-  {
-    const std::size_t first = aIsLong ? mBusyHosts.size() / 4 : 0;
-    return std::find(mBusyHosts.begin() + static_cast<std::ptrdiff_t>(first),
-                     mBusyHosts.end(),
-                     false) -
-           mBusyHosts.begin();
-  }
-
-  void SendQuery(std::size_t aHost, const AdviceQuery& aQuery)
-  {
-    mBusyHosts[aHost] = true;
-    mCell.ScheduleAfter(std::chrono::ceil<Millis>(aQuery.mServiceTime) + 2ms,
-                        [this, aHost, aQuery] {
-                          mBusyHosts[aHost] = false;
-                          mCell.AnswerQuery(aQuery);
-                          AssignQueries();
-                        });
-  }
-
-  FakeCell& mCell;
-  std::vector<bool> mBusyHosts;
-  std::multimap<std::chrono::microseconds, AdviceQuery> mWaitingQueries;
-};
-
 // The work of a job, and whether it was of use to its caller.
 struct ScoredJob
 {
@@ -239,6 +180,9 @@
     mOutcome.mJobClasses.resize(aOptions.mJobClasses.size());
     mScoredJobs.resize(aOptions.mJobClasses.size());
     mCell.Scheduler().SetQueryHosts(aOptions.mQueryHosts);
+    if (!aOptions.mTeams.empty()) {
+      mCell.Configure(aOptions.mTeams);
+    }
     mCell.mOnAdviceQuery = [this](const AdviceQuery& aQuery) {
       mPolicyService.Add(aQuery);
     };
@@ -315,10 +259,34 @@
   {
     while (mNextJob < mJobs.size() &&
            kWarmUpTime + mJobs[mNextJob].mSubmitAt <= mCell.Now()) {
-      const PlannedJob& job = mJobs[mNextJob];
-      mCell.Submit(
-        job.mId, job.mSpec, mOptions.mJobClasses[job.mJobClass].mQueue);
-      mUnfinishedJobs.push_back(mNextJob++);
+      Submit(mNextJob++);
+    }
+    while (!mRetries.empty() && mRetries.begin()->first <= mCell.Now()) {
+      const std::size_t jobIndex = mRetries.begin()->second;
+      mRetries.erase(mRetries.begin());
+      Submit(jobIndex);
+    }
+  }
+
+  // Submits a job, or tries again after the delay that its refusal states.
+  void Submit(std::size_t aJobIndex)
+  {
+    const PlannedJob& job = mJobs[aJobIndex];
+    const JobClass& jobClass = mOptions.mJobClasses[job.mJobClass];
+    const std::optional<Refusal> refusal =
+      mCell.Scheduler().RefusalFor({ .mId = JobId(job.mId),
+                                     .mQueue = jobClass.mQueue,
+                                     .mSpec = job.mSpec,
+                                     .mTeam = jobClass.mTeam },
+                                   mCell.NowMoment());
+    if (!refusal.has_value()) {
+      mCell.Submit(job.mId, job.mSpec, jobClass.mQueue, jobClass.mTeam);
+      mUnfinishedJobs.push_back(aJobIndex);
+      return;
+    }
+    ++mOutcome.mJobClasses[job.mJobClass].mRefusals;
+    if (refusal->mRetryAfter.has_value()) {
+      mRetries.emplace(mCell.Now() + *refusal->mRetryAfter, aJobIndex);
     }
   }
 
@@ -418,6 +386,8 @@
   std::map<std::string, std::size_t> mJobIndexById;
   std::vector<std::optional<Millis>> mCompletedAt;
   std::vector<std::size_t> mUnfinishedJobs;
+  // Refused jobs by the time at which they are submitted again.
+  std::multimap<Millis, std::size_t> mRetries;
   // By job class.
   std::vector<std::vector<ScoredJob>> mScoredJobs;
   std::size_t mNextJob = 0;
--- a/src/jobs/tests/loadtrial.h
+++ b/src/jobs/tests/loadtrial.h
@@ -24,6 +24,8 @@
 struct JobClass
 {
   QueuePolicy mQueue;
+  // Empty for none.
+  TeamId mTeam;
   double mJobsPerSecond = 1.0;
   // Steps of a job, which run one after another.
   LognormalParameters mSteps;
@@ -77,6 +79,8 @@
   Millis mDuration{ 30000 };
   std::vector<JobClass> mJobClasses;
   std::vector<LoadBurst> mBursts;
+  // Refused jobs are submitted again after the delay that the refusal states.
+  std::vector<teams::TeamPolicy> mTeams;
   SchedulerOptions mScheduling;
 };
 
@@ -88,6 +92,8 @@
   int mInTime = 0;
   // Jobs that completed late but are still of use to their callers.
   int mLate = 0;
+  // Submissions that were refused on account of the team.
+  int mRefusals = 0;
   // Value of all jobs if each had completed in time.
   double mPossibleValue = 0;
   // Value of the jobs as they completed.
@@ -131,6 +137,16 @@
 // gangs of route jobs, certificate jobs and short booking jobs.
 LoadTrialOptions
 WideRouteAndBookingLoad();
+// Returns the first site's mix, divided among five teams. The job classes of
+// the last team come last.
+LoadTrialOptions
+TeamLoad();
+// Returns the same mix while the last team sends five times its usual load.
+LoadTrialOptions
+TeamFloodLoad();
+// Adds up the results of each team's job classes.
+std::map<TeamId, JobClassOutcome>
+OutcomeByTeam(const LoadTrialOptions& aOptions, const LoadOutcome& aOutcome);
 
 // Runs the load until twice its duration has passed and returns the results.
 LoadOutcome
