--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -7,8 +7,10 @@
 #include "jobs/internal/adviceplanner.h"
 #include "jobs/internal/cellstate.h"
 #include "jobs/internal/dispatcher.h"
+#include "jobs/internal/recordvalues.h"
 #include "jobs/internal/runendhandler.h"
 #include "jobs/internal/runtracker.h"
+#include "jobs/internal/schedulercounts.h"
 #include "jobs/internal/urgency.h"
 #include "jobs/internal/workeranswerhandler.h"
 
@@ -113,6 +115,7 @@
 {
   CellState& cell = mImpl->mCell;
   cell.mConfiguration = std::move(aConfiguration);
+  cell.mTeams.Configure(cell.mConfiguration);
   for (auto& [id, job] : cell.mJobs.Jobs()) {
     const QueuePolicy* queue =
       cell.mConfiguration.FindQueue(job.mRecord.mQueue.mName);
@@ -142,6 +145,16 @@
   mImpl->mCell.mQueryHosts = aHosts;
 }
 
+std::optional<Refusal>
+CellScheduler::RefusalFor(const Submission& aSubmission, const Moment& aNow)
+{
+  if (Find(aSubmission.mId).has_value()) {
+    return std::nullopt;
+  }
+  return mImpl->mCell.mTeams.RefusalFor(
+    aSubmission.mId, aSubmission.mTeam, aSubmission.mSpec, aNow.mSteady);
+}
+
 RecordPosition
 CellScheduler::Submit(Submission aSubmission, const Moment& aNow)
 {
@@ -154,11 +167,14 @@
       finished.has_value()) {
     return *finished;
   }
+  const bool borrows =
+    cell.mTeams.MeterSubmission(aSubmission.mTeam, aNow.mSteady);
   Job& job = cell.mJobs.Add({ .mId = id,
                               .mQueue = std::move(aSubmission.mQueue),
                               .mSpec = std::move(aSubmission.mSpec),
                               .mAcceptedAt = aNow.mUnix,
-                              .mTeam = std::move(aSubmission.mTeam) },
+                              .mTeam = std::move(aSubmission.mTeam),
+                              .mBorrows = borrows },
                             aNow);
   mImpl->mJobsToOpen.emplace_back(job.mRecordPosition, id);
   LogDebug("job_submitted")
@@ -300,21 +316,7 @@
 RecordValue
 CellScheduler::ValueOf(const RecordKey& aKey) const
 {
-  const auto valueOrNothing = [](const auto& aValue) {
-    return aValue.has_value() ? RecordValue(*aValue) : RecordValue();
-  };
-  const CellState& cell = mImpl->mCell;
-  switch (aKey.mKind) {
-    case RecordKind::Job:
-      return valueOrNothing(cell.mJobs.JobRecordOf(JobId(aKey.mName)));
-    case RecordKind::Progress:
-      return valueOrNothing(cell.mJobs.ProgressRecordOf(aKey.mName));
-    case RecordKind::Finished:
-      return valueOrNothing(cell.mJobs.FinishedRecordOf(JobId(aKey.mName)));
-    case RecordKind::Worker:
-      return valueOrNothing(cell.mFleet.RecordOf(WorkerId(aKey.mName)));
-  }
-  return {};
+  return CurrentValue(mImpl->mCell, aKey);
 }
 
 void
@@ -350,22 +352,11 @@
     return;
   }
   mRecoveryFinished = true;
+  mCell.mTeams.ClearPresumed();
   std::size_t open = 0;
   for (auto& [id, job] : mCell.mJobs.Jobs()) {
     open += job.mPhase == JobPhase::Open ? 1 : 0;
-    for (auto& [number, occurrence] : job.mOccurrences) {
-      for (std::size_t stepIndex = 0; stepIndex < occurrence.mSteps.size();
-           ++stepIndex) {
-        Step& step = occurrence.mSteps[stepIndex];
-        const bool complete =
-          std::none_of(step.mTasks.begin(),
-                       step.mTasks.end(),
-                       [](const Task& aTask) { return aTask.IsWaiting(); });
-        if (job.mRecord.mSpec.mSteps[stepIndex].mGang && !complete) {
-          mRuns.StopStep(step, aNow.mSteady);
-        }
-      }
-    }
+    mRuns.StopIncompleteGangs(job, aNow.mSteady);
   }
   LogInfo("recovery_finished").With("open_jobs", open);
   mCell.mDispatchWanted = true;
@@ -395,7 +386,8 @@
     for (auto& [id, job] : cell.mJobs.Jobs()) {
       cell.mJobs.OpenDueOccurrences(job, aNow);
     }
-    cell.mJobs.Prune(aNow, cell.mOptions.mFinishedRetention);
+    cell.mJobs.Prune(
+      aNow, cell.mOptions.mFinishedRetention, mImpl->mRecoveryFinished);
     cell.mFleet.Prune(aNow.mSteady, [this](const Worker* aWorker) {
       mImpl->mAdvice.RemoveWorker(aWorker);
     });
@@ -406,6 +398,9 @@
   if (aNow.mSteady >= due) {
     cell.mDispatchWanted = false;
     mImpl->mLastDispatch = aNow.mSteady;
+    if (!mImpl->mRecoveryFinished) {
+      cell.mTeams.UpdatePresumed(cell.mJobs, cell.mFleet);
+    }
     mImpl->mDispatcher.Dispatch(aNow, mImpl->mRecoveryFinished);
   }
   if (aNow.mSteady >= mImpl->mNextPollPass) {
@@ -417,15 +412,7 @@
 SchedulerCounts
 CellScheduler::Counts() const
 {
-  const CellState& cell = mImpl->mCell;
-  SchedulerCounts counts;
-  counts.mOpenJobs = cell.mJobs.Jobs().size();
-  for (const auto& [id, worker] : cell.mFleet.Workers()) {
-    counts.mRuns += worker.mRuns.size();
-    counts.mWorkers += worker.mRegistered ? 1 : 0;
-    counts.mReachableWorkers += worker.mReachable ? 1 : 0;
-  }
-  return counts;
+  return CountsOf(mImpl->mCell);
 }
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/runtracker.h
+++ b/src/jobs/internal/runtracker.h
@@ -50,6 +50,8 @@
   void StopAll(const std::vector<RunPointer>& aRuns, TimePoint aNow);
   void StopStep(Step& aStep, TimePoint aNow);
   void StopJob(Job& aJob, TimePoint aNow);
+  // Stops the gangs of a job of which a member is missing.
+  void StopIncompleteGangs(Job& aJob, TimePoint aNow);
   // Sends the stop orders again that are due.
   void ResendStops(TimePoint aNow);
   void OnStopAnswer(const StopOrder& aOrder,
@@ -57,6 +59,11 @@
                     TimePoint aNow);
 
 private:
+  // The team of a job that is open or whose final state is kept; empty for
+  // none.
+  TeamId TeamOf(const JobId& aJob) const;
+  // Adds a run to its worker and to the usage of its team.
+  void AddRun(Worker& aWorker, const RunPointer& aRun);
   void SendStop(Run& aRun, Worker& aWorker, TimePoint aNow);
 
   CellState& mCell;
--- /dev/null
+++ b/src/jobs/internal/teamaccounts.cpp
@@ -0,0 +1,258 @@
+#include "jobs/internal/teamaccounts.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "framework/log.h"
+
+namespace oriolevane::jobs {
+
+namespace {
+
+// The capacity of the workers that have not reported all of their runs yet;
+// nothing when the capacity of one of them is not known.
+std::optional<Resources>
+UnreportedCapacity(const Fleet& aFleet)
+{
+  Resources capacity;
+  for (const auto& [id, worker] : aFleet.Workers()) {
+    if (worker.mReconciled) {
+      continue;
+    }
+    if (!worker.mRegistered) {
+      return std::nullopt;
+    }
+    capacity += worker.mEntry.mCapacity;
+  }
+  return capacity;
+}
+
+// What the tasks of a job would use that have neither succeeded nor a known
+// run. All steps count, as the ends of the steps that they depend on may not
+// have been recorded before their tasks started.
+Resources
+UnfoundUsage(const Job& aJob)
+{
+  Resources usage;
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
+      for (const Task& task : occurrence.mSteps[step].mTasks) {
+        if (task.IsWaiting()) {
+          usage += aJob.mRecord.mSpec.mSteps[step].mResources;
+        }
+      }
+    }
+  }
+  return usage;
+}
+
+Resources
+Least(const Resources& aLeft, const Resources& aRight)
+{
+  return { .mMilliCores = std::min(aLeft.mMilliCores, aRight.mMilliCores),
+           .mMemoryMiB = std::min(aLeft.mMemoryMiB, aRight.mMemoryMiB),
+           .mAccelerators = std::min(aLeft.mAccelerators, aRight.mAccelerators),
+           .mSlots = std::min(aLeft.mSlots, aRight.mSlots) };
+}
+
+} // namespace
+
+void
+TeamAccounts::Configure(const CellConfiguration& aConfiguration)
+{
+  mHasTeams = aConfiguration.mTeams.has_value();
+  const std::vector<teams::TeamPolicy> policies =
+    aConfiguration.mTeams.value_or(std::vector<teams::TeamPolicy>());
+  mLedger.Configure(policies);
+  mMeter.Configure(policies);
+  mOrder.Configure(policies);
+  mAdmission.Configure(policies);
+  std::map<TeamId, std::map<RefusalReason, std::uint64_t>> refused;
+  for (const teams::TeamPolicy& team : policies) {
+    refused[team.mName] = mRefused[team.mName];
+  }
+  mRefused = std::move(refused);
+}
+
+void
+TeamAccounts::UpdatePresumed(const JobTable& aJobs, const Fleet& aFleet)
+{
+  std::map<TeamId, Resources> presumed;
+  for (const auto& [id, job] : aJobs.Jobs()) {
+    if (job.mRecovered && !job.mRecord.mTeam.Empty()) {
+      presumed[job.mRecord.mTeam] += UnfoundUsage(job);
+    }
+  }
+  const std::optional<Resources> capacity = UnreportedCapacity(aFleet);
+  mLedger.ClearPresumed();
+  for (const auto& [team, usage] : presumed) {
+    mLedger.SetPresumed(team,
+                        capacity.has_value() ? Least(usage, *capacity) : usage);
+  }
+}
+
+bool
+TeamAccounts::QuotaAllows(const Job& aJob, const StepSpec& aSpec) const
+{
+  const TeamId& team = aJob.mRecord.mTeam;
+  if (team.Empty()) {
+    return true;
+  }
+  return aSpec.mGang
+           ? mLedger.AllowsGang(team, aSpec.mResources, aSpec.mTaskCount)
+           : mLedger.Allows(team, aSpec.mResources);
+}
+
+bool
+TeamAccounts::AllowsStart(const Job& aJob, const StepSpec& aSpec, bool aOnTime)
+{
+  const TeamId& team = aJob.mRecord.mTeam;
+  if (team.Empty()) {
+    return true;
+  }
+  if (!mHeldForGang.contains(team) && QuotaAllows(aJob, aSpec)) {
+    return true;
+  }
+  if (aSpec.mGang && aOnTime &&
+      mLedger.CanEverFit(team, aSpec.mResources, aSpec.mTaskCount)) {
+    mHeldForGang.insert(team);
+  }
+  if (mBoundInPass.insert(team).second && !mBound.contains(team)) {
+    const Resources usage = mLedger.UsageOf(team);
+    const Resources quota = mLedger.QuotaOf(team);
+    LogInfo("quota_binds")
+      .With("team", team)
+      .With("millicores", usage.mMilliCores)
+      .With("memory_mib", usage.mMemoryMiB)
+      .With("accelerators", usage.mAccelerators)
+      .With("presumed_millicores", mLedger.PresumedOf(team).mMilliCores)
+      .With("quota_millicores", quota.mMilliCores)
+      .With("quota_memory_mib", quota.mMemoryMiB)
+      .With("quota_accelerators", quota.mAccelerators);
+  }
+  return false;
+}
+
+void
+TeamAccounts::BeginPass(const Fleet& aFleet)
+{
+  mBoundInPass.clear();
+  mHeldForGang.clear();
+  mGuaranteedWaits = false;
+  if (!mHasTeams) {
+    return;
+  }
+  mAdmission.BeginPass();
+  Resources capacity;
+  for (const auto& [id, worker] : aFleet.Workers()) {
+    capacity += worker.mRegistered ? worker.mEntry.mCapacity : Resources();
+  }
+  mOrder.SetCapacity(capacity);
+}
+
+void
+TeamAccounts::NoteWaiting(const Job& aJob, const Step& aStep, TimePoint aNow)
+{
+  if (!mHasTeams || !aStep.mNoRoomSince.has_value()) {
+    return;
+  }
+  if (aJob.mRecord.mBorrows) {
+    mAdmission.NoteBorrowingStep();
+  } else {
+    mGuaranteedWaits = true;
+    mAdmission.NoteGuaranteedWait(aJob.mRecord.mTeam,
+                                  aNow - *aStep.mNoRoomSince);
+  }
+}
+
+void
+TeamAccounts::EndPass()
+{
+  mBound.swap(mBoundInPass);
+}
+
+bool
+TeamAccounts::MeterSubmission(const TeamId& aTeam, TimePoint aNow)
+{
+  return mHasTeams && !aTeam.Empty() && !mMeter.TakeToken(aTeam, aNow);
+}
+
+std::optional<Refusal>
+TeamAccounts::FindRefusal(const JobId& aId,
+                          const TeamId& aTeam,
+                          const JobSpec& aSpec,
+                          TimePoint aNow) const
+{
+  for (const StepSpec& step : aSpec.mSteps) {
+    if (step.mGang &&
+        !mLedger.CanEverFit(aTeam, step.mResources, step.mTaskCount)) {
+      return Refusal{ .mReason = RefusalReason::GangExceedsQuota,
+                      .mRetryAfter = std::nullopt,
+                      .mMessage =
+                        "a gang of the job exceeds the team's quota" };
+    }
+  }
+  if (mMeter.HasToken(aTeam, aNow)) {
+    return std::nullopt;
+  }
+  const std::optional<std::chrono::seconds> delay =
+    mAdmission.RetryAfter(aTeam, aId.mValue);
+  if (!delay.has_value()) {
+    return std::nullopt;
+  }
+  return Refusal{ .mReason = RefusalReason::GuaranteedWorkWaits,
+                  .mRetryAfter = delay,
+                  .mMessage = "the team exceeds its guaranteed rate while "
+                              "other teams wait for capacity" };
+}
+
+std::optional<Refusal>
+TeamAccounts::RefusalFor(const JobId& aId,
+                         const TeamId& aTeam,
+                         const JobSpec& aSpec,
+                         TimePoint aNow)
+{
+  if (!mHasTeams || aTeam.Empty()) {
+    return std::nullopt;
+  }
+  std::optional<Refusal> refusal = FindRefusal(aId, aTeam, aSpec, aNow);
+  if (!refusal.has_value()) {
+    return std::nullopt;
+  }
+  if (const auto refused = mRefused.find(aTeam); refused != mRefused.end()) {
+    ++refused->second[refusal->mReason];
+  }
+  LogInfo(refusal->mReason == RefusalReason::GangExceedsQuota
+            ? "gang_exceeds_quota"
+            : "borrowing_job_refused")
+    .With("team", aTeam)
+    .With("job", aId)
+    .With("retry_after_s",
+          refusal->mRetryAfter.value_or(std::chrono::seconds(0)).count());
+  return refusal;
+}
+
+std::vector<double>
+TeamAccounts::FairKeys(const std::vector<teams::WaitingDemand>& aDemands) const
+{
+  return mOrder.SortKeys(
+    aDemands, [this](const TeamId& aTeam) { return mLedger.UsageOf(aTeam); });
+}
+
+TeamCounts
+TeamAccounts::CountsOf(const TeamId& aTeam) const
+{
+  const Resources usage = mLedger.UsageOf(aTeam);
+  const auto refused = mRefused.find(aTeam);
+  return { .mTeam = aTeam,
+           .mRunning = usage,
+           .mQuota = mLedger.QuotaOf(aTeam),
+           .mDominantShare = mOrder.DominantShare(usage),
+           .mRefused = refused == mRefused.end()
+                         ? std::map<RefusalReason, std::uint64_t>()
+                         : refused->second };
+}
+
+} // namespace oriolevane::jobs
--- a/src/teams/tests/testgroups.h
+++ b/src/teams/tests/testgroups.h
@@ -7,5 +7,9 @@
 
 void
 KeyTableTests(testing::Section& aRoot);
+void
+QuotaLedgerTests(testing::Section& aRoot);
+void
+ShareTests(testing::Section& aRoot);
 
 } // namespace oriolevane
