Read a shard with one retry timer for each table

The loader kept a timer for each failed read until the shard was read, so its memory grew for as long as a store outage lasted.

--- a/src/cellnode/internal/cellloader.cpp
+++ b/src/cellnode/internal/cellloader.cpp
@@ -57,7 +57,12 @@
   };
   mUnfinishedTables = static_cast<int>(tables.size());
   for (const auto& [name, handler] : tables) {
-    ReadTable(name, "", handler);
+    mTables.try_emplace(name,
+                        TableRead{ .mHandler = handler,
+                                   .mFrom = {},
+                                   .mRetryTimer = mLoop.MakeTimer(
+                                     [this, name] { ReadNextPage(name); }) });
+    ReadNextPage(name);
   }
 }
 
@@ -67,37 +72,32 @@
 }
 
 void
-CellLoader::ReadTable(const std::string& aTable,
-                      const std::string& aFrom,
-                      const RowHandler& aHandler)
+CellLoader::ReadNextPage(const std::string& aTable)
 {
-  mStore.mRead({ .mTable = aTable, .mPart = mPart, .mFrom = aFrom },
-               kReadTimeout,
-               [this, alive = mAlive, aTable, aFrom, aHandler](
-                 const absl::StatusOr<RowPage>& aPage) {
-                 if (*alive) {
-                   OnPage(aTable, aFrom, aHandler, aPage);
-                 }
-               });
+  mStore.mRead(
+    { .mTable = aTable, .mPart = mPart, .mFrom = mTables.at(aTable).mFrom },
+    kReadTimeout,
+    [this, alive = mAlive, aTable](const absl::StatusOr<RowPage>& aPage) {
+      if (*alive) {
+        OnPage(aTable, aPage);
+      }
+    });
 }
 
 void
 CellLoader::OnPage(const std::string& aTable,
-                   const std::string& aFrom,
-                   const RowHandler& aHandler,
                    const absl::StatusOr<RowPage>& aPage)
 {
+  TableRead& table = mTables.at(aTable);
   if (!aPage.ok()) {
     LogWarning("load_failed")
       .With("table", aTable)
       .With("status", aPage.status().ToString());
-    mRetries.push_back(mLoop.MakeTimer(
-      [this, aTable, aFrom, aHandler] { ReadTable(aTable, aFrom, aHandler); }));
-    mRetries.back()->StartAfter(kRetryPause);
+    table.mRetryTimer->StartAfter(kRetryPause);
     return;
   }
   for (const Row& row : aPage->mRows) {
-    const absl::Status status = aHandler(row);
+    const absl::Status status = table.mHandler(row);
     if (!status.ok()) {
       LogError("record_unreadable")
         .With("table", aTable)
@@ -106,7 +106,8 @@
     }
   }
   if (aPage->mHasMore && !aPage->mRows.empty()) {
-    ReadTable(aTable, aPage->mRows.back().mKey.mName + '\x01', aHandler);
+    table.mFrom = aPage->mRows.back().mKey.mName + '\x01';
+    ReadNextPage(aTable);
     return;
   }
   if (--mUnfinishedTables == 0) {
--- a/src/cellnode/internal/cellloader.h
+++ b/src/cellnode/internal/cellloader.h
@@ -31,13 +31,19 @@
 private:
   using RowHandler = std::function<absl::Status(const Row&)>;
 
-  void ReadTable(const std::string& aTable,
-                 const std::string& aFrom,
-                 const RowHandler& aHandler);
-  void OnPage(const std::string& aTable,
-              const std::string& aFrom,
-              const RowHandler& aHandler,
-              const absl::StatusOr<RowPage>& aPage);
+  // The read of one table.
+  struct TableRead
+  {
+    RowHandler mHandler;
+    // The first row name of the next page.
+    std::string mFrom;
+    // Repeats the call after a failure; one timer for all failures, as a store
+    // outage has no bound.
+    std::unique_ptr<eventloop::Timer> mRetryTimer;
+  };
+
+  void ReadNextPage(const std::string& aTable);
+  void OnPage(const std::string& aTable, const absl::StatusOr<RowPage>& aPage);
 
   eventloop::EventLoop& mLoop;
   const RowStoreHooks& mStore;
@@ -45,7 +51,7 @@
   Done mDone;
   jobs::CellRecords mRecords;
   int mUnfinishedTables = 0;
-  std::vector<std::unique_ptr<eventloop::Timer>> mRetries;
+  std::map<std::string, TableRead> mTables;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
--- a/src/cellnode/tests/main.cpp
+++ b/src/cellnode/tests/main.cpp
@@ -9,6 +9,7 @@
     aCount,
     aArguments,
     { { "cell journal", oriolevane::CellJournalTests },
+      { "cell loader", oriolevane::CellLoaderTests },
       { "ownership policy", oriolevane::OwnershipPolicyTests },
       { "caller requests", oriolevane::CallerRequestHandlerTests },
       { "loop lag monitor", oriolevane::LoopLagMonitorTests },
--- a/src/cellnode/tests/testgroups.h
+++ b/src/cellnode/tests/testgroups.h
@@ -8,6 +8,8 @@
 void
 CellJournalTests(testing::Section& aRoot);
 void
+CellLoaderTests(testing::Section& aRoot);
+void
 OwnershipPolicyTests(testing::Section& aRoot);
 void
 CallerRequestHandlerTests(testing::Section& aRoot);
