--- a/src/cellnode/tests/main.cpp
+++ b/src/cellnode/tests/main.cpp
@@ -23,5 +23,6 @@
       { "table watch", oriolevane::TableWatchTests },
       { "record codec", oriolevane::RecordCodecTests },
       { "queue router", oriolevane::QueueRouterTests },
+      { "malformed input", oriolevane::MalformedInputTests },
       { "metrics text", oriolevane::MetricsTextTests } });
 }
--- /dev/null
+++ b/src/cellnode/tests/malformedinput_test.cpp
@@ -0,0 +1,118 @@
+#include <random>
+
+#include "cellnode/internal/peercodec.h"
+#include "cellnode/internal/peermessages.h"
+#include "cellnode/internal/relaymessages.h"
+#include "cellnode/recordcodec.h"
+#include "cellnode/tests/testgroups.h"
+
+namespace oriolevane {
+
+using testing::Section;
+using namespace cellnode;
+
+namespace {
+
+constexpr int kTrials = 3'000;
+
+// Changes a few bytes, cuts the text off, or repeats a part of it.
+std::string
+Damaged(std::string aText, std::mt19937_64& aRandom)
+{
+  const int changes = 1 + static_cast<int>(aRandom() % 4);
+  for (int change = 0; change < changes && !aText.empty(); ++change) {
+    const std::size_t at = aRandom() % aText.size();
+    switch (aRandom() % 4) {
+      case 0:
+        aText.resize(at);
+        break;
+      case 1:
+        aText.insert(at, aText.substr(at, aRandom() % 16));
+        break;
+      default:
+        aText[at] = static_cast<char>(aRandom() % 256);
+        break;
+    }
+  }
+  return aText;
+}
+
+std::vector<std::string>
+Frames()
+{
+  const jobs::TaskKey task{ .mStep = { .mJob = jobs::JobId("job") } };
+  jobs::PollAnswer poll{ .mResult = jobs::OrderResult::Done, .mReport = {} };
+  poll.mReport.mRunning = { { .mTask = task, .mRun = jobs::RunNumber(1) } };
+  poll.mReport.mEnded = { { .mSerial = 1, .mTask = task } };
+  return {
+    EncodeFrame(ToWire(1, CallerRequest{ .mPath = "/queue/1" })),
+    EncodeFrame(ToWire(1, CallerAnswer{ .mMessage = "message" })),
+    EncodeFrame(ToWire(1, jobs::AdviceQuery{ .mWorkers = { WorkerId("w") } })),
+    EncodeFrame(ToWire(1, jobs::StartOrder{ .mTask = task }, Duration(1))),
+    EncodeFrame(ToWire(1, poll))
+  };
+}
+
+// Converts the body of the message as its receiver does.
+void
+Read(const cellwire::MessageT& aMessage)
+{
+  if (const auto* request = aMessage.body.AsCallerRequest()) {
+    FromWire(*request);
+  } else if (const auto* answer = aMessage.body.AsCallerAnswer()) {
+    FromWire(*answer);
+  } else if (const auto* query = aMessage.body.AsAdviceQuery()) {
+    FromWire(*query);
+  }
+}
+
+} // namespace
+
+void
+MalformedInputTests(Section& aRoot)
+{
+  // These guard against a node that ends because of one damaged message or row:
+  // an exception that leaves a decoder ends the process.
+  aRoot.Describe("damaged input", [](Section& aSection) {
+    aSection.It("is read or refused when it comes from a peer", [] {
+      std::mt19937_64 random(1);
+      int refused = 0;
+      for (const std::string& frame : Frames()) {
+        for (int trial = 0; trial < kTrials; ++trial) {
+          const auto message = DecodeFrame(Damaged(frame, random));
+          if (message.ok()) {
+            Read(*message);
+          }
+          refused += message.ok() ? 0 : 1;
+        }
+      }
+      CPPUNIT_ASSERT(refused > kTrials);
+    });
+    aSection.It("is read or refused when it comes from the store", [] {
+      std::mt19937_64 random(2);
+      jobs::JobRecord job;
+      job.mId = jobs::JobId("job");
+      job.mSpec.mSteps = { { .mTaskCount = 2, .mAfter = { 0 } } };
+      jobs::FinishedRecord finished;
+      finished.mId = job.mId;
+      int refused = 0;
+      for (int trial = 0; trial < kTrials; ++trial) {
+        refused += DecodeJob(Damaged(Encode(job), random)).ok() ? 0 : 1;
+        refused +=
+          DecodeFinished(Damaged(Encode(finished), random)).ok() ? 0 : 1;
+        refused +=
+          DecodeProgress(Damaged(Encode(jobs::ProgressRecord{}), random)).ok()
+            ? 0
+            : 1;
+        refused +=
+          DecodeWorker(Damaged(Encode(jobs::WorkerRecord{}), random)).ok() ? 0
+                                                                           : 1;
+        refused +=
+          DecodeOwner(Damaged(Encode(OwnerRow{}), random)).ok() ? 0 : 1;
+      }
+      CPPUNIT_ASSERT(refused > kTrials);
+    });
+  });
+}
+
+} // namespace oriolevane
--- a/src/cellnode/tests/testgroups.h
+++ b/src/cellnode/tests/testgroups.h
@@ -36,6 +36,8 @@
 void
 QueueRouterTests(testing::Section& aRoot);
 void
+MalformedInputTests(testing::Section& aRoot);
+void
 MetricsTextTests(testing::Section& aRoot);
 
 } // namespace oriolevane
--- a/src/jobs/tests/main.cpp
+++ b/src/jobs/tests/main.cpp
@@ -12,6 +12,7 @@
       { "gang", oriolevane::GangTests },
       { "takeover", oriolevane::OwnerTakeoverTests },
       { "worker failures", oriolevane::WorkerFailureTests },
+      { "malformed reports", oriolevane::MalformedReportTests },
       { "advice", oriolevane::AdviceTests },
       { "record write queue", oriolevane::RecordWriteQueueTests },
       { "relative run time", oriolevane::RelativeRunTimeTests },
