--- a/src/cellnode/tests/main.cpp
+++ b/src/cellnode/tests/main.cpp
@@ -10,6 +10,7 @@
     aArguments,
     { { "cell journal", oriolevane::CellJournalTests },
       { "compression", oriolevane::CompressionTests },
+      { "cell loader", oriolevane::CellLoaderTests },
       { "ownership policy", oriolevane::OwnershipPolicyTests },
       { "caller requests", oriolevane::CallerRequestHandlerTests },
       { "caller authorizer", oriolevane::CallerAuthorizerTests },
@@ -26,5 +27,6 @@
       { "table watch", oriolevane::TableWatchTests },
       { "record codec", oriolevane::RecordCodecTests },
       { "queue router", oriolevane::QueueRouterTests },
+      { "malformed input", oriolevane::MalformedInputTests },
       { "metrics text", oriolevane::MetricsTextTests } });
 }
--- a/src/cellnode/tests/testgroups.h
+++ b/src/cellnode/tests/testgroups.h
@@ -10,6 +10,8 @@
 void
 CompressionTests(testing::Section& aRoot);
 void
+CellLoaderTests(testing::Section& aRoot);
+void
 OwnershipPolicyTests(testing::Section& aRoot);
 void
 CallerRequestHandlerTests(testing::Section& aRoot);
@@ -42,6 +44,8 @@
 void
 QueueRouterTests(testing::Section& aRoot);
 void
+MalformedInputTests(testing::Section& aRoot);
+void
 MetricsTextTests(testing::Section& aRoot);
 
 } // namespace oriolevane
