Refuse jobs on account of their team with 429

Cause: the scheduler decides on quotas and guarantees, but nothing asked it. Change: a submission that the scheduler refuses is answered with 429 and the time to come back; 60 s where only a new quota can help.

--- a/src/cellnode/internal/callerrequesthandler.cpp
+++ b/src/cellnode/internal/callerrequesthandler.cpp
@@ -33,6 +33,8 @@
 constexpr std::chrono::milliseconds kRetryAfterOverload = 1000ms;
 constexpr std::chrono::milliseconds kOverloadRetrySpread = 2000ms;
 constexpr std::chrono::milliseconds kRetryAfterHandover = 1000ms;
+// Sent to callers whose job can run only once the operator has raised a quota.
+constexpr std::chrono::seconds kRetryAfterNewQuota = 60s;
 
 const CallerAnswer kHandoverAnswer{ .mKind = CallerAnswerKind::Refused,
                                     .mRetryAfter = kRetryAfterHandover,
@@ -194,9 +196,19 @@
              .mMessage = std::string(spec.status().message()) });
     return;
   }
-  const jobs::RecordPosition position = mScheduler.Submit(
-    { .mId = aId, .mQueue = aQueue, .mSpec = *std::move(spec), .mTeam = aTeam },
-    mHooks.mNow());
+  jobs::Submission submission{
+    .mId = aId, .mQueue = aQueue, .mSpec = *std::move(spec), .mTeam = aTeam
+  };
+  const jobs::Moment now = mHooks.mNow();
+  if (const auto refusal = mScheduler.RefusalFor(submission, now);
+      refusal.has_value()) {
+    aReply({ .mKind = CallerAnswerKind::RateLimited,
+             .mRetryAfter = refusal->mRetryAfter.value_or(kRetryAfterNewQuota),
+             .mMessage = refusal->mMessage });
+    return;
+  }
+  const jobs::RecordPosition position =
+    mScheduler.Submit(std::move(submission), now);
   ReplyWhenRecorded(
     position, { .mKind = CallerAnswerKind::Accepted }, aReply, aId);
 }
