--- a/src/cellnode/tests/callerrequesthandler_test.cpp
+++ b/src/cellnode/tests/callerrequesthandler_test.cpp
@@ -216,6 +216,11 @@
                      CallerAnswerKind::State);
     });
   });
+}
+
+void
+DescribeOtherAccess(Section& aRoot)
+{
   aRoot.Describe("a job of a public queue", [](Section& aSection) {
     aSection.It("is accessible with and without a key", [] {
       Fixture fixture;
@@ -253,6 +258,7 @@
 {
   DescribeOrderOfChecks(aRoot);
   DescribeJobsOfTeams(aRoot);
+  DescribeOtherAccess(aRoot);
   aRoot.Describe("while the owner is overloaded", [](Section& aSection) {
     aSection.It("refuses a new job at once, and says when to come back", [] {
       Fixture fixture;
--- a/src/cellnode/tests/recordcodec_test.cpp
+++ b/src/cellnode/tests/recordcodec_test.cpp
@@ -40,6 +40,75 @@
 static_assert(FieldCount<jobs::JobRecord>() == 6);
 static_assert(FieldCount<jobs::FinishedRecord>() == 4);
 
+void
+DescribeProgress(Section& aRoot)
+{
+  aRoot.Describe("progress", [](Section& aSection) {
+    aSection.It("is decoded with the failed runs of tasks and gangs", [] {
+      const jobs::ProgressRecord record{
+        .mJob = jobs::JobId("job"),
+        .mOccurrence = 2,
+        .mFinished = true,
+        .mSteps = { { .mStep = 1,
+                      .mFailedGangRuns = { jobs::RunNumber(4) },
+                      .mTasks = { { .mIndex = 3,
+                                    .mSucceeded = true,
+                                    .mFailedRuns = { jobs::RunNumber(1),
+                                                     jobs::RunNumber(9) },
+                                    .mLastRun = jobs::RunNumber(10),
+                                    .mCheckpoint = "point" } } } }
+      };
+      const auto back = DecodeProgress(Encode(record));
+      CPPUNIT_ASSERT(back.ok());
+      CPPUNIT_ASSERT_EQUAL(Encode(record), Encode(*back));
+      CPPUNIT_ASSERT(back->mSteps[0].mTasks[0].mFailedRuns ==
+                     record.mSteps[0].mTasks[0].mFailedRuns);
+    });
+  });
+}
+
+void
+DescribeMalformedRecords(Section& aRoot)
+{
+  aRoot.Describe("malformed records", [](Section& aSection) {
+    // The scheduler uses these values as indexes and sizes, so that one such
+    // row would end each node that takes the shard over.
+    aSection.It("are rejected when a value is out of range", [] {
+      const auto decodeJob = [](const jobs::StepSpec& aSecond) {
+        jobs::JobRecord record{ .mId = jobs::JobId("job") };
+        record.mSpec.mSteps = { { .mTaskCount = 1 }, aSecond };
+        return DecodeJob(Encode(record)).status();
+      };
+      CPPUNIT_ASSERT(decodeJob({ .mTaskCount = 2, .mAfter = { 0 } }).ok());
+      for (const int count : { -1, 0, 2'000'000'000 }) {
+        CPPUNIT_ASSERT(absl::IsDataLoss(decodeJob({ .mTaskCount = count })));
+      }
+      for (const int earlier : { -1, 1, 7 }) {
+        CPPUNIT_ASSERT(absl::IsDataLoss(
+          decodeJob({ .mTaskCount = 1, .mAfter = { earlier } })));
+      }
+      for (const int state : { -1, 5 }) {
+        const jobs::FinishedRecord record{
+          .mId = jobs::JobId("job"),
+          .mState = static_cast<jobs::JobState>(state)
+        };
+        CPPUNIT_ASSERT(
+          absl::IsDataLoss(DecodeFinished(Encode(record)).status()));
+      }
+    });
+    aSection.It("are rejected", [] {
+      for (const char* text :
+           { "", "{", "[]", "7", R"({"id":7})", R"({"job":"x","steps":3})" }) {
+        CPPUNIT_ASSERT(absl::IsDataLoss(DecodeJob(text).status()));
+        CPPUNIT_ASSERT(absl::IsDataLoss(DecodeProgress(text).status()));
+        CPPUNIT_ASSERT(absl::IsDataLoss(DecodeFinished(text).status()));
+        CPPUNIT_ASSERT(absl::IsDataLoss(DecodeWorker(text).status()));
+        CPPUNIT_ASSERT(absl::IsDataLoss(DecodeOwner(text).status()));
+      }
+    });
+  });
+}
+
 } // namespace
 
 void
@@ -114,65 +183,8 @@
       CPPUNIT_ASSERT(back->mTeam == record.mTeam);
     });
   });
-  aRoot.Describe("progress", [](Section& aSection) {
-    aSection.It("is decoded with the failed runs of tasks and gangs", [] {
-      const jobs::ProgressRecord record{
-        .mJob = jobs::JobId("job"),
-        .mOccurrence = 2,
-        .mFinished = true,
-        .mSteps = { { .mStep = 1,
-                      .mFailedGangRuns = { jobs::RunNumber(4) },
-                      .mTasks = { { .mIndex = 3,
-                                    .mSucceeded = true,
-                                    .mFailedRuns = { jobs::RunNumber(1),
-                                                     jobs::RunNumber(9) },
-                                    .mLastRun = jobs::RunNumber(10),
-                                    .mCheckpoint = "point" } } } }
-      };
-      const auto back = DecodeProgress(Encode(record));
-      CPPUNIT_ASSERT(back.ok());
-      CPPUNIT_ASSERT_EQUAL(Encode(record), Encode(*back));
-      CPPUNIT_ASSERT(back->mSteps[0].mTasks[0].mFailedRuns ==
-                     record.mSteps[0].mTasks[0].mFailedRuns);
-    });
-  });
-  aRoot.Describe("malformed records", [](Section& aSection) {
-    // The scheduler uses these values as indexes and sizes, so that one such
-    // row would end each node that takes the shard over.
-    aSection.It("are rejected when a value is out of range", [] {
-      const auto decodeJob = [](const jobs::StepSpec& aSecond) {
-        jobs::JobRecord record{ .mId = jobs::JobId("job") };
-        record.mSpec.mSteps = { { .mTaskCount = 1 }, aSecond };
-        return DecodeJob(Encode(record)).status();
-      };
-      CPPUNIT_ASSERT(decodeJob({ .mTaskCount = 2, .mAfter = { 0 } }).ok());
-      for (const int count : { -1, 0, 2'000'000'000 }) {
-        CPPUNIT_ASSERT(absl::IsDataLoss(decodeJob({ .mTaskCount = count })));
-      }
-      for (const int earlier : { -1, 1, 7 }) {
-        CPPUNIT_ASSERT(absl::IsDataLoss(
-          decodeJob({ .mTaskCount = 1, .mAfter = { earlier } })));
-      }
-      for (const int state : { -1, 5 }) {
-        const jobs::FinishedRecord record{
-          .mId = jobs::JobId("job"),
-          .mState = static_cast<jobs::JobState>(state)
-        };
-        CPPUNIT_ASSERT(
-          absl::IsDataLoss(DecodeFinished(Encode(record)).status()));
-      }
-    });
-    aSection.It("are rejected", [] {
-      for (const char* text :
-           { "", "{", "[]", "7", R"({"id":7})", R"({"job":"x","steps":3})" }) {
-        CPPUNIT_ASSERT(absl::IsDataLoss(DecodeJob(text).status()));
-        CPPUNIT_ASSERT(absl::IsDataLoss(DecodeProgress(text).status()));
-        CPPUNIT_ASSERT(absl::IsDataLoss(DecodeFinished(text).status()));
-        CPPUNIT_ASSERT(absl::IsDataLoss(DecodeWorker(text).status()));
-        CPPUNIT_ASSERT(absl::IsDataLoss(DecodeOwner(text).status()));
-      }
-    });
-  });
+  DescribeProgress(aRoot);
+  DescribeMalformedRecords(aRoot);
 }
 
 } // namespace oriolevane
