Add a load with workers of three speeds to the load trial

The load has 350 workers whose run times differ by 0.7, 1.0 and 1.7, three runs in a hundred at seven times the mean, and one job in a hundred whose runs all fail.

--- a/bench/jobs/main.cpp
+++ b/bench/jobs/main.cpp
@@ -8,7 +8,9 @@
 #include "jobs/tests/loadtrial.h"
 
 DEFINE_int32(seeds, 3, "number of seeds to run, starting from 1");
-DEFINE_string(load, "all", "route_1100, model_350, route_48 or all");
+DEFINE_string(load,
+              "all",
+              "route_1100, model_350, route_48, uneven_350 or all");
 DEFINE_string(policy,
               "all",
               "urgency, first_in_first_out, strict_priority or all");
@@ -53,6 +55,7 @@
                                 .mUntil = 20000ms,
                                 .mRateFactor = 1.8 } };
   }
+  loads.push_back({ "uneven_350", UnevenWorkersLoad() });
   return loads;
 }
 
--- a/src/jobs/tests/loadmixes.cpp
+++ b/src/jobs/tests/loadmixes.cpp
@@ -182,4 +182,55 @@
   return options;
 }
 
+LoadTrialOptions
+UnevenWorkersLoad()
+{
+  LoadTrialOptions options = RouteAndBookingLoad();
+  options.mWorkers = 350;
+  options.mCapacity = { .mMilliCores = 32000, .mMemoryMiB = 131072 };
+  options.mQueryHosts = 30;
+  options.mWorkerFactors = { 0.7, 1.0, 1.7 };
+  options.mStragglerShare = 0.03;
+  options.mStragglerFactor = 7.0;
+  options.mBursts = {
+    { .mJobClass = 2, .mFrom = 6000ms, .mUntil = 10000ms, .mRateFactor = 2.0 },
+    { .mJobClass = 0, .mFrom = 16000ms, .mUntil = 20000ms, .mRateFactor = 1.8 }
+  };
+  JobClass& forecast = options.mJobClasses[0];
+  forecast.mQueue.mName = QueueName("forecast");
+  forecast.mJobsPerSecond = 4.2;
+  forecast.mSteps = {};
+  forecast.mTasksPerStep = { .mMean = 20, .mVariation = 0.5, .mMax = 80 };
+  forecast.mMilliCores = { .mMean = 9000, .mVariation = 0.4, .mMax = 16000 };
+  forecast.mMemoryMiB = { .mMean = 18000, .mVariation = 0.5, .mMax = 40000 };
+  forecast.mRunTimeMs = { .mMean = 4200, .mVariation = 0.5, .mMax = 10000 };
+  forecast.mHopelessShare = 0.01;
+  forecast.mValueInTime = 10.3;
+  forecast.mValueWhenLate = 2.06;
+  JobClass& scenario = options.mJobClasses[1];
+  scenario.mQueue.mName = QueueName("scenario");
+  scenario.mJobsPerSecond = 10.8;
+  scenario.mSteps = {};
+  scenario.mTasksPerStep = { .mMean = 25, .mVariation = 0.8, .mMax = 150 };
+  scenario.mMilliCores = { .mMean = 3500, .mVariation = 0.45, .mMax = 10000 };
+  scenario.mMemoryMiB = { .mMean = 9000, .mVariation = 0.6, .mMax = 30000 };
+  scenario.mRunTimeMs = { .mMean = 1900, .mVariation = 0.5, .mMax = 5000 };
+  scenario.mCheckpointingShare = 1.0;
+  scenario.mHopelessShare = 0.01;
+  scenario.mValueInTime = 2.15;
+  scenario.mValueWhenLate = 0.43;
+  JobClass& check = options.mJobClasses[2];
+  check.mQueue.mName = QueueName("check");
+  check.mJobsPerSecond = 78;
+  check.mTasksPerStep = { .mMean = 3, .mVariation = 0.6, .mMax = 15 };
+  check.mMilliCores = { .mMean = 5000, .mVariation = 0.45, .mMax = 16000 };
+  check.mMemoryMiB = { .mMean = 12000, .mVariation = 0.6, .mMax = 40000 };
+  check.mRunTimeMs = { .mMean = 850, .mVariation = 0.5, .mMax = 2100 };
+  check.mGangShare = 0;
+  check.mEstimateError = 0.2;
+  check.mUnevenness = 0.15;
+  check.mHopelessShare = 0.01;
+  return options;
+}
+
 } // namespace oriolevane::jobs
--- a/src/jobs/tests/loadtrial.cpp
+++ b/src/jobs/tests/loadtrial.cpp
@@ -26,13 +26,17 @@
 constexpr double kFixedValueShare = 0.3;
 // Limit on the value of a large job, relative to a job of mean size.
 constexpr double kMaxRelativeValue = 4.0;
-// Tasks take longer by this factor on one third of the workers, chosen by a
-// hash of the worker id.
-constexpr double kSlowWorkerFactor = 1.3;
 constexpr Millis kStopTime = 300ms;
 // Resolution of shares that are decided by a hash.
 constexpr int kHashBuckets = 10000;
 
+// Decides by a hash whether something belongs to a share.
+bool
+FallsInto(double aShare, std::uint64_t aHash)
+{
+  return static_cast<double>(aHash % kHashBuckets) < aShare * kHashBuckets;
+}
+
 // A job of the load, drawn before the trial starts.
 struct PlannedJob
 {
@@ -245,9 +249,8 @@
     mCell.mIsAllowed = [this](const StepKey& aStep, const WorkerId& aWorker) {
       const double share =
         mOptions.mJobClasses[JobClassOf(aStep)].mAllowedShare;
-      const std::uint64_t hash =
-        StableHash(aWorker.mValue, StableHash(aStep.ToText()));
-      return static_cast<double>(hash % kHashBuckets) < share * kHashBuckets;
+      return FallsInto(share,
+                       StableHash(aWorker.mValue, StableHash(aStep.ToText())));
     };
     mCell.mPlan =
       [this](const TaskKey& aTask, RunNumber aRun, const WorkerId& aWorker) {
@@ -292,21 +295,26 @@
   {
     const PlannedJob& job = mJobs[mJobIndexById.at(aTask.mStep.mJob.mValue)];
     const std::size_t step = aTask.mStep.mStep;
-    const bool slow = StableHash(aWorker.mValue) % 3 == 0;
+    const std::vector<double>& factors = mOptions.mWorkerFactors;
+    double factor = factors[StableHash(aWorker.mValue) % factors.size()];
     const StepSpec& spec = job.mSpec.mSteps[step];
     // All members of a gang fail together, so their hash is that of the step.
     const std::uint64_t hash = StableHash(
       spec.mGang ? aTask.mStep.ToText() : aTask.ToText(), aRun.mValue);
     const JobClass& jobClass = mOptions.mJobClasses[job.mJobClass];
+    if (FallsInto(mOptions.mStragglerShare, StableHash("straggler", hash))) {
+      factor *= mOptions.mStragglerFactor;
+    }
+    const bool hopeless =
+      FallsInto(jobClass.mHopelessShare, StableHash(job.mId));
     const double share =
       static_cast<double>(StableHash(aTask.ToText()) % kHashBuckets) /
       kHashBuckets;
     const double work =
       spec.mGang ? 1.0 : 1.0 + jobClass.mUnevenness * (2 * share - 1);
     return { .mDuration = std::chrono::duration_cast<Millis>(
-               job.mRunTimes[step] * work * (slow ? kSlowWorkerFactor : 1.0)),
-             .mFails = static_cast<double>(hash % kHashBuckets) <
-                       jobClass.mFailedShare * kHashBuckets,
+               job.mRunTimes[step] * work * factor),
+             .mFails = hopeless || FallsInto(jobClass.mFailedShare, hash),
              .mSavesCheckpoint = spec.mCheckpointing,
              .mStopTime = kStopTime };
   }
