Learn the speed of workers from each run, place single tasks by it, and move stragglers

Cause: with workers of three speeds and three stragglers in a hundred runs, a step was compared only when all of its tasks had ended, single tasks ignored speed, and a straggler held up its job for seven run times.

Change: the new module workerspeed has the parts of jobs that concern worker speed. A run is compared as soon as the median of its step is known. Single tasks avoid workers on which they would be late; those with ample slack use slow workers first. A run far beyond the others of its step, or beyond what the estimates of its queue allow, is stopped once when a new run is likely to end earlier. The tests of RelativeTimes() moved to those of StepRunTimes, which has taken its place.

--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -9,6 +9,7 @@
 #include "jobs/internal/dispatcher.h"
 #include "jobs/internal/runendhandler.h"
 #include "jobs/internal/runtracker.h"
+#include "jobs/internal/stragglerhandler.h"
 #include "jobs/internal/urgency.h"
 #include "jobs/internal/workeranswerhandler.h"
 
@@ -49,6 +50,7 @@
     , mAdvice(mCell)
     , mWorkerAnswerHandler(mCell, mRuns, mRunEndHandler, mAdvice)
     , mDispatcher(mCell, mRuns, mAdvice)
+    , mStragglers(mCell, mRuns)
   {
   }
 
@@ -66,6 +68,7 @@
   AdvicePlanner mAdvice;
   WorkerAnswerHandler mWorkerAnswerHandler;
   Dispatcher mDispatcher;
+  StragglerHandler mStragglers;
   // Submitted jobs whose records have not been written yet, oldest first.
   std::deque<std::pair<RecordPosition, JobId>> mJobsToOpen;
   bool mRecoveryFinished = true;
@@ -389,6 +392,7 @@
     mImpl->mWorkerAnswerHandler.ExpireLeases(aNow);
     mImpl->mRuns.ResendStops(aNow.mSteady);
   }
+  mImpl->mStragglers.Check(aNow.mSteady);
   mImpl->FinishRecovery(aNow);
   if (aNow.mSteady >= mImpl->mNextPrune) {
     mImpl->mNextPrune = aNow.mSteady + kPruneInterval;
--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -66,8 +66,9 @@
 }
 
 double
-SpeedPenalty(WorkerSpeed aSpeed)
+SpeedPenalty(workerspeed::WorkerSpeed aSpeed)
 {
+  using workerspeed::WorkerSpeed;
   switch (aSpeed) {
     case WorkerSpeed::Unknown:
       return kUnknownSpeedPenalty;
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -79,6 +79,7 @@
             });
   mNow = aNow.mSteady;
   mGangReservations.BeginPass(mNow);
+  mSpeedPlacement.BeginPass(mUsable.SpeedsDiffer());
   std::map<QueueName, std::size_t> renewed;
   // Steps without an answer yet do not count.
   const std::size_t stepsRenewed = mAdvice.Budget().MaxStepsRenewedPerQueue();
@@ -291,7 +292,9 @@
 }
 
 double
-Dispatcher::PlacementCost(const Worker& aWorker, const StepSpec& aSpec) const
+Dispatcher::PlacementCost(const Worker& aWorker,
+                          const StepSpec& aSpec,
+                          Duration aSlack) const
 {
   const Resources left = aWorker.mEntry.mCapacity - aWorker.mUsed;
   const auto share = [](std::int64_t aLeft, std::int64_t aOf) {
@@ -307,18 +310,19 @@
     cost += 10 * mCell.mOptions.mRemoteFactor;
   }
   if (aSpec.mGang && mUsable.SpeedsKnown() &&
-      aWorker.mHealth.mRunTime.Speed() != WorkerSpeed::Fast) {
+      aWorker.mHealth.mRunTime.Speed() != workerspeed::WorkerSpeed::Fast) {
     cost += kGangSpeedCost;
   }
   if (aWorker.mHealth.mSlowness > kSlowWorkerThreshold) {
     cost += 10 * aWorker.mHealth.mSlowness;
   }
-  return cost;
+  return cost + mSpeedPlacement.Cost(aWorker, aSpec, aSlack);
 }
 
 Dispatcher::EligibleWorker*
 Dispatcher::ChooseWorker(const Candidate& aCandidate,
-                         std::vector<EligibleWorker>& aEligible)
+                         std::vector<EligibleWorker>& aEligible,
+                         const WorkerId& aAvoided)
 {
   const StepSpec& spec = SpecOf(*aCandidate.mJob, aCandidate.mKey);
   const bool ample = HasAmpleSlack(*aCandidate.mJob, aCandidate.mUrgency);
@@ -328,7 +332,8 @@
     const Worker& worker = *choice.mWorker;
     if (!worker.HasRoomFor(spec.mResources) ||
         !IsBelowPerWorkerLimit(choice, aCandidate.mKey, spec) ||
-        (worker.mHealth.mOnTrial && !worker.mRuns.empty())) {
+        (worker.mHealth.mOnTrial && !worker.mRuns.empty()) ||
+        (worker.Id() == aAvoided && aEligible.size() > 1)) {
       continue;
     }
     if (!spec.mGang && worker.mFillPosition > mSingleTaskShare && ample) {
@@ -339,7 +344,7 @@
       mCapacityWithheld = true;
       continue;
     }
-    const double cost = PlacementCost(worker, spec);
+    const double cost = PlacementCost(worker, spec, aCandidate.mUrgency.mSlack);
     if (best == nullptr || cost < bestCost) {
       best = &choice;
       bestCost = cost;
@@ -369,7 +374,8 @@
     if (!tasks[index].IsWaiting()) {
       continue;
     }
-    const EligibleWorker* choice = ChooseWorker(aCandidate, eligible);
+    const EligibleWorker* choice =
+      ChooseWorker(aCandidate, eligible, tasks[index].mStraggledOn);
     if (choice == nullptr) {
       RecordFailedAttempt(*aCandidate.mStep);
       return;
@@ -424,7 +430,7 @@
   // one, and undoes that below.
   for (std::size_t index = 0; index < aCandidate.mStep->mTasks.size();
        ++index) {
-    EligibleWorker* choice = ChooseWorker(aCandidate, aEligible);
+    EligibleWorker* choice = ChooseWorker(aCandidate, aEligible, WorkerId());
     if (choice == nullptr) {
       break;
     }
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -7,6 +7,7 @@
 #include "jobs/internal/cellstate.h"
 #include "jobs/internal/gangreservations.h"
 #include "jobs/internal/runtracker.h"
+#include "jobs/internal/speedplacement.h"
 #include "jobs/internal/urgency.h"
 #include "jobs/internal/usableworkers.h"
 
@@ -88,9 +89,13 @@
                          const StepSpec& aSpec);
   // The worker with the lowest placement cost among those with room for a task;
   // null when there is none.
+  // The worker aAvoided is left out while there are others.
   EligibleWorker* ChooseWorker(const Candidate& aCandidate,
-                               std::vector<EligibleWorker>& aEligible);
-  double PlacementCost(const Worker& aWorker, const StepSpec& aSpec) const;
+                               std::vector<EligibleWorker>& aEligible,
+                               const WorkerId& aAvoided);
+  double PlacementCost(const Worker& aWorker,
+                       const StepSpec& aSpec,
+                       Duration aSlack) const;
   // Remembers a failed attempt to start a step, so that the step is not tried
   // again until a worker gains room. An attempt that failed because capacity
   // was withheld is not remembered, so that the next pass tries the step again.
@@ -110,6 +115,7 @@
   AdvicePlanner& mAdvice;
   UsableWorkers mUsable;
   GangReservations mGangReservations;
+  SpeedPlacement mSpeedPlacement;
   // Share of the usable workers that single tasks with ample slack may use in
   // this pass.
   double mSingleTaskShare = 1.0;
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -13,6 +13,7 @@
 #include "jobs/internal/stepadvice.h"
 #include "jobs/types/jobrecord.h"
 #include "jobs/types/orders.h"
+#include "workerspeed/stepruntimes.h"
 
 namespace oriolevane::jobs {
 
@@ -72,6 +73,9 @@
   RunNumber mLastRun;
   // Latest checkpoint; empty for none.
   std::string mCheckpoint;
+  // The worker on which a run was stopped as a straggler; empty for none. A
+  // task is moved once only.
+  WorkerId mStraggledOn;
   // Runs that have not ended. There is more than one only for a speculative
   // step or while superfluous runs are being stopped.
   std::vector<RunPointer> mRuns;
@@ -96,9 +100,8 @@
   // No task is started before this time, because a worker refused a start.
   TimePoint mNotBefore;
   StepAdvice mAdvice;
-  // Run times of the tasks that have succeeded, with their workers; not for
-  // gangs.
-  std::vector<std::pair<WorkerId, Duration>> mRunTimes;
+  // Run times of the tasks that have succeeded; not for gangs.
+  workerspeed::StepRunTimes mRunTimes;
   // A gang may use workers that are slower than others, because it would end
   // later if it waited for faster ones.
   bool mMayUseSlowWorkers = false;
--- a/src/jobs/internal/runendhandler.h
+++ b/src/jobs/internal/runendhandler.h
@@ -50,12 +50,10 @@
                     EndKind aKind,
                     const Moment& aNow);
   // Notes how long a successful run took on a worker.
-  static void UpdateRunTime(Worker& aWorker,
-                            Job& aJob,
-                            const Run& aRun,
-                            TimePoint aNow);
-  // Compares the run times of a step whose tasks have all succeeded.
-  void CompareRunTimes(const Step& aStep);
+  void UpdateRunTime(Worker& aWorker,
+                     Job& aJob,
+                     const Run& aRun,
+                     TimePoint aNow);
 
   CellState& mCell;
   RunTracker& mRuns;
--- a/src/jobs/tests/main.cpp
+++ b/src/jobs/tests/main.cpp
@@ -14,7 +14,7 @@
       { "worker failures", oriolevane::WorkerFailureTests },
       { "advice", oriolevane::AdviceTests },
       { "record write queue", oriolevane::RecordWriteQueueTests },
-      { "relative run time", oriolevane::RelativeRunTimeTests },
+      { "stragglers", oriolevane::StragglerTests },
       { "load", oriolevane::LoadTests },
       { "random trouble", oriolevane::RandomFaultTests } });
 }
--- a/src/jobs/tests/testgroups.h
+++ b/src/jobs/tests/testgroups.h
@@ -18,7 +18,7 @@
 void
 RecordWriteQueueTests(testing::Section& aRoot);
 void
-RelativeRunTimeTests(testing::Section& aRoot);
+StragglerTests(testing::Section& aRoot);
 void
 LoadTests(testing::Section& aRoot);
 void
