--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -21,12 +21,6 @@
 constexpr double kAmpleSlackShare = 0.35;
 constexpr double kMaxSingleTaskShare = 0.45;
 constexpr double kMinSingleTaskShare = 0.2;
-// Added to the cost of workers that are not known to be fast, for members of
-// gangs. It is more than the other terms of workers that are neither remote nor
-// very slow.
-constexpr double kGangSpeedCost = 3.0;
-// Workers with a higher slowness than this are used last.
-constexpr double kSlowWorkerThreshold = 2.5;
 
 const StepSpec&
 SpecOf(const Job& aJob, const StepKey& aStep)
@@ -79,7 +73,7 @@
             });
   mNow = aNow.mSteady;
   mGangReservations.BeginPass(mNow);
-  mSpeedPlacement.BeginPass(mUsable.SpeedsDiffer());
+  mPlacementCost.BeginPass(mUsable.SpeedsKnown(), mUsable.SpeedsDiffer());
   std::map<QueueName, std::size_t> renewed;
   // Steps without an answer yet do not count.
   const std::size_t stepsRenewed = mAdvice.Budget().MaxStepsRenewedPerQueue();
@@ -291,34 +285,6 @@
   return here + aChoice.mPlannedMembers < aSpec.mMaxPerWorker;
 }
 
-double
-Dispatcher::PlacementCost(const Worker& aWorker,
-                          const StepSpec& aSpec,
-                          Duration aSlack) const
-{
-  const Resources left = aWorker.mEntry.mCapacity - aWorker.mUsed;
-  const auto share = [](std::int64_t aLeft, std::int64_t aOf) {
-    return aOf <= 0 ? 0.0
-                    : static_cast<double>(aLeft) / static_cast<double>(aOf);
-  };
-  // Prefers the fullest worker that has room, which keeps the others free for
-  // large tasks.
-  double cost = share(left.mMilliCores, aWorker.mEntry.mCapacity.mMilliCores) +
-                share(left.mMemoryMiB, aWorker.mEntry.mCapacity.mMemoryMiB);
-  if (!aSpec.mDataRack.empty() &&
-      aSpec.mDataRack != aWorker.mEntry.mRack.mValue) {
-    cost += 10 * mCell.mOptions.mRemoteFactor;
-  }
-  if (aSpec.mGang && mUsable.SpeedsKnown() &&
-      aWorker.mHealth.mRunTime.Speed() != workerspeed::WorkerSpeed::Fast) {
-    cost += kGangSpeedCost;
-  }
-  if (aWorker.mHealth.mSlowness > kSlowWorkerThreshold) {
-    cost += 10 * aWorker.mHealth.mSlowness;
-  }
-  return cost + mSpeedPlacement.Cost(aWorker, aSpec, aSlack);
-}
-
 Dispatcher::EligibleWorker*
 Dispatcher::ChooseWorker(const Candidate& aCandidate,
                          std::vector<EligibleWorker>& aEligible,
@@ -344,7 +310,8 @@
       mCapacityWithheld = true;
       continue;
     }
-    const double cost = PlacementCost(worker, spec, aCandidate.mUrgency.mSlack);
+    const double cost =
+      mPlacementCost.Of(worker, spec, aCandidate.mUrgency.mSlack);
     if (best == nullptr || cost < bestCost) {
       best = &choice;
       bestCost = cost;
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -6,8 +6,8 @@
 #include "jobs/internal/adviceplanner.h"
 #include "jobs/internal/cellstate.h"
 #include "jobs/internal/gangreservations.h"
+#include "jobs/internal/placementcost.h"
 #include "jobs/internal/runtracker.h"
-#include "jobs/internal/speedplacement.h"
 #include "jobs/internal/urgency.h"
 #include "jobs/internal/usableworkers.h"
 
@@ -22,6 +22,7 @@
     , mAdvice(aAdvice)
     , mUsable(aCell)
     , mGangReservations(aCell)
+    , mPlacementCost(aCell.mOptions.mRemoteFactor)
   {
   }
 
@@ -93,9 +94,6 @@
   EligibleWorker* ChooseWorker(const Candidate& aCandidate,
                                std::vector<EligibleWorker>& aEligible,
                                const WorkerId& aAvoided);
-  double PlacementCost(const Worker& aWorker,
-                       const StepSpec& aSpec,
-                       Duration aSlack) const;
   // Remembers a failed attempt to start a step, so that the step is not tried
   // again until a worker gains room. An attempt that failed because capacity
   // was withheld is not remembered, so that the next pass tries the step again.
@@ -115,7 +113,7 @@
   AdvicePlanner& mAdvice;
   UsableWorkers mUsable;
   GangReservations mGangReservations;
-  SpeedPlacement mSpeedPlacement;
+  PlacementCost mPlacementCost;
   // Share of the usable workers that single tasks with ample slack may use in
   // this pass.
   double mSingleTaskShare = 1.0;
