Learn speeds from runs that saved checkpoints but started from scratch

Only runs that resumed from a checkpoint are shorter than others; before, a checkpoint that a worker reported during a run also excluded the run.

--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -42,6 +42,8 @@
   int mOrdersSent = 1;
   // Started by an earlier owner, so that the time of its start is not known.
   bool mAdopted = false;
+  // Started from a checkpoint, so that it takes less time than others.
+  bool mResumed = false;
   TimePoint mOrderedAt;
   // When the worker first confirmed the run.
   TimePoint mConfirmedAt;
--- a/src/jobs/internal/runtracker.cpp
+++ b/src/jobs/internal/runtracker.cpp
@@ -49,6 +49,7 @@
   run->mResources = aJob.mRecord.mSpec.mSteps[aKey.mStep.mStep].mResources;
   run->mToken = aWorker.mToken;
   run->mOrderedAt = aNow;
+  run->mResumed = !aCheckpoint.empty();
   task.mLastRun = aNumber;
   task.mRuns.push_back(run);
   aWorker.AddRun(run);
--- a/src/jobs/internal/speedlearner.cpp
+++ b/src/jobs/internal/speedlearner.cpp
@@ -32,7 +32,7 @@
       taken <= expected * (kMaxHelpedFactor * aWorker.mHealth.mTimeFactor));
   }
   // A gang's tasks end together, and a run from a checkpoint is shorter.
-  if (aJob.mRecord.mSpec.mSteps[key.mStep].mGang || !task.mCheckpoint.empty()) {
+  if (aJob.mRecord.mSpec.mSteps[key.mStep].mGang || aRun.mResumed) {
     return;
   }
   mCell.mEstimateAccuracy[aJob.mRecord.mQueue.mName].AddRun(
@@ -57,12 +57,10 @@
 {
   std::vector<Duration> times;
   for (const Task& task : aStep.mTasks) {
-    if (!task.mCheckpoint.empty()) {
-      continue;
-    }
     for (const RunPointer& run : task.mRuns) {
       const Worker* worker = aFleet.Find(run->mWorker);
-      if (run.get() != aExcept && !run->mAdopted && worker != nullptr) {
+      if (run.get() != aExcept && !run->mAdopted && !run->mResumed &&
+          worker != nullptr) {
         times.push_back(workerspeed::OnMeanWorker(aNow - run->mOrderedAt,
                                                   worker->mHealth.mTimeFactor));
       }
