Retry one task only while a step has failures and no success; wait longer on workers of unknown speed

Cause: a job whose runs all fail cost tasks x attempts runs, and in the first seconds runs on slow workers of unknown speed were moved as stragglers.

Change: until a task of the step succeeds, only the task with the most failures is started. A run on a worker of unknown speed may take 1.7 times as long before it counts as a straggler.

--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -34,9 +34,11 @@
   if (aSpec.mGang) {
     return !aStep.IsDone() && !aStep.HasRuns();
   }
-  return std::any_of(aStep.mTasks.begin(),
-                     aStep.mTasks.end(),
-                     [](const Task& aTask) { return aTask.IsWaiting(); });
+  const Task* only = aStep.OnlyTaskToStart();
+  return std::any_of(
+    aStep.mTasks.begin(), aStep.mTasks.end(), [only](const Task& aTask) {
+      return aTask.IsWaiting() && (only == nullptr || only == &aTask);
+    });
 }
 
 bool
@@ -337,8 +339,10 @@
   std::vector<EligibleWorker> eligible =
     CollectEligibleWorkers(aCandidate, aNow.mSteady);
   std::vector<Task>& tasks = aCandidate.mStep->mTasks;
+  const Task* only = aCandidate.mStep->OnlyTaskToStart();
   for (std::size_t index = 0; index < tasks.size(); ++index) {
-    if (!tasks[index].IsWaiting()) {
+    if (!tasks[index].IsWaiting() ||
+        (only != nullptr && only != &tasks[index])) {
       continue;
     }
     const EligibleWorker* choice =
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -113,6 +113,10 @@
 
   bool IsDone() const { return mSucceeded == static_cast<int>(mTasks.size()); }
   bool HasRuns() const;
+  // After failures without any success, the step's tasks may never succeed.
+  // Until one does, only the task with the most failures starts, so that such a
+  // job costs few runs. Returns nullptr when all tasks may start.
+  const Task* OnlyTaskToStart() const;
 };
 
 // The state of one occurrence of a job.
--- a/src/jobs/internal/stragglerhandler.cpp
+++ b/src/jobs/internal/stragglerhandler.cpp
@@ -11,6 +11,16 @@
 
 // A check costs as much as the smaller part of a placement pass.
 constexpr std::chrono::milliseconds kCheckInterval = 50ms;
+// A worker of unknown speed may be slow, and its runs no stragglers.
+constexpr double kUnknownWorkerFactor = 1.7;
+
+// The factor that a run on the worker is expected to take longer by.
+double
+ExpectedFactor(const WorkerHealth& aHealth)
+{
+  return aHealth.mRunTime.IsKnown() ? aHealth.mTimeFactor
+                                    : kUnknownWorkerFactor;
+}
 
 } // namespace
 
@@ -65,7 +75,7 @@
     const workerspeed::RunTiming timing{
       .mElapsed = aNow - run.mOrderedAt,
       .mExpected = std::chrono::duration_cast<Duration>(
-        typical * worker->mHealth.mTimeFactor),
+        typical * ExpectedFactor(worker->mHealth)),
       .mExpectedElsewhere = typical,
       .mStopTime = mCell.mOptions.mMaxStopDuration / 2,
       .mCheckpointing = spec.mCheckpointing
--- a/src/jobs/tests/straggler_test.cpp
+++ b/src/jobs/tests/straggler_test.cpp
@@ -23,6 +23,16 @@
     "job", SingleStepJob(MakeStep(aTasks, 2000, 1000ms)), MakeQueue());
 }
 
+// Runs a job with several tasks on each worker, so that their speeds are known.
+void
+LearnSpeeds(FakeCell& aCell)
+{
+  aCell.RunFor(200ms);
+  aCell.Submit(
+    "earlier", SingleStepJob(MakeStep(48, 2000, 200ms)), MakeQueue());
+  aCell.RunUntilFinal("earlier", 4000ms);
+}
+
 const std::vector<WorkerId>&
 StartsOfFirstTask(const FakeCell& aCell)
 {
@@ -43,7 +53,7 @@
       // A step of 25 tasks had a straggler in every second job, and was late.
       aSection.It("is stopped, and its task starts on another worker", [] {
         FakeCell cell;
-        cell.RunFor(200ms);
+        LearnSpeeds(cell);
         SubmitWithStraggler(cell, 5, false);
         cell.RunUntilFinal("job", 4000ms);
         const std::vector<WorkerId>& starts = StartsOfFirstTask(cell);
@@ -51,6 +61,16 @@
         CPPUNIT_ASSERT(starts[0] != starts[1]);
         CPPUNIT_ASSERT(cell.mViolations.empty());
       });
+      // A run on a slow worker of unknown speed is no straggler.
+      aSection.It("is left for longer on a worker of unknown speed", [] {
+        FakeCell cell;
+        cell.RunFor(200ms);
+        SubmitWithStraggler(cell, 5, false);
+        cell.RunFor(3000ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, StartsOfFirstTask(cell).size());
+        cell.RunUntilFinal("job", 2000ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, StartsOfFirstTask(cell).size());
+      });
       // A task that is long by itself would never end if it were moved each
       // time.
       aSection.It("is stopped once only", [] {
