--- a/src/jobs/internal/candidates.cpp
+++ b/src/jobs/internal/candidates.cpp
@@ -14,9 +14,11 @@
   if (aSpec.mGang) {
     return !aStep.IsDone() && !aStep.HasRuns();
   }
-  return std::any_of(aStep.mTasks.begin(),
-                     aStep.mTasks.end(),
-                     [](const Task& aTask) { return aTask.IsWaiting(); });
+  const Task* only = aStep.OnlyTaskToStart();
+  return std::any_of(
+    aStep.mTasks.begin(), aStep.mTasks.end(), [only](const Task& aTask) {
+      return aTask.IsWaiting() && (only == nullptr || only == &aTask);
+    });
 }
 
 bool
