--- a/src/cellnode/internal/cellloader.cpp
+++ b/src/cellnode/internal/cellloader.cpp
@@ -57,11 +57,12 @@
   };
   mUnfinishedTables = static_cast<int>(tables.size());
   for (const auto& [name, handler] : tables) {
-    mTables.try_emplace(name,
-                        TableRead{ .mHandler = handler,
-                                   .mFrom = {},
-                                   .mRetryTimer = mLoop.MakeTimer(
-                                     [this, name] { ReadNextPage(name); }) });
+    mTables.try_emplace(
+      name,
+      TableRead{ .mHandler = handler,
+                 .mFrom = {},
+                 .mRetryTimer = mLoop.MakeTimer(
+                   [this, name = name] { ReadNextPage(name); }) });
     ReadNextPage(name);
   }
 }
--- a/src/cellnode/tests/malformedinput_test.cpp
+++ b/src/cellnode/tests/malformedinput_test.cpp
@@ -44,13 +44,20 @@
   jobs::PollAnswer poll{ .mResult = jobs::OrderResult::Done, .mReport = {} };
   poll.mReport.mRunning = { { .mTask = task, .mRun = jobs::RunNumber(1) } };
   poll.mReport.mEnded = { { .mSerial = 1, .mTask = task } };
-  return {
-    EncodeFrame(ToWire(1, CallerRequest{ .mPath = "/queue/1" })),
-    EncodeFrame(ToWire(1, CallerAnswer{ .mMessage = "message" })),
-    EncodeFrame(ToWire(1, jobs::AdviceQuery{ .mWorkers = { WorkerId("w") } })),
-    EncodeFrame(ToWire(1, jobs::StartOrder{ .mTask = task }, Duration(1))),
-    EncodeFrame(ToWire(1, poll))
-  };
+  cellwire::WorkerCallBatchT calls;
+  calls.starts.push_back(std::make_unique<cellwire::StartCallT>(
+    ToWire(1, jobs::StartOrder{ .mTask = task }, Duration(1))));
+  calls.polls.push_back(std::make_unique<cellwire::PollCallT>(
+    ToWire(2, jobs::PollOrder{}, Duration(1))));
+  cellwire::WorkerAnswerBatchT answers;
+  answers.polls.push_back(
+    std::make_unique<cellwire::PollReplyT>(ToWire(2, poll)));
+  return { EncodeFrame(ToWire(1, CallerRequest{ .mPath = "/queue/1" })),
+           EncodeFrame(ToWire(1, CallerAnswer{ .mMessage = "message" })),
+           EncodeFrame(
+             ToWire(1, jobs::AdviceQuery{ .mWorkers = { WorkerId("w") } })),
+           EncodeFrame(std::move(calls)),
+           EncodeFrame(std::move(answers)) };
 }
 
 // Converts the body of the message as its receiver does.
@@ -63,6 +70,14 @@
     FromWire(*answer);
   } else if (const auto* query = aMessage.body.AsAdviceQuery()) {
     FromWire(*query);
+  } else if (const auto* calls = aMessage.body.AsWorkerCallBatch()) {
+    for (const auto& start : calls->starts) {
+      FromWire(*start);
+    }
+  } else if (const auto* answers = aMessage.body.AsWorkerAnswerBatch()) {
+    for (const auto& poll : answers->polls) {
+      FromWire(*poll);
+    }
   }
 }
 
@@ -78,6 +93,7 @@
       std::mt19937_64 random(1);
       int refused = 0;
       for (const std::string& frame : Frames()) {
+        CPPUNIT_ASSERT(DecodeFrame(frame).ok());
         for (int trial = 0; trial < kTrials; ++trial) {
           const auto message = DecodeFrame(Damaged(frame, random));
           if (message.ok()) {
