--- a/src/jobs/tests/takeover_test.cpp
+++ b/src/jobs/tests/takeover_test.cpp
@@ -57,28 +57,6 @@
       CPPUNIT_ASSERT(!cell.mStarts.empty());
       CPPUNIT_ASSERT(cell.mViolations.empty());
     });
-    // Guards against stored workers that have left and are in use again.
-    aSection.It("starts nothing on a worker that has left or drains", [] {
-      FakeCell cell;
-      cell.RunFor(200ms);
-      cell.Submit("job", SingleStepJob(MakeStep(6, 5000, 500ms)), MakeQueue());
-      cell.RunUntilFinal("job", 5000ms);
-      cell.CrashWorker(1);
-      cell.DrainWorker(2);
-      cell.RunFor(6000ms);
-      cell.TakeOver();
-      std::set<WorkerId> ordered;
-      cell.mStartDelivery = [&ordered](const StartOrder& aOrder) {
-        ordered.insert(aOrder.mWorker.mId);
-        return Delivery::Normal;
-      };
-      cell.Submit("next", SingleStepJob(MakeStep(9, 5000, 500ms)), MakeQueue());
-      cell.RunUntilFinal("next", 9000ms);
-      CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, ordered.size());
-      CPPUNIT_ASSERT(!ordered.contains(WorkerId("w1")));
-      CPPUNIT_ASSERT(!ordered.contains(WorkerId("w2")));
-      CPPUNIT_ASSERT(cell.mViolations.empty());
-    });
     aSection.It("does not restart what may run on unreachable workers", [] {
       FakeCell cell;
       cell.RunFor(200ms);
@@ -97,6 +75,38 @@
   });
 }
 
+void
+DescribeDepartedWorkers(Section& aRoot)
+{
+  // Guards against stored workers that have left and are in use again.
+  aRoot.Describe(
+    "workers that left or drain before a takeover", [](Section& aSection) {
+      aSection.It("get nothing from the next owner", [] {
+        FakeCell cell;
+        cell.RunFor(200ms);
+        cell.Submit(
+          "job", SingleStepJob(MakeStep(6, 5000, 500ms)), MakeQueue());
+        cell.RunUntilFinal("job", 5000ms);
+        cell.CrashWorker(1);
+        cell.DrainWorker(2);
+        cell.RunFor(6000ms);
+        cell.TakeOver();
+        std::set<WorkerId> ordered;
+        cell.mStartDelivery = [&ordered](const StartOrder& aOrder) {
+          ordered.insert(aOrder.mWorker.mId);
+          return Delivery::Normal;
+        };
+        cell.Submit(
+          "next", SingleStepJob(MakeStep(9, 5000, 500ms)), MakeQueue());
+        cell.RunUntilFinal("next", 9000ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, ordered.size());
+        CPPUNIT_ASSERT(!ordered.contains(WorkerId("w1")));
+        CPPUNIT_ASSERT(!ordered.contains(WorkerId("w2")));
+        CPPUNIT_ASSERT(cell.mViolations.empty());
+      });
+    });
+}
+
 void
 DescribeFailedRuns(Section& aRoot)
 {
@@ -164,6 +174,7 @@
 OwnerTakeoverTests(Section& aRoot)
 {
   DescribeTakeover(aRoot);
+  DescribeDepartedWorkers(aRoot);
   DescribeFailedRuns(aRoot);
   DescribeUnrecordedFinalState(aRoot);
 }
