Discard the results of decoding malformed frames explicitly

Cause: the decoders of caller messages return a status now, which the test of malformed frames does not use. Change: the test discards it by a cast. Result: cellnode_test compiles.

--- a/src/cellnode/tests/malformedinput_test.cpp
+++ b/src/cellnode/tests/malformedinput_test.cpp
@@ -65,9 +65,9 @@
 Read(const cellwire::MessageT& aMessage)
 {
   if (const auto* request = aMessage.body.AsCallerRequest()) {
-    FromWire(*request);
+    static_cast<void>(FromWire(*request));
   } else if (const auto* answer = aMessage.body.AsCallerAnswer()) {
-    FromWire(*answer);
+    static_cast<void>(FromWire(*answer));
   } else if (const auto* query = aMessage.body.AsAdviceQuery()) {
     FromWire(*query);
   } else if (const auto* calls = aMessage.body.AsWorkerCallBatch()) {
