--- a/bench/jobs/main.cpp
+++ b/bench/jobs/main.cpp
@@ -6,6 +6,7 @@
 
 #include "framework/log.h"
 #include "jobs/tests/loadtrial.h"
+#include "teamcost.h"
 
 DEFINE_int32(seeds, 3, "number of seeds to run, starting from 1");
 DEFINE_string(
@@ -17,6 +18,9 @@
               "all",
               "urgency, urgency_without_teams, first_in_first_out, "
               "strict_priority or all");
+DEFINE_bool(team_order,
+            false,
+            "measure the cost of the order between teams instead");
 DEFINE_bool(verbose, false, "log the scheduler's decisions");
 DEFINE_double(factor, 1.0, "factor applied to the arrival rates of all jobs");
 
@@ -137,6 +141,10 @@
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
   oriolevane::SetLogLevel(FLAGS_verbose ? oriolevane::LogLevel::Info
                                         : oriolevane::LogLevel::Error);
+  if (FLAGS_team_order) {
+    MeasureTeamOrder();
+    return 0;
+  }
   for (const NamedLoad& load : Loads()) {
     for (const NamedPolicy& policy : Policies()) {
       for (int seed = 1; IsSelected(load, policy) && seed <= FLAGS_seeds;
