Count the wait of guaranteed work only while it is on time

Cause: a late guaranteed gang that found no workers for seconds made the admission refuse a borrowing team for as long. Change: only steps that can still meet their objective count as waiting.

--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -95,7 +95,7 @@
       PlaceTasks(aCandidate, aNow);
     }
   }
-  if (aCandidate.mUrgency.mObjectiveStatus != ObjectiveStatus::Expired) {
+  if (aCandidate.mUrgency.mObjectiveStatus == ObjectiveStatus::OnTime) {
     mCell.mTeams.NoteWaiting(
       *aCandidate.mJob, *aCandidate.mStep, aCandidate.Spec(), mNow);
   }
