--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -90,8 +90,9 @@
       PlaceTasks(aCandidate, aNow);
     }
   }
-  if (aCandidate.mUrgency.mObjectiveStatus != ObjectiveStatus::Expired) {
-    mCell.mTeams.NoteWaiting(*aCandidate.mJob, *aCandidate.mStep, mNow);
+  if (aCandidate.mUrgency.mObjectiveStatus == ObjectiveStatus::OnTime) {
+    mCell.mTeams.NoteWaiting(
+      *aCandidate.mJob, *aCandidate.mStep, aCandidate.Spec(), mNow);
   }
   if (gang && !aCandidate.mStep->HasRuns() && !mGangReservations.IsFull() &&
       mCell.mTeams.MayReserve(*aCandidate.mJob) &&
