--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -68,13 +68,12 @@
 double
 SpeedPenalty(workerspeed::WorkerSpeed aSpeed)
 {
-  using workerspeed::WorkerSpeed;
   switch (aSpeed) {
-    case WorkerSpeed::Unknown:
+    case workerspeed::WorkerSpeed::Unknown:
       return kUnknownSpeedPenalty;
-    case WorkerSpeed::Slow:
+    case workerspeed::WorkerSpeed::Slow:
       return kSlowPenalty;
-    case WorkerSpeed::Fast:
+    case workerspeed::WorkerSpeed::Fast:
       return 0.0;
   }
   return 0.0;
