--- a/src/teams/internal/ratemeter.cpp
+++ b/src/teams/internal/ratemeter.cpp
@@ -7,10 +7,16 @@
 
 namespace {
 
+// Callers come in bursts, so a team may use the guarantee of this time at once.
+constexpr std::chrono::seconds kBurstWindow{ 5 };
+// Small teams send few jobs, which may still come together.
+constexpr double kMinBurstJobs = 20.0;
+
 double
 BurstOf(double aRate)
 {
-  return std::max(aRate, 1.0);
+  return std::max(aRate * static_cast<double>(kBurstWindow.count()),
+                  kMinBurstJobs);
 }
 
 } // namespace
--- a/src/teams/ratemeter.h
+++ b/src/teams/ratemeter.h
@@ -11,7 +11,7 @@
 namespace oriolevane::teams {
 
 // A token bucket for each team. It gains as many tokens a second as the team
-// has weight, and holds at most as many, but at least one.
+// has weight, and holds those of five seconds, but at least 20.
 class RateMeter
 {
 public:
