--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -68,12 +68,13 @@
 double
 SpeedPenalty(workerspeed::WorkerSpeed aSpeed)
 {
+  using workerspeed::WorkerSpeed;
   switch (aSpeed) {
-    case workerspeed::WorkerSpeed::Unknown:
+    case WorkerSpeed::Unknown:
       return kUnknownSpeedPenalty;
-    case workerspeed::WorkerSpeed::Slow:
+    case WorkerSpeed::Slow:
       return kSlowPenalty;
-    case workerspeed::WorkerSpeed::Fast:
+    case WorkerSpeed::Fast:
       return 0.0;
   }
   return 0.0;
--- a/src/jobs/internal/usableworkers.cpp
+++ b/src/jobs/internal/usableworkers.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "framework/log.h"
 #include "workerspeed/speedpreference.h"
 
 namespace oriolevane::jobs {
@@ -19,7 +18,6 @@
 constexpr double kMaxUnknownSpeedShare = 0.1;
 // Single tasks are placed by speed once this share of the workers is known.
 constexpr double kMinKnownSpeedShare = 0.3;
-constexpr std::chrono::milliseconds kSpeedLogInterval = 5000ms;
 
 } // namespace
 
@@ -52,33 +50,12 @@
   mSpeedsKnown = static_cast<double>(unknown) <=
                  kMaxUnknownSpeedShare * static_cast<double>(mWorkers.size());
   UpdateTimeFactors();
-  LogSpeeds(aNow);
   for (std::size_t index = 0; index < mWorkers.size(); ++index) {
     mWorkers[index]->mFillPosition =
       static_cast<double>(index) / static_cast<double>(mWorkers.size());
   }
 }
 
-void
-UsableWorkers::LogSpeeds(TimePoint aNow)
-{
-  if (aNow < mNextSpeedLog || mWorkers.empty()) {
-    return;
-  }
-  mNextSpeedLog = aNow + kSpeedLogInterval;
-  const auto count = [this](workerspeed::WorkerSpeed aSpeed) {
-    return std::count_if(
-      mWorkers.begin(), mWorkers.end(), [aSpeed](const Worker* aWorker) {
-        return aWorker->mHealth.mRunTime.Speed() == aSpeed;
-      });
-  };
-  LogInfo("worker_speeds")
-    .With("fast", count(workerspeed::WorkerSpeed::Fast))
-    .With("slow", count(workerspeed::WorkerSpeed::Slow))
-    .With("unknown", count(workerspeed::WorkerSpeed::Unknown))
-    .With("speeds_differ", mSpeedsDiffer);
-}
-
 void
 UsableWorkers::UpdateTimeFactors()
 {
--- a/src/jobs/internal/usableworkers.h
+++ b/src/jobs/internal/usableworkers.h
@@ -26,14 +26,11 @@
 
 private:
   void UpdateTimeFactors();
-  // Logs the number of workers by speed, at intervals.
-  void LogSpeeds(TimePoint aNow);
 
   CellState& mCell;
   std::vector<Worker*> mWorkers;
   bool mSpeedsKnown = false;
   bool mSpeedsDiffer = false;
-  TimePoint mNextSpeedLog;
 };
 
 } // namespace oriolevane::jobs
