--- a/bench/jobs/main.cpp
+++ b/bench/jobs/main.cpp
@@ -12,8 +12,8 @@
 DEFINE_string(
   load,
   "all",
-  "route_1100, model_350, route_48, uneven_350, teams_48, team_flood_48 or "
-  "all; the last two only by name");
+  "route_1100, model_350, route_48, teams_48, team_flood_48 or all; the "
+  "last two only by name");
 DEFINE_string(policy,
               "all",
               "urgency, urgency_without_teams, first_in_first_out, "
@@ -64,7 +64,6 @@
                                 .mUntil = 20000ms,
                                 .mRateFactor = 1.8 } };
   }
-  loads.push_back({ "uneven_350", UnevenWorkersLoad() });
   loads.push_back({ "teams_48", TeamLoad() });
   loads.push_back({ "team_flood_48", TeamFloodLoad() });
   return loads;
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -11,7 +11,6 @@
 #include "jobs/internal/runendhandler.h"
 #include "jobs/internal/runtracker.h"
 #include "jobs/internal/schedulercounts.h"
-#include "jobs/internal/stragglerhandler.h"
 #include "jobs/internal/urgency.h"
 #include "jobs/internal/workeranswerhandler.h"
 
@@ -52,7 +51,6 @@
     , mAdvice(mCell)
     , mWorkerAnswerHandler(mCell, mRuns, mRunEndHandler, mAdvice)
     , mDispatcher(mCell, mRuns, mAdvice)
-    , mStragglers(mCell, mRuns)
   {
   }
 
@@ -70,7 +68,6 @@
   AdvicePlanner mAdvice;
   WorkerAnswerHandler mWorkerAnswerHandler;
   Dispatcher mDispatcher;
-  StragglerHandler mStragglers;
   // Submitted jobs whose records have not been written yet, oldest first.
   std::deque<std::pair<RecordPosition, JobId>> mJobsToOpen;
   bool mRecoveryFinished = true;
@@ -383,7 +380,6 @@
     mImpl->mWorkerAnswerHandler.ExpireLeases(aNow);
     mImpl->mRuns.ResendStops(aNow.mSteady);
   }
-  mImpl->mStragglers.Check(aNow.mSteady);
   mImpl->FinishRecovery(aNow);
   if (aNow.mSteady >= mImpl->mNextPrune) {
     mImpl->mNextPrune = aNow.mSteady + kPruneInterval;
--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -66,9 +66,8 @@
 }
 
 double
-SpeedPenalty(workerspeed::WorkerSpeed aSpeed)
+SpeedPenalty(WorkerSpeed aSpeed)
 {
-  using workerspeed::WorkerSpeed;
   switch (aSpeed) {
     case WorkerSpeed::Unknown:
       return kUnknownSpeedPenalty;
--- a/src/jobs/internal/candidates.cpp
+++ b/src/jobs/internal/candidates.cpp
@@ -14,11 +14,9 @@
   if (aSpec.mGang) {
     return !aStep.IsDone() && !aStep.HasRuns();
   }
-  const Task* only = aStep.OnlyTaskToStart();
-  return std::any_of(
-    aStep.mTasks.begin(), aStep.mTasks.end(), [only](const Task& aTask) {
-      return aTask.IsWaiting() && (only == nullptr || only == &aTask);
-    });
+  return std::any_of(aStep.mTasks.begin(),
+                     aStep.mTasks.end(),
+                     [](const Task& aTask) { return aTask.IsWaiting(); });
 }
 
 bool
--- a/src/jobs/internal/cellstate.h
+++ b/src/jobs/internal/cellstate.h
@@ -7,8 +7,6 @@
 #include "jobs/recordwritequeue.h"
 #include "jobs/types/cellconfiguration.h"
 #include "jobs/types/scheduleroptions.h"
-#include "workerspeed/estimateaccuracy.h"
-#include "workerspeed/stragglerpolicy.h"
 
 namespace oriolevane::jobs {
 
@@ -31,9 +29,6 @@
   JobTable mJobs;
   Fleet mFleet;
   TeamAccounts mTeams;
-  workerspeed::StragglerPolicy mStragglerPolicy;
-  // By queue, for the run times of single tasks.
-  std::map<QueueName, workerspeed::EstimateAccuracy> mEstimateAccuracy;
   // Number of hosts that can query the policy service at the same time.
   std::size_t mQueryHosts = 1;
   // Requests a placement pass, after a change that may allow tasks to start.
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -21,6 +21,12 @@
 constexpr double kAmpleSlackShare = 0.35;
 constexpr double kMaxSingleTaskShare = 0.45;
 constexpr double kMinSingleTaskShare = 0.2;
+// Added to the cost of workers that are not known to be fast, for members of
+// gangs. It is more than the other terms of workers that are neither remote nor
+// very slow.
+constexpr double kGangSpeedCost = 3.0;
+// Workers with a higher slowness than this are used last.
+constexpr double kSlowWorkerThreshold = 2.5;
 
 bool
 HasAmpleSlack(const Job& aJob, const Urgency& aUrgency)
@@ -43,7 +49,6 @@
   std::vector<Candidate> candidates = mCandidates.Collect(aNow, aReconciled);
   mNow = aNow.mSteady;
   mGangReservations.BeginPass(mNow);
-  mPlacementCost.BeginPass(mUsable.SpeedsKnown(), mUsable.SpeedsDiffer());
   std::map<QueueName, std::size_t> renewed;
   // Steps without an answer yet do not count.
   const std::size_t stepsRenewed = mAdvice.Budget().MaxStepsRenewedPerQueue();
@@ -232,10 +237,35 @@
   return here + aChoice.mPlannedMembers < aSpec.mMaxPerWorker;
 }
 
+double
+Dispatcher::PlacementCost(const Worker& aWorker, const StepSpec& aSpec) const
+{
+  const Resources left = aWorker.mEntry.mCapacity - aWorker.mUsed;
+  const auto share = [](std::int64_t aLeft, std::int64_t aOf) {
+    return aOf <= 0 ? 0.0
+                    : static_cast<double>(aLeft) / static_cast<double>(aOf);
+  };
+  // Prefers the fullest worker that has room, which keeps the others free for
+  // large tasks.
+  double cost = share(left.mMilliCores, aWorker.mEntry.mCapacity.mMilliCores) +
+                share(left.mMemoryMiB, aWorker.mEntry.mCapacity.mMemoryMiB);
+  if (!aSpec.mDataRack.empty() &&
+      aSpec.mDataRack != aWorker.mEntry.mRack.mValue) {
+    cost += 10 * mCell.mOptions.mRemoteFactor;
+  }
+  if (aSpec.mGang && mUsable.SpeedsKnown() &&
+      aWorker.mHealth.mRunTime.Speed() != WorkerSpeed::Fast) {
+    cost += kGangSpeedCost;
+  }
+  if (aWorker.mHealth.mSlowness > kSlowWorkerThreshold) {
+    cost += 10 * aWorker.mHealth.mSlowness;
+  }
+  return cost;
+}
+
 Dispatcher::EligibleWorker*
 Dispatcher::ChooseWorker(const Candidate& aCandidate,
-                         std::vector<EligibleWorker>& aEligible,
-                         const WorkerId& aAvoided)
+                         std::vector<EligibleWorker>& aEligible)
 {
   const StepSpec& spec = aCandidate.Spec();
   const bool ample = HasAmpleSlack(*aCandidate.mJob, aCandidate.mUrgency);
@@ -245,8 +275,7 @@
     const Worker& worker = *choice.mWorker;
     if (!worker.HasRoomFor(spec.mResources) ||
         !IsBelowPerWorkerLimit(choice, aCandidate.mKey, spec) ||
-        (worker.mHealth.mOnTrial && !worker.mRuns.empty()) ||
-        (worker.Id() == aAvoided && aEligible.size() > 1)) {
+        (worker.mHealth.mOnTrial && !worker.mRuns.empty())) {
       continue;
     }
     if (!spec.mGang && worker.mFillPosition > mSingleTaskShare && ample) {
@@ -257,8 +286,7 @@
       mCapacityWithheld = true;
       continue;
     }
-    const double cost =
-      mPlacementCost.Of(worker, spec, aCandidate.mUrgency.mSlack);
+    const double cost = PlacementCost(worker, spec);
     if (best == nullptr || cost < bestCost) {
       best = &choice;
       bestCost = cost;
@@ -284,17 +312,14 @@
   std::vector<EligibleWorker> eligible =
     CollectEligibleWorkers(aCandidate, aNow.mSteady);
   std::vector<Task>& tasks = aCandidate.mStep->mTasks;
-  const Task* only = aCandidate.mStep->OnlyTaskToStart();
   for (std::size_t index = 0; index < tasks.size(); ++index) {
-    if (!tasks[index].IsWaiting() ||
-        (only != nullptr && only != &tasks[index])) {
+    if (!tasks[index].IsWaiting()) {
       continue;
     }
     if (!QuotaAllowsStart(aCandidate)) {
       return;
     }
-    const EligibleWorker* choice =
-      ChooseWorker(aCandidate, eligible, tasks[index].mStraggledOn);
+    const EligibleWorker* choice = ChooseWorker(aCandidate, eligible);
     if (choice == nullptr) {
       RecordFailedAttempt(*aCandidate.mStep);
       return;
@@ -349,7 +374,7 @@
   // one, and undoes that below.
   for (std::size_t index = 0; index < aCandidate.mStep->mTasks.size();
        ++index) {
-    EligibleWorker* choice = ChooseWorker(aCandidate, aEligible, WorkerId());
+    EligibleWorker* choice = ChooseWorker(aCandidate, aEligible);
     if (choice == nullptr) {
       break;
     }
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -5,7 +5,6 @@
 
 #include "jobs/internal/candidates.h"
 #include "jobs/internal/gangreservations.h"
-#include "jobs/internal/placementcost.h"
 #include "jobs/internal/runtracker.h"
 #include "jobs/internal/usableworkers.h"
 
@@ -21,7 +20,6 @@
     , mCandidates(aCell, aAdvice)
     , mUsable(aCell)
     , mGangReservations(aCell)
-    , mPlacementCost(aCell.mOptions.mRemoteFactor)
   {
   }
 
@@ -82,10 +80,9 @@
                          const StepSpec& aSpec);
   // The worker with the lowest placement cost among those with room for a task;
   // null when there is none.
-  // The worker aAvoided is left out while there are others.
   EligibleWorker* ChooseWorker(const Candidate& aCandidate,
-                               std::vector<EligibleWorker>& aEligible,
-                               const WorkerId& aAvoided);
+                               std::vector<EligibleWorker>& aEligible);
+  double PlacementCost(const Worker& aWorker, const StepSpec& aSpec) const;
   // Remembers a failed attempt to start a step, so that the step is not tried
   // again until a worker gains room. An attempt that failed because capacity
   // was withheld is not remembered, so that the next pass tries the step again.
@@ -106,7 +103,6 @@
   CandidateCollector mCandidates;
   UsableWorkers mUsable;
   GangReservations mGangReservations;
-  PlacementCost mPlacementCost;
   // Share of the usable workers that single tasks with ample slack may use in
   // this pass.
   double mSingleTaskShare = 1.0;
--- a/src/jobs/internal/job.cpp
+++ b/src/jobs/internal/job.cpp
@@ -12,19 +12,6 @@
   });
 }
 
-const Task*
-Step::OnlyTaskToStart() const
-{
-  if (mSucceeded > 0 || mTasks.empty()) {
-    return nullptr;
-  }
-  const auto failsMost = std::max_element(
-    mTasks.begin(), mTasks.end(), [](const Task& aLeft, const Task& aRight) {
-      return aLeft.mFailedRuns.size() < aRight.mFailedRuns.size();
-    });
-  return failsMost->mFailedRuns.empty() ? nullptr : &*failsMost;
-}
-
 bool
 Job::HasRuns() const
 {
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -13,7 +13,6 @@
 #include "jobs/internal/stepadvice.h"
 #include "jobs/types/jobrecord.h"
 #include "jobs/types/orders.h"
-#include "workerspeed/stepruntimes.h"
 
 namespace oriolevane::jobs {
 
@@ -44,8 +43,6 @@
   int mOrdersSent = 1;
   // Started by an earlier owner, so that the time of its start is not known.
   bool mAdopted = false;
-  // Started from a checkpoint, so that it takes less time than others.
-  bool mResumed = false;
   TimePoint mOrderedAt;
   // When the worker first confirmed the run.
   TimePoint mConfirmedAt;
@@ -77,9 +74,6 @@
   RunNumber mLastRun;
   // Latest checkpoint; empty for none.
   std::string mCheckpoint;
-  // The worker on which a run was stopped as a straggler; empty for none. A
-  // task is moved once only.
-  WorkerId mStraggledOn;
   // Runs that have not ended. There is more than one only for a speculative
   // step or while superfluous runs are being stopped.
   std::vector<RunPointer> mRuns;
@@ -104,8 +98,9 @@
   // No task is started before this time, because a worker refused a start.
   TimePoint mNotBefore;
   StepAdvice mAdvice;
-  // Run times of the tasks that have succeeded; not for gangs.
-  workerspeed::StepRunTimes mRunTimes;
+  // Run times of the tasks that have succeeded, with their workers; not for
+  // gangs.
+  std::vector<std::pair<WorkerId, Duration>> mRunTimes;
   // A gang may use workers that are slower than others, because it would end
   // later if it waited for faster ones.
   bool mMayUseSlowWorkers = false;
@@ -115,10 +110,6 @@
 
   bool IsDone() const { return mSucceeded == static_cast<int>(mTasks.size()); }
   bool HasRuns() const;
-  // After failures without any success, the step's tasks may never succeed.
-  // Until one does, only the task with the most failures starts, so that such a
-  // job costs few runs. Returns nullptr when all tasks may start.
-  const Task* OnlyTaskToStart() const;
 };
 
 // The state of one occurrence of a job.
--- a/src/jobs/internal/runendhandler.cpp
+++ b/src/jobs/internal/runendhandler.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "framework/log.h"
-#include "jobs/internal/speedlearner.h"
 
 namespace oriolevane::jobs {
 
@@ -125,6 +124,7 @@
   mCell.mJobs.MarkProgress(aKey.mStep);
   mCell.mDispatchWanted = true;
   if (step.IsDone()) {
+    CompareRunTimes(step);
     FinishOccurrenceIfDone(aJob, aKey.mStep.mOccurrence, aNow);
   }
 }
@@ -317,7 +317,32 @@
     health.mSlowness =
       (1 - kSlownessWeight) * health.mSlowness + kSlownessWeight * ratio;
   }
-  SpeedLearner(mCell).OnRunSucceeded(aWorker, aJob, aRun, aNow);
+  // A gang's tasks end together, and a run from a checkpoint is shorter.
+  if (spec.mGang || !task->mCheckpoint.empty()) {
+    return;
+  }
+  const StepKey& key = aRun.mTask.mStep;
+  aJob.FindStep(key.mOccurrence, key.mStep)
+    ->mRunTimes.emplace_back(aWorker.Id(), taken);
+}
+
+void
+RunEndHandler::CompareRunTimes(const Step& aStep)
+{
+  std::vector<Worker*> workers;
+  std::vector<TaskRunTime> times;
+  for (const auto& [id, time] : aStep.mRunTimes) {
+    Worker* worker = mCell.mFleet.Find(id);
+    if (worker != nullptr) {
+      workers.push_back(worker);
+      times.push_back(
+        { .mTime = time, .mWorkerFactor = worker->mHealth.mRunTime.Factor() });
+    }
+  }
+  const std::vector<double> ratios = RelativeTimes(times);
+  for (std::size_t index = 0; index < ratios.size(); ++index) {
+    workers[index]->mHealth.mRunTime.AddSample(ratios[index]);
+  }
 }
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/runendhandler.h
+++ b/src/jobs/internal/runendhandler.h
@@ -50,10 +50,12 @@
                     EndKind aKind,
                     const Moment& aNow);
   // Notes how long a successful run took on a worker.
-  void UpdateRunTime(Worker& aWorker,
-                     Job& aJob,
-                     const Run& aRun,
-                     TimePoint aNow);
+  static void UpdateRunTime(Worker& aWorker,
+                            Job& aJob,
+                            const Run& aRun,
+                            TimePoint aNow);
+  // Compares the run times of a step whose tasks have all succeeded.
+  void CompareRunTimes(const Step& aStep);
 
   CellState& mCell;
   RunTracker& mRuns;
--- a/src/jobs/internal/runtracker.cpp
+++ b/src/jobs/internal/runtracker.cpp
@@ -50,7 +50,6 @@
   run->mTeam = aJob.mRecord.mTeam;
   run->mToken = aWorker.mToken;
   run->mOrderedAt = aNow;
-  run->mResumed = !aCheckpoint.empty();
   task.mLastRun = aNumber;
   task.mRuns.push_back(run);
   AddRun(aWorker, run);
--- a/src/jobs/internal/usableworkers.cpp
+++ b/src/jobs/internal/usableworkers.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "workerspeed/speedpreference.h"
-
 namespace oriolevane::jobs {
 
 namespace {
@@ -16,8 +14,6 @@
 // Gangs avoid slow workers once the speed of all but this share of the workers
 // is known. Before, some slow members would be left in most gangs anyway.
 constexpr double kMaxUnknownSpeedShare = 0.1;
-// Single tasks are placed by speed once this share of the workers is known.
-constexpr double kMinKnownSpeedShare = 0.3;
 
 } // namespace
 
@@ -45,36 +41,14 @@
   }
   const auto unknown =
     std::count_if(mWorkers.begin(), mWorkers.end(), [](const Worker* aWorker) {
-      return !aWorker->mHealth.mRunTime.IsKnown();
+      return aWorker->mHealth.mRunTime.Speed() == WorkerSpeed::Unknown;
     });
   mSpeedsKnown = static_cast<double>(unknown) <=
                  kMaxUnknownSpeedShare * static_cast<double>(mWorkers.size());
-  UpdateTimeFactors();
   for (std::size_t index = 0; index < mWorkers.size(); ++index) {
     mWorkers[index]->mFillPosition =
       static_cast<double>(index) / static_cast<double>(mWorkers.size());
   }
 }
 
-void
-UsableWorkers::UpdateTimeFactors()
-{
-  std::vector<double> factors;
-  for (const Worker* worker : mWorkers) {
-    if (worker->mHealth.mRunTime.IsKnown()) {
-      factors.push_back(worker->mHealth.mRunTime.Factor());
-    }
-  }
-  const double mean = workerspeed::MeanFactor(factors);
-  for (Worker* worker : mWorkers) {
-    const workerspeed::RelativeRunTime& runTime = worker->mHealth.mRunTime;
-    worker->mHealth.mTimeFactor =
-      runTime.IsKnown() ? runTime.Factor() / mean : 1.0;
-  }
-  mSpeedsDiffer =
-    static_cast<double>(factors.size()) >=
-      kMinKnownSpeedShare * static_cast<double>(mWorkers.size()) &&
-    workerspeed::SpeedsDiffer(std::move(factors));
-}
-
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/usableworkers.h
+++ b/src/jobs/internal/usableworkers.h
@@ -21,16 +21,11 @@
   const std::vector<Worker*>& Workers() const { return mWorkers; }
   // True when the speed of nearly all of them is known.
   bool SpeedsKnown() const { return mSpeedsKnown; }
-  // True when the workers are known to be of unequal speed.
-  bool SpeedsDiffer() const { return mSpeedsDiffer; }
 
 private:
-  void UpdateTimeFactors();
-
   CellState& mCell;
   std::vector<Worker*> mWorkers;
   bool mSpeedsKnown = false;
-  bool mSpeedsDiffer = false;
 };
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "jobs/internal/job.h"
+#include "jobs/internal/relativeruntime.h"
 #include "jobs/types/workerreport.h"
-#include "workerspeed/relativeruntime.h"
 
 namespace oriolevane::jobs {
 
@@ -32,10 +32,7 @@
   bool mOnTrial = false;
   // Ratio of actual to estimated run times, smoothed; 1 is as estimated.
   double mSlowness = 1.0;
-  workerspeed::RelativeRunTime mRunTime;
-  // The factor by which run times on the worker differ from the mean of the
-  // usable workers; 1 while it is not known.
-  double mTimeFactor = 1.0;
+  RelativeRunTime mRunTime;
 };
 
 // A worker of the shard.
--- a/src/jobs/tests/joblife_test.cpp
+++ b/src/jobs/tests/joblife_test.cpp
@@ -121,38 +121,6 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 },
                            cell.mStarts.at(MakeTaskKey("job", 0, 0)).size());
     });
-    // A job that can never succeed would cost as many runs as it has tasks, for
-    // each attempt.
-    aSection.It("is the only one to be retried until a task succeeds", [] {
-      constexpr int kTasks = 8;
-      constexpr int kAttempts = 4;
-      FakeCell cell;
-      cell.mPlan = [](const TaskKey&, RunNumber, const WorkerId&) {
-        return RunPlan{ .mDuration = 50ms, .mFails = true };
-      };
-      cell.RunFor(200ms);
-      cell.Submit("job",
-                  SingleStepJob(MakeStep(kTasks, 1000, 50ms)),
-                  MakeQueue(kAttempts));
-      cell.RunUntilFinal("job", 20000ms);
-      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Failed);
-      std::size_t starts = 0;
-      for (const auto& [task, workers] : cell.mStarts) {
-        starts += workers.size();
-      }
-      CPPUNIT_ASSERT(starts < kTasks + 2 * kAttempts);
-    });
-    aSection.It("does not hold up the others after one has succeeded", [] {
-      FakeCell cell;
-      cell.mPlan = [](const TaskKey& aTask, RunNumber aRun, const WorkerId&) {
-        return RunPlan{ .mDuration = 50ms,
-                        .mFails = aTask.mIndex > 0 && aRun.mValue == 1 };
-      };
-      cell.RunFor(200ms);
-      cell.Submit("job", SingleStepJob(MakeStep(8, 1000, 50ms)), MakeQueue());
-      cell.RunUntilFinal("job", 6000ms);
-      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Completed);
-    });
   });
 }
 
--- a/src/jobs/tests/loadtrial.cpp
+++ b/src/jobs/tests/loadtrial.cpp
@@ -1,12 +1,12 @@
 #include "jobs/tests/loadtrial.h"
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <utility>
 
 #include "framework/stablehash.h"
 #include "jobs/internal/urgency.h"
-#include "jobs/tests/plannedjobs.h"
 #include "jobs/tests/policyservicequeue.h"
 
 namespace oriolevane::jobs {
@@ -27,15 +27,121 @@
 constexpr double kFixedValueShare = 0.3;
 // Limit on the value of a large job, relative to a job of mean size.
 constexpr double kMaxRelativeValue = 4.0;
+// Tasks take longer by this factor on one third of the workers, chosen by a
+// hash of the worker id.
+constexpr double kSlowWorkerFactor = 1.3;
 constexpr Millis kStopTime = 300ms;
 // Resolution of shares that are decided by a hash.
 constexpr int kHashBuckets = 10000;
 
-// Decides by a hash whether something belongs to a share.
-bool
-FallsInto(double aShare, std::uint64_t aHash)
+// A job of the load, drawn before the trial starts.
+struct PlannedJob
 {
-  return static_cast<double>(aHash % kHashBuckets) < aShare * kHashBuckets;
+  std::string mId;
+  // Index into LoadTrialOptions::mJobClasses.
+  std::size_t mJobClass = 0;
+  // Time since the end of the warm-up.
+  Millis mSubmitAt{ 0 };
+  JobSpec mSpec;
+  // Actual run time of a task of each step on a worker of normal speed.
+  std::vector<Millis> mRunTimes;
+  double mCoreSeconds = 0;
+};
+
+// Draws a value from the distribution, limited to its maximum. A constant is
+// returned as it is.
+double
+Sample(const LognormalParameters& aParameters, std::mt19937_64& aRandom)
+{
+  if (aParameters.mVariation <= 0) {
+    return aParameters.mMean;
+  }
+  const double variance =
+    std::log(1 + aParameters.mVariation * aParameters.mVariation);
+  std::lognormal_distribution<double> distribution(
+    std::log(aParameters.mMean) - variance / 2, std::sqrt(variance));
+  return std::min(distribution(aRandom), aParameters.mMax);
+}
+
+// Draws a job of a class, without its id and arrival time.
+PlannedJob
+SampleJob(const JobClass& aJobClass, std::mt19937_64& aRandom)
+{
+  std::uniform_real_distribution<double> unit(0, 1);
+  const int steps = std::max(
+    1, static_cast<int>(std::lround(Sample(aJobClass.mSteps, aRandom))));
+  const bool gang = unit(aRandom) < aJobClass.mGangShare;
+  PlannedJob job;
+  for (int step = 0; step < steps; ++step) {
+    StepSpec spec;
+    spec.mTaskCount = std::max(
+      1,
+      static_cast<int>(std::lround(Sample(aJobClass.mTasksPerStep, aRandom))));
+    spec.mResources = { .mMilliCores = static_cast<std::int64_t>(
+                          Sample(aJobClass.mMilliCores, aRandom)),
+                        .mMemoryMiB = static_cast<std::int64_t>(
+                          Sample(aJobClass.mMemoryMiB, aRandom)) };
+    const double run = Sample(aJobClass.mRunTimeMs, aRandom);
+    const double error = 1 + aJobClass.mEstimateError * (2 * unit(aRandom) - 1);
+    spec.mEstimate = Millis(static_cast<std::int64_t>(run * error));
+    spec.mGang = gang;
+    spec.mCheckpointing = unit(aRandom) < aJobClass.mCheckpointingShare;
+    if (step > 0) {
+      spec.mAfter = { step - 1 };
+    }
+    job.mCoreSeconds += spec.mTaskCount * run *
+                        static_cast<double>(spec.mResources.mMilliCores) / 1e6;
+    job.mRunTimes.emplace_back(static_cast<std::int64_t>(run));
+    job.mSpec.mSteps.push_back(std::move(spec));
+  }
+  return job;
+}
+
+// Returns the arrival rate of a job class at a time, in jobs per second.
+double
+RateAt(const LoadTrialOptions& aOptions, std::size_t aJobClass, Millis aAt)
+{
+  double rate = aOptions.mJobClasses[aJobClass].mJobsPerSecond;
+  for (const LoadBurst& burst : aOptions.mBursts) {
+    if (burst.mJobClass == aJobClass && burst.mFrom <= aAt &&
+        aAt < burst.mUntil) {
+      rate *= burst.mRateFactor;
+    }
+  }
+  return rate;
+}
+
+// Draws all jobs of the load with exponential interarrival times, ordered by
+// their arrival.
+std::vector<PlannedJob>
+PlanJobs(const LoadTrialOptions& aOptions)
+{
+  std::vector<PlannedJob> jobs;
+  for (std::size_t jobClass = 0; jobClass < aOptions.mJobClasses.size();
+       ++jobClass) {
+    std::mt19937_64 random(aOptions.mSeed * 31 + jobClass);
+    double at = 0;
+    const auto end = static_cast<double>(aOptions.mDuration.count());
+    while (true) {
+      const double rate =
+        RateAt(aOptions, jobClass, Millis(static_cast<std::int64_t>(at)));
+      at += 1000 * std::exponential_distribution<double>(rate)(random);
+      if (at >= end) {
+        break;
+      }
+      PlannedJob job = SampleJob(aOptions.mJobClasses[jobClass], random);
+      job.mJobClass = jobClass;
+      job.mSubmitAt = Millis(static_cast<std::int64_t>(at));
+      job.mId = std::to_string(jobClass) + "x" + std::to_string(jobs.size());
+      jobs.push_back(std::move(job));
+    }
+  }
+  std::sort(jobs.begin(),
+            jobs.end(),
+            [](const PlannedJob& aLeft, const PlannedJob& aRight) {
+              return aLeft.mSubmitAt < aRight.mSubmitAt;
+            });
+  return jobs;
 }
 
 // The work of a job, and whether it was of use to its caller.
@@ -83,8 +189,9 @@
     mCell.mIsAllowed = [this](const StepKey& aStep, const WorkerId& aWorker) {
       const double share =
         mOptions.mJobClasses[JobClassOf(aStep)].mAllowedShare;
-      return FallsInto(share,
-                       StableHash(aWorker.mValue, StableHash(aStep.ToText())));
+      const std::uint64_t hash =
+        StableHash(aWorker.mValue, StableHash(aStep.ToText()));
+      return static_cast<double>(hash % kHashBuckets) < share * kHashBuckets;
     };
     mCell.mPlan =
       [this](const TaskKey& aTask, RunNumber aRun, const WorkerId& aWorker) {
@@ -129,26 +236,21 @@
   {
     const PlannedJob& job = mJobs[mJobIndexById.at(aTask.mStep.mJob.mValue)];
     const std::size_t step = aTask.mStep.mStep;
-    const std::vector<double>& factors = mOptions.mWorkerFactors;
-    double factor = factors[StableHash(aWorker.mValue) % factors.size()];
+    const bool slow = StableHash(aWorker.mValue) % 3 == 0;
     const StepSpec& spec = job.mSpec.mSteps[step];
     // All members of a gang fail together, so their hash is that of the step.
     const std::uint64_t hash = StableHash(
       spec.mGang ? aTask.mStep.ToText() : aTask.ToText(), aRun.mValue);
     const JobClass& jobClass = mOptions.mJobClasses[job.mJobClass];
-    if (FallsInto(mOptions.mStragglerShare, StableHash("straggler", hash))) {
-      factor *= mOptions.mStragglerFactor;
-    }
-    const bool hopeless =
-      FallsInto(jobClass.mHopelessShare, StableHash(job.mId));
     const double share =
       static_cast<double>(StableHash(aTask.ToText()) % kHashBuckets) /
       kHashBuckets;
     const double work =
       spec.mGang ? 1.0 : 1.0 + jobClass.mUnevenness * (2 * share - 1);
     return { .mDuration = std::chrono::duration_cast<Millis>(
-               job.mRunTimes[step] * work * factor),
-             .mFails = hopeless || FallsInto(jobClass.mFailedShare, hash),
+               job.mRunTimes[step] * work * (slow ? kSlowWorkerFactor : 1.0)),
+             .mFails = static_cast<double>(hash % kHashBuckets) <
+                       jobClass.mFailedShare * kHashBuckets,
              .mSavesCheckpoint = spec.mCheckpointing,
              .mStopTime = kStopTime };
   }
--- a/src/jobs/tests/loadtrial.h
+++ b/src/jobs/tests/loadtrial.h
@@ -46,8 +46,6 @@
   double mUnevenness = 0.0;
   // Share of the runs that fail.
   double mFailedShare = 0.0;
-  // Share of the jobs whose runs all fail.
-  double mHopelessShare = 0.0;
   // Share of the workers that the policy service allows for a step.
   double mAllowedShare = 1.0;
   // Value of a job of mean size to its caller, in arbitrary units, when it
@@ -83,13 +81,6 @@
   std::vector<LoadBurst> mBursts;
   // Refused jobs are submitted again after the delay that the refusal states.
   std::vector<teams::TeamPolicy> mTeams;
-  // Tasks take longer by one of these factors on each worker, chosen by a hash
-  // of the worker id.
-  std::vector<double> mWorkerFactors{ 1.3, 1.0, 1.0 };
-  // Share of the runs that take longer by mStragglerFactor. The members of a
-  // gang straggle together.
-  double mStragglerShare = 0.0;
-  double mStragglerFactor = 1.0;
   SchedulerOptions mScheduling;
 };
 
@@ -157,12 +148,6 @@
 std::map<TeamId, JobClassOutcome>
 OutcomeByTeam(const LoadTrialOptions& aOptions, const LoadOutcome& aOutcome);
 
-// Returns the workload mix of a site with 350 workers of three speeds, some
-// stragglers and some jobs that never succeed: gangs of forecast jobs, scenario
-// jobs and short check jobs, with bursts of checks and of forecasts.
-LoadTrialOptions
-UnevenWorkersLoad();
-
 // Runs the load until twice its duration has passed and returns the results.
 LoadOutcome
 RunLoadTrial(const LoadTrialOptions& aOptions);
--- a/src/jobs/tests/main.cpp
+++ b/src/jobs/tests/main.cpp
@@ -15,8 +15,8 @@
       { "malformed reports", oriolevane::MalformedReportTests },
       { "advice", oriolevane::AdviceTests },
       { "record write queue", oriolevane::RecordWriteQueueTests },
+      { "relative run time", oriolevane::RelativeRunTimeTests },
       { "quota", oriolevane::QuotaTests },
-      { "stragglers", oriolevane::StragglerTests },
       { "load", oriolevane::LoadTests },
       { "random trouble", oriolevane::RandomFaultTests } });
 }
--- a/src/workerspeed/tests/relativeruntime_test.cpp
+++ b/src/jobs/tests/relativeruntime_test.cpp
@@ -1,10 +1,11 @@
-#include "workerspeed/relativeruntime.h"
-#include "workerspeed/tests/testgroups.h"
+#include "jobs/internal/relativeruntime.h"
+#include "jobs/tests/testgroups.h"
 
 namespace oriolevane {
 
 using testing::Section;
-using namespace workerspeed;
+using namespace jobs;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -18,6 +19,29 @@
   return runTime;
 }
 
+void
+TestSteps(Section& aRoot)
+{
+  aRoot.Describe("the tasks of a step", [](Section& aSection) {
+    aSection.It("are compared with each other", [] {
+      const std::vector<double> ratios = RelativeTimes(
+        { { 1000ms }, { 1000ms }, { 1000ms }, { 1000ms }, { 1300ms } });
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 5 }, ratios.size());
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(1.3, ratios.back(), 0.001);
+    });
+    aSection.It("are not compared when they are few", [] {
+      CPPUNIT_ASSERT(RelativeTimes({ { 1000ms }, { 1300ms } }).empty());
+    });
+    aSection.It("do not make a worker look average beside others as slow", [] {
+      // Single tasks often share the same slow workers.
+      const TaskRunTime slow{ .mTime = 1300ms, .mWorkerFactor = 1.3 };
+      const std::vector<double> ratios =
+        RelativeTimes({ slow, slow, slow, slow, slow });
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(1.3, ratios.front(), 0.001);
+    });
+  });
+}
+
 void
 TestWorkers(Section& aRoot)
 {
@@ -37,25 +61,6 @@
       }
       CPPUNIT_ASSERT(runTime.IsSlow());
     });
-    // A mean of all samples would make a worker with a straggler slow.
-    aSection.It("does not become slow by single stragglers", [] {
-      RelativeRunTime runTime = After(10, 1.0);
-      runTime.AddSample(7.0);
-      runTime.AddSample(7.0);
-      CPPUNIT_ASSERT_EQUAL(1.0, runTime.Factor());
-    });
-    // Otherwise a slowdown of some seconds would keep work away for long.
-    aSection.It("is fast again soon after a temporary slowdown", [] {
-      RelativeRunTime runTime = After(16, 1.0);
-      for (int sample = 0; sample < 6; ++sample) {
-        runTime.AddSample(2.0);
-      }
-      CPPUNIT_ASSERT(!runTime.IsSlow());
-      for (int sample = 0; sample < 6; ++sample) {
-        runTime.AddSample(1.0);
-      }
-      CPPUNIT_ASSERT_EQUAL(1.0, runTime.Factor());
-    });
   });
 }
 
@@ -64,6 +69,7 @@
 void
 RelativeRunTimeTests(Section& aRoot)
 {
+  TestSteps(aRoot);
   TestWorkers(aRoot);
 }
 
--- a/src/jobs/tests/testgroups.h
+++ b/src/jobs/tests/testgroups.h
@@ -20,7 +20,7 @@
 void
 RecordWriteQueueTests(testing::Section& aRoot);
 void
-StragglerTests(testing::Section& aRoot);
+RelativeRunTimeTests(testing::Section& aRoot);
 void
 LoadTests(testing::Section& aRoot);
 void
