--- a/src/framework/testing/testgroup.cpp
+++ b/src/framework/testing/testgroup.cpp
@@ -1,5 +1,6 @@
 #include "framework/testing/testgroup.h"
 
+#include <algorithm>
 #include <iostream>
 #include <utility>
 
@@ -15,7 +16,7 @@
 namespace {
 
 std::string requiredText;
-std::string excludedText;
+std::vector<std::string> excludedTexts;
 
 class FunctionTest : public CppUnit::TestCase
 {
@@ -71,8 +72,10 @@
 Section::It(const std::string& aName, std::function<void()> aBody)
 {
   const std::string path = mPath + " / " + aName;
-  const bool isExcluded =
-    !excludedText.empty() && path.find(excludedText) != std::string::npos;
+  const bool isExcluded = std::any_of(
+    excludedTexts.begin(), excludedTexts.end(), [&path](const auto& aText) {
+      return path.find(aText) != std::string::npos;
+    });
   if (!isExcluded && path.find(requiredText) != std::string::npos) {
     mSuite->addTest(new FunctionTest(path, std::move(aBody)));
   }
@@ -89,7 +92,10 @@
 RunTests(int aCount, char** aArguments, const std::vector<TestGroup>& aGroups)
 {
   const bool excludes = aCount > 2 && std::string(aArguments[1]) == "--except";
-  excludedText = excludes ? aArguments[2] : "";
+  excludedTexts.clear();
+  if (excludes) {
+    excludedTexts.assign(aArguments + 2, aArguments + aCount);
+  }
   requiredText = aCount > 1 && !excludes ? aArguments[1] : "";
   CppUnit::TestResult result;
   CppUnit::TestResultCollector collector;
--- a/src/framework/testing/testgroup.h
+++ b/src/framework/testing/testgroup.h
@@ -40,9 +40,9 @@
 };
 
 // Runs all tests, or only those whose path contains the first command line
-// argument. With "--except TEXT", runs all tests but those whose path contains
-// the text. Prints the result of each test and returns the exit code for
-// main().
+// argument. With "--except TEXT...", runs all tests but those whose path
+// contains one of the texts. Prints the result of each test and returns the
+// exit code for main().
 int
 RunTests(int aCount, char** aArguments, const std::vector<TestGroup>& aGroups);
 
