Log slow scheduler passes, late ticks of the owner and why a node takes over

The logs showed that owners were replaced, but not whether an owner was silent, could not write, or only seemed so to a late peer.

Change: taking_over has owner_silent_ms and owner_store_age_ms; scheduler_pass_slow and event_loop_late appear when a pass takes 100 ms or a tick of the owner is 200 ms late.

No decision changes.

--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -17,6 +17,8 @@
 // An owner's ticks also show whether its event loop keeps up.
 constexpr std::chrono::milliseconds kOwnerTickInterval = 20ms;
 constexpr std::chrono::milliseconds kHeartbeatInterval = 200ms;
+// A tick of the owner that comes later than this is logged.
+constexpr std::chrono::milliseconds kLateTick = 200ms;
 // After the stop signal, the node still answers requests on open connections
 // for this fraction of the grace period.
 constexpr double kServeShareOfGrace = 0.55;
@@ -122,12 +124,26 @@
   return absl::OkStatus();
 }
 
+void
+CellNode::Impl::LogLateTick(TimePoint aNow) const
+{
+  const Duration lag = aNow - mTickDue;
+  if (lag < kLateTick) {
+    return;
+  }
+  LogInfo("event_loop_late")
+    .With("epoch", mEpoch)
+    .With("lag_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(lag).count());
+}
+
 void
 CellNode::Impl::Tick()
 {
   const TimePoint now = Now();
   if (mSession != nullptr) {
     mLoopLag.OnTimer(mTickDue, now);
+    LogLateTick(now);
     mSession->SetOverloaded(mLoopLag.IsOverloaded());
   }
   const Duration interval =
--- a/src/cellnode/internal/cellnodeimpl.h
+++ b/src/cellnode/internal/cellnodeimpl.h
@@ -48,6 +48,7 @@
 
   // Ownership of the shard.
   void Tick();
+  void LogLateTick(TimePoint aNow) const;
   void OnOwnerRow(const OwnerRow& aRow);
   void BeginSession(const ClaimedShard& aShard);
   void EndSession(std::string_view aReason);
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -21,6 +21,8 @@
 // How long the store may hold a feed call for the worker registry. It is short
 // because a lost answer delays the news that a worker is draining by this time.
 constexpr std::chrono::milliseconds kRegistryFeedWait = 1000ms;
+// A pass of the scheduler that takes longer than this is logged.
+constexpr std::chrono::milliseconds kSlowPass = 100ms;
 
 jobs::SchedulerOptions
 WithEpoch(jobs::SchedulerOptions aOptions, Epoch aEpoch)
@@ -346,6 +348,22 @@
   mTimer->StartWithin(kSoonTickDelay);
 }
 
+// A slow pass delays heartbeats and renewals, which other nodes may take for a
+// failure of this one.
+void
+OwnerSession::LogSlowPass(TimePoint aStartedAt) const
+{
+  const Duration taken = std::chrono::steady_clock::now() - aStartedAt;
+  if (taken < kSlowPass) {
+    return;
+  }
+  LogInfo("scheduler_pass_slow")
+    .With("epoch", mOwner.mEpoch)
+    .With("pass_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(taken).count())
+    .With("open_jobs", mScheduler.Counts().mOpenJobs);
+}
+
 void
 OwnerSession::Tick()
 {
@@ -360,6 +378,7 @@
                                mOptions.mScheduler.mOwnershipLease);
     mScheduler.Advance(now);
   }
+  LogSlowPass(now.mSteady);
   mRequestHandler.RefuseIfStoreUnavailable(now.mSteady);
   const bool waiting = mScheduler.Records().HasWaiting() || mReleasing;
   mJournal.Tick(now.mSteady);
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -98,6 +98,7 @@
   void OnWorkerRow(const Row& aRow);
   void OnRecorded(jobs::RecordPosition aPosition);
   void Tick();
+  void LogSlowPass(TimePoint aStartedAt) const;
   void ScheduleTick();
   RelayedCallsHooks MakeRelayedCallsHooks(const UpstreamHooks& aUpstreams);
   static jobs::Moment Now();
--- a/src/cellnode/internal/shardclaimer.cpp
+++ b/src/cellnode/internal/shardclaimer.cpp
@@ -17,6 +17,12 @@
 constexpr std::chrono::milliseconds kReadTimeout = 2000ms;
 constexpr std::chrono::milliseconds kClaimTimeout = 900ms;
 
+std::int64_t
+ToMillis(Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
 } // namespace
 
 ShardClaimer::ShardClaimer(const NodeOptions& aOptions,
@@ -129,7 +135,9 @@
   LogInfo("taking_over")
     .With("epoch", row.mEpoch)
     .With("from", mPredecessor.has_value() ? mPredecessor->mNode.mValue : "")
-    .With("row_version", aVersion);
+    .With("row_version", aVersion)
+    .With("owner_silent_ms", ToMillis(mPolicy.OwnerSilence(aNow)))
+    .With("owner_store_age_ms", ToMillis(mPolicy.OwnerStoreAge()));
   if (row.mEpoch != mClaimedEpoch) {
     mClaimedEpoch = row.mEpoch;
     mClaimedAt = aNow;
--- a/src/cellnode/ownershippolicy.h
+++ b/src/cellnode/ownershippolicy.h
@@ -73,6 +73,14 @@
   // The version of the owner row to replace, if this node should claim the
   // shard now.
   std::optional<RowVersion> VersionToClaim(TimePoint aNow) const;
+  // The time since the last message of the owner; negative without a contact.
+  Duration OwnerSilence(TimePoint aNow) const
+  {
+    return mLastContactAt.has_value() ? aNow - *mLastContactAt
+                                      : Duration(std::chrono::milliseconds(-1));
+  }
+  // The time since the owner's last write to the store, as it last reported.
+  Duration OwnerStoreAge() const { return mStoreAge; }
   // The owner row as it was last read.
   const std::optional<OwnerRow>& Row() const { return mRow; }
 
