Call a job unknown only once a transaction proves ownership

Cause, by reading (no play with logs shows this answer): an owner answered that it does not know a job from its memory. One that has been replaced, and has not noticed yet, does not know the jobs that its successor accepted.

Change: the answer waits for a transaction that was built after the request arrived, and one is sent at once. If it is applied, no other node owned the shard in between. While the store does not answer, the request is refused at once, with a time to come back. It does not rest on clocks, so a suspended host changes nothing.

One check of another section, that a team's key gets 410 for such a job, moved there, as it now needs the transaction.

--- a/src/cellnode/celljournal.h
+++ b/src/cellnode/celljournal.h
@@ -81,6 +81,15 @@
   // Writes all pending changes, then marks the owner row as released.
   void Release() { mReleasing = true; }
   bool IsReleased() const { return mReleased; }
+  // Sends a transaction soon, even if no record changes.
+  void RequestRenewal() { mRenewalRequested = true; }
+  // The sequence number of the newest transaction that was built.
+  std::uint64_t BuiltSequence() const { return mOwner.mSequence; }
+  // The sequence number of the newest transaction that was applied.
+  std::uint64_t AppliedSequence() const
+  {
+    return mOwner.mSequence - (mInFlight.has_value() ? 1 : 0);
+  }
   // When the newest applied transaction was sent.
   TimePoint RenewedAt() const { return mRenewedAt; }
   // Sets the time at which the ownership was claimed, before the first Tick().
@@ -134,6 +143,7 @@
   TimeoutEstimator mTimeoutEstimator;
   TimePoint mRenewedAt;
   std::optional<TimePoint> mBatchStartedAt;
+  bool mRenewalRequested = false;
   bool mReleasing = false;
   bool mReleased = false;
   bool mLost = false;
--- a/src/cellnode/internal/callerrequesthandler.cpp
+++ b/src/cellnode/internal/callerrequesthandler.cpp
@@ -69,7 +69,7 @@
 
 CallerRequestHandler::CallerRequestHandler(const ExternalFormats& aFormats,
                                            jobs::CellScheduler& aScheduler,
-                                           const CellJournal& aJournal,
+                                           CellJournal& aJournal,
                                            CallerRequestHooks aHooks)
   : mFormats(aFormats)
   , mScheduler(aScheduler)
@@ -134,8 +134,11 @@
 {
   const bool cancelsJob =
     aRequest.mVerb == CallerVerb::Cancel && IsJobId(aRest);
-  aReply({ .mKind = cancelsJob ? CallerAnswerKind::UnknownJob
-                               : CallerAnswerKind::UnknownQueue });
+  if (cancelsJob) {
+    ReplyUnknownJob(aReply);
+    return;
+  }
+  aReply({ .mKind = CallerAnswerKind::UnknownQueue });
 }
 
 void
@@ -166,7 +169,7 @@
   }
   const std::optional<jobs::JobView> view = mScheduler.Find(job);
   if (!view.has_value()) {
-    aReply({ .mKind = CallerAnswerKind::UnknownJob });
+    ReplyUnknownJob(aReply);
     return;
   }
   aReply({ .mKind = CallerAnswerKind::State, .mState = view->mState });
@@ -285,7 +288,7 @@
   const std::optional<jobs::RecordPosition> position =
     mScheduler.Cancel(aId, mHooks.mNow());
   if (!position.has_value()) {
-    aReply({ .mKind = CallerAnswerKind::UnknownJob });
+    ReplyUnknownJob(aReply);
     return;
   }
   ReplyWhenRecorded(
@@ -321,6 +324,36 @@
       mWaitingReplies.push_back(std::move(entry));
     }
   }
+  ReplyToUnconfirmed();
+}
+
+void
+CallerRequestHandler::ReplyUnknownJob(AnswerCallback aReply)
+{
+  mUnconfirmedReplies.push_back(
+    { .mSequence = mJournal.BuiltSequence(), .mReply = std::move(aReply) });
+  mJournal.RequestRenewal();
+  mHooks.mOnWork();
+}
+
+void
+CallerRequestHandler::ReplyToUnconfirmed()
+{
+  const std::uint64_t applied = mJournal.AppliedSequence();
+  while (!mUnconfirmedReplies.empty() &&
+         mUnconfirmedReplies.front().mSequence < applied) {
+    const UnconfirmedReply entry = std::move(mUnconfirmedReplies.front());
+    mUnconfirmedReplies.pop_front();
+    entry.mReply({ .mKind = CallerAnswerKind::UnknownJob });
+  }
+}
+
+void
+CallerRequestHandler::RefuseUnconfirmed()
+{
+  for (const UnconfirmedReply& entry : std::exchange(mUnconfirmedReplies, {})) {
+    entry.mReply(kStoreUnavailableAnswer);
+  }
 }
 
 void
@@ -328,6 +361,7 @@
 {
   if (mJournal.OutstandingTime(aNow) > StoreUnavailableAfter()) {
     RefuseUnbatchedSubmissions();
+    RefuseUnconfirmed();
   }
 }
 
--- a/src/cellnode/internal/callerrequesthandler.h
+++ b/src/cellnode/internal/callerrequesthandler.h
@@ -31,7 +31,7 @@
 public:
   CallerRequestHandler(const ExternalFormats& aFormats,
                        jobs::CellScheduler& aScheduler,
-                       const CellJournal& aJournal,
+                       CellJournal& aJournal,
                        CallerRequestHooks aHooks);
 
   // Calls aReply before it returns, or once the change that the answer reports
@@ -43,10 +43,11 @@
   // While set, jobs that are not known are refused. The jobs accepted before
   // then get the processor time.
   void SetOverloaded(bool aOverloaded) { mOverloaded = aOverloaded; }
-  // Answers the requests whose changes are stored.
+  // Answers the requests whose changes are stored, and those that waited for a
+  // proof of ownership. To be called after each applied transaction.
   void OnRecorded(jobs::RecordPosition aPosition);
   // While the store does not answer, refuses the submissions that are not part
-  // of a transaction yet.
+  // of a transaction yet, and the requests that wait for a proof of ownership.
   void RefuseIfStoreUnavailable(TimePoint aNow);
 
 private:
@@ -60,11 +61,20 @@
     jobs::JobId mSubmitted;
   };
 
+  // A request for a job that this node does not know. Another node may have
+  // taken over the shard and accepted the job.
+  struct UnconfirmedReply
+  {
+    // The newest transaction when the request arrived.
+    std::uint64_t mSequence = 0;
+    AnswerCallback mReply;
+  };
+
   // Answers a request that names neither a queue nor a job that is known. No
   // key is needed for that.
-  static void AnswerUnknownTarget(const CallerRequest& aRequest,
-                                  const std::string& aRest,
-                                  const AnswerCallback& aReply);
+  void AnswerUnknownTarget(const CallerRequest& aRequest,
+                           const std::string& aRest,
+                           const AnswerCallback& aReply);
   // Carries out a request that is authorized.
   void Execute(const CallerRequest& aRequest,
                const CallerAuthorization& aCaller,
@@ -92,13 +102,21 @@
                          AnswerCallback aReply,
                          const jobs::JobId& aSubmitted = {});
 
+  // Replies that a job is not known, once a transaction that is built from now
+  // on has been applied. It shows that this node owns the shard and so knows
+  // all jobs.
+  void ReplyUnknownJob(AnswerCallback aReply);
+  void ReplyToUnconfirmed();
+  void RefuseUnconfirmed();
+
   const ExternalFormats& mFormats;
   jobs::CellScheduler& mScheduler;
-  const CellJournal& mJournal;
+  CellJournal& mJournal;
   CallerRequestHooks mHooks;
   bool mRefusesNewJobs = false;
   bool mOverloaded = false;
   std::deque<WaitingReply> mWaitingReplies;
+  std::deque<UnconfirmedReply> mUnconfirmedReplies;
 };
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/internal/celljournal.cpp
+++ b/src/cellnode/internal/celljournal.cpp
@@ -98,7 +98,8 @@
   }
   const bool batchReady = mBatchStartedAt.has_value() &&
                           *mBatchStartedAt + mOptions.mBatchDelay <= aNow;
-  const bool renewal = mRenewedAt + mOptions.mRenewInterval <= aNow;
+  const bool renewal =
+    mRenewalRequested || mRenewedAt + mOptions.mRenewInterval <= aNow;
   if (batchReady || renewal || mReleasing) {
     BuildTransaction();
     mFirstSentAt = aNow;
@@ -110,6 +111,7 @@
 CellJournal::BuildTransaction()
 {
   mBatchStartedAt.reset();
+  mRenewalRequested = false;
   mInFlight.emplace();
   mAttempts = 0;
   mOutstandingCalls = 0;
--- a/src/cellnode/tests/callerrequesthandler_test.cpp
+++ b/src/cellnode/tests/callerrequesthandler_test.cpp
@@ -20,9 +20,11 @@
            .mPath = "/q/" + aJob };
 }
 
-// A request handler of an owner whose store never answers.
+// A request handler of an owner whose store answers only in
+// AnswerTransaction().
 struct Fixture
 {
+  std::function<void(absl::StatusOr<CommitAnswer>)> mAnswerCommit;
   ExternalFormats mFormats;
   jobs::CellScheduler mScheduler;
   CellJournal mJournal;
@@ -45,12 +47,18 @@
                {},
                RowVersion(1),
                mScheduler.Records(),
-               { .mCommit = [](const RowTransaction&, Duration, auto) {},
+               { .mCommit =
+                   [this](const RowTransaction&, Duration, auto aDone) {
+                     mAnswerCommit = std::move(aDone);
+                   },
                  .mValueOf =
                    [this](const jobs::RecordKey& aKey) {
                      return mScheduler.ValueOf(aKey);
                    },
-                 .mOnRecorded = [](jobs::RecordPosition) {},
+                 .mOnRecorded =
+                   [this](jobs::RecordPosition aPosition) {
+                     mHandler.OnRecorded(aPosition);
+                   },
                  .mOnOwnershipLost = [] {},
                  .mNow = [] { return TimePoint(1000s); },
                  .mOnCommitted = [](Duration) {} })
@@ -73,6 +81,12 @@
                                           .mPathPrefix = "/q/" } } });
   }
 
+  // Sends the next transaction, unless one is pending.
+  void SendTransaction() { mJournal.Tick(TimePoint(1000s)); }
+  void AnswerTransaction(bool aApplied)
+  {
+    std::exchange(mAnswerCommit, nullptr)(CommitAnswer{ .mApplied = aApplied });
+  }
   // Adds teams "a" and "b", each with its name as key, and a public queue.
   void RequireKeys()
   {
@@ -108,6 +122,15 @@
       request, [&kind](const CallerAnswer& aAnswer) { kind = aAnswer.mKind; });
     return kind;
   }
+  // The same without a key, for answers that come later.
+  void Call(CallerVerb aVerb,
+            const std::string& aPath,
+            std::optional<CallerAnswerKind>& aKind)
+  {
+    mHandler.Serve(
+      { .mVerb = aVerb, .mHost = "cell.example", .mPath = aPath },
+      [&aKind](const CallerAnswer& aAnswer) { aKind = aAnswer.mKind; });
+  }
 
   void Submit(const std::string& aJob)
   {
@@ -154,8 +177,64 @@
                      CallerAnswerKind::Count);
       CPPUNIT_ASSERT(fixture.Call(CallerVerb::Query, "/p/", "") ==
                      CallerAnswerKind::Count);
-      CPPUNIT_ASSERT(fixture.Call(CallerVerb::Query, "/q/" + kFirstJob, "b") ==
-                     CallerAnswerKind::UnknownJob);
+    });
+  });
+}
+
+// Guards against 410 for a job that the next owner has accepted already.
+void
+DescribeUnknownJobs(Section& aRoot)
+{
+  aRoot.Describe("a job that is not known", [](Section& aSection) {
+    aSection.It("is unknown once a later transaction proves ownership", [] {
+      for (const CallerVerb verb : { CallerVerb::Query, CallerVerb::Cancel }) {
+        for (const std::string path : { "/q/", "/none/" }) {
+          if (verb == CallerVerb::Query && path == "/none/") {
+            continue;
+          }
+          Fixture fixture;
+          fixture.SendTransaction();
+          std::optional<CallerAnswerKind> kind;
+          fixture.Call(verb, path + kFirstJob, kind);
+          // This transaction was sent before the request arrived.
+          fixture.AnswerTransaction(true);
+          CPPUNIT_ASSERT(!kind.has_value());
+          fixture.SendTransaction();
+          fixture.AnswerTransaction(true);
+          CPPUNIT_ASSERT(kind == CallerAnswerKind::UnknownJob);
+        }
+      }
+    });
+    aSection.It("is not called unknown by a node that lost the shard", [] {
+      Fixture fixture;
+      std::optional<CallerAnswerKind> kind;
+      fixture.Call(CallerVerb::Query, "/q/" + kFirstJob, kind);
+      fixture.SendTransaction();
+      fixture.AnswerTransaction(false);
+      CPPUNIT_ASSERT(!kind.has_value());
+    });
+    aSection.It("is unknown to a team's key as well", [] {
+      Fixture fixture;
+      fixture.RequireKeys();
+      std::optional<CallerAnswerKind> kind;
+      fixture.mHandler.Serve(
+        { .mVerb = CallerVerb::Query,
+          .mHost = "cell.example",
+          .mPath = "/q/" + kFirstJob,
+          .mCredential = CredentialKind::Key,
+          .mKey = "b" },
+        [&kind](const CallerAnswer& aAnswer) { kind = aAnswer.mKind; });
+      fixture.SendTransaction();
+      fixture.AnswerTransaction(true);
+      CPPUNIT_ASSERT(kind == CallerAnswerKind::UnknownJob);
+    });
+    aSection.It("is refused while the store does not answer", [] {
+      Fixture fixture;
+      std::optional<CallerAnswerKind> kind;
+      fixture.Call(CallerVerb::Query, "/q/" + kFirstJob, kind);
+      fixture.SendTransaction();
+      fixture.mHandler.RefuseIfStoreUnavailable(TimePoint(1003s));
+      CPPUNIT_ASSERT(kind == CallerAnswerKind::Refused);
     });
   });
 }
@@ -257,6 +336,7 @@
 CallerRequestHandlerTests(Section& aRoot)
 {
   DescribeOrderOfChecks(aRoot);
+  DescribeUnknownJobs(aRoot);
   DescribeJobsOfTeams(aRoot);
   DescribeOtherAccess(aRoot);
   aRoot.Describe("while the owner is overloaded", [](Section& aSection) {
