Wait longer before replacing an owner when its predecessors did not last

Cause: the timeouts of the failure detector do not change, and a takeover gives the next owner the same load again: records to read, 1,100 workers to ask, all open steps to plan. Any work that keeps an owner from its heartbeats for 0.8 s after a recovery therefore repeats itself without end. The quadratic cost was such work; the next one would act in the same way. The class of fault is a metastable failure that the failure detector keeps up.

Change: an owner that is replaced within 5 s of its takeover, while the node that sees it is still connected to it, makes the timeouts twice as long, up to four times. An owner that lasts 5 s resets them. A killed owner's link closes, and its replacement waits as long as before.

Evidence: "give their successors more time each" fails on (`taken >= 2 * before`).

--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -214,6 +214,7 @@
     .With("row_version", aShard.mVersion);
   mMetrics.CountOwnership();
   mEpoch = aShard.mRow.mEpoch;
+  mPolicy.OnOwnerContact(mEpoch, Duration::zero(), Now());
   mPredecessor = aShard.mPredecessor;
   mOwner = NodeId();
   mLoopLag = LoopLagMonitor();
@@ -393,6 +394,7 @@
     }
     if (aHello.owns && epoch > mEpoch) {
       mEpoch = epoch;
+      mPolicy.OnOwnerContact(epoch, Duration::zero(), Now());
       EndSession("higher_epoch");
     } else {
       AddToSession(aNode);
--- a/src/cellnode/internal/ownershippolicy.cpp
+++ b/src/cellnode/internal/ownershippolicy.cpp
@@ -28,6 +28,7 @@
   if (mRow.has_value() && aEpoch < mRow->mEpoch) {
     return;
   }
+  NoteEpoch(aEpoch, aNow);
   mLastContactAt = aNow;
   mStoreAge = aStoreAge;
   if (!ShouldReadRow(aNow)) {
@@ -36,6 +37,23 @@
   }
 }
 
+void
+OwnershipPolicy::NoteEpoch(Epoch aEpoch, TimePoint aNow)
+{
+  if (aEpoch <= mNewestEpoch) {
+    return;
+  }
+  const bool lasted =
+    mNewestEpochSeenAt + Duration(mOptions.mMinOwnership) <= aNow;
+  if (lasted) {
+    mTimeoutFactor = 1;
+  } else if (mNewestEpoch != Epoch() && mLastContactAt.has_value()) {
+    mTimeoutFactor = std::min(2 * mTimeoutFactor, mOptions.mMaxTimeoutFactor);
+  }
+  mNewestEpoch = aEpoch;
+  mNewestEpochSeenAt = aNow;
+}
+
 void
 OwnershipPolicy::OnOwnerDisconnected(TimePoint)
 {
@@ -65,6 +83,9 @@
   if (!mRowKnown || aVersion != mVersion) {
     mUnchangedSince = aNow;
   }
+  if (aRow.has_value()) {
+    NoteEpoch(aRow->mEpoch, aNow);
+  }
   mRowKnown = true;
   mRow = aRow;
   mVersion = aVersion;
@@ -111,8 +132,8 @@
 std::optional<RowVersion>
 OwnershipPolicy::VersionToClaim(TimePoint aNow) const
 {
-  if (!mRowKnown || !IsOverdue(mOptions.mHeartbeatTimeout,
-                               mOptions.mStoreWriteTimeout,
+  if (!mRowKnown || !IsOverdue(mTimeoutFactor * mOptions.mHeartbeatTimeout,
+                               mTimeoutFactor * mOptions.mStoreWriteTimeout,
                                aNow)) {
     return std::nullopt;
   }
--- a/src/cellnode/ownershippolicy.h
+++ b/src/cellnode/ownershippolicy.h
@@ -36,6 +36,12 @@
   // for a slow store, which is slow for the owner as well.
   std::chrono::milliseconds mMinUnchanged{ 450 };
   int mMinUnchangedRoundTrips = 6;
+  // An owner that is replaced sooner than this after it took over, while it is
+  // still connected, is more likely to be busy with the recovery than to have
+  // failed. The two timeouts are doubled for its successors, up to the factor,
+  // until one of them lasts.
+  std::chrono::milliseconds mMinOwnership{ 5000 };
+  int mMaxTimeoutFactor = 4;
   // Nodes of similar fitness try at different times within this interval.
   std::chrono::milliseconds mMaxStagger{ 160 };
   // The maximum additional delay of a node that is less fit than others.
@@ -85,6 +91,8 @@
   const std::optional<OwnerRow>& Row() const { return mRow; }
 
 private:
+  // Notes that a node owns the shard in that epoch.
+  void NoteEpoch(Epoch aEpoch, TimePoint aNow);
   // True when the owner has sent no message for aSilence, or has not written to
   // the store for aStoreAge.
   bool IsOverdue(Duration aSilence, Duration aStoreAge, TimePoint aNow) const;
@@ -100,6 +108,10 @@
   std::optional<TimePoint> mLastContactAt;
   Duration mStoreAge{};
   double mBestFitness = 1.0;
+  Epoch mNewestEpoch;
+  TimePoint mNewestEpochSeenAt;
+  // Factor on the timeouts of the owner.
+  int mTimeoutFactor = 1;
   Epoch mDeniedEpoch;
   Epoch mHandoverEpoch;
 };
--- a/src/cellnode/tests/ownershippolicy_test.cpp
+++ b/src/cellnode/tests/ownershippolicy_test.cpp
@@ -128,6 +128,56 @@
     });
 }
 
+// Returns the time until the policy claims the shard from an owner of that
+// epoch that falls silent at aSilentAt.
+Duration
+TimeToReplaceSilentOwner(OwnershipPolicy& aPolicy,
+                         Epoch aEpoch,
+                         TimePoint aSilentAt)
+{
+  aPolicy.OnOwnerContact(aEpoch, 100ms, aSilentAt);
+  const OwnerRow row{ .mEpoch = aEpoch, .mNode = NodeId("owner") };
+  return TimeToClaim(aPolicy, row, aSilentAt);
+}
+
+// Guards against owners that replace each other while each is busy with its
+// recovery.
+void
+TestOwnersInQuickSuccession(Section& aRoot)
+{
+  aRoot.Describe(
+    "owners that are replaced soon, while connected", [](Section& aSection) {
+      aSection.It("give their successors more time each", [] {
+        OwnershipPolicy policy = Policy();
+        TimePoint now = kBegin;
+        Duration before{};
+        for (const std::uint64_t epoch : { 5, 6, 7 }) {
+          const Duration taken =
+            TimeToReplaceSilentOwner(policy, Epoch(epoch), now);
+          CPPUNIT_ASSERT(taken >= 2 * before);
+          before = taken;
+          now += taken + 500ms;
+        }
+        CPPUNIT_ASSERT(TimeToReplaceSilentOwner(policy, Epoch(8), now) < 5s);
+      });
+      aSection.It("no longer do once an owner has lasted", [] {
+        OwnershipPolicy policy = Policy();
+        policy.OnOwnerContact(Epoch(5), 100ms, kBegin);
+        policy.OnOwnerContact(Epoch(6), 100ms, kBegin + 1s);
+        CPPUNIT_ASSERT(
+          TimeToReplaceSilentOwner(policy, Epoch(7), kBegin + 10s) < 1200ms);
+      });
+      aSection.It("leave a killed successor to be replaced at once", [] {
+        OwnershipPolicy policy = Policy();
+        policy.OnOwnerContact(Epoch(5), 100ms, kBegin);
+        policy.OnOwnerContact(Epoch(6), 100ms, kBegin + 1s);
+        policy.OnOwnerDisconnected(kBegin + 2s);
+        const OwnerRow row{ .mEpoch = Epoch(6), .mNode = NodeId("owner") };
+        CPPUNIT_ASSERT(TimeToClaim(policy, row, kBegin + 2s) < 700ms);
+      });
+    });
+}
+
 void
 TestStoppedOwner(Section& aRoot)
 {
@@ -177,6 +227,7 @@
 {
   TestLiveOwner(aRoot);
   TestSilentOwner(aRoot);
+  TestOwnersInQuickSuccession(aRoot);
   TestStoppedOwner(aRoot);
   TestSmallHost(aRoot);
 }
