Give up tasks that crash their workers

A task whose runs crash their workers was started again for ever, and took server after server down, with the innocent tasks beside it. A run that was lost with its worker left no trace: only failed runs counted.

The new module crashes decides from the crashes of a task whether the task is suspected or given up. The owner counts a crash when the worker reports a later start time, when another worker answers at its address, or when the worker is removed after it left the registry; the job then closes as failed. A lease that runs out alone makes the task suspected until the worker's fate is known. The run numbers of the crashes are part of the progress record, as a set, so that the next owner goes on with the count and a crash that is seen twice counts once. Rows without them are read as before.

A suspected task prefers a worker without runs of other jobs, and the tasks of other jobs avoid its worker. This is a cost, so that no task waits for it.

A second crash does not count against a task alone if a worker without its runs failed at the same time. Starts that the worker did not confirm count less, as the worker may have crashed before it got the order.

The test of the record codec expects the new field (FieldCount 6 in place of 5) and checks that it is decoded.

--- a/src/cellnode/internal/recordcodec.cpp
+++ b/src/cellnode/internal/recordcodec.cpp
@@ -164,21 +164,32 @@
 json
 ToJson(const jobs::TaskProgress& aTask)
 {
-  return json::array({ aTask.mIndex,
-                       aTask.mSucceeded,
-                       ToJson(aTask.mFailedRuns),
-                       aTask.mLastRun.mValue,
-                       aTask.mCheckpoint });
+  json value = json::array({ aTask.mIndex,
+                             aTask.mSucceeded,
+                             ToJson(aTask.mFailedRuns),
+                             aTask.mLastRun.mValue,
+                             aTask.mCheckpoint });
+  // Left out when empty, as in rows of earlier versions.
+  if (!aTask.mCrashedRuns.empty()) {
+    value.push_back(ToJson(aTask.mCrashedRuns));
+  }
+  return value;
 }
 
 jobs::TaskProgress
 TaskFrom(const json& aValue)
 {
-  return { .mIndex = aValue.at(0).get<int>(),
-           .mSucceeded = aValue.at(1).get<bool>(),
-           .mFailedRuns = RunsFrom(aValue.at(2)),
-           .mLastRun = jobs::RunNumber(aValue.at(3).get<std::uint64_t>()),
-           .mCheckpoint = aValue.at(4).get<std::string>() };
+  constexpr std::size_t kCrashedRuns = 5;
+  jobs::TaskProgress task{ .mIndex = aValue.at(0).get<int>(),
+                           .mSucceeded = aValue.at(1).get<bool>(),
+                           .mFailedRuns = RunsFrom(aValue.at(2)),
+                           .mLastRun =
+                             jobs::RunNumber(aValue.at(3).get<std::uint64_t>()),
+                           .mCheckpoint = aValue.at(4).get<std::string>() };
+  if (aValue.size() > kCrashedRuns) {
+    task.mCrashedRuns = RunsFrom(aValue.at(kCrashedRuns));
+  }
+  return task;
 }
 
 // The scheduler uses these values as sizes and indexes.
--- a/src/cellnode/tests/recordcodec_test.cpp
+++ b/src/cellnode/tests/recordcodec_test.cpp
@@ -36,7 +36,7 @@
 
 // A new field must be handled by the codec and set in FullStep().
 static_assert(FieldCount<jobs::StepSpec>() == 16);
-static_assert(FieldCount<jobs::TaskProgress>() == 5);
+static_assert(FieldCount<jobs::TaskProgress>() == 6);
 static_assert(FieldCount<jobs::JobRecord>() == 6);
 static_assert(FieldCount<jobs::FinishedRecord>() == 4);
 
@@ -44,7 +44,7 @@
 DescribeProgress(Section& aRoot)
 {
   aRoot.Describe("progress", [](Section& aSection) {
-    aSection.It("is decoded with the failed runs of tasks and gangs", [] {
+    aSection.It("is decoded with the failed and crashed runs", [] {
       const jobs::ProgressRecord record{
         .mJob = jobs::JobId("job"),
         .mOccurrence = 2,
@@ -56,13 +56,27 @@
                                     .mFailedRuns = { jobs::RunNumber(1),
                                                      jobs::RunNumber(9) },
                                     .mLastRun = jobs::RunNumber(10),
-                                    .mCheckpoint = "point" } } } }
+                                    .mCheckpoint = "point",
+                                    .mCrashedRuns = { jobs::RunNumber(2),
+                                                      jobs::RunNumber(
+                                                        5) } } } } }
       };
       const auto back = DecodeProgress(Encode(record));
       CPPUNIT_ASSERT(back.ok());
       CPPUNIT_ASSERT_EQUAL(Encode(record), Encode(*back));
       CPPUNIT_ASSERT(back->mSteps[0].mTasks[0].mFailedRuns ==
                      record.mSteps[0].mTasks[0].mFailedRuns);
+      CPPUNIT_ASSERT(back->mSteps[0].mTasks[0].mCrashedRuns ==
+                     record.mSteps[0].mTasks[0].mCrashedRuns);
+    });
+    // Guards against rows of earlier versions that can no longer be read.
+    aSection.It("is decoded from a row without crashed runs", [] {
+      const auto record =
+        DecodeProgress(R"({"job":"job","occurrence":0,"finished":false,)"
+                       R"("steps":[[0,[],[[3,false,[1],9,"point"]]]]})");
+      CPPUNIT_ASSERT(record.ok());
+      CPPUNIT_ASSERT_EQUAL(3, record->mSteps[0].mTasks[0].mIndex);
+      CPPUNIT_ASSERT(record->mSteps[0].mTasks[0].mCrashedRuns.empty());
     });
   });
 }
--- a/src/framework/types/ids.h
+++ b/src/framework/types/ids.h
@@ -63,6 +63,9 @@
 // Identifies one start of a process. It distinguishes a restarted node from the
 // process that ran under the same id before.
 using Incarnation = NumberId<struct IncarnationTag, std::uint64_t>;
+// Number of a run. It increases with each start of a task; the members of a
+// gang share it.
+using RunNumber = NumberId<struct RunNumberTag, std::uint64_t>;
 // Numbers the versions of the configuration.
 using ConfigurationVersion =
   NumberId<struct ConfigurationVersionTag, std::uint64_t>;
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -6,6 +6,7 @@
 #include "framework/log.h"
 #include "jobs/internal/adviceplanner.h"
 #include "jobs/internal/cellstate.h"
+#include "jobs/internal/crashhandler.h"
 #include "jobs/internal/dispatcher.h"
 #include "jobs/internal/recordvalues.h"
 #include "jobs/internal/runendhandler.h"
@@ -49,7 +50,8 @@
     , mRuns(mCell)
     , mRunEndHandler(mCell, mRuns)
     , mAdvice(mCell)
-    , mWorkerAnswerHandler(mCell, mRuns, mRunEndHandler, mAdvice)
+    , mCrashHandler(mCell, mRunEndHandler)
+    , mWorkerAnswerHandler(mCell, mRuns, mRunEndHandler, mCrashHandler, mAdvice)
     , mDispatcher(mCell, mRuns, mAdvice)
   {
   }
@@ -66,6 +68,7 @@
   RunTracker mRuns;
   RunEndHandler mRunEndHandler;
   AdvicePlanner mAdvice;
+  CrashHandler mCrashHandler;
   WorkerAnswerHandler mWorkerAnswerHandler;
   Dispatcher mDispatcher;
   // Submitted jobs whose records have not been written yet, oldest first.
@@ -258,7 +261,7 @@
   CellState& cell = mImpl->mCell;
   if (cell.mFleet.Register(aEntry, aNow.mSteady)) {
     Worker& worker = *cell.mFleet.Find(aEntry.mId);
-    RunTracker::MarkAllUncertain(worker);
+    mImpl->mCrashHandler.CountLosses(worker, aNow);
     mImpl->mAdvice.RemoveWorker(&worker);
   }
 }
@@ -388,8 +391,9 @@
     }
     cell.mJobs.Prune(
       aNow, cell.mOptions.mFinishedRetention, mImpl->mRecoveryFinished);
-    cell.mFleet.Prune(aNow.mSteady, [this](const Worker* aWorker) {
-      mImpl->mAdvice.RemoveWorker(aWorker);
+    cell.mFleet.Prune(aNow.mSteady, [this, &aNow](Worker& aWorker) {
+      mImpl->mCrashHandler.CountLosses(aWorker, aNow);
+      mImpl->mAdvice.RemoveWorker(&aWorker);
     });
   }
   const TimePoint due = cell.mDispatchWanted
--- /dev/null
+++ b/src/jobs/internal/crashhandler.h
@@ -0,0 +1,55 @@
+// Finds out which lost runs ended in a crash of their worker, and fails the
+// jobs of tasks that are given up for it.
+#pragma once
+
+#include "jobs/internal/cellstate.h"
+#include "jobs/internal/runendhandler.h"
+
+namespace oriolevane::jobs {
+
+class CrashHandler
+{
+public:
+  CrashHandler(CellState& aCell, RunEndHandler& aRunEndHandler)
+    : mCell(aCell)
+    , mRunEndHandler(aRunEndHandler)
+  {
+  }
+
+  // Handles a worker that has just become unreachable.
+  void OnUnreachable(Worker& aWorker);
+  // Handles a worker whose lease has expired. Its runs are lost, and it is not
+  // known whether the worker has crashed.
+  void OnLeaseExpired(Worker& aWorker, const Moment& aNow);
+  // Handles a worker that another one has replaced at its address.
+  void OnWorkerReplaced(Worker& aWorker, const Moment& aNow);
+  // Handles an uncertain run that is missing from the worker's report: the
+  // worker has restarted, or it never started the run.
+  void OnRunAbsent(Worker& aWorker, const RunPointer& aRun, const Moment& aNow);
+  // Counts the runs that were lost with the worker before it was known to have
+  // crashed. Those of a draining worker are not among them.
+  void CountLosses(Worker& aWorker, const Moment& aNow);
+  // Forgets these runs after the worker has answered without a restart.
+  void ForgetLosses(Worker& aWorker);
+
+private:
+  // Returns nullptr when the task has succeeded or its job is not open.
+  Task* FindUnfinishedTask(const TaskKey& aKey);
+  // Notes a run whose worker may have crashed.
+  void NoteLoss(Worker& aWorker,
+                const Run& aRun,
+                crashes::CrashEvidence aEvidence);
+  // Counts a run that a restart of the worker interrupted.
+  void CountInterruption(const Worker& aWorker,
+                         const Run& aRun,
+                         const Moment& aNow);
+  // Counts a crash, and fails the job when the task is given up.
+  void CountCrash(const WorkerId& aWorker,
+                  const LostRun& aRun,
+                  const Moment& aNow);
+
+  CellState& mCell;
+  RunEndHandler& mRunEndHandler;
+};
+
+} // namespace oriolevane::jobs
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -25,6 +25,9 @@
 // gangs. It is more than the other terms of workers that are neither remote nor
 // very slow.
 constexpr double kGangSpeedCost = 3.0;
+// Added to the cost of workers on which a suspected task could take other jobs
+// down with it. It is more than all other terms of usual workers.
+constexpr double kCrashRiskCost = 1000.0;
 // Workers with a higher slowness than this are used last.
 constexpr double kSlowWorkerThreshold = 2.5;
 
@@ -263,8 +266,23 @@
   return cost;
 }
 
+double
+Dispatcher::CrashRiskCost(const Worker& aWorker,
+                          const JobId& aJob,
+                          const Task& aTask)
+{
+  const bool suspected = aTask.mCrashes.IsSuspected();
+  if (!suspected && aWorker.mSuspectedRuns == 0) {
+    return 0;
+  }
+  return crashes::AvoidsWorker(suspected, aWorker.RunsOfOthers(aJob))
+           ? kCrashRiskCost
+           : 0;
+}
+
 Dispatcher::EligibleWorker*
 Dispatcher::ChooseWorker(const Candidate& aCandidate,
+                         const Task& aTask,
                          std::vector<EligibleWorker>& aEligible)
 {
   const StepSpec& spec = aCandidate.Spec();
@@ -286,7 +304,8 @@
       mCapacityWithheld = true;
       continue;
     }
-    const double cost = PlacementCost(worker, spec);
+    const double cost = PlacementCost(worker, spec) +
+                        CrashRiskCost(worker, aCandidate.mJob->Id(), aTask);
     if (best == nullptr || cost < bestCost) {
       best = &choice;
       bestCost = cost;
@@ -319,7 +338,8 @@
     if (!QuotaAllowsStart(aCandidate)) {
       return;
     }
-    const EligibleWorker* choice = ChooseWorker(aCandidate, eligible);
+    const EligibleWorker* choice =
+      ChooseWorker(aCandidate, tasks[index], eligible);
     if (choice == nullptr) {
       RecordFailedAttempt(*aCandidate.mStep);
       return;
@@ -372,9 +392,8 @@
   std::vector<const EligibleWorker*> chosen;
   // Counts the capacity of each chosen member as used while choosing the next
   // one, and undoes that below.
-  for (std::size_t index = 0; index < aCandidate.mStep->mTasks.size();
-       ++index) {
-    EligibleWorker* choice = ChooseWorker(aCandidate, aEligible);
+  for (const Task& task : aCandidate.mStep->mTasks) {
+    EligibleWorker* choice = ChooseWorker(aCandidate, task, aEligible);
     if (choice == nullptr) {
       break;
     }
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -81,8 +81,13 @@
   // The worker with the lowest placement cost among those with room for a task;
   // null when there is none.
   EligibleWorker* ChooseWorker(const Candidate& aCandidate,
+                               const Task& aTask,
                                std::vector<EligibleWorker>& aEligible);
   double PlacementCost(const Worker& aWorker, const StepSpec& aSpec) const;
+  // The cost of placing a suspected task beside other jobs.
+  static double CrashRiskCost(const Worker& aWorker,
+                              const JobId& aJob,
+                              const Task& aTask);
   // Remembers a failed attempt to start a step, so that the step is not tried
   // again until a worker gains room. An attempt that failed because capacity
   // was withheld is not remembered, so that the next pass tries the step again.
--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -71,6 +71,9 @@
   if (!added && aEntry.mIncarnation < worker.mEntry.mIncarnation) {
     return false;
   }
+  if (otherIncarnation) {
+    BeginIncarnation(worker, aEntry.mIncarnation);
+  }
   worker.mEntry = aEntry;
   worker.mRegistered = true;
   if (added) {
@@ -90,9 +93,6 @@
       { .mKind = RecordKind::Worker, .mName = aEntry.mId.mValue });
     worker.mRecorded = false;
   }
-  if (otherIncarnation) {
-    BeginIncarnation(worker, aEntry.mIncarnation);
-  }
   return otherIncarnation;
 }
 
@@ -115,6 +115,7 @@
     .With("worker", aWorker.Id())
     .With("incarnation", aIncarnation)
     .With("previous_incarnation", aWorker.mEntry.mIncarnation);
+  aWorker.InterruptRuns();
   aWorker.mEntry.mIncarnation = aIncarnation;
   aWorker.mClock.reset();
   aWorker.mProcessedEndSerial = 0;
@@ -253,8 +254,7 @@
 }
 
 void
-Fleet::Prune(TimePoint aNow,
-             const std::function<void(const Worker*)>& aOnRemoved)
+Fleet::Prune(TimePoint aNow, const std::function<void(Worker&)>& aOnRemoved)
 {
   for (auto entry = mWorkers.begin(); entry != mWorkers.end();) {
     Worker& worker = entry->second;
@@ -270,7 +270,7 @@
     LogInfo("worker_gone").With("worker", worker.Id());
     mWriteQueue.Mark(
       { .mKind = RecordKind::Worker, .mName = worker.Id().mValue });
-    aOnRemoved(&worker);
+    aOnRemoved(worker);
     entry = mWorkers.erase(entry);
   }
 }
--- a/src/jobs/internal/fleet.h
+++ b/src/jobs/internal/fleet.h
@@ -35,11 +35,12 @@
   // Lowers the time by which the leases of the earlier owner have expired.
   void ShortenRecoveredLeases(TimePoint aUntil);
   // Adds or updates a worker of the registry. Returns true when the entry is of
-  // a new incarnation; the caller handles the runs of the earlier one.
+  // a new incarnation; the caller counts the crash of the earlier one.
   bool Register(const WorkerEntry& aEntry, TimePoint aNow);
   // Notes that a worker has left the registry.
   void Unregister(const WorkerId& aId, TimePoint aNow);
-  // Resets what is known of a worker when a new incarnation uses its id.
+  // Resets what is known of a worker when a new incarnation uses its id. Its
+  // runs become uncertain.
   void BeginIncarnation(Worker& aWorker, WorkerIncarnation aIncarnation);
 
   // Raises the fencing token and requests a poll, after which the worker
@@ -61,8 +62,7 @@
   bool IsReconciled(TimePoint aNow) const;
   // Removes workers that have left the registry, do not answer and have no
   // runs. Calls aOnRemoved for each before it is removed.
-  void Prune(TimePoint aNow,
-             const std::function<void(const Worker*)>& aOnRemoved);
+  void Prune(TimePoint aNow, const std::function<void(Worker&)>& aOnRemoved);
   // Notes that a worker may accept tasks that it could not accept before.
   void NoteCapacityGain(Worker& aWorker)
   {
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "crashes/taskcrashes.h"
 #include "framework/types/timepoint.h"
 #include "jobs/internal/stepadvice.h"
 #include "jobs/types/jobrecord.h"
@@ -57,6 +58,20 @@
   TimePoint mNextStopAt;
   // The run does not belong to a job that this node knows.
   bool mOrphan = false;
+  // The task was suspected of crashing its workers when the run was added.
+  bool mSuspected = false;
+  // What is known of the cause of a crash of the worker. Nothing unless the
+  // worker has restarted since it was ordered to start the run, and for a
+  // worker that was draining.
+  std::optional<crashes::CrashEvidence> mInterrupted;
+
+  // What a crash with the given evidence for confirmed runs says of this one.
+  crashes::CrashEvidence Evidence(crashes::CrashEvidence aConfirmed) const
+  {
+    return mConfirmedAt == TimePoint()
+             ? crashes::CrashEvidence::UnconfirmedStart
+             : aConfirmed;
+  }
 };
 
 // A run is shared by its task and its worker.
@@ -70,6 +85,7 @@
   // reported again to a later owner, and out of order, but must count only
   // once.
   std::set<RunNumber> mFailedRuns;
+  crashes::TaskCrashes mCrashes;
   // Highest run number so far.
   RunNumber mLastRun;
   // Latest checkpoint; empty for none.
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -34,7 +34,7 @@
 HasNoProgress(const Task& aTask)
 {
   return !aTask.mSucceeded && aTask.mFailedRuns.empty() &&
-         aTask.mCheckpoint.empty();
+         aTask.mCheckpoint.empty() && aTask.mCrashes.Runs().empty();
 }
 
 StepProgress
@@ -52,7 +52,8 @@
                                 .mSucceeded = task.mSucceeded,
                                 .mFailedRuns = task.mFailedRuns,
                                 .mLastRun = task.mLastRun,
-                                .mCheckpoint = task.mCheckpoint });
+                                .mCheckpoint = task.mCheckpoint,
+                                .mCrashedRuns = task.mCrashes.Runs() });
   }
   return progress;
 }
@@ -71,6 +72,7 @@
     task.mFailedRuns = saved.mFailedRuns;
     task.mLastRun = saved.mLastRun;
     task.mCheckpoint = saved.mCheckpoint;
+    task.mCrashes = crashes::TaskCrashes(saved.mCrashedRuns);
   }
   aStep.mSucceeded = static_cast<int>(std::count_if(
     aStep.mTasks.begin(), aStep.mTasks.end(), [](const Task& aTask) {
--- a/src/jobs/internal/runendhandler.cpp
+++ b/src/jobs/internal/runendhandler.cpp
@@ -195,7 +195,8 @@
            std::any_of(aStep.mTasks.begin(),
                        aStep.mTasks.end(),
                        [maxAttempts](const Task& aTask) {
-                         return aTask.mFailedRuns.size() >= maxAttempts;
+                         return aTask.mFailedRuns.size() >= maxAttempts ||
+                                aTask.mCrashes.IsGivenUp();
                        });
   };
   for (auto& [number, occurrence] : aJob.mOccurrences) {
@@ -248,15 +249,6 @@
   OnRunEnded(aWorker, end, aNow);
 }
 
-void
-RunEndHandler::LoseAllRuns(Worker& aWorker, const Moment& aNow)
-{
-  const std::vector<RunPointer> runs = aWorker.mRuns;
-  for (const RunPointer& run : runs) {
-    OnRunLost(aWorker, run, aNow);
-  }
-}
-
 void
 RunEndHandler::OnRunNotStarted(Worker& aWorker, Run* aRun, const Moment& aNow)
 {
--- a/src/jobs/internal/runendhandler.h
+++ b/src/jobs/internal/runendhandler.h
@@ -21,8 +21,6 @@
   // expired, the worker has been replaced, or the run is missing from its
   // report.
   void OnRunLost(Worker& aWorker, const RunPointer& aRun, const Moment& aNow);
-  // Handles all runs of a worker as lost.
-  void LoseAllRuns(Worker& aWorker, const Moment& aNow);
   // Handles a start order that was not carried out. A gang is stopped, since it
   // needs all of its members.
   void OnRunNotStarted(Worker& aWorker, Run* aRun, const Moment& aNow);
--- a/src/jobs/internal/runtracker.cpp
+++ b/src/jobs/internal/runtracker.cpp
@@ -50,6 +50,7 @@
   run->mTeam = aJob.mRecord.mTeam;
   run->mToken = aWorker.mToken;
   run->mOrderedAt = aNow;
+  run->mSuspected = task.mCrashes.IsSuspected();
   task.mLastRun = aNumber;
   task.mRuns.push_back(run);
   AddRun(aWorker, run);
@@ -103,6 +104,7 @@
     return;
   }
   aRun.mPhase = RunPhase::Running;
+  aRun.mInterrupted.reset();
   aRun.mConfirmedAt = aNow;
   aRun.mProgressAt = aNow;
   Job* job = mCell.mJobs.Find(aRun.mTask.mStep.mJob);
@@ -140,6 +142,7 @@
   }
   const StepSpec& spec = job->mRecord.mSpec.mSteps[aRunning.mTask.mStep.mStep];
   run->mResources = spec.mResources;
+  run->mSuspected = task->mCrashes.IsSuspected();
   AddRun(aWorker, run);
   const bool unwanted = job->mPhase != JobPhase::Open || task->mSucceeded ||
                         (!task->mRuns.empty() && !spec.mSpeculative);
@@ -173,14 +176,6 @@
   aWorker.AddRun(aRun);
 }
 
-void
-RunTracker::MarkAllUncertain(Worker& aWorker)
-{
-  for (const RunPointer& run : aWorker.mRuns) {
-    run->mPhase = RunPhase::Uncertain;
-  }
-}
-
 void
 RunTracker::RemoveRun(Worker& aWorker, Run* aRun)
 {
--- a/src/jobs/internal/runtracker.h
+++ b/src/jobs/internal/runtracker.h
@@ -38,10 +38,6 @@
   // Takes over a run that a worker reports and that no order of this node
   // started. The run is stopped when its task is unknown or does not need it.
   void Adopt(Worker& aWorker, const RunningTask& aRunning, TimePoint aNow);
-  // Marks all runs of a worker as uncertain after the worker restarted. They
-  // have ended, unless the restarted worker received a start order that was
-  // still in flight; its next report shows which.
-  static void MarkAllUncertain(Worker& aWorker);
   // Removes a run that has ended or never started.
   void RemoveRun(Worker& aWorker, Run* aRun);
   // Orders the worker to stop a run. ResendStops() sends the order again until
--- a/src/jobs/internal/worker.cpp
+++ b/src/jobs/internal/worker.cpp
@@ -18,6 +18,7 @@
 Worker::AddRun(RunPointer aRun)
 {
   mUsed += aRun->mResources;
+  mSuspectedRuns += aRun->mSuspected ? 1 : 0;
   mRuns.push_back(std::move(aRun));
 }
 
@@ -32,9 +33,50 @@
     return;
   }
   mUsed -= (*found)->mResources;
+  mSuspectedRuns -= (*found)->mSuspected ? 1 : 0;
   mRuns.erase(found);
 }
 
+void
+Worker::InterruptRuns()
+{
+  const crashes::CrashEvidence evidence = Evidence();
+  for (const RunPointer& run : mRuns) {
+    run->mPhase = RunPhase::Uncertain;
+    if (!mEntry.mDraining && !run->mInterrupted.has_value()) {
+      run->mInterrupted = run->Evidence(evidence);
+    }
+  }
+}
+
+bool
+Worker::HasRunsOfSeveralJobs() const
+{
+  return !mRuns.empty() &&
+         RunsOfOthers(mRuns.front()->mTask.mStep.mJob).mHaveRuns;
+}
+
+crashes::CrashEvidence
+Worker::Evidence() const
+{
+  return mFailedWithOthers || HasRunsOfSeveralJobs()
+           ? crashes::CrashEvidence::SeveralJobs
+           : crashes::CrashEvidence::OneJob;
+}
+
+crashes::OtherJobs
+Worker::RunsOfOthers(const JobId& aJob) const
+{
+  crashes::OtherJobs others;
+  for (const RunPointer& run : mRuns) {
+    if (run->mTask.mStep.mJob != aJob) {
+      others.mHaveRuns = true;
+      others.mHaveSuspectedRuns |= run->mSuspected;
+    }
+  }
+  return others;
+}
+
 bool
 Worker::HasRoomFor(const Resources& aResources) const
 {
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "crashes/placement.h"
 #include "jobs/internal/job.h"
 #include "jobs/internal/relativeruntime.h"
 #include "jobs/types/workerreport.h"
@@ -35,6 +36,15 @@
   RelativeRunTime mRunTime;
 };
 
+// A run that was lost when the worker's lease expired.
+struct LostRun
+{
+  TaskKey mTask;
+  RunNumber mNumber;
+  // What is known of the cause if the worker has crashed.
+  crashes::CrashEvidence mEvidence = crashes::CrashEvidence::OneJob;
+};
+
 // A worker of the shard.
 struct Worker
 {
@@ -86,6 +96,13 @@
   std::vector<RunPointer> mRuns;
   // Resources of all runs.
   Resources mUsed;
+  // Number of runs of suspected tasks.
+  int mSuspectedRuns = 0;
+  // Another worker that had not only runs of the same job became unreachable at
+  // the same time.
+  bool mFailedWithOthers = false;
+  // Runs of which it is not known yet whether they ended in a crash.
+  std::vector<LostRun> mLostRuns;
   // The worker has runs whose resources are not known.
   bool mHasUnknownLoad = false;
   WorkerHealth mHealth;
@@ -107,6 +124,15 @@
   Run* FindRun(const TaskKey& aTask, RunNumber aNumber) const;
   void AddRun(RunPointer aRun);
   void RemoveRun(const Run* aRun);
+  // Marks all runs as uncertain after the worker restarted. They have ended,
+  // unless the restarted worker received a start order that was still in
+  // flight; its next report shows which.
+  void InterruptRuns();
+  bool HasRunsOfSeveralJobs() const;
+  // What is known of the cause, for a confirmed run, if the worker has crashed.
+  crashes::CrashEvidence Evidence() const;
+  // What the worker runs of other jobs than the given one.
+  crashes::OtherJobs RunsOfOthers(const JobId& aJob) const;
   // True when the free capacity is known and sufficient.
   bool HasRoomFor(const Resources& aResources) const;
 };
--- a/src/jobs/internal/workeranswerhandler.cpp
+++ b/src/jobs/internal/workeranswerhandler.cpp
@@ -55,12 +55,13 @@
     LogInfo("worker_unreachable")
       .With("worker", worker->Id())
       .With("result", static_cast<int>(aAnswer.mResult));
+    worker->mReachable = false;
+    mCrashHandler.OnUnreachable(*worker);
   }
-  worker->mReachable = false;
   if (aAnswer.mResult == OrderResult::OtherIncarnation) {
     // Another worker answers at this address, so this one has gone and its
     // tasks with it.
-    mRunEndHandler.LoseAllRuns(*worker, aNow);
+    mCrashHandler.OnWorkerReplaced(*worker, aNow);
     worker->mReconciled = true;
   }
   if (aAnswer.mResult == OrderResult::Fenced &&
@@ -83,12 +84,13 @@
       return;
     }
     if (known) {
-      RunTracker::MarkAllUncertain(aWorker);
       mAdvice.RemoveWorker(&aWorker);
       mCell.mFleet.BeginIncarnation(aWorker, *aReport.mIncarnation);
+      mCrashHandler.CountLosses(aWorker, aNow);
     }
     aWorker.mEntry.mIncarnation = *aReport.mIncarnation;
   }
+  mCrashHandler.ForgetLosses(aWorker);
   if (!aWorker.mReachable) {
     LogInfo("worker_reachable")
       .With("worker", aWorker.Id())
@@ -96,6 +98,7 @@
       .With("ended", aReport.mEnded.size());
   }
   aWorker.mReachable = true;
+  aWorker.mFailedWithOthers = false;
   aWorker.mTokenSeen = std::max(aWorker.mTokenSeen, aPoll.mToken);
   mCell.mFleet.ReadClock(aWorker, aReport.mNow, aNow.mSteady);
   ProcessEnds(aWorker, aReport, aNow);
@@ -200,7 +203,7 @@
                run->mToken < aPoll.mToken) {
       // The worker has seen a higher token, so it refuses the start order if it
       // still arrives.
-      mRunEndHandler.OnRunNotStarted(aWorker, run.get(), aNow);
+      mCrashHandler.OnRunAbsent(aWorker, run, aNow);
     }
   }
 }
@@ -287,7 +290,7 @@
       LogWarning("worker_lease_expired")
         .With("worker", id)
         .With("runs", worker.mRuns.size());
-      mRunEndHandler.LoseAllRuns(worker, aNow);
+      mCrashHandler.OnLeaseExpired(worker, aNow);
     }
     worker.mReconciled = true;
   }
--- a/src/jobs/internal/workeranswerhandler.h
+++ b/src/jobs/internal/workeranswerhandler.h
@@ -4,6 +4,7 @@
 
 #include "jobs/internal/adviceplanner.h"
 #include "jobs/internal/cellstate.h"
+#include "jobs/internal/crashhandler.h"
 #include "jobs/internal/runendhandler.h"
 #include "jobs/internal/runtracker.h"
 
@@ -15,10 +16,12 @@
   WorkerAnswerHandler(CellState& aCell,
                       RunTracker& aRuns,
                       RunEndHandler& aRunEndHandler,
+                      CrashHandler& aCrashHandler,
                       AdvicePlanner& aAdvice)
     : mCell(aCell)
     , mRuns(aRuns)
     , mRunEndHandler(aRunEndHandler)
+    , mCrashHandler(aCrashHandler)
     , mAdvice(aAdvice)
   {
   }
@@ -61,6 +64,7 @@
   CellState& mCell;
   RunTracker& mRuns;
   RunEndHandler& mRunEndHandler;
+  CrashHandler& mCrashHandler;
   AdvicePlanner& mAdvice;
 };
 
--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -277,7 +277,8 @@
       [this, aWorkerIndex](const FakeRun& aRun, EndKind aKind) {
         OnEnd(aWorkerIndex, aRun, aKind);
       },
-    .mOnConfirmed = [this](const EndedTask& aEnd) { OnConfirmed(aEnd); }
+    .mOnConfirmed = [this](const EndedTask& aEnd) { OnConfirmed(aEnd); },
+    .mOnCrash = [this, aWorkerIndex] { OnRunCrashedWorker(aWorkerIndex); }
   };
 }
 
@@ -425,6 +426,9 @@
 void
 FakeCell::CrashWorker(std::size_t aWorkerIndex)
 {
+  for (const FakeRun& run : mWorkers[aWorkerIndex]->Runs()) {
+    ++mCrashes[run.mTask];
+  }
   mWorkers[aWorkerIndex]->Crash();
   ScheduleAfter(4500ms, [this, aWorkerIndex] {
     if (!mWorkers[aWorkerIndex]->IsUp()) {
@@ -434,6 +438,17 @@
   });
 }
 
+void
+FakeCell::OnRunCrashedWorker(std::size_t aWorkerIndex)
+{
+  CrashWorker(aWorkerIndex);
+  ScheduleAfter(mRestartDelay, [this, aWorkerIndex] {
+    if (!mWorkers[aWorkerIndex]->IsUp()) {
+      RestartWorker(aWorkerIndex);
+    }
+  });
+}
+
 void
 FakeCell::RestartWorker(std::size_t aWorkerIndex)
 {
--- a/src/jobs/tests/fakecell.h
+++ b/src/jobs/tests/fakecell.h
@@ -97,7 +97,8 @@
   {
     mStoreUnavailable = aUnavailable;
   }
-  // Stops a worker; the registry drops it after 4.5 s unless it restarts.
+  // Stops a worker; the registry drops it after 4.5 s unless it restarts. The
+  // crash counts for all tasks that run there.
   void CrashWorker(std::size_t aWorkerIndex);
   // Restarts a worker under the same id; the registry lists it after 300 ms.
   void RestartWorker(std::size_t aWorkerIndex);
@@ -121,6 +122,10 @@
   void AnswerQuery(const AdviceQuery& aQuery);
   // Calls aCallback once aDelay of simulated time has passed.
   void ScheduleAfter(Millis aDelay, std::function<void()> aCallback);
+  // The time after which a worker restarts that was crashed by a run.
+  Millis mRestartDelay{ 2000 };
+  // The number of crashes of workers under each task.
+  std::map<TaskKey, int> mCrashes;
   // The workers that started each task, in the order of the starts.
   std::map<TaskKey, std::vector<WorkerId>> mStarts;
   // Violated invariants, each with the task and the time.
@@ -146,6 +151,10 @@
   FakeWorkerHooks MakeWorkerHooks(std::size_t aWorkerIndex);
   // Checks the invariants that hold at the start of a run.
   void OnStart(std::size_t aWorkerIndex, const FakeRun& aRun);
+  // Crashes a worker and schedules its restart.
+  void OnRunCrashedWorker(std::size_t aWorkerIndex);
+  // Checks that a task is started at most twice after three crashes.
+  void CheckCrashes(const TaskKey& aTask);
   // Checks the quota of the team of a run that has just started.
   void CheckQuota(const FakeRun& aRun);
   // Notes the success of a run and ends the other members of its gang.
@@ -188,6 +197,8 @@
   std::set<TaskKey> mSucceededTasks;
   std::set<TaskKey> mConfirmedSuccesses;
   std::map<TaskKey, std::set<RunNumber>> mConfirmedFailures;
+  // The number of starts of each task after three crashes of its workers.
+  std::map<TaskKey, int> mStartsAfterCrashes;
 };
 
 // Returns a job with one step.
--- a/src/jobs/tests/fakecellchecks.cpp
+++ b/src/jobs/tests/fakecellchecks.cpp
@@ -36,6 +36,7 @@
     ReportViolation("over capacity", task);
   }
   CheckQuota(aRun);
+  CheckCrashes(task);
   for (std::size_t other = 0; other < mWorkers.size(); ++other) {
     for (const FakeRun& run : mWorkers[other]->Runs()) {
       const bool same = other == aWorkerIndex && run.mRun == aRun.mRun;
@@ -112,6 +113,16 @@
   return usage;
 }
 
+void
+FakeCell::CheckCrashes(const TaskKey& aTask)
+{
+  const auto crashes = mCrashes.find(aTask);
+  if (crashes != mCrashes.end() && crashes->second >= 3 &&
+      ++mStartsAfterCrashes[aTask] > 2) {
+    ReportViolation("started three times after three crashes", aTask);
+  }
+}
+
 void
 FakeCell::CheckQuota(const FakeRun& aRun)
 {
--- a/src/jobs/tests/fakeworker.cpp
+++ b/src/jobs/tests/fakeworker.cpp
@@ -61,6 +61,15 @@
   return aRun.mGangEnd.has_value() && aNow >= *aRun.mGangEnd;
 }
 
+bool
+FakeWorker::IsCrashDue(Millis aNow) const
+{
+  return std::any_of(mRuns.begin(), mRuns.end(), [aNow](const FakeRun& aRun) {
+    return aRun.mPlan.mCrashesWorkerAfter.has_value() &&
+           aNow >= aRun.mStartedAt + *aRun.mPlan.mCrashesWorkerAfter;
+  });
+}
+
 void
 FakeWorker::EndRun(std::size_t aRunIndex, EndKind aKind)
 {
@@ -82,6 +91,10 @@
   if (!mUp) {
     return;
   }
+  if (mHooks.mOnCrash && IsCrashDue(aNow)) {
+    mHooks.mOnCrash();
+    return;
+  }
   for (std::size_t runIndex = 0; runIndex < mRuns.size();) {
     FakeRun& run = mRuns[runIndex];
     const std::size_t before = mRuns.size();
--- a/src/jobs/tests/fakeworker.h
+++ b/src/jobs/tests/fakeworker.h
@@ -25,6 +25,9 @@
   bool mSavesCheckpoint = false;
   // Time from a stop order to the end of the run.
   Millis mStopTime{ 60 };
+  // Time from the start of the run to the crash of its worker; nothing when the
+  // run crashes no worker.
+  std::optional<Millis> mCrashesWorkerAfter = std::nullopt;
 };
 
 // A task that is running on a worker.
@@ -62,6 +65,8 @@
   std::function<void(const FakeRun&, EndKind)> mOnEnd;
   // Called when a poll confirms an end as recorded.
   std::function<void(const EndedTask&)> mOnConfirmed;
+  // Called when a run crashes its worker. Unset means that runs crash none.
+  std::function<void()> mOnCrash;
 };
 
 // Times are those of the simulation unless stated otherwise; the worker's own
@@ -103,6 +108,8 @@
 private:
   void EndRun(std::size_t aRunIndex, EndKind aKind);
   bool IsDone(FakeRun& aRun, Millis aNow) const;
+  // True when a run crashes the worker at aNow.
+  bool IsCrashDue(Millis aNow) const;
 
   WorkerEntry mEntry;
   Millis mClockOffset;
--- a/src/jobs/tests/main.cpp
+++ b/src/jobs/tests/main.cpp
@@ -11,6 +11,7 @@
     { { "job lifecycle", oriolevane::JobLifecycleTests },
       { "gang", oriolevane::GangTests },
       { "takeover", oriolevane::OwnerTakeoverTests },
+      { "crashing tasks", oriolevane::CrashingTaskTests },
       { "worker failures", oriolevane::WorkerFailureTests },
       { "malformed reports", oriolevane::MalformedReportTests },
       { "advice", oriolevane::AdviceTests },
--- a/src/jobs/tests/testgroups.h
+++ b/src/jobs/tests/testgroups.h
@@ -12,6 +12,8 @@
 void
 OwnerTakeoverTests(testing::Section& aRoot);
 void
+CrashingTaskTests(testing::Section& aRoot);
+void
 WorkerFailureTests(testing::Section& aRoot);
 void
 MalformedReportTests(testing::Section& aRoot);
--- a/src/jobs/types/jobrecord.h
+++ b/src/jobs/types/jobrecord.h
@@ -40,6 +40,8 @@
   RunNumber mLastRun;
   // Latest checkpoint; empty for none.
   std::string mCheckpoint;
+  // Runs that ended in a crash of the worker.
+  std::set<RunNumber> mCrashedRuns;
 };
 
 // The progress of one step.
--- a/src/jobs/types/taskkey.h
+++ b/src/jobs/types/taskkey.h
@@ -17,9 +17,7 @@
 using QueueName = TextId<struct QueueNameTag>;
 // Name of a pool of workers in the configuration.
 using PoolName = TextId<struct PoolNameTag>;
-// Number of a run. It increases with each start of a task; the members of a
-// gang share it.
-using RunNumber = NumberId<struct RunNumberTag, std::uint64_t>;
+using oriolevane::RunNumber;
 // Number of a change to the records. Changes are written to the store in this
 // order.
 using RecordPosition = NumberId<struct RecordPositionTag, std::uint64_t>;
