--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -412,6 +412,7 @@
       records.mWorkers.push_back(*worker);
     }
   }
+  NoteMissedCrashes();
   mScheduler->Recover(records, NowMoment());
   if (mConfiguration.mTeams.has_value()) {
     mScheduler->Configure(mConfiguration);
@@ -430,6 +431,9 @@
     ++mCrashes[run.mTask];
   }
   mWorkers[aWorkerIndex]->Crash();
+  for (const auto& worker : mWorkers) {
+    worker->ForgetGangEnds();
+  }
   ScheduleAfter(4500ms, [this, aWorkerIndex] {
     if (!mWorkers[aWorkerIndex]->IsUp()) {
       mScheduler->UnregisterWorker(mWorkers[aWorkerIndex]->Entry().mId,
--- a/src/jobs/tests/fakecell.h
+++ b/src/jobs/tests/fakecell.h
@@ -153,8 +153,11 @@
   void OnStart(std::size_t aWorkerIndex, const FakeRun& aRun);
   // Crashes a worker and schedules its restart.
   void OnRunCrashedWorker(std::size_t aWorkerIndex);
-  // Checks that a task is started at most twice after three crashes.
+  // Checks that a task is started at most twice after three crashes, without
+  // those that were not recorded when the shard changed its owner.
   void CheckCrashes(const TaskKey& aTask);
+  // Notes the crashes that are not in the store and so get lost by a takeover.
+  void NoteMissedCrashes();
   // Checks the quota of the team of a run that has just started.
   void CheckQuota(const FakeRun& aRun);
   // Notes the success of a run and ends the other members of its gang.
@@ -197,6 +200,8 @@
   std::set<TaskKey> mSucceededTasks;
   std::set<TaskKey> mConfirmedSuccesses;
   std::map<TaskKey, std::set<RunNumber>> mConfirmedFailures;
+  // The number of crashes under each task that the owner cannot know of.
+  std::map<TaskKey, int> mMissedCrashes;
   // The number of starts of each task after three crashes of its workers.
   std::map<TaskKey, int> mStartsAfterCrashes;
 };
--- a/src/jobs/tests/fakeworker.cpp
+++ b/src/jobs/tests/fakeworker.cpp
@@ -221,6 +221,14 @@
   mRuns.clear();
 }
 
+void
+FakeWorker::ForgetGangEnds()
+{
+  for (FakeRun& run : mRuns) {
+    run.mGangEnd.reset();
+  }
+}
+
 void
 FakeWorker::Restart(WorkerIncarnation aLife, Millis aNow)
 {
--- a/src/jobs/tests/fakeworker.h
+++ b/src/jobs/tests/fakeworker.h
@@ -98,6 +98,9 @@
   // Restarts the worker under the same id, without any state.
   void Restart(WorkerIncarnation aLife, Millis aNow);
   void Drain() { mEntry.mDraining = true; }
+  // Lets the gangs of its runs end only if all members are still running, after
+  // another worker has crashed.
+  void ForgetGangEnds();
   // Ends the given run, if it is on this worker, because another member of its
   // gang has ended.
   void EndGangMember(const TaskKey& aTask,
