Record runs that were lost with their worker

A task that crashes its workers was started up to seven times when the shard changed its owner twice and the workers were away for longer than a lease. The losses of leases that wait for the worker's fate were only in memory, so each change of the owner forgot up to three crashes.

They are now part of the task's progress, with the worker, its start time and whether other jobs can have caused a crash. The next owner decides on them when the worker answers or is gone. The worker's own record is kept until then.

The test with takeovers now has two of them and slow restarts; the fake cell counts recorded losses as known.

--- a/src/cellnode/internal/recordcodec.cpp
+++ b/src/cellnode/internal/recordcodec.cpp
@@ -161,6 +161,33 @@
   return runs;
 }
 
+json
+ToJson(const std::vector<jobs::LostRunProgress>& aRuns)
+{
+  json value = json::array();
+  for (const jobs::LostRunProgress& run : aRuns) {
+    value.push_back(json::array({ run.mRun.mValue,
+                                  run.mWorker.mValue,
+                                  run.mIncarnation.mValue,
+                                  run.mOnlyJob }));
+  }
+  return value;
+}
+
+std::vector<jobs::LostRunProgress>
+LostRunsFrom(const json& aValue)
+{
+  std::vector<jobs::LostRunProgress> runs;
+  for (const json& run : aValue) {
+    runs.push_back(
+      { .mRun = jobs::RunNumber(run.at(0).get<std::uint64_t>()),
+        .mWorker = WorkerId(run.at(1).get<std::string>()),
+        .mIncarnation = jobs::WorkerIncarnation(run.at(2).get<std::int64_t>()),
+        .mOnlyJob = run.at(3).get<bool>() });
+  }
+  return runs;
+}
+
 json
 ToJson(const jobs::TaskProgress& aTask)
 {
@@ -170,8 +197,9 @@
                              aTask.mLastRun.mValue,
                              aTask.mCheckpoint });
   // Left out when empty, as in rows of earlier versions.
-  if (!aTask.mCrashedRuns.empty()) {
+  if (!aTask.mCrashedRuns.empty() || !aTask.mLostRuns.empty()) {
     value.push_back(ToJson(aTask.mCrashedRuns));
+    value.push_back(ToJson(aTask.mLostRuns));
   }
   return value;
 }
@@ -188,6 +216,7 @@
                            .mCheckpoint = aValue.at(4).get<std::string>() };
   if (aValue.size() > kCrashedRuns) {
     task.mCrashedRuns = RunsFrom(aValue.at(kCrashedRuns));
+    task.mLostRuns = LostRunsFrom(aValue.at(kCrashedRuns + 1));
   }
   return task;
 }
--- a/src/cellnode/tests/recordcodec_test.cpp
+++ b/src/cellnode/tests/recordcodec_test.cpp
@@ -36,7 +36,8 @@
 
 // A new field must be handled by the codec and set in FullStep().
 static_assert(FieldCount<jobs::StepSpec>() == 16);
-static_assert(FieldCount<jobs::TaskProgress>() == 6);
+static_assert(FieldCount<jobs::TaskProgress>() == 7);
+static_assert(FieldCount<jobs::LostRunProgress>() == 4);
 static_assert(FieldCount<jobs::JobRecord>() == 6);
 static_assert(FieldCount<jobs::FinishedRecord>() == 4);
 
@@ -44,23 +45,28 @@
 DescribeProgress(Section& aRoot)
 {
   aRoot.Describe("progress", [](Section& aSection) {
-    aSection.It("is decoded with the failed and crashed runs", [] {
-      const jobs::ProgressRecord record{
-        .mJob = jobs::JobId("job"),
-        .mOccurrence = 2,
-        .mFinished = true,
-        .mSteps = { { .mStep = 1,
-                      .mFailedGangRuns = { jobs::RunNumber(4) },
-                      .mTasks = { { .mIndex = 3,
-                                    .mSucceeded = true,
-                                    .mFailedRuns = { jobs::RunNumber(1),
-                                                     jobs::RunNumber(9) },
-                                    .mLastRun = jobs::RunNumber(10),
-                                    .mCheckpoint = "point",
-                                    .mCrashedRuns = { jobs::RunNumber(2),
-                                                      jobs::RunNumber(
-                                                        5) } } } } }
-      };
+    aSection.It("is decoded with the failed, crashed and lost runs", [] {
+      const jobs::ProgressRecord
+        record{ .mJob = jobs::JobId("job"),
+                .mOccurrence = 2,
+                .mFinished = true,
+                .mSteps = {
+                  { .mStep = 1,
+                    .mFailedGangRuns = { jobs::RunNumber(4) },
+                    .mTasks = {
+                      { .mIndex = 3,
+                        .mSucceeded = true,
+                        .mFailedRuns = { jobs::RunNumber(1),
+                                         jobs::RunNumber(9) },
+                        .mLastRun = jobs::RunNumber(10),
+                        .mCheckpoint = "point",
+                        .mCrashedRuns = { jobs::RunNumber(2),
+                                          jobs::RunNumber(5) },
+                        .mLostRuns = {
+                          { .mRun = jobs::RunNumber(7),
+                            .mWorker = WorkerId("w"),
+                            .mIncarnation = jobs::WorkerIncarnation(3),
+                            .mOnlyJob = true } } } } } } };
       const auto back = DecodeProgress(Encode(record));
       CPPUNIT_ASSERT(back.ok());
       CPPUNIT_ASSERT_EQUAL(Encode(record), Encode(*back));
@@ -68,6 +74,12 @@
                      record.mSteps[0].mTasks[0].mFailedRuns);
       CPPUNIT_ASSERT(back->mSteps[0].mTasks[0].mCrashedRuns ==
                      record.mSteps[0].mTasks[0].mCrashedRuns);
+      const jobs::LostRunProgress& lost =
+        back->mSteps[0].mTasks[0].mLostRuns.at(0);
+      CPPUNIT_ASSERT(lost.mRun == jobs::RunNumber(7));
+      CPPUNIT_ASSERT(lost.mWorker == WorkerId("w"));
+      CPPUNIT_ASSERT(lost.mIncarnation == jobs::WorkerIncarnation(3));
+      CPPUNIT_ASSERT(lost.mOnlyJob);
     });
     // Guards against rows of earlier versions that can no longer be read.
     aSection.It("is decoded from a row without crashed runs", [] {
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -101,6 +101,7 @@
   for (auto& [id, job] : mImpl->mCell.mJobs.Jobs()) {
     mImpl->mRunEndHandler.CloseIfEnded(job, aNow);
   }
+  mImpl->mCrashHandler.Recover(aNow);
   mImpl->mRecoveryFinished = aRecords.mJobs.empty();
 }
 
--- a/src/jobs/internal/crashhandler.cpp
+++ b/src/jobs/internal/crashhandler.cpp
@@ -64,10 +64,40 @@
                        crashes::CrashEvidence aEvidence)
 {
   Task* task = FindUnfinishedTask(aRun.mTask);
-  if (task != nullptr) {
-    task->mCrashes.AddLoss(aRun.mNumber);
-    aWorker.mLostRuns.push_back(
-      { .mTask = aRun.mTask, .mNumber = aRun.mNumber, .mEvidence = aEvidence });
+  if (task == nullptr) {
+    return;
+  }
+  task->mCrashes.AddLoss(aRun.mNumber);
+  task->mLostRuns[aRun.mNumber] = { .mWorker = aWorker.Id(),
+                                    .mIncarnation = aWorker.mEntry.mIncarnation,
+                                    .mEvidence = aEvidence };
+  aWorker.mLostRuns.emplace_back(aRun.mTask, aRun.mNumber);
+  mCell.mJobs.MarkProgress(aRun.mTask.mStep);
+}
+
+void
+CrashHandler::Recover(const Moment& aNow)
+{
+  std::vector<std::pair<TaskKey, RunNumber>> lostRuns;
+  for (auto& [id, job] : mCell.mJobs.Jobs()) {
+    job.ForEachTask([&lostRuns](const TaskKey& aKey, const Task& aTask) {
+      for (const auto& [run, lost] : aTask.mLostRuns) {
+        lostRuns.emplace_back(aKey, run);
+      }
+    });
+  }
+  for (const auto& [key, run] : lostRuns) {
+    Task* task = FindUnfinishedTask(key);
+    if (task == nullptr) {
+      continue;
+    }
+    Worker* worker = mCell.mFleet.Find(task->mLostRuns.at(run).mWorker);
+    if (worker != nullptr) {
+      worker->mLostRuns.emplace_back(key, run);
+    } else {
+      // The earlier owner removed the worker, since it was gone.
+      CountLoss(key, run, aNow);
+    }
   }
 }
 
@@ -94,31 +124,49 @@
                                 const Run& aRun,
                                 const Moment& aNow)
 {
-  CountCrash(aWorker.Id(),
-             { .mTask = aRun.mTask,
-               .mNumber = aRun.mNumber,
-               .mEvidence = *aRun.mInterrupted },
-             aNow);
+  CountCrash(aRun.mTask, aRun.mNumber, aWorker.Id(), *aRun.mInterrupted, aNow);
 }
 
 void
 CrashHandler::CountLosses(Worker& aWorker, const Moment& aNow)
 {
-  const std::vector<LostRun> lostRuns = std::exchange(aWorker.mLostRuns, {});
-  for (const LostRun& run : lostRuns) {
-    CountCrash(aWorker.Id(), run, aNow);
+  const auto lostRuns = std::exchange(aWorker.mLostRuns, {});
+  for (const auto& [task, run] : lostRuns) {
+    CountLoss(task, run, aNow);
   }
 }
 
 void
-CrashHandler::ForgetLosses(Worker& aWorker)
+CrashHandler::CountLoss(const TaskKey& aTask,
+                        RunNumber aRun,
+                        const Moment& aNow)
 {
-  for (const LostRun& run : aWorker.mLostRuns) {
-    if (Task* task = FindUnfinishedTask(run.mTask); task != nullptr) {
-      task->mCrashes.RemoveLoss(run.mNumber);
+  Task* task = FindUnfinishedTask(aTask);
+  if (task == nullptr || !task->mLostRuns.contains(aRun)) {
+    return;
+  }
+  const LostRun lost = task->mLostRuns.at(aRun);
+  task->mLostRuns.erase(aRun);
+  CountCrash(aTask, aRun, lost.mWorker, lost.mEvidence, aNow);
+}
+
+void
+CrashHandler::ResolveLosses(Worker& aWorker, const Moment& aNow)
+{
+  const auto lostRuns = std::exchange(aWorker.mLostRuns, {});
+  for (const auto& [key, run] : lostRuns) {
+    Task* task = FindUnfinishedTask(key);
+    if (task == nullptr || !task->mLostRuns.contains(run)) {
+      continue;
+    }
+    if (task->mLostRuns.at(run).mIncarnation < aWorker.mEntry.mIncarnation) {
+      CountLoss(key, run, aNow);
+      continue;
     }
+    task->mCrashes.RemoveLoss(run);
+    task->mLostRuns.erase(run);
+    mCell.mJobs.MarkProgress(key.mStep);
   }
-  aWorker.mLostRuns.clear();
 }
 
 Task*
@@ -133,30 +181,30 @@
 }
 
 void
-CrashHandler::CountCrash(const WorkerId& aWorker,
-                         const LostRun& aRun,
+CrashHandler::CountCrash(const TaskKey& aTask,
+                         RunNumber aRun,
+                         const WorkerId& aWorker,
+                         crashes::CrashEvidence aEvidence,
                          const Moment& aNow)
 {
-  Task* task = FindUnfinishedTask(aRun.mTask);
-  if (task == nullptr ||
-      !task->mCrashes.AddCrash(aRun.mNumber, aRun.mEvidence)) {
+  Task* task = FindUnfinishedTask(aTask);
+  if (task == nullptr || !task->mCrashes.AddCrash(aRun, aEvidence)) {
     return;
   }
-  mCell.mJobs.MarkProgress(aRun.mTask.mStep);
-  const JobId& id = aRun.mTask.mStep.mJob;
+  mCell.mJobs.MarkProgress(aTask.mStep);
+  const JobId& id = aTask.mStep.mJob;
   const std::size_t crashes = task->mCrashes.Runs().size();
   LogWarning("run_crashed_worker")
     .With("job", id)
-    .With("task", aRun.mTask.ToText())
-    .With("run", aRun.mNumber)
+    .With("task", aTask.ToText())
+    .With("run", aRun)
     .With("worker", aWorker)
     .With("crashes", crashes)
-    .With("confirmed",
-          aRun.mEvidence != crashes::CrashEvidence::UnconfirmedStart);
+    .With("confirmed", aEvidence != crashes::CrashEvidence::UnconfirmedStart);
   if (task->mCrashes.IsGivenUp()) {
     LogWarning("task_given_up")
       .With("job", id)
-      .With("task", aRun.mTask.ToText())
+      .With("task", aTask.ToText())
       .With("crashes", crashes)
       .With("reason", "its workers crashed");
     mRunEndHandler.CloseJob(*mCell.mJobs.Find(id), JobState::Failed, aNow);
--- a/src/jobs/internal/crashhandler.h
+++ b/src/jobs/internal/crashhandler.h
@@ -29,8 +29,11 @@
   // Counts the runs that were lost with the worker before it was known to have
   // crashed. Those of a draining worker are not among them.
   void CountLosses(Worker& aWorker, const Moment& aNow);
-  // Forgets these runs after the worker has answered without a restart.
-  void ForgetLosses(Worker& aWorker);
+  // Decides on these runs after the worker has answered: they are forgotten
+  // unless it has restarted since.
+  void ResolveLosses(Worker& aWorker, const Moment& aNow);
+  // Goes on with the lost runs that the earlier owner recorded.
+  void Recover(const Moment& aNow);
 
 private:
   // Returns nullptr when the task has succeeded or its job is not open.
@@ -39,13 +42,16 @@
   void NoteLoss(Worker& aWorker,
                 const Run& aRun,
                 crashes::CrashEvidence aEvidence);
+  void CountLoss(const TaskKey& aTask, RunNumber aRun, const Moment& aNow);
   // Counts a run that a restart of the worker interrupted.
   void CountInterruption(const Worker& aWorker,
                          const Run& aRun,
                          const Moment& aNow);
   // Counts a crash, and fails the job when the task is given up.
-  void CountCrash(const WorkerId& aWorker,
-                  const LostRun& aRun,
+  void CountCrash(const TaskKey& aTask,
+                  RunNumber aRun,
+                  const WorkerId& aWorker,
+                  crashes::CrashEvidence aEvidence,
                   const Moment& aNow);
 
   CellState& mCell;
--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -245,7 +245,7 @@
 {
   const bool leaving = !aWorker.mRegistered || aWorker.mEntry.mDraining;
   if (leaving && aWorker.mRecorded && aWorker.mReconciled &&
-      aWorker.mRuns.empty()) {
+      aWorker.mRuns.empty() && aWorker.mLostRuns.empty()) {
     aWorker.mRecorded = false;
     aWorker.mRetired = true;
     mWriteQueue.Mark(
--- a/src/jobs/internal/job.cpp
+++ b/src/jobs/internal/job.cpp
@@ -46,6 +46,23 @@
   return &step->mTasks[aKey.mIndex];
 }
 
+void
+Job::ForEachTask(
+  const std::function<void(const TaskKey&, const Task&)>& aFunction) const
+{
+  for (const auto& [number, occurrence] : mOccurrences) {
+    for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
+      TaskKey key{ .mStep = { .mJob = Id(),
+                              .mOccurrence = number,
+                              .mStep = static_cast<int>(step) } };
+      for (const Task& task : occurrence.mSteps[step].mTasks) {
+        aFunction(key, task);
+        ++key.mIndex;
+      }
+    }
+  }
+}
+
 Occurrence
 MakeOccurrence(const JobSpec& aSpec)
 {
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -1,6 +1,7 @@
 // The in-memory state of a job: its occurrences, steps, tasks and their runs.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -77,6 +78,17 @@
 // A run is shared by its task and its worker.
 using RunPointer = std::shared_ptr<Run>;
 
+// A run whose worker's lease expired. It is not known yet whether the worker
+// has crashed.
+struct LostRun
+{
+  WorkerId mWorker;
+  // The incarnation that had the run.
+  WorkerIncarnation mIncarnation;
+  // What is known of the cause if the worker has crashed.
+  crashes::CrashEvidence mEvidence = crashes::CrashEvidence::SeveralJobs;
+};
+
 // The state of one task of a step.
 struct Task
 {
@@ -86,6 +98,7 @@
   // once.
   std::set<RunNumber> mFailedRuns;
   crashes::TaskCrashes mCrashes;
+  std::map<RunNumber, LostRun> mLostRuns;
   // Highest run number so far.
   RunNumber mLastRun;
   // Latest checkpoint; empty for none.
@@ -181,6 +194,9 @@
   // The functions below return nullptr when there is no such step or task.
   Step* FindStep(int aOccurrence, int aStep);
   Task* FindTask(const TaskKey& aKey);
+  // Calls a function for each task of the occurrences that are due.
+  void ForEachTask(
+    const std::function<void(const TaskKey&, const Task&)>& aFunction) const;
 };
 
 // Creates an occurrence without any progress.
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -34,7 +34,25 @@
 HasNoProgress(const Task& aTask)
 {
   return !aTask.mSucceeded && aTask.mFailedRuns.empty() &&
-         aTask.mCheckpoint.empty() && aTask.mCrashes.Runs().empty();
+         aTask.mCheckpoint.empty() && aTask.mCrashes.Runs().empty() &&
+         aTask.mLostRuns.empty();
+}
+
+// Starts that the worker did not confirm are left out, as they count less.
+std::vector<LostRunProgress>
+LostRunsOf(const Task& aTask)
+{
+  std::vector<LostRunProgress> runs;
+  for (const auto& [run, lost] : aTask.mLostRuns) {
+    if (lost.mEvidence != crashes::CrashEvidence::UnconfirmedStart) {
+      runs.push_back(
+        { .mRun = run,
+          .mWorker = lost.mWorker,
+          .mIncarnation = lost.mIncarnation,
+          .mOnlyJob = lost.mEvidence == crashes::CrashEvidence::OneJob });
+    }
+  }
+  return runs;
 }
 
 StepProgress
@@ -53,7 +71,8 @@
                                 .mFailedRuns = task.mFailedRuns,
                                 .mLastRun = task.mLastRun,
                                 .mCheckpoint = task.mCheckpoint,
-                                .mCrashedRuns = task.mCrashes.Runs() });
+                                .mCrashedRuns = task.mCrashes.Runs(),
+                                .mLostRuns = LostRunsOf(task) });
   }
   return progress;
 }
@@ -73,6 +92,15 @@
     task.mLastRun = saved.mLastRun;
     task.mCheckpoint = saved.mCheckpoint;
     task.mCrashes = crashes::TaskCrashes(saved.mCrashedRuns);
+    for (const LostRunProgress& lost : saved.mLostRuns) {
+      task.mCrashes.AddLoss(lost.mRun);
+      task.mLostRuns[lost.mRun] = { .mWorker = lost.mWorker,
+                                    .mIncarnation = lost.mIncarnation,
+                                    .mEvidence =
+                                      lost.mOnlyJob
+                                        ? crashes::CrashEvidence::OneJob
+                                        : crashes::CrashEvidence::SeveralJobs };
+    }
   }
   aStep.mSucceeded = static_cast<int>(std::count_if(
     aStep.mTasks.begin(), aStep.mTasks.end(), [](const Task& aTask) {
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -36,15 +36,6 @@
   RelativeRunTime mRunTime;
 };
 
-// A run that was lost when the worker's lease expired.
-struct LostRun
-{
-  TaskKey mTask;
-  RunNumber mNumber;
-  // What is known of the cause if the worker has crashed.
-  crashes::CrashEvidence mEvidence = crashes::CrashEvidence::OneJob;
-};
-
 // A worker of the shard.
 struct Worker
 {
@@ -102,7 +93,7 @@
   // the same time.
   bool mFailedWithOthers = false;
   // Runs of which it is not known yet whether they ended in a crash.
-  std::vector<LostRun> mLostRuns;
+  std::vector<std::pair<TaskKey, RunNumber>> mLostRuns;
   // The worker has runs whose resources are not known.
   bool mHasUnknownLoad = false;
   WorkerHealth mHealth;
--- a/src/jobs/internal/workeranswerhandler.cpp
+++ b/src/jobs/internal/workeranswerhandler.cpp
@@ -86,11 +86,10 @@
     if (known) {
       mAdvice.RemoveWorker(&aWorker);
       mCell.mFleet.BeginIncarnation(aWorker, *aReport.mIncarnation);
-      mCrashHandler.CountLosses(aWorker, aNow);
     }
     aWorker.mEntry.mIncarnation = *aReport.mIncarnation;
   }
-  mCrashHandler.ForgetLosses(aWorker);
+  mCrashHandler.ResolveLosses(aWorker, aNow);
   if (!aWorker.mReachable) {
     LogInfo("worker_reachable")
       .With("worker", aWorker.Id())
--- a/src/jobs/tests/crashingtasks_test.cpp
+++ b/src/jobs/tests/crashingtasks_test.cpp
@@ -81,19 +81,24 @@
         ExpectInnocentJobsCompleted(cell, 7);
       }
     });
-    aSection.It("is given up over a takeover in between", [] {
+    aSection.It("is given up over two takeovers in between", [] {
       for (Millis takeover = 300ms; takeover < 9000ms; takeover += 700ms) {
-        FakeCell cell;
-        CrashWorkersOf(cell, TaskOf("deadly"));
-        cell.RunFor(200ms);
-        SubmitInnocentJobs(cell, 4);
-        cell.Submit(
-          "deadly", SingleStepJob(MakeStep(1, 1000, 1500ms)), MakeQueue());
-        cell.RunFor(takeover);
-        cell.TakeOver(1000ms);
-        cell.RunFor(60000ms);
-        ExpectGivenUp(cell, TaskOf("deadly"));
-        ExpectInnocentJobsCompleted(cell, 4);
+        for (const Millis restart : { 2000ms, 9000ms }) {
+          FakeCell cell;
+          cell.mRestartDelay = restart;
+          CrashWorkersOf(cell, TaskOf("deadly"));
+          cell.RunFor(200ms);
+          SubmitInnocentJobs(cell, 4);
+          cell.Submit(
+            "deadly", SingleStepJob(MakeStep(1, 1000, 1500ms)), MakeQueue());
+          cell.RunFor(takeover);
+          cell.TakeOver(1000ms);
+          cell.RunFor(9000ms);
+          cell.TakeOver(1000ms);
+          cell.RunFor(60000ms);
+          ExpectGivenUp(cell, TaskOf("deadly"));
+          ExpectInnocentJobsCompleted(cell, 4);
+        }
       }
     });
     aSection.It("is given up as a member of a gang", [] {
--- a/src/jobs/tests/fakecellchecks.cpp
+++ b/src/jobs/tests/fakecellchecks.cpp
@@ -137,7 +137,8 @@
                                           .mOccurrence = record->mOccurrence,
                                           .mStep = step.mStep },
                                .mIndex = task.mIndex };
-        mMissedCrashes[taskKey] -= static_cast<int>(task.mCrashedRuns.size());
+        mMissedCrashes[taskKey] -=
+          static_cast<int>(task.mCrashedRuns.size() + task.mLostRuns.size());
       }
     }
   }
--- a/src/jobs/types/jobrecord.h
+++ b/src/jobs/types/jobrecord.h
@@ -11,6 +11,7 @@
 #include "jobs/types/cellconfiguration.h"
 #include "jobs/types/jobspec.h"
 #include "jobs/types/jobstate.h"
+#include "jobs/types/workerreport.h"
 
 namespace oriolevane::jobs {
 
@@ -30,6 +31,18 @@
   bool mBorrows = false;
 };
 
+// A run whose worker's lease expired, and of which it is not known yet whether
+// the worker has crashed.
+struct LostRunProgress
+{
+  RunNumber mRun;
+  WorkerId mWorker;
+  // The incarnation that had the run.
+  WorkerIncarnation mIncarnation;
+  // Only the run's own job can have caused a crash.
+  bool mOnlyJob = false;
+};
+
 // The progress of one task.
 struct TaskProgress
 {
@@ -42,6 +55,7 @@
   std::string mCheckpoint;
   // Runs that ended in a crash of the worker.
   std::set<RunNumber> mCrashedRuns;
+  std::vector<LostRunProgress> mLostRuns;
 };
 
 // The progress of one step.
