Test the placement of suspected tasks

Guards the preference: no other job's task joins a suspected one while other workers have room, and a suspected task does not wait for an empty worker. With the cost set to 0 the first of them fails (8 runs in place of 1 on the worker), and so do two tests whose innocent jobs are then given up.

--- a/src/jobs/tests/crashingtasks_test.cpp
+++ b/src/jobs/tests/crashingtasks_test.cpp
@@ -164,6 +164,57 @@
   });
 }
 
+// Submits a task whose first worker crashes and restarts.
+void
+SubmitSuspectedTask(FakeCell& aCell)
+{
+  aCell.Submit(
+    "suspected", SingleStepJob(MakeStep(1, 1000, 3000ms)), MakeQueue());
+  aCell.RunFor(200ms);
+  const WorkerId first = aCell.mStarts.at(TaskOf("suspected")).front();
+  const std::size_t worker = std::stoul(first.mValue.substr(1));
+  aCell.CrashWorker(worker);
+  aCell.RunFor(1000ms);
+  aCell.RestartWorker(worker);
+  aCell.RunFor(600ms);
+}
+
+void
+DescribePlacement(Section& aRoot)
+{
+  // Guards against innocent tasks that crash together with a suspected one.
+  aRoot.Describe("a suspected task", [](Section& aSection) {
+    aSection.It("shares no worker with other jobs while there is room", [] {
+      FakeCell cell({ .mWorkers = 4 });
+      cell.RunFor(200ms);
+      cell.Submit(
+        "before", SingleStepJob(MakeStep(1, 1000, 9000ms)), MakeQueue());
+      cell.RunFor(200ms);
+      SubmitSuspectedTask(cell);
+      cell.Submit(
+        "after", SingleStepJob(MakeStep(10, 1000, 500ms)), MakeQueue());
+      cell.RunFor(300ms);
+      const std::vector<WorkerId>& starts =
+        cell.mStarts.at(TaskOf("suspected"));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, starts.size());
+      const std::size_t worker = std::stoul(starts.back().mValue.substr(1));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                           cell.WorkerAt(worker).Runs().size());
+    });
+    aSection.It("does not wait for an empty worker", [] {
+      FakeCell cell({ .mWorkers = 2 });
+      cell.RunFor(200ms);
+      cell.Submit(
+        "before", SingleStepJob(MakeStep(2, 6000, 20000ms)), MakeQueue());
+      cell.RunFor(200ms);
+      SubmitSuspectedTask(cell);
+      cell.RunFor(300ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 },
+                           cell.mStarts.at(TaskOf("suspected")).size());
+    });
+  });
+}
+
 } // namespace
 
 void
@@ -171,6 +222,7 @@
 {
   DescribeCrashingTask(aRoot);
   DescribeInnocentTasks(aRoot);
+  DescribePlacement(aRoot);
 }
 
 } // namespace oriolevane
