--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -393,7 +393,7 @@
     cell.mJobs.Prune(
       aNow, cell.mOptions.mFinishedRetention, mImpl->mRecoveryFinished);
     cell.mFleet.Prune(aNow.mSteady, [this, &aNow](Worker& aWorker) {
-      mImpl->mCrashHandler.CountLosses(aWorker, aNow);
+      mImpl->mCrashHandler.OnWorkerGone(aWorker, aNow);
       mImpl->mAdvice.RemoveWorker(&aWorker);
     });
   }
--- a/src/jobs/internal/crashhandler.cpp
+++ b/src/jobs/internal/crashhandler.cpp
@@ -108,6 +108,16 @@
   CountLosses(aWorker, aNow);
 }
 
+void
+CrashHandler::OnWorkerGone(Worker& aWorker, const Moment& aNow)
+{
+  if (aWorker.mEntry.mDraining) {
+    ResolveLosses(aWorker, aNow);
+  } else {
+    CountLosses(aWorker, aNow);
+  }
+}
+
 void
 CrashHandler::OnRunAbsent(Worker& aWorker,
                           const RunPointer& aRun,
--- a/src/jobs/internal/crashhandler.h
+++ b/src/jobs/internal/crashhandler.h
@@ -23,11 +23,13 @@
   void OnLeaseExpired(Worker& aWorker, const Moment& aNow);
   // Handles a worker that another one has replaced at its address.
   void OnWorkerReplaced(Worker& aWorker, const Moment& aNow);
+  // Handles a worker that left the registry and is removed.
+  void OnWorkerGone(Worker& aWorker, const Moment& aNow);
   // Handles an uncertain run that is missing from the worker's report: the
   // worker has restarted, or it never started the run.
   void OnRunAbsent(Worker& aWorker, const RunPointer& aRun, const Moment& aNow);
   // Counts the runs that were lost with the worker before it was known to have
-  // crashed. Those of a draining worker are not among them.
+  // crashed.
   void CountLosses(Worker& aWorker, const Moment& aNow);
   // Decides on these runs after the worker has answered: they are forgotten
   // unless it has restarted since.
--- a/src/jobs/tests/crashingtasks_test.cpp
+++ b/src/jobs/tests/crashingtasks_test.cpp
@@ -139,6 +139,22 @@
       ExpectInnocentJobsCompleted(cell, 3);
       CPPUNIT_ASSERT(cell.mViolations.empty());
     });
+    aSection.It("is not given up for workers that leave as planned", [] {
+      FakeCell cell;
+      cell.RunFor(200ms);
+      SubmitInnocentJobs(cell, 1);
+      for (int round = 0; round < 4; ++round) {
+        cell.RunFor(300ms);
+        const std::size_t worker = std::stoul(
+          cell.mStarts.at(TaskOf("innocent0")).back().mValue.substr(1));
+        cell.DrainWorker(worker);
+        cell.CrashWorker(worker);
+        cell.RunFor(4300ms);
+      }
+      cell.RunFor(9000ms);
+      CPPUNIT_ASSERT(cell.mCrashes.at(TaskOf("innocent0")) > 1);
+      ExpectInnocentJobsCompleted(cell, 1);
+    });
     aSection.It("completes though two racks crash, one after the other", [] {
       FakeCell cell;
       cell.RunFor(200ms);
