--- a/src/cellnode/internal/recordcodec.cpp
+++ b/src/cellnode/internal/recordcodec.cpp
@@ -161,24 +161,64 @@
   return runs;
 }
 
+json
+ToJson(const std::vector<jobs::LostRunProgress>& aRuns)
+{
+  json value = json::array();
+  for (const jobs::LostRunProgress& run : aRuns) {
+    value.push_back(json::array({ run.mRun.mValue,
+                                  run.mWorker.mValue,
+                                  run.mIncarnation.mValue,
+                                  run.mOnlyJob }));
+  }
+  return value;
+}
+
+std::vector<jobs::LostRunProgress>
+LostRunsFrom(const json& aValue)
+{
+  std::vector<jobs::LostRunProgress> runs;
+  for (const json& run : aValue) {
+    runs.push_back(
+      { .mRun = jobs::RunNumber(run.at(0).get<std::uint64_t>()),
+        .mWorker = WorkerId(run.at(1).get<std::string>()),
+        .mIncarnation = jobs::WorkerIncarnation(run.at(2).get<std::int64_t>()),
+        .mOnlyJob = run.at(3).get<bool>() });
+  }
+  return runs;
+}
+
 json
 ToJson(const jobs::TaskProgress& aTask)
 {
-  return json::array({ aTask.mIndex,
-                       aTask.mSucceeded,
-                       ToJson(aTask.mFailedRuns),
-                       aTask.mLastRun.mValue,
-                       aTask.mCheckpoint });
+  json value = json::array({ aTask.mIndex,
+                             aTask.mSucceeded,
+                             ToJson(aTask.mFailedRuns),
+                             aTask.mLastRun.mValue,
+                             aTask.mCheckpoint });
+  // Left out when empty, as in rows of earlier versions.
+  if (!aTask.mCrashedRuns.empty() || !aTask.mLostRuns.empty()) {
+    value.push_back(ToJson(aTask.mCrashedRuns));
+    value.push_back(ToJson(aTask.mLostRuns));
+  }
+  return value;
 }
 
 jobs::TaskProgress
 TaskFrom(const json& aValue)
 {
-  return { .mIndex = aValue.at(0).get<int>(),
-           .mSucceeded = aValue.at(1).get<bool>(),
-           .mFailedRuns = RunsFrom(aValue.at(2)),
-           .mLastRun = jobs::RunNumber(aValue.at(3).get<std::uint64_t>()),
-           .mCheckpoint = aValue.at(4).get<std::string>() };
+  constexpr std::size_t kCrashedRuns = 5;
+  jobs::TaskProgress task{ .mIndex = aValue.at(0).get<int>(),
+                           .mSucceeded = aValue.at(1).get<bool>(),
+                           .mFailedRuns = RunsFrom(aValue.at(2)),
+                           .mLastRun =
+                             jobs::RunNumber(aValue.at(3).get<std::uint64_t>()),
+                           .mCheckpoint = aValue.at(4).get<std::string>() };
+  if (aValue.size() > kCrashedRuns) {
+    task.mCrashedRuns = RunsFrom(aValue.at(kCrashedRuns));
+    task.mLostRuns = LostRunsFrom(aValue.at(kCrashedRuns + 1));
+  }
+  return task;
 }
 
 // The scheduler uses these values as sizes and indexes.
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -1,6 +1,7 @@
 // The in-memory state of a job: its occurrences, steps, tasks and their runs.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -9,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "crashes/taskcrashes.h"
 #include "framework/types/timepoint.h"
 #include "jobs/internal/stepadvice.h"
 #include "jobs/types/jobrecord.h"
@@ -57,11 +59,36 @@
   TimePoint mNextStopAt;
   // The run does not belong to a job that this node knows.
   bool mOrphan = false;
+  // The task was suspected of crashing its workers when the run was added.
+  bool mSuspected = false;
+  // What is known of the cause of a crash of the worker. Nothing unless the
+  // worker has restarted since it was ordered to start the run, and for a
+  // worker that was draining.
+  std::optional<crashes::CrashEvidence> mInterrupted;
+
+  // What a crash with the given evidence for confirmed runs says of this one.
+  crashes::CrashEvidence Evidence(crashes::CrashEvidence aConfirmed) const
+  {
+    return mConfirmedAt == TimePoint()
+             ? crashes::CrashEvidence::UnconfirmedStart
+             : aConfirmed;
+  }
 };
 
 // A run is shared by its task and its worker.
 using RunPointer = std::shared_ptr<Run>;
 
+// A run whose worker's lease expired. It is not known yet whether the worker
+// has crashed.
+struct LostRun
+{
+  WorkerId mWorker;
+  // The incarnation that had the run.
+  WorkerIncarnation mIncarnation;
+  // What is known of the cause if the worker has crashed.
+  crashes::CrashEvidence mEvidence = crashes::CrashEvidence::SeveralJobs;
+};
+
 // The state of one task of a step.
 struct Task
 {
@@ -70,6 +97,8 @@
   // reported again to a later owner, and out of order, but must count only
   // once.
   std::set<RunNumber> mFailedRuns;
+  crashes::TaskCrashes mCrashes;
+  std::map<RunNumber, LostRun> mLostRuns;
   // Highest run number so far.
   RunNumber mLastRun;
   // Latest checkpoint; empty for none.
@@ -165,6 +194,9 @@
   // The functions below return nullptr when there is no such step or task.
   Step* FindStep(int aOccurrence, int aStep);
   Task* FindTask(const TaskKey& aKey);
+  // Calls a function for each task of the occurrences that are due.
+  void ForEachTask(
+    const std::function<void(const TaskKey&, const Task&)>& aFunction) const;
 };
 
 // Creates an occurrence without any progress.
--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -277,7 +277,8 @@
       [this, aWorkerIndex](const FakeRun& aRun, EndKind aKind) {
         OnEnd(aWorkerIndex, aRun, aKind);
       },
-    .mOnConfirmed = [this](const EndedTask& aEnd) { OnConfirmed(aEnd); }
+    .mOnConfirmed = [this](const EndedTask& aEnd) { OnConfirmed(aEnd); },
+    .mOnCrash = [this, aWorkerIndex] { OnRunCrashedWorker(aWorkerIndex); }
   };
 }
 
@@ -411,6 +412,7 @@
       records.mWorkers.push_back(*worker);
     }
   }
+  NoteMissedCrashes();
   mScheduler->Recover(records, NowMoment());
   if (mConfiguration.mTeams.has_value()) {
     mScheduler->Configure(mConfiguration);
@@ -425,7 +427,13 @@
 void
 FakeCell::CrashWorker(std::size_t aWorkerIndex)
 {
+  for (const FakeRun& run : mWorkers[aWorkerIndex]->Runs()) {
+    ++mCrashes[run.mTask];
+  }
   mWorkers[aWorkerIndex]->Crash();
+  for (const auto& worker : mWorkers) {
+    worker->ForgetGangEnds();
+  }
   ScheduleAfter(4500ms, [this, aWorkerIndex] {
     if (!mWorkers[aWorkerIndex]->IsUp()) {
       mScheduler->UnregisterWorker(mWorkers[aWorkerIndex]->Entry().mId,
@@ -434,6 +442,17 @@
   });
 }
 
+void
+FakeCell::OnRunCrashedWorker(std::size_t aWorkerIndex)
+{
+  CrashWorker(aWorkerIndex);
+  ScheduleAfter(mRestartDelay, [this, aWorkerIndex] {
+    if (!mWorkers[aWorkerIndex]->IsUp()) {
+      RestartWorker(aWorkerIndex);
+    }
+  });
+}
+
 void
 FakeCell::RestartWorker(std::size_t aWorkerIndex)
 {
--- a/src/jobs/tests/fakecellchecks.cpp
+++ b/src/jobs/tests/fakecellchecks.cpp
@@ -36,6 +36,7 @@
     ReportViolation("over capacity", task);
   }
   CheckQuota(aRun);
+  CheckCrashes(task);
   for (std::size_t other = 0; other < mWorkers.size(); ++other) {
     for (const FakeRun& run : mWorkers[other]->Runs()) {
       const bool same = other == aWorkerIndex && run.mRun == aRun.mRun;
@@ -112,6 +113,37 @@
   return usage;
 }
 
+void
+FakeCell::CheckCrashes(const TaskKey& aTask)
+{
+  if (mCrashes[aTask] - mMissedCrashes[aTask] >= 3 &&
+      ++mStartsAfterCrashes[aTask] > 2) {
+    ReportViolation("started three times after three crashes", aTask);
+  }
+}
+
+void
+FakeCell::NoteMissedCrashes()
+{
+  mMissedCrashes = mCrashes;
+  for (const auto& [key, value] : mRecords) {
+    const auto* record = std::get_if<ProgressRecord>(&value);
+    if (record == nullptr) {
+      continue;
+    }
+    for (const StepProgress& step : record->mSteps) {
+      for (const TaskProgress& task : step.mTasks) {
+        const TaskKey taskKey{ .mStep = { .mJob = record->mJob,
+                                          .mOccurrence = record->mOccurrence,
+                                          .mStep = step.mStep },
+                               .mIndex = task.mIndex };
+        mMissedCrashes[taskKey] -=
+          static_cast<int>(task.mCrashedRuns.size() + task.mLostRuns.size());
+      }
+    }
+  }
+}
+
 void
 FakeCell::CheckQuota(const FakeRun& aRun)
 {
--- a/src/jobs/tests/fakeworker.h
+++ b/src/jobs/tests/fakeworker.h
@@ -25,6 +25,9 @@
   bool mSavesCheckpoint = false;
   // Time from a stop order to the end of the run.
   Millis mStopTime{ 60 };
+  // Time from the start of the run to the crash of its worker; nothing when the
+  // run crashes no worker.
+  std::optional<Millis> mCrashesWorkerAfter = std::nullopt;
 };
 
 // A task that is running on a worker.
@@ -62,6 +65,8 @@
   std::function<void(const FakeRun&, EndKind)> mOnEnd;
   // Called when a poll confirms an end as recorded.
   std::function<void(const EndedTask&)> mOnConfirmed;
+  // Called when a run crashes its worker. Unset means that runs crash none.
+  std::function<void()> mOnCrash;
 };
 
 // Times are those of the simulation unless stated otherwise; the worker's own
@@ -93,6 +98,9 @@
   // Restarts the worker under the same id, without any state.
   void Restart(WorkerIncarnation aLife, Millis aNow);
   void Drain() { mEntry.mDraining = true; }
+  // Lets the gangs of its runs end only if all members are still running, after
+  // another worker has crashed.
+  void ForgetGangEnds();
   // Ends the given run, if it is on this worker, because another member of its
   // gang has ended.
   void EndGangMember(const TaskKey& aTask,
@@ -103,6 +111,8 @@
 private:
   void EndRun(std::size_t aRunIndex, EndKind aKind);
   bool IsDone(FakeRun& aRun, Millis aNow) const;
+  // True when a run crashes the worker at aNow.
+  bool IsCrashDue(Millis aNow) const;
 
   WorkerEntry mEntry;
   Millis mClockOffset;
