Fake cell: workers whose capacity changes while they run

FakeCell::SetWorkerCapacity() changes the capacity of a worker at once and its registry entry 300 ms later. The check for overcommitted workers accepts a start that fits the capacity of the worker, the one that the registry shows, or one that it showed up to mCapacityTolerance before; the default of 10 ms covers an order in transit. A takeover and a drain notice use the entry as the registry shows it. The capacity of all other cells never changes, so the check is as strict for them as before.

--- a/src/jobs/tests/fakecell.h
+++ b/src/jobs/tests/fakecell.h
@@ -46,6 +46,9 @@
   // fencing token since its restart. No scheduler can prevent the start that
   // results where start orders carry no ticket.
   bool mLateOrdersReachUnfencedIncarnations = true;
+  // How long starts may still use a larger capacity after the registry shows
+  // the smaller one. The default is enough for an order that is in transit.
+  Millis mCapacityTolerance{ 10 };
 };
 
 // A cell of one shard. Time passes only in RunFor() and RunUntilFinal(); all
@@ -105,6 +108,9 @@
   void SetWorkerUnreachable(std::size_t aWorkerIndex, bool aUnreachable);
   // Marks a worker as draining, in the registry too.
   void DrainWorker(std::size_t aWorkerIndex);
+  // Changes a worker's capacity; its registry entry changes 300 ms later. For a
+  // worker that is down, the entry changes with its restart.
+  void SetWorkerCapacity(std::size_t aWorkerIndex, const Resources& aCapacity);
 
   // Chooses the delivery of each call to a worker. Unset means Normal.
   std::function<Delivery(const WorkerId&)> mDelivery;
@@ -135,6 +141,20 @@
     std::function<void()> mCallback;
   };
 
+  // A capacity that a registry entry has shown, until mUntil.
+  struct PublishedCapacity
+  {
+    Resources mCapacity;
+    Millis mUntil{ 0 };
+  };
+
+  // Updates the worker's registry entry, of which the scheduler learns.
+  void PublishEntry(std::size_t aWorkerIndex);
+  // The worker's entry as the registry shows it.
+  WorkerEntry PublishedEntry(std::size_t aWorkerIndex) const;
+  // True when the worker's runs fit its capacity, or the one that the owner
+  // could still assume.
+  bool IsWithinCapacity(std::size_t aWorkerIndex) const;
   SchedulerHooks MakeSchedulerHooks(const std::shared_ptr<bool>& aIsCurrent);
   // Delivers an order to its worker and the answer back to the scheduler, or a
   // default answer after a timeout.
@@ -167,6 +187,8 @@
   std::multimap<Millis, std::function<void()>> mEvents;
   std::vector<std::unique_ptr<FakeWorker>> mWorkers;
   std::set<std::size_t> mUnreachableWorkers;
+  // The capacities that the registry has shown, by worker, if they changed.
+  std::map<std::size_t, std::vector<PublishedCapacity>> mPublished;
   std::map<std::string, JobSpec> mSpecs;
   std::map<std::string, QueuePolicy> mQueues;
   std::map<std::string, TeamId> mTeams;
--- a/src/jobs/tests/fakeworker.h
+++ b/src/jobs/tests/fakeworker.h
@@ -93,6 +93,8 @@
   // Restarts the worker under the same id, without any state.
   void Restart(WorkerIncarnation aLife, Millis aNow);
   void Drain() { mEntry.mDraining = true; }
+  // Runs go on, also when they exceed the new capacity.
+  void SetCapacity(const Resources& aCapacity) { mEntry.mCapacity = aCapacity; }
   // Ends the given run, if it is on this worker, because another member of its
   // gang has ended.
   void EndGangMember(const TaskKey& aTask,
--- a/src/jobs/tests/main.cpp
+++ b/src/jobs/tests/main.cpp
@@ -12,6 +12,7 @@
       { "gang", oriolevane::GangTests },
       { "takeover", oriolevane::OwnerTakeoverTests },
       { "worker failures", oriolevane::WorkerFailureTests },
+      { "capacity", oriolevane::CapacityTests },
       { "malformed reports", oriolevane::MalformedReportTests },
       { "advice", oriolevane::AdviceTests },
       { "record write queue", oriolevane::RecordWriteQueueTests },
--- a/src/jobs/tests/testgroups.h
+++ b/src/jobs/tests/testgroups.h
@@ -14,6 +14,8 @@
 void
 WorkerFailureTests(testing::Section& aRoot);
 void
+CapacityTests(testing::Section& aRoot);
+void
 MalformedReportTests(testing::Section& aRoot);
 void
 AdviceTests(testing::Section& aRoot);
