Try waiting tasks again when a worker's capacity has grown

Callers saw jobs that waited for ever although a worker had room for them. A step that finds no room is tried again only after a worker has gained capacity, and Fleet::Register() took over a larger capacity without noting the gain, so the step waited until some other run ended or a worker became usable. On an idle cell there is no such event.

Register() now notes a gain when an amount of the new capacity exceeds the former one.

--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -71,6 +71,10 @@
   if (!added && aEntry.mIncarnation < worker.mEntry.mIncarnation) {
     return false;
   }
+  // Tasks that found no room are tried again only after a gain.
+  if (!aEntry.mCapacity.FitsIn(worker.mEntry.mCapacity)) {
+    NoteCapacityGain(worker);
+  }
   worker.mEntry = aEntry;
   worker.mRegistered = true;
   if (added) {
--- a/src/jobs/tests/capacity_test.cpp
+++ b/src/jobs/tests/capacity_test.cpp
@@ -9,7 +9,9 @@
 
 namespace {
 
+constexpr Resources kFull{ .mMilliCores = 8000, .mMemoryMiB = 8000 };
 constexpr Resources kQuarter{ .mMilliCores = 2000, .mMemoryMiB = 8000 };
+constexpr Resources kNone{};
 // Longer than the registry takes to show a changed capacity.
 constexpr Millis kUntilKnown = 320ms;
 
@@ -88,36 +90,107 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, RunsOn(cell, 0));
       ExpectNoViolation(cell);
     });
+    aSection.It("holds gangs and reservations to the new capacity", [] {
+      // Guards against a gang that starts on what was reserved before.
+      FakeCell cell({ .mWorkers = 4 });
+      cell.RunFor(200ms);
+      cell.Submit("first", Tasks(16, 2000, 1000ms), MakeQueue());
+      cell.RunFor(100ms);
+      cell.Submit("gang", Gang(6, 4000, 400ms), MakeQueue());
+      cell.Submit("fill", Tasks(40, 500, 200ms), MakeQueue());
+      cell.RunFor(100ms);
+      cell.SetWorkerCapacity(0, kQuarter);
+      cell.SetWorkerCapacity(1, kNone);
+      cell.RunFor(3000ms);
+      CPPUNIT_ASSERT(cell.StateOf("gang") != JobState::Completed);
+      CPPUNIT_ASSERT(cell.StateOf("fill") == JobState::Completed);
+      cell.SetWorkerCapacity(1, kFull);
+      cell.RunUntilFinal("gang", 2000ms);
+      ExpectNoViolation(cell);
+    });
+  });
+}
+
+void
+DescribeGrowth(Section& aRoot)
+{
+  aRoot.Describe("a worker that grows", [](Section& aSection) {
+    aSection.It("gets waiting tasks without another event", [] {
+      // Guards against tasks that wait on a worker that has room for them.
+      FakeCell cell({ .mWorkers = 1 });
+      cell.RunFor(200ms);
+      SetAll(cell, 1, kNone);
+      cell.RunFor(kUntilKnown);
+      cell.Submit("job", Tasks(1, 4000, 100ms), MakeQueue());
+      cell.Submit("gang", Gang(2, 2000, 100ms), MakeQueue());
+      cell.RunFor(1000ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, cell.mStarts.size());
+      SetAll(cell, 1, kFull);
+      cell.RunFor(kUntilKnown + 60ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, cell.mStarts.size());
+      cell.RunFor(300ms);
+      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Completed);
+      CPPUNIT_ASSERT(cell.StateOf("gang") == JobState::Completed);
+      ExpectNoViolation(cell);
+    });
+    aSection.It("runs more beside what it has", [] {
+      // Guards against growth that shows only when a run ends.
+      FakeCell cell({ .mWorkers = 1, .mCapacity = kQuarter });
+      cell.RunFor(200ms);
+      cell.Submit("job", Tasks(4, 2000, 5000ms), MakeQueue());
+      cell.RunFor(300ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, RunsOn(cell, 0));
+      SetAll(cell, 1, kFull);
+      cell.RunFor(kUntilKnown + 60ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, RunsOn(cell, 0));
+      ExpectNoViolation(cell);
+    });
   });
 }
 
 void
 DescribeTakeover(Section& aRoot)
 {
-  aRoot.Describe("a new owner of a worker that has shrunk",
-                 [](Section& aSection) {
-                   aSection.It("counts the runs that it finds there", [] {
-                     // Guards against starts beside adopted runs that exceed
-                     // the capacity.
-                     FakeCell cell({ .mWorkers = 2 });
-                     cell.RunFor(200ms);
-                     cell.Submit("first", Tasks(8, 2000, 3000ms), MakeQueue());
-                     cell.RunFor(300ms);
-                     SetAll(cell, 2, kQuarter);
-                     cell.RunFor(kUntilKnown);
-                     cell.TakeOver(1000ms);
-                     cell.Submit("gang", Gang(2, 1000, 300ms), MakeQueue());
-                     cell.Submit("single", Tasks(4, 1000, 300ms), MakeQueue());
-                     cell.RunFor(1500ms);
-                     CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, RunsOn(cell, 0));
-                     cell.RunUntilFinal("gang", 9000ms);
-                     cell.RunUntilFinal("single", 9000ms);
-                     for (const auto& [task, starts] : cell.mStarts) {
-                       CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, starts.size());
-                     }
-                     ExpectNoViolation(cell);
-                   });
-                 });
+  aRoot.Describe(
+    "a new owner of a worker that has shrunk", [](Section& aSection) {
+      aSection.It("counts the runs that it finds there", [] {
+        // Guards against starts beside adopted runs that exceed the capacity.
+        FakeCell cell({ .mWorkers = 2 });
+        cell.RunFor(200ms);
+        cell.Submit("first", Tasks(8, 2000, 3000ms), MakeQueue());
+        cell.RunFor(300ms);
+        SetAll(cell, 2, kQuarter);
+        cell.RunFor(kUntilKnown);
+        cell.TakeOver(1000ms);
+        cell.Submit("gang", Gang(2, 1000, 300ms), MakeQueue());
+        cell.Submit("single", Tasks(4, 1000, 300ms), MakeQueue());
+        cell.RunFor(1500ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, RunsOn(cell, 0));
+        cell.RunUntilFinal("gang", 9000ms);
+        cell.RunUntilFinal("single", 9000ms);
+        for (const auto& [task, starts] : cell.mStarts) {
+          CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, starts.size());
+        }
+        ExpectNoViolation(cell);
+      });
+      aSection.It("learns of a shrink that the last owner did not see", [] {
+        // Guards against a capacity that is kept from before the takeover.
+        FakeCell cell({ .mWorkers = 2 });
+        cell.RunFor(200ms);
+        cell.Submit("first", Tasks(6, 2000, 2000ms), MakeQueue());
+        cell.RunFor(300ms);
+        SetAll(cell, 2, kNone);
+        cell.RunFor(200ms);
+        cell.TakeOver(500ms);
+        cell.RunFor(200ms);
+        cell.Submit("second", Tasks(4, 1000, 300ms), MakeQueue());
+        cell.RunFor(3000ms);
+        CPPUNIT_ASSERT(cell.StateOf("second") == JobState::Queued);
+        SetAll(cell, 2, kFull);
+        cell.RunUntilFinal("second", 1000ms);
+        ExpectNoViolation(cell);
+      });
+    });
 }
 
 void
@@ -140,6 +213,20 @@
       cell.RunUntilFinal("second", 9000ms);
       ExpectNoViolation(cell);
     });
+    aSection.It("gets what waits when its new capacity is larger", [] {
+      // Guards against a larger incarnation that counts as the smaller one.
+      FakeCell cell({ .mWorkers = 1, .mCapacity = kQuarter });
+      cell.RunFor(200ms);
+      cell.Submit("job", Tasks(1, 8000, 200ms), MakeQueue());
+      cell.RunFor(500ms);
+      cell.CrashWorker(0);
+      cell.SetWorkerCapacity(0, kFull);
+      cell.RunFor(100ms);
+      cell.RestartWorker(0);
+      cell.RunFor(kUntilKnown + 400ms);
+      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Completed);
+      ExpectNoViolation(cell);
+    });
   });
 }
 
@@ -149,6 +236,7 @@
 CapacityTests(Section& aRoot)
 {
   DescribeShrink(aRoot);
+  DescribeGrowth(aRoot);
   DescribeTakeover(aRoot);
   DescribeRestart(aRoot);
 }
