Do not resend a start that exceeds a smaller capacity

Workers ran more than their capacity when it shrank while the answer to a start order was outstanding: the order was sent again, up to three times, as it had been decided for the larger capacity. Workers that do not refuse what does not fit then start it.

RunTracker::ResendStart() now sends an order again only while the worker's runs, which include this one, fit its capacity. Otherwise the run is uncertain, as after the last resend: the token is raised, and the next report shows whether the first order was carried out. The test failed before:

gets no start again whose first order was lost - Actual : over capacity lost.0.0.0 at 1172 ms

--- a/src/jobs/internal/runtracker.cpp
+++ b/src/jobs/internal/runtracker.cpp
@@ -77,7 +77,10 @@
   const Job* job = mCell.mJobs.Find(aRun.mTask.mStep.mJob);
   const bool wanted =
     !aRun.mStopWanted && job != nullptr && job->mPhase == JobPhase::Open;
-  if (!wanted || aWorker.mEntry.mDraining ||
+  // The capacity may have become smaller since the first order. The run itself
+  // is among the used resources.
+  const bool fits = aWorker.HasRoomFor({});
+  if (!wanted || !fits || aWorker.mEntry.mDraining ||
       aRun.mOrdersSent >= kMaxStartOrders) {
     return false;
   }
--- a/src/jobs/tests/capacity_test.cpp
+++ b/src/jobs/tests/capacity_test.cpp
@@ -108,6 +108,23 @@
       cell.RunUntilFinal("gang", 2000ms);
       ExpectNoViolation(cell);
     });
+    aSection.It("gets no start again whose first order was lost", [] {
+      // Guards against resent orders that were decided for a larger capacity.
+      FakeCell cell({ .mWorkers = 1 });
+      cell.RunFor(200ms);
+      cell.mStartDelivery = [&cell](const StartOrder& aOrder) {
+        const bool late =
+          aOrder.mTask.mStep.mJob.mValue == "lost" && cell.Now() < 900ms;
+        return late ? Delivery::Dropped : Delivery::Normal;
+      };
+      cell.Submit("runs", Tasks(3, 2000, 3000ms), MakeQueue());
+      cell.RunFor(200ms);
+      cell.SetWorkerCapacity(0, kQuarter);
+      cell.RunFor(150ms);
+      cell.Submit("lost", Tasks(1, 2000, 300ms), MakeQueue());
+      cell.RunUntilFinal("lost", 8000ms);
+      ExpectNoViolation(cell);
+    });
   });
 }
 
