Follow registry entries that name no incarnation

A worker whose registry entry has no "born" field kept its first capacity (and never drained, and after a takeover got no tasks at all): the decoder reports such an entry with incarnation 0, the worker's reports name the real one, and Fleet::Register() then ignored all entries as those of an earlier process.

An entry without an incarnation now counts as one of the process that is known. A restart of such a worker still shows in its reports.

--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -63,12 +63,15 @@
 {
   const auto [entry, added] = mWorkers.try_emplace(aEntry.mId);
   Worker& worker = entry->second;
+  const WorkerIncarnation former = worker.mEntry.mIncarnation;
+  // An entry without an incarnation is of the process that is known.
+  const WorkerIncarnation incarnation =
+    aEntry.mIncarnation == WorkerIncarnation() ? former : aEntry.mIncarnation;
   const bool otherIncarnation =
-    !added && worker.mEntry.mIncarnation != WorkerIncarnation() &&
-    worker.mEntry.mIncarnation < aEntry.mIncarnation;
+    !added && former != WorkerIncarnation() && former < incarnation;
   const bool addressChanged =
     !added && worker.mEntry.mAddress != aEntry.mAddress;
-  if (!added && aEntry.mIncarnation < worker.mEntry.mIncarnation) {
+  if (!added && incarnation < former) {
     return false;
   }
   // Tasks that found no room are tried again only after a gain.
@@ -76,6 +79,7 @@
     NoteCapacityGain(worker);
   }
   worker.mEntry = aEntry;
+  worker.mEntry.mIncarnation = incarnation;
   worker.mRegistered = true;
   if (added) {
     worker.mToken = FencingToken(mOptions.mEpoch.mValue * kTokensPerEpoch + 1);
--- a/src/jobs/tests/capacity_test.cpp
+++ b/src/jobs/tests/capacity_test.cpp
@@ -244,6 +244,21 @@
       CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Completed);
       ExpectNoViolation(cell);
     });
+    aSection.It("is followed when its entry names no incarnation", [] {
+      // Guards against entries that are ignored as those of an earlier process.
+      FakeCell cell({ .mWorkers = 1 });
+      cell.RunFor(200ms);
+      WorkerEntry entry = cell.WorkerAt(0).Entry();
+      entry.mIncarnation = {};
+      entry.mCapacity = kNone;
+      cell.Scheduler().RegisterWorker(entry, cell.NowMoment());
+      cell.Submit("job", Tasks(1, 1000, 100ms), MakeQueue());
+      cell.RunFor(500ms);
+      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Queued);
+      entry.mCapacity = kFull;
+      cell.Scheduler().RegisterWorker(entry, cell.NowMoment());
+      cell.RunUntilFinal("job", 500ms);
+    });
   });
 }
 
