Count no negative free capacity when jobs are admitted

Teams beyond their guaranteed rate were refused although idle workers had room for their jobs. The free capacity that admission compares is the sum over the usable workers, and a worker that has shrunk below its runs lowered it by what it exceeds its capacity, although that takes nothing from the others.

Such a worker now adds nothing to the sum. The test failed before:

is not lowered by what a worker exceeds its own - Expression: !isRefused(4000)

--- a/src/jobs/internal/teamaccounts.cpp
+++ b/src/jobs/internal/teamaccounts.cpp
@@ -57,6 +57,17 @@
            .mSlots = std::min(aLeft.mSlots, aRight.mSlots) };
 }
 
+// Nothing is free where a worker's runs exceed its capacity.
+Resources
+FreeOn(const Worker& aWorker)
+{
+  const Resources free = aWorker.mEntry.mCapacity - aWorker.mUsed;
+  return { .mMilliCores = std::max<std::int64_t>(free.mMilliCores, 0),
+           .mMemoryMiB = std::max<std::int64_t>(free.mMemoryMiB, 0),
+           .mAccelerators = std::max<std::int64_t>(free.mAccelerators, 0),
+           .mSlots = std::max<std::int64_t>(free.mSlots, 0) };
+}
+
 // What the steps need that can start at once.
 Resources
 InitialDemand(const JobSpec& aSpec)
@@ -161,8 +172,7 @@
   Resources free;
   for (const auto& [id, worker] : aFleet.Workers()) {
     capacity += worker.mRegistered ? worker.mEntry.mCapacity : Resources();
-    free +=
-      worker.mWasUsable ? worker.mEntry.mCapacity - worker.mUsed : Resources();
+    free += worker.mWasUsable ? FreeOn(worker) : Resources();
   }
   mOrder.SetCapacity(capacity);
   mAdmission.BeginPass(free);
--- a/src/jobs/tests/capacity_test.cpp
+++ b/src/jobs/tests/capacity_test.cpp
@@ -14,6 +14,8 @@
 constexpr Resources kNone{};
 // Longer than the registry takes to show a changed capacity.
 constexpr Millis kUntilKnown = 320ms;
+const TeamId kTeam("red");
+const TeamId kOtherTeam("blue");
 
 JobSpec
 Gang(int aMembers, std::int64_t aMilliCores, Millis aEstimate)
@@ -262,6 +264,49 @@
   });
 }
 
+void
+DescribeSums(Section& aRoot)
+{
+  aRoot.Describe("free capacity", [](Section& aSection) {
+    aSection.It("is not lowered by what a worker exceeds its own", [] {
+      // Guards against jobs refused although idle workers have room for them.
+      FakeCell cell({ .mWorkers = 2 });
+      cell.Configure({ { .mName = kTeam, .mWeight = 1 },
+                       { .mName = kOtherTeam, .mWeight = 1 } });
+      cell.RunFor(200ms);
+      cell.Submit("large", Tasks(1, 8000, 9000ms), MakeQueue(), kTeam);
+      cell.RunFor(100ms);
+      const std::size_t busy = RunsOn(cell, 0) > 0 ? 0 : 1;
+      cell.SetWorkerCapacity(busy, kNone);
+      cell.RunFor(kUntilKnown);
+      QueuePolicy tolerant = MakeQueue();
+      tolerant.mLatencyTarget = 9000ms;
+      StepSpec waiting = MakeStep(1, 100, 200ms);
+      waiting.mRequiredLabel = "missing";
+      cell.Submit("waits", SingleStepJob(waiting), tolerant, kOtherTeam);
+      // Uses up what the team may submit at once.
+      for (int job = 0; job < 40; ++job) {
+        cell.Submit("short" + std::to_string(job),
+                    Tasks(1, 100, 1ms),
+                    MakeQueue(),
+                    kTeam);
+      }
+      cell.RunFor(400ms);
+      const auto isRefused = [&cell](std::int64_t aMilliCores) {
+        return cell.Scheduler()
+          .RefusalFor({ .mId = JobId("late"),
+                        .mQueue = MakeQueue(),
+                        .mSpec = Tasks(1, aMilliCores, 100ms),
+                        .mTeam = kTeam },
+                      cell.NowMoment())
+          .has_value();
+      };
+      CPPUNIT_ASSERT(isRefused(9000));
+      CPPUNIT_ASSERT(!isRefused(4000));
+    });
+  });
+}
+
 } // namespace
 
 void
@@ -271,6 +316,7 @@
   DescribeGrowth(aRoot);
   DescribeTakeover(aRoot);
   DescribeRestart(aRoot);
+  DescribeSums(aRoot);
 }
 
 } // namespace oriolevane
