Limit single tasks to a share of the processors, not of the workers

While a gang waited, single tasks with ample slack did not start although most of the cell was idle: they may use the first workers of a fixed order, counted as a share of their number, and those had shrunk to nothing. They started only when their slack had run out.

A worker's position in the order is now the share of the usable workers' processors that comes before it. It is the same number as before where all workers are equal, and the share that it is compared with was computed from processors already. The test failed before:

limits single tasks to a share of it, not of the workers - job single has no final state in time

--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -45,8 +45,8 @@
   // Starts what fits of a step, and reserves capacity for a gang that has to
   // wait.
   void Place(const Candidate& aCandidate, const Moment& aNow);
-  // The share of the usable workers that single tasks with ample slack may use.
-  // It shrinks as waiting gangs need more capacity.
+  // The share of the usable workers' processors that single tasks with ample
+  // slack may use. It shrinks as waiting gangs need more capacity.
   double SingleTaskShare(const std::vector<Candidate>& aCandidates) const;
   // Returns false when no worker has gained room since the last attempt to
   // start the step failed.
@@ -103,8 +103,8 @@
   CandidateCollector mCandidates;
   UsableWorkers mUsable;
   GangReservations mGangReservations;
-  // Share of the usable workers that single tasks with ample slack may use in
-  // this pass.
+  // Share of the usable workers' processors that single tasks with ample slack
+  // may use in this pass.
   double mSingleTaskShare = 1.0;
   // A worker with room was passed over in the current attempt, because its
   // capacity is withheld for gangs.
--- a/src/jobs/internal/usableworkers.cpp
+++ b/src/jobs/internal/usableworkers.cpp
@@ -45,9 +45,22 @@
     });
   mSpeedsKnown = static_cast<double>(unknown) <=
                  kMaxUnknownSpeedShare * static_cast<double>(mWorkers.size());
-  for (std::size_t index = 0; index < mWorkers.size(); ++index) {
-    mWorkers[index]->mFillPosition =
-      static_cast<double>(index) / static_cast<double>(mWorkers.size());
+  SetFillPositions();
+}
+
+void
+UsableWorkers::SetFillPositions()
+{
+  std::int64_t total = 0;
+  for (const Worker* worker : mWorkers) {
+    total += worker->mEntry.mCapacity.mMilliCores;
+  }
+  std::int64_t before = 0;
+  for (Worker* worker : mWorkers) {
+    worker->mFillPosition =
+      total <= 0 ? 0.0
+                 : static_cast<double>(before) / static_cast<double>(total);
+    before += worker->mEntry.mCapacity.mMilliCores;
   }
 }
 
--- a/src/jobs/internal/usableworkers.h
+++ b/src/jobs/internal/usableworkers.h
@@ -16,13 +16,15 @@
   }
 
   // Finds the usable workers, and notes on each its position in the fixed order
-  // in which single tasks fill them.
+  // in which single tasks fill them, as the share of all processors before it.
   void Update(TimePoint aNow);
   const std::vector<Worker*>& Workers() const { return mWorkers; }
   // True when the speed of nearly all of them is known.
   bool SpeedsKnown() const { return mSpeedsKnown; }
 
 private:
+  void SetFillPositions();
+
   CellState& mCell;
   std::vector<Worker*> mWorkers;
   bool mSpeedsKnown = false;
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -94,8 +94,9 @@
   std::uint64_t mGainGeneration = 0;
   // The worker was usable in the last placement pass.
   bool mWasUsable = false;
-  // Position, from 0 to 1, among the usable workers in the fixed order in which
-  // single tasks fill them.
+  // Position, from 0 to 1, in the fixed order in which single tasks fill the
+  // usable workers: the share of their processors that comes before. Positions
+  // by number would limit tasks to workers that may have shrunk to nothing.
   double mFillPosition = 0;
 
   const WorkerId& Id() const { return mEntry.mId; }
--- a/src/jobs/tests/capacity_test.cpp
+++ b/src/jobs/tests/capacity_test.cpp
@@ -304,6 +304,23 @@
       CPPUNIT_ASSERT(isRefused(9000));
       CPPUNIT_ASSERT(!isRefused(4000));
     });
+    aSection.It("limits single tasks to a share of it, not of the workers", [] {
+      // Guards against tasks that may only use workers of no capacity while a
+      // gang waits.
+      FakeCell cell({ .mWorkers = 6 });
+      cell.RunFor(200ms);
+      for (std::size_t worker = 0; worker < 3; ++worker) {
+        cell.SetWorkerCapacity(worker, kNone);
+      }
+      cell.RunFor(kUntilKnown);
+      QueuePolicy tolerant = MakeQueue();
+      tolerant.mLatencyTarget = 60000ms;
+      cell.Submit("gang", Gang(5, 8000, 200ms), tolerant);
+      cell.RunFor(700ms);
+      cell.Submit("single", Tasks(1, 1000, 100ms), tolerant);
+      cell.RunUntilFinal("single", 1000ms);
+      ExpectNoViolation(cell);
+    });
   });
 }
 
