Aim for approvals by the capacities of all workers of the pool

A gang waited for ever when the first usable worker was much larger than the others. The number of approvals to aim for came from the capacity of mUsable.front(), even if that worker belonged to another pool, so fewer workers were approved than the gang has members; a gang's target is not raised while it waits. Before capacities could change, the workers of a cell were equal.

The target now uses the mean number of tasks per worker of the queue's pool. Workers that hold no task are left out of the mean. The test failed before:

covers it though the first worker is larger - job gang has no final state in time

--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -79,17 +79,15 @@
   return 0.0;
 }
 
-// The number of tasks that an empty worker holds; at least 1.
+// The number of tasks that an empty worker holds.
 std::int64_t
 TasksPerWorker(const Resources& aCapacity, const Resources& aTask)
 {
   const auto fits = [](std::int64_t aAvailable, std::int64_t aPerTask) {
     return aPerTask <= 0 ? std::int64_t{ 1000 } : aAvailable / aPerTask;
   };
-  const std::int64_t count =
-    std::min(fits(aCapacity.mMilliCores, aTask.mMilliCores),
-             fits(aCapacity.mMemoryMiB, aTask.mMemoryMiB));
-  return std::max<std::int64_t>(count, 1);
+  return std::min(fits(aCapacity.mMilliCores, aTask.mMilliCores),
+                  fits(aCapacity.mMemoryMiB, aTask.mMemoryMiB));
 }
 
 // The expected end of the step's last run; nothing when a task is still waiting
@@ -120,10 +118,36 @@
   mSpeedsKnown = aSpeedsKnown;
   mUsableInPool.clear();
   for (const Worker* worker : mUsable) {
-    ++mUsableInPool[worker->mEntry.mPool];
+    const Resources& capacity = worker->mEntry.mCapacity;
+    PoolWorkers& pool = mUsableInPool[worker->mEntry.mPool];
+    ++pool.mCount;
+    ++pool.mCapacities[{ capacity.mMilliCores, capacity.mMemoryMiB }];
   }
 }
 
+double
+AdvicePlanner::MeanTasksPerWorker(const PoolName& aPool,
+                                  const Resources& aTask) const
+{
+  const auto pool = mUsableInPool.find(aPool);
+  if (pool == mUsableInPool.end()) {
+    return 1.0;
+  }
+  std::int64_t workers = 0;
+  std::int64_t tasks = 0;
+  for (const auto& [capacity, count] : pool->second.mCapacities) {
+    const std::int64_t perWorker = TasksPerWorker(
+      { .mMilliCores = capacity.first, .mMemoryMiB = capacity.second }, aTask);
+    if (perWorker > 0) {
+      workers += count;
+      tasks += perWorker * count;
+    }
+  }
+  return workers == 0
+           ? 1.0
+           : static_cast<double>(tasks) / static_cast<double>(workers);
+}
+
 std::size_t
 AdvicePlanner::TargetApprovals(const Job& aJob,
                                const StepKey& aKey,
@@ -133,11 +157,9 @@
     return 0;
   }
   const StepSpec& spec = aJob.mRecord.mSpec.mSteps[aKey.mStep];
-  const std::int64_t perWorker =
-    TasksPerWorker(mUsable.front()->mEntry.mCapacity, spec.mResources);
   const double workersNeeded =
     std::ceil(static_cast<double>(aStep.mTasks.size() - aStep.mSucceeded) /
-              static_cast<double>(perWorker));
+              MeanTasksPerWorker(aJob.mRecord.mQueue.mPool, spec.mResources));
   return static_cast<std::size_t>(
     std::max(kMinTargetApprovals, mBudget.TargetRoomFactor() * workersNeeded));
 }
@@ -305,7 +327,8 @@
   const bool mayFindMore =
     advice.mApproved.size() <
       TargetWithoutRoom(aJob, aKey, aStep, aNow) / kLowApprovalsDivisor &&
-    inPool != mUsableInPool.end() && advice.mQueried.size() < inPool->second;
+    inPool != mUsableInPool.end() &&
+    advice.mQueried.size() < inPool->second.mCount;
   const std::size_t renewed =
     std::min({ advice.mApproved.size(), target, kMaxWorkersPerQuery });
   const TimePoint answeredBy =
--- a/src/jobs/internal/adviceplanner.h
+++ b/src/jobs/internal/adviceplanner.h
@@ -2,7 +2,9 @@
 // name in the query.
 #pragma once
 
+#include <cstdint>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "jobs/internal/advicebudget.h"
@@ -45,6 +47,19 @@
   void RemoveWorker(const Worker* aWorker);
 
 private:
+  // The usable workers of a pool.
+  struct PoolWorkers
+  {
+    std::size_t mCount = 0;
+    // Number of workers by capacity: thousandths of a core, and MiB. Few
+    // capacities differ, so a mean over them is cheaper than one over workers.
+    std::map<std::pair<std::int64_t, std::int64_t>, std::int64_t> mCapacities;
+  };
+
+  // The mean number of tasks that the empty workers of a pool hold, leaving out
+  // those that hold none; 1 when all do.
+  double MeanTasksPerWorker(const PoolName& aPool,
+                            const Resources& aTask) const;
   // Sends a round of queries unless one is pending or there is no worker to ask
   // about.
   void SendQueries(const Job& aJob,
@@ -84,7 +99,7 @@
   CellState& mCell;
   bool mSpeedsKnown = false;
   std::vector<Worker*> mUsable;
-  std::map<PoolName, std::size_t> mUsableInPool;
+  std::map<PoolName, PoolWorkers> mUsableInPool;
   AdviceBudget mBudget;
   // Moving average of the share of queried workers that are approved, by queue.
   std::map<QueueName, double> mApprovalShare;
--- a/src/jobs/tests/capacity_test.cpp
+++ b/src/jobs/tests/capacity_test.cpp
@@ -14,6 +14,7 @@
 constexpr Resources kNone{};
 // Longer than the registry takes to show a changed capacity.
 constexpr Millis kUntilKnown = 320ms;
+constexpr std::size_t kManyWorkers = 200;
 const TeamId kTeam("red");
 const TeamId kOtherTeam("blue");
 
@@ -264,6 +265,44 @@
   });
 }
 
+std::size_t
+IndexOf(const WorkerId& aWorker)
+{
+  return std::stoul(aWorker.mValue.substr(1));
+}
+
+QueuePolicy
+MakeAdvisedQueue()
+{
+  QueuePolicy queue = MakeQueue();
+  queue.mAdvice = AdvicePolicy{ .mDecisionTime = 10ms,
+                                .mTimePerWorker = 1ms,
+                                .mValidity = 1000ms };
+  return queue;
+}
+
+void
+DescribeAdvice(Section& aRoot)
+{
+  aRoot.Describe("advice for a gang", [](Section& aSection) {
+    aSection.It("covers it though the first worker is larger", [] {
+      // Guards against a target that takes one worker's capacity for all.
+      FakeCell cell(
+        { .mWorkers = kManyWorkers, .mMaxBatchRecords = kManyWorkers });
+      cell.mIsAllowed = [](const StepKey&, const WorkerId& aWorker) {
+        return IndexOf(aWorker) % 4 == 1;
+      };
+      cell.RunFor(200ms);
+      SetAll(cell, kManyWorkers, kQuarter);
+      cell.SetWorkerCapacity(0, { .mMilliCores = 64000, .mMemoryMiB = 64000 });
+      cell.RunFor(kUntilKnown);
+      cell.Submit("gang", Gang(40, 2000, 200ms), MakeAdvisedQueue());
+      cell.RunUntilFinal("gang", 6000ms);
+      ExpectNoViolation(cell);
+    });
+  });
+}
+
 void
 DescribeSums(Section& aRoot)
 {
@@ -333,6 +372,7 @@
   DescribeGrowth(aRoot);
   DescribeTakeover(aRoot);
   DescribeRestart(aRoot);
+  DescribeAdvice(aRoot);
   DescribeSums(aRoot);
 }
 
