Ask about workers that can hold a task before all others

A gang waited for ever in a cell in which many workers had shrunk to nothing. The score by which the policy service is asked about workers took a worker of capacity zero for an empty one, as a share of nothing counted as all of it, and a small empty worker scored as high as a large one. Their approvals then met the gang's target.

Workers that would not hold a task even if they were empty are now asked about last. The test failed before:

names the workers that can hold a member - job gang has no final state in time

--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 #include "framework/stablehash.h"
@@ -44,6 +45,9 @@
 // Weight of the random component in the score of a worker for a single task,
 // relative to the position in the fixed order.
 constexpr double kWorkerOrderJitter = 0.1;
+// The score of a worker that would not hold a task even if it were empty. It is
+// below all others, also those of workers that exceed their capacity.
+constexpr double kTooSmallScore = std::numeric_limits<double>::lowest();
 
 Duration
 QueryTime(const AdvicePolicy& aPolicy, std::size_t aWorkers)
@@ -65,6 +69,13 @@
                   share(free.mMemoryMiB, capacity.mMemoryMiB));
 }
 
+// True when the worker would hold a task of the step if it were empty.
+bool
+HoldsTask(const Worker& aWorker, const StepSpec& aSpec)
+{
+  return aSpec.mResources.FitsIn(aWorker.mEntry.mCapacity);
+}
+
 double
 SpeedPenalty(WorkerSpeed aSpeed)
 {
@@ -206,6 +217,9 @@
                      std::uint64_t aSeed) const
 {
   constexpr double kHashSteps = 1024.0;
+  if (!HoldsTask(aWorker, aSpec)) {
+    return kTooSmallScore;
+  }
   const std::uint64_t hash = StableHash(aWorker.Id().mValue, aSeed);
   const double jitter =
     static_cast<double>(hash % static_cast<std::uint64_t>(kHashSteps)) /
--- a/src/jobs/tests/capacity_test.cpp
+++ b/src/jobs/tests/capacity_test.cpp
@@ -300,6 +300,17 @@
       cell.RunUntilFinal("gang", 6000ms);
       ExpectNoViolation(cell);
     });
+    aSection.It("names the workers that can hold a member", [] {
+      // Guards against approvals of workers of capacity zero that count.
+      FakeCell cell(
+        { .mWorkers = kManyWorkers, .mMaxBatchRecords = kManyWorkers });
+      cell.RunFor(200ms);
+      SetAll(cell, kManyWorkers - 2, kNone);
+      cell.RunFor(kUntilKnown);
+      cell.Submit("gang", Gang(2, 8000, 200ms), MakeAdvisedQueue());
+      cell.RunUntilFinal("gang", 6000ms);
+      ExpectNoViolation(cell);
+    });
   });
 }
 
