Count no approvals of workers that cannot hold a task

A gang waited for ever when the workers approved for it shrank: their approvals still met its target, so the policy service was not asked about further workers, although others were idle.

Only approvals of workers that would hold a task if they were empty count now. The approvals themselves are kept, as the workers may grow again.

--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -76,6 +76,18 @@
   return aSpec.mResources.FitsIn(aWorker.mEntry.mCapacity);
 }
 
+// The number of approved workers that would hold a task if they were empty.
+// Approvals of workers that have shrunk are kept, as these may grow again.
+std::size_t
+CountApproved(const Step& aStep, const StepSpec& aSpec)
+{
+  const std::vector<Approval>& approved = aStep.mAdvice.mApproved;
+  return std::count_if(
+    approved.begin(), approved.end(), [&aSpec](const Approval& aApproval) {
+      return HoldsTask(*aApproval.mWorker, aSpec);
+    });
+}
+
 double
 SpeedPenalty(WorkerSpeed aSpeed)
 {
@@ -183,23 +195,25 @@
 {
   const std::size_t target = TargetApprovals(aJob, aKey, aStep);
   // A gang waits for all of its members, and its target allows for that.
-  const bool gang = aJob.mRecord.mSpec.mSteps[aKey.mStep].mGang;
-  if (gang || !aStep.mNoRoomSince.has_value() ||
+  const StepSpec& spec = aJob.mRecord.mSpec.mSteps[aKey.mStep];
+  if (spec.mGang || !aStep.mNoRoomSince.has_value() ||
       *aStep.mNoRoomSince + kNoRoomTolerance > aNow) {
     return target;
   }
   const auto raises =
     (aNow - *aStep.mNoRoomSince - kNoRoomTolerance) / kTargetRaiseInterval + 1;
-  return std::max(target, aStep.mAdvice.mApproved.size()) *
+  return std::max(target, CountApproved(aStep, spec)) *
          static_cast<std::size_t>(1 + raises);
 }
 
 std::size_t
 AdvicePlanner::CountToQuery(const Job& aJob,
+                            const StepKey& aKey,
                             const Step& aStep,
                             std::size_t aTarget) const
 {
-  const std::size_t approved = aStep.mAdvice.mApproved.size();
+  const std::size_t approved =
+    CountApproved(aStep, aJob.mRecord.mSpec.mSteps[aKey.mStep]);
   if (approved >= aTarget) {
     return 0;
   }
@@ -281,7 +295,8 @@
   };
   append(expiring, target);
   append(unqueried,
-         CountToQuery(aJob, aStep, TargetWithoutRoom(aJob, aKey, aStep, aNow)));
+         CountToQuery(
+           aJob, aKey, aStep, TargetWithoutRoom(aJob, aKey, aStep, aNow)));
   return selected;
 }
 
@@ -338,8 +353,9 @@
   const StepAdvice& advice = aStep.mAdvice;
   const std::size_t target = TargetApprovals(aJob, aKey, aStep);
   const auto inPool = mUsableInPool.find(aJob.mRecord.mQueue.mPool);
+  const StepSpec& spec = aJob.mRecord.mSpec.mSteps[aKey.mStep];
   const bool mayFindMore =
-    advice.mApproved.size() <
+    CountApproved(aStep, spec) <
       TargetWithoutRoom(aJob, aKey, aStep, aNow) / kLowApprovalsDivisor &&
     inPool != mUsableInPool.end() &&
     advice.mQueried.size() < inPool->second.mCount;
@@ -373,7 +389,7 @@
   }
   const std::size_t count =
     std::min(kMaxWorkersPerQuery,
-             CountToQuery(aJob, step, TargetApprovals(aJob, aKey, step)));
+             CountToQuery(aJob, aKey, step, TargetApprovals(aJob, aKey, step)));
   if (end - QueryTime(*policy, count) - kQueryAheadMargin <= aNow) {
     SendQueries(aJob, aKey, step, aNow);
   }
--- a/src/jobs/internal/adviceplanner.h
+++ b/src/jobs/internal/adviceplanner.h
@@ -87,6 +87,7 @@
   // The number of further workers to ask about to reach the target, going by
   // the share of approvals in the queue's earlier answers.
   std::size_t CountToQuery(const Job& aJob,
+                           const StepKey& aKey,
                            const Step& aStep,
                            std::size_t aTarget) const;
   // Rates a worker for a step; the highest score is queried first.
--- a/src/jobs/tests/capacity_test.cpp
+++ b/src/jobs/tests/capacity_test.cpp
@@ -311,6 +311,30 @@
       cell.RunUntilFinal("gang", 6000ms);
       ExpectNoViolation(cell);
     });
+    aSection.It("is extended when the approved workers shrink", [] {
+      // Guards against a gang that waits for ever for workers of no use.
+      FakeCell cell(
+        { .mWorkers = kManyWorkers, .mMaxBatchRecords = kManyWorkers });
+      std::set<WorkerId> approved;
+      cell.mIsAllowed = [&approved](const StepKey& aStep,
+                                    const WorkerId& aWorker) {
+        if (aStep.mJob.mValue == "gang") {
+          approved.insert(aWorker);
+        }
+        return true;
+      };
+      cell.RunFor(200ms);
+      cell.Submit("fill", Tasks(kManyWorkers, 8000, 1500ms), MakeQueue());
+      cell.RunFor(100ms);
+      cell.Submit("gang", Gang(2, 8000, 200ms), MakeAdvisedQueue());
+      cell.RunFor(400ms);
+      CPPUNIT_ASSERT(approved.size() < kManyWorkers / 2);
+      for (const WorkerId& worker : approved) {
+        cell.SetWorkerCapacity(IndexOf(worker), kNone);
+      }
+      cell.RunUntilFinal("gang", 8000ms);
+      ExpectNoViolation(cell);
+    });
   });
 }
 
