Bound presumed usage by the largest capacity that a worker has had

After a takeover, a team ran more than its quota allows. Until all workers have reported, the new owner presumes what a team may have running, limited to the capacity of the workers that are silent; a worker that has shrunk below its runs may run more than its capacity.

The record of a worker now holds the largest amounts that its capacity has had ("max_capacity"), and a larger capacity is used only once the record is in the store, so the next owner knows a bound. A record of an earlier release has none: then nothing bounds the presumed usage, and the owner completes the record when it knows the worker's runs. The test failed before:

exceeds the capacity of a silent worker that has shrunk - Expression: cell.UsageOf(kTeam).mMilliCores <= 16000

--- a/src/cellnode/internal/recordcodec.cpp
+++ b/src/cellnode/internal/recordcodec.cpp
@@ -345,22 +345,28 @@
 std::string
 Encode(const jobs::WorkerRecord& aRecord)
 {
-  return json{
-    { "id", aRecord.mId.mValue },
-    { "address", aRecord.mAddress },
-    { "pool", aRecord.mPool.mValue }
-  }.dump();
+  json value{ { "id", aRecord.mId.mValue },
+              { "address", aRecord.mAddress },
+              { "pool", aRecord.mPool.mValue } };
+  if (aRecord.mMaxCapacity.has_value()) {
+    value["max_capacity"] = ToJson(*aRecord.mMaxCapacity);
+  }
+  return value.dump();
 }
 
 absl::StatusOr<jobs::WorkerRecord>
 DecodeWorker(std::string_view aText)
 {
   return Decode<jobs::WorkerRecord>(aText, [](const json& aValue) {
-    return jobs::WorkerRecord{
+    jobs::WorkerRecord record{
       .mId = WorkerId(aValue.at("id").get<std::string>()),
       .mAddress = aValue.at("address").get<std::string>(),
       .mPool = jobs::PoolName(aValue.at("pool").get<std::string>())
     };
+    if (const auto most = aValue.find("max_capacity"); most != aValue.end()) {
+      record.mMaxCapacity = ResourcesFrom(*most);
+    }
+    return record;
   });
 }
 
--- a/src/framework/types/resources.h
+++ b/src/framework/types/resources.h
@@ -1,6 +1,7 @@
 // Resource amounts: the capacity of a worker or the demand of a task.
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 
@@ -33,6 +34,26 @@
   bool IsNonNegative() const;
 };
 
+// The smaller of each two amounts.
+constexpr Resources
+Least(const Resources& aLeft, const Resources& aRight)
+{
+  return { .mMilliCores = std::min(aLeft.mMilliCores, aRight.mMilliCores),
+           .mMemoryMiB = std::min(aLeft.mMemoryMiB, aRight.mMemoryMiB),
+           .mAccelerators = std::min(aLeft.mAccelerators, aRight.mAccelerators),
+           .mSlots = std::min(aLeft.mSlots, aRight.mSlots) };
+}
+
+// The larger of each two amounts.
+constexpr Resources
+Most(const Resources& aLeft, const Resources& aRight)
+{
+  return { .mMilliCores = std::max(aLeft.mMilliCores, aRight.mMilliCores),
+           .mMemoryMiB = std::max(aLeft.mMemoryMiB, aRight.mMemoryMiB),
+           .mAccelerators = std::max(aLeft.mAccelerators, aRight.mAccelerators),
+           .mSlots = std::max(aLeft.mSlots, aRight.mSlots) };
+}
+
 // The amounts of aCount tasks.
 constexpr Resources
 Times(const Resources& aTask, std::int64_t aCount)
--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -42,6 +42,7 @@
     worker.mEntry.mAddress = record.mAddress;
     worker.mEntry.mPool = record.mPool;
     worker.mRecorded = true;
+    worker.mMaxCapacity = record.mMaxCapacity;
     worker.mLeaseEndsBy = aLeasesEnd;
     worker.mToken = FencingToken(mOptions.mEpoch.mValue * kTokensPerEpoch + 1);
   }
@@ -58,6 +59,25 @@
   }
 }
 
+bool
+Fleet::RaiseMaxCapacity(Worker& aWorker)
+{
+  const Resources& capacity = aWorker.mEntry.mCapacity;
+  Resources& most = *aWorker.mMaxCapacity;
+  if (capacity.FitsIn(most)) {
+    return false;
+  }
+  most = Most(most, capacity);
+  return true;
+}
+
+void
+Fleet::MarkRecord(Worker& aWorker)
+{
+  aWorker.mRecordPosition = mWriteQueue.Mark(
+    { .mKind = RecordKind::Worker, .mName = aWorker.Id().mValue });
+}
+
 bool
 Fleet::Register(const WorkerEntry& aEntry, TimePoint aNow)
 {
@@ -83,6 +103,7 @@
   worker.mRegistered = true;
   if (added) {
     worker.mToken = FencingToken(mOptions.mEpoch.mValue * kTokensPerEpoch + 1);
+    worker.mMaxCapacity = Resources();
     // No owner has started tasks on a worker that has no record.
     worker.mReconciled = true;
     worker.mNextPollAt = aNow;
@@ -92,11 +113,12 @@
       .With("incarnation", aEntry.mIncarnation);
   }
   const bool returned = worker.mRetired && !aEntry.mDraining;
-  if (added || addressChanged || returned) {
+  const bool grown =
+    worker.mMaxCapacity.has_value() && RaiseMaxCapacity(worker);
+  if (added || addressChanged || returned || grown) {
     worker.mRetired = false;
-    worker.mRecordPosition = mWriteQueue.Mark(
-      { .mKind = RecordKind::Worker, .mName = aEntry.mId.mValue });
     worker.mRecorded = false;
+    MarkRecord(worker);
   }
   if (otherIncarnation) {
     BeginIncarnation(worker, aEntry.mIncarnation);
@@ -260,12 +282,26 @@
   }
 }
 
+void
+Fleet::CompleteRecord(Worker& aWorker)
+{
+  if (aWorker.mMaxCapacity.has_value() || !aWorker.mRegistered ||
+      !aWorker.mReconciled || aWorker.mRetired) {
+    return;
+  }
+  // All runs are known. Until the record is in the store, a later owner
+  // presumes no bound.
+  aWorker.mMaxCapacity = Most(aWorker.mEntry.mCapacity, aWorker.mUsed);
+  MarkRecord(aWorker);
+}
+
 void
 Fleet::Prune(TimePoint aNow,
              const std::function<void(const Worker*)>& aOnRemoved)
 {
   for (auto entry = mWorkers.begin(); entry != mWorkers.end();) {
     Worker& worker = entry->second;
+    CompleteRecord(worker);
     RetireIfIdle(worker);
     const bool gone =
       !worker.mRegistered && !worker.mReachable && worker.mRuns.empty() &&
@@ -292,7 +328,8 @@
   }
   return WorkerRecord{ .mId = aId,
                        .mAddress = found->second.mEntry.mAddress,
-                       .mPool = found->second.mEntry.mPool };
+                       .mPool = found->second.mEntry.mPool,
+                       .mMaxCapacity = found->second.mMaxCapacity };
 }
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/fleet.h
+++ b/src/jobs/internal/fleet.h
@@ -79,6 +79,12 @@
   std::optional<WorkerRecord> RecordOf(const WorkerId& aId) const;
 
 private:
+  // Raises the recorded largest amounts to the worker's present capacity.
+  // Returns true when they have changed.
+  static bool RaiseMaxCapacity(Worker& aWorker);
+  void MarkRecord(Worker& aWorker);
+  // Adds the largest amounts to the record of an earlier release.
+  void CompleteRecord(Worker& aWorker);
   // Removes the record of a worker that has no tasks and gets no more, since
   // the next owner need not know of it.
   void RetireIfIdle(Worker& aWorker);
--- a/src/jobs/internal/teamaccounts.cpp
+++ b/src/jobs/internal/teamaccounts.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-// The capacity of the workers that have not reported all of their runs yet;
-// nothing when the capacity of one of them is not known.
+// What may run on the workers that have not reported all of their runs yet;
+// nothing when that is not known of one of them. Their present capacity is no
+// bound, as it may have become smaller than what runs there.
 std::optional<Resources>
 UnreportedCapacity(const Fleet& aFleet)
 {
@@ -21,10 +22,10 @@
     if (worker.mReconciled) {
       continue;
     }
-    if (!worker.mRegistered) {
+    if (!worker.mMaxCapacity.has_value()) {
       return std::nullopt;
     }
-    capacity += worker.mEntry.mCapacity;
+    capacity += *worker.mMaxCapacity;
   }
   return capacity;
 }
@@ -48,15 +49,6 @@
   return usage;
 }
 
-Resources
-Least(const Resources& aLeft, const Resources& aRight)
-{
-  return { .mMilliCores = std::min(aLeft.mMilliCores, aRight.mMilliCores),
-           .mMemoryMiB = std::min(aLeft.mMemoryMiB, aRight.mMemoryMiB),
-           .mAccelerators = std::min(aLeft.mAccelerators, aRight.mAccelerators),
-           .mSlots = std::min(aLeft.mSlots, aRight.mSlots) };
-}
-
 // Nothing is free where a worker's runs exceed its capacity.
 Resources
 FreeOn(const Worker& aWorker)
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -44,6 +44,9 @@
   TimePoint mUnregisteredSince;
   // The store holds the worker's record, so that a later owner knows of it.
   bool mRecorded = false;
+  // The largest amounts that the capacity has had, as in the record. Nothing is
+  // started beyond them before the record is in the store.
+  std::optional<Resources> mMaxCapacity;
   // Position of the latest change that records the worker.
   RecordPosition mRecordPosition;
   // The worker's record is being removed, so it gets no more tasks.
--- a/src/jobs/tests/capacity_test.cpp
+++ b/src/jobs/tests/capacity_test.cpp
@@ -1,3 +1,4 @@
+#include "jobs/internal/fleet.h"
 #include "jobs/tests/fakecell.h"
 #include "jobs/tests/testgroups.h"
 
@@ -213,6 +214,55 @@
     });
 }
 
+void
+DescribePresumedUsage(Section& aRoot)
+{
+  aRoot.Describe("a new owner's presumed usage", [](Section& aSection) {
+    aSection.It("exceeds the capacity of a silent worker that has shrunk", [] {
+      // Guards against a quota that is used twice after a takeover.
+      FakeCell cell;
+      cell.Configure(
+        { { .mName = kTeam, .mQuota = { .mMilliCores = 16000 } } });
+      cell.RunFor(200ms);
+      cell.Submit("old", Tasks(8, 2000, 3000ms), MakeQueue(), kTeam);
+      cell.RunFor(300ms);
+      for (std::size_t worker = 0; worker < 6; ++worker) {
+        if (RunsOn(cell, worker) > 0) {
+          cell.SetWorkerCapacity(worker, kQuarter);
+          cell.SetWorkerUnreachable(worker, true);
+        }
+      }
+      cell.RunFor(kUntilKnown);
+      cell.TakeOver();
+      cell.Submit("new", Tasks(8, 2000, 500ms), MakeQueue(), kTeam);
+      for (int step = 0; step < 1000; ++step) {
+        cell.RunFor(2ms);
+        CPPUNIT_ASSERT(cell.UsageOf(kTeam).mMilliCores <= 16000);
+      }
+      cell.RunUntilFinal("new", 20000ms);
+      ExpectNoViolation(cell);
+    });
+    aSection.It("is bounded by records of earlier releases once complete", [] {
+      // Guards against workers whose runs have no known bound for ever.
+      const SchedulerOptions options;
+      RecordWriteQueue queue;
+      Fleet fleet(options, queue);
+      const WorkerEntry entry{ .mId = WorkerId("w0"), .mCapacity = kQuarter };
+      fleet.Recover({ { .mId = entry.mId } }, {});
+      fleet.Register(entry, {});
+      Worker& worker = *fleet.Find(entry.mId);
+      worker.mUsed = { .mMilliCores = 6000 };
+      fleet.Prune({}, [](const Worker*) {});
+      CPPUNIT_ASSERT(!fleet.RecordOf(entry.mId)->mMaxCapacity.has_value());
+      worker.mReconciled = true;
+      fleet.Prune({}, [](const Worker*) {});
+      const Resources bound{ .mMilliCores = 6000, .mMemoryMiB = 8000 };
+      CPPUNIT_ASSERT(fleet.RecordOf(entry.mId)->mMaxCapacity == bound);
+      CPPUNIT_ASSERT(queue.HasWaiting());
+    });
+  });
+}
+
 void
 DescribeRestart(Section& aRoot)
 {
@@ -406,6 +456,7 @@
   DescribeShrink(aRoot);
   DescribeGrowth(aRoot);
   DescribeTakeover(aRoot);
+  DescribePresumedUsage(aRoot);
   DescribeRestart(aRoot);
   DescribeAdvice(aRoot);
   DescribeSums(aRoot);
--- a/src/jobs/types/jobrecord.h
+++ b/src/jobs/types/jobrecord.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -78,6 +79,9 @@
   WorkerId mId;
   std::string mAddress;
   PoolName mPool;
+  // The largest amounts that the worker's capacity has had, which bound what
+  // may run there. Nothing in records of releases before it was recorded.
+  std::optional<Resources> mMaxCapacity;
 };
 
 // All records of a shard, as read by a node that takes it over.
