--- a/src/jobs/tests/capacity_test.cpp
+++ b/src/jobs/tests/capacity_test.cpp
@@ -1,4 +1,5 @@
 #include "jobs/internal/fleet.h"
+#include "jobs/internal/reservation.h"
 #include "jobs/tests/fakecell.h"
 #include "jobs/tests/testgroups.h"
 
@@ -428,6 +429,23 @@
       CPPUNIT_ASSERT(isRefused(9000));
       CPPUNIT_ASSERT(!isRefused(4000));
     });
+    aSection.It("is reserved from when enough runs have ended", [] {
+      // Guards against reservations on room that a shrunk worker never frees.
+      Worker worker;
+      worker.mEntry.mCapacity = kQuarter;
+      ReservationCandidate candidate{ .mWorker = &worker, .mMaxTasks = 4 };
+      const Resources task{ .mMilliCores = 2000, .mMemoryMiB = 100 };
+      for (int run = 1; run <= 4; ++run) {
+        worker.mUsed += task;
+        candidate.mEnds.Add(TimePoint(run * 1s), task);
+      }
+      const auto plan = PlanReservation({ candidate }, task, 1, {});
+      CPPUNIT_ASSERT(plan.has_value() && plan->mStart == TimePoint(4s));
+      CPPUNIT_ASSERT(!PlanReservation({ candidate }, task, 2, {}).has_value());
+      ReservationTable table;
+      table.Add(*plan, task, { candidate });
+      CPPUNIT_ASSERT(!table.Allows(&worker, task, TimePoint(5s)));
+    });
     aSection.It("limits single tasks to a share of it, not of the workers", [] {
       // Guards against tasks that may only use workers of no capacity while a
       // gang waits.
