Read on at once after a page of changes that was cut short

Cause: the store cuts a page of changes at 500 rows and sends no hasMore. The owner took it for all changes, waited 250 ms to collect further ones, and read the next 500. A reader that is behind stays behind. For the same reason such a page was taken as proof that all changes are known.

--- a/src/cellnode/internal/tablewatch.cpp
+++ b/src/cellnode/internal/tablewatch.cpp
@@ -193,7 +193,9 @@
   if (complete) {
     ReportUpToDate(aSentAt);
   }
-  mTimer->StartAfter(mOptions.mPauseBetweenCalls);
+  // The pause collects changes. After a page that was cut short, more are there
+  // already.
+  mTimer->StartAfter(aPage->mHasMore ? 0ms : mOptions.mPauseBetweenCalls);
 }
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/tests/tablewatch_test.cpp
+++ b/src/cellnode/tests/tablewatch_test.cpp
@@ -84,12 +84,12 @@
   }
   // Reads the table in full, and follows its feed until a call after the first
   // one that is answered.
-  void Follow()
+  void Follow(std::chrono::milliseconds aPause = 0ms)
   {
     TableWatch watch(
       mLoop,
       mStore,
-      { .mTable = "workers", .mPart = "" },
+      { .mTable = "workers", .mPart = "", .mPauseBetweenCalls = aPause },
       { .mOnRow = [](const Row&) {},
         .mOnRemoved = [](const std::string&) {},
         .mOnSynchronized = {},
@@ -150,6 +150,18 @@
 TableWatchTests(Section& aRoot)
 {
   DescribeProofs(aRoot);
+  aRoot.Describe("changes that were cut short", [](Section& aSection) {
+    // Guards against a feed that falls behind a table that changes fast.
+    aSection.It("are followed by the next ones without a pause", [] {
+      constexpr std::chrono::milliseconds kPause = 2s;
+      Fixture fixture;
+      fixture.mFeedHasMore = true;
+      fixture.Follow(kPause);
+      const auto& calls = fixture.mCalledAt;
+      // The pause before the first feed call is the only one.
+      CPPUNIT_ASSERT(calls.back() - calls[calls.size() - 2] < kPause);
+    });
+  });
   aRoot.Describe("a feed call without an answer", [](Section& aSection) {
     aSection.It("is followed by one that does not wait for changes", [] {
       Fixture fixture;
