Reset the patience with new owners once one has lasted

Cause, found by review: the factor on the timeouts went back to 1 only with the next change of owner, not when the present one had lasted 5 s.

Change: the factor applies only to an owner that has not lasted yet. Test: "do not slow down the replacement of one that lasted" failed before (< 1200ms).

--- a/src/cellnode/internal/ownershippolicy.cpp
+++ b/src/cellnode/internal/ownershippolicy.cpp
@@ -37,17 +37,27 @@
   }
 }
 
+bool
+OwnershipPolicy::HasLasted(TimePoint aNow) const
+{
+  return mNewestEpochSeenAt + Duration(mOptions.mMinOwnership) <= aNow;
+}
+
+int
+OwnershipPolicy::TimeoutFactor(TimePoint aNow) const
+{
+  return HasLasted(aNow) ? 1 : mTimeoutFactor;
+}
+
 void
 OwnershipPolicy::NoteEpoch(Epoch aEpoch, TimePoint aNow)
 {
   if (aEpoch <= mNewestEpoch) {
     return;
   }
-  const bool lasted =
-    mNewestEpochSeenAt + Duration(mOptions.mMinOwnership) <= aNow;
-  if (lasted) {
-    mTimeoutFactor = 1;
-  } else if (mNewestEpoch != Epoch() && mLastContactAt.has_value()) {
+  mTimeoutFactor = TimeoutFactor(aNow);
+  if (!HasLasted(aNow) && mNewestEpoch != Epoch() &&
+      mLastContactAt.has_value()) {
     mTimeoutFactor = std::min(2 * mTimeoutFactor, mOptions.mMaxTimeoutFactor);
   }
   mNewestEpoch = aEpoch;
@@ -132,8 +142,9 @@
 std::optional<RowVersion>
 OwnershipPolicy::VersionToClaim(TimePoint aNow) const
 {
-  if (!mRowKnown || !IsOverdue(mTimeoutFactor * mOptions.mHeartbeatTimeout,
-                               mTimeoutFactor * mOptions.mStoreWriteTimeout,
+  const int factor = TimeoutFactor(aNow);
+  if (!mRowKnown || !IsOverdue(factor * mOptions.mHeartbeatTimeout,
+                               factor * mOptions.mStoreWriteTimeout,
                                aNow)) {
     return std::nullopt;
   }
--- a/src/cellnode/ownershippolicy.h
+++ b/src/cellnode/ownershippolicy.h
@@ -91,6 +91,10 @@
   const std::optional<OwnerRow>& Row() const { return mRow; }
 
 private:
+  // True when the present owner took over long enough ago.
+  bool HasLasted(TimePoint aNow) const;
+  // The factor on the timeouts of the present owner; 1 once it has lasted.
+  int TimeoutFactor(TimePoint aNow) const;
   // Notes that a node owns the shard in that epoch.
   void NoteEpoch(Epoch aEpoch, TimePoint aNow);
   // True when the owner has sent no message for aSilence, or has not written to
@@ -110,7 +114,7 @@
   double mBestFitness = 1.0;
   Epoch mNewestEpoch;
   TimePoint mNewestEpochSeenAt;
-  // Factor on the timeouts of the owner.
+  // Factor on the timeouts of an owner that has not lasted yet.
   int mTimeoutFactor = 1;
   Epoch mDeniedEpoch;
   Epoch mHandoverEpoch;
--- a/src/cellnode/tests/ownershippolicy_test.cpp
+++ b/src/cellnode/tests/ownershippolicy_test.cpp
@@ -167,6 +167,15 @@
         CPPUNIT_ASSERT(
           TimeToReplaceSilentOwner(policy, Epoch(7), kBegin + 10s) < 1200ms);
       });
+      // Guards against a later failure that is noticed late.
+      aSection.It("do not slow down the replacement of one that lasted", [] {
+        OwnershipPolicy policy = Policy();
+        policy.OnOwnerContact(Epoch(5), 100ms, kBegin);
+        policy.OnOwnerContact(Epoch(6), 100ms, kBegin + 1s);
+        policy.OnOwnerContact(Epoch(7), 100ms, kBegin + 2s);
+        CPPUNIT_ASSERT(
+          TimeToReplaceSilentOwner(policy, Epoch(7), kBegin + 60s) < 1200ms);
+      });
       aSection.It("leave a killed successor to be replaced at once", [] {
         OwnershipPolicy policy = Policy();
         policy.OnOwnerContact(Epoch(5), 100ms, kBegin);
