Pause after a page of changes that does not advance

Cause, found by review: a store that answers a full page of the same version again and again would be asked without a pause.

--- a/src/cellnode/internal/tablewatch.cpp
+++ b/src/cellnode/internal/tablewatch.cpp
@@ -176,6 +176,7 @@
   // older version does not show the newest changes.
   const bool complete = !aPage->mHasMore && (aPage->mVersion == RowVersion() ||
                                              aPage->mVersion >= mVersion);
+  const bool advanced = aPage->mVersion > mVersion;
   mVersion = std::max(mVersion, aPage->mVersion);
   for (const Row& row : aPage->mRows) {
     if (row.mKey.mPart != mOptions.mPart) {
@@ -194,8 +195,9 @@
     ReportUpToDate(aSentAt);
   }
   // The pause collects changes. After a page that was cut short, more are there
-  // already.
-  mTimer->StartAfter(aPage->mHasMore ? 0ms : mOptions.mPauseBetweenCalls);
+  // already, unless the store has answered with the same page again.
+  mTimer->StartAfter(aPage->mHasMore && advanced ? 0ms
+                                                 : mOptions.mPauseBetweenCalls);
 }
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/tests/tablewatch_test.cpp
+++ b/src/cellnode/tests/tablewatch_test.cpp
@@ -40,6 +40,7 @@
   std::vector<BootTimePoint> mUpToDate;
   // The feed call that is answered is cut short.
   bool mFeedHasMore = false;
+  RowVersion mFeedVersion{ 8 };
   RowStoreHooks mStore;
 
   Fixture()
@@ -77,7 +78,7 @@
     if (mLostFeeds-- > 0) {
       aDone(absl::DeadlineExceededError("no response in time"));
     } else if (mLostFeeds == -1) {
-      aDone(RowPage{ .mHasMore = mFeedHasMore });
+      aDone(RowPage{ .mHasMore = mFeedHasMore, .mVersion = mFeedVersion });
     } else {
       mLoop.Stop();
     }
