Keep both links of two nodes that connect to each other at the same time

Cause: after a takeover the new owner connects to all nodes while they connect to it. Each side kept the link whose hello it had read last and closed the other one without telling anybody, so what was on its way on that link was lost: advice queries, their answers, callers' requests and their answers. A node whose advice query or answer was lost counted as busy for the rest of the ownership, so up to three of four nodes answered no long query any more.

Change: a node keeps up to two links to another one, sends on the newest and receives on both. A link that closes is reported, and the node is announced again when another link is left. Hellos are numbered, so that one that arrives late on the other link changes nothing. Links to an earlier process are closed and reported.

--- a/src/cellnode/internal/peerlinks.cpp
+++ b/src/cellnode/internal/peerlinks.cpp
@@ -13,6 +13,17 @@
 
 // A link on which no hello arrives is closed after this time.
 constexpr std::chrono::milliseconds kHelloTimeout = 700ms;
+// Each of two nodes can have connected to the other one.
+constexpr std::size_t kMaxLinksPerNode = 2;
+
+// True when a hello, or a later one of the same process, has been received
+// before.
+bool
+IsOutdated(const cellwire::HelloT& aHello, const cellwire::HelloT& aLast)
+{
+  return aHello.incarnation == aLast.incarnation && aHello.sequence != 0 &&
+         aHello.sequence <= aLast.sequence;
+}
 
 } // namespace
 
@@ -37,6 +48,7 @@
 PeerLinks::SetHello(cellwire::HelloT aHello)
 {
   mHello = std::move(aHello);
+  mHello.sequence = ++mLastHelloSequence;
   for (const std::unique_ptr<Peer>& peer : mPeers) {
     if (!peer->mClosed) {
       SendFrame(*peer, EncodeFrame(mHello));
@@ -142,20 +154,47 @@
       (aHello.wants_compression || mHello.wants_compression)) {
     aPeer.mCompressor = std::make_unique<FrameCompressor>();
   }
+  CloseLinksToPredecessor(node, aHello);
   if (aPeer.mNode.Empty()) {
-    aPeer.mNode = node;
-    const auto [place, added] = mNodes.emplace(node, &aPeer);
-    if (!added) {
-      // Keeps the newer link, because the peer may no longer use the older
-      // one. The older one is not reported as closed.
-      Peer* older = std::exchange(place->second, &aPeer);
-      older->mNode = NodeId();
-      CloseLink(*older);
-    }
+    AssignToNode(aPeer, node);
+  }
+  LinkedNode& linked = mNodes[node];
+  if (IsOutdated(aHello, linked.mLastHello)) {
+    return;
   }
+  linked.mLastHello = aHello;
   mHooks.mOnHello(node, aHello);
 }
 
+void
+PeerLinks::CloseLinksToPredecessor(const NodeId& aNode,
+                                   const cellwire::HelloT& aHello)
+{
+  auto found = mNodes.find(aNode);
+  if (found == mNodes.end() ||
+      found->second.mLastHello.incarnation == aHello.incarnation) {
+    return;
+  }
+  const std::vector<Peer*> links = std::move(found->second.mLinks);
+  mNodes.erase(found);
+  for (Peer* link : links) {
+    link->mNode = NodeId();
+    CloseLink(*link);
+  }
+  mHooks.mOnClosed(aNode);
+}
+
+void
+PeerLinks::AssignToNode(Peer& aPeer, const NodeId& aNode)
+{
+  aPeer.mNode = aNode;
+  std::vector<Peer*>& links = mNodes[aNode].mLinks;
+  links.push_back(&aPeer);
+  if (links.size() > kMaxLinksPerNode) {
+    CloseLink(*links.front());
+  }
+}
+
 void
 PeerLinks::CloseLink(Peer& aPeer)
 {
@@ -165,10 +204,20 @@
   aPeer.mClosed = true;
   aPeer.mLink->Close();
   mCleanupTimer->StartWithin(Duration::zero());
-  if (!aPeer.mNode.Empty()) {
-    mNodes.erase(aPeer.mNode);
-    mHooks.mOnClosed(aPeer.mNode);
+  if (aPeer.mNode.Empty()) {
+    return;
+  }
+  const NodeId node = aPeer.mNode;
+  const auto found = mNodes.find(node);
+  std::erase(found->second.mLinks, &aPeer);
+  if (found->second.mLinks.empty()) {
+    mNodes.erase(found);
+    mHooks.mOnClosed(node);
+    return;
   }
+  const cellwire::HelloT hello = found->second.mLastHello;
+  mHooks.mOnClosed(node);
+  mHooks.mOnHello(node, hello);
 }
 
 // Destroys closed links. This runs from a timer because a link cannot be
@@ -184,7 +233,7 @@
 PeerLinks::LinkedNodes() const
 {
   std::vector<NodeId> nodes;
-  for (const auto& [node, peer] : mNodes) {
+  for (const auto& [node, linked] : mNodes) {
     nodes.push_back(node);
   }
   return nodes;
--- a/src/cellnode/internal/peerlinks.h
+++ b/src/cellnode/internal/peerlinks.h
@@ -1,6 +1,9 @@
-// Manages the links to the other nodes of the cell, one for each node.
+// Manages the links to the other nodes of the cell. Two nodes that connect to
+// each other at the same time have two links; both stay open, and messages are
+// received on both, as the other side may send on either.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -17,9 +20,12 @@
 
 struct PeerHooks
 {
-  // Called for each hello of a node: the first on a link, and every later one.
+  // Called for each new hello of a node.
   std::function<void(const NodeId&, const cellwire::HelloT&)> mOnHello;
   std::function<void(const NodeId&, const cellwire::MessageT&)> mOnMessage;
+  // Called when a link to the node has closed, so that messages to and from it
+  // may have been lost. When another link to the node is open, mOnHello follows
+  // with the node's last hello.
   std::function<void(const NodeId&)> mOnClosed;
 };
 
@@ -34,7 +40,8 @@
   // Connects to a node. Does nothing while a link to the address is open or
   // connecting.
   void Connect(const eventloop::SocketAddress& aAddress);
-  // Sends a message to a node. Returns false when there is no link to it.
+  // Sends a message to a node, on the newest link to it. Returns false when
+  // there is none.
   template<typename Body>
   bool Send(const NodeId& aNode, Body aBody)
   {
@@ -42,7 +49,7 @@
     if (found == mNodes.end()) {
       return false;
     }
-    SendFrame(*found->second, EncodeFrame(std::move(aBody)));
+    SendFrame(*found->second.mLinks.back(), EncodeFrame(std::move(aBody)));
     return true;
   }
   bool IsLinked(const NodeId& aNode) const { return mNodes.contains(aNode); }
@@ -65,6 +72,14 @@
     std::unique_ptr<FrameDecompressor> mDecompressor;
   };
 
+  // A node with at least one open link.
+  struct LinkedNode
+  {
+    // Oldest first.
+    std::vector<Peer*> mLinks;
+    cellwire::HelloT mLastHello;
+  };
+
   void AddLink(std::unique_ptr<eventloop::FrameLink> aLink,
                std::string aConnectedAddress);
   void OnFrame(Peer& aPeer, std::string_view aFrame);
@@ -72,6 +87,12 @@
   static absl::StatusOr<cellwire::MessageT> Decode(Peer& aPeer,
                                                    std::string_view aFrame);
   void OnHello(Peer& aPeer, const cellwire::HelloT& aHello);
+  // Closes the links to an earlier process of the node.
+  void CloseLinksToPredecessor(const NodeId& aNode,
+                               const cellwire::HelloT& aHello);
+  // Adds a link to those of its node. Closes the oldest one when there are more
+  // than two nodes that connect to each other can have.
+  void AssignToNode(Peer& aPeer, const NodeId& aNode);
   void CloseLink(Peer& aPeer);
   void RemoveClosedLinks();
 
@@ -79,8 +100,9 @@
   PeerHooks mHooks;
   cellwire::HelloT mHello;
   std::unique_ptr<eventloop::FrameListener> mListener;
+  std::uint64_t mLastHelloSequence = 0;
   std::vector<std::unique_ptr<Peer>> mPeers;
-  std::map<NodeId, Peer*> mNodes;
+  std::map<NodeId, LinkedNode> mNodes;
   std::unique_ptr<eventloop::Timer> mCleanupTimer;
 };
 
--- a/src/cellnode/schema/cellpeer_generated.h
+++ b/src/cellnode/schema/cellpeer_generated.h
@@ -345,6 +345,7 @@
   bool relays = false;
   bool accepts_compression = false;
   bool wants_compression = false;
+  uint64_t sequence = 0;
 };
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -360,7 +361,8 @@
     VT_ZONE = 16,
     VT_RELAYS = 18,
     VT_ACCEPTS_COMPRESSION = 20,
-    VT_WANTS_COMPRESSION = 22
+    VT_WANTS_COMPRESSION = 22,
+    VT_SEQUENCE = 24
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -392,6 +394,9 @@
   bool wants_compression() const {
     return GetField<uint8_t>(VT_WANTS_COMPRESSION, 0) != 0;
   }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -407,6 +412,7 @@
            VerifyField<uint8_t>(verifier, VT_RELAYS, 1) &&
            VerifyField<uint8_t>(verifier, VT_ACCEPTS_COMPRESSION, 1) &&
            VerifyField<uint8_t>(verifier, VT_WANTS_COMPRESSION, 1) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            verifier.EndTable();
   }
   HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -448,6 +454,9 @@
   void add_wants_compression(bool wants_compression) {
     fbb_.AddElement<uint8_t>(Hello::VT_WANTS_COMPRESSION, static_cast<uint8_t>(wants_compression), 0);
   }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(Hello::VT_SEQUENCE, sequence, 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -470,8 +479,10 @@
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     bool relays = false,
     bool accepts_compression = false,
-    bool wants_compression = false) {
+    bool wants_compression = false,
+    uint64_t sequence = 0) {
   HelloBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
   builder_.add_epoch(epoch);
   builder_.add_incarnation(incarnation);
   builder_.add_zone(zone);
@@ -496,7 +507,8 @@
     const char *zone = nullptr,
     bool relays = false,
     bool accepts_compression = false,
-    bool wants_compression = false) {
+    bool wants_compression = false,
+    uint64_t sequence = 0) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -511,7 +523,8 @@
       zone__,
       relays,
       accepts_compression,
-      wants_compression);
+      wants_compression,
+      sequence);
 }
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2678,6 +2691,7 @@
   { auto _e = relays(); _o->relays = _e; }
   { auto _e = accepts_compression(); _o->accepts_compression = _e; }
   { auto _e = wants_compression(); _o->wants_compression = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
 }
 
 inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2698,6 +2712,7 @@
   auto _relays = _o->relays;
   auto _accepts_compression = _o->accepts_compression;
   auto _wants_compression = _o->wants_compression;
+  auto _sequence = _o->sequence;
   return oriolevane::cellwire::CreateHello(
       _fbb,
       _node,
@@ -2709,7 +2724,8 @@
       _zone,
       _relays,
       _accepts_compression,
-      _wants_compression);
+      _wants_compression,
+      _sequence);
 }
 
 inline HeartbeatT *Heartbeat::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/cellnode/tests/main.cpp
+++ b/src/cellnode/tests/main.cpp
@@ -15,6 +15,7 @@
       { "caller requests", oriolevane::CallerRequestHandlerTests },
       { "caller authorizer", oriolevane::CallerAuthorizerTests },
       { "configuration tracker", oriolevane::ConfigurationTrackerTests },
+      { "peer links", oriolevane::PeerLinksTests },
       { "peer messages", oriolevane::PeerMessagesTests },
       { "loop lag monitor", oriolevane::LoopLagMonitorTests },
       { "yield policy", oriolevane::YieldPolicyTests },
--- a/src/cellnode/tests/testgroups.h
+++ b/src/cellnode/tests/testgroups.h
@@ -20,6 +20,8 @@
 void
 ConfigurationTrackerTests(testing::Section& aRoot);
 void
+PeerLinksTests(testing::Section& aRoot);
+void
 PeerMessagesTests(testing::Section& aRoot);
 void
 LoopLagMonitorTests(testing::Section& aRoot);
