Advice queries: none waits forever, unneeded ones are dropped, lost answers are noticed

Callers saw long-running tasks that had lost their worker stay away while others kept starting.

Change: a query is due four times its service time after it was added, and the one that is due first goes first, among those that a node can take. A query whose step needs no answer any more is dropped when its turn comes. A query without an answer for 4.5 s is reported as unanswered, and its node gets others. The scheduler therefore hears of every query once, and its own timeout goes.

Tests: starvation, dropping, lost answers; the first does not pass on the code before (shortest first), the others use what is new.

--- a/src/cellnode/advicedispatcher.h
+++ b/src/cellnode/advicedispatcher.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "framework/types/ids.h"
+#include "framework/types/timepoint.h"
 #include "jobs/types/orders.h"
 
 namespace oriolevane::cellnode {
@@ -19,8 +20,19 @@
 {
   // Sends a query to a node, which passes it to the policy service.
   std::function<void(const NodeId&, QueryId, const jobs::AdviceQuery&)> mSend;
+  // Returns false when the answer to a query is not needed any more.
+  std::function<bool(const jobs::AdviceQuery&)> mIsWanted =
+    [](const jobs::AdviceQuery&) { return true; };
+  // Called when a query gets no answer: its node has not answered in time, or
+  // it was not wanted any more when a node had capacity.
+  std::function<void(const jobs::AdviceQuery&)> mOnUnanswered =
+    [](const jobs::AdviceQuery&) {};
+  std::function<TimePoint()> mNow = [] {
+    return std::chrono::steady_clock::now();
+  };
 };
 
+// Every query that is added is either answered or reported as unanswered.
 class AdviceDispatcher
 {
 public:
@@ -35,24 +47,42 @@
   // Takes an answer and returns its query, or nothing when the query is not
   // outstanding any more.
   std::optional<jobs::AdviceQuery> OnAnswer(QueryId aId);
+  // Gives up the queries that a node should have answered by now, so that the
+  // node gets further ones.
+  void Expire();
   std::size_t NodeCount() const { return mNodeLoads.size(); }
 
 private:
+  struct PendingQuery
+  {
+    jobs::AdviceQuery mQuery;
+    // Waiting queries are sent in the order of these times.
+    TimePoint mDue;
+    // When the node that it was sent to should have answered.
+    TimePoint mExpiresAt;
+  };
   // The outstanding queries of a node and their total service time.
   struct NodeLoad
   {
-    std::map<QueryId, jobs::AdviceQuery> mQueries;
+    std::map<QueryId, PendingQuery> mQueries;
     std::chrono::microseconds mServiceTime{ 0 };
   };
-  // Orders waiting queries by service time, then by age.
-  using WaitingKey = std::pair<std::chrono::microseconds, QueryId>;
+  using WaitingQueries = std::map<std::pair<TimePoint, QueryId>, PendingQuery>;
 
+  void AddWaiting(QueryId aId, PendingQuery aQuery);
   void Assign();
-  NodeLoad* ChooseNode(std::chrono::microseconds aServiceTime, NodeId& aName);
+  // Sends the query that is due first of those that a node has capacity for.
+  // Returns false when there is none.
+  bool AssignNext();
+  // Sends the first query of a queue. Returns false when no node has capacity.
+  bool AssignFirst(WaitingQueries& aWaiting);
+  void DropUnwanted(WaitingQueries& aWaiting);
+  NodeLoad* ChooseNode(bool aLong, NodeId& aName);
 
   AdviceDispatcherHooks mHooks;
   std::map<NodeId, NodeLoad> mNodeLoads;
-  std::map<WaitingKey, jobs::AdviceQuery> mWaiting;
+  WaitingQueries mWaitingShort;
+  WaitingQueries mWaitingLong;
   QueryId mLastId;
 };
 
--- a/src/cellnode/internal/advicedispatcher.cpp
+++ b/src/cellnode/internal/advicedispatcher.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "framework/log.h"
+
 namespace oriolevane::cellnode {
 
 namespace {
@@ -18,6 +20,18 @@
 // A node gets another query while the total service time of its outstanding
 // ones is below this.
 constexpr std::chrono::microseconds kMaxOutstandingServiceTime = 25ms;
+// A query is due this many times its service time after it was added. Short
+// queries go first, but only those that were added before a long one is due.
+constexpr int kServiceTimesUntilDue = 4;
+// A node reports a query that the policy service does not answer before this
+// time has passed, unless the report is lost.
+constexpr std::chrono::milliseconds kAnswerTimeout = 4500ms;
+
+bool
+IsLong(const jobs::AdviceQuery& aQuery)
+{
+  return aQuery.mServiceTime >= kLongQueryServiceTime;
+}
 
 } // namespace
 
@@ -41,7 +55,7 @@
     return;
   }
   for (auto& [id, query] : found->second.mQueries) {
-    mWaiting.emplace(WaitingKey(query.mServiceTime, id), std::move(query));
+    AddWaiting(id, std::move(query));
   }
   mNodeLoads.erase(found);
   Assign();
@@ -51,10 +65,23 @@
 AdviceDispatcher::Add(const jobs::AdviceQuery& aQuery)
 {
   ++mLastId.mValue;
-  mWaiting.emplace(WaitingKey(aQuery.mServiceTime, mLastId), aQuery);
+  AddWaiting(
+    mLastId,
+    { .mQuery = aQuery,
+      .mDue = mHooks.mNow() + kServiceTimesUntilDue * aQuery.mServiceTime,
+      .mExpiresAt = {} });
   Assign();
 }
 
+void
+AdviceDispatcher::AddWaiting(QueryId aId, PendingQuery aQuery)
+{
+  WaitingQueries& waiting =
+    IsLong(aQuery.mQuery) ? mWaitingLong : mWaitingShort;
+  const std::pair key(aQuery.mDue, aId);
+  waiting.emplace(key, std::move(aQuery));
+}
+
 std::optional<jobs::AdviceQuery>
 AdviceDispatcher::OnAnswer(QueryId aId)
 {
@@ -63,7 +90,7 @@
     if (found == load.mQueries.end()) {
       continue;
     }
-    jobs::AdviceQuery query = std::move(found->second);
+    jobs::AdviceQuery query = std::move(found->second.mQuery);
     load.mServiceTime -= query.mServiceTime;
     load.mQueries.erase(found);
     Assign();
@@ -72,9 +99,35 @@
   return std::nullopt;
 }
 
+void
+AdviceDispatcher::Expire()
+{
+  const TimePoint now = mHooks.mNow();
+  std::vector<jobs::AdviceQuery> expired;
+  for (auto& [name, load] : mNodeLoads) {
+    for (auto entry = load.mQueries.begin(); entry != load.mQueries.end();) {
+      if (entry->second.mExpiresAt > now) {
+        ++entry;
+        continue;
+      }
+      LogInfo("advice_query_expired")
+        .With("node", name)
+        .With("step", entry->second.mQuery.mStep.ToText());
+      load.mServiceTime -= entry->second.mQuery.mServiceTime;
+      expired.push_back(std::move(entry->second.mQuery));
+      entry = load.mQueries.erase(entry);
+    }
+  }
+  for (const jobs::AdviceQuery& query : expired) {
+    mHooks.mOnUnanswered(query);
+  }
+  if (!expired.empty()) {
+    Assign();
+  }
+}
+
 AdviceDispatcher::NodeLoad*
-AdviceDispatcher::ChooseNode(std::chrono::microseconds aServiceTime,
-                             NodeId& aName)
+AdviceDispatcher::ChooseNode(bool aLong, NodeId& aName)
 {
   // The first nodes by name take only short queries.
   const std::size_t shortQueryNodes =
@@ -85,8 +138,7 @@
   std::size_t place = 0;
   for (auto& [name, load] : mNodeLoads) {
     const bool takesLongQueries = place++ >= firstLongQueryNode;
-    const bool allowed =
-      aServiceTime < kLongQueryServiceTime || takesLongQueries;
+    const bool allowed = !aLong || takesLongQueries;
     if (allowed && load.mServiceTime < kMaxOutstandingServiceTime &&
         (best == nullptr || load.mServiceTime < best->mServiceTime)) {
       best = &load;
@@ -96,24 +148,58 @@
   return best;
 }
 
+void
+AdviceDispatcher::DropUnwanted(WaitingQueries& aWaiting)
+{
+  while (!aWaiting.empty() &&
+         !mHooks.mIsWanted(aWaiting.begin()->second.mQuery)) {
+    const jobs::AdviceQuery query = std::move(aWaiting.begin()->second.mQuery);
+    aWaiting.erase(aWaiting.begin());
+    mHooks.mOnUnanswered(query);
+  }
+}
+
+bool
+AdviceDispatcher::AssignFirst(WaitingQueries& aWaiting)
+{
+  if (aWaiting.empty()) {
+    return false;
+  }
+  const auto entry = aWaiting.begin();
+  NodeId name;
+  NodeLoad* load = ChooseNode(IsLong(entry->second.mQuery), name);
+  if (load == nullptr) {
+    return false;
+  }
+  const QueryId id = entry->first.second;
+  PendingQuery& pending =
+    load->mQueries.emplace(id, std::move(entry->second)).first->second;
+  aWaiting.erase(entry);
+  load->mServiceTime += pending.mQuery.mServiceTime;
+  pending.mExpiresAt = mHooks.mNow() + kAnswerTimeout;
+  mHooks.mSend(name, id, pending.mQuery);
+  return true;
+}
+
+bool
+AdviceDispatcher::AssignNext()
+{
+  DropUnwanted(mWaitingShort);
+  DropUnwanted(mWaitingLong);
+  const bool longFirst =
+    !mWaitingLong.empty() &&
+    (mWaitingShort.empty() ||
+     mWaitingLong.begin()->first < mWaitingShort.begin()->first);
+  if (longFirst) {
+    return AssignFirst(mWaitingLong) || AssignFirst(mWaitingShort);
+  }
+  return AssignFirst(mWaitingShort) || AssignFirst(mWaitingLong);
+}
+
 void
 AdviceDispatcher::Assign()
 {
-  while (!mWaiting.empty()) {
-    const auto entry = mWaiting.begin();
-    NodeId name;
-    NodeLoad* load = ChooseNode(entry->first.first, name);
-    if (load == nullptr) {
-      // The other queries take the service longer, and a longer query is
-      // allowed on no other nodes than a shorter one.
-      return;
-    }
-    const QueryId id = entry->first.second;
-    load->mServiceTime += entry->second.mServiceTime;
-    const jobs::AdviceQuery& query =
-      load->mQueries.emplace(id, std::move(entry->second)).first->second;
-    mWaiting.erase(entry);
-    mHooks.mSend(name, id, query);
+  while (AssignNext()) {
   }
 }
 
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -54,12 +54,7 @@
   , mFormats(aFormats)
   , mScheduler(WithEpoch(aOptions.mScheduler, mOwner.mEpoch),
                MakeSchedulerHooks())
-  , mAdviceDispatcher({ .mSend =
-                          [this](const NodeId& aNode,
-                                 QueryId aId,
-                                 const jobs::AdviceQuery& aQuery) {
-                            mHooks.mSendAdviceQuery(aNode, aId, aQuery);
-                          } })
+  , mAdviceDispatcher(MakeAdviceDispatcherHooks())
   , mJournal(
       { .mCompressRecords = aOptions.mCompress },
       mOwner,
@@ -186,6 +181,26 @@
   };
 }
 
+AdviceDispatcherHooks
+OwnerSession::MakeAdviceDispatcherHooks()
+{
+  return { .mSend =
+             [this](const NodeId& aNode,
+                    QueryId aId,
+                    const jobs::AdviceQuery& aQuery) {
+               mHooks.mSendAdviceQuery(aNode, aId, aQuery);
+             },
+           .mIsWanted =
+             [this](const jobs::AdviceQuery& aQuery) {
+               return mScheduler.WantsAdvice(aQuery.mStep);
+             },
+           .mOnUnanswered =
+             [this](const jobs::AdviceQuery& aQuery) {
+               mScheduler.OnAdvice(
+                 { .mStep = aQuery.mStep, .mAsked = aQuery.mWorkers }, Now());
+             } };
+}
+
 void
 OwnerSession::OnLoaded(const jobs::CellRecords& aRecords)
 {
@@ -373,6 +388,7 @@
   const jobs::Moment now = Now();
   mRelayedCalls.SetWorkerCount(mScheduler.WorkerCount());
   mRelayedCalls.Expire(now.mSteady);
+  mAdviceDispatcher.Expire();
   if (mLoaded && !mReleasing) {
     mScheduler.SetOwnershipEnd(mJournal.RenewedAt() +
                                mOptions.mScheduler.mOwnershipLease);
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -93,6 +93,7 @@
 
 private:
   jobs::SchedulerHooks MakeSchedulerHooks();
+  AdviceDispatcherHooks MakeAdviceDispatcherHooks();
   void OnLoaded(const jobs::CellRecords& aRecords);
   void StartServing();
   void OnWorkerRow(const Row& aRow);
--- a/src/cellnode/tests/advicedispatcher_test.cpp
+++ b/src/cellnode/tests/advicedispatcher_test.cpp
@@ -1,4 +1,7 @@
 #include "cellnode/advicedispatcher.h"
+
+#include <set>
+
 #include "cellnode/tests/testgroups.h"
 
 namespace oriolevane {
@@ -19,14 +22,27 @@
 struct Fixture
 {
   std::vector<SentQuery> mSent;
+  std::vector<int> mUnanswered;
+  std::set<int> mUnwanted;
+  TimePoint mNow;
   AdviceDispatcher mAdviceDispatcher;
 
   explicit Fixture(int aNodes)
-    : mAdviceDispatcher({ .mSend = [this](const NodeId& aNode,
-                                          QueryId aId,
-                                          const jobs::AdviceQuery& aQuery) {
-      mSent.push_back({ aNode, aId, aQuery });
-    } })
+    : mAdviceDispatcher({ .mSend =
+                            [this](const NodeId& aNode,
+                                   QueryId aId,
+                                   const jobs::AdviceQuery& aQuery) {
+                              mSent.push_back({ aNode, aId, aQuery });
+                            },
+                          .mIsWanted =
+                            [this](const jobs::AdviceQuery& aQuery) {
+                              return !mUnwanted.contains(aQuery.mStep.mStep);
+                            },
+                          .mOnUnanswered =
+                            [this](const jobs::AdviceQuery& aQuery) {
+                              mUnanswered.push_back(aQuery.mStep.mStep);
+                            },
+                          .mNow = [this] { return mNow; } })
   {
     for (int node = 0; node < aNodes; ++node) {
       mAdviceDispatcher.AddNode(NodeId("n" + std::to_string(node)));
@@ -86,6 +102,33 @@
       }
       CPPUNIT_ASSERT_EQUAL(std::size_t{ kQueries }, fixture.mSent.size());
     });
+    aSection.It("are dropped once nobody needs their answers", [] {
+      Fixture fixture(1);
+      fixture.AddQuery(700ms, 1);
+      fixture.AddQuery(500ms, 2);
+      fixture.AddQuery(600ms, 3);
+      fixture.mUnwanted = { 2 };
+      fixture.mAdviceDispatcher.OnAnswer(fixture.mSent[0].mId);
+      CPPUNIT_ASSERT_EQUAL(3, fixture.mSent[1].mQuery.mStep.mStep);
+      CPPUNIT_ASSERT(fixture.mUnanswered == std::vector<int>{ 2 });
+    });
+    // Long-running tasks lost their workers, and the queries about them waited
+    // behind shorter ones for as long as these kept coming.
+    aSection.It("do not wait forever behind shorter ones that keep coming", [] {
+      Fixture fixture(2);
+      fixture.AddQuery(400ms, 1);
+      fixture.AddQuery(750ms, 99);
+      for (int query = 2; query < 20; ++query) {
+        fixture.AddQuery(400ms, query);
+        fixture.mNow += 400ms;
+        fixture.mAdviceDispatcher.OnAnswer(fixture.mSent.back().mId);
+        if (fixture.mSent.back().mQuery.mStep.mStep == 99) {
+          break;
+        }
+      }
+      CPPUNIT_ASSERT_EQUAL(99, fixture.mSent.back().mQuery.mStep.mStep);
+      CPPUNIT_ASSERT(fixture.mNow.time_since_epoch() <= 3500ms);
+    });
     aSection.It("leave the shortest ones first", [] {
       Fixture fixture(1);
       fixture.AddQuery(700ms, 1);
@@ -96,6 +139,21 @@
       CPPUNIT_ASSERT_EQUAL(2, fixture.mSent[2].mQuery.mStep.mStep);
     });
   });
+  aRoot.Describe("a node that loses an answer", [](Section& aSection) {
+    aSection.It("gets other queries after a time, and the loss is told", [] {
+      Fixture fixture(1);
+      fixture.AddQuery(700ms, 1);
+      fixture.AddQuery(700ms, 2);
+      fixture.mNow += 4s;
+      fixture.mAdviceDispatcher.Expire();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mSent.size());
+      fixture.mNow += 1s;
+      fixture.mAdviceDispatcher.Expire();
+      CPPUNIT_ASSERT(fixture.mUnanswered == std::vector<int>{ 1 });
+      CPPUNIT_ASSERT_EQUAL(2, fixture.mSent[1].mQuery.mStep.mStep);
+      CPPUNIT_ASSERT(!fixture.mAdviceDispatcher.OnAnswer(fixture.mSent[0].mId));
+    });
+  });
   aRoot.Describe("a removed node", [](Section& aSection) {
     aSection.It("has its queries reassigned to the others", [] {
       Fixture fixture(2);
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -304,6 +304,12 @@
   mImpl->mRuns.OnStopAnswer(aOrder, aAnswer, aNow.mSteady);
 }
 
+bool
+CellScheduler::WantsAdvice(const StepKey& aStep) const
+{
+  return mImpl->mAdvice.IsWanted(aStep);
+}
+
 void
 CellScheduler::OnAdvice(const AdviceAnswer& aAnswer, const Moment& aNow)
 {
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -127,6 +127,9 @@
   void OnStopAnswer(const StopOrder& aOrder,
                     const OrderAnswer& aAnswer,
                     const Moment& aNow);
+  // Returns false when the answer to an advice query about the step is not
+  // needed any more.
+  bool WantsAdvice(const StepKey& aStep) const;
   // Processes the policy service's answer to an advice query.
   void OnAdvice(const AdviceAnswer& aAnswer, const Moment& aNow);
 
--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -15,8 +15,6 @@
 
 // The policy service accepts no more workers in one call.
 constexpr std::size_t kMaxWorkersPerQuery = 100;
-// A query without an answer counts as lost after this time and is sent again.
-constexpr std::chrono::milliseconds kQueryTimeout = 5000ms;
 // A ticket is used only up to this long before it expires, so that it is still
 // valid when the start order arrives at the worker.
 constexpr std::chrono::milliseconds kTicketUseMargin = 150ms;
@@ -307,7 +305,7 @@
                            TimePoint aNow)
 {
   StepAdvice& advice = aStep.mAdvice;
-  if (advice.mPendingQueries > 0 && advice.mQueriedAt + kQueryTimeout > aNow) {
+  if (advice.mPendingQueries > 0) {
     return;
   }
   const std::vector<Worker*> selected = SelectWorkers(aJob, aKey, aStep, aNow);
@@ -323,7 +321,6 @@
     workers[index % queries].push_back(selected[index]->Id());
   }
   advice.mPendingQueries = queries;
-  advice.mQueriedAt = aNow;
   for (std::vector<WorkerId>& part : workers) {
     SendQuery(aJob, aKey, std::move(part));
   }
@@ -395,6 +392,18 @@
   }
 }
 
+bool
+AdvicePlanner::IsWanted(const StepKey& aKey) const
+{
+  Job* job = mCell.mJobs.Find(aKey.mJob);
+  if (job == nullptr || job->mPhase != JobPhase::Open) {
+    return false;
+  }
+  const Step* step = job->FindStep(aKey.mOccurrence, aKey.mStep);
+  return step != nullptr &&
+         step->HasWaitingTasks(job->mRecord.mSpec.mSteps[aKey.mStep]);
+}
+
 void
 AdvicePlanner::OnAnswer(const AdviceAnswer& aAnswer, TimePoint aNow)
 {
--- a/src/jobs/internal/adviceplanner.h
+++ b/src/jobs/internal/adviceplanner.h
@@ -39,6 +39,8 @@
   // Sends the first query for a step whose prerequisites are expected to finish
   // soon, so that the answer is there when the step becomes ready.
   void QueryAhead(Job& aJob, const StepKey& aKey, TimePoint aNow);
+  // True when a step has tasks that wait to start, now or after other steps.
+  bool IsWanted(const StepKey& aKey) const;
   // Stores the approvals and tickets of an answer. An answer for a step that is
   // no longer known is ignored.
   void OnAnswer(const AdviceAnswer& aAnswer, TimePoint aNow);
--- a/src/jobs/internal/candidates.cpp
+++ b/src/jobs/internal/candidates.cpp
@@ -8,17 +8,6 @@
 
 namespace {
 
-bool
-HasWaitingTasks(const Step& aStep, const StepSpec& aSpec)
-{
-  if (aSpec.mGang) {
-    return !aStep.IsDone() && !aStep.HasRuns();
-  }
-  return std::any_of(aStep.mTasks.begin(),
-                     aStep.mTasks.end(),
-                     [](const Task& aTask) { return aTask.IsWaiting(); });
-}
-
 bool
 IsReady(const Occurrence& aOccurrence, const StepSpec& aSpec)
 {
@@ -69,7 +58,7 @@
                          .mStep = static_cast<int>(index) };
       const StepSpec& spec = aJob.mRecord.mSpec.mSteps[index];
       mPendingQueries += step.mAdvice.mPendingQueries;
-      if (step.IsDone() || !HasWaitingTasks(step, spec)) {
+      if (step.IsDone() || !step.HasWaitingTasks(spec)) {
         continue;
       }
       if (!IsReady(occurrence, spec)) {
--- a/src/jobs/internal/job.cpp
+++ b/src/jobs/internal/job.cpp
@@ -12,6 +12,17 @@
   });
 }
 
+bool
+Step::HasWaitingTasks(const StepSpec& aSpec) const
+{
+  if (aSpec.mGang) {
+    return !IsDone() && !HasRuns();
+  }
+  return std::any_of(mTasks.begin(), mTasks.end(), [](const Task& aTask) {
+    return aTask.IsWaiting();
+  });
+}
+
 bool
 Job::HasRuns() const
 {
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -139,6 +139,8 @@
 
   bool IsDone() const { return mSucceeded == static_cast<int>(mTasks.size()); }
   bool HasRuns() const;
+  // True when a task, or the gang as a whole, still has to be started.
+  bool HasWaitingTasks(const StepSpec& aSpec) const;
 };
 
 // The state of one occurrence of a job.
--- a/src/jobs/internal/stepadvice.h
+++ b/src/jobs/internal/stepadvice.h
@@ -27,7 +27,6 @@
 {
   // Number of queries that have been sent and not yet answered.
   std::size_t mPendingQueries = 0;
-  TimePoint mQueriedAt;
   // At least one answer has arrived since this node learned of the step.
   bool mAnswered = false;
   // Workers that some answer covered, whether approved or not.
--- a/src/jobs/types/scheduleroptions.h
+++ b/src/jobs/types/scheduleroptions.h
@@ -60,6 +60,8 @@
   std::function<void(const StartOrder&)> mStart;
   std::function<void(const StopOrder&)> mStop;
   std::function<void(const PollOrder&)> mPoll;
+  // Each query must be reported back once with CellScheduler::OnAdvice(), also
+  // when there is no answer. Until then its step is not asked about again.
   std::function<void(const AdviceQuery&)> mAskAdvice;
   // Called when a worker refuses an order because it has seen the token of a
   // later owner.
