A restarted node claims at once the shard that its former process owned

Callers waited 0.8 s for the first start after all nodes had lost power and were back.

Cause: no node could tell that the owner had stopped. The owner's own node knows better: the row names it with another incarnation.

Change: such a row is claimed without wait, but for the delay of unfit nodes.

Tests: three stories of the policy; the first fails on the code before.

--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -65,7 +65,9 @@
           },
         .mOnClosed = [this](const NodeId& aNode) { OnPeerClosed(aNode); } })
   , mNodeRegistry(aLoop, mOptions, mStore)
-  , mPolicy({ .mNode = mOptions.mNode, .mFitness = mOptions.mFitness })
+  , mPolicy({ .mNode = mOptions.mNode,
+              .mIncarnation = mOptions.mIncarnation,
+              .mFitness = mOptions.mFitness })
   , mShardClaimer(
       mOptions,
       mStore,
--- a/src/cellnode/internal/ownershippolicy.cpp
+++ b/src/cellnode/internal/ownershippolicy.cpp
@@ -124,19 +124,31 @@
     mOptions.mReadRowAfter, mOptions.mReadRowAfterStoreAge, aNow);
 }
 
+bool
+OwnershipPolicy::OwnedByFormerProcess() const
+{
+  return mRow.has_value() && mRow->mNode == mOptions.mNode &&
+         mRow->mIncarnation != mOptions.mIncarnation;
+}
+
 Duration
-OwnershipPolicy::TakeoverDelay() const
+OwnershipPolicy::Stagger() const
 {
   const std::uint64_t epoch = mRow.has_value() ? mRow->mEpoch.mValue : 0;
   const std::uint64_t hash = StableHash(mOptions.mNode.mValue, epoch);
   constexpr std::uint64_t kSteps = 1024;
-  const Duration stagger = mOptions.mMaxStagger * (hash % kSteps) / kSteps;
+  return mOptions.mMaxStagger * (hash % kSteps) / kSteps;
+}
+
+Duration
+OwnershipPolicy::UnfitDelay() const
+{
   const double relative = mOptions.mFitness / std::max(mBestFitness, 0.01);
   if (relative >= kSimilarFitnessRatio) {
-    return stagger;
+    return Duration::zero();
   }
-  return stagger + std::chrono::duration_cast<Duration>(
-                     mOptions.mMaxUnfitDelay * (1.0 - relative));
+  return std::chrono::duration_cast<Duration>(mOptions.mMaxUnfitDelay *
+                                              (1.0 - relative));
 }
 
 std::optional<RowVersion>
@@ -148,11 +160,14 @@
                                aNow)) {
     return std::nullopt;
   }
-  Duration wait = TakeoverDelay();
+  Duration wait = Stagger() + UnfitDelay();
   if (mRow.has_value()) {
     const bool vacant = mRow->mReleased || mDeniedEpoch >= mRow->mEpoch;
     if (mHandoverEpoch >= mRow->mEpoch && mRow->mReleased) {
       wait = Duration::zero();
+    } else if (OwnedByFormerProcess()) {
+      // The others find out later that the owner has stopped.
+      wait = UnfitDelay();
     } else if (!vacant) {
       wait += std::max<Duration>(mOptions.mMinUnchanged,
                                  mOptions.mMinUnchangedRoundTrips * mRoundTrip);
--- a/src/cellnode/ownershippolicy.h
+++ b/src/cellnode/ownershippolicy.h
@@ -18,6 +18,8 @@
 struct OwnershipOptions
 {
   NodeId mNode;
+  // Identifies this process among those that run on the node one after another.
+  Incarnation mIncarnation;
   // How suitable this host is to own the shard, from 0 to 1. Nodes with a
   // higher value try first.
   double mFitness = 0.5;
@@ -100,7 +102,12 @@
   // True when the owner has sent no message for aSilence, or has not written to
   // the store for aStoreAge.
   bool IsOverdue(Duration aSilence, Duration aStoreAge, TimePoint aNow) const;
-  Duration TakeoverDelay() const;
+  // True when the owner row names an earlier process of this node.
+  bool OwnedByFormerProcess() const;
+  // Spreads the claims of nodes of similar fitness.
+  Duration Stagger() const;
+  // The additional delay of a node that is less fit than others.
+  Duration UnfitDelay() const;
 
   OwnershipOptions mOptions;
   std::optional<OwnerRow> mRow;
--- a/src/cellnode/tests/ownershippolicy_test.cpp
+++ b/src/cellnode/tests/ownershippolicy_test.cpp
@@ -128,6 +128,35 @@
     });
 }
 
+void
+TestFormerProcess(Section& aRoot)
+{
+  aRoot.Describe("an owner row of an earlier process", [](Section& aSection) {
+    OwnerRow row = kRow;
+    row.mNode = NodeId("self");
+    row.mIncarnation = Incarnation(1);
+    const auto restarted = [](double aFitness) {
+      return OwnershipPolicy({ .mNode = NodeId("self"),
+                               .mIncarnation = Incarnation(2),
+                               .mFitness = aFitness });
+    };
+    // Guards against an outage that lasts longer than needed after all nodes
+    // lost power at the same time.
+    aSection.It("is replaced at once by its own node", [row, restarted] {
+      OwnershipPolicy policy = restarted(1.0);
+      CPPUNIT_ASSERT(TimeToClaim(policy, row, kBegin) == Duration::zero());
+    });
+    aSection.It("is left to fitter nodes by an unfit one", [row, restarted] {
+      OwnershipPolicy policy = restarted(0.2);
+      CPPUNIT_ASSERT(TimeToClaim(policy, row, kBegin) >= 500ms);
+    });
+    aSection.It("is respected once another node has taken over", [restarted] {
+      OwnershipPolicy policy = restarted(1.0);
+      CPPUNIT_ASSERT(TimeToClaim(policy, kRow, kBegin) >= 450ms);
+    });
+  });
+}
+
 // Returns the time until the policy claims the shard from an owner of that
 // epoch that falls silent at aSilentAt.
 Duration
@@ -236,6 +265,7 @@
 {
   TestLiveOwner(aRoot);
   TestSilentOwner(aRoot);
+  TestFormerProcess(aRoot);
   TestOwnersInQuickSuccession(aRoot);
   TestStoppedOwner(aRoot);
   TestSmallHost(aRoot);
