After a takeover, continue what is known to run while a worker is still missing

Callers waited up to 8.5 s for all jobs of the cell after a takeover.

The shorter wait for an owner that is known to be gone was not used either, as the restarted owner had said hello before the next ownership began.

Change: a step may start before the recovery ends when a step that it depends on has been seen running by this owner, or when all of its waiting tasks have; an earlier owner cannot have started it then. Members of gangs wait as before. The incarnation in a hello that came before the ownership counts too.

--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -257,8 +257,7 @@
   for (const NodeId& node : mPeers.LinkedNodes()) {
     AddToSession(node);
   }
-  if (!mPredecessor.has_value() || mPredecessor->mReleased ||
-      mPredecessor->mNode == mOptions.mNode) {
+  if (IsPredecessorGone()) {
     mSession->OnPredecessorGone();
   }
   if (mConfiguration.Current().has_value()) {
@@ -269,6 +268,20 @@
   SendUnsentCalls();
 }
 
+bool
+CellNode::Impl::IsPredecessorGone() const
+{
+  if (!mPredecessor.has_value() || mPredecessor->mReleased ||
+      mPredecessor->mNode == mOptions.mNode) {
+    return true;
+  }
+  // Incarnations increase, so a lower one belongs to an earlier process, whose
+  // link has not been closed yet.
+  const auto peer = mPeerStates.find(mPredecessor->mNode);
+  return peer != mPeerStates.end() && mPeers.IsLinked(mPredecessor->mNode) &&
+         mPredecessor->mIncarnation < peer->second.mIncarnation;
+}
+
 void
 CellNode::Impl::AddToSession(const NodeId& aNode)
 {
@@ -386,7 +399,8 @@
 CellNode::Impl::OnHello(const NodeId& aNode, const cellwire::HelloT& aHello)
 {
   const Epoch epoch(aHello.epoch);
-  mPeerStates[aNode] = { .mFitness = aHello.fitness,
+  mPeerStates[aNode] = { .mIncarnation = Incarnation(aHello.incarnation),
+                         .mFitness = aHello.fitness,
                          .mZone = ZoneId(aHello.zone),
                          .mRelays = aHello.relays };
   if (mSession != nullptr) {
--- a/src/cellnode/internal/cellnodeimpl.h
+++ b/src/cellnode/internal/cellnodeimpl.h
@@ -40,6 +40,7 @@
   // What a node has said of itself.
   struct PeerState
   {
+    Incarnation mIncarnation;
     double mFitness = 0.0;
     ZoneId mZone;
     // The node calls workers on behalf of the owner.
@@ -66,6 +67,9 @@
   RelayServerHooks MakeRelayServerHooks();
   // Tells the session of a linked node.
   void AddToSession(const NodeId& aNode);
+  // True when the predecessor can renew no more leases: it released the shard,
+  // or another process runs on its node.
+  bool IsPredecessorGone() const;
   void YieldIfNeeded(TimePoint aNow);
   void OnHello(const NodeId& aNode, const cellwire::HelloT& aHello);
   void OnMessage(const NodeId& aNode, const cellwire::MessageT& aMessage);
--- a/src/jobs/internal/candidates.cpp
+++ b/src/jobs/internal/candidates.cpp
@@ -25,8 +25,9 @@
   std::vector<Candidate> candidates;
   mPendingQueries = 0;
   for (auto& [id, job] : mCell.mJobs.Jobs()) {
-    if (job.mPhase == JobPhase::Open && (aReconciled || !job.mRecovered)) {
-      CollectJobCandidates(job, aNow, candidates);
+    if (job.mPhase == JobPhase::Open) {
+      CollectJobCandidates(
+        job, aReconciled || !job.mRecovered, aNow, candidates);
     }
   }
   mAdvice.SetPendingQueries(mPendingQueries);
@@ -44,6 +45,7 @@
 
 void
 CandidateCollector::CollectJobCandidates(Job& aJob,
+                                         bool aRunsKnown,
                                          const Moment& aNow,
                                          std::vector<Candidate>& aCandidates)
 {
@@ -61,6 +63,10 @@
       if (step.IsDone() || !step.HasWaitingTasks(spec)) {
         continue;
       }
+      if (!aRunsKnown && !step.KnowsWaitingTasks(spec) &&
+          !occurrence.HasSeenDependenciesOf(spec)) {
+        continue;
+      }
       if (!IsReady(occurrence, spec)) {
         mAdvice.QueryAhead(aJob, key, aNow.mSteady);
         continue;
--- a/src/jobs/internal/candidates.h
+++ b/src/jobs/internal/candidates.h
@@ -33,13 +33,16 @@
   {
   }
 
-  // Returns the candidates of all open jobs, the first to be placed first. Jobs
-  // taken over from an earlier owner are left out until aReconciled. Also
+  // Returns the candidates of all open jobs, the first to be placed first. What
+  // an earlier owner may have started is left out until aReconciled. Also
   // queries the policy service for steps that become ready soon.
   std::vector<Candidate> Collect(const Moment& aNow, bool aReconciled);
 
 private:
+  // aRunsKnown is false while the job may have runs that this node does not
+  // know.
   void CollectJobCandidates(Job& aJob,
+                            bool aRunsKnown,
                             const Moment& aNow,
                             std::vector<Candidate>& aCandidates);
 
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -24,7 +24,7 @@
   }
 
   // Starts the tasks that can start now, and queries the policy service for
-  // waiting and upcoming steps. Jobs taken over from an earlier owner are
+  // waiting and upcoming steps. What an earlier owner may have started is
   // skipped until aReconciled, which means that all of its runs are known.
   void Dispatch(const Moment& aNow, bool aReconciled);
 
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -103,6 +103,9 @@
   RunNumber mLastRun;
   // Latest checkpoint; empty for none.
   std::string mCheckpoint;
+  // This node has seen a run of the task that had not ended, so it knows of all
+  // later ones.
+  bool mSeenRunning = false;
   // Runs that have not ended. There is more than one only for a speculative
   // step or while superfluous runs are being stopped.
   std::vector<RunPointer> mRuns;
@@ -141,6 +144,9 @@
   bool HasRuns() const;
   // True when a task, or the gang as a whole, still has to be started.
   bool HasWaitingTasks(const StepSpec& aSpec) const;
+  // True when an earlier owner cannot have started what waits to be started,
+  // because this node has seen runs of the same tasks.
+  bool KnowsWaitingTasks(const StepSpec& aSpec) const;
 };
 
 // The state of one occurrence of a job.
@@ -148,6 +154,10 @@
 {
   std::vector<Step> mSteps;
   bool mFinished = false;
+
+  // True when an earlier owner cannot have started the step, because this node
+  // has seen runs of a step that it depends on.
+  bool HasSeenDependenciesOf(const StepSpec& aSpec) const;
 };
 
 // The internal life cycle of a job.
--- a/src/jobs/internal/runtracker.cpp
+++ b/src/jobs/internal/runtracker.cpp
@@ -52,6 +52,7 @@
   run->mOrderedAt = aNow;
   run->mSuspected = task.mCrashes.IsSuspected();
   task.mLastRun = aNumber;
+  task.mSeenRunning = true;
   task.mRuns.push_back(run);
   AddRun(aWorker, run);
   LogDebug("run_ordered")
@@ -150,6 +151,7 @@
   const bool unwanted = job->mPhase != JobPhase::Open || task->mSucceeded ||
                         (!task->mRuns.empty() && !spec.mSpeculative);
   task->mRuns.push_back(run);
+  task->mSeenRunning |= !unwanted;
   task->mLastRun = std::max(task->mLastRun, aRunning.mRun);
   job->mStarted = true;
   LogInfo("run_adopted")
