Refuse submissions that a slow store cannot take in time, before they wait

A submission was admitted when the next transaction would be early enough, although hundreds of records waited before it, and it was not refused when that became known.

Change: RecordingForecast counts the transactions that come first. What would be stored after more than 2.4 s is refused at once, with when to come back, and so is a waiting submission for which even the next transaction is too late.

Tests: a burst on a store that takes 1 s for a transaction; on the code before some callers wait for more than 2.5 s. With a store of the usual speed all are accepted.

--- a/src/cellnode/celljournal.h
+++ b/src/cellnode/celljournal.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "cellnode/recordingforecast.h"
 #include "cellnode/timeoutestimator.h"
 #include "cellnode/types/ownerrow.h"
 #include "cellnode/types/rows.h"
@@ -106,6 +107,14 @@
     return mTimeoutEstimator.ExpectedRoundTrip();
   }
 
+  RecordingState State(TimePoint aNow) const
+  {
+    return { .mOutstanding = OutstandingTime(aNow),
+             .mCommitTime = ExpectedCommitTime(),
+             .mWaitingRecords = mWriteQueue.Waiting(),
+             .mMaxRecords = mOptions.mMaxEntries - 1 };
+  }
+
   // The key of the owner row of the shard in this part.
   static RowKey OwnerKey(const std::string& aPart);
   // The key of the row that stores a record.
--- a/src/cellnode/internal/callerrequesthandler.cpp
+++ b/src/cellnode/internal/callerrequesthandler.cpp
@@ -237,17 +237,16 @@
 CallerRequestHandler::CanRecordSoon() const
 {
   const TimePoint now = mHooks.mNow().mSteady;
-  const Duration outstanding = mJournal.OutstandingTime(now);
-  const Duration write = mJournal.ExpectedCommitTime();
-  if (outstanding > StoreUnavailableAfter() ||
-      std::max(write - outstanding, Duration::zero()) + write >
-        kMaxRecordingWait) {
+  const RecordingState state = mJournal.State(now);
+  if (state.mOutstanding > StoreUnavailableAfter() ||
+      ExpectedRecordingTime(state) > kMaxRecordingWait) {
     return false;
   }
   // A reply that has waited for more than two transactions shows that changes
   // arrive faster than they can be written.
   return mWaitingReplies.empty() || mWaitingReplies.front().mQueuedAt +
-                                        2 * write + kStoreUnavailableAfter >
+                                        2 * state.mCommitTime +
+                                        kStoreUnavailableAfter >
                                       now;
 }
 
@@ -261,7 +260,7 @@
 }
 
 void
-CallerRequestHandler::RefuseUnbatchedSubmissions()
+CallerRequestHandler::RefuseUnbatchedSubmissions(TimePoint aQueuedBefore)
 {
   std::vector<AnswerCallback> refused;
   // The same job may have been submitted several times.
@@ -269,7 +268,8 @@
   std::erase_if(mWaitingReplies, [&](WaitingReply& aEntry) {
     const jobs::JobId& job = aEntry.mSubmitted;
     const bool withdrawn =
-      !job.Empty() && (withdrawnJobs.contains(job) || mScheduler.Withdraw(job));
+      !job.Empty() && aEntry.mQueuedAt < aQueuedBefore &&
+      (withdrawnJobs.contains(job) || mScheduler.Withdraw(job));
     if (withdrawn) {
       withdrawnJobs.insert(job);
       refused.push_back(std::move(aEntry.mReply));
@@ -359,10 +359,15 @@
 void
 CallerRequestHandler::RefuseIfStoreUnavailable(TimePoint aNow)
 {
-  if (mJournal.OutstandingTime(aNow) > StoreUnavailableAfter()) {
-    RefuseUnbatchedSubmissions();
+  const RecordingState state = mJournal.State(aNow);
+  if (state.mOutstanding > StoreUnavailableAfter()) {
+    RefuseUnbatchedSubmissions(TimePoint::max());
     RefuseUnconfirmed();
+    return;
   }
+  // Those for which even the next transaction would be too late.
+  RefuseUnbatchedSubmissions(aNow + RemainingCommitTime(state) +
+                             state.mCommitTime - kMaxRecordingWait);
 }
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/internal/callerrequesthandler.h
+++ b/src/cellnode/internal/callerrequesthandler.h
@@ -46,8 +46,9 @@
   // Answers the requests whose changes are stored, and those that waited for a
   // proof of ownership. To be called after each applied transaction.
   void OnRecorded(jobs::RecordPosition aPosition);
-  // While the store does not answer, refuses the submissions that are not part
-  // of a transaction yet, and the requests that wait for a proof of ownership.
+  // Refuses the submissions that are not part of a transaction yet and would be
+  // stored too late. While the store does not answer, these are all of them,
+  // and the requests that wait for a proof of ownership are refused as well.
   void RefuseIfStoreUnavailable(TimePoint aNow);
 
 private:
@@ -93,8 +94,9 @@
   // The time without an answer to a transaction after which the store counts as
   // unavailable.
   Duration StoreUnavailableAfter() const;
-  // Refuses the submissions that are not part of a transaction yet.
-  void RefuseUnbatchedSubmissions();
+  // Refuses the submissions that are not part of a transaction yet, of those
+  // that arrived before a time.
+  void RefuseUnbatchedSubmissions(TimePoint aQueuedBefore);
   void Cancel(const jobs::JobId& aId, const AnswerCallback& aReply);
   // Replies once the change at aPosition is stored.
   void ReplyWhenRecorded(jobs::RecordPosition aPosition,
--- a/src/cellnode/tests/callerrequesthandler_test.cpp
+++ b/src/cellnode/tests/callerrequesthandler_test.cpp
@@ -24,6 +24,7 @@
 // AnswerTransaction().
 struct Fixture
 {
+  TimePoint mNow{ 1000s };
   std::function<void(absl::StatusOr<CommitAnswer>)> mAnswerCommit;
   ExternalFormats mFormats;
   jobs::CellScheduler mScheduler;
@@ -60,20 +61,19 @@
                      mHandler.OnRecorded(aPosition);
                    },
                  .mOnOwnershipLost = [] {},
-                 .mNow = [] { return TimePoint(1000s); },
+                 .mNow = [this] { return mNow; },
                  .mOnCommitted = [](Duration) {} })
-    , mHandler(
-        mFormats,
-        mScheduler,
-        mJournal,
-        { .mNow = [] { return jobs::Moment{ .mSteady = TimePoint(1000s) }; },
-          .mAuthorize =
-            [this](const CallerRequest& aRequest,
-                   const AuthorizationTarget& aTarget) {
-              return mAuthorizer.Authorize(
-                aRequest, aTarget, BootTimePoint(1s));
-            },
-          .mOnWork = [] {} })
+    , mHandler(mFormats,
+               mScheduler,
+               mJournal,
+               { .mNow = [this] { return jobs::Moment{ .mSteady = mNow }; },
+                 .mAuthorize =
+                   [this](const CallerRequest& aRequest,
+                          const AuthorizationTarget& aTarget) {
+                     return mAuthorizer.Authorize(
+                       aRequest, aTarget, BootTimePoint(1s));
+                   },
+                 .mOnWork = [] {} })
   {
     mScheduler.Configure({ .mVersion = ConfigurationVersion(1),
                            .mQueues = { { .mName = jobs::QueueName("q"),
@@ -82,7 +82,7 @@
   }
 
   // Sends the next transaction, unless one is pending.
-  void SendTransaction() { mJournal.Tick(TimePoint(1000s)); }
+  void SendTransaction() { mJournal.Tick(mNow); }
   void AnswerTransaction(bool aApplied)
   {
     std::exchange(mAnswerCommit, nullptr)(CommitAnswer{ .mApplied = aApplied });
@@ -330,6 +330,50 @@
   });
 }
 
+// What callers got in a trial.
+struct CallerOutcomes
+{
+  int mAccepted = 0;
+  int mRefused = 0;
+  Duration mLongestWait{};
+};
+
+// Plays submissions that arrive each 5 ms for 4 s, while the store takes
+// aCommitTime for each transaction.
+CallerOutcomes
+PlaySubmissions(Duration aCommitTime)
+{
+  constexpr Duration kStep = 5ms;
+  Fixture fixture;
+  CallerOutcomes outcomes;
+  std::optional<TimePoint> sentAt;
+  const TimePoint begin = fixture.mNow;
+  for (; fixture.mNow < begin + 10s; fixture.mNow += kStep) {
+    if (fixture.mNow < begin + 4s) {
+      const auto number =
+        100000 + static_cast<int>((fixture.mNow - begin) / kStep);
+      fixture.mHandler.Serve(
+        Submission("0000000000" + std::to_string(number)),
+        [&fixture, &outcomes, at = fixture.mNow](const CallerAnswer& aAnswer) {
+          const bool accepted = aAnswer.mKind == CallerAnswerKind::Accepted;
+          ++(accepted ? outcomes.mAccepted : outcomes.mRefused);
+          outcomes.mLongestWait =
+            std::max(outcomes.mLongestWait, fixture.mNow - at);
+        });
+    }
+    fixture.SendTransaction();
+    if (fixture.mAnswerCommit && !sentAt.has_value()) {
+      sentAt = fixture.mNow;
+    }
+    if (sentAt.has_value() && *sentAt + aCommitTime <= fixture.mNow) {
+      sentAt.reset();
+      fixture.AnswerTransaction(true);
+    }
+    fixture.mHandler.RefuseIfStoreUnavailable(fixture.mNow);
+  }
+  return outcomes;
+}
+
 } // namespace
 
 void
@@ -339,6 +383,22 @@
   DescribeUnknownJobs(aRoot);
   DescribeJobsOfTeams(aRoot);
   DescribeOtherAccess(aRoot);
+  aRoot.Describe(
+    "more submissions than a slow store takes", [](Section& aSection) {
+      aSection.It("are refused in time, and the store is kept busy", [] {
+        const CallerOutcomes outcomes = PlaySubmissions(1000ms);
+        CPPUNIT_ASSERT_EQUAL(800, outcomes.mAccepted + outcomes.mRefused);
+        // The nodes that forward requests give up after 2.5 s.
+        CPPUNIT_ASSERT(outcomes.mLongestWait < 2500ms);
+        // Three full transactions begin within the time of the burst, once the
+        // first two have shown how slow the store is.
+        CPPUNIT_ASSERT(outcomes.mAccepted >= 3 * 97);
+      });
+      aSection.It("are all accepted by a store of the usual speed", [] {
+        const CallerOutcomes outcomes = PlaySubmissions(15ms);
+        CPPUNIT_ASSERT_EQUAL(800, outcomes.mAccepted);
+      });
+    });
   aRoot.Describe("while the owner is overloaded", [](Section& aSection) {
     aSection.It("refuses a new job at once, and says when to come back", [] {
       Fixture fixture;
