Long-running tasks wait no longer for less urgent work than others do

Callers saw a long-running task that had lost its worker stay away while the cell was full, although its queue goes first.

Change: the objective of a long-running step counts from when its tasks began to wait, and it is never too late to be met. Order among steps is by priority and slack, as for all work that is in time.

Tests: a full worker with a batch of lower priority; the task is restarted within 4 s. On the code before it waits behind the whole batch.

--- a/src/jobs/internal/candidates.cpp
+++ b/src/jobs/internal/candidates.cpp
@@ -61,6 +61,7 @@
       const StepSpec& spec = aJob.mRecord.mSpec.mSteps[index];
       mPendingQueries += step.mAdvice.mPendingQueries;
       if (step.IsDone() || !step.HasWaitingTasks(spec)) {
+        step.mWaitingSince.reset();
         continue;
       }
       if (!aRunsKnown && !step.KnowsWaitingTasks(spec) &&
@@ -74,6 +75,9 @@
       if (!step.mReadyAt.has_value()) {
         step.mReadyAt = aNow.mSteady;
       }
+      if (!step.mWaitingSince.has_value()) {
+        step.mWaitingSince = aNow.mSteady;
+      }
       aCandidates.push_back(
         { .mJob = &aJob,
           .mStep = &step,
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -124,6 +124,8 @@
   std::set<RunNumber> mFailedGangRuns;
   // When all steps that this one depends on had succeeded.
   std::optional<TimePoint> mReadyAt;
+  // Since when tasks have been waiting to start; nothing while none is.
+  std::optional<TimePoint> mWaitingSince;
   // When the first attempt since the step last started a task found no worker;
   // nothing when the last attempt started one.
   std::optional<TimePoint> mNoRoomSince;
--- a/src/jobs/internal/urgency.cpp
+++ b/src/jobs/internal/urgency.cpp
@@ -25,6 +25,21 @@
   return time;
 }
 
+// A long-running task is of use whenever it starts. Its objective counts from
+// when it began to wait, and is never too late to be met.
+Urgency
+UrgencyOfLongRunning(const Job& aJob, const StepKey& aStep, TimePoint aNow)
+{
+  const Step& step =
+    aJob.mOccurrences.at(aStep.mOccurrence).mSteps[aStep.mStep];
+  const Duration slack =
+    step.mWaitingSince.value_or(aNow) + aJob.mTimes.mObjective - aNow;
+  return { .mObjectiveStatus = ObjectiveStatus::OnTime,
+           .mPriority = aJob.mRecord.mQueue.mPriority,
+           .mSortKey = slack,
+           .mSlack = slack };
+}
+
 // The estimated time from the start of a step to the end of the job, along the
 // longest chain of dependent steps.
 Duration
@@ -81,6 +96,9 @@
 Urgency
 UrgencyOf(const Job& aJob, const StepKey& aStep, const Moment& aNow)
 {
+  if (aJob.mRecord.mSpec.mSteps[aStep.mStep].mLongRunning) {
+    return UrgencyOfLongRunning(aJob, aStep, aNow.mSteady);
+  }
   TimePoint start = aJob.mAcceptedAt;
   const std::optional<Repetition>& repetition = aJob.mRecord.mSpec.mRepetition;
   if (repetition.has_value()) {
--- a/src/jobs/internal/urgency.h
+++ b/src/jobs/internal/urgency.h
@@ -41,7 +41,8 @@
 ComputeJobTimes(const JobRecord& aRecord);
 
 // The urgency of a step by objective, priority and slack. The slack of a
-// repeated job counts from the due time of the step's occurrence.
+// repeated job counts from the due time of the step's occurrence, and that of a
+// long-running step from when its tasks began to wait.
 Urgency
 UrgencyOf(const Job& aJob, const StepKey& aStep, const Moment& aNow);
 
--- a/src/jobs/tests/joblife_test.cpp
+++ b/src/jobs/tests/joblife_test.cpp
@@ -222,6 +222,28 @@
       cell.RunFor(500ms);
       CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Cancelled);
     });
+    // Guards against tasks that serve users and stay away for as long as other
+    // work waits, because their job was accepted long ago.
+    aSection.It("is restarted before less urgent work that waits", [] {
+      FakeCell cell({ .mWorkers = 1 });
+      cell.mPlan = [](const TaskKey& aTask, RunNumber aRun, const WorkerId&) {
+        const bool first = aTask.mStep.mJob == JobId("job") && aRun.mValue == 1;
+        return RunPlan{ .mDuration = first ? 10000ms : 500ms };
+      };
+      cell.RunFor(200ms);
+      StepSpec step = MakeStep(1, 4000, 400ms);
+      step.mLongRunning = true;
+      cell.Submit("job", SingleStepJob(step), MakeQueue());
+      cell.RunFor(8000ms);
+      QueuePolicy batch = MakeQueue();
+      batch.mName = QueueName("batch");
+      batch.mPriority = 2;
+      batch.mLatencyTarget = 60000ms;
+      cell.Submit("batch", SingleStepJob(MakeStep(60, 4000, 500ms)), batch);
+      cell.RunFor(4000ms);
+      CPPUNIT_ASSERT(cell.StateOf("batch") == JobState::Running);
+      CPPUNIT_ASSERT(cell.mStarts.at(MakeTaskKey("job", 0, 0)).size() > 1);
+    });
   });
 }
 
