Gangs do not count on long-running tasks to end

Cause: a reservation took a long-running task to end after its estimate, and, when that had passed, within a tenth of it. So the start of a gang stayed near for ever: it kept room from others, and was never given the slow workers, which it gets when it would otherwise wait. The trace shows gangs of 9 and 15 with room on 9 and 10 approved workers, slow ones left out, from 42 s to the end.

Change: a run of a long-running step has no expected end unless it is being stopped, and no reservation counts on it.

Tests: a gang that cannot start before a long-running task ends keeps no room from a small job; fails on the code before.

--- a/src/jobs/internal/gangreservations.cpp
+++ b/src/jobs/internal/gangreservations.cpp
@@ -47,6 +47,9 @@
   Duration expected = kDefaultRunTime;
   if (job != nullptr && !aRun.mOrphan) {
     const StepSpec& spec = job->mRecord.mSpec.mSteps[aRun.mTask.mStep.mStep];
+    if (spec.mLongRunning && !aRun.mStopWanted) {
+      return kNoExpectedEnd;
+    }
     expected = std::chrono::duration_cast<Duration>(
       spec.mEstimate *
       std::clamp(aWorker.mHealth.mSlowness, 1.0, kMaxSlowness));
--- a/src/jobs/internal/reservation.cpp
+++ b/src/jobs/internal/reservation.cpp
@@ -42,8 +42,10 @@
   std::vector<ReleaseEvent> events;
   for (std::size_t index = 0; index < aCandidates.size(); ++index) {
     for (const auto& [end, resources] : aCandidates[index].mEnds.Ends()) {
-      events.push_back(
-        { .mAt = end, .mCandidate = index, .mReleased = resources });
+      if (end != kNoExpectedEnd) {
+        events.push_back(
+          { .mAt = end, .mCandidate = index, .mReleased = resources });
+      }
     }
   }
   std::sort(events.begin(),
--- a/src/jobs/internal/reservation.h
+++ b/src/jobs/internal/reservation.h
@@ -11,6 +11,9 @@
 
 namespace oriolevane::jobs {
 
+// The expected end of a run that lasts until its job is cancelled.
+inline constexpr TimePoint kNoExpectedEnd = TimePoint::max();
+
 // A worker and the number of gang members it has reserved capacity for.
 struct ReservedWorker
 {
--- a/src/jobs/tests/gang_test.cpp
+++ b/src/jobs/tests/gang_test.cpp
@@ -100,6 +100,31 @@
       cell.RunUntilFinal("second", 3000ms);
       CPPUNIT_ASSERT(cell.mViolations.empty());
     });
+    // Guards against reservations for a start that never comes, as what the
+    // gang waits for does not end.
+    aSection.It("keeps no room while it waits for a long-running task", [] {
+      FakeCell cell({ .mWorkers = 2 });
+      cell.RunFor(200ms);
+      cell.mPlan = [](const TaskKey& aTask, RunNumber, const WorkerId&) {
+        const bool lasts = aTask.mStep.mJob == JobId("serving");
+        return RunPlan{ .mDuration = lasts ? 60000ms : 500ms };
+      };
+      StepSpec serving = MakeStep(1, 5000, 400ms);
+      serving.mLongRunning = true;
+      cell.Submit("serving", SingleStepJob(serving), MakeQueue());
+      cell.RunFor(500ms);
+      cell.Submit("gang", GangJob(2, 5000, 1000ms), MakeQueue());
+      cell.RunFor(500ms);
+      QueuePolicy lessUrgent = MakeQueue();
+      lessUrgent.mStretch = 2.5;
+      cell.Submit(
+        "small", SingleStepJob(MakeStep(1, 4000, 2000ms)), lessUrgent);
+      cell.RunUntilFinal("small", 1500ms);
+      CPPUNIT_ASSERT(cell.StateOf("small") == JobState::Completed);
+      cell.Cancel("serving");
+      cell.RunUntilFinal("gang", 3000ms);
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+    });
   });
   aRoot.Describe("a gang with a member that fails", [](Section& aSection) {
     aSection.It("restarts all members under one run number", [] {
