--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "framework/log.h"
+#include "jobs/internal/placementcost.h"
 
 namespace oriolevane::jobs {
 
@@ -21,15 +22,6 @@
 constexpr double kAmpleSlackShare = 0.35;
 constexpr double kMaxSingleTaskShare = 0.45;
 constexpr double kMinSingleTaskShare = 0.2;
-// Added to the cost of workers that are not known to be fast, for members of
-// gangs. It is more than the other terms of workers that are neither remote nor
-// very slow.
-constexpr double kGangSpeedCost = 3.0;
-// Added to the cost of workers on which a suspected task could take other jobs
-// down with it. It is more than all other terms of usual workers.
-constexpr double kCrashRiskCost = 1000.0;
-// Workers with a higher slowness than this are used last.
-constexpr double kSlowWorkerThreshold = 2.5;
 
 bool
 HasAmpleSlack(const Job& aJob, const Urgency& aUrgency)
@@ -113,8 +105,10 @@
 Dispatcher::ReserveForGang(const Candidate& aCandidate)
 {
   Step& step = *aCandidate.mStep;
-  const bool withSlow = mGangReservations.Reserve(
-    aCandidate.Spec(), ApprovedWorkers(aCandidate), !mUsable.SpeedsKnown());
+  const bool withSlow =
+    mGangReservations.Reserve(aCandidate.Spec(),
+                              ApprovedWorkers(aCandidate, mUsable.Workers()),
+                              !mUsable.SpeedsKnown());
   if (withSlow && !step.mMayUseSlowWorkers) {
     // The last attempt left the slow workers out.
     step.mTriedGeneration = 0;
@@ -166,127 +160,16 @@
                      });
 }
 
-bool
-Dispatcher::IsEligible(const Worker& aWorker,
-                       const QueuePolicy& aQueue,
-                       const StepSpec& aSpec)
-{
-  const WorkerEntry& entry = aWorker.mEntry;
-  const bool labelled = aSpec.mRequiredLabel.empty() ||
-                        aSpec.mRequiredLabel == entry.mKind ||
-                        aSpec.mRequiredLabel == entry.mRack.mValue;
-  return aWorker.mWasUsable && labelled && entry.mPool == aQueue.mPool;
-}
-
-std::vector<Worker*>
-Dispatcher::ApprovedWorkers(const Candidate& aCandidate) const
-{
-  const QueuePolicy& queue = aCandidate.mJob->mRecord.mQueue;
-  const StepSpec& spec = aCandidate.Spec();
-  std::vector<Worker*> workers;
-  const auto add = [&](Worker* aWorker) {
-    if (IsEligible(*aWorker, queue, spec)) {
-      workers.push_back(aWorker);
-    }
-  };
-  if (!queue.mAdvice.has_value()) {
-    const std::vector<Worker*>& usable = mUsable.Workers();
-    std::for_each(usable.begin(), usable.end(), add);
-    return workers;
-  }
-  for (const Approval& approval : aCandidate.mStep->mAdvice.mApproved) {
-    add(approval.mWorker);
-  }
-  return workers;
-}
-
-std::vector<Dispatcher::EligibleWorker>
-Dispatcher::CollectEligibleWorkers(const Candidate& aCandidate,
-                                   TimePoint aNow) const
-{
-  const QueuePolicy& queue = aCandidate.mJob->mRecord.mQueue;
-  const StepSpec& spec = aCandidate.Spec();
-  std::vector<EligibleWorker> eligible;
-  if (!queue.mAdvice.has_value()) {
-    for (Worker* worker : mUsable.Workers()) {
-      if (IsEligible(*worker, queue, spec)) {
-        eligible.push_back({ .mWorker = worker, .mTicket = nullptr });
-      }
-    }
-    return eligible;
-  }
-  for (const Approval& approval : aCandidate.mStep->mAdvice.mApproved) {
-    if (approval.mUsableUntil > aNow &&
-        IsEligible(*approval.mWorker, queue, spec)) {
-      eligible.push_back(
-        { .mWorker = approval.mWorker, .mTicket = &approval.mTicket });
-    }
-  }
-  return eligible;
-}
-
-bool
-Dispatcher::IsBelowPerWorkerLimit(const EligibleWorker& aChoice,
-                                  const StepKey& aStep,
-                                  const StepSpec& aSpec)
-{
-  if (aSpec.mMaxPerWorker == 0) {
-    return true;
-  }
-  const auto here = std::count_if(
-    aChoice.mWorker->mRuns.begin(),
-    aChoice.mWorker->mRuns.end(),
-    [&](const RunPointer& aRun) { return aRun->mTask.mStep == aStep; });
-  return here + aChoice.mPlannedMembers < aSpec.mMaxPerWorker;
-}
-
-double
-Dispatcher::PlacementCost(const Worker& aWorker, const StepSpec& aSpec) const
-{
-  const Resources left = aWorker.mEntry.mCapacity - aWorker.mUsed;
-  const auto share = [](std::int64_t aLeft, std::int64_t aOf) {
-    return aOf <= 0 ? 0.0
-                    : static_cast<double>(aLeft) / static_cast<double>(aOf);
-  };
-  // Prefers the fullest worker that has room, which keeps the others free for
-  // large tasks.
-  double cost = share(left.mMilliCores, aWorker.mEntry.mCapacity.mMilliCores) +
-                share(left.mMemoryMiB, aWorker.mEntry.mCapacity.mMemoryMiB);
-  if (!aSpec.mDataRack.empty() &&
-      aSpec.mDataRack != aWorker.mEntry.mRack.mValue) {
-    cost += 10 * mCell.mOptions.mRemoteFactor;
-  }
-  if (aSpec.mGang && mUsable.SpeedsKnown() &&
-      aWorker.mHealth.mRunTime.Speed() != WorkerSpeed::Fast) {
-    cost += kGangSpeedCost;
-  }
-  if (aWorker.mHealth.mSlowness > kSlowWorkerThreshold) {
-    cost += 10 * aWorker.mHealth.mSlowness;
-  }
-  return cost;
-}
-
-double
-Dispatcher::CrashRiskCost(const Worker& aWorker,
-                          const JobId& aJob,
-                          const Task& aTask)
-{
-  const bool suspected = aTask.mCrashes.IsSuspected();
-  if (!suspected && aWorker.mSuspectedRuns == 0) {
-    return 0;
-  }
-  return crashes::AvoidsWorker(suspected, aWorker.RunsOfOthers(aJob))
-           ? kCrashRiskCost
-           : 0;
-}
-
-Dispatcher::EligibleWorker*
+EligibleWorker*
 Dispatcher::ChooseWorker(const Candidate& aCandidate,
                          const Task& aTask,
                          std::vector<EligibleWorker>& aEligible)
 {
   const StepSpec& spec = aCandidate.Spec();
   const bool ample = HasAmpleSlack(*aCandidate.mJob, aCandidate.mUrgency);
+  const PlacementCostOptions costs{ .mRemoteFactor =
+                                      mCell.mOptions.mRemoteFactor,
+                                    .mSpeedsKnown = mUsable.SpeedsKnown() };
   EligibleWorker* best = nullptr;
   double bestCost = 0;
   for (EligibleWorker& choice : aEligible) {
@@ -304,7 +187,7 @@
       mCapacityWithheld = true;
       continue;
     }
-    const double cost = PlacementCost(worker, spec) +
+    const double cost = PlacementCost(worker, spec, costs) +
                         CrashRiskCost(worker, aCandidate.mJob->Id(), aTask);
     if (best == nullptr || cost < bestCost) {
       best = &choice;
@@ -329,7 +212,7 @@
 Dispatcher::PlaceTasks(const Candidate& aCandidate, const Moment& aNow)
 {
   std::vector<EligibleWorker> eligible =
-    CollectEligibleWorkers(aCandidate, aNow.mSteady);
+    CollectEligibleWorkers(aCandidate, mUsable.Workers(), aNow.mSteady);
   std::vector<Task>& tasks = aCandidate.mStep->mTasks;
   for (std::size_t index = 0; index < tasks.size(); ++index) {
     if (!tasks[index].IsWaiting()) {
@@ -384,7 +267,7 @@
          aCandidate.mUrgency.mObjectiveStatus != ObjectiveStatus::OnTime;
 }
 
-std::vector<const Dispatcher::EligibleWorker*>
+std::vector<const EligibleWorker*>
 Dispatcher::ChooseGangWorkers(const Candidate& aCandidate,
                               std::vector<EligibleWorker>& aEligible)
 {
@@ -411,7 +294,7 @@
 Dispatcher::PlaceGang(const Candidate& aCandidate, const Moment& aNow)
 {
   std::vector<EligibleWorker> eligible =
-    CollectEligibleWorkers(aCandidate, aNow.mSteady);
+    CollectEligibleWorkers(aCandidate, mUsable.Workers(), aNow.mSteady);
   if (!MayUseSlowWorkers(aCandidate)) {
     std::erase_if(eligible, [](const EligibleWorker& aChoice) {
       return aChoice.mWorker->mHealth.mRunTime.IsSlow();
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "jobs/internal/candidates.h"
+#include "jobs/internal/eligibleworkers.h"
 #include "jobs/internal/gangreservations.h"
 #include "jobs/internal/runtracker.h"
 #include "jobs/internal/usableworkers.h"
@@ -29,16 +30,6 @@
   void Dispatch(const Moment& aNow, bool aReconciled);
 
 private:
-  // A worker that may run a step's tasks.
-  struct EligibleWorker
-  {
-    Worker* mWorker = nullptr;
-    // Null when the queue needs no tickets.
-    const std::string* mTicket = nullptr;
-    // Members assigned to this worker so far, of the gang that is being placed.
-    int mPlannedMembers = 0;
-  };
-
   // Returns false when the step has to wait for its team's quota. It then takes
   // no part in the pass.
   bool QuotaAllowsStart(const Candidate& aCandidate);
@@ -66,35 +57,15 @@
     std::vector<EligibleWorker>& aEligible);
   // Starts all members of a gang, or none when they do not all fit.
   void PlaceGang(const Candidate& aCandidate, const Moment& aNow);
-  // The workers that the step may use, including those whose ticket has
-  // expired.
-  std::vector<Worker*> ApprovedWorkers(const Candidate& aCandidate) const;
-  // The workers on which the step may start now.
-  std::vector<EligibleWorker> CollectEligibleWorkers(
-    const Candidate& aCandidate,
-    TimePoint aNow) const;
-  // True when a worker is usable, is in the queue's pool and has the required
-  // label.
-  static bool IsEligible(const Worker& aWorker,
-                         const QueuePolicy& aQueue,
-                         const StepSpec& aSpec);
   // The worker with the lowest placement cost among those with room for a task;
   // null when there is none.
   EligibleWorker* ChooseWorker(const Candidate& aCandidate,
                                const Task& aTask,
                                std::vector<EligibleWorker>& aEligible);
-  double PlacementCost(const Worker& aWorker, const StepSpec& aSpec) const;
-  // The cost of placing a suspected task beside other jobs.
-  static double CrashRiskCost(const Worker& aWorker,
-                              const JobId& aJob,
-                              const Task& aTask);
   // Remembers a failed attempt to start a step, so that the step is not tried
   // again until a worker gains room. An attempt that failed because capacity
   // was withheld is not remembered, so that the next pass tries the step again.
   void RecordFailedAttempt(Step& aStep) const;
-  static bool IsBelowPerWorkerLimit(const EligibleWorker& aChoice,
-                                    const StepKey& aStep,
-                                    const StepSpec& aSpec);
   void StartTask(const Candidate& aCandidate,
                  int aIndex,
                  RunNumber aNumber,
