--- a/src/cellnode/tests/advicedispatcher_test.cpp
+++ b/src/cellnode/tests/advicedispatcher_test.cpp
@@ -56,37 +56,9 @@
   }
 };
 
-} // namespace
-
 void
-AdviceDispatcherTests(Section& aRoot)
+DescribeWaitingQueries(Section& aRoot)
 {
-  aRoot.Describe("long queries", [](Section& aSection) {
-    aSection.It("leave one node in four free for short ones", [] {
-      Fixture fixture(4);
-      for (int query = 0; query < 6; ++query) {
-        fixture.AddQuery(700ms);
-      }
-      CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, fixture.mSent.size());
-      fixture.AddQuery(10ms);
-      CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, fixture.mSent.size());
-      CPPUNIT_ASSERT(fixture.mSent[3].mNode == NodeId("n0"));
-    });
-    aSection.It("are sent when there is only one node", [] {
-      Fixture fixture(1);
-      fixture.AddQuery(700ms);
-      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mSent.size());
-    });
-    aSection.It("are sent when an earlier one is answered", [] {
-      Fixture fixture(2);
-      fixture.AddQuery(700ms, 1);
-      fixture.AddQuery(700ms, 2);
-      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mSent.size());
-      CPPUNIT_ASSERT(fixture.mAdviceDispatcher.OnAnswer(fixture.mSent[0].mId));
-      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.mSent.size());
-      CPPUNIT_ASSERT(!fixture.mAdviceDispatcher.OnAnswer(fixture.mSent[0].mId));
-    });
-  });
   aRoot.Describe("queries that wait for a node", [](Section& aSection) {
     // Guards against a cost that grows with the square of the queries, which
     // kept an owner from its heartbeats; the test then runs into its timeout.
@@ -139,6 +111,40 @@
       CPPUNIT_ASSERT_EQUAL(2, fixture.mSent[2].mQuery.mStep.mStep);
     });
   });
+}
+
+} // namespace
+
+void
+AdviceDispatcherTests(Section& aRoot)
+{
+  aRoot.Describe("long queries", [](Section& aSection) {
+    aSection.It("leave one node in four free for short ones", [] {
+      Fixture fixture(4);
+      for (int query = 0; query < 6; ++query) {
+        fixture.AddQuery(700ms);
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, fixture.mSent.size());
+      fixture.AddQuery(10ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, fixture.mSent.size());
+      CPPUNIT_ASSERT(fixture.mSent[3].mNode == NodeId("n0"));
+    });
+    aSection.It("are sent when there is only one node", [] {
+      Fixture fixture(1);
+      fixture.AddQuery(700ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mSent.size());
+    });
+    aSection.It("are sent when an earlier one is answered", [] {
+      Fixture fixture(2);
+      fixture.AddQuery(700ms, 1);
+      fixture.AddQuery(700ms, 2);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mSent.size());
+      CPPUNIT_ASSERT(fixture.mAdviceDispatcher.OnAnswer(fixture.mSent[0].mId));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.mSent.size());
+      CPPUNIT_ASSERT(!fixture.mAdviceDispatcher.OnAnswer(fixture.mSent[0].mId));
+    });
+  });
+  DescribeWaitingQueries(aRoot);
   aRoot.Describe("a node that loses an answer", [](Section& aSection) {
     aSection.It("gets other queries after a time, and the loss is told", [] {
       Fixture fixture(1);
--- a/src/jobs/tests/gang_test.cpp
+++ b/src/jobs/tests/gang_test.cpp
@@ -82,10 +82,8 @@
   });
 }
 
-} // namespace
-
 void
-GangTests(Section& aRoot)
+DescribeLargeGangs(Section& aRoot)
 {
   aRoot.Describe("a gang larger than the free capacity", [](Section& aSection) {
     aSection.It("starts no task until all of them fit", [] {
@@ -126,6 +124,14 @@
       CPPUNIT_ASSERT(cell.mViolations.empty());
     });
   });
+}
+
+} // namespace
+
+void
+GangTests(Section& aRoot)
+{
+  DescribeLargeGangs(aRoot);
   aRoot.Describe("a gang with a member that fails", [](Section& aSection) {
     aSection.It("restarts all members under one run number", [] {
       FakeCell cell;
--- a/src/jobs/tests/takeover_test.cpp
+++ b/src/jobs/tests/takeover_test.cpp
@@ -11,6 +11,36 @@
 
 const TaskKey kFirstTask{ .mStep = { .mJob = JobId("job") } };
 
+void
+DescribeMissingWorker(Section& aRoot)
+{
+  aRoot.Describe(
+    "a node that takes over while a worker is missing", [](Section& aSection) {
+      // Guards against jobs that stand still until the leases on a worker that
+      // has left are over.
+      aSection.It("continues what is known to run", [] {
+        FakeCell cell({ .mWorkers = 2 });
+        cell.RunFor(200ms);
+        JobSpec spec = SingleStepJob(MakeStep(2, 1000, 900ms));
+        spec.mSteps.push_back(MakeStep(2, 1000, 300ms));
+        spec.mSteps[1].mAfter = { 0 };
+        cell.mPlan = [](const TaskKey& aTask, RunNumber aRun, const WorkerId&) {
+          const bool fails = aTask.mStep.mStep == 0 && aRun == RunNumber(1);
+          return RunPlan{ .mDuration = 600ms, .mFails = fails };
+        };
+        cell.Submit("job", spec, MakeQueue());
+        cell.RunFor(300ms);
+        const WorkerId used = cell.mStarts.at(kFirstTask).front();
+        cell.SetWorkerUnreachable(cell.WorkerAt(0).Entry().mId == used ? 1 : 0,
+                                  true);
+        cell.TakeOver();
+        cell.RunUntilFinal("job", 4000ms);
+        CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Completed);
+        CPPUNIT_ASSERT(cell.mViolations.empty());
+      });
+    });
+}
+
 void
 DescribeTakeover(Section& aRoot)
 {
@@ -42,28 +72,6 @@
       cell.RunUntilFinal("job", 5000ms);
       CPPUNIT_ASSERT(cell.mViolations.empty());
     });
-    // Guards against jobs that stand still until the leases on a worker that
-    // has left are over.
-    aSection.It("continues what runs while a worker is unreachable", [] {
-      FakeCell cell({ .mWorkers = 2 });
-      cell.RunFor(200ms);
-      JobSpec spec = SingleStepJob(MakeStep(2, 1000, 900ms));
-      spec.mSteps.push_back(MakeStep(2, 1000, 300ms));
-      spec.mSteps[1].mAfter = { 0 };
-      cell.mPlan = [](const TaskKey& aTask, RunNumber aRun, const WorkerId&) {
-        const bool fails = aTask.mStep.mStep == 0 && aRun == RunNumber(1);
-        return RunPlan{ .mDuration = 600ms, .mFails = fails };
-      };
-      cell.Submit("job", spec, MakeQueue());
-      cell.RunFor(300ms);
-      const WorkerId used = cell.mStarts.at(kFirstTask).front();
-      cell.SetWorkerUnreachable(cell.WorkerAt(0).Entry().mId == used ? 1 : 0,
-                                true);
-      cell.TakeOver();
-      cell.RunUntilFinal("job", 4000ms);
-      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Completed);
-      CPPUNIT_ASSERT(cell.mViolations.empty());
-    });
     aSection.It("polls unresponsive workers again without delay", [] {
       FakeCell cell;
       cell.RunFor(200ms);
@@ -195,6 +203,7 @@
 void
 OwnerTakeoverTests(Section& aRoot)
 {
+  DescribeMissingWorker(aRoot);
   DescribeTakeover(aRoot);
   DescribeDepartedWorkers(aRoot);
   DescribeFailedRuns(aRoot);
