Refuse all submissions of a job that is withdrawn, also the newer ones

Found by reading the diff: since the refusals by forecast, a job that was submitted twice could be withdrawn for the older request while the newer one waited on, and was answered as accepted once later records were stored. Such a job would have been lost.

Change: once a job is withdrawn, all requests that wait for it are refused.

Tests: two submissions of a job, of which only the first is too late; fails on the code before.

--- a/src/cellnode/internal/callerrequesthandler.cpp
+++ b/src/cellnode/internal/callerrequesthandler.cpp
@@ -263,13 +263,15 @@
 CallerRequestHandler::RefuseUnbatchedSubmissions(TimePoint aQueuedBefore)
 {
   std::vector<AnswerCallback> refused;
-  // The same job may have been submitted several times.
+  // The same job may have been submitted several times, the last time later
+  // than aQueuedBefore.
   std::set<jobs::JobId> withdrawnJobs;
   std::erase_if(mWaitingReplies, [&](WaitingReply& aEntry) {
     const jobs::JobId& job = aEntry.mSubmitted;
     const bool withdrawn =
-      !job.Empty() && aEntry.mQueuedAt < aQueuedBefore &&
-      (withdrawnJobs.contains(job) || mScheduler.Withdraw(job));
+      !job.Empty() &&
+      (withdrawnJobs.contains(job) ||
+       (aEntry.mQueuedAt < aQueuedBefore && mScheduler.Withdraw(job)));
     if (withdrawn) {
       withdrawnJobs.insert(job);
       refused.push_back(std::move(aEntry.mReply));
--- a/src/cellnode/tests/callerrequesthandler_test.cpp
+++ b/src/cellnode/tests/callerrequesthandler_test.cpp
@@ -374,15 +374,9 @@
   return outcomes;
 }
 
-} // namespace
-
 void
-CallerRequestHandlerTests(Section& aRoot)
+DescribeSlowStore(Section& aRoot)
 {
-  DescribeOrderOfChecks(aRoot);
-  DescribeUnknownJobs(aRoot);
-  DescribeJobsOfTeams(aRoot);
-  DescribeOtherAccess(aRoot);
   aRoot.Describe(
     "more submissions than a slow store takes", [](Section& aSection) {
       aSection.It("are refused in time, and the store is kept busy", [] {
@@ -394,11 +388,52 @@
         // first two have shown how slow the store is.
         CPPUNIT_ASSERT(outcomes.mAccepted >= 3 * 97);
       });
+      aSection.It("are refused together when they are of the same job", [] {
+        Fixture fixture;
+        std::vector<CallerAnswerKind> kinds;
+        const auto submit = [&](const std::string& aJob) {
+          fixture.mHandler.Serve(Submission(aJob),
+                                 [&kinds](const CallerAnswer& aAnswer) {
+                                   kinds.push_back(aAnswer.mKind);
+                                 });
+        };
+        // One transaction shows that the store takes 1 s, and another is sent.
+        submit("00000000000000b1");
+        fixture.SendTransaction();
+        fixture.mNow += 10ms;
+        fixture.SendTransaction();
+        fixture.mNow += 1s;
+        fixture.AnswerTransaction(true);
+        submit("00000000000000b2");
+        fixture.SendTransaction();
+        fixture.mNow += 10ms;
+        fixture.SendTransaction();
+        kinds.clear();
+        submit(kSecondJob);
+        fixture.mNow += 900ms;
+        submit(kSecondJob);
+        fixture.mNow += 600ms;
+        fixture.mHandler.RefuseIfStoreUnavailable(fixture.mNow);
+        CPPUNIT_ASSERT(
+          kinds == std::vector<CallerAnswerKind>(2, CallerAnswerKind::Refused));
+      });
       aSection.It("are all accepted by a store of the usual speed", [] {
         const CallerOutcomes outcomes = PlaySubmissions(15ms);
         CPPUNIT_ASSERT_EQUAL(800, outcomes.mAccepted);
       });
     });
+}
+
+} // namespace
+
+void
+CallerRequestHandlerTests(Section& aRoot)
+{
+  DescribeOrderOfChecks(aRoot);
+  DescribeUnknownJobs(aRoot);
+  DescribeJobsOfTeams(aRoot);
+  DescribeOtherAccess(aRoot);
+  DescribeSlowStore(aRoot);
   aRoot.Describe("while the owner is overloaded", [](Section& aSection) {
     aSection.It("refuses a new job at once, and says when to come back", [] {
       Fixture fixture;
