Nodes that restart together know how fit they are

Callers waited 0.35 s longer than needed after all nodes had lost power.

Cause: how fit a node is in comparison is known from the owner's heartbeats. After a restart nobody had heard of an owner, so each node compared itself with the fittest host there can be, and on a cell of equal hosts of 0.25 of a core all of them gave way to fitter ones that do not exist.

Change: the owner row carries the highest fitness in the cell, as the owner knows it; whoever reads the row compares with that. Rows of older builds count as before.

Test: a restarted node as fit as any claims its former process's row at once; needs the new field.

--- a/src/cellnode/celljournal.h
+++ b/src/cellnode/celljournal.h
@@ -82,6 +82,8 @@
   // Writes all pending changes, then marks the owner row as released.
   void Release() { mReleasing = true; }
   bool IsReleased() const { return mReleased; }
+  // Sets the highest fitness in the cell, for the next write of the owner row.
+  void SetBestFitness(double aFitness) { mOwner.mBestFitness = aFitness; }
   // Sends a transaction soon, even if no record changes.
   void RequestRenewal() { mRenewalRequested = true; }
   // The sequence number of the newest transaction that was built.
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -339,6 +339,7 @@
 {
   const std::uint32_t age = ToWireMillis(mSession->StoreAge(Now()));
   const double best = std::max(mOptions.mFitness, PeerFitness(FittestPeer()));
+  mSession->SetBestFitness(best);
   for (const NodeId& node : mPeers.LinkedNodes()) {
     cellwire::HeartbeatT heartbeat;
     heartbeat.epoch = mEpoch.mValue;
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -84,6 +84,8 @@
   {
     mRequestHandler.SetOverloaded(aOverloaded);
   }
+  // Records the highest fitness in the cell, for the nodes that take over.
+  void SetBestFitness(double aFitness) { mJournal.SetBestFitness(aFitness); }
   // Stops all work, because the session is about to be destroyed.
   void Halt() { mHalted = true; }
   // The time since the last applied write to the store was sent.
--- a/src/cellnode/internal/ownershippolicy.cpp
+++ b/src/cellnode/internal/ownershippolicy.cpp
@@ -95,6 +95,7 @@
   }
   if (aRow.has_value()) {
     NoteEpoch(aRow->mEpoch, aNow);
+    mBestFitness = aRow->mBestFitness;
   }
   mRowKnown = true;
   mRow = aRow;
--- a/src/cellnode/internal/recordcodec.cpp
+++ b/src/cellnode/internal/recordcodec.cpp
@@ -419,7 +419,8 @@
     { "incarnation", aRow.mIncarnation.mValue },
     { "address", aRow.mAddress },
     { "sequence", aRow.mSequence },
-    { "released", aRow.mReleased }
+    { "released", aRow.mReleased },
+    { "best_fitness", aRow.mBestFitness }
   }.dump();
 }
 
@@ -433,7 +434,9 @@
                        aValue.at("incarnation").get<std::uint64_t>()),
                      .mAddress = aValue.at("address").get<std::string>(),
                      .mSequence = aValue.at("sequence").get<std::uint64_t>(),
-                     .mReleased = aValue.at("released").get<bool>() };
+                     .mReleased = aValue.at("released").get<bool>(),
+                     // Missing in rows of older builds.
+                     .mBestFitness = aValue.value("best_fitness", 1.0) };
   });
 }
 
--- a/src/cellnode/internal/shardclaimer.cpp
+++ b/src/cellnode/internal/shardclaimer.cpp
@@ -131,7 +131,8 @@
                       .mIncarnation = mOptions.mIncarnation,
                       .mAddress = mOptions.mPeerAddress,
                       .mSequence = 0,
-                      .mReleased = false };
+                      .mReleased = false,
+                      .mBestFitness = mPolicy.BestFitness() };
   LogInfo("taking_over")
     .With("epoch", row.mEpoch)
     .With("from", mPredecessor.has_value() ? mPredecessor->mNode.mValue : "")
--- a/src/cellnode/ownershippolicy.h
+++ b/src/cellnode/ownershippolicy.h
@@ -60,6 +60,7 @@
   void OnOwnerContact(Epoch aEpoch, Duration aStoreAge, TimePoint aNow);
   // Sets the highest fitness in the cell, as reported by the owner.
   void SetBestFitness(double aFitness) { mBestFitness = aFitness; }
+  double BestFitness() const { return mBestFitness; }
   // Notes that the owner's link closed or that the owner is not reachable.
   void OnOwnerDisconnected(TimePoint aNow);
   // Notes that the process at the owner's address does not own the shard in
--- a/src/cellnode/tests/ownershippolicy_test.cpp
+++ b/src/cellnode/tests/ownershippolicy_test.cpp
@@ -150,6 +150,13 @@
       OwnershipPolicy policy = restarted(0.2);
       CPPUNIT_ASSERT(TimeToClaim(policy, row, kBegin) >= 500ms);
     });
+    aSection.It(
+      "is replaced at once by a node as fit as any", [row, restarted] {
+        OwnerRow small = row;
+        small.mBestFitness = 0.5;
+        OwnershipPolicy policy = restarted(0.5);
+        CPPUNIT_ASSERT(TimeToClaim(policy, small, kBegin) == Duration::zero());
+      });
     aSection.It("is respected once another node has taken over", [restarted] {
       OwnershipPolicy policy = restarted(1.0);
       CPPUNIT_ASSERT(TimeToClaim(policy, kRow, kBegin) >= 450ms);
--- a/src/cellnode/types/ownerrow.h
+++ b/src/cellnode/types/ownerrow.h
@@ -23,6 +23,9 @@
   std::uint64_t mSequence = 0;
   // True when the owner has written everything and given up the shard.
   bool mReleased = false;
+  // The highest fitness of the nodes that the owner was linked to. It tells
+  // nodes that restart together how fit they are in comparison.
+  double mBestFitness = 1.0;
 
   bool operator==(const OwnerRow&) const = default;
 };
