Stop runs on workers that leave, so that they go on elsewhere

Callers saw tasks stand still for four seconds after workers had left, and long-running tasks away for as long, although the workers had said so before.

Cause: a draining worker got no new tasks, but kept what it ran until it was gone. Its runs then counted as running until their leases were over. The notice (remainingMs) was decoded and never used.

Change: src/draining decides when a run has to leave: long-running tasks and those that resume from a checkpoint at once, others just before the worker leaves, and none that ends in time.

Tests: the two policies; four stories of a worker that leaves, of which three fail without the evictor. Fake workers report their progress.

--- /dev/null
+++ b/src/draining/tests/testgroups.h
@@ -0,0 +1,11 @@
+// Declares the test groups of this module.
+#pragma once
+
+#include "framework/testing/testgroup.h"
+
+namespace oriolevane {
+
+void
+EvictionPolicyTests(testing::Section& aRoot);
+
+} // namespace oriolevane
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -10,6 +10,7 @@
 #include "jobs/internal/dispatcher.h"
 #include "jobs/internal/recordvalues.h"
 #include "jobs/internal/runendhandler.h"
+#include "jobs/internal/runevictor.h"
 #include "jobs/internal/runtracker.h"
 #include "jobs/internal/schedulercounts.h"
 #include "jobs/internal/urgency.h"
@@ -48,6 +49,7 @@
   Impl(const SchedulerOptions& aOptions, SchedulerHooks aHooks)
     : mCell(aOptions, std::move(aHooks))
     , mRuns(mCell)
+    , mEvictor(mCell, mRuns)
     , mRunEndHandler(mCell, mRuns)
     , mAdvice(mCell)
     , mCrashHandler(mCell, mRunEndHandler)
@@ -66,6 +68,7 @@
 
   CellState mCell;
   RunTracker mRuns;
+  RunEvictor mEvictor;
   RunEndHandler mRunEndHandler;
   AdvicePlanner mAdvice;
   CrashHandler mCrashHandler;
@@ -388,6 +391,7 @@
   if (aNow.mSteady >= mImpl->mNextUpkeep) {
     mImpl->mNextUpkeep = aNow.mSteady + kUpkeepInterval;
     mImpl->mWorkerAnswerHandler.ExpireLeases(aNow);
+    mImpl->mEvictor.Evict(aNow.mSteady);
     mImpl->mRuns.ResendStops(aNow.mSteady);
   }
   mImpl->FinishRecovery(aNow);
--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -20,6 +20,9 @@
 constexpr std::chrono::milliseconds kBusyPollWait = 500ms;
 // Duration of a long poll of a worker without runs.
 constexpr std::chrono::milliseconds kIdlePollWait = 2000ms;
+// The longest time from a change of a registry entry until it is read here,
+// while the store is not slow.
+constexpr std::chrono::milliseconds kMaxEntryDelay = 300ms;
 // How long a worker that has left the registry and does not answer is kept.
 constexpr std::chrono::milliseconds kUnregisteredRetention = 3000ms;
 
@@ -103,6 +106,7 @@
   }
   worker.mEntry = aEntry;
   worker.mEntry.mIncarnation = incarnation;
+  UpdateDeparture(worker, aNow);
   worker.mRegistered = true;
   if (added) {
     worker.mToken = FencingToken(mOptions.mEpoch.mValue * kTokensPerEpoch + 1);
@@ -126,6 +130,25 @@
   return otherIncarnation;
 }
 
+void
+Fleet::UpdateDeparture(Worker& aWorker, TimePoint aNow)
+{
+  const std::optional<std::chrono::milliseconds>& leavesIn =
+    aWorker.mEntry.mLeavesIn;
+  if (!aWorker.mEntry.mDraining || !leavesIn.has_value()) {
+    aWorker.mLeavesAt.reset();
+    return;
+  }
+  const TimePoint leavesAt = aNow + *leavesIn - kMaxEntryDelay;
+  if (!aWorker.mLeavesAt.has_value()) {
+    LogInfo("worker_draining")
+      .With("worker", aWorker.Id())
+      .With("leaves_in_ms", leavesIn->count())
+      .With("runs", aWorker.mRuns.size());
+  }
+  aWorker.mLeavesAt = std::min(aWorker.mLeavesAt.value_or(leavesAt), leavesAt);
+}
+
 void
 Fleet::Unregister(const WorkerId& aId, TimePoint aNow)
 {
--- a/src/jobs/internal/fleet.h
+++ b/src/jobs/internal/fleet.h
@@ -79,6 +79,8 @@
   std::optional<WorkerRecord> RecordOf(const WorkerId& aId) const;
 
 private:
+  // Notes when a draining worker leaves, from its new registry entry.
+  static void UpdateDeparture(Worker& aWorker, TimePoint aNow);
   // Raises the recorded largest amounts to the worker's present capacity.
   // Returns true when they have changed.
   static bool RaiseMaxCapacity(Worker& aWorker);
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -15,6 +15,7 @@
 #include "jobs/internal/stepadvice.h"
 #include "jobs/types/jobrecord.h"
 #include "jobs/types/orders.h"
+#include "progress/runprogress.h"
 
 namespace oriolevane::jobs {
 
@@ -48,10 +49,7 @@
   TimePoint mOrderedAt;
   // When the worker first confirmed the run.
   TimePoint mConfirmedAt;
-  // Progress in percent.
-  int mPercent = 0;
-  // When the percentage last increased.
-  TimePoint mProgressAt;
+  progress::RunProgress mProgress;
   bool mStopWanted = false;
   TimePoint mStopOrderedAt;
   // A stop order has been sent and not been answered yet.
--- a/src/jobs/internal/runtracker.cpp
+++ b/src/jobs/internal/runtracker.cpp
@@ -51,6 +51,9 @@
   run->mToken = aWorker.mToken;
   run->mOrderedAt = aNow;
   run->mSuspected = task.mCrashes.IsSuspected();
+  if (aCheckpoint.empty()) {
+    run->mProgress = progress::RunProgress(aNow);
+  }
   task.mLastRun = aNumber;
   task.mSeenRunning = true;
   task.mRuns.push_back(run);
@@ -110,7 +113,6 @@
   aRun.mPhase = RunPhase::Running;
   aRun.mInterrupted.reset();
   aRun.mConfirmedAt = aNow;
-  aRun.mProgressAt = aNow;
   Job* job = mCell.mJobs.Find(aRun.mTask.mStep.mJob);
   if (job != nullptr) {
     job->mStarted = true;
@@ -128,8 +130,7 @@
   run->mAdopted = true;
   run->mOrderedAt = aNow;
   run->mConfirmedAt = aNow;
-  run->mProgressAt = aNow;
-  run->mPercent = aRunning.mPercent;
+  run->mProgress.Report(aRunning.mPercent, aNow);
   Job* job = mCell.mJobs.Find(aRunning.mTask.mStep.mJob);
   Task* task = job == nullptr ? nullptr : job->FindTask(aRunning.mTask);
   run->mTeam = TeamOf(aRunning.mTask.mStep.mJob);
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -43,6 +43,8 @@
   // The worker is in the registry.
   bool mRegistered = false;
   TimePoint mUnregisteredSince;
+  // For a draining worker: the earliest time at which it leaves.
+  std::optional<TimePoint> mLeavesAt;
   // The store holds the worker's record, so that a later owner knows of it.
   bool mRecorded = false;
   // The largest amounts that the capacity has had, as in the record. Nothing is
--- a/src/jobs/internal/workeranswerhandler.cpp
+++ b/src/jobs/internal/workeranswerhandler.cpp
@@ -161,10 +161,7 @@
       continue;
     }
     mRuns.MarkRunning(*run, aNow.mSteady);
-    if (running.mPercent > run->mPercent) {
-      run->mPercent = running.mPercent;
-      run->mProgressAt = aNow.mSteady;
-    }
+    run->mProgress.Report(running.mPercent, aNow.mSteady);
     if (running.mCheckpoint.empty() || run->mOrphan) {
       continue;
     }
--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -472,9 +472,9 @@
 }
 
 void
-FakeCell::DrainWorker(std::size_t aWorkerIndex)
+FakeCell::DrainWorker(std::size_t aWorkerIndex, std::optional<Millis> aLeavesIn)
 {
-  mWorkers[aWorkerIndex]->Drain();
+  mWorkers[aWorkerIndex]->Drain(aLeavesIn);
   mScheduler->RegisterWorker(PublishedEntry(aWorkerIndex), NowMoment());
 }
 
--- a/src/jobs/tests/fakecell.h
+++ b/src/jobs/tests/fakecell.h
@@ -107,8 +107,10 @@
   void RestartWorker(std::size_t aWorkerIndex);
   // Drops all calls to a worker, which keeps running.
   void SetWorkerUnreachable(std::size_t aWorkerIndex, bool aUnreachable);
-  // Marks a worker as draining, in the registry too.
-  void DrainWorker(std::size_t aWorkerIndex);
+  // Marks a worker as draining, in the registry too. Its entry gives aLeavesIn
+  // as notice.
+  void DrainWorker(std::size_t aWorkerIndex,
+                   std::optional<Millis> aLeavesIn = std::nullopt);
   // Changes a worker's capacity; its registry entry changes 300 ms later. For a
   // worker that is down, the entry changes with its restart.
   void SetWorkerCapacity(std::size_t aWorkerIndex, const Resources& aCapacity);
--- a/src/jobs/tests/fakeworker.cpp
+++ b/src/jobs/tests/fakeworker.cpp
@@ -24,6 +24,15 @@
 
 } // namespace
 
+int
+FakeRun::Percent(Millis aNow) const
+{
+  constexpr int kComplete = 100;
+  const Millis done = aNow - mStartedAt + mSavedProgress;
+  return static_cast<int>(std::clamp<std::int64_t>(
+    kComplete * done / std::max(mPlan.mDuration, Millis(1)), 0, kComplete));
+}
+
 FakeWorker::FakeWorker(WorkerEntry aEntry,
                        Millis aClockOffset,
                        FakeWorkerHooks aHooks)
@@ -209,7 +218,7 @@
     answer.mReport.mRunning.push_back({ .mTask = run.mTask,
                                         .mRun = run.mRun,
                                         .mCheckpoint = {},
-                                        .mPercent = 0 });
+                                        .mPercent = run.Percent(aNow) });
   }
   return answer;
 }
--- a/src/jobs/tests/fakeworker.h
+++ b/src/jobs/tests/fakeworker.h
@@ -45,6 +45,8 @@
   // When the whole gang of the run is done; nothing while members are missing.
   std::optional<Millis> mGangEnd;
 
+  // The share of the work that is done, in percent.
+  int Percent(Millis aNow) const;
   // When this run alone is done.
   Millis End() const { return mStartedAt + mPlan.mDuration - mSavedProgress; }
 };
@@ -97,7 +99,12 @@
   void Crash();
   // Restarts the worker under the same id, without any state.
   void Restart(WorkerIncarnation aLife, Millis aNow);
-  void Drain() { mEntry.mDraining = true; }
+  // aLeavesIn is the notice that the worker's entry gives.
+  void Drain(std::optional<Millis> aLeavesIn)
+  {
+    mEntry.mDraining = true;
+    mEntry.mLeavesIn = aLeavesIn;
+  }
   // Lets the gangs of its runs end only if all members are still running, after
   // another worker has crashed.
   void ForgetGangEnds();
--- a/src/jobs/tests/workerfailures_test.cpp
+++ b/src/jobs/tests/workerfailures_test.cpp
@@ -223,6 +223,75 @@
   });
 }
 
+// Submits a job of one task and returns the index of the worker that runs it.
+std::size_t
+StartTask(FakeCell& aCell, const StepSpec& aStep)
+{
+  aCell.RunFor(200ms);
+  aCell.Submit("job", SingleStepJob(aStep), MakeQueue());
+  aCell.RunFor(500ms);
+  const std::size_t first = aCell.WorkerAt(0).Runs().empty() ? 1 : 0;
+  CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, aCell.WorkerAt(first).Runs().size());
+  return first;
+}
+
+// Gives notice that a worker leaves, and lets it leave.
+void
+Leave(FakeCell& aCell, std::size_t aWorker, Millis aNotice)
+{
+  aCell.DrainWorker(aWorker, aNotice);
+  aCell.RunFor(aNotice);
+  aCell.CrashWorker(aWorker);
+}
+
+// Guards against tasks that wait for the lease of a worker that has left.
+void
+DescribeLeaving(Section& aRoot)
+{
+  aRoot.Describe("a worker that leaves after a notice", [](Section& aSection) {
+    aSection.It("has given up its long-running tasks by then", [] {
+      FakeCell cell({ .mWorkers = 2 });
+      StepSpec step = MakeStep(1, 2000, 500ms);
+      step.mLongRunning = true;
+      cell.mPlan = [](const TaskKey&, RunNumber, const WorkerId&) {
+        return RunPlan{ .mDuration = 60s };
+      };
+      const std::size_t first = StartTask(cell, step);
+      Leave(cell, first, 2000ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                           cell.WorkerAt(1 - first).Runs().size());
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+    });
+    aSection.It("loses no work of tasks that can resume", [] {
+      FakeCell cell({ .mWorkers = 2 });
+      StepSpec step = MakeStep(1, 2000, 4000ms);
+      step.mCheckpointing = true;
+      cell.mPlan = [](const TaskKey&, RunNumber, const WorkerId&) {
+        return RunPlan{ .mDuration = 4000ms, .mSavesCheckpoint = true };
+      };
+      Leave(cell, StartTask(cell, step), 2000ms);
+      cell.RunUntilFinal("job", 2000ms);
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+    });
+    aSection.It("lets other tasks start again at once", [] {
+      FakeCell cell({ .mWorkers = 2 });
+      const std::size_t first = StartTask(cell, MakeStep(1, 2000, 4000ms));
+      Leave(cell, first, 2000ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                           cell.WorkerAt(1 - first).Runs().size());
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+    });
+    aSection.It("finishes tasks that end before", [] {
+      FakeCell cell({ .mWorkers = 2 });
+      const std::size_t first = StartTask(cell, MakeStep(1, 2000, 2000ms));
+      Leave(cell, first, 2000ms);
+      cell.RunUntilFinal("job", 500ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                           cell.mStarts.begin()->second.size());
+    });
+  });
+}
+
 } // namespace
 
 void
@@ -236,6 +305,7 @@
   DescribeUnansweredOrders(aRoot);
   DescribeFailingWorker(aRoot);
   DescribeDraining(aRoot);
+  DescribeLeaving(aRoot);
 }
 
 } // namespace oriolevane
