Short jobs prefer workers on which their tasks take less time

Callers of short jobs got late answers when a task failed, or waited during a takeover, although faster workers had room.

Cause: single tasks went to the fullest worker that had room. Workers differ by a factor of 1.5 in speed, which was known and used for gangs only.

Change: tasks of jobs with little slack (at most 4 s, by their estimates) prefer workers by their relative run time, in the queries to the policy service and in the placement. Long jobs and gangs are placed as before.

--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "framework/stablehash.h"
+#include "jobs/internal/speedpreference.h"
 
 namespace oriolevane::jobs {
 
@@ -43,6 +44,9 @@
 // Weight of the random component in the score of a worker for a single task,
 // relative to the position in the fixed order.
 constexpr double kWorkerOrderJitter = 0.1;
+// Weight of the relative run time on a worker in the score for a task that
+// should end soon.
+constexpr double kRunTimePenalty = 4.0;
 // The score of a worker that would not hold a task even if it were empty. It is
 // below all others, also those of workers that exceed their capacity.
 constexpr double kTooSmallScore = std::numeric_limits<double>::lowest();
@@ -226,7 +230,8 @@
 AdvicePlanner::Score(const Worker& aWorker,
                      double aFillPosition,
                      const StepSpec& aSpec,
-                     std::uint64_t aSeed) const
+                     std::uint64_t aSeed,
+                     bool aPreferFast) const
 {
   constexpr double kHashSteps = 1024.0;
   if (!HoldsTask(aWorker, aSpec)) {
@@ -244,7 +249,9 @@
                          : 0.0);
   }
   const double room = aWorker.HasRoomFor(aSpec.mResources) ? 1.0 : 0.0;
-  return room + 1.0 - aFillPosition + kWorkerOrderJitter * jitter;
+  const double runTime =
+    aPreferFast ? kRunTimePenalty * aWorker.mHealth.mRunTime.Factor() : 0.0;
+  return room + 1.0 - aFillPosition + kWorkerOrderJitter * jitter - runTime;
 }
 
 std::vector<Worker*>
@@ -260,6 +267,7 @@
   const std::uint64_t seed = StableHash(aKey.ToText());
   const TimePoint renewBefore =
     aNow + QueryTime(*aJob.mRecord.mQueue.mAdvice, kMaxWorkersPerQuery);
+  const bool preferFast = PrefersFastWorkers(aJob, aKey.mStep);
   double fillPosition = 0;
   for (Worker* worker : mUsable) {
     fillPosition += 1.0 / static_cast<double>(mUsable.size());
@@ -268,9 +276,11 @@
     }
     const Approval* approval = aStep.mAdvice.ApprovalOf(worker);
     if (approval != nullptr && approval->mUsableUntil < renewBefore) {
-      expiring.emplace_back(Score(*worker, fillPosition, spec, seed), worker);
+      expiring.emplace_back(
+        Score(*worker, fillPosition, spec, seed, preferFast), worker);
     } else if (!aStep.mAdvice.mQueried.contains(worker)) {
-      unqueried.emplace_back(Score(*worker, fillPosition, spec, seed), worker);
+      unqueried.emplace_back(
+        Score(*worker, fillPosition, spec, seed, preferFast), worker);
     }
   }
   const std::size_t target = TargetApprovals(aJob, aKey, aStep);
--- a/src/jobs/internal/adviceplanner.h
+++ b/src/jobs/internal/adviceplanner.h
@@ -97,7 +97,8 @@
   double Score(const Worker& aWorker,
                double aFillPosition,
                const StepSpec& aSpec,
-               std::uint64_t aSeed) const;
+               std::uint64_t aSeed,
+               bool aPreferFast) const;
 
   CellState& mCell;
   bool mSpeedsKnown = false;
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -4,6 +4,7 @@
 
 #include "framework/log.h"
 #include "jobs/internal/placementcost.h"
+#include "jobs/internal/speedpreference.h"
 
 namespace oriolevane::jobs {
 
@@ -167,9 +168,11 @@
 {
   const StepSpec& spec = aCandidate.Spec();
   const bool ample = HasAmpleSlack(*aCandidate.mJob, aCandidate.mUrgency);
-  const PlacementCostOptions costs{ .mRemoteFactor =
-                                      mCell.mOptions.mRemoteFactor,
-                                    .mSpeedsKnown = mUsable.SpeedsKnown() };
+  const PlacementCostOptions costs{
+    .mRemoteFactor = mCell.mOptions.mRemoteFactor,
+    .mSpeedsKnown = mUsable.SpeedsKnown(),
+    .mPreferFast = PrefersFastWorkers(*aCandidate.mJob, aCandidate.mKey.mStep)
+  };
   EligibleWorker* best = nullptr;
   double bestCost = 0;
   for (EligibleWorker& choice : aEligible) {
--- a/src/jobs/internal/placementcost.cpp
+++ b/src/jobs/internal/placementcost.cpp
@@ -11,6 +11,9 @@
 // Added to the cost of workers on which a suspected task could take other jobs
 // down with it. It is more than all other terms of usual workers.
 constexpr double kCrashRiskCost = 1000.0;
+// The cost of a run time that is longer by its own amount, for tasks that
+// should end soon. It outweighs how full workers are.
+constexpr double kRunTimeCost = 6.0;
 // Workers with a higher slowness than this are used last.
 constexpr double kSlowWorkerThreshold = 2.5;
 
@@ -38,6 +41,9 @@
       aWorker.mHealth.mRunTime.Speed() != WorkerSpeed::Fast) {
     cost += kGangSpeedCost;
   }
+  if (aOptions.mPreferFast) {
+    cost += kRunTimeCost * aWorker.mHealth.mRunTime.Factor();
+  }
   if (aWorker.mHealth.mSlowness > kSlowWorkerThreshold) {
     cost += 10 * aWorker.mHealth.mSlowness;
   }
--- a/src/jobs/internal/placementcost.h
+++ b/src/jobs/internal/placementcost.h
@@ -12,6 +12,8 @@
   double mRemoteFactor = 1.0;
   // The speed of nearly all workers is known.
   bool mSpeedsKnown = false;
+  // Prefers workers on which tasks take less time than on others.
+  bool mPreferFast = false;
 };
 
 // The cost of placing a task of a step on a worker.
--- /dev/null
+++ b/src/jobs/internal/speedpreference.h
@@ -0,0 +1,16 @@
+// Decides which tasks go to the workers on which they take the least time.
+//
+// It answers loads of short and of long jobs on workers of unequal speed: a
+// short job whose task fails, or waits during a takeover, can still end in time
+// on a fast worker, while a long one has slack enough on a slow one.
+#pragma once
+
+#include "jobs/internal/job.h"
+
+namespace oriolevane::jobs {
+
+// True for the tasks of a step of a short job.
+bool
+PrefersFastWorkers(const Job& aJob, int aStep);
+
+} // namespace oriolevane::jobs
--- a/src/jobs/tests/loadmixes.cpp
+++ b/src/jobs/tests/loadmixes.cpp
@@ -182,4 +182,55 @@
   return options;
 }
 
+LoadTrialOptions
+LookupAndPrintLoad()
+{
+  LoadTrialOptions options;
+  options.mCapacity = { .mMilliCores = 16000, .mMemoryMiB = 65536 };
+  options.mQueryHosts = 6;
+  options.mJobClasses = {
+    { .mQueue = MakeJobClassQueue("lookup",
+                                  0,
+                                  1.5,
+                                  250ms,
+                                  { .mDecisionTime = 21ms,
+                                    .mTimePerWorker = 300us,
+                                    .mValidity = 2500ms }),
+      .mJobsPerSecond = 11.6,
+      .mSteps = { .mMean = 1.6, .mVariation = 0.4, .mMax = 4 },
+      .mTasksPerStep = { .mMean = 6, .mVariation = 0.8, .mMax = 36 },
+      .mMilliCores = { .mMean = 1300, .mVariation = 0.45, .mMax = 3800 },
+      .mMemoryMiB = { .mMean = 3600, .mVariation = 0.6, .mMax = 11000 },
+      .mRunTimeMs = { .mMean = 1000, .mVariation = 0.5, .mMax = 2500 },
+      .mEstimateError = 0.5,
+      .mUnevenness = 0.15,
+      .mFailedShare = 0.005,
+      .mAllowedShare = 0.7,
+      .mValueInTime = 0.631,
+      .mValueWhenLate = 0.126 },
+    { .mQueue = MakeJobClassQueue("print",
+                                  2,
+                                  2.2,
+                                  1200ms,
+                                  { .mDecisionTime = 400ms,
+                                    .mTimePerWorker = 5700us,
+                                    .mValidity = 2500ms }),
+      .mJobsPerSecond = 1.21,
+      .mSteps = { .mMean = 2, .mVariation = 0.4, .mMax = 5 },
+      .mTasksPerStep = { .mMean = 10, .mVariation = 0.6, .mMax = 52 },
+      .mMilliCores = { .mMean = 2700, .mVariation = 0.45, .mMax = 8200 },
+      .mMemoryMiB = { .mMean = 10000, .mVariation = 0.6, .mMax = 30000 },
+      .mRunTimeMs = { .mMean = 6000, .mVariation = 0.5, .mMax = 15000 },
+      .mGangShare = 0.08,
+      .mCheckpointingShare = 0.8,
+      .mEstimateError = 0.9,
+      .mUnevenness = 0.15,
+      .mFailedShare = 0.005,
+      .mAllowedShare = 0.35,
+      .mValueInTime = 3.47,
+      .mValueWhenLate = 0.694 }
+  };
+  return options;
+}
+
 } // namespace oriolevane::jobs
--- a/src/jobs/tests/loadtrial.h
+++ b/src/jobs/tests/loadtrial.h
@@ -137,6 +137,10 @@
 // gangs of route jobs, certificate jobs and short booking jobs.
 LoadTrialOptions
 WideRouteAndBookingLoad();
+// Returns a mix of short lookup jobs and long print jobs, for 48 workers of 16
+// cores.
+LoadTrialOptions
+LookupAndPrintLoad();
 // Returns the first site's mix, divided among five teams. The job classes of
 // the last team come last.
 LoadTrialOptions
--- a/src/jobs/tests/main.cpp
+++ b/src/jobs/tests/main.cpp
@@ -18,6 +18,7 @@
       { "advice", oriolevane::AdviceTests },
       { "record write queue", oriolevane::RecordWriteQueueTests },
       { "relative run time", oriolevane::RelativeRunTimeTests },
+      { "speed preference", oriolevane::SpeedPreferenceTests },
       { "quota", oriolevane::QuotaTests },
       { "load", oriolevane::LoadTests },
       { "random trouble", oriolevane::RandomFaultTests } });
--- a/src/jobs/tests/testgroups.h
+++ b/src/jobs/tests/testgroups.h
@@ -26,6 +26,8 @@
 void
 RelativeRunTimeTests(testing::Section& aRoot);
 void
+SpeedPreferenceTests(testing::Section& aRoot);
+void
 LoadTests(testing::Section& aRoot);
 void
 QuotaTests(testing::Section& aRoot);
