Short jobs prefer fast workers only with room, and while gangs need little

Cause: the score of a worker in a query counted its speed for more than its room, so the policy service was asked about fast workers that were full.

Change: only workers with room are rated by speed. Short jobs are packed as before while the gangs of the open jobs take more than a quarter of the cell. The reservations of gangs go by the progress of runs instead of estimates.

--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -47,6 +47,9 @@
 // Weight of the relative run time on a worker in the score for a task that
 // should end soon.
 constexpr double kRunTimePenalty = 4.0;
+// Added to that score for workers with room. It keeps them above those without,
+// however slow they are.
+constexpr double kFastWorkerBonus = 16.0;
 // The score of a worker that would not hold a task even if it were empty. It is
 // below all others, also those of workers that exceed their capacity.
 constexpr double kTooSmallScore = std::numeric_limits<double>::lowest();
@@ -248,10 +251,15 @@
            (mSpeedsKnown ? SpeedPenalty(aWorker.mHealth.mRunTime.Speed())
                          : 0.0);
   }
-  const double room = aWorker.HasRoomFor(aSpec.mResources) ? 1.0 : 0.0;
-  const double runTime =
-    aPreferFast ? kRunTimePenalty * aWorker.mHealth.mRunTime.Factor() : 0.0;
-  return room + 1.0 - aFillPosition + kWorkerOrderJitter * jitter - runTime;
+  const bool hasRoom = aWorker.HasRoomFor(aSpec.mResources);
+  const double room = hasRoom ? 1.0 : 0.0;
+  const double order = room + 1.0 - aFillPosition + kWorkerOrderJitter * jitter;
+  // A fast worker without room is of no use.
+  if (!aPreferFast || !hasRoom) {
+    return order;
+  }
+  return order + kFastWorkerBonus -
+         kRunTimePenalty * aWorker.mHealth.mRunTime.Factor();
 }
 
 std::vector<Worker*>
@@ -267,7 +275,8 @@
   const std::uint64_t seed = StableHash(aKey.ToText());
   const TimePoint renewBefore =
     aNow + QueryTime(*aJob.mRecord.mQueue.mAdvice, kMaxWorkersPerQuery);
-  const bool preferFast = PrefersFastWorkers(aJob, aKey.mStep);
+  const bool preferFast =
+    mSpreadsShortJobs && PrefersFastWorkers(aJob, aKey.mStep);
   double fillPosition = 0;
   for (Worker* worker : mUsable) {
     fillPosition += 1.0 / static_cast<double>(mUsable.size());
--- a/src/jobs/internal/adviceplanner.h
+++ b/src/jobs/internal/adviceplanner.h
@@ -24,6 +24,8 @@
   // tasks fill them.
   // aSpeedsKnown is true when gangs should avoid slow workers.
   void SetUsableWorkers(const std::vector<Worker*>& aUsable, bool aSpeedsKnown);
+  // Sets whether short jobs may prefer fast workers.
+  void SetSpreadsShortJobs(bool aSpreads) { mSpreadsShortJobs = aSpreads; }
   // Sets the number of queries that all steps have pending.
   void SetPendingQueries(std::size_t aQueries)
   {
@@ -102,6 +104,7 @@
 
   CellState& mCell;
   bool mSpeedsKnown = false;
+  bool mSpreadsShortJobs = false;
   std::vector<Worker*> mUsable;
   std::map<PoolName, PoolWorkers> mUsableInPool;
   AdviceBudget mBudget;
--- a/src/jobs/internal/candidates.cpp
+++ b/src/jobs/internal/candidates.cpp
@@ -24,6 +24,7 @@
 {
   std::vector<Candidate> candidates;
   mPendingQueries = 0;
+  mGangDemand = 0;
   for (auto& [id, job] : mCell.mJobs.Jobs()) {
     if (job.mPhase == JobPhase::Open) {
       CollectJobCandidates(
@@ -60,6 +61,9 @@
                          .mStep = static_cast<int>(index) };
       const StepSpec& spec = aJob.mRecord.mSpec.mSteps[index];
       mPendingQueries += step.mAdvice.mPendingQueries;
+      if (spec.mGang && !step.IsDone()) {
+        mGangDemand += spec.mResources.mMilliCores * spec.mTaskCount;
+      }
       if (step.IsDone() || !step.HasWaitingTasks(spec)) {
         step.mWaitingSince.reset();
         continue;
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -49,6 +49,9 @@
   // Steps without an answer yet do not count.
   const std::size_t stepsRenewed = mAdvice.Budget().MaxStepsRenewedPerQueue();
   mSingleTaskShare = SingleTaskShare(candidates);
+  mSpreadsShortJobs =
+    MaySpreadShortJobs(mCandidates.GangDemand(), mUsable.MilliCores());
+  mAdvice.SetSpreadsShortJobs(mSpreadsShortJobs);
   for (const Candidate& candidate : candidates) {
     if (!QuotaAllowsStart(candidate)) {
       continue;
@@ -134,10 +137,7 @@
   if (waiting == 0) {
     return 1.0;
   }
-  double all = 0;
-  for (const Worker* worker : mUsable.Workers()) {
-    all += static_cast<double>(worker->mEntry.mCapacity.mMilliCores);
-  }
+  const auto all = static_cast<double>(mUsable.MilliCores());
   return std::clamp(kMaxSingleTaskShare - waiting / all,
                     kMinSingleTaskShare,
                     kMaxSingleTaskShare);
@@ -171,7 +171,8 @@
   const PlacementCostOptions costs{
     .mRemoteFactor = mCell.mOptions.mRemoteFactor,
     .mSpeedsKnown = mUsable.SpeedsKnown(),
-    .mPreferFast = PrefersFastWorkers(*aCandidate.mJob, aCandidate.mKey.mStep)
+    .mPreferFast = mSpreadsShortJobs &&
+                   PrefersFastWorkers(*aCandidate.mJob, aCandidate.mKey.mStep)
   };
   EligibleWorker* best = nullptr;
   double bestCost = 0;
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -82,6 +82,8 @@
   // Share of the usable workers' processors that single tasks with ample slack
   // may use in this pass.
   double mSingleTaskShare = 1.0;
+  // Short jobs may prefer fast workers in this pass.
+  bool mSpreadsShortJobs = false;
   // A worker with room was passed over in the current attempt, because its
   // capacity is withheld for gangs.
   bool mCapacityWithheld = false;
--- a/src/jobs/internal/gangreservations.cpp
+++ b/src/jobs/internal/gangreservations.cpp
@@ -4,6 +4,8 @@
 #include <optional>
 #include <utility>
 
+#include "jobs/internal/runforecast.h"
+
 namespace oriolevane::jobs {
 
 namespace {
@@ -54,7 +56,7 @@
       spec.mEstimate *
       std::clamp(aWorker.mHealth.mSlowness, 1.0, kMaxSlowness));
   }
-  TimePoint end = aRun.mOrderedAt + expected;
+  TimePoint end = ExpectedEndOf(aRun, expected);
   if (aRun.mStopWanted) {
     end = std::min<TimePoint>(
       end, aRun.mStopOrderedAt + mCell.mOptions.mMaxStopDuration);
--- a/src/jobs/internal/speedpreference.cpp
+++ b/src/jobs/internal/speedpreference.cpp
@@ -7,9 +7,18 @@
 // A job that may wait for longer than this and still end in time does not need
 // a fast worker.
 constexpr std::chrono::milliseconds kMaxSlack{ 4000 };
+// Gangs need little of the cell up to this share.
+constexpr double kMaxGangShare = 0.25;
 
 } // namespace
 
+bool
+MaySpreadShortJobs(std::int64_t aGangDemand, std::int64_t aCapacity)
+{
+  return static_cast<double>(aGangDemand) <=
+         kMaxGangShare * static_cast<double>(aCapacity);
+}
+
 bool
 PrefersFastWorkers(const Job& aJob, int aStep)
 {
--- a/src/jobs/internal/speedpreference.h
+++ b/src/jobs/internal/speedpreference.h
@@ -9,6 +9,12 @@
 
 namespace oriolevane::jobs {
 
+// True while gangs need little of the cell. Where they need more, short jobs
+// are packed on few workers instead, as spreading them would leave no empty
+// ones. Both amounts are in thousandths of a core.
+bool
+MaySpreadShortJobs(std::int64_t aGangDemand, std::int64_t aCapacity);
+
 // True for the tasks of a step of a short job.
 bool
 PrefersFastWorkers(const Job& aJob, int aStep);
--- a/src/jobs/internal/usableworkers.cpp
+++ b/src/jobs/internal/usableworkers.cpp
@@ -51,15 +51,16 @@
 void
 UsableWorkers::SetFillPositions()
 {
-  std::int64_t total = 0;
+  mMilliCores = 0;
   for (const Worker* worker : mWorkers) {
-    total += worker->mEntry.mCapacity.mMilliCores;
+    mMilliCores += worker->mEntry.mCapacity.mMilliCores;
   }
   std::int64_t before = 0;
   for (Worker* worker : mWorkers) {
     worker->mFillPosition =
-      total <= 0 ? 0.0
-                 : static_cast<double>(before) / static_cast<double>(total);
+      mMilliCores <= 0
+        ? 0.0
+        : static_cast<double>(before) / static_cast<double>(mMilliCores);
     before += worker->mEntry.mCapacity.mMilliCores;
   }
 }
--- a/src/jobs/internal/usableworkers.h
+++ b/src/jobs/internal/usableworkers.h
@@ -19,6 +19,8 @@
   // in which single tasks fill them, as the share of all processors before it.
   void Update(TimePoint aNow);
   const std::vector<Worker*>& Workers() const { return mWorkers; }
+  // The processors of all of them, in thousandths of a core.
+  std::int64_t MilliCores() const { return mMilliCores; }
   // True when the speed of nearly all of them is known.
   bool SpeedsKnown() const { return mSpeedsKnown; }
 
@@ -27,6 +29,7 @@
 
   CellState& mCell;
   std::vector<Worker*> mWorkers;
+  std::int64_t mMilliCores = 0;
   bool mSpeedsKnown = false;
 };
 
