Split large files along jobs: messages between nodes, advice, scores, owner row

Functions moved as they were: what a node exchanges with others, its queries to the policy service, the rating of workers for a query, the estimated end of a step, and the codec of the owner row with the template that both codecs use.

--- /dev/null
+++ b/src/cellnode/internal/cellnodepeers.cpp
@@ -0,0 +1,200 @@
+// The part of a node that exchanges messages with other nodes: what it says of
+// itself, and what it learns of them and of the owner.
+#include <algorithm>
+
+#include "cellnode/internal/cellnodeimpl.h"
+#include "cellnode/internal/peermessages.h"
+#include "framework/log.h"
+
+namespace oriolevane::cellnode {
+
+namespace {
+
+TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+void
+CellNode::Impl::UpdateHello()
+{
+  cellwire::HelloT hello;
+  hello.node = mOptions.mNode.mValue;
+  hello.address = mOptions.mPeerAddress;
+  hello.incarnation = mOptions.mIncarnation.mValue;
+  hello.epoch = mEpoch.mValue;
+  hello.owns = mSession != nullptr;
+  hello.fitness = static_cast<float>(mOptions.mFitness);
+  hello.zone = mOptions.mZone.mValue;
+  hello.relays = !mStopping;
+  hello.accepts_compression = true;
+  hello.wants_compression = mOptions.mCompress;
+  mPeers.SetHello(std::move(hello));
+}
+
+void
+CellNode::Impl::SendHeartbeats()
+{
+  const std::uint32_t age = ToWireMillis(mSession->StoreAge(Now()));
+  const double best = std::max(mOptions.mFitness, PeerFitness(FittestPeer()));
+  mSession->SetBestFitness(best);
+  for (const NodeId& node : mPeers.LinkedNodes()) {
+    cellwire::HeartbeatT heartbeat;
+    heartbeat.epoch = mEpoch.mValue;
+    heartbeat.owns = true;
+    heartbeat.store_age_ms = age;
+    heartbeat.best_fitness = static_cast<float>(best);
+    mPeers.Send(node, heartbeat);
+  }
+}
+
+NodeId
+CellNode::Impl::FittestPeer() const
+{
+  NodeId fittest;
+  for (const NodeId& node : mPeers.LinkedNodes()) {
+    if (fittest.Empty() || PeerFitness(node) > PeerFitness(fittest)) {
+      fittest = node;
+    }
+  }
+  return fittest;
+}
+
+double
+CellNode::Impl::PeerFitness(const NodeId& aNode) const
+{
+  const auto found = mPeerStates.find(aNode);
+  return found == mPeerStates.end() ? 0.0 : found->second.mFitness;
+}
+
+void
+CellNode::Impl::OnHello(const NodeId& aNode, const cellwire::HelloT& aHello)
+{
+  const Epoch epoch(aHello.epoch);
+  mPeerStates[aNode] = { .mIncarnation = Incarnation(aHello.incarnation),
+                         .mFitness = aHello.fitness,
+                         .mZone = ZoneId(aHello.zone),
+                         .mRelays = aHello.relays };
+  if (mSession != nullptr) {
+    if (mPredecessor.has_value() && mPredecessor->mNode == aNode &&
+        mPredecessor->mIncarnation != Incarnation(aHello.incarnation)) {
+      mSession->OnPredecessorGone();
+    }
+    if (aHello.owns && epoch > mEpoch) {
+      mEpoch = epoch;
+      mPolicy.OnOwnerContact(epoch, Duration::zero(), Now());
+      EndSession("higher_epoch");
+    } else {
+      AddToSession(aNode);
+      return;
+    }
+  }
+  if (aHello.owns && epoch >= mEpoch) {
+    const bool changed = mOwner != aNode || mEpoch != epoch;
+    mEpoch = epoch;
+    mOwner = aNode;
+    mPolicy.OnOwnerContact(epoch, Duration::zero(), Now());
+    if (changed) {
+      LogInfo("owner_found").With("owner", aNode).With("epoch", epoch);
+      mCalls.MarkAllUnsent();
+      SendUnsentCalls();
+    }
+    return;
+  }
+  const std::optional<OwnerRow>& row = mPolicy.Row();
+  if (!aHello.owns && row.has_value() && row->mNode == aNode &&
+      epoch >= row->mEpoch) {
+    mPolicy.OnOwnershipDenied(row->mEpoch);
+  }
+  if (!aHello.owns && row.has_value() && row->mNode == aNode &&
+      row->mIncarnation != Incarnation(aHello.incarnation)) {
+    mPolicy.OnOwnershipDenied(row->mEpoch);
+  }
+  if (!aHello.owns && mOwner == aNode) {
+    OnOwnerLost();
+  }
+}
+
+void
+CellNode::Impl::OnOwnerLost()
+{
+  mOwner = NodeId();
+  mCalls.MarkAllUnsent();
+  mPolicy.OnOwnerDisconnected(Now());
+  mShardClaimer.ReadSoon();
+}
+
+void
+CellNode::Impl::OnPeerClosed(const NodeId& aNode)
+{
+  mRelayServer.OnNodeGone(aNode);
+  if (mSession != nullptr) {
+    mSession->RemoveNode(aNode);
+    return;
+  }
+  if (mOwner == aNode) {
+    LogInfo("owner_link_closed").With("owner", aNode).With("epoch", mEpoch);
+    OnOwnerLost();
+  }
+}
+
+void
+CellNode::Impl::OnMessage(const NodeId& aNode,
+                          const cellwire::MessageT& aMessage)
+{
+  switch (aMessage.body.type) {
+    case cellwire::Body::Heartbeat:
+      OnHeartbeat(aNode, *aMessage.body.AsHeartbeat());
+      break;
+    case cellwire::Body::Handover:
+      mPolicy.OnHandover(Epoch(aMessage.body.AsHandover()->epoch));
+      mShardClaimer.ReadSoon();
+      break;
+    case cellwire::Body::CallerRequest:
+      OnPeerCallerRequest(aNode, *aMessage.body.AsCallerRequest());
+      break;
+    case cellwire::Body::CallerAnswer:
+      OnPeerCallerAnswer(aNode, *aMessage.body.AsCallerAnswer());
+      break;
+    case cellwire::Body::AdviceQuery:
+      OnPeerAdviceQuery(aNode, *aMessage.body.AsAdviceQuery());
+      break;
+    case cellwire::Body::AdviceAnswer:
+      OnPeerAdviceAnswer(*aMessage.body.AsAdviceAnswer());
+      break;
+    case cellwire::Body::WorkerCallBatch:
+      mRelayServer.OnCalls(aNode, *aMessage.body.AsWorkerCallBatch());
+      break;
+    case cellwire::Body::WorkerAnswerBatch:
+      if (mSession != nullptr) {
+        mSession->OnWorkerAnswers(*aMessage.body.AsWorkerAnswerBatch());
+      }
+      break;
+    case cellwire::Body::Hello:
+    case cellwire::Body::NONE:
+      break;
+  }
+}
+
+void
+CellNode::Impl::OnHeartbeat(const NodeId& aNode,
+                            const cellwire::HeartbeatT& aHeartbeat)
+{
+  const Epoch epoch(aHeartbeat.epoch);
+  if (mSession != nullptr || epoch < mEpoch || !aHeartbeat.owns) {
+    return;
+  }
+  if (mOwner != aNode) {
+    mOwner = aNode;
+    mEpoch = epoch;
+    SendUnsentCalls();
+  }
+  mPolicy.OnOwnerContact(
+    epoch, std::chrono::milliseconds(aHeartbeat.store_age_ms), Now());
+  mPolicy.SetBestFitness(aHeartbeat.best_fitness);
+}
+
+} // namespace oriolevane::cellnode
--- a/src/cellnode/internal/recordcodec.cpp
+++ b/src/cellnode/internal/recordcodec.cpp
@@ -4,7 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "cellnode/compression.h"
+#include "cellnode/internal/rowreader.h"
 
 namespace oriolevane::cellnode {
 
@@ -234,23 +234,6 @@
            });
 }
 
-// Decompresses and parses the text, and calls a reader on it; a JSON exception
-// becomes DataLoss.
-template<typename Value, typename Reader>
-absl::StatusOr<Value>
-Decode(std::string_view aText, const Reader& aReader)
-{
-  const absl::StatusOr<std::string> text = DecompressRow(aText);
-  if (!text.ok()) {
-    return text.status();
-  }
-  try {
-    return aReader(json::parse(*text));
-  } catch (const json::exception& error) {
-    return absl::DataLossError(error.what());
-  }
-}
-
 } // namespace
 
 std::string
@@ -282,7 +265,7 @@
 absl::StatusOr<jobs::JobRecord>
 DecodeJob(std::string_view aText)
 {
-  return Decode<jobs::JobRecord>(
+  return ReadRow<jobs::JobRecord>(
     aText, [](const json& aValue) -> absl::StatusOr<jobs::JobRecord> {
       jobs::JobRecord record;
       record.mId = jobs::JobId(aValue.at("id").get<std::string>());
@@ -333,7 +316,7 @@
 absl::StatusOr<jobs::ProgressRecord>
 DecodeProgress(std::string_view aText)
 {
-  return Decode<jobs::ProgressRecord>(aText, [](const json& aValue) {
+  return ReadRow<jobs::ProgressRecord>(aText, [](const json& aValue) {
     jobs::ProgressRecord record;
     record.mJob = jobs::JobId(aValue.at("job").get<std::string>());
     record.mOccurrence = aValue.at("occurrence").get<int>();
@@ -366,7 +349,7 @@
 absl::StatusOr<jobs::FinishedRecord>
 DecodeFinished(std::string_view aText)
 {
-  return Decode<jobs::FinishedRecord>(
+  return ReadRow<jobs::FinishedRecord>(
     aText, [](const json& aValue) -> absl::StatusOr<jobs::FinishedRecord> {
       const int state = aValue.at("state").get<int>();
       if (state < 0 || state > static_cast<int>(jobs::JobState::Cancelled)) {
@@ -397,7 +380,7 @@
 absl::StatusOr<jobs::WorkerRecord>
 DecodeWorker(std::string_view aText)
 {
-  return Decode<jobs::WorkerRecord>(aText, [](const json& aValue) {
+  return ReadRow<jobs::WorkerRecord>(aText, [](const json& aValue) {
     jobs::WorkerRecord record{
       .mId = WorkerId(aValue.at("id").get<std::string>()),
       .mAddress = aValue.at("address").get<std::string>(),
@@ -410,34 +393,4 @@
   });
 }
 
-std::string
-Encode(const OwnerRow& aRow)
-{
-  return json{
-    { "epoch", aRow.mEpoch.mValue },
-    { "node", aRow.mNode.mValue },
-    { "incarnation", aRow.mIncarnation.mValue },
-    { "address", aRow.mAddress },
-    { "sequence", aRow.mSequence },
-    { "released", aRow.mReleased },
-    { "best_fitness", aRow.mBestFitness }
-  }.dump();
-}
-
-absl::StatusOr<OwnerRow>
-DecodeOwner(std::string_view aText)
-{
-  return Decode<OwnerRow>(aText, [](const json& aValue) {
-    return OwnerRow{ .mEpoch = Epoch(aValue.at("epoch").get<std::uint64_t>()),
-                     .mNode = NodeId(aValue.at("node").get<std::string>()),
-                     .mIncarnation = Incarnation(
-                       aValue.at("incarnation").get<std::uint64_t>()),
-                     .mAddress = aValue.at("address").get<std::string>(),
-                     .mSequence = aValue.at("sequence").get<std::uint64_t>(),
-                     .mReleased = aValue.at("released").get<bool>(),
-                     // Missing in rows of older builds.
-                     .mBestFitness = aValue.value("best_fitness", 1.0) };
-  });
-}
-
 } // namespace oriolevane::cellnode
--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -2,10 +2,11 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <utility>
 
 #include "framework/stablehash.h"
+#include "jobs/internal/advicescore.h"
+#include "jobs/internal/runforecast.h"
 #include "jobs/internal/speedpreference.h"
 
 namespace oriolevane::jobs {
@@ -34,26 +35,6 @@
 constexpr double kDefaultApprovalShare = 0.4;
 constexpr double kMinApprovalShare = 0.1;
 constexpr double kApprovalShareWeight = 0.05;
-// Weight of the random component in the score of a worker for a gang. It
-// decides between workers whose free shares differ by less than this.
-constexpr double kFreeShareJitter = 0.5;
-// In the score for a gang, workers of unknown speed come behind fast ones with
-// as much room, and slow ones behind all others.
-constexpr double kUnknownSpeedPenalty = 0.5;
-constexpr double kSlowPenalty = 2.0;
-// Weight of the random component in the score of a worker for a single task,
-// relative to the position in the fixed order.
-constexpr double kWorkerOrderJitter = 0.1;
-// Weight of the relative run time on a worker in the score for a task that
-// should end soon.
-constexpr double kRunTimePenalty = 4.0;
-// Added to that score for workers with room. It keeps them above those without,
-// however slow they are.
-constexpr double kFastWorkerBonus = 16.0;
-// The score of a worker that would not hold a task even if it were empty. It is
-// below all others, also those of workers that exceed their capacity.
-constexpr double kTooSmallScore = std::numeric_limits<double>::lowest();
-
 Duration
 QueryTime(const AdvicePolicy& aPolicy, std::size_t aWorkers)
 {
@@ -61,26 +42,6 @@
          aPolicy.mTimePerWorker * static_cast<std::int64_t>(aWorkers);
 }
 
-double
-FreeShare(const Worker& aWorker)
-{
-  const Resources& capacity = aWorker.mEntry.mCapacity;
-  const Resources free = capacity - aWorker.mUsed;
-  const auto share = [](std::int64_t aFree, std::int64_t aOf) {
-    return aOf <= 0 ? 1.0
-                    : static_cast<double>(aFree) / static_cast<double>(aOf);
-  };
-  return std::min(share(free.mMilliCores, capacity.mMilliCores),
-                  share(free.mMemoryMiB, capacity.mMemoryMiB));
-}
-
-// True when the worker would hold a task of the step if it were empty.
-bool
-HoldsTask(const Worker& aWorker, const StepSpec& aSpec)
-{
-  return aSpec.mResources.FitsIn(aWorker.mEntry.mCapacity);
-}
-
 // The number of approved workers that would hold a task if they were empty.
 // Approvals of workers that have shrunk are kept, as these may grow again.
 std::size_t
@@ -93,20 +54,6 @@
     });
 }
 
-double
-SpeedPenalty(WorkerSpeed aSpeed)
-{
-  switch (aSpeed) {
-    case WorkerSpeed::Unknown:
-      return kUnknownSpeedPenalty;
-    case WorkerSpeed::Slow:
-      return kSlowPenalty;
-    case WorkerSpeed::Fast:
-      return 0.0;
-  }
-  return 0.0;
-}
-
 // The number of tasks that an empty worker holds.
 std::int64_t
 TasksPerWorker(const Resources& aCapacity, const Resources& aTask)
@@ -118,24 +65,6 @@
                   fits(aCapacity.mMemoryMiB, aTask.mMemoryMiB));
 }
 
-// The expected end of the step's last run; nothing when a task is still waiting
-// to start.
-std::optional<TimePoint>
-ExpectedEnd(const Step& aStep, const StepSpec& aSpec)
-{
-  TimePoint end{};
-  for (const Task& task : aStep.mTasks) {
-    if (task.mSucceeded) {
-      continue;
-    }
-    if (task.mRuns.empty()) {
-      return std::nullopt;
-    }
-    end = std::max(end, task.mRuns.front()->mOrderedAt + aSpec.mEstimate);
-  }
-  return end;
-}
-
 } // namespace
 
 void
@@ -229,39 +158,6 @@
                                   std::max(share, kMinApprovalShare));
 }
 
-double
-AdvicePlanner::Score(const Worker& aWorker,
-                     double aFillPosition,
-                     const StepSpec& aSpec,
-                     std::uint64_t aSeed,
-                     bool aPreferFast) const
-{
-  constexpr double kHashSteps = 1024.0;
-  if (!HoldsTask(aWorker, aSpec)) {
-    return kTooSmallScore;
-  }
-  const std::uint64_t hash = StableHash(aWorker.Id().mValue, aSeed);
-  const double jitter =
-    static_cast<double>(hash % static_cast<std::uint64_t>(kHashSteps)) /
-    kHashSteps;
-  // Gangs need empty workers. Single tasks fill the workers in a fixed order,
-  // so that the last ones stay empty for gangs.
-  if (aSpec.mGang) {
-    return FreeShare(aWorker) + kFreeShareJitter * jitter -
-           (mSpeedsKnown ? SpeedPenalty(aWorker.mHealth.mRunTime.Speed())
-                         : 0.0);
-  }
-  const bool hasRoom = aWorker.HasRoomFor(aSpec.mResources);
-  const double room = hasRoom ? 1.0 : 0.0;
-  const double order = room + 1.0 - aFillPosition + kWorkerOrderJitter * jitter;
-  // A fast worker without room is of no use.
-  if (!aPreferFast || !hasRoom) {
-    return order;
-  }
-  return order + kFastWorkerBonus -
-         kRunTimePenalty * aWorker.mHealth.mRunTime.Factor();
-}
-
 std::vector<Worker*>
 AdvicePlanner::SelectWorkers(const Job& aJob,
                              const StepKey& aKey,
@@ -272,24 +168,23 @@
   ScoredWorkers unqueried;
   ScoredWorkers expiring;
   const StepSpec& spec = aJob.mRecord.mSpec.mSteps[aKey.mStep];
-  const std::uint64_t seed = StableHash(aKey.ToText());
   const TimePoint renewBefore =
     aNow + QueryTime(*aJob.mRecord.mQueue.mAdvice, kMaxWorkersPerQuery);
-  const bool preferFast =
-    mSpreadsShortJobs && PrefersFastWorkers(aJob, aKey.mStep);
-  double fillPosition = 0;
+  AdviceScoreOptions score{
+    .mSeed = StableHash(aKey.ToText()),
+    .mSpeedsKnown = mSpeedsKnown,
+    .mPreferFast = mSpreadsShortJobs && PrefersFastWorkers(aJob, aKey.mStep)
+  };
   for (Worker* worker : mUsable) {
-    fillPosition += 1.0 / static_cast<double>(mUsable.size());
+    score.mFillPosition += 1.0 / static_cast<double>(mUsable.size());
     if (worker->mEntry.mPool != aJob.mRecord.mQueue.mPool) {
       continue;
     }
     const Approval* approval = aStep.mAdvice.ApprovalOf(worker);
     if (approval != nullptr && approval->mUsableUntil < renewBefore) {
-      expiring.emplace_back(
-        Score(*worker, fillPosition, spec, seed, preferFast), worker);
+      expiring.emplace_back(AdviceScore(*worker, spec, score), worker);
     } else if (!aStep.mAdvice.mQueried.contains(worker)) {
-      unqueried.emplace_back(
-        Score(*worker, fillPosition, spec, seed, preferFast), worker);
+      unqueried.emplace_back(AdviceScore(*worker, spec, score), worker);
     }
   }
   const std::size_t target = TargetApprovals(aJob, aKey, aStep);
@@ -397,7 +292,7 @@
   for (const int earlier : aJob.mRecord.mSpec.mSteps[aKey.mStep].mAfter) {
     const Step& before = *aJob.FindStep(aKey.mOccurrence, earlier);
     const std::optional<TimePoint> expected =
-      ExpectedEnd(before, aJob.mRecord.mSpec.mSteps[earlier]);
+      EstimatedEndOf(before, aJob.mRecord.mSpec.mSteps[earlier]);
     if (!expected.has_value()) {
       return;
     }
--- a/src/jobs/internal/adviceplanner.h
+++ b/src/jobs/internal/adviceplanner.h
@@ -94,14 +94,6 @@
                            const StepKey& aKey,
                            const Step& aStep,
                            std::size_t aTarget) const;
-  // Rates a worker for a step; the highest score is queried first.
-  // aFillPosition is the worker's position in the fixed order, from 0 to 1.
-  double Score(const Worker& aWorker,
-               double aFillPosition,
-               const StepSpec& aSpec,
-               std::uint64_t aSeed,
-               bool aPreferFast) const;
-
   CellState& mCell;
   bool mSpeedsKnown = false;
   bool mSpreadsShortJobs = false;
--- a/src/jobs/internal/runforecast.h
+++ b/src/jobs/internal/runforecast.h
@@ -1,6 +1,8 @@
-// Predicts when runs end.
+// Predicts when runs and steps end.
 #pragma once
 
+#include <optional>
+
 #include "jobs/internal/job.h"
 
 namespace oriolevane::jobs {
@@ -10,4 +12,9 @@
 TimePoint
 ExpectedEndOf(const Run& aRun, Duration aEstimate);
 
+// The end of a step's last run by the estimate alone; nothing when a task still
+// waits to start.
+std::optional<TimePoint>
+EstimatedEndOf(const Step& aStep, const StepSpec& aSpec);
+
 } // namespace oriolevane::jobs
