Random trouble: workers that leave after a notice

Runs that are stopped because their worker leaves had stories of their own, but met no lost calls, takeovers or other faults.

Change: on a sixth of the seeds workers leave after a notice instead of crashing, sooner or later than they say, and some tasks resume from checkpoints. All other seeds are played as before. A fake worker that restarts no longer drains.

--- a/src/jobs/tests/fakeworker.cpp
+++ b/src/jobs/tests/fakeworker.cpp
@@ -243,6 +243,8 @@
 {
   mUp = true;
   mEntry.mIncarnation = aLife;
+  mEntry.mDraining = false;
+  mEntry.mLeavesIn.reset();
   mClockOffset = -aNow;
   mHighestToken = {};
   mLeaseEnd = Millis(0);
--- a/src/jobs/tests/randomtrouble_test.cpp
+++ b/src/jobs/tests/randomtrouble_test.cpp
@@ -19,6 +19,9 @@
 constexpr std::uint64_t kTeamSeedInterval = 2;
 // Every so many seeds, some jobs have a task that crashes its workers.
 constexpr std::uint64_t kCrashSeedInterval = 3;
+// Every so many seeds, workers leave after a notice instead of crashing, and
+// some tasks resume from checkpoints.
+constexpr std::uint64_t kNoticeSeedInterval = 4;
 // Every so many seeds, others than those with crashing tasks, the capacities of
 // workers change. The check allows for
 // no order that arrives late, although one may start until its lease ends on a
@@ -55,6 +58,7 @@
     mHasCrashingTasks = aSeed % kCrashSeedInterval == 0;
     mHasTeams = aSeed % kTeamSeedInterval == 0;
     mChangesCapacities = aSeed % kCapacitySeedInterval == 1;
+    mGivesNotice = !mHasCrashingTasks && aSeed % kNoticeSeedInterval == 2;
     if (mHasTeams) {
       mCell.Configure(MakeTeams());
     }
@@ -77,6 +81,9 @@
       if (mChangesCapacities) {
         mCell.SetWorkerCapacity(workerIndex, FakeCellOptions().mCapacity);
       }
+      if (mCell.WorkerAt(workerIndex).Entry().mDraining) {
+        mCell.CrashWorker(workerIndex);
+      }
       if (!mCell.WorkerAt(workerIndex).IsUp()) {
         mCell.RestartWorker(workerIndex);
       }
@@ -137,6 +144,7 @@
       plan.mCrashesWorkerAfter =
         Millis(mRandom() % (plan.mDuration.count() / 2));
     }
+    plan.mSavesCheckpoint = mGivesNotice && mRandom() % 2 == 0;
     return plan;
   }
 
@@ -178,6 +186,7 @@
                                      500 + static_cast<int>(mRandom() % 4000),
                                      Millis(100 + mRandom() % 500)));
       spec.mSteps.back().mGang = mRandom() % 3 == 0;
+      spec.mSteps.back().mCheckpointing = mGivesNotice && mRandom() % 2 == 0;
       if (step > 0) {
         spec.mSteps.back().mAfter = { step - 1 };
       }
@@ -207,7 +216,11 @@
         mCell.TakeOver(Millis(mRandom() % 2000));
         break;
       case 1:
-        mCell.CrashWorker(workerIndex);
+        if (mGivesNotice) {
+          LeaveAfterNotice(workerIndex);
+        } else {
+          mCell.CrashWorker(workerIndex);
+        }
         break;
       case 2:
         if (!mCell.WorkerAt(workerIndex).IsUp()) {
@@ -231,6 +244,19 @@
     }
   }
 
+  // A worker may leave sooner or later than it says.
+  void LeaveAfterNotice(std::size_t aWorkerIndex)
+  {
+    const Millis notice(200 + mRandom() % 2500);
+    const Millis leavesIn = notice / 2 + Millis(mRandom() % notice.count());
+    mCell.DrainWorker(aWorkerIndex, notice);
+    mCell.ScheduleAfter(leavesIn, [this, aWorkerIndex] {
+      if (mCell.WorkerAt(aWorkerIndex).Entry().mDraining) {
+        mCell.CrashWorker(aWorkerIndex);
+      }
+    });
+  }
+
   // Sets a random worker to between nothing and one and a half times its
   // capacity at the start.
   void ChangeCapacity()
@@ -252,6 +278,7 @@
   // Jobs whose first task of each step crashes its workers.
   std::set<std::string> mCrashingJobs;
   bool mChangesCapacities = false;
+  bool mGivesNotice = false;
   // Jobs whose tasks always fail.
   std::set<std::string> mFailingJobs;
   // Percentage of calls to workers that fail.
