Only the former owner's node goes by the fitness in the owner row

Change: the fitness in the row shortens the wait of the former owner's node alone; all others wait as before.

--- a/src/cellnode/internal/ownershippolicy.cpp
+++ b/src/cellnode/internal/ownershippolicy.cpp
@@ -95,7 +95,6 @@
   }
   if (aRow.has_value()) {
     NoteEpoch(aRow->mEpoch, aNow);
-    mBestFitness = aRow->mBestFitness;
   }
   mRowKnown = true;
   mRow = aRow;
@@ -142,9 +141,9 @@
 }
 
 Duration
-OwnershipPolicy::UnfitDelay() const
+OwnershipPolicy::UnfitDelay(double aBestFitness) const
 {
-  const double relative = mOptions.mFitness / std::max(mBestFitness, 0.01);
+  const double relative = mOptions.mFitness / std::max(aBestFitness, 0.01);
   if (relative >= kSimilarFitnessRatio) {
     return Duration::zero();
   }
@@ -161,14 +160,15 @@
                                aNow)) {
     return std::nullopt;
   }
-  Duration wait = Stagger() + UnfitDelay();
+  Duration wait = Stagger() + UnfitDelay(mBestFitness);
   if (mRow.has_value()) {
     const bool vacant = mRow->mReleased || mDeniedEpoch >= mRow->mEpoch;
     if (mHandoverEpoch >= mRow->mEpoch && mRow->mReleased) {
       wait = Duration::zero();
     } else if (OwnedByFormerProcess()) {
-      // The others find out later that the owner has stopped.
-      wait = UnfitDelay();
+      // The others find out later that the owner has stopped. After a restart,
+      // only the row tells how fit they are.
+      wait = UnfitDelay(mRow->mBestFitness);
     } else if (!vacant) {
       wait += std::max<Duration>(mOptions.mMinUnchanged,
                                  mOptions.mMinUnchangedRoundTrips * mRoundTrip);
--- a/src/cellnode/internal/shardclaimer.cpp
+++ b/src/cellnode/internal/shardclaimer.cpp
@@ -125,14 +125,16 @@
   mPredecessor = mPolicy.Row();
   const Epoch before =
     mPredecessor.has_value() ? mPredecessor->mEpoch : Epoch();
-  const OwnerRow row{ .mEpoch = Epoch(
-                        std::max(before, mHooks.mHighestEpoch()).mValue + 1),
-                      .mNode = mOptions.mNode,
-                      .mIncarnation = mOptions.mIncarnation,
-                      .mAddress = mOptions.mPeerAddress,
-                      .mSequence = 0,
-                      .mReleased = false,
-                      .mBestFitness = mPolicy.BestFitness() };
+  const OwnerRow row{
+    .mEpoch = Epoch(std::max(before, mHooks.mHighestEpoch()).mValue + 1),
+    .mNode = mOptions.mNode,
+    .mIncarnation = mOptions.mIncarnation,
+    .mAddress = mOptions.mPeerAddress,
+    .mSequence = 0,
+    .mReleased = false,
+    .mBestFitness = mPredecessor.has_value() ? mPredecessor->mBestFitness
+                                             : mPolicy.BestFitness()
+  };
   LogInfo("taking_over")
     .With("epoch", row.mEpoch)
     .With("from", mPredecessor.has_value() ? mPredecessor->mNode.mValue : "")
--- a/src/cellnode/ownershippolicy.h
+++ b/src/cellnode/ownershippolicy.h
@@ -107,8 +107,8 @@
   bool OwnedByFormerProcess() const;
   // Spreads the claims of nodes of similar fitness.
   Duration Stagger() const;
-  // The additional delay of a node that is less fit than others.
-  Duration UnfitDelay() const;
+  // The additional delay of a node that is less fit than the fittest one.
+  Duration UnfitDelay(double aBestFitness) const;
 
   OwnershipOptions mOptions;
   std::optional<OwnerRow> mRow;
--- a/src/cellnode/tests/ownershippolicy_test.cpp
+++ b/src/cellnode/tests/ownershippolicy_test.cpp
@@ -157,6 +157,14 @@
         OwnershipPolicy policy = restarted(0.5);
         CPPUNIT_ASSERT(TimeToClaim(policy, small, kBegin) == Duration::zero());
       });
+    // Guards against nodes that replace each other while each is busy with its
+    // recovery.
+    aSection.It("gives its node time before others of its fitness follow", [] {
+      OwnerRow small = kRow;
+      small.mBestFitness = 0.2;
+      OwnershipPolicy policy = Policy(0.2);
+      CPPUNIT_ASSERT(TimeToClaim(policy, small, kBegin) >= 900ms);
+    });
     aSection.It("is respected once another node has taken over", [restarted] {
       OwnershipPolicy policy = restarted(1.0);
       CPPUNIT_ASSERT(TimeToClaim(policy, kRow, kBegin) >= 450ms);
