Open only a window of a repeated job's occurrences

Cause: JobTable::Add created all 460,800 occurrences that were due before the job was recorded or answered. Change: src/occurrences limits the open occurrences of a job to 128 or 10,000 tasks; none is opened before the record is stored. The job's row holds the number below which all have finished, and their progress rows are removed then. Occurrences that a worker reports are opened whatever this node's time of day, none is left out between two others, and a job whose last end was stored without its final state is completed by the next owner.

--- a/src/cellnode/internal/recordcodec.cpp
+++ b/src/cellnode/internal/recordcodec.cpp
@@ -259,6 +259,9 @@
   if (aRecord.mBorrows) {
     value["borrows"] = true;
   }
+  if (aRecord.mFinishedBefore > 0) {
+    value["finished_before"] = aRecord.mFinishedBefore;
+  }
   return value.dump();
 }
 
@@ -289,6 +292,7 @@
       }
       record.mTeam = TeamId(aValue.value("team", ""));
       record.mBorrows = aValue.value("borrows", false);
+      record.mFinishedBefore = aValue.value("finished_before", 0);
       return record;
     });
 }
--- a/src/cellnode/tests/recordcodec_test.cpp
+++ b/src/cellnode/tests/recordcodec_test.cpp
@@ -38,7 +38,7 @@
 static_assert(FieldCount<jobs::StepSpec>() == 16);
 static_assert(FieldCount<jobs::TaskProgress>() == 7);
 static_assert(FieldCount<jobs::LostRunProgress>() == 4);
-static_assert(FieldCount<jobs::JobRecord>() == 6);
+static_assert(FieldCount<jobs::JobRecord>() == 7);
 static_assert(FieldCount<jobs::FinishedRecord>() == 4);
 
 void
@@ -187,6 +187,7 @@
       record.mAcceptedAt = 1700000000123ms;
       record.mTeam = TeamId("team");
       record.mBorrows = true;
+      record.mFinishedBefore = 2;
       const auto back = DecodeJob(Encode(record));
       CPPUNIT_ASSERT(back.ok());
       CPPUNIT_ASSERT(back->mQueue == record.mQueue);
@@ -200,6 +201,7 @@
       CPPUNIT_ASSERT_EQUAL(3, back->mSpec.mRepetition->mCount);
       CPPUNIT_ASSERT(back->mTeam == record.mTeam);
       CPPUNIT_ASSERT(back->mBorrows);
+      CPPUNIT_ASSERT_EQUAL(2, back->mFinishedBefore);
     });
     // Guards against jobs that are lost when a new build takes over from an old
     // one, which stored no team.
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -398,7 +398,10 @@
   if (aNow.mSteady >= mImpl->mNextPrune) {
     mImpl->mNextPrune = aNow.mSteady + kPruneInterval;
     for (auto& [id, job] : cell.mJobs.Jobs()) {
-      cell.mJobs.OpenDueOccurrences(job, aNow);
+      if (job.mPhase == JobPhase::Open) {
+        cell.mJobs.RecordFinishedOccurrences(job);
+        cell.mJobs.OpenDueOccurrences(job, aNow);
+      }
     }
     cell.mJobs.Prune(
       aNow, cell.mOptions.mFinishedRetention, mImpl->mRecoveryFinished);
--- a/src/jobs/internal/job.cpp
+++ b/src/jobs/internal/job.cpp
@@ -46,15 +46,20 @@
     });
 }
 
+bool
+Occurrence::HasRuns() const
+{
+  return std::any_of(mSteps.begin(), mSteps.end(), [](const Step& aStep) {
+    return aStep.HasRuns();
+  });
+}
+
 bool
 Job::HasRuns() const
 {
   return std::any_of(
     mOccurrences.begin(), mOccurrences.end(), [](const auto& aEntry) {
-      const std::vector<Step>& steps = aEntry.second.mSteps;
-      return std::any_of(steps.begin(), steps.end(), [](const Step& aStep) {
-        return aStep.HasRuns();
-      });
+      return aEntry.second.HasRuns();
     });
 }
 
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -15,6 +15,7 @@
 #include "jobs/internal/stepadvice.h"
 #include "jobs/types/jobrecord.h"
 #include "jobs/types/orders.h"
+#include "occurrences/occurrencewindow.h"
 #include "progress/runprogress.h"
 
 namespace oriolevane::jobs {
@@ -155,6 +156,7 @@
   std::vector<Step> mSteps;
   bool mFinished = false;
 
+  bool HasRuns() const;
   // True when an earlier owner cannot have started the step, because this node
   // has seen runs of a step that it depends on.
   bool HasSeenDependenciesOf(const StepSpec& aSpec) const;
@@ -197,9 +199,14 @@
   bool mRecovered = false;
   // At least one task has been started.
   bool mStarted = false;
-  // The occurrences that are due, by number.
+  // The occurrences in the window that are due, by number. Earlier ones stay
+  // while they have runs.
   std::map<int, Occurrence> mOccurrences;
-  int mFinishedOccurrences = 0;
+  occurrences::OccurrenceWindow mWindow;
+  // The lowest number that has not been due yet.
+  int mNextOccurrence = 0;
+  // Position of the latest change that records mRecord.mFinishedBefore.
+  RecordPosition mWindowPosition;
 
   const JobId& Id() const { return mRecord.mId; }
   bool HasRuns() const;
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -31,6 +31,16 @@
   return { .mKind = RecordKind::Finished, .mName = aId.mValue };
 }
 
+occurrences::OccurrenceWindow
+MakeWindow(const JobRecord& aRecord)
+{
+  const std::optional<Repetition>& repetition = aRecord.mSpec.mRepetition;
+  return occurrences::OccurrenceWindow(
+    { .mCount = repetition.has_value() ? repetition->mCount : 1,
+      .mTasks = aRecord.mSpec.TaskCount(),
+      .mFinishedBefore = aRecord.mFinishedBefore });
+}
+
 } // namespace
 
 Job*
@@ -48,8 +58,8 @@
   job.mRecord = std::move(aRecord);
   job.mTimes = ComputeJobTimes(job.mRecord);
   job.mAcceptedAt = aNow.mSteady;
+  job.mWindow = MakeWindow(job.mRecord);
   job.mRecordPosition = mWriteQueue.Mark(JobKey(id));
-  OpenDueOccurrences(job, aNow);
   return job;
 }
 
@@ -66,6 +76,7 @@
     Job& job = mJobs[record.mId];
     job.mRecord = record;
     job.mTimes = ComputeJobTimes(job.mRecord);
+    job.mWindow = MakeWindow(job.mRecord);
     const std::chrono::milliseconds age =
       std::max(aNow.mUnix - record.mAcceptedAt, std::chrono::milliseconds(0));
     job.mAcceptedAt = aNow.mSteady - age;
@@ -85,19 +96,19 @@
   const RecordKey key = ProgressKey(aProgress.mJob, aProgress.mOccurrence);
   mWriteQueue.NoteWritten(key);
   Job* job = Find(aProgress.mJob);
-  if (job == nullptr) {
-    // The earlier owner removed the closed job but not yet its progress record.
+  if (job == nullptr || !job->mWindow.IsAhead(aProgress.mOccurrence)) {
+    // The earlier owner made the record redundant, but did not remove it yet.
     mWriteQueue.Remove(key);
+    if (job != nullptr) {
+      job->mStarted = true;
+    }
     return;
   }
   job->mStarted = true;
-  Occurrence& occurrence =
-    job->mOccurrences
-      .try_emplace(aProgress.mOccurrence, MakeOccurrence(job->mRecord.mSpec))
-      .first->second;
+  Occurrence& occurrence = OpenOccurrence(*job, aProgress.mOccurrence);
   occurrence.mFinished = aProgress.mFinished;
   if (occurrence.mFinished) {
-    ++job->mFinishedOccurrences;
+    job->mWindow.Finish(aProgress.mOccurrence);
   }
   for (const StepProgress& step : aProgress.mSteps) {
     Step* target = job->FindStep(aProgress.mOccurrence, step.mStep);
@@ -107,23 +118,66 @@
   }
 }
 
+Occurrence&
+JobTable::OpenOccurrence(Job& aJob, int aNumber)
+{
+  const auto [entry, added] = aJob.mOccurrences.try_emplace(aNumber);
+  if (added) {
+    entry->second = MakeOccurrence(aJob.mRecord.mSpec);
+  }
+  return entry->second;
+}
+
 void
 JobTable::OpenDueOccurrences(Job& aJob, const Moment& aNow)
 {
   const std::optional<Repetition>& repetition = aJob.mRecord.mSpec.mRepetition;
-  if (!repetition.has_value()) {
-    aJob.mOccurrences.try_emplace(0, MakeOccurrence(aJob.mRecord.mSpec));
+  int& next = aJob.mNextOccurrence;
+  next = std::max(next, aJob.mWindow.Begin());
+  while (next < aJob.mWindow.End() &&
+         (!repetition.has_value() || repetition->DueAt(next) <= aNow.mUnix)) {
+    OpenOccurrence(aJob, next);
+    ++next;
+  }
+}
+
+void
+JobTable::OpenReportedOccurrence(Job& aJob, int aNumber)
+{
+  if (aJob.mPhase != JobPhase::Closed && aJob.mWindow.IsAhead(aNumber)) {
+    OpenOccurrence(aJob, aNumber);
+  }
+}
+
+void
+JobTable::RecordFinishedOccurrences(Job& aJob)
+{
+  if (!aJob.mWindow.IsWorthRecording()) {
     return;
   }
-  for (int number =
-         aJob.mOccurrences.empty() ? 0 : aJob.mOccurrences.rbegin()->first + 1;
-       number < repetition->mCount;
-       ++number) {
-    if (repetition->mFirstDue + number * repetition->mInterval > aNow.mUnix) {
-      return;
-    }
-    aJob.mOccurrences.try_emplace(number, MakeOccurrence(aJob.mRecord.mSpec));
+  const int finishedBefore = aJob.mRecord.mFinishedBefore;
+  if (finishedBefore == aJob.mWindow.Begin()) {
+    aJob.mRecord.mFinishedBefore = aJob.mWindow.FinishedBefore();
+    aJob.mWindowPosition = mWriteQueue.Mark(JobKey(aJob.Id()));
+    return;
   }
+  if (aJob.mWindowPosition <= mWriteQueue.Recorded()) {
+    aJob.mWindow.OnRecorded(finishedBefore);
+    RemoveOccurrencesBeforeWindow(aJob);
+  }
+}
+
+void
+JobTable::RemoveOccurrencesBeforeWindow(Job& aJob)
+{
+  std::erase_if(aJob.mOccurrences, [&](const auto& aEntry) {
+    const auto& [number, occurrence] = aEntry;
+    if (number >= aJob.mWindow.Begin() || occurrence.HasRuns()) {
+      return false;
+    }
+    mWriteQueue.Remove(ProgressKey(aJob.Id(), number));
+    return true;
+  });
 }
 
 void
--- a/src/jobs/internal/jobtable.h
+++ b/src/jobs/internal/jobtable.h
@@ -47,8 +47,16 @@
   // Returns the position of the change that records the final state, or nothing
   // when there is no final state.
   std::optional<RecordPosition> FinalStatePosition(const JobId& aId) const;
-  // Creates the occurrences that have become due.
+  // Creates the occurrences that have become due, as far as the job's window
+  // reaches.
   void OpenDueOccurrences(Job& aJob, const Moment& aNow);
+  // Creates an occurrence of which a worker has reported a run.
+  // It must have been due for an earlier owner, even if this node's time of day
+  // is behind.
+  void OpenReportedOccurrence(Job& aJob, int aNumber);
+  // Records which occurrences have finished, and removes them once that is in
+  // the store.
+  void RecordFinishedOccurrences(Job& aJob);
 
   // The functions below return the current value of a record, or nothing when
   // the record has to be removed.
@@ -66,6 +74,9 @@
   };
 
   void RecoverProgress(const ProgressRecord& aProgress);
+  // Returns an occurrence, which is created if it is not there.
+  static Occurrence& OpenOccurrence(Job& aJob, int aNumber);
+  void RemoveOccurrencesBeforeWindow(Job& aJob);
 
   RecordWriteQueue& mWriteQueue;
   JobMap mJobs;
--- a/src/jobs/internal/runendhandler.cpp
+++ b/src/jobs/internal/runendhandler.cpp
@@ -62,6 +62,7 @@
   const bool reported = aEnd.mSerial != 0;
   if (job != nullptr && reported) {
     job->mStarted = true;
+    mCell.mJobs.OpenReportedOccurrence(*job, aEnd.mTask.mStep.mOccurrence);
   }
   LogDebug("run_ended")
     .With("task", aEnd.mTask.ToText())
@@ -177,10 +178,8 @@
     return;
   }
   occurrence.mFinished = true;
-  ++aJob.mFinishedOccurrences;
-  const std::optional<Repetition>& repetition = aJob.mRecord.mSpec.mRepetition;
-  const int expected = repetition.has_value() ? repetition->mCount : 1;
-  if (aJob.mFinishedOccurrences >= expected) {
+  aJob.mWindow.Finish(aOccurrence);
+  if (aJob.mWindow.IsComplete()) {
     CloseJob(aJob, JobState::Completed, aNow);
   }
 }
@@ -210,6 +209,10 @@
       FinishOccurrenceIfDone(aJob, number, aNow);
     }
   }
+  // The earlier owner may have recorded the ends, but not the final state.
+  if (aJob.mPhase == JobPhase::Open && aJob.mWindow.IsComplete()) {
+    CloseJob(aJob, JobState::Completed, aNow);
+  }
 }
 
 RecordPosition
--- a/src/jobs/internal/runtracker.cpp
+++ b/src/jobs/internal/runtracker.cpp
@@ -132,6 +132,9 @@
   run->mConfirmedAt = aNow;
   run->mProgress.Report(aRunning.mPercent, aNow);
   Job* job = mCell.mJobs.Find(aRunning.mTask.mStep.mJob);
+  if (job != nullptr) {
+    mCell.mJobs.OpenReportedOccurrence(*job, aRunning.mTask.mStep.mOccurrence);
+  }
   Task* task = job == nullptr ? nullptr : job->FindTask(aRunning.mTask);
   run->mTeam = TeamOf(aRunning.mTask.mStep.mJob);
   if (task == nullptr) {
--- a/src/jobs/internal/types.cpp
+++ b/src/jobs/internal/types.cpp
@@ -1,11 +1,24 @@
 #include "jobs/types/cellconfiguration.h"
+#include "jobs/types/jobspec.h"
 #include "jobs/types/jobstate.h"
 #include "jobs/types/teamcounts.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace oriolevane::jobs {
 
+std::int64_t
+JobSpec::TaskCount() const
+{
+  return std::accumulate(mSteps.begin(),
+                         mSteps.end(),
+                         std::int64_t{ 0 },
+                         [](std::int64_t aSum, const StepSpec& aStep) {
+                           return aSum + aStep.mTaskCount;
+                         });
+}
+
 const QueuePolicy*
 CellConfiguration::FindQueue(const QueueName& aName) const
 {
--- a/src/jobs/internal/urgency.cpp
+++ b/src/jobs/internal/urgency.cpp
@@ -102,8 +102,7 @@
   TimePoint start = aJob.mAcceptedAt;
   const std::optional<Repetition>& repetition = aJob.mRecord.mSpec.mRepetition;
   if (repetition.has_value()) {
-    start = aNow.mSteady - (aNow.mUnix - repetition->mFirstDue -
-                            aStep.mOccurrence * repetition->mInterval);
+    start = aNow.mSteady - (aNow.mUnix - repetition->DueAt(aStep.mOccurrence));
   }
   const Duration objective = aJob.mTimes.mObjective;
   const Duration remaining = aJob.mTimes.mCriticalPathFrom[aStep.mStep];
--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -82,7 +82,7 @@
 FakeCell::NowMoment() const
 {
   return { .mSteady = TimePoint(mNow + kSteadyClockStart),
-           .mUnix = mNow + kUnixClockStart };
+           .mUnix = mNow + kUnixClockStart + mTimeOfDayShift };
 }
 
 SchedulerOptions
@@ -424,6 +424,15 @@
   }
 }
 
+std::size_t
+FakeCell::RecordCount(RecordKind aKind) const
+{
+  return std::count_if(
+    mRecords.begin(), mRecords.end(), [aKind](const auto& aEntry) {
+      return aEntry.first.mKind == aKind;
+    });
+}
+
 void
 FakeCell::CrashWorker(std::size_t aWorkerIndex)
 {
--- a/src/jobs/tests/fakecell.h
+++ b/src/jobs/tests/fakecell.h
@@ -76,6 +76,10 @@
               const JobSpec& aSpec,
               const QueuePolicy& aQueue,
               const TeamId& aTeam = {});
+  // Moves the time of day of this and all later owners.
+  void ShiftTimeOfDay(Millis aBy) { mTimeOfDayShift += aBy; }
+  // Number of records of a kind in the store.
+  std::size_t RecordCount(RecordKind aKind) const;
   // Sets the teams of this and all later owners. Starts that exceed a quota,
   // with its excess and one task, count as violations from then on.
   void Configure(std::vector<teams::TeamPolicy> aTeams);
@@ -197,6 +201,7 @@
 
   FakeCellOptions mOptions;
   Millis mNow{ 0 };
+  Millis mTimeOfDayShift{ 0 };
   std::mt19937_64 mRandom;
   std::multimap<Millis, std::function<void()>> mEvents;
   std::vector<std::unique_ptr<FakeWorker>> mWorkers;
--- a/src/jobs/tests/joblife_test.cpp
+++ b/src/jobs/tests/joblife_test.cpp
@@ -146,29 +146,6 @@
   });
 }
 
-void
-DescribeRepetition(Section& aRoot)
-{
-  aRoot.Describe("a repeated job", [](Section& aSection) {
-    aSection.It("runs each occurrence at its due time", [] {
-      FakeCell cell;
-      cell.RunFor(200ms);
-      JobSpec spec = SingleStepJob(MakeStep(1, 1000, 50ms));
-      spec.mRepetition =
-        Repetition{ .mCount = 3,
-                    .mFirstDue = cell.NowMoment().mUnix + 1000ms,
-                    .mInterval = 1000ms };
-      cell.Submit("job", spec, MakeQueue());
-      cell.RunFor(900ms);
-      CPPUNIT_ASSERT(cell.mStarts.empty());
-      cell.RunFor(1300ms);
-      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, cell.mStarts.size());
-      cell.RunUntilFinal("job", 3000ms);
-      CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, cell.mStarts.size());
-    });
-  });
-}
-
 void
 DescribeWorkerLimit(Section& aRoot)
 {
@@ -257,7 +234,6 @@
   DescribeLaterSteps(aRoot);
   DescribeFailures(aRoot);
   DescribeCancelling(aRoot);
-  DescribeRepetition(aRoot);
   DescribeWorkerLimit(aRoot);
   DescribeLongRunning(aRoot);
 }
--- a/src/jobs/tests/main.cpp
+++ b/src/jobs/tests/main.cpp
@@ -9,6 +9,7 @@
     aCount,
     aArguments,
     { { "job lifecycle", oriolevane::JobLifecycleTests },
+      { "repeated jobs", oriolevane::RepeatedJobTests },
       { "gang", oriolevane::GangTests },
       { "takeover", oriolevane::OwnerTakeoverTests },
       { "crashing tasks", oriolevane::CrashingTaskTests },
--- a/src/jobs/tests/quota_test.cpp
+++ b/src/jobs/tests/quota_test.cpp
@@ -337,12 +337,14 @@
                              {});
       }
       for (int job = 0; job < 8; ++job) {
-        cell.mJobs.Add({ .mId = JobId("j" + std::to_string(job)),
-                         .mQueue = MakeQueue(),
-                         .mSpec = SingleStepJob(
-                           MakeStep(4, std::int64_t{ 100 } * (job + 1), 100ms)),
-                         .mTeam = job % 2 == 0 ? kTeam : kOtherTeam },
-                       {});
+        Job& added =
+          cell.mJobs.Add({ .mId = JobId("j" + std::to_string(job)),
+                           .mQueue = MakeQueue(),
+                           .mSpec = SingleStepJob(MakeStep(
+                             4, std::int64_t{ 100 } * (job + 1), 100ms)),
+                           .mTeam = job % 2 == 0 ? kTeam : kOtherTeam },
+                         {});
+        cell.mJobs.OpenDueOccurrences(added, {});
       }
       for (std::uint64_t event = 1; event <= 2000; ++event) {
         Worker& worker =
--- a/src/jobs/tests/testgroups.h
+++ b/src/jobs/tests/testgroups.h
@@ -8,6 +8,8 @@
 void
 JobLifecycleTests(testing::Section& aRoot);
 void
+RepeatedJobTests(testing::Section& aRoot);
+void
 GangTests(testing::Section& aRoot);
 void
 OwnerTakeoverTests(testing::Section& aRoot);
--- a/src/jobs/types/jobrecord.h
+++ b/src/jobs/types/jobrecord.h
@@ -30,6 +30,9 @@
   // The job arrived above its team's guaranteed rate, and so uses what other
   // teams leave.
   bool mBorrows = false;
+  // All occurrences below this number have finished, and need no progress
+  // records.
+  int mFinishedBefore = 0;
 };
 
 // A run whose worker's lease expired, and of which it is not known yet whether
--- a/src/jobs/types/jobspec.h
+++ b/src/jobs/types/jobspec.h
@@ -60,6 +60,12 @@
   // Due time of the first occurrence, as Unix time.
   std::chrono::milliseconds mFirstDue{ 0 };
   std::chrono::milliseconds mInterval{ 0 };
+
+  // Due time of an occurrence, as Unix time.
+  std::chrono::milliseconds DueAt(int aNumber) const
+  {
+    return mFirstDue + aNumber * mInterval;
+  }
 };
 
 // A job is a graph of steps, run once or repeatedly.
@@ -69,6 +75,9 @@
   std::string mPayload;
   std::vector<StepSpec> mSteps;
   std::optional<Repetition> mRepetition;
+
+  // Number of tasks of all steps, without repetition.
+  std::int64_t TaskCount() const;
 };
 
 } // namespace oriolevane::jobs
