Remember the cancelling of a job that has not arrived yet

Cause: the owner proved that it did not know the job and kept no trace of the cancelling. Change: the owner stores a final state that is marked as not submitted before it answers 410. Callers do not see it. A submission of the same team that arrives later is accepted as cancelled and not run, also by the next owner.

--- a/src/cellnode/internal/callerrequesthandler.cpp
+++ b/src/cellnode/internal/callerrequesthandler.cpp
@@ -159,7 +159,7 @@
     return;
   }
   if (aRequest.mVerb == CallerVerb::Cancel) {
-    Cancel(job, aReply);
+    Cancel(job, aCaller.mTeam, aReply);
     return;
   }
   if (aQueue != nullptr && aRest.empty()) {
@@ -285,18 +285,36 @@
 
 void
 CallerRequestHandler::Cancel(const jobs::JobId& aId,
+                             const TeamId& aTeam,
                              const AnswerCallback& aReply)
 {
+  const jobs::Moment now = mHooks.mNow();
   const std::optional<jobs::RecordPosition> position =
-    mScheduler.Cancel(aId, mHooks.mNow());
+    mScheduler.Cancel(aId, now);
   if (!position.has_value()) {
-    ReplyUnknownJob(aReply);
+    CancelUnknownJob(aId, aTeam, aReply);
     return;
   }
   ReplyWhenRecorded(
     *position, { .mKind = CallerAnswerKind::Cancelled }, aReply);
 }
 
+void
+CallerRequestHandler::CancelUnknownJob(const jobs::JobId& aId,
+                                       const TeamId& aTeam,
+                                       const AnswerCallback& aReply)
+{
+  if (!IsJobId(aId.mValue)) {
+    ReplyUnknownJob(aReply);
+    return;
+  }
+  const jobs::RecordPosition position =
+    mScheduler.CancelUnsubmitted(aId, aTeam, mHooks.mNow());
+  mJournal.RequestRenewal();
+  ReplyWhenRecorded(
+    position, { .mKind = CallerAnswerKind::UnknownJob }, aReply);
+}
+
 void
 CallerRequestHandler::ReplyWhenRecorded(jobs::RecordPosition aPosition,
                                         CallerAnswer aAnswer,
--- a/src/cellnode/internal/callerrequesthandler.h
+++ b/src/cellnode/internal/callerrequesthandler.h
@@ -97,7 +97,14 @@
   // Refuses the submissions that are not part of a transaction yet, of those
   // that arrived before a time.
   void RefuseUnbatchedSubmissions(TimePoint aQueuedBefore);
-  void Cancel(const jobs::JobId& aId, const AnswerCallback& aReply);
+  void Cancel(const jobs::JobId& aId,
+              const TeamId& aTeam,
+              const AnswerCallback& aReply);
+  // Replies that a job is not known, once it is stored that its submission must
+  // not be accepted any more. A node that stood still may still pass it on.
+  void CancelUnknownJob(const jobs::JobId& aId,
+                        const TeamId& aTeam,
+                        const AnswerCallback& aReply);
   // Replies once the change at aPosition is stored.
   void ReplyWhenRecorded(jobs::RecordPosition aPosition,
                          CallerAnswer aAnswer,
--- a/src/cellnode/internal/recordcodec.cpp
+++ b/src/cellnode/internal/recordcodec.cpp
@@ -347,6 +347,9 @@
   if (!aRecord.mTeam.Empty()) {
     value["team"] = aRecord.mTeam.mValue;
   }
+  if (!aRecord.mSubmitted) {
+    value["submitted"] = false;
+  }
   return value.dump();
 }
 
@@ -364,7 +367,8 @@
         .mState = static_cast<jobs::JobState>(state),
         .mFinishedAt =
           milliseconds(aValue.at("finished_ms").get<std::int64_t>()),
-        .mTeam = TeamId(aValue.value("team", ""))
+        .mTeam = TeamId(aValue.value("team", "")),
+        .mSubmitted = aValue.value("submitted", true)
       };
     });
 }
--- a/src/cellnode/tests/callerrequesthandler_test.cpp
+++ b/src/cellnode/tests/callerrequesthandler_test.cpp
@@ -87,6 +87,13 @@
   {
     std::exchange(mAnswerCommit, nullptr)(CommitAnswer{ .mApplied = aApplied });
   }
+  // Sends a transaction with all changes, which the store applies.
+  void CommitTransaction()
+  {
+    mNow += 1s;
+    SendTransaction();
+    AnswerTransaction(true);
+  }
   // Adds teams "a" and "b", each with its name as key, and a public queue.
   void RequireKeys()
   {
@@ -239,6 +246,59 @@
   });
 }
 
+// Guards against a job that starts after its cancelling was answered with 410,
+// because a node that stood still passes its submission on later.
+void
+DescribeJobsCancelledBeforeTheyArrive(Section& aRoot)
+{
+  aRoot.Describe(
+    "a job that is cancelled before it arrives", [](Section& aSection) {
+      aSection.It("is not run, and is shown as cancelled from then on", [] {
+        Fixture fixture;
+        std::optional<CallerAnswerKind> cancelled;
+        fixture.Call(CallerVerb::Cancel, "/q/" + kFirstJob, cancelled);
+        fixture.CommitTransaction();
+        CPPUNIT_ASSERT(cancelled == CallerAnswerKind::UnknownJob);
+        CPPUNIT_ASSERT(!fixture.mScheduler.Find(jobs::JobId(kFirstJob)));
+        std::optional<CallerAnswerKind> submitted;
+        fixture.Call(CallerVerb::Submit, "/q/" + kFirstJob, submitted);
+        fixture.CommitTransaction();
+        CPPUNIT_ASSERT(submitted == CallerAnswerKind::Accepted);
+        CPPUNIT_ASSERT(
+          fixture.mScheduler.Find(jobs::JobId(kFirstJob))->mState ==
+          jobs::JobState::Cancelled);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 },
+                             fixture.mScheduler.Counts().mOpenJobs);
+      });
+      aSection.It("is not run by the next owner either", [] {
+        Fixture fixture;
+        std::optional<CallerAnswerKind> cancelled;
+        fixture.Call(CallerVerb::Cancel, "/q/" + kFirstJob, cancelled);
+        Fixture next;
+        next.mScheduler.Recover(
+          { .mFinished = { std::get<jobs::FinishedRecord>(
+              fixture.mScheduler.ValueOf({ .mKind = jobs::RecordKind::Finished,
+                                           .mName = kFirstJob })) } },
+          { .mSteady = next.mNow });
+        CPPUNIT_ASSERT(!next.mScheduler.Find(jobs::JobId(kFirstJob)));
+        std::optional<CallerAnswerKind> submitted;
+        next.Call(CallerVerb::Submit, "/q/" + kFirstJob, submitted);
+        next.CommitTransaction();
+        CPPUNIT_ASSERT(submitted == CallerAnswerKind::Accepted);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 },
+                             next.mScheduler.Counts().mOpenJobs);
+      });
+      aSection.It("is not withheld from another team", [] {
+        Fixture fixture;
+        fixture.RequireKeys();
+        fixture.Call(CallerVerb::Cancel, "/q/" + kFirstJob, "a");
+        fixture.Call(CallerVerb::Submit, "/q/" + kFirstJob, "b");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                             fixture.mScheduler.Counts().mOpenJobs);
+      });
+    });
+}
+
 void
 DescribeJobsOfTeams(Section& aRoot)
 {
@@ -431,6 +491,7 @@
 {
   DescribeOrderOfChecks(aRoot);
   DescribeUnknownJobs(aRoot);
+  DescribeJobsCancelledBeforeTheyArrive(aRoot);
   DescribeJobsOfTeams(aRoot);
   DescribeOtherAccess(aRoot);
   DescribeSlowStore(aRoot);
--- a/src/cellnode/tests/recordcodec_test.cpp
+++ b/src/cellnode/tests/recordcodec_test.cpp
@@ -39,7 +39,7 @@
 static_assert(FieldCount<jobs::TaskProgress>() == 7);
 static_assert(FieldCount<jobs::LostRunProgress>() == 4);
 static_assert(FieldCount<jobs::JobRecord>() == 7);
-static_assert(FieldCount<jobs::FinishedRecord>() == 4);
+static_assert(FieldCount<jobs::FinishedRecord>() == 5);
 
 void
 DescribeProgress(Section& aRoot)
@@ -219,6 +219,7 @@
         R"({"id":"5c0e7a21d94b36f8","state":2,"finished_ms":7})");
       CPPUNIT_ASSERT(finished.ok());
       CPPUNIT_ASSERT(finished->mTeam.Empty());
+      CPPUNIT_ASSERT(finished->mSubmitted);
     });
   });
   aRoot.Describe("a final state", [](Section& aSection) {
@@ -226,10 +227,12 @@
       const jobs::FinishedRecord record{ .mId = jobs::JobId("job"),
                                          .mState = jobs::JobState::Completed,
                                          .mFinishedAt = 1700000000123ms,
-                                         .mTeam = TeamId("team") };
+                                         .mTeam = TeamId("team"),
+                                         .mSubmitted = false };
       const auto back = DecodeFinished(Encode(record));
       CPPUNIT_ASSERT(back.ok());
       CPPUNIT_ASSERT_EQUAL(Encode(record), Encode(*back));
+      CPPUNIT_ASSERT(!back->mSubmitted);
       CPPUNIT_ASSERT(back->mTeam == record.mTeam);
     });
   });
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -174,6 +174,11 @@
       finished.has_value()) {
     return *finished;
   }
+  if (const auto cancelled = cell.mJobs.SubmitCancelled(id, aSubmission.mTeam);
+      cancelled.has_value()) {
+    LogInfo("cancelled_job_submitted").With("job", id);
+    return *cancelled;
+  }
   const bool borrows = cell.mTeams.MeterSubmission(
     aSubmission.mTeam, aSubmission.mSpec, aNow.mSteady);
   Job& job = cell.mJobs.Add({ .mId = id,
@@ -221,6 +226,14 @@
   return mImpl->mRunEndHandler.CloseJob(*job, JobState::Cancelled, aNow);
 }
 
+RecordPosition
+CellScheduler::CancelUnsubmitted(const JobId& aId,
+                                 const TeamId& aTeam,
+                                 const Moment& aNow)
+{
+  return mImpl->mCell.mJobs.CancelUnsubmitted(aId, aTeam, aNow);
+}
+
 std::optional<JobView>
 CellScheduler::Find(const JobId& aId) const
 {
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -101,6 +101,12 @@
   // returned position has been recorded. Returns nothing when the job is not
   // known.
   std::optional<RecordPosition> Cancel(const JobId& aId, const Moment& aNow);
+  // Cancels a job that is not known, in case its submission is delayed: it is
+  // not run if the team submits it later. The caller may be told that there is
+  // no such job once the change at the returned position has been recorded.
+  RecordPosition CancelUnsubmitted(const JobId& aId,
+                                   const TeamId& aTeam,
+                                   const Moment& aNow);
   // Returns nothing when the job is not known.
   std::optional<JobView> Find(const JobId& aId) const;
   // Returns the number of accepted jobs of a queue that have not started yet.
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -196,15 +196,56 @@
     aJob.mRecord.mSpec.mRepetition.has_value()
       ? mWriteQueue.Mark(FinishedKey(id))
       : mWriteQueue.MarkInsteadOf(FinishedKey(id), ProgressKey(id, 0));
-  mFinished[id] = { .mRecord = { .mId = id,
-                                 .mState = aState,
-                                 .mFinishedAt = aNow.mUnix,
-                                 .mTeam = aJob.mRecord.mTeam },
-                    .mRecordPosition = position };
-  mFinishedOrder.emplace(aNow.mUnix, id);
+  SetFinished({ .mId = id,
+                .mState = aState,
+                .mFinishedAt = aNow.mUnix,
+                .mTeam = aJob.mRecord.mTeam },
+              position);
   return position;
 }
 
+void
+JobTable::SetFinished(FinishedRecord aRecord, RecordPosition aPosition)
+{
+  const JobId id = aRecord.mId;
+  mFinishedOrder.emplace(aRecord.mFinishedAt, id);
+  mFinished[id] = { .mRecord = std::move(aRecord),
+                    .mRecordPosition = aPosition };
+}
+
+RecordPosition
+JobTable::CancelUnsubmitted(const JobId& aId,
+                            const TeamId& aTeam,
+                            const Moment& aNow)
+{
+  const auto found = mFinished.find(aId);
+  if (found != mFinished.end() && (found->second.mRecord.mSubmitted ||
+                                   found->second.mRecord.mTeam == aTeam)) {
+    return found->second.mRecordPosition;
+  }
+  const RecordPosition position = mWriteQueue.Mark(FinishedKey(aId));
+  SetFinished({ .mId = aId,
+                .mState = JobState::Cancelled,
+                .mFinishedAt = aNow.mUnix,
+                .mTeam = aTeam,
+                .mSubmitted = false },
+              position);
+  return position;
+}
+
+std::optional<RecordPosition>
+JobTable::SubmitCancelled(const JobId& aId, const TeamId& aTeam)
+{
+  const auto found = mFinished.find(aId);
+  if (found == mFinished.end() || found->second.mRecord.mTeam != aTeam) {
+    return std::nullopt;
+  }
+  FinishedEntry& entry = found->second;
+  entry.mRecord.mSubmitted = true;
+  entry.mRecordPosition = mWriteQueue.Mark(FinishedKey(aId));
+  return entry.mRecordPosition;
+}
+
 void
 JobTable::Prune(const Moment& aNow,
                 std::chrono::milliseconds aKeepFinished,
@@ -243,17 +284,18 @@
 JobTable::FindFinished(const JobId& aId) const
 {
   const auto found = mFinished.find(aId);
-  return found == mFinished.end() ? nullptr : &found->second.mRecord;
+  return found == mFinished.end() || !found->second.mRecord.mSubmitted
+           ? nullptr
+           : &found->second.mRecord;
 }
 
 std::optional<RecordPosition>
 JobTable::FinalStatePosition(const JobId& aId) const
 {
-  const auto found = mFinished.find(aId);
-  if (found == mFinished.end()) {
+  if (FindFinished(aId) == nullptr) {
     return std::nullopt;
   }
-  return found->second.mRecordPosition;
+  return mFinished.at(aId).mRecordPosition;
 }
 
 std::optional<JobRecord>
@@ -297,11 +339,11 @@
 std::optional<FinishedRecord>
 JobTable::FinishedRecordOf(const JobId& aId) const
 {
-  const FinishedRecord* finished = FindFinished(aId);
-  if (finished == nullptr) {
+  const auto found = mFinished.find(aId);
+  if (found == mFinished.end()) {
     return std::nullopt;
   }
-  return *finished;
+  return found->second.mRecord;
 }
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/jobtable.h
+++ b/src/jobs/internal/jobtable.h
@@ -36,16 +36,25 @@
   // Sets the final state of a job, whose runs may still have to be stopped.
   // Returns the position of the change.
   RecordPosition Close(Job& aJob, JobState aState, const Moment& aNow);
+  // Sets the final state of a job that has not been submitted, so that it is not
+  // accepted later. Returns the position of the change.
+  RecordPosition CancelUnsubmitted(const JobId& aId,
+                                   const TeamId& aTeam,
+                                   const Moment& aNow);
+  // Notes that a team has submitted a job after it cancelled it. Returns the
+  // position of the change, or nothing when the team has not cancelled the job.
+  std::optional<RecordPosition> SubmitCancelled(const JobId& aId,
+                                                const TeamId& aTeam);
   // Removes closed jobs that have no more runs, and final states older than
   // aKeepFinished. Until aReconciled, a team's closed jobs stay whose runs may
   // not have been found yet.
   void Prune(const Moment& aNow,
              std::chrono::milliseconds aKeepFinished,
              bool aReconciled);
-  // Returns nullptr when the job has no final state or is not known.
+  // Returns nullptr when the job has no final state or has not been submitted.
   const FinishedRecord* FindFinished(const JobId& aId) const;
   // Returns the position of the change that records the final state, or nothing
-  // when there is no final state.
+  // when there is none or the job has not been submitted.
   std::optional<RecordPosition> FinalStatePosition(const JobId& aId) const;
   // Creates the occurrences that have become due, as far as the job's window
   // reaches.
@@ -73,6 +82,7 @@
     RecordPosition mRecordPosition;
   };
 
+  void SetFinished(FinishedRecord aRecord, RecordPosition aPosition);
   void RecoverProgress(const ProgressRecord& aProgress);
   // Returns an occurrence, which is created if it is not there.
   static Occurrence& OpenOccurrence(Job& aJob, int aNumber);
--- a/src/jobs/types/jobrecord.h
+++ b/src/jobs/types/jobrecord.h
@@ -90,6 +90,9 @@
   std::chrono::milliseconds mFinishedAt{ 0 };
   // As in JobRecord.
   TeamId mTeam;
+  // False for a job that was cancelled before it was submitted. It is not shown
+  // to callers, and is not accepted if its submission still arrives.
+  bool mSubmitted = true;
 };
 
 // A worker that tasks may have been assigned to.
