Keep the progress of a job in records of at most 100 tasks

Cause: the progress of an occurrence was one row, over the 65,536 bytes that the store takes; the refused transaction was sent again without end, ahead of all other changes. Change: jobs/internal/progressparts splits the progress; a row of an earlier release is spread at the takeover.

--- a/src/cellnode/internal/celljournal.cpp
+++ b/src/cellnode/internal/celljournal.cpp
@@ -155,6 +155,15 @@
   if (mOptions.mCompressRecords) {
     text = CompressRow(std::move(text));
   }
+  if (text.size() > kMaxStoredRowBytes) {
+    // The store would refuse the transaction for ever, and with it all later
+    // changes of the shard.
+    LogError("record_too_large")
+      .With("table", key.mTable)
+      .With("name", key.mName)
+      .With("bytes", text.size());
+    return;
+  }
   mBytes += text.size();
   mInFlight->mWrites.push_back({ .mKey = key, .mValue = std::move(text) });
 }
--- a/src/cellnode/internal/recordcodec.cpp
+++ b/src/cellnode/internal/recordcodec.cpp
@@ -309,12 +309,14 @@
     steps.push_back(json::array(
       { step.mStep, ToJson(step.mFailedGangRuns), std::move(tasks) }));
   }
-  return json{
-    { "job", aRecord.mJob.mValue },
-    { "occurrence", aRecord.mOccurrence },
-    { "finished", aRecord.mFinished },
-    { "steps", std::move(steps) }
-  }.dump();
+  json value{ { "job", aRecord.mJob.mValue },
+              { "occurrence", aRecord.mOccurrence },
+              { "finished", aRecord.mFinished },
+              { "steps", std::move(steps) } };
+  if (aRecord.mPart > 0) {
+    value["part"] = aRecord.mPart;
+  }
+  return value.dump();
 }
 
 absl::StatusOr<jobs::ProgressRecord>
@@ -324,6 +326,7 @@
     jobs::ProgressRecord record;
     record.mJob = jobs::JobId(aValue.at("job").get<std::string>());
     record.mOccurrence = aValue.at("occurrence").get<int>();
+    record.mPart = aValue.value("part", 0);
     record.mFinished = aValue.at("finished").get<bool>();
     for (const json& entry : aValue.at("steps")) {
       jobs::StepProgress step;
--- a/src/cellnode/tests/celljournal_test.cpp
+++ b/src/cellnode/tests/celljournal_test.cpp
@@ -106,6 +106,17 @@
       fixture.mDone[0](Applied(11));
       CPPUNIT_ASSERT(fixture.mRecorded == position);
     });
+    // Guards against a shard that can write nothing any more.
+    aSection.It("that no row can hold does not hold up the others", [] {
+      Fixture fixture;
+      fixture.Mark(std::string(kMaxStoredRowBytes, 'x'));
+      fixture.Mark("job");
+      fixture.SendNext();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mSent.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.mSent[0].mWrites.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("job"),
+                           fixture.mSent[0].mWrites[0].mKey.mName);
+    });
     aSection.It("waits for the transaction before it", [] {
       Fixture fixture;
       fixture.Mark("first");
--- a/src/cellnode/tests/recordcodec_test.cpp
+++ b/src/cellnode/tests/recordcodec_test.cpp
@@ -36,6 +36,7 @@
 
 // A new field must be handled by the codec and set in FullStep().
 static_assert(FieldCount<jobs::StepSpec>() == 16);
+static_assert(FieldCount<jobs::ProgressRecord>() == 5);
 static_assert(FieldCount<jobs::TaskProgress>() == 7);
 static_assert(FieldCount<jobs::LostRunProgress>() == 4);
 static_assert(FieldCount<jobs::JobRecord>() == 7);
@@ -49,6 +50,7 @@
       const jobs::ProgressRecord
         record{ .mJob = jobs::JobId("job"),
                 .mOccurrence = 2,
+                .mPart = 3,
                 .mFinished = true,
                 .mSteps = {
                   { .mStep = 1,
--- a/src/cellnode/types/rows.h
+++ b/src/cellnode/types/rows.h
@@ -44,6 +44,9 @@
   RowVersion mVersion;
 };
 
+// The largest value of a row that the store takes.
+constexpr std::size_t kMaxStoredRowBytes = 65'536;
+
 struct RowWrite
 {
   RowKey mKey;
--- a/src/jobs/internal/crashhandler.cpp
+++ b/src/jobs/internal/crashhandler.cpp
@@ -72,7 +72,7 @@
                                     .mIncarnation = aWorker.mEntry.mIncarnation,
                                     .mEvidence = aEvidence };
   aWorker.mLostRuns.emplace_back(aRun.mTask, aRun.mNumber);
-  mCell.mJobs.MarkProgress(aRun.mTask.mStep);
+  mCell.mJobs.MarkProgress(aRun.mTask);
 }
 
 void
@@ -175,7 +175,7 @@
     }
     task->mCrashes.RemoveLoss(run);
     task->mLostRuns.erase(run);
-    mCell.mJobs.MarkProgress(key.mStep);
+    mCell.mJobs.MarkProgress(key);
   }
 }
 
@@ -201,7 +201,7 @@
   if (task == nullptr || !task->mCrashes.AddCrash(aRun, aEvidence)) {
     return;
   }
-  mCell.mJobs.MarkProgress(aTask.mStep);
+  mCell.mJobs.MarkProgress(aTask);
   const JobId& id = aTask.mStep.mJob;
   const std::size_t crashes = task->mCrashes.Runs().size();
   LogWarning("run_crashed_worker")
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -3,8 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <fmt/format.h>
-
+#include "jobs/internal/progressparts.h"
 #include "jobs/internal/stepprogress.h"
 #include "jobs/internal/urgency.h"
 
@@ -18,13 +17,6 @@
   return { .mKind = RecordKind::Job, .mName = aId.mValue };
 }
 
-RecordKey
-ProgressKey(const JobId& aId, int aOccurrence)
-{
-  return { .mKind = RecordKind::Progress,
-           .mName = fmt::format("{}.{}", aId, aOccurrence) };
-}
-
 RecordKey
 FinishedKey(const JobId& aId)
 {
@@ -93,7 +85,10 @@
 void
 JobTable::RecoverProgress(const ProgressRecord& aProgress)
 {
-  const RecordKey key = ProgressKey(aProgress.mJob, aProgress.mOccurrence);
+  const RecordKey key = ProgressPart{ .mJob = aProgress.mJob,
+                                      .mOccurrence = aProgress.mOccurrence,
+                                      .mPart = aProgress.mPart }
+                          .Key();
   mWriteQueue.NoteWritten(key);
   Job* job = Find(aProgress.mJob);
   if (job == nullptr || !job->mWindow.IsAhead(aProgress.mOccurrence)) {
@@ -106,7 +101,7 @@
   }
   job->mStarted = true;
   Occurrence& occurrence = OpenOccurrence(*job, aProgress.mOccurrence);
-  occurrence.mFinished = aProgress.mFinished;
+  occurrence.mFinished |= aProgress.mFinished;
   if (occurrence.mFinished) {
     job->mWindow.Finish(aProgress.mOccurrence);
   }
@@ -114,10 +109,35 @@
     Step* target = job->FindStep(aProgress.mOccurrence, step.mStep);
     if (target != nullptr) {
       ApplyProgress(*target, step);
+      MoveToOwnParts(*job, aProgress, step);
     }
   }
 }
 
+void
+JobTable::MoveToOwnParts(const Job& aJob,
+                         const ProgressRecord& aRecord,
+                         const StepProgress& aStep)
+{
+  const JobSpec& spec = aJob.mRecord.mSpec;
+  for (const TaskProgress& task : aStep.mTasks) {
+    if (task.mIndex >= 0 && task.mIndex < spec.mSteps[aStep.mStep].mTaskCount) {
+      const int part = ProgressPartOf(spec, aStep.mStep, task.mIndex);
+      if (part != aRecord.mPart) {
+        MarkPart(aJob.Id(), aRecord.mOccurrence, part);
+      }
+    }
+  }
+}
+
+void
+JobTable::MarkPart(const JobId& aId, int aOccurrence, int aPart)
+{
+  mWriteQueue.Mark(
+    ProgressPart{ .mJob = aId, .mOccurrence = aOccurrence, .mPart = aPart }
+      .Key());
+}
+
 Occurrence&
 JobTable::OpenOccurrence(Job& aJob, int aNumber)
 {
@@ -175,15 +195,46 @@
     if (number >= aJob.mWindow.Begin() || occurrence.HasRuns()) {
       return false;
     }
-    mWriteQueue.Remove(ProgressKey(aJob.Id(), number));
+    RemoveProgress(aJob, number);
     return true;
   });
 }
 
 void
-JobTable::MarkProgress(const StepKey& aStep)
+JobTable::RemoveProgress(const Job& aJob, int aOccurrence)
 {
-  mWriteQueue.Mark(ProgressKey(aStep.mJob, aStep.mOccurrence));
+  const int parts = ProgressPartCount(aJob.mRecord.mSpec);
+  for (int part = 0; part < parts; ++part) {
+    mWriteQueue.Remove(ProgressPart{
+      .mJob = aJob.Id(), .mOccurrence = aOccurrence, .mPart = part }
+                         .Key());
+  }
+}
+
+void
+JobTable::MarkProgress(const TaskKey& aTask)
+{
+  const StepKey& step = aTask.mStep;
+  const Job* job = Find(step.mJob);
+  if (job == nullptr) {
+    return;
+  }
+  const JobSpec& spec = job->mRecord.mSpec;
+  const StepSpec& stepSpec = spec.mSteps[step.mStep];
+  // The members of a gang succeed and fail together.
+  const int first = stepSpec.mGang ? 0 : aTask.mIndex;
+  const int last = stepSpec.mGang ? stepSpec.mTaskCount - 1 : aTask.mIndex;
+  const int lastPart = ProgressPartOf(spec, step.mStep, last);
+  for (int part = ProgressPartOf(spec, step.mStep, first); part <= lastPart;
+       ++part) {
+    MarkPart(step.mJob, step.mOccurrence, part);
+  }
+}
+
+void
+JobTable::MarkFinished(const JobId& aId, int aOccurrence)
+{
+  MarkPart(aId, aOccurrence, 0);
 }
 
 RecordPosition
@@ -195,7 +246,8 @@
   const RecordPosition position =
     aJob.mRecord.mSpec.mRepetition.has_value()
       ? mWriteQueue.Mark(FinishedKey(id))
-      : mWriteQueue.MarkInsteadOf(FinishedKey(id), ProgressKey(id, 0));
+      : mWriteQueue.MarkInsteadOf(FinishedKey(id),
+                                  ProgressPart{ .mJob = id }.Key());
   SetFinished({ .mId = id,
                 .mState = aState,
                 .mFinishedAt = aNow.mUnix,
@@ -266,7 +318,7 @@
       continue;
     }
     for (const auto& [number, occurrence] : job.mOccurrences) {
-      mWriteQueue.Remove(ProgressKey(job.Id(), number));
+      RemoveProgress(job, number);
     }
     mWriteQueue.Remove(JobKey(job.Id()));
     entry = mJobs.erase(entry);
@@ -311,24 +363,28 @@
 std::optional<ProgressRecord>
 JobTable::ProgressRecordOf(const std::string& aName) const
 {
-  const std::size_t dot = aName.rfind('.');
-  const JobId id(aName.substr(0, dot));
-  const int number = std::stoi(aName.substr(dot + 1));
-  const auto found = mJobs.find(id);
+  const std::optional<ProgressPart> part = ParseProgressPart(aName);
+  const auto found = part.has_value() ? mJobs.find(part->mJob) : mJobs.end();
   if (found == mJobs.end()) {
     return std::nullopt;
   }
-  const auto occurrence = found->second.mOccurrences.find(number);
+  const auto occurrence = found->second.mOccurrences.find(part->mOccurrence);
   if (occurrence == found->second.mOccurrences.end()) {
     return std::nullopt;
   }
-  ProgressRecord record{ .mJob = id,
-                         .mOccurrence = number,
+  ProgressRecord record{ .mJob = part->mJob,
+                         .mOccurrence = part->mOccurrence,
+                         .mPart = part->mPart,
                          .mFinished = occurrence->second.mFinished,
                          .mSteps = {} };
+  const JobSpec& spec = found->second.mRecord.mSpec;
   const std::vector<Step>& steps = occurrence->second.mSteps;
-  for (std::size_t step = 0; step < steps.size(); ++step) {
-    StepProgress progress = ProgressOf(steps[step], static_cast<int>(step));
+  for (int number = 0; number < static_cast<int>(steps.size()); ++number) {
+    const auto [first, end] = TasksOfStepInPart(spec, number, part->mPart);
+    if (first == end) {
+      continue;
+    }
+    StepProgress progress = ProgressOf(steps[number], number, first, end);
     if (!progress.mTasks.empty() || !progress.mFailedGangRuns.empty()) {
       record.mSteps.push_back(std::move(progress));
     }
--- a/src/jobs/internal/jobtable.h
+++ b/src/jobs/internal/jobtable.h
@@ -31,8 +31,11 @@
   Job& Add(JobRecord aRecord, const Moment& aNow);
   // Restores the jobs from their records.
   void Recover(const CellRecords& aRecords, const Moment& aNow);
-  // Queues the progress record of the occurrence that a step belongs to.
-  void MarkProgress(const StepKey& aStep);
+  // Queues the progress record that holds a task; for a member of a gang, those
+  // that hold the gang.
+  void MarkProgress(const TaskKey& aTask);
+  // Queues the progress record that shows that an occurrence has finished.
+  void MarkFinished(const JobId& aId, int aOccurrence);
   // Sets the final state of a job, whose runs may still have to be stopped.
   // Returns the position of the change.
   RecordPosition Close(Job& aJob, JobState aState, const Moment& aNow);
@@ -84,9 +87,17 @@
 
   void SetFinished(FinishedRecord aRecord, RecordPosition aPosition);
   void RecoverProgress(const ProgressRecord& aProgress);
+  // Queues the records that tasks belong to which another record holds, as one
+  // of an earlier release does.
+  void MoveToOwnParts(const Job& aJob,
+                      const ProgressRecord& aRecord,
+                      const StepProgress& aStep);
+  void MarkPart(const JobId& aId, int aOccurrence, int aPart);
   // Returns an occurrence, which is created if it is not there.
   static Occurrence& OpenOccurrence(Job& aJob, int aNumber);
   void RemoveOccurrencesBeforeWindow(Job& aJob);
+  // Queues the removal of the progress records of an occurrence.
+  void RemoveProgress(const Job& aJob, int aOccurrence);
 
   RecordWriteQueue& mWriteQueue;
   JobMap mJobs;
--- a/src/jobs/internal/runendhandler.cpp
+++ b/src/jobs/internal/runendhandler.cpp
@@ -97,7 +97,7 @@
   if (aJob.mPhase != JobPhase::Open) {
     return;
   }
-  mCell.mJobs.MarkProgress(aEnd.mTask.mStep);
+  mCell.mJobs.MarkProgress(aEnd.mTask);
   if (spec.mGang) {
     StopGang(aJob, aEnd.mTask.mStep, aNow);
   }
@@ -122,7 +122,7 @@
       mRuns.StopAll(task.mRuns, aNow.mSteady);
     }
   }
-  mCell.mJobs.MarkProgress(aKey.mStep);
+  mCell.mJobs.MarkProgress(aKey);
   mCell.mDispatchWanted = true;
   if (step.IsDone()) {
     CompareRunTimes(step);
@@ -179,6 +179,9 @@
   }
   occurrence.mFinished = true;
   aJob.mWindow.Finish(aOccurrence);
+  if (aJob.mRecord.mSpec.mRepetition.has_value()) {
+    mCell.mJobs.MarkFinished(aJob.Id(), aOccurrence);
+  }
   if (aJob.mWindow.IsComplete()) {
     CloseJob(aJob, JobState::Completed, aNow);
   }
--- a/src/jobs/internal/stepprogress.cpp
+++ b/src/jobs/internal/stepprogress.cpp
@@ -34,17 +34,18 @@
 } // namespace
 
 StepProgress
-ProgressOf(const Step& aStep, int aNumber)
+ProgressOf(const Step& aStep, int aNumber, int aFirst, int aEnd)
 {
-  StepProgress progress{ .mStep = aNumber,
-                         .mFailedGangRuns = aStep.mFailedGangRuns,
-                         .mTasks = {} };
-  for (std::size_t index = 0; index < aStep.mTasks.size(); ++index) {
+  StepProgress progress{ .mStep = aNumber };
+  if (aFirst == 0) {
+    progress.mFailedGangRuns = aStep.mFailedGangRuns;
+  }
+  for (int index = aFirst; index < aEnd; ++index) {
     const Task& task = aStep.mTasks[index];
     if (HasNoProgress(task)) {
       continue;
     }
-    progress.mTasks.push_back({ .mIndex = static_cast<int>(index),
+    progress.mTasks.push_back({ .mIndex = index,
                                 .mSucceeded = task.mSucceeded,
                                 .mFailedRuns = task.mFailedRuns,
                                 .mLastRun = task.mLastRun,
@@ -58,7 +59,8 @@
 void
 ApplyProgress(Step& aStep, const StepProgress& aProgress)
 {
-  aStep.mFailedGangRuns = aProgress.mFailedGangRuns;
+  aStep.mFailedGangRuns.insert(aProgress.mFailedGangRuns.begin(),
+                               aProgress.mFailedGangRuns.end());
   for (const TaskProgress& saved : aProgress.mTasks) {
     if (saved.mIndex < 0 ||
         saved.mIndex >= static_cast<int>(aStep.mTasks.size())) {
--- a/src/jobs/internal/stepprogress.h
+++ b/src/jobs/internal/stepprogress.h
@@ -5,10 +5,12 @@
 
 namespace oriolevane::jobs {
 
-// Returns the progress of a step, without the tasks that have made none.
+// Returns the progress of the tasks of a step from aFirst to before aEnd,
+// without those that have made none. The failures of a gang as a whole go with
+// its first task.
 StepProgress
-ProgressOf(const Step& aStep, int aNumber);
-// Restores the progress of a step that has made none since it was opened.
+ProgressOf(const Step& aStep, int aNumber, int aFirst, int aEnd);
+// Restores the progress of some tasks of a step.
 void
 ApplyProgress(Step& aStep, const StepProgress& aProgress);
 
--- a/src/jobs/recordwritequeue.h
+++ b/src/jobs/recordwritequeue.h
@@ -26,7 +26,8 @@
 struct RecordKey
 {
   RecordKind mKind = RecordKind::Job;
-  // Job id, "JOB.OCCURRENCE" for progress, or worker id.
+  // Job id, "JOB.OCCURRENCE" or "JOB.OCCURRENCE.PART" for progress, or worker
+  // id.
   std::string mName;
 
   auto operator<=>(const RecordKey&) const = default;
--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -478,6 +478,22 @@
     });
 }
 
+std::size_t
+FakeCell::MostTasksInRecord() const
+{
+  std::size_t most = 0;
+  for (const auto& [key, value] : mRecords) {
+    if (const auto* progress = std::get_if<ProgressRecord>(&value)) {
+      std::size_t tasks = 0;
+      for (const StepProgress& step : progress->mSteps) {
+        tasks += step.mTasks.size();
+      }
+      most = std::max(most, tasks);
+    }
+  }
+  return most;
+}
+
 void
 FakeCell::CrashWorker(std::size_t aWorkerIndex)
 {
--- a/src/jobs/tests/fakecell.h
+++ b/src/jobs/tests/fakecell.h
@@ -82,6 +82,8 @@
   void ShiftTimeOfDay(Millis aBy) { mTimeOfDayShift += aBy; }
   // Number of records of a kind in the store.
   std::size_t RecordCount(RecordKind aKind) const;
+  // The largest number of tasks of which one record holds the progress.
+  std::size_t MostTasksInRecord() const;
   // Sets the teams of this and all later owners. Starts that exceed a quota,
   // with its excess and one task, count as violations from then on.
   void Configure(std::vector<teams::TeamPolicy> aTeams);
--- a/src/jobs/tests/takeover_test.cpp
+++ b/src/jobs/tests/takeover_test.cpp
@@ -261,6 +261,63 @@
     });
 }
 
+void
+DescribeWideJobs(Section& aRoot)
+{
+  aRoot.Describe("a job with very many tasks", [](Section& aSection) {
+    // Guards against a record that is too large for the store, which then stops
+    // all writes of the shard.
+    aSection.It("has records of few tasks each, and survives takeovers", [] {
+      FakeCell cell(
+        { .mCapacity = { .mMilliCores = 64000, .mMemoryMiB = 64000 },
+          .mMaxBatchRecords = 97 });
+      cell.RunFor(200ms);
+      JobSpec spec = SingleStepJob(MakeStep(950, 1000, 300ms));
+      spec.mSteps.push_back(MakeStep(3, 1000, 100ms));
+      spec.mSteps[1].mAfter = { 0 };
+      cell.Submit("job", spec, MakeQueue());
+      for (int owner = 0; owner < 3; ++owner) {
+        cell.RunFor(500ms);
+        CPPUNIT_ASSERT(cell.MostTasksInRecord() <= 100);
+        cell.TakeOver();
+      }
+      cell.RunUntilFinal("job", 20000ms);
+      CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Completed);
+      CPPUNIT_ASSERT(cell.mViolations.empty());
+      for (const auto& [task, starts] : cell.mStarts) {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, starts.size());
+      }
+    });
+    // Guards against tasks that run again after an upgrade, as an earlier
+    // release kept the progress of all tasks in one record.
+    aSection.It("keeps what one record of an earlier release holds", [] {
+      CellScheduler scheduler({ .mEpoch = Epoch(2) },
+                              { .mStart = [](const StartOrder&) {},
+                                .mStop = [](const StopOrder&) {},
+                                .mPoll = [](const PollOrder&) {},
+                                .mAskAdvice = [](const AdviceQuery&) {},
+                                .mOnFenced = [](const WorkerId&) {} });
+      CellRecords records;
+      records.mJobs.push_back(
+        { .mId = JobId("job"),
+          .mQueue = MakeQueue(2),
+          .mSpec = SingleStepJob(MakeStep(300, 1000, 100ms)) });
+      StepProgress step;
+      for (int index = 0; index < 250; ++index) {
+        step.mTasks.push_back({ .mIndex = index, .mSucceeded = true });
+      }
+      records.mProgress.push_back({ .mJob = JobId("job"), .mSteps = { step } });
+      scheduler.Recover(records, { .mSteady = TimePoint(1000s) });
+      std::size_t tasks = 0;
+      for (const RecordKey& key : scheduler.Records().TakeBatch(100)) {
+        const RecordValue value = scheduler.ValueOf(key);
+        tasks += std::get<ProgressRecord>(value).mSteps.at(0).mTasks.size();
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 150 }, tasks);
+    });
+  });
+}
+
 void
 DescribeFailedRuns(Section& aRoot)
 {
@@ -331,6 +388,7 @@
   DescribeTakeover(aRoot);
   DescribeTwoOwners(aRoot);
   DescribeDepartedWorkers(aRoot);
+  DescribeWideJobs(aRoot);
   DescribeFailedRuns(aRoot);
   DescribeUnrecordedFinalState(aRoot);
 }
--- a/src/jobs/types/jobrecord.h
+++ b/src/jobs/types/jobrecord.h
@@ -72,11 +72,14 @@
   std::vector<TaskProgress> mTasks;
 };
 
-// The progress of one occurrence of a job.
+// The progress of some tasks of one occurrence of a job. Together they would
+// not fit into one row of the store.
 struct ProgressRecord
 {
   JobId mJob;
   int mOccurrence = 0;
+  // Number of the part of the tasks.
+  int mPart = 0;
   bool mFinished = false;
   std::vector<StepProgress> mSteps;
 };
