--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -274,29 +274,6 @@
   SendUnsentCalls();
 }
 
-bool
-CellNode::Impl::IsPredecessorGone() const
-{
-  if (!mPredecessor.has_value()) {
-    return true;
-  }
-  if (!mPredecessor->mRecovered) {
-    // The owner before it may go on as well.
-    return false;
-  }
-  if (mPredecessor->mReleased || mPredecessor->mNode == mOptions.mNode) {
-    return true;
-  }
-  const auto peer = mPeerStates.find(mPredecessor->mNode);
-  if (peer == mPeerStates.end() || !mPeers.IsLinked(mPredecessor->mNode)) {
-    return false;
-  }
-  // Incarnations increase, so a lower one belongs to an earlier process, whose
-  // link has not been closed yet.
-  const bool restarted = mPredecessor->mIncarnation < peer->second.mIncarnation;
-  return restarted || peer->second.mLeftEpoch >= mPredecessor->mEpoch;
-}
-
 void
 CellNode::Impl::AddToSession(const NodeId& aNode)
 {
