Give an owner that nobody has heard of yet more time for its first write

Cause: a trace shows that the row of each new owner stays as it was claimed: its first renewal, due after 0.3 s, comes later than the 0.45 s that the others wait, since its answers wait behind the records that it reads. None of the others had a link to it yet (owner_silent_ms=-1), so the longer timeouts for busy owners did not apply. Change: a row that its owner has not written since it took over must stay unchanged for 1.1 s, unless this node has heard of that owner. The new story failed before (0.45 s). cellnode_test 182 passed. One doc comment is wrapped anew by the formatter.

--- a/src/cellnode/celljournal.h
+++ b/src/cellnode/celljournal.h
@@ -84,8 +84,8 @@
   bool IsReleased() const { return mReleased; }
   // Sets the highest fitness in the cell, for the next write of the owner row.
   void SetBestFitness(double aFitness) { mOwner.mBestFitness = aFitness; }
-  // Sets whether all earlier owners have stopped, for the next write of the owner
-  // row.
+  // Sets whether all earlier owners have stopped, for the next write of the
+  // owner row.
   void SetRecovered(bool aRecovered) { mOwner.mRecovered = aRecovered; }
   // Sends a transaction soon, even if no record changes.
   void RequestRenewal() { mRenewalRequested = true; }
--- a/src/cellnode/internal/ownershippolicy.cpp
+++ b/src/cellnode/internal/ownershippolicy.cpp
@@ -30,6 +30,7 @@
   }
   NoteEpoch(aEpoch, aNow);
   mLastContactAt = aNow;
+  mContactEpoch = aEpoch;
   mStoreAge = aStoreAge;
   if (!ShouldReadRow(aNow)) {
     // The row is not read any more, so it may change unnoticed.
@@ -170,7 +171,9 @@
       // only the row tells how fit they are.
       wait = UnfitDelay(mRow->mBestFitness);
     } else if (!vacant) {
-      wait += std::max<Duration>(mOptions.mMinUnchanged,
+      const bool unheard = mRow->mSequence == 0 && mContactEpoch < mRow->mEpoch;
+      wait += std::max<Duration>(unheard ? mOptions.mMinUnchangedUnheard
+                                         : mOptions.mMinUnchanged,
                                  mOptions.mMinUnchangedRoundTrips * mRoundTrip);
     }
   }
--- a/src/cellnode/ownershippolicy.h
+++ b/src/cellnode/ownershippolicy.h
@@ -38,6 +38,10 @@
   // for a slow store, which is slow for the owner as well.
   std::chrono::milliseconds mMinUnchanged{ 450 };
   int mMinUnchangedRoundTrips = 6;
+  // Replaces the first limit for an owner that has neither written nor been
+  // heard of since it took over. Its first write and its messages may wait
+  // behind the records that it reads.
+  std::chrono::milliseconds mMinUnchangedUnheard{ 1100 };
   // An owner that is replaced sooner than this after it took over, while it is
   // still connected, is more likely to be busy with the recovery than to have
   // failed. The two timeouts are doubled for its successors, up to the factor,
@@ -118,6 +122,8 @@
   TimePoint mUnchangedSince;
   Duration mRoundTrip{};
   std::optional<TimePoint> mLastContactAt;
+  // The epoch of the owner that this node last had contact with.
+  Epoch mContactEpoch;
   Duration mStoreAge{};
   double mBestFitness = 1.0;
   Epoch mNewestEpoch;
--- a/src/cellnode/tests/ownershippolicy_test.cpp
+++ b/src/cellnode/tests/ownershippolicy_test.cpp
@@ -94,6 +94,15 @@
         }
         CPPUNIT_ASSERT(now >= kBegin + 800ms);
       });
+      // Guards against owners on thin links that replace each other before one
+      // of them has loaded the shard.
+      aSection.It("is given more time for its first write", [] {
+        OwnerRow row = kRow;
+        row.mSequence = 0;
+        OwnershipPolicy policy = Policy();
+        const Duration time = TimeToClaim(policy, row, kBegin);
+        CPPUNIT_ASSERT(time >= 1100ms && time < 2s);
+      });
       aSection.It("is given several round trips of a slow store", [] {
         OwnershipPolicy policy = Policy();
         policy.OnRowRead(kRow, RowVersion(9), kBegin, 600ms);
