A worker that reports is not taken for replaced

Ownership::NoteLaterOwner and MayHaveLaterOwner have names that say what they mean; a window has at least one occurrence, whatever a damaged row says.

--- a/src/jobs/internal/cellstate.h
+++ b/src/jobs/internal/cellstate.h
@@ -26,7 +26,7 @@
   // Notes that a worker has seen the fencing token of a later owner.
   void NoteFenced(const WorkerId& aWorker, TimePoint aNow)
   {
-    mOwnership.Doubt(aNow);
+    mOwnership.NoteLaterOwner(aNow);
     mHooks.mOnFenced(aWorker);
     mHooks.mOnProofWanted();
   }
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -38,7 +38,7 @@
 {
   mUsable.Update(aNow.mSteady);
   mAdvice.SetUsableWorkers(mUsable.Workers(), mUsable.SpeedsKnown());
-  if (mCell.mOwnership.IsDoubted() ||
+  if (mCell.mOwnership.MayHaveLaterOwner() ||
       mCell.mOwnership.End() - aNow.mSteady < kMinLeaseToStart) {
     return;
   }
--- a/src/jobs/internal/ownership.h
+++ b/src/jobs/internal/ownership.h
@@ -26,12 +26,12 @@
   bool IsProvenAt(TimePoint aTime) const { return aTime <= mProvenAt; }
 
   // Notes that a worker has seen the fencing token of a later owner.
-  void Doubt(TimePoint aNow) { mDoubtedAt = aNow; }
+  void NoteLaterOwner(TimePoint aNow) { mLaterOwnerSeenAt = aNow; }
   // True while a worker has shown that there is a later owner, and the store
   // has not shown the opposite.
-  bool IsDoubted() const
+  bool MayHaveLaterOwner() const
   {
-    return mDoubtedAt.has_value() && !IsProvenAt(*mDoubtedAt);
+    return mLaterOwnerSeenAt.has_value() && !IsProvenAt(*mLaterOwnerSeenAt);
   }
 
   // Notes that the earlier owner starts nothing and renews no leases any more.
@@ -48,7 +48,7 @@
 private:
   TimePoint mProvenAt;
   TimePoint mEnd;
-  std::optional<TimePoint> mDoubtedAt;
+  std::optional<TimePoint> mLaterOwnerSeenAt;
   std::optional<TimePoint> mPredecessorEndedAt;
 };
 
--- a/src/jobs/internal/workeranswerhandler.cpp
+++ b/src/jobs/internal/workeranswerhandler.cpp
@@ -98,6 +98,8 @@
       .With("ended", aReport.mEnded.size());
   }
   aWorker.mReachable = true;
+  // The report shows what has become of the worker's runs.
+  aWorker.mReplacedAt.reset();
   aWorker.mFailedWithOthers = false;
   aWorker.mTokenSeen = std::max(aWorker.mTokenSeen, aPoll.mToken);
   mCell.mFleet.ReadClock(aWorker, aReport.mNow, aNow.mSteady);
--- a/src/occurrences/internal/occurrencewindow.cpp
+++ b/src/occurrences/internal/occurrencewindow.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 OccurrenceWindow::OccurrenceWindow(const OccurrenceWindowOptions& aOptions)
-  : mCount(aOptions.mCount)
+  : mCount(std::max(aOptions.mCount, 1))
   , mSpan(static_cast<int>(std::clamp<std::int64_t>(
       kMaxTasks / std::max<std::int64_t>(aOptions.mTasks, 1),
       1,
