Log and count what long-running tasks and advice queries wait for

Change: WaitMonitor logs a long-running step that has waited over 2 s with its queries, tickets and room; each end and start of such a task has a line; the owner logs queries that wait over 2 s and starts that are suspended; four gauges. No decision changes. Result: cellnode_test and the advice stories of jobs_test pass; metricstext_test checks the gauges.

--- a/src/cellnode/advicedispatcher.h
+++ b/src/cellnode/advicedispatcher.h
@@ -16,6 +16,16 @@
 
 using QueryId = NumberId<struct QueryIdTag, std::uint64_t>;
 
+// Queries that wait for a node.
+struct AdviceBacklog
+{
+  std::size_t mQueries = 0;
+  // The longest time for which one of them has waited.
+  Duration mLongestWait{};
+  // The time that the policy service needs to handle all of them.
+  std::chrono::microseconds mServiceTime{ 0 };
+};
+
 struct AdviceDispatcherHooks
 {
   // Sends a query to a node, which passes it to the policy service.
@@ -50,12 +60,16 @@
   // Gives up the queries that a node should have answered by now, so that the
   // node gets further ones.
   void Expire();
+  // Logs a backlog that is too old, at most once in a while.
+  void ReportBacklog();
+  AdviceBacklog Backlog() const;
   std::size_t NodeCount() const { return mNodeLoads.size(); }
 
 private:
   struct PendingQuery
   {
     jobs::AdviceQuery mQuery;
+    TimePoint mAddedAt;
     // Waiting queries are sent in the order of these times.
     TimePoint mDue;
     // When the node that it was sent to should have answered.
@@ -84,6 +98,7 @@
   WaitingQueries mWaitingShort;
   WaitingQueries mWaitingLong;
   QueryId mLastId;
+  TimePoint mNextBacklogReport;
 };
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/cellnode.h
+++ b/src/cellnode/cellnode.h
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "absl/status/status.h"
+#include "cellnode/advicedispatcher.h"
 #include "cellnode/nodemetrics.h"
 #include "cellnode/types/caller.h"
 #include "cellnode/types/nodehooks.h"
@@ -28,6 +29,7 @@
   std::size_t mLinks = 0;
   // Set only while the node owns the shard, like mStoreAge.
   jobs::SchedulerCounts mCounts;
+  AdviceBacklog mAdviceBacklog;
   // The time since the owner's last applied write to the store was sent.
   std::chrono::milliseconds mStoreAge{ 0 };
 };
--- a/src/cellnode/internal/advicedispatcher.cpp
+++ b/src/cellnode/internal/advicedispatcher.cpp
@@ -26,6 +26,9 @@
 // A node reports a query that the policy service does not answer before this
 // time has passed, unless the report is lost.
 constexpr std::chrono::milliseconds kAnswerTimeout = 4500ms;
+// A query that has waited for a node for longer than this is logged.
+constexpr std::chrono::milliseconds kMaxWait = 2000ms;
+constexpr std::chrono::milliseconds kBacklogReportInterval = 1000ms;
 
 bool
 IsLong(const jobs::AdviceQuery& aQuery)
@@ -65,11 +68,12 @@
 AdviceDispatcher::Add(const jobs::AdviceQuery& aQuery)
 {
   ++mLastId.mValue;
-  AddWaiting(
-    mLastId,
-    { .mQuery = aQuery,
-      .mDue = mHooks.mNow() + kServiceTimesUntilDue * aQuery.mServiceTime,
-      .mExpiresAt = {} });
+  const TimePoint now = mHooks.mNow();
+  AddWaiting(mLastId,
+             { .mQuery = aQuery,
+               .mAddedAt = now,
+               .mDue = now + kServiceTimesUntilDue * aQuery.mServiceTime,
+               .mExpiresAt = {} });
   Assign();
 }
 
@@ -126,6 +130,44 @@
   }
 }
 
+AdviceBacklog
+AdviceDispatcher::Backlog() const
+{
+  AdviceBacklog backlog;
+  const TimePoint now = mHooks.mNow();
+  for (const WaitingQueries* waiting : { &mWaitingShort, &mWaitingLong }) {
+    for (const auto& [key, query] : *waiting) {
+      ++backlog.mQueries;
+      backlog.mLongestWait =
+        std::max(backlog.mLongestWait, now - query.mAddedAt);
+      backlog.mServiceTime += query.mQuery.mServiceTime;
+    }
+  }
+  return backlog;
+}
+
+void
+AdviceDispatcher::ReportBacklog()
+{
+  const TimePoint now = mHooks.mNow();
+  if (now < mNextBacklogReport) {
+    return;
+  }
+  mNextBacklogReport = now + kBacklogReportInterval;
+  const AdviceBacklog backlog = Backlog();
+  if (backlog.mLongestWait <= kMaxWait) {
+    return;
+  }
+  const auto millis = [](auto aTime) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+  };
+  LogWarning("advice_queries_wait")
+    .With("queries", backlog.mQueries)
+    .With("longest_wait_ms", millis(backlog.mLongestWait))
+    .With("service_ms", millis(backlog.mServiceTime))
+    .With("nodes", mNodeLoads.size());
+}
+
 AdviceDispatcher::NodeLoad*
 AdviceDispatcher::ChooseNode(bool aLong, NodeId& aName)
 {
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -374,6 +374,7 @@
   }
   if (mSession != nullptr) {
     status.mCounts = mSession->Counts();
+    status.mAdviceBacklog = mSession->QueriesWaiting();
     status.mStoreAge = std::chrono::duration_cast<std::chrono::milliseconds>(
       mSession->StoreAge(Now()));
   }
--- a/src/cellnode/internal/metricstext.cpp
+++ b/src/cellnode/internal/metricstext.cpp
@@ -129,6 +129,10 @@
 {
   const auto number = [](auto aCount) { return static_cast<double>(aCount); };
   const std::chrono::duration<double> storeAge = aStatus.mStoreAge;
+  const std::chrono::duration<double> adviceWait =
+    aStatus.mAdviceBacklog.mLongestWait;
+  const jobs::LongRunningWaits& waits = aStatus.mCounts.mLongRunningWaits;
+  const std::chrono::duration<double> longRunningWait = waits.mLongest;
   std::vector<prometheus::MetricFamily> families{
     Gauge("owns_shard",
           "1 while this node owns the shard",
@@ -155,6 +159,18 @@
     Gauge("store_age_seconds",
           "time since the owner's last write to the store",
           storeAge.count()),
+    Gauge("advice_queries_waiting",
+          "queries to the policy service that wait for a node, at the owner",
+          number(aStatus.mAdviceBacklog.mQueries)),
+    Gauge("advice_wait_seconds",
+          "longest time for which one of them has waited",
+          adviceWait.count()),
+    Gauge("long_running_steps_waiting",
+          "long-running steps with tasks that wait to start, at the owner",
+          number(waits.mSteps)),
+    Gauge("long_running_wait_seconds",
+          "longest time for which one of them has waited",
+          longRunningWait.count()),
     Counter("log_lines_dropped_total",
             "log lines over their budget, or not taken by standard output",
             number(DroppedLogLines()))
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -295,6 +295,7 @@
   mRelayedCalls.SetWorkerCount(mScheduler.WorkerCount());
   mRelayedCalls.Expire(now.mSteady);
   mAdviceDispatcher.Expire();
+  mAdviceDispatcher.ReportBacklog();
   if (mLoaded && !mReleasing) {
     mScheduler.ProveOwnership(mJournal.RenewedAt(),
                               mJournal.RenewedAt() +
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -92,6 +92,7 @@
   Duration StoreAge(TimePoint aNow) const;
   bool IsServing() const { return mServing; }
   jobs::SchedulerCounts Counts() const { return mScheduler.Counts(); }
+  AdviceBacklog QueriesWaiting() const { return mAdviceDispatcher.Backlog(); }
 
 private:
   jobs::SchedulerHooks MakeSchedulerHooks();
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -283,7 +283,9 @@
 SchedulerCounts
 CellScheduler::Counts() const
 {
-  return CountsOf(mImpl->mCell);
+  SchedulerCounts counts = CountsOf(mImpl->mCell);
+  counts.mLongRunningWaits = mImpl->mDispatcher.Waits();
+  return counts;
 }
 
 } // namespace oriolevane::jobs
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -12,6 +12,7 @@
 #include "jobs/recordwritequeue.h"
 #include "jobs/types/cellconfiguration.h"
 #include "jobs/types/jobrecord.h"
+#include "jobs/types/longrunningwaits.h"
 #include "jobs/types/orders.h"
 #include "jobs/types/scheduleroptions.h"
 #include "jobs/types/teamcounts.h"
@@ -57,6 +58,7 @@
   std::size_t mWorkers = 0;
   // Workers that answered their last poll.
   std::size_t mReachableWorkers = 0;
+  LongRunningWaits mLongRunningWaits;
   // The teams of the configuration.
   std::vector<TeamCounts> mTeams;
 };
--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -235,6 +235,7 @@
     workers[index % queries].push_back(selected[index]->Id());
   }
   advice.mPendingQueries = queries;
+  advice.mQueriedAt = aNow;
   for (std::vector<WorkerId>& part : workers) {
     SendQuery(aJob, aKey, std::move(part));
   }
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -40,8 +40,10 @@
   mAdvice.SetUsableWorkers(mUsable.Workers(), mUsable.SpeedsKnown());
   if (mCell.mOwnership.MayHaveLaterOwner() ||
       mCell.mOwnership.End() - aNow.mSteady < kMinLeaseToStart) {
+    ReportSuspension(aNow.mSteady);
     return;
   }
+  mSuspendedSince.reset();
   mCell.mTeams.BeginPass(mCell.mFleet);
   std::vector<Candidate> candidates = mCandidates.Collect(aNow, aReconciled);
   mNow = aNow.mSteady;
@@ -68,6 +70,22 @@
     }
   }
   mCell.mTeams.EndPass();
+  mWaitMonitor.Observe(candidates, mUsable.Workers(), mNow);
+}
+
+void
+Dispatcher::ReportSuspension(TimePoint aNow)
+{
+  if (mSuspendedSince.has_value()) {
+    return;
+  }
+  mSuspendedSince = aNow;
+  LogInfo("starts_suspended")
+    .With("later_owner", mCell.mOwnership.MayHaveLaterOwner())
+    .With("ownership_left_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+            mCell.mOwnership.End() - aNow)
+            .count());
 }
 
 bool
@@ -339,6 +357,17 @@
                       TimePoint aNow)
 {
   const StepSpec& spec = aCandidate.Spec();
+  if (spec.mLongRunning) {
+    LogInfo("long_running_task_started")
+      .With("step", aCandidate.mKey.ToText())
+      .With("index", aIndex)
+      .With("run", aNumber)
+      .With("worker", aChoice.mWorker->Id())
+      .With("waited_ms",
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+              aNow - *aCandidate.mStep->mWaitingSince)
+              .count());
+  }
   aCandidate.mStep->mNoRoomSince.reset();
   mGangReservations.RecordPlacement(aChoice.mWorker, spec);
   mRuns.Start(*aCandidate.mJob,
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -8,6 +8,7 @@
 #include "jobs/internal/gangreservations.h"
 #include "jobs/internal/runtracker.h"
 #include "jobs/internal/usableworkers.h"
+#include "jobs/internal/waitmonitor.h"
 
 namespace oriolevane::jobs {
 
@@ -28,8 +29,12 @@
   // waiting and upcoming steps. What an earlier owner may have started is
   // skipped until aReconciled, which means that all of its runs are known.
   void Dispatch(const Moment& aNow, bool aReconciled);
+  // The long-running steps that waited after the last pass.
+  const LongRunningWaits& Waits() const { return mWaitMonitor.Waits(); }
 
 private:
+  // Logs that this node starts nothing, once until it does again.
+  void ReportSuspension(TimePoint aNow);
   // Returns false when the step has to wait for its team's quota. It then takes
   // no part in the pass.
   bool QuotaAllowsStart(const Candidate& aCandidate);
@@ -79,6 +84,7 @@
   CandidateCollector mCandidates;
   UsableWorkers mUsable;
   GangReservations mGangReservations;
+  WaitMonitor mWaitMonitor;
   // Share of the usable workers' processors that single tasks with ample slack
   // may use in this pass.
   double mSingleTaskShare = 1.0;
@@ -88,6 +94,8 @@
   // capacity is withheld for gangs.
   bool mCapacityWithheld = false;
   TimePoint mNow;
+  // Since when nothing is started; nothing while tasks may start.
+  std::optional<TimePoint> mSuspendedSince;
 };
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -130,6 +130,8 @@
   // When the first attempt since the step last started a task found no worker;
   // nothing when the last attempt started one.
   std::optional<TimePoint> mNoRoomSince;
+  // When the wait is logged next, if it is too long.
+  TimePoint mNextWaitReport;
   // No task is started before this time, because a worker refused a start.
   TimePoint mNotBefore;
   StepAdvice mAdvice;
--- a/src/jobs/internal/runendhandler.cpp
+++ b/src/jobs/internal/runendhandler.cpp
@@ -64,13 +64,17 @@
     job->mStarted = true;
     mCell.mJobs.OpenReportedOccurrence(*job, aEnd.mTask.mStep.mOccurrence);
   }
-  LogDebug("run_ended")
+  const bool open = job != nullptr && job->mPhase == JobPhase::Open &&
+                    job->FindTask(aEnd.mTask) != nullptr;
+  // Long-running tasks that end are to start again.
+  const bool restarts = open && SpecOf(*job, aEnd.mTask.mStep).mLongRunning;
+  LogEvent(restarts ? LogLevel::Info : LogLevel::Debug,
+           restarts ? "long_running_task_ended" : "run_ended")
     .With("task", aEnd.mTask.ToText())
     .With("run", aEnd.mRun)
     .With("worker", aWorker.Id())
     .With("end_kind", ToText(aEnd.mKind));
-  if (job != nullptr && job->mPhase == JobPhase::Open &&
-      job->FindTask(aEnd.mTask) != nullptr) {
+  if (open) {
     ApplyEnd(*job, aEnd, aNow);
   }
 }
--- a/src/jobs/internal/stepadvice.h
+++ b/src/jobs/internal/stepadvice.h
@@ -27,6 +27,8 @@
 {
   // Number of queries that have been sent and not yet answered.
   std::size_t mPendingQueries = 0;
+  // When the latest round of queries was sent.
+  TimePoint mQueriedAt;
   // At least one answer has arrived since this node learned of the step.
   bool mAnswered = false;
   // Workers that some answer covered, whether approved or not.
