Advice queries of steps with a bounded wait go before the others, which keep a turn in four

Ruled out by the new log lines: lost queries (none expired) and suspended starts (none). Change: a query says whether its step has a bounded wait (long-running steps do). WaitingQueries, split from the dispatcher, sends those first by age; while others of the same length wait, they get one turn in four, so neither starves.

--- a/src/cellnode/advicedispatcher.h
+++ b/src/cellnode/advicedispatcher.h
@@ -2,30 +2,16 @@
 // the service handles the calls of one host one after another. Deterministic.
 #pragma once
 
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <vector>
 
-#include "framework/types/ids.h"
-#include "framework/types/timepoint.h"
-#include "jobs/types/orders.h"
+#include "cellnode/waitingqueries.h"
+#include "cellnode/types/pendingquery.h"
 
 namespace oriolevane::cellnode {
 
-using QueryId = NumberId<struct QueryIdTag, std::uint64_t>;
-
-// Queries that wait for a node.
-struct AdviceBacklog
-{
-  std::size_t mQueries = 0;
-  // The longest time for which one of them has waited.
-  Duration mLongestWait{};
-  // The time that the policy service needs to handle all of them.
-  std::chrono::microseconds mServiceTime{ 0 };
-};
-
 struct AdviceDispatcherHooks
 {
   // Sends a query to a node, which passes it to the policy service.
@@ -66,23 +52,12 @@
   std::size_t NodeCount() const { return mNodeLoads.size(); }
 
 private:
-  struct PendingQuery
-  {
-    jobs::AdviceQuery mQuery;
-    TimePoint mAddedAt;
-    // Waiting queries are sent in the order of these times.
-    TimePoint mDue;
-    // When the node that it was sent to should have answered.
-    TimePoint mExpiresAt;
-  };
   // The outstanding queries of a node and their total service time.
   struct NodeLoad
   {
     std::map<QueryId, PendingQuery> mQueries;
     std::chrono::microseconds mServiceTime{ 0 };
   };
-  using WaitingQueries = std::map<std::pair<TimePoint, QueryId>, PendingQuery>;
-
   void AddWaiting(QueryId aId, PendingQuery aQuery);
   void Assign();
   // Sends the query that is due first of those that a node has capacity for.
--- a/src/cellnode/internal/advicedispatcher.cpp
+++ b/src/cellnode/internal/advicedispatcher.cpp
@@ -69,10 +69,11 @@
 {
   ++mLastId.mValue;
   const TimePoint now = mHooks.mNow();
+  const int untilDue = aQuery.mBoundedWait ? 0 : kServiceTimesUntilDue;
   AddWaiting(mLastId,
              { .mQuery = aQuery,
                .mAddedAt = now,
-               .mDue = now + kServiceTimesUntilDue * aQuery.mServiceTime,
+               .mDue = now + untilDue * aQuery.mServiceTime,
                .mExpiresAt = {} });
   Assign();
 }
@@ -82,8 +83,7 @@
 {
   WaitingQueries& waiting =
     IsLong(aQuery.mQuery) ? mWaitingLong : mWaitingShort;
-  const std::pair key(aQuery.mDue, aId);
-  waiting.emplace(key, std::move(aQuery));
+  waiting.Add(aId, std::move(aQuery));
 }
 
 std::optional<jobs::AdviceQuery>
@@ -135,14 +135,8 @@
 {
   AdviceBacklog backlog;
   const TimePoint now = mHooks.mNow();
-  for (const WaitingQueries* waiting : { &mWaitingShort, &mWaitingLong }) {
-    for (const auto& [key, query] : *waiting) {
-      ++backlog.mQueries;
-      backlog.mLongestWait =
-        std::max(backlog.mLongestWait, now - query.mAddedAt);
-      backlog.mServiceTime += query.mQuery.mServiceTime;
-    }
-  }
+  mWaitingShort.AddTo(backlog, now);
+  mWaitingLong.AddTo(backlog, now);
   return backlog;
 }
 
@@ -193,30 +187,24 @@
 void
 AdviceDispatcher::DropUnwanted(WaitingQueries& aWaiting)
 {
-  while (!aWaiting.empty() &&
-         !mHooks.mIsWanted(aWaiting.begin()->second.mQuery)) {
-    const jobs::AdviceQuery query = std::move(aWaiting.begin()->second.mQuery);
-    aWaiting.erase(aWaiting.begin());
-    mHooks.mOnUnanswered(query);
+  while (!aWaiting.IsEmpty() && !mHooks.mIsWanted(aWaiting.Next().mQuery)) {
+    mHooks.mOnUnanswered(aWaiting.DropNext().mQuery);
   }
 }
 
 bool
 AdviceDispatcher::AssignFirst(WaitingQueries& aWaiting)
 {
-  if (aWaiting.empty()) {
+  if (aWaiting.IsEmpty()) {
     return false;
   }
-  const auto entry = aWaiting.begin();
   NodeId name;
-  NodeLoad* load = ChooseNode(IsLong(entry->second.mQuery), name);
+  NodeLoad* load = ChooseNode(IsLong(aWaiting.Next().mQuery), name);
   if (load == nullptr) {
     return false;
   }
-  const QueryId id = entry->first.second;
-  PendingQuery& pending =
-    load->mQueries.emplace(id, std::move(entry->second)).first->second;
-  aWaiting.erase(entry);
+  const auto [id, query] = aWaiting.TakeNext();
+  PendingQuery& pending = load->mQueries.emplace(id, query).first->second;
   load->mServiceTime += pending.mQuery.mServiceTime;
   pending.mExpiresAt = mHooks.mNow() + kAnswerTimeout;
   mHooks.mSend(name, id, pending.mQuery);
@@ -228,10 +216,9 @@
 {
   DropUnwanted(mWaitingShort);
   DropUnwanted(mWaitingLong);
-  const bool longFirst =
-    !mWaitingLong.empty() &&
-    (mWaitingShort.empty() ||
-     mWaitingLong.begin()->first < mWaitingShort.begin()->first);
+  const bool longFirst = !mWaitingLong.IsEmpty() &&
+                         (mWaitingShort.IsEmpty() ||
+                          mWaitingLong.Next().mDue < mWaitingShort.Next().mDue);
   if (longFirst) {
     return AssignFirst(mWaitingLong) || AssignFirst(mWaitingShort);
   }
--- /dev/null
+++ b/src/cellnode/internal/waitingqueries.cpp
@@ -0,0 +1,63 @@
+#include "cellnode/waitingqueries.h"
+
+#include <algorithm>
+
+namespace oriolevane::cellnode {
+
+void
+WaitingQueries::Add(QueryId aId, PendingQuery aQuery)
+{
+  Queries& queries = aQuery.mQuery.mBoundedWait ? mBounded : mOthers;
+  const TimePoint order =
+    aQuery.mQuery.mBoundedWait ? aQuery.mAddedAt : aQuery.mDue;
+  queries.emplace(std::pair(order, aId), std::move(aQuery));
+}
+
+bool
+WaitingQueries::IsBoundedNext() const
+{
+  return !mBounded.empty() &&
+         (mOthers.empty() || mBoundedTurns + 1 < kTurnsPerOther);
+}
+
+const PendingQuery&
+WaitingQueries::Next() const
+{
+  return (IsBoundedNext() ? mBounded : mOthers).begin()->second;
+}
+
+std::pair<QueryId, PendingQuery>
+WaitingQueries::RemoveNext()
+{
+  Queries& queries = IsBoundedNext() ? mBounded : mOthers;
+  auto node = queries.extract(queries.begin());
+  return { node.key().second, std::move(node.mapped()) };
+}
+
+std::pair<QueryId, PendingQuery>
+WaitingQueries::TakeNext()
+{
+  mBoundedTurns = IsBoundedNext() ? mBoundedTurns + 1 : 0;
+  return RemoveNext();
+}
+
+PendingQuery
+WaitingQueries::DropNext()
+{
+  return RemoveNext().second;
+}
+
+void
+WaitingQueries::AddTo(AdviceBacklog& aBacklog, TimePoint aNow) const
+{
+  for (const Queries* queries : { &mBounded, &mOthers }) {
+    for (const auto& [key, query] : *queries) {
+      ++aBacklog.mQueries;
+      aBacklog.mLongestWait =
+        std::max(aBacklog.mLongestWait, aNow - query.mAddedAt);
+      aBacklog.mServiceTime += query.mQuery.mServiceTime;
+    }
+  }
+}
+
+} // namespace oriolevane::cellnode
--- a/src/cellnode/tests/advicedispatcher_test.cpp
+++ b/src/cellnode/tests/advicedispatcher_test.cpp
@@ -1,5 +1,6 @@
 #include "cellnode/advicedispatcher.h"
 
+#include <algorithm>
 #include <set>
 
 #include "cellnode/tests/testgroups.h"
@@ -48,11 +49,22 @@
       mAdviceDispatcher.AddNode(NodeId("n" + std::to_string(node)));
     }
   }
-  void AddQuery(std::chrono::microseconds aServiceTime, int aStep = 0)
+  void AddQuery(std::chrono::microseconds aServiceTime,
+                int aStep = 0,
+                bool aBoundedWait = false)
   {
     mAdviceDispatcher.Add({ .mStep = { .mStep = aStep },
                             .mWorkers = {},
-                            .mServiceTime = aServiceTime });
+                            .mServiceTime = aServiceTime,
+                            .mBoundedWait = aBoundedWait });
+  }
+  // Answers the query that was sent last, some times over.
+  void AnswerAndAdvance(int aTimes, std::chrono::milliseconds aStep)
+  {
+    for (int answer = 0; answer < aTimes; ++answer) {
+      mNow += aStep;
+      mAdviceDispatcher.OnAnswer(mSent.back().mId);
+    }
   }
 };
 
@@ -113,6 +125,37 @@
   });
 }
 
+void
+DescribeBoundedWaits(Section& aRoot)
+{
+  aRoot.Describe(
+    "queries about steps with a bounded wait", [](Section& aSection) {
+      aSection.It("are sent before others that have waited for long", [] {
+        Fixture fixture(1);
+        for (int query = 1; query <= 50; ++query) {
+          fixture.AddQuery(600ms, query);
+        }
+        fixture.AnswerAndAdvance(10, 600ms);
+        fixture.AddQuery(700ms, 99, true);
+        fixture.AnswerAndAdvance(1, 600ms);
+        CPPUNIT_ASSERT_EQUAL(99, fixture.mSent.back().mQuery.mStep.mStep);
+      });
+      aSection.It("leave a turn in four to the others", [] {
+        Fixture fixture(1);
+        fixture.AddQuery(600ms);
+        for (int query = 1; query <= 50; ++query) {
+          fixture.AddQuery(600ms, query, query > 10);
+        }
+        fixture.AnswerAndAdvance(20, 600ms);
+        const auto others = std::count_if(
+          fixture.mSent.begin() + 1,
+          fixture.mSent.end(),
+          [](const SentQuery& aSent) { return !aSent.mQuery.mBoundedWait; });
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{ 5 }, others);
+      });
+    });
+}
+
 } // namespace
 
 void
@@ -145,6 +188,7 @@
     });
   });
   DescribeWaitingQueries(aRoot);
+  DescribeBoundedWaits(aRoot);
   aRoot.Describe("a node that loses an answer", [](Section& aSection) {
     aSection.It("gets other queries after a time, and the loss is told", [] {
       Fixture fixture(1);
--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -250,10 +250,12 @@
   const auto serviceTime =
     std::chrono::duration_cast<std::chrono::microseconds>(
       QueryTime(policy, aWorkers.size()));
-  mCell.mHooks.mAskAdvice({ .mStep = aKey,
-                            .mWorkers = std::move(aWorkers),
-                            .mServiceTime = serviceTime,
-                            .mValidity = policy.mValidity });
+  mCell.mHooks.mAskAdvice(
+    { .mStep = aKey,
+      .mWorkers = std::move(aWorkers),
+      .mServiceTime = serviceTime,
+      .mValidity = policy.mValidity,
+      .mBoundedWait = aJob.mRecord.mSpec.mSteps[aKey.mStep].mLongRunning });
 }
 
 void
--- a/src/jobs/types/orders.h
+++ b/src/jobs/types/orders.h
@@ -80,6 +80,9 @@
   std::chrono::microseconds mServiceTime{ 0 };
   // How long the tickets can be used, unless the answer states another time.
   std::chrono::milliseconds mValidity{ 0 };
+  // The step's tasks must start within a bounded time, however many other
+  // queries wait.
+  bool mBoundedWait = false;
 };
 
 // Permission to run the tasks of a step on a worker.
