Renewals of tickets stay within a share of the policy service while it is overloaded

Cause: up to 24 waiting steps of each queue renewed their tickets, whatever the service could answer, so the line of queries grew with what waits in it, and a step's first query waited behind renewals of steps that could not start anyway. Change: AdviceBudget counts the service time of all pending queries, also those of the running pass. Once a renewal would be answered only after its ticket has expired (more is pending than hosts times validity), renewals take at most a quarter of the hosts for steps with a bounded wait and as much for the others, the most urgent first. Below that nothing changes.

--- a/src/cellnode/tests/advice/advicebacklog_test.cpp
+++ b/src/cellnode/tests/advice/advicebacklog_test.cpp
@@ -21,6 +21,8 @@
 constexpr Millis kLoadTime{ 12000 };
 // Within this time a task that is to run all the time runs again.
 constexpr Millis kMaxAway{ 2000 };
+// Twice the time for which a ticket can be used.
+constexpr Millis kMaxQueryWait{ 5000 };
 const std::string kLasting = "lasting";
 
 QueuePolicy
@@ -127,9 +129,41 @@
   int mBatchJobs = 0;
 };
 
+// The longest wait of a query while steps of several queues wait in a cell that
+// is full.
+Duration
+LongestQueryWaitInFullCell(int aQueues)
+{
+  constexpr int kJobsPerQueue = 30;
+  FakeCell cell({ .mWorkers = kWorkers, .mMaxBatchRecords = 90 });
+  PolicyService service(cell, kNodes);
+  cell.RunFor(500ms);
+  cell.Submit(
+    "fills", SingleStepJob(MakeStep(kWorkers, 8000, 60000ms)), MakeQueue());
+  cell.RunFor(500ms);
+  for (int job = 0; job < aQueues * kJobsPerQueue; ++job) {
+    cell.Submit("waits" + std::to_string(job),
+                SingleStepJob(MakeStep(1, 8000, 400ms)),
+                MakeAdviceQueue("q" + std::to_string(job % aQueues), 1));
+  }
+  // All steps get their first answers.
+  cell.RunFor(Millis(200 * aQueues * kJobsPerQueue));
+  Duration longest{};
+  for (int second = 0; second < 10; ++second) {
+    cell.RunFor(1000ms);
+    longest = std::max(longest, service.Dispatcher().Backlog().mLongestWait);
+  }
+  return longest;
+}
+
 void
 AdviceBacklogTests(Section& aRoot)
 {
+  aRoot.Describe("renewals of tickets in a full cell", [](Section& aSection) {
+    aSection.It("do not grow with the number of steps that wait", [] {
+      CPPUNIT_ASSERT(LongestQueryWaitInFullCell(6) <= kMaxQueryWait);
+    });
+  });
   aRoot.Describe(
     "while batch jobs overload the policy service", [](Section& aSection) {
       // Guards against the incident in
--- a/src/jobs/internal/advicebudget.cpp
+++ b/src/jobs/internal/advicebudget.cpp
@@ -22,14 +22,23 @@
 constexpr std::size_t kHostsPerRenewedStep = 4;
 constexpr std::size_t kMinStepsRenewedPerQueue = 24;
 constexpr std::size_t kMaxStepsRenewedPerQueue = 36;
+// While the service is overloaded, the renewals of all queues occupy at most
+// this share of the hosts for steps with a bounded wait, and as much for
+// others, so that their number does not grow with that of the waiting steps.
+constexpr double kMaxRenewalShareInOverload = 0.25;
+// A renewal names about this many workers.
+constexpr int kWorkersPerRenewal = 10;
 
 } // namespace
 
 void
-AdviceBudget::SetLoad(std::size_t aHosts, std::size_t aPendingQueries)
+AdviceBudget::BeginPass(std::size_t aHosts, const PendingAdvice& aPending)
 {
   mHosts = std::max<std::size_t>(aHosts, 1);
-  mPendingQueries = aPendingQueries;
+  mPending = aPending;
+  mStepsRenewed.clear();
+  mHostsRenewingBounded = 0;
+  mHostsRenewingOthers = 0;
 }
 
 std::size_t
@@ -43,19 +52,40 @@
 AdviceBudget::TargetRoomFactor() const
 {
   const double load =
-    static_cast<double>(mPendingQueries) / static_cast<double>(mHosts);
+    static_cast<double>(mPending.mQueries) / static_cast<double>(mHosts);
   const double excess =
     std::clamp((load - kLowLoad) / (kHighLoad - kLowLoad), 0.0, 1.0);
   return kMaxTargetRoomFactor +
          excess * (kMinTargetRoomFactor - kMaxTargetRoomFactor);
 }
 
-std::size_t
-AdviceBudget::MaxStepsRenewedPerQueue() const
+bool
+AdviceBudget::IsOverloaded(const AdvicePolicy& aPolicy) const
+{
+  return mPending.mServiceTime > aPolicy.mValidity * mHosts;
+}
+
+bool
+AdviceBudget::TakeRenewal(const QueuePolicy& aQueue, bool aBoundedWait)
 {
-  return std::clamp(mHosts / kHostsPerRenewedStep,
-                    kMinStepsRenewedPerQueue,
-                    kMaxStepsRenewedPerQueue);
+  const AdvicePolicy& policy = *aQueue.mAdvice;
+  if (IsOverloaded(policy)) {
+    const auto allowed =
+      kMaxRenewalShareInOverload * static_cast<double>(mHosts);
+    double& renewing =
+      aBoundedWait ? mHostsRenewingBounded : mHostsRenewingOthers;
+    if (renewing >= allowed) {
+      return false;
+    }
+    const std::chrono::duration<double> service =
+      policy.mDecisionTime + policy.mTimePerWorker * kWorkersPerRenewal;
+    const std::chrono::duration<double> validity = policy.mValidity;
+    renewing += service / validity;
+  }
+  const std::size_t limit = std::clamp(mHosts / kHostsPerRenewedStep,
+                                       kMinStepsRenewedPerQueue,
+                                       kMaxStepsRenewedPerQueue);
+  return mStepsRenewed[aQueue.mName]++ < limit;
 }
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/advicebudget.h
+++ b/src/jobs/internal/advicebudget.h
@@ -4,27 +4,54 @@
 // the renewal of tickets occupy the hosts.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
+#include <map>
+
+#include "jobs/types/cellconfiguration.h"
 
 namespace oriolevane::jobs {
 
+// The queries that all steps have pending.
+struct PendingAdvice
+{
+  std::size_t mQueries = 0;
+  // The time that the service needs to handle them.
+  std::chrono::microseconds mServiceTime{ 0 };
+};
+
 class AdviceBudget
 {
 public:
-  // Sets the number of hosts that can query the service at the same time, and
-  // the number of queries that all steps have pending.
-  void SetLoad(std::size_t aHosts, std::size_t aPendingQueries);
+  // Begins a dispatch pass. aHosts is the number of hosts that can query the
+  // service at the same time.
+  void BeginPass(std::size_t aHosts, const PendingAdvice& aPending);
+  // Counts the service time of queries that are sent in this pass.
+  void NoteServiceTime(std::chrono::microseconds aServiceTime)
+  {
+    mPending.mServiceTime += aServiceTime;
+  }
   // The number of queries that one step may have at the same time.
   std::size_t MaxParallelQueries() const;
   // The number of approved workers to aim for, relative to the workers that
   // would hold the step if they were empty.
   double TargetRoomFactor() const;
-  // The number of waiting steps of a queue whose tickets are renewed.
-  std::size_t MaxStepsRenewedPerQueue() const;
+  // Returns true when the tickets of one more waiting step of a queue are to be
+  // renewed. Steps are to be passed in the order of their urgency. Steps with a
+  // bounded wait and others have separate shares.
+  bool TakeRenewal(const QueuePolicy& aQueue, bool aBoundedWait);
 
 private:
+  // True when a renewal that is asked for now is answered only after the ticket
+  // that it renews has expired.
+  bool IsOverloaded(const AdvicePolicy& aPolicy) const;
+
   std::size_t mHosts = 1;
-  std::size_t mPendingQueries = 0;
+  PendingAdvice mPending;
+  std::map<QueueName, std::size_t> mStepsRenewed;
+  // The hosts that the renewals of this pass occupy all the time.
+  double mHostsRenewingBounded = 0;
+  double mHostsRenewingOthers = 0;
 };
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -35,6 +35,7 @@
 constexpr double kDefaultApprovalShare = 0.4;
 constexpr double kMinApprovalShare = 0.1;
 constexpr double kApprovalShareWeight = 0.05;
+
 Duration
 QueryTime(const AdvicePolicy& aPolicy, std::size_t aWorkers)
 {
@@ -42,6 +43,13 @@
          aPolicy.mTimePerWorker * static_cast<std::int64_t>(aWorkers);
 }
 
+std::chrono::microseconds
+ServiceTime(const Job& aJob, std::size_t aWorkers)
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+    QueryTime(*aJob.mRecord.mQueue.mAdvice, aWorkers));
+}
+
 // The number of approved workers that would hold a task if they were empty.
 // Approvals of workers that have shrunk are kept, as these may grow again.
 std::size_t
@@ -235,10 +243,13 @@
     workers[index % queries].push_back(selected[index]->Id());
   }
   advice.mPendingQueries = queries;
+  advice.mPendingServiceTime = {};
   advice.mQueriedAt = aNow;
   for (std::vector<WorkerId>& part : workers) {
+    advice.mPendingServiceTime += ServiceTime(aJob, part.size());
     SendQuery(aJob, aKey, std::move(part));
   }
+  mBudget.NoteServiceTime(advice.mPendingServiceTime);
 }
 
 void
@@ -246,15 +257,13 @@
                          const StepKey& aKey,
                          std::vector<WorkerId> aWorkers)
 {
-  const AdvicePolicy& policy = *aJob.mRecord.mQueue.mAdvice;
-  const auto serviceTime =
-    std::chrono::duration_cast<std::chrono::microseconds>(
-      QueryTime(policy, aWorkers.size()));
+  const std::chrono::microseconds serviceTime =
+    ServiceTime(aJob, aWorkers.size());
   mCell.mHooks.mAskAdvice(
     { .mStep = aKey,
       .mWorkers = std::move(aWorkers),
       .mServiceTime = serviceTime,
-      .mValidity = policy.mValidity,
+      .mValidity = aJob.mRecord.mQueue.mAdvice->mValidity,
       .mBoundedWait = aJob.mRecord.mSpec.mSteps[aKey.mStep].mLongRunning });
 }
 
@@ -335,6 +344,9 @@
   if (advice.mPendingQueries > 0) {
     --advice.mPendingQueries;
   }
+  if (advice.mPendingQueries == 0) {
+    advice.mPendingServiceTime = {};
+  }
   if (!aAnswer.mAnswered) {
     return;
   }
--- a/src/jobs/internal/adviceplanner.h
+++ b/src/jobs/internal/adviceplanner.h
@@ -26,12 +26,17 @@
   void SetUsableWorkers(const std::vector<Worker*>& aUsable, bool aSpeedsKnown);
   // Sets whether short jobs may prefer fast workers.
   void SetSpreadsShortJobs(bool aSpreads) { mSpreadsShortJobs = aSpreads; }
-  // Sets the number of queries that all steps have pending.
-  void SetPendingQueries(std::size_t aQueries)
+  // Begins a dispatch pass, with the queries that all steps have pending.
+  void BeginPass(const PendingAdvice& aPending)
   {
-    mBudget.SetLoad(mCell.mQueryHosts, aQueries);
+    mBudget.BeginPass(mCell.mQueryHosts, aPending);
+  }
+  // Returns true when a waiting step may have its tickets renewed. To be called
+  // once in a pass for each step that has an answer, the most urgent first.
+  bool TakeRenewal(const QueuePolicy& aQueue, const StepSpec& aSpec)
+  {
+    return mBudget.TakeRenewal(aQueue, aSpec.mLongRunning);
   }
-  const AdviceBudget& Budget() const { return mBudget; }
   // Sends a query for a step that is waiting to start when too few workers are
   // approved, or when tickets would expire before the answer arrives.
   void QueryIfNeeded(const Job& aJob,
--- a/src/jobs/internal/candidates.cpp
+++ b/src/jobs/internal/candidates.cpp
@@ -23,7 +23,7 @@
 CandidateCollector::Collect(const Moment& aNow, bool aReconciled)
 {
   std::vector<Candidate> candidates;
-  mPendingQueries = 0;
+  mPendingAdvice = {};
   mGangDemand = 0;
   for (auto& [id, job] : mCell.mJobs.Jobs()) {
     if (job.mPhase == JobPhase::Open) {
@@ -31,7 +31,7 @@
         job, aReconciled || !job.mRecovered, aNow, candidates);
     }
   }
-  mAdvice.SetPendingQueries(mPendingQueries);
+  mAdvice.BeginPass(mPendingAdvice);
   std::sort(candidates.begin(),
             candidates.end(),
             [](const Candidate& aLeft, const Candidate& aRight) {
@@ -60,7 +60,8 @@
                          .mOccurrence = number,
                          .mStep = static_cast<int>(index) };
       const StepSpec& spec = aJob.mRecord.mSpec.mSteps[index];
-      mPendingQueries += step.mAdvice.mPendingQueries;
+      mPendingAdvice.mQueries += step.mAdvice.mPendingQueries;
+      mPendingAdvice.mServiceTime += step.mAdvice.mPendingServiceTime;
       if (spec.mGang && !step.IsDone()) {
         mGangDemand += spec.mResources.mMilliCores * spec.mTaskCount;
       }
--- a/src/jobs/internal/candidates.h
+++ b/src/jobs/internal/candidates.h
@@ -52,7 +52,7 @@
   CellState& mCell;
   AdvicePlanner& mAdvice;
   // Advice queries of the open jobs that have not been answered.
-  std::size_t mPendingQueries = 0;
+  PendingAdvice mPendingAdvice;
   std::int64_t mGangDemand = 0;
 };
 
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -48,9 +48,6 @@
   std::vector<Candidate> candidates = mCandidates.Collect(aNow, aReconciled);
   mNow = aNow.mSteady;
   mGangReservations.BeginPass(mNow);
-  std::map<QueueName, std::size_t> renewed;
-  // Steps without an answer yet do not count.
-  const std::size_t stepsRenewed = mAdvice.Budget().MaxStepsRenewedPerQueue();
   mSingleTaskShare = SingleTaskShare(candidates);
   mSpreadsShortJobs =
     MaySpreadShortJobs(mCandidates.GangDemand(), mUsable.MilliCores());
@@ -60,8 +57,9 @@
       continue;
     }
     const QueuePolicy& queue = candidate.mJob->mRecord.mQueue;
-    if (queue.mAdvice.has_value() && (!candidate.mStep->mAdvice.mAnswered ||
-                                      renewed[queue.mName]++ < stepsRenewed)) {
+    if (queue.mAdvice.has_value() &&
+        (!candidate.mStep->mAdvice.mAnswered ||
+         mAdvice.TakeRenewal(queue, candidate.Spec()))) {
       mAdvice.QueryIfNeeded(
         *candidate.mJob, candidate.mKey, *candidate.mStep, aNow.mSteady);
     }
--- a/src/jobs/internal/stepadvice.h
+++ b/src/jobs/internal/stepadvice.h
@@ -27,6 +27,9 @@
 {
   // Number of queries that have been sent and not yet answered.
   std::size_t mPendingQueries = 0;
+  // The time that the policy service needs for all queries of the latest round;
+  // 0 once all are answered.
+  std::chrono::microseconds mPendingServiceTime{ 0 };
   // When the latest round of queries was sent.
   TimePoint mQueriedAt;
   // At least one answer has arrived since this node learned of the step.
