Split the number of approvals to seek from the planning of advice queries

ApprovalTarget decides for how many workers a step should be approved; no decision changes. jobs_test's load and advice stories and advice_backlog pass.

--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -1,7 +1,6 @@
 #include "jobs/internal/adviceplanner.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "framework/stablehash.h"
@@ -23,19 +22,9 @@
 // An answer for a step should arrive this long before the last of its
 // prerequisites is expected to end.
 constexpr std::chrono::milliseconds kQueryAheadMargin = 250ms;
-constexpr double kMinTargetApprovals = 10.0;
 // While the approvals are fewer than the target divided by this number, a query
 // for further workers is sent before the tickets need to be renewed.
 constexpr std::size_t kLowApprovalsDivisor = 2;
-// Once a step has found no room on its approved workers for the first time, the
-// target is raised by its own amount again each time the second time passes.
-constexpr std::chrono::milliseconds kNoRoomTolerance = 1000ms;
-constexpr std::chrono::milliseconds kTargetRaiseInterval = 1000ms;
-// The share of approvals that is assumed until the first answer for a queue.
-constexpr double kDefaultApprovalShare = 0.4;
-constexpr double kMinApprovalShare = 0.1;
-constexpr double kApprovalShareWeight = 0.05;
-
 Duration
 QueryTime(const AdvicePolicy& aPolicy, std::size_t aWorkers)
 {
@@ -50,29 +39,6 @@
     QueryTime(*aJob.mRecord.mQueue.mAdvice, aWorkers));
 }
 
-// The number of approved workers that would hold a task if they were empty.
-// Approvals of workers that have shrunk are kept, as these may grow again.
-std::size_t
-CountApproved(const Step& aStep, const StepSpec& aSpec)
-{
-  const std::vector<Approval>& approved = aStep.mAdvice.mApproved;
-  return std::count_if(
-    approved.begin(), approved.end(), [&aSpec](const Approval& aApproval) {
-      return HoldsTask(*aApproval.mWorker, aSpec);
-    });
-}
-
-// The number of tasks that an empty worker holds.
-std::int64_t
-TasksPerWorker(const Resources& aCapacity, const Resources& aTask)
-{
-  const auto fits = [](std::int64_t aAvailable, std::int64_t aPerTask) {
-    return aPerTask <= 0 ? std::int64_t{ 1000 } : aAvailable / aPerTask;
-  };
-  return std::min(fits(aCapacity.mMilliCores, aTask.mMilliCores),
-                  fits(aCapacity.mMemoryMiB, aTask.mMemoryMiB));
-}
-
 } // namespace
 
 void
@@ -81,89 +47,7 @@
 {
   mUsable = aUsable;
   mSpeedsKnown = aSpeedsKnown;
-  mUsableInPool.clear();
-  for (const Worker* worker : mUsable) {
-    const Resources& capacity = worker->mEntry.mCapacity;
-    PoolWorkers& pool = mUsableInPool[worker->mEntry.mPool];
-    ++pool.mCount;
-    ++pool.mCapacities[{ capacity.mMilliCores, capacity.mMemoryMiB }];
-  }
-}
-
-double
-AdvicePlanner::MeanTasksPerWorker(const PoolName& aPool,
-                                  const Resources& aTask) const
-{
-  const auto pool = mUsableInPool.find(aPool);
-  if (pool == mUsableInPool.end()) {
-    return 1.0;
-  }
-  std::int64_t workers = 0;
-  std::int64_t tasks = 0;
-  for (const auto& [capacity, count] : pool->second.mCapacities) {
-    const std::int64_t perWorker = TasksPerWorker(
-      { .mMilliCores = capacity.first, .mMemoryMiB = capacity.second }, aTask);
-    if (perWorker > 0) {
-      workers += count;
-      tasks += perWorker * count;
-    }
-  }
-  return workers == 0
-           ? 1.0
-           : static_cast<double>(tasks) / static_cast<double>(workers);
-}
-
-std::size_t
-AdvicePlanner::TargetApprovals(const Job& aJob,
-                               const StepKey& aKey,
-                               const Step& aStep) const
-{
-  if (mUsable.empty()) {
-    return 0;
-  }
-  const StepSpec& spec = aJob.mRecord.mSpec.mSteps[aKey.mStep];
-  const double workersNeeded =
-    std::ceil(static_cast<double>(aStep.mTasks.size() - aStep.mSucceeded) /
-              MeanTasksPerWorker(aJob.mRecord.mQueue.mPool, spec.mResources));
-  return static_cast<std::size_t>(
-    std::max(kMinTargetApprovals, mBudget.TargetRoomFactor() * workersNeeded));
-}
-
-std::size_t
-AdvicePlanner::TargetWithoutRoom(const Job& aJob,
-                                 const StepKey& aKey,
-                                 const Step& aStep,
-                                 TimePoint aNow) const
-{
-  const std::size_t target = TargetApprovals(aJob, aKey, aStep);
-  // A gang waits for all of its members, and its target allows for that.
-  const StepSpec& spec = aJob.mRecord.mSpec.mSteps[aKey.mStep];
-  if (spec.mGang || !aStep.mNoRoomSince.has_value() ||
-      *aStep.mNoRoomSince + kNoRoomTolerance > aNow) {
-    return target;
-  }
-  const auto raises =
-    (aNow - *aStep.mNoRoomSince - kNoRoomTolerance) / kTargetRaiseInterval + 1;
-  return std::max(target, CountApproved(aStep, spec)) *
-         static_cast<std::size_t>(1 + raises);
-}
-
-std::size_t
-AdvicePlanner::CountToQuery(const Job& aJob,
-                            const StepKey& aKey,
-                            const Step& aStep,
-                            std::size_t aTarget) const
-{
-  const std::size_t approved =
-    CountApproved(aStep, aJob.mRecord.mSpec.mSteps[aKey.mStep]);
-  if (approved >= aTarget) {
-    return 0;
-  }
-  const auto known = mApprovalShare.find(aJob.mRecord.mQueue.mName);
-  const double share =
-    known == mApprovalShare.end() ? kDefaultApprovalShare : known->second;
-  return static_cast<std::size_t>(static_cast<double>(aTarget - approved) /
-                                  std::max(share, kMinApprovalShare));
+  mTarget.SetUsableWorkers(aUsable);
 }
 
 std::vector<Worker*>
@@ -195,7 +79,7 @@
       unqueried.emplace_back(AdviceScore(*worker, spec, score), worker);
     }
   }
-  const std::size_t target = TargetApprovals(aJob, aKey, aStep);
+  const std::size_t target = mTarget.Of(aJob, aKey, aStep);
   const std::size_t maxWorkers =
     mBudget.MaxParallelQueries() * kMaxWorkersPerQuery;
   std::vector<Worker*> selected;
@@ -215,8 +99,8 @@
   };
   append(expiring, target);
   append(unqueried,
-         CountToQuery(
-           aJob, aKey, aStep, TargetWithoutRoom(aJob, aKey, aStep, aNow)));
+         mTarget.CountToQuery(
+           aJob, aKey, aStep, mTarget.WithoutRoom(aJob, aKey, aStep, aNow)));
   return selected;
 }
 
@@ -274,14 +158,12 @@
                              TimePoint aNow)
 {
   const StepAdvice& advice = aStep.mAdvice;
-  const std::size_t target = TargetApprovals(aJob, aKey, aStep);
-  const auto inPool = mUsableInPool.find(aJob.mRecord.mQueue.mPool);
+  const std::size_t target = mTarget.Of(aJob, aKey, aStep);
   const StepSpec& spec = aJob.mRecord.mSpec.mSteps[aKey.mStep];
   const bool mayFindMore =
     CountApproved(aStep, spec) <
-      TargetWithoutRoom(aJob, aKey, aStep, aNow) / kLowApprovalsDivisor &&
-    inPool != mUsableInPool.end() &&
-    advice.mQueried.size() < inPool->second.mCount;
+      mTarget.WithoutRoom(aJob, aKey, aStep, aNow) / kLowApprovalsDivisor &&
+    advice.mQueried.size() < mTarget.UsableInPool(aJob.mRecord.mQueue.mPool);
   const std::size_t renewed =
     std::min({ advice.mApproved.size(), target, kMaxWorkersPerQuery });
   const TimePoint answeredBy =
@@ -310,9 +192,9 @@
     }
     end = std::max(end, *expected);
   }
-  const std::size_t count =
-    std::min(kMaxWorkersPerQuery,
-             CountToQuery(aJob, aKey, step, TargetApprovals(aJob, aKey, step)));
+  const std::size_t count = std::min(
+    kMaxWorkersPerQuery,
+    mTarget.CountToQuery(aJob, aKey, step, mTarget.Of(aJob, aKey, step)));
   if (end - QueryTime(*policy, count) - kQueryAheadMargin <= aNow) {
     SendQueries(aJob, aKey, step, aNow);
   }
@@ -377,16 +259,8 @@
                  .mTicket = ticket.mTicket,
                  .mUsableUntil = usableUntil };
   }
-  if (!aAnswer.mAsked.empty()) {
-    double& share =
-      mApprovalShare
-        .try_emplace(job->mRecord.mQueue.mName, kDefaultApprovalShare)
-        .first->second;
-    share +=
-      kApprovalShareWeight * (static_cast<double>(aAnswer.mApproved.size()) /
-                                static_cast<double>(aAnswer.mAsked.size()) -
-                              share);
-  }
+  mTarget.NoteAnswer(
+    job->mRecord.mQueue.mName, aAnswer.mApproved.size(), aAnswer.mAsked.size());
 }
 
 void
--- a/src/jobs/internal/adviceplanner.h
+++ b/src/jobs/internal/adviceplanner.h
@@ -2,12 +2,10 @@
 // name in the query.
 #pragma once
 
-#include <cstdint>
-#include <map>
-#include <utility>
 #include <vector>
 
 #include "jobs/internal/advicebudget.h"
+#include "jobs/internal/approvaltarget.h"
 #include "jobs/internal/cellstate.h"
 
 namespace oriolevane::jobs {
@@ -56,19 +54,6 @@
   void RemoveWorker(const Worker* aWorker);
 
 private:
-  // The usable workers of a pool.
-  struct PoolWorkers
-  {
-    std::size_t mCount = 0;
-    // Number of workers by capacity: thousandths of a core, and MiB. Few
-    // capacities differ, so a mean over them is cheaper than one over workers.
-    std::map<std::pair<std::int64_t, std::int64_t>, std::int64_t> mCapacities;
-  };
-
-  // The mean number of tasks that the empty workers of a pool hold, leaving out
-  // those that hold none; 1 when all do.
-  double MeanTasksPerWorker(const PoolName& aPool,
-                            const Resources& aTask) const;
   // Sends a round of queries unless one is pending or there is no worker to ask
   // about.
   void SendQueries(const Job& aJob,
@@ -84,29 +69,13 @@
                                      const StepKey& aKey,
                                      const Step& aStep,
                                      TimePoint aNow) const;
-  // The number of workers that should be approved for a step.
-  std::size_t TargetApprovals(const Job& aJob,
-                              const StepKey& aKey,
-                              const Step& aStep) const;
-  // The same, raised while the approved workers have no room for the step.
-  std::size_t TargetWithoutRoom(const Job& aJob,
-                                const StepKey& aKey,
-                                const Step& aStep,
-                                TimePoint aNow) const;
-  // The number of further workers to ask about to reach the target, going by
-  // the share of approvals in the queue's earlier answers.
-  std::size_t CountToQuery(const Job& aJob,
-                           const StepKey& aKey,
-                           const Step& aStep,
-                           std::size_t aTarget) const;
+
   CellState& mCell;
   bool mSpeedsKnown = false;
   bool mSpreadsShortJobs = false;
   std::vector<Worker*> mUsable;
-  std::map<PoolName, PoolWorkers> mUsableInPool;
   AdviceBudget mBudget;
-  // Moving average of the share of queried workers that are approved, by queue.
-  std::map<QueueName, double> mApprovalShare;
+  ApprovalTarget mTarget{ mBudget };
 };
 
 } // namespace oriolevane::jobs
