An advice query is decided when it is sent, not when it is added to the line

Cause: a query kept the workers that it named when it was added. After a wait of seconds these were full, and others had room: log lines of the incident show all tickets usable, no room on the approved workers and room on up to 17 others. Change: the dispatcher asks the scheduler to update a query before it is sent (CellScheduler::UpdatedQuery in place of WantsAdvice); one that has waited 200 ms or more names the workers that are best now, or is dropped when nobody waits for it. Rounds of several queries at once keep their division. A worker that has left is removed from those that queries may name.

--- a/src/cellnode/advicedispatcher.h
+++ b/src/cellnode/advicedispatcher.h
@@ -7,8 +7,8 @@
 #include <optional>
 #include <vector>
 
-#include "cellnode/waitingqueries.h"
 #include "cellnode/types/pendingquery.h"
+#include "cellnode/waitingqueries.h"
 
 namespace oriolevane::cellnode {
 
@@ -16,9 +16,10 @@
 {
   // Sends a query to a node, which passes it to the policy service.
   std::function<void(const NodeId&, QueryId, const jobs::AdviceQuery&)> mSend;
-  // Returns false when the answer to a query is not needed any more.
-  std::function<bool(const jobs::AdviceQuery&)> mIsWanted =
-    [](const jobs::AdviceQuery&) { return true; };
+  // Returns the query to send in place of one that has waited, or nothing when
+  // its answer is not needed any more.
+  std::function<std::optional<jobs::AdviceQuery>(const jobs::AdviceQuery&)>
+    mUpdate = [](const jobs::AdviceQuery& aQuery) { return aQuery; };
   // Called when a query gets no answer: its node has not answered in time, or
   // it was not wanted any more when a node had capacity.
   std::function<void(const jobs::AdviceQuery&)> mOnUnanswered =
@@ -65,7 +66,10 @@
   bool AssignNext();
   // Sends the first query of a queue. Returns false when no node has capacity.
   bool AssignFirst(WaitingQueries& aWaiting);
-  void DropUnwanted(WaitingQueries& aWaiting);
+  // Updates the query to be sent next, as it may have waited. Returns false
+  // when the query has gone: it was not needed any more, or is short instead of
+  // long now, or the reverse.
+  bool UpdateNext(WaitingQueries& aWaiting);
   NodeLoad* ChooseNode(bool aLong, NodeId& aName);
 
   AdviceDispatcherHooks mHooks;
--- a/src/cellnode/internal/advicedispatcher.cpp
+++ b/src/cellnode/internal/advicedispatcher.cpp
@@ -184,25 +184,40 @@
   return best;
 }
 
-void
-AdviceDispatcher::DropUnwanted(WaitingQueries& aWaiting)
+bool
+AdviceDispatcher::UpdateNext(WaitingQueries& aWaiting)
 {
-  while (!aWaiting.IsEmpty() && !mHooks.mIsWanted(aWaiting.Next().mQuery)) {
-    mHooks.mOnUnanswered(aWaiting.DropNext().mQuery);
+  const jobs::AdviceQuery query = aWaiting.Next().mQuery;
+  std::optional<jobs::AdviceQuery> updated = mHooks.mUpdate(query);
+  if (!updated.has_value()) {
+    aWaiting.DropNext();
+    mHooks.mOnUnanswered(query);
+    return false;
+  }
+  if (IsLong(*updated) == IsLong(query)) {
+    aWaiting.ReplaceNext(std::move(*updated));
+    return true;
   }
+  auto [id, pending] = aWaiting.DropNext();
+  pending.mQuery = std::move(*updated);
+  AddWaiting(id, std::move(pending));
+  return false;
 }
 
 bool
 AdviceDispatcher::AssignFirst(WaitingQueries& aWaiting)
 {
-  if (aWaiting.IsEmpty()) {
-    return false;
-  }
   NodeId name;
-  NodeLoad* load = ChooseNode(IsLong(aWaiting.Next().mQuery), name);
-  if (load == nullptr) {
-    return false;
-  }
+  NodeLoad* load = nullptr;
+  do {
+    if (aWaiting.IsEmpty()) {
+      return false;
+    }
+    load = ChooseNode(IsLong(aWaiting.Next().mQuery), name);
+    if (load == nullptr) {
+      return false;
+    }
+  } while (!UpdateNext(aWaiting));
   const auto [id, query] = aWaiting.TakeNext();
   PendingQuery& pending = load->mQueries.emplace(id, query).first->second;
   load->mServiceTime += pending.mQuery.mServiceTime;
@@ -214,8 +229,6 @@
 bool
 AdviceDispatcher::AssignNext()
 {
-  DropUnwanted(mWaitingShort);
-  DropUnwanted(mWaitingLong);
   const bool longFirst = !mWaitingLong.IsEmpty() &&
                          (mWaitingShort.IsEmpty() ||
                           mWaitingLong.Next().mDue < mWaitingShort.Next().mDue);
--- a/src/cellnode/internal/ownersessionhooks.cpp
+++ b/src/cellnode/internal/ownersessionhooks.cpp
@@ -72,9 +72,9 @@
                     const jobs::AdviceQuery& aQuery) {
                mHooks.mSendAdviceQuery(aNode, aId, aQuery);
              },
-           .mIsWanted =
+           .mUpdate =
              [this](const jobs::AdviceQuery& aQuery) {
-               return mScheduler.WantsAdvice(aQuery.mStep);
+               return mScheduler.UpdatedQuery(aQuery, Now());
              },
            .mOnUnanswered =
              [this](const jobs::AdviceQuery& aQuery) {
--- a/src/cellnode/internal/waitingqueries.cpp
+++ b/src/cellnode/internal/waitingqueries.cpp
@@ -27,7 +27,7 @@
 }
 
 std::pair<QueryId, PendingQuery>
-WaitingQueries::RemoveNext()
+WaitingQueries::DropNext()
 {
   Queries& queries = IsBoundedNext() ? mBounded : mOthers;
   auto node = queries.extract(queries.begin());
@@ -38,13 +38,14 @@
 WaitingQueries::TakeNext()
 {
   mBoundedTurns = IsBoundedNext() ? mBoundedTurns + 1 : 0;
-  return RemoveNext();
+  return DropNext();
 }
 
-PendingQuery
-WaitingQueries::DropNext()
+void
+WaitingQueries::ReplaceNext(jobs::AdviceQuery aQuery)
 {
-  return RemoveNext().second;
+  Queries& queries = IsBoundedNext() ? mBounded : mOthers;
+  queries.begin()->second.mQuery = std::move(aQuery);
 }
 
 void
--- a/src/cellnode/tests/advice/policyservice.h
+++ b/src/cellnode/tests/advice/policyservice.h
@@ -21,9 +21,10 @@
                              const jobs::AdviceQuery& aQuery) {
                         Handle(aNode, aId, aQuery);
                       },
-                    .mIsWanted =
+                    .mUpdate =
                       [this](const jobs::AdviceQuery& aQuery) {
-                        return mCell.Scheduler().WantsAdvice(aQuery.mStep);
+                        return mCell.Scheduler().UpdatedQuery(
+                          aQuery, mCell.NowMoment());
                       },
                     .mOnUnanswered =
                       [this](const jobs::AdviceQuery& aQuery) {
--- a/src/cellnode/tests/advicedispatcher_test.cpp
+++ b/src/cellnode/tests/advicedispatcher_test.cpp
@@ -35,10 +35,13 @@
                                    const jobs::AdviceQuery& aQuery) {
                               mSent.push_back({ aNode, aId, aQuery });
                             },
-                          .mIsWanted =
-                            [this](const jobs::AdviceQuery& aQuery) {
-                              return !mUnwanted.contains(aQuery.mStep.mStep);
-                            },
+                          .mUpdate = [this](const jobs::AdviceQuery& aQuery)
+                            -> std::optional<jobs::AdviceQuery> {
+                            if (mUnwanted.contains(aQuery.mStep.mStep)) {
+                              return std::nullopt;
+                            }
+                            return aQuery;
+                          },
                           .mOnUnanswered =
                             [this](const jobs::AdviceQuery& aQuery) {
                               mUnanswered.push_back(aQuery.mStep.mStep);
--- a/src/cellnode/waitingqueries.h
+++ b/src/cellnode/waitingqueries.h
@@ -24,8 +24,10 @@
   const PendingQuery& Next() const;
   // Removes the query to be sent next, and counts its turn.
   std::pair<QueryId, PendingQuery> TakeNext();
-  // Removes the query that would be sent next, as it is not needed any more.
-  PendingQuery DropNext();
+  // Replaces the query to be sent next, which keeps its place.
+  void ReplaceNext(jobs::AdviceQuery aQuery);
+  // Removes the query that would be sent next, without a turn.
+  std::pair<QueryId, PendingQuery> DropNext();
   // Adds the queries to what is known of all that wait.
   void AddTo(AdviceBacklog& aBacklog, TimePoint aNow) const;
 
@@ -33,7 +35,6 @@
   using Queries = std::map<std::pair<TimePoint, QueryId>, PendingQuery>;
 
   bool IsBoundedNext() const;
-  std::pair<QueryId, PendingQuery> RemoveNext();
 
   Queries mBounded;
   Queries mOthers;
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -160,10 +160,10 @@
   mImpl->mRuns.OnStopAnswer(aOrder, aAnswer, aNow.mSteady);
 }
 
-bool
-CellScheduler::WantsAdvice(const StepKey& aStep) const
+std::optional<AdviceQuery>
+CellScheduler::UpdatedQuery(const AdviceQuery& aQuery, const Moment& aNow)
 {
-  return mImpl->mAdvice.IsWanted(aStep);
+  return mImpl->mAdvice.Update(aQuery, aNow.mSteady);
 }
 
 void
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -139,9 +139,11 @@
   void OnStopAnswer(const StopOrder& aOrder,
                     const OrderAnswer& aAnswer,
                     const Moment& aNow);
-  // Returns false when the answer to an advice query about the step is not
-  // needed any more.
-  bool WantsAdvice(const StepKey& aStep) const;
+  // Returns the query to send in place of one that has waited, as other workers
+  // may have room by now. Returns nothing when its answer is not needed any
+  // more; it must then be reported back as unanswered.
+  std::optional<AdviceQuery> UpdatedQuery(const AdviceQuery& aQuery,
+                                          const Moment& aNow);
   // Processes the policy service's answer to an advice query.
   void OnAdvice(const AdviceAnswer& aAnswer, const Moment& aNow);
 
--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -22,6 +22,8 @@
 // An answer for a step should arrive this long before the last of its
 // prerequisites is expected to end.
 constexpr std::chrono::milliseconds kQueryAheadMargin = 250ms;
+// The workers of a query are chosen again once it has waited for this long.
+constexpr std::chrono::milliseconds kMinWaitToUpdate = 200ms;
 // While the approvals are fewer than the target divided by this number, a query
 // for further workers is sent before the tickets need to be renewed.
 constexpr std::size_t kLowApprovalsDivisor = 2;
@@ -32,13 +34,6 @@
          aPolicy.mTimePerWorker * static_cast<std::int64_t>(aWorkers);
 }
 
-std::chrono::microseconds
-ServiceTime(const Job& aJob, std::size_t aWorkers)
-{
-  return std::chrono::duration_cast<std::chrono::microseconds>(
-    QueryTime(*aJob.mRecord.mQueue.mAdvice, aWorkers));
-}
-
 } // namespace
 
 void
@@ -130,25 +125,27 @@
   advice.mPendingServiceTime = {};
   advice.mQueriedAt = aNow;
   for (std::vector<WorkerId>& part : workers) {
-    advice.mPendingServiceTime += ServiceTime(aJob, part.size());
-    SendQuery(aJob, aKey, std::move(part));
+    const AdviceQuery query = MakeQuery(aJob, aKey, std::move(part));
+    advice.mPendingServiceTime += query.mServiceTime;
+    mCell.mHooks.mAskAdvice(query);
   }
   mBudget.NoteServiceTime(advice.mPendingServiceTime);
 }
 
-void
-AdvicePlanner::SendQuery(const Job& aJob,
+AdviceQuery
+AdvicePlanner::MakeQuery(const Job& aJob,
                          const StepKey& aKey,
                          std::vector<WorkerId> aWorkers)
 {
-  const std::chrono::microseconds serviceTime =
-    ServiceTime(aJob, aWorkers.size());
-  mCell.mHooks.mAskAdvice(
-    { .mStep = aKey,
-      .mWorkers = std::move(aWorkers),
-      .mServiceTime = serviceTime,
-      .mValidity = aJob.mRecord.mQueue.mAdvice->mValidity,
-      .mBoundedWait = aJob.mRecord.mSpec.mSteps[aKey.mStep].mLongRunning });
+  const AdvicePolicy& policy = *aJob.mRecord.mQueue.mAdvice;
+  const auto serviceTime =
+    std::chrono::duration_cast<std::chrono::microseconds>(
+      QueryTime(policy, aWorkers.size()));
+  return { .mStep = aKey,
+           .mWorkers = std::move(aWorkers),
+           .mServiceTime = serviceTime,
+           .mValidity = policy.mValidity,
+           .mBoundedWait = aJob.mRecord.mSpec.mSteps[aKey.mStep].mLongRunning };
 }
 
 void
@@ -200,16 +197,37 @@
   }
 }
 
-bool
-AdvicePlanner::IsWanted(const StepKey& aKey) const
+std::optional<AdviceQuery>
+AdvicePlanner::Update(const AdviceQuery& aQuery, TimePoint aNow)
 {
-  Job* job = mCell.mJobs.Find(aKey.mJob);
+  const StepKey& key = aQuery.mStep;
+  Job* job = mCell.mJobs.Find(key.mJob);
   if (job == nullptr || job->mPhase != JobPhase::Open) {
-    return false;
+    return std::nullopt;
+  }
+  Step* step = job->FindStep(key.mOccurrence, key.mStep);
+  if (step == nullptr ||
+      !step->HasWaitingTasks(job->mRecord.mSpec.mSteps[key.mStep])) {
+    return std::nullopt;
+  }
+  // The queries of one round divide the workers between them.
+  if (step->mAdvice.mPendingQueries > 1 ||
+      !job->mRecord.mQueue.mAdvice.has_value() ||
+      aNow - step->mAdvice.mQueriedAt < kMinWaitToUpdate) {
+    return aQuery;
+  }
+  std::vector<WorkerId> workers;
+  for (const Worker* worker : SelectWorkers(*job, key, *step, aNow)) {
+    if (workers.size() < kMaxWorkersPerQuery) {
+      workers.push_back(worker->Id());
+    }
+  }
+  if (workers.empty()) {
+    return std::nullopt;
   }
-  const Step* step = job->FindStep(aKey.mOccurrence, aKey.mStep);
-  return step != nullptr &&
-         step->HasWaitingTasks(job->mRecord.mSpec.mSteps[aKey.mStep]);
+  AdviceQuery updated = MakeQuery(*job, key, std::move(workers));
+  step->mAdvice.mPendingServiceTime = updated.mServiceTime;
+  return updated;
 }
 
 void
@@ -266,6 +284,7 @@
 void
 AdvicePlanner::RemoveWorker(const Worker* aWorker)
 {
+  std::erase(mUsable, aWorker);
   for (auto& [id, job] : mCell.mJobs.Jobs()) {
     for (auto& [number, occurrence] : job.mOccurrences) {
       for (Step& step : occurrence.mSteps) {
--- a/src/jobs/internal/adviceplanner.h
+++ b/src/jobs/internal/adviceplanner.h
@@ -2,6 +2,7 @@
 // name in the query.
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "jobs/internal/advicebudget.h"
@@ -44,8 +45,10 @@
   // Sends the first query for a step whose prerequisites are expected to finish
   // soon, so that the answer is there when the step becomes ready.
   void QueryAhead(Job& aJob, const StepKey& aKey, TimePoint aNow);
-  // True when a step has tasks that wait to start, now or after other steps.
-  bool IsWanted(const StepKey& aKey) const;
+  // Returns the query to send in place of one that has waited. Returns nothing
+  // when no task of the step waits any more, or there is no worker to ask
+  // about.
+  std::optional<AdviceQuery> Update(const AdviceQuery& aQuery, TimePoint aNow);
   // Stores the approvals and tickets of an answer. An answer for a step that is
   // no longer known is ignored.
   void OnAnswer(const AdviceAnswer& aAnswer, TimePoint aNow);
@@ -60,9 +63,9 @@
                    const StepKey& aKey,
                    Step& aStep,
                    TimePoint aNow);
-  void SendQuery(const Job& aJob,
-                 const StepKey& aKey,
-                 std::vector<WorkerId> aWorkers);
+  static AdviceQuery MakeQuery(const Job& aJob,
+                               const StepKey& aKey,
+                               std::vector<WorkerId> aWorkers);
   // Selects the workers for a round of queries: workers whose tickets are about
   // to expire, then workers not yet asked about, the highest score first.
   std::vector<Worker*> SelectWorkers(const Job& aJob,
--- a/src/jobs/tests/advice_test.cpp
+++ b/src/jobs/tests/advice_test.cpp
@@ -156,6 +156,72 @@
   return named;
 }
 
+// A query that waits to be sent while the workers that it names are filled.
+class WaitingQuery
+{
+public:
+  WaitingQuery()
+    : mCell({ .mWorkers = kWorkers, .mMaxBatchRecords = kWorkers })
+  {
+    mCell.mOnAdviceQuery = [this](const AdviceQuery& aQuery) {
+      mQuery = aQuery;
+    };
+    mCell.RunFor(300ms);
+    mCell.Submit(
+      "waits", SingleStepJob(MakeStep(1, 8000, 1500ms)), MakeQueueWithAdvice());
+    mCell.RunFor(200ms);
+    mCell.Submit(
+      "fills", SingleStepJob(MakeStep(kFilled, 8000, 60000ms)), MakeQueue());
+    mCell.RunFor(1000ms);
+  }
+
+  std::optional<AdviceQuery> Updated()
+  {
+    return mCell.Scheduler().UpdatedQuery(mQuery, mCell.NowMoment());
+  }
+  std::vector<WorkerId> WorkersNow() { return Updated().value().mWorkers; }
+  bool HasRoom(const WorkerId& aWorker)
+  {
+    const int index = std::stoi(aWorker.mValue.substr(1));
+    return mCell.WorkerAt(index).Used().mMilliCores == 0;
+  }
+
+  static constexpr int kWorkers = 100;
+  static constexpr int kFilled = 60;
+  FakeCell mCell;
+  AdviceQuery mQuery;
+};
+
+void
+DescribeWaitingQuery(Section& aRoot)
+{
+  aRoot.Describe("a query that waits to be sent", [](Section& aSection) {
+    aSection.It("asks about the workers that have room when it is sent", [] {
+      WaitingQuery waiting;
+      const std::vector<WorkerId> workers = waiting.WorkersNow();
+      CPPUNIT_ASSERT(!workers.empty());
+      CPPUNIT_ASSERT(!waiting.HasRoom(waiting.mQuery.mWorkers.front()));
+      for (const WorkerId& worker : workers) {
+        CPPUNIT_ASSERT(waiting.HasRoom(worker));
+      }
+    });
+    aSection.It("names no worker that has crashed since", [] {
+      WaitingQuery waiting;
+      const WorkerId crashed = waiting.WorkersNow().front();
+      waiting.mCell.CrashWorker(std::stoi(crashed.mValue.substr(1)));
+      waiting.mCell.RunFor(8000ms);
+      for (const WorkerId& worker : waiting.WorkersNow()) {
+        CPPUNIT_ASSERT(worker != crashed);
+      }
+    });
+    aSection.It("is not sent once its job has been cancelled", [] {
+      WaitingQuery waiting;
+      waiting.mCell.Cancel("waits");
+      CPPUNIT_ASSERT(!waiting.Updated().has_value());
+    });
+  });
+}
+
 void
 DescribeWideGangs(Section& aRoot)
 {
@@ -207,6 +273,7 @@
     });
   });
   DescribeWaitingSteps(aRoot);
+  DescribeWaitingQuery(aRoot);
   DescribeWideGangs(aRoot);
   aRoot.Describe("a later step", [](Section& aSection) {
     aSection.It("gets its advice query before the earlier step ends", [] {
