Pause between advice queries that get no answer

Change: the pause before the next query of a step doubles with each unanswered one, from 100 ms to 1 s; an answer ends it.

--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -106,7 +106,7 @@
                            TimePoint aNow)
 {
   StepAdvice& advice = aStep.mAdvice;
-  if (advice.mPendingQueries > 0) {
+  if (advice.mPendingQueries > 0 || aNow < advice.mRetryAt) {
     return;
   }
   const std::vector<Worker*> selected = SelectWorkers(aJob, aKey, aStep, aNow);
@@ -248,8 +248,10 @@
     advice.mPendingServiceTime = {};
   }
   if (!aAnswer.mAnswered) {
+    advice.NoteUnanswered(aNow);
     return;
   }
+  advice.mUnanswered = 0;
   advice.mAnswered = true;
   const TimePoint usableUntil = aNow + aAnswer.mValidity - kTicketUseMargin;
   // The new tickets may let the step start, so its earlier failed attempt no
--- a/src/jobs/internal/stepadvice.cpp
+++ b/src/jobs/internal/stepadvice.cpp
@@ -5,6 +5,28 @@
 
 namespace oriolevane::jobs {
 
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds kFirstRetryPause = 100ms;
+// Long-running tasks should be back soon after the policy service is.
+constexpr std::chrono::milliseconds kMaxRetryPause = 1000ms;
+
+} // namespace
+
+void
+StepAdvice::NoteUnanswered(TimePoint aNow)
+{
+  std::chrono::milliseconds pause = kFirstRetryPause;
+  for (int earlier = 0; earlier < mUnanswered && pause < kMaxRetryPause;
+       ++earlier) {
+    pause *= 2;
+  }
+  ++mUnanswered;
+  mRetryAt = aNow + std::min(pause, kMaxRetryPause);
+}
+
 const Approval*
 StepAdvice::ApprovalOf(const Worker* aWorker) const
 {
--- a/src/jobs/internal/stepadvice.h
+++ b/src/jobs/internal/stepadvice.h
@@ -32,6 +32,10 @@
   std::chrono::microseconds mPendingServiceTime{ 0 };
   // When the latest round of queries was sent.
   TimePoint mQueriedAt;
+  // Number of queries in a row that got no answer.
+  int mUnanswered = 0;
+  // No query is sent before this time, because earlier ones got no answer.
+  TimePoint mRetryAt;
   // At least one answer has arrived since this node learned of the step.
   bool mAnswered = false;
   // Workers that some answer covered, whether approved or not.
@@ -45,6 +49,9 @@
   // of all approved workers when there are fewer.
   TimePoint TicketsUsableUntil(std::size_t aWorkers) const;
   void RemoveWorker(const Worker* aWorker);
+  // Notes that a query got no answer. The pause before the next one doubles
+  // each time, up to a maximum.
+  void NoteUnanswered(TimePoint aNow);
   // Marks the ticket for a worker as expired, after the worker refused it.
   void InvalidateTicket(const Worker* aWorker);
 };
--- a/src/jobs/tests/advice_test.cpp
+++ b/src/jobs/tests/advice_test.cpp
@@ -222,6 +222,54 @@
   });
 }
 
+// The number of queries about a step in some seconds in which the policy
+// service cannot be reached, and in the second after its return.
+struct QueriesOfOutage
+{
+  std::size_t mDuring = 0;
+  bool mStartedAfter = false;
+};
+
+QueriesOfOutage
+PlayPolicyServiceOutage()
+{
+  constexpr Millis kOutage{ 10000 };
+  FakeCell cell;
+  bool reachable = false;
+  cell.mOnAdviceQuery = [&](const AdviceQuery& aQuery) {
+    cell.ScheduleAfter(2ms, [&, aQuery] {
+      if (reachable) {
+        cell.AnswerQuery(aQuery);
+      } else {
+        cell.Scheduler().OnAdvice({ .mStep = aQuery.mStep }, cell.NowMoment());
+      }
+    });
+  };
+  cell.RunFor(200ms);
+  cell.Submit(
+    "job", SingleStepJob(MakeStep(1, 1000, 60000ms)), MakeQueueWithAdvice());
+  cell.RunFor(kOutage);
+  QueriesOfOutage queries{ .mDuring = cell.mQueryCount };
+  reachable = true;
+  cell.RunFor(1200ms);
+  queries.mStartedAfter = !cell.mStarts.empty();
+  return queries;
+}
+
+void
+DescribeUnansweredQueries(Section& aRoot)
+{
+  aRoot.Describe(
+    "a policy service that cannot be reached", [](Section& aSection) {
+      aSection.It("is not asked again and again without a pause", [] {
+        CPPUNIT_ASSERT(PlayPolicyServiceOutage().mDuring <= 20);
+      });
+      aSection.It("is asked again soon after its return", [] {
+        CPPUNIT_ASSERT(PlayPolicyServiceOutage().mStartedAfter);
+      });
+    });
+}
+
 void
 DescribeWideGangs(Section& aRoot)
 {
@@ -274,6 +322,7 @@
   });
   DescribeWaitingSteps(aRoot);
   DescribeWaitingQuery(aRoot);
+  DescribeUnansweredQueries(aRoot);
   DescribeWideGangs(aRoot);
   aRoot.Describe("a later step", [](Section& aSection) {
     aSection.It("gets its advice query before the earlier step ends", [] {
