A forwarded call is served only in the term that it was sent in

Cause, by reading: the call is sent again to the next owner, which refuses it; a copy still waits in the first owner's receive buffer and is accepted when that node owns the shard again. Change: the call between nodes has the owner's epoch; an owner of another term ignores it, with a log line. The sender sends its calls again when the owner's epoch changes, also when the node is the same and only its heartbeat tells so; before, a row that was read first hid such a change. Nodes of earlier builds send 0 and are served as before.

--- a/src/cellnode/internal/cellnodecallers.cpp
+++ b/src/cellnode/internal/cellnodecallers.cpp
@@ -62,7 +62,7 @@
   if (mOwner.Empty() || !mConfiguration.Current().has_value()) {
     return;
   }
-  if (mPeers.Send(mOwner, ToWire(send.mValue, request))) {
+  if (mPeers.Send(mOwner, ToWire(send.mValue, request, mOwnerEpoch))) {
     mCalls.MarkSent(aId, send, mOwner);
   }
 }
@@ -84,6 +84,14 @@
     UpdateHello();
     return;
   }
+  if (!IsMeantFor(mSession->Term(), aCall)) {
+    LogInfo("call_of_another_term_ignored")
+      .With("from", aNode)
+      .With("path", aCall.path)
+      .With("call_epoch", aCall.epoch)
+      .With("epoch", mSession->Term());
+    return;
+  }
   const absl::StatusOr<CallerRequest> request = FromWire(aCall);
   if (!request.ok()) {
     LogWarning("peer_message_refused")
--- a/src/cellnode/internal/cellnodeimpl.h
+++ b/src/cellnode/internal/cellnodeimpl.h
@@ -125,6 +125,8 @@
   Epoch mEpoch;
   // The linked node that owns the shard; empty when it is unknown.
   NodeId mOwner;
+  // The term in which it owns the shard, as it said last.
+  Epoch mOwnerEpoch;
   TimePoint mNextHeartbeat;
   bool mStopping = false;
   TimePoint mStopStartedAt;
--- a/src/cellnode/internal/cellnodepeers.cpp
+++ b/src/cellnode/internal/cellnodepeers.cpp
@@ -116,9 +116,10 @@
     }
   }
   if (aHello.owns && epoch >= mEpoch) {
-    const bool changed = mOwner != aNode || mEpoch != epoch;
+    const bool changed = mOwner != aNode || mOwnerEpoch != epoch;
     mEpoch = epoch;
     mOwner = aNode;
+    mOwnerEpoch = epoch;
     mPolicy.OnOwnerContact(epoch, Duration::zero(), Now());
     if (changed) {
       LogInfo("owner_found").With("owner", aNode).With("epoch", epoch);
@@ -210,9 +211,11 @@
   if (mSession != nullptr || epoch < mEpoch || !aHeartbeat.owns) {
     return;
   }
-  if (mOwner != aNode) {
+  if (mOwner != aNode || mOwnerEpoch != epoch) {
     mOwner = aNode;
     mEpoch = epoch;
+    mOwnerEpoch = epoch;
+    mCalls.MarkAllUnsent();
     SendUnsentCalls();
   }
   mPolicy.OnOwnerContact(
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -91,6 +91,8 @@
   // The time since the last applied write to the store was sent.
   Duration StoreAge(TimePoint aNow) const;
   bool IsServing() const { return mServing; }
+  // The ownership term of the session.
+  Epoch Term() const { return mOwner.mEpoch; }
   jobs::SchedulerCounts Counts() const { return mScheduler.Counts(); }
   AdviceBacklog QueriesWaiting() const { return mAdviceDispatcher.Backlog(); }
 
--- a/src/cellnode/internal/peermessages.cpp
+++ b/src/cellnode/internal/peermessages.cpp
@@ -29,7 +29,7 @@
 }
 
 cellwire::CallerRequestT
-ToWire(std::uint64_t aId, const CallerRequest& aRequest)
+ToWire(std::uint64_t aId, const CallerRequest& aRequest, Epoch aEpoch)
 {
   cellwire::CallerRequestT call;
   call.id = aId;
@@ -41,9 +41,16 @@
   call.credential = static_cast<std::uint8_t>(aRequest.mCredential);
   call.key = aRequest.mKey;
   call.configuration_fresh = aRequest.mConfigurationFresh;
+  call.epoch = aEpoch.mValue;
   return call;
 }
 
+bool
+IsMeantFor(Epoch aEpoch, const cellwire::CallerRequestT& aCall)
+{
+  return aCall.epoch == 0 || Epoch(aCall.epoch) == aEpoch;
+}
+
 absl::StatusOr<CallerRequest>
 FromWire(const cellwire::CallerRequestT& aCall)
 {
--- a/src/cellnode/internal/peermessages.h
+++ b/src/cellnode/internal/peermessages.h
@@ -14,7 +14,13 @@
 ToWireMillis(Duration aTime);
 
 cellwire::CallerRequestT
-ToWire(std::uint64_t aId, const CallerRequest& aRequest);
+ToWire(std::uint64_t aId, const CallerRequest& aRequest, Epoch aEpoch);
+
+// False for a request that was sent to the receiver as the owner of another
+// term. Its sender sends it again to the present owner, which may refuse it, so
+// a copy that was delayed must not be served.
+bool
+IsMeantFor(Epoch aEpoch, const cellwire::CallerRequestT& aCall);
 // Returns InvalidArgument when a value is out of range, like the conversion of
 // an answer.
 absl::StatusOr<CallerRequest>
--- a/src/cellnode/schema/cellpeer_generated.h
+++ b/src/cellnode/schema/cellpeer_generated.h
@@ -677,6 +677,7 @@
   uint8_t credential = 0;
   std::string key{};
   bool configuration_fresh = false;
+  uint64_t epoch = 0;
 };
 
 struct CallerRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -691,7 +692,8 @@
     VT_CONFIGURATION = 14,
     VT_CREDENTIAL = 16,
     VT_KEY = 18,
-    VT_CONFIGURATION_FRESH = 20
+    VT_CONFIGURATION_FRESH = 20,
+    VT_EPOCH = 22
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -720,6 +722,9 @@
   bool configuration_fresh() const {
     return GetField<uint8_t>(VT_CONFIGURATION_FRESH, 0) != 0;
   }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -735,6 +740,7 @@
            VerifyOffset(verifier, VT_KEY) &&
            verifier.VerifyString(key()) &&
            VerifyField<uint8_t>(verifier, VT_CONFIGURATION_FRESH, 1) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            verifier.EndTable();
   }
   CallerRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -773,6 +779,9 @@
   void add_configuration_fresh(bool configuration_fresh) {
     fbb_.AddElement<uint8_t>(CallerRequest::VT_CONFIGURATION_FRESH, static_cast<uint8_t>(configuration_fresh), 0);
   }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(CallerRequest::VT_EPOCH, epoch, 0);
+  }
   explicit CallerRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -794,8 +803,10 @@
     uint64_t configuration = 0,
     uint8_t credential = 0,
     flatbuffers::Offset<flatbuffers::String> key = 0,
-    bool configuration_fresh = false) {
+    bool configuration_fresh = false,
+    uint64_t epoch = 0) {
   CallerRequestBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
   builder_.add_configuration(configuration);
   builder_.add_id(id);
   builder_.add_key(key);
@@ -818,7 +829,8 @@
     uint64_t configuration = 0,
     uint8_t credential = 0,
     const char *key = nullptr,
-    bool configuration_fresh = false) {
+    bool configuration_fresh = false,
+    uint64_t epoch = 0) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto path__ = path ? _fbb.CreateString(path) : 0;
   auto body__ = body ? _fbb.CreateString(body) : 0;
@@ -833,7 +845,8 @@
       configuration,
       credential,
       key__,
-      configuration_fresh);
+      configuration_fresh,
+      epoch);
 }
 
 flatbuffers::Offset<CallerRequest> CreateCallerRequest(flatbuffers::FlatBufferBuilder &_fbb, const CallerRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2807,6 +2820,7 @@
   { auto _e = credential(); _o->credential = _e; }
   { auto _e = key(); if (_e) _o->key = _e->str(); }
   { auto _e = configuration_fresh(); _o->configuration_fresh = _e; }
+  { auto _e = epoch(); _o->epoch = _e; }
 }
 
 inline flatbuffers::Offset<CallerRequest> CallerRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallerRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2826,6 +2840,7 @@
   auto _credential = _o->credential;
   auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
   auto _configuration_fresh = _o->configuration_fresh;
+  auto _epoch = _o->epoch;
   return oriolevane::cellwire::CreateCallerRequest(
       _fbb,
       _id,
@@ -2836,7 +2851,8 @@
       _configuration,
       _credential,
       _key,
-      _configuration_fresh);
+      _configuration_fresh,
+      _epoch);
 }
 
 inline CallerAnswerT *CallerAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/cellnode/tests/malformedinput_test.cpp
+++ b/src/cellnode/tests/malformedinput_test.cpp
@@ -52,12 +52,13 @@
   cellwire::WorkerAnswerBatchT answers;
   answers.polls.push_back(
     std::make_unique<cellwire::PollReplyT>(ToWire(2, poll)));
-  return { EncodeFrame(ToWire(1, CallerRequest{ .mPath = "/queue/1" })),
-           EncodeFrame(ToWire(1, CallerAnswer{ .mMessage = "message" })),
-           EncodeFrame(
-             ToWire(1, jobs::AdviceQuery{ .mWorkers = { WorkerId("w") } })),
-           EncodeFrame(std::move(calls)),
-           EncodeFrame(std::move(answers)) };
+  return {
+    EncodeFrame(ToWire(1, CallerRequest{ .mPath = "/queue/1" }, Epoch(1))),
+    EncodeFrame(ToWire(1, CallerAnswer{ .mMessage = "message" })),
+    EncodeFrame(ToWire(1, jobs::AdviceQuery{ .mWorkers = { WorkerId("w") } })),
+    EncodeFrame(std::move(calls)),
+    EncodeFrame(std::move(answers))
+  };
 }
 
 // Converts the body of the message as its receiver does.
--- a/src/cellnode/tests/peermessages_test.cpp
+++ b/src/cellnode/tests/peermessages_test.cpp
@@ -47,7 +47,7 @@
                                    .mCredential = CredentialKind::Key,
                                    .mKey = "key",
                                    .mConfigurationFresh = true };
-      const auto back = FromWire(ToWire(1, request));
+      const auto back = FromWire(ToWire(1, request, Epoch(3)));
       CPPUNIT_ASSERT(back.ok());
       CPPUNIT_ASSERT(back->mVerb == CallerVerb::Cancel);
       CPPUNIT_ASSERT(back->mVersion == ConfigurationVersion(4));
@@ -55,6 +55,13 @@
       CPPUNIT_ASSERT_EQUAL(std::string("key"), back->mKey);
       CPPUNIT_ASSERT(back->mConfigurationFresh);
     });
+    // Guards against a job that starts after the next owner has refused it.
+    aSection.It("is served only in the term that it was sent in", [] {
+      const auto call = ToWire(1, CallerRequest{}, Epoch(3));
+      CPPUNIT_ASSERT(IsMeantFor(Epoch(3), call));
+      CPPUNIT_ASSERT(!IsMeantFor(Epoch(5), call));
+      CPPUNIT_ASSERT(IsMeantFor(Epoch(5), cellwire::CallerRequestT{}));
+    });
     aSection.It("of an older build has an unknown credential", [] {
       const auto request = FromWire(cellwire::CallerRequestT{});
       CPPUNIT_ASSERT(request->mCredential == CredentialKind::Unknown);
