--- a/src/cellnode/tests/advice/advicebacklog_test.cpp
+++ b/src/cellnode/tests/advice/advicebacklog_test.cpp
@@ -156,9 +156,50 @@
   return longest;
 }
 
+// The time until the first answer for a batch step, while long-running steps
+// wait in a cell that is full.
+Millis
+FirstAnswerBesideLongRunningSteps(int aLongRunningJobs)
+{
+  const JobId batch("batch");
+  FakeCell cell({ .mWorkers = kWorkers, .mMaxBatchRecords = 90 });
+  PolicyService service(cell, kNodes);
+  std::optional<Millis> answeredAt;
+  cell.mIsAllowed = [&](const StepKey& aStep, const WorkerId&) {
+    if (aStep.mJob == batch && !answeredAt.has_value()) {
+      answeredAt = cell.Now();
+    }
+    return true;
+  };
+  cell.RunFor(500ms);
+  cell.Submit(
+    "fills", SingleStepJob(MakeStep(kWorkers, 8000, 60000ms)), MakeQueue());
+  cell.RunFor(500ms);
+  StepSpec step = MakeStep(1, 8000, 400ms);
+  step.mLongRunning = true;
+  for (int job = 0; job < aLongRunningJobs; ++job) {
+    cell.Submit(kLasting + std::to_string(job),
+                SingleStepJob(step),
+                MakeAdviceQueue("q" + std::to_string(job % 4), 1));
+  }
+  cell.RunFor(20000ms);
+  const Millis submittedAt = cell.Now();
+  cell.Submit(batch.mValue,
+              SingleStepJob(MakeStep(1, 8000, 400ms)),
+              MakeAdviceQueue("batch", 2));
+  cell.RunFor(20000ms);
+  return answeredAt.value_or(cell.Now()) - submittedAt;
+}
+
 void
 AdviceBacklogTests(Section& aRoot)
 {
+  aRoot.Describe(
+    "long-running steps that wait for room", [](Section& aSection) {
+      aSection.It("leave a batch step its first answer", [] {
+        CPPUNIT_ASSERT(FirstAnswerBesideLongRunningSteps(120) <= kMaxQueryWait);
+      });
+    });
   aRoot.Describe("renewals of tickets in a full cell", [](Section& aSection) {
     aSection.It("do not grow with the number of steps that wait", [] {
       CPPUNIT_ASSERT(LongestQueryWaitInFullCell(6) <= kMaxQueryWait);
