An overload with long advice queries does not limit the renewals of short ones

Cause: the limit on renewals counted the backlog of long queries against short ones, which do not stand in its line. Change: only renewals of long queries are limited. Two stories; the first-named limit stays. jobs_test's overload stories, advice_backlog and the dispatcher's stories pass.

--- a/src/cellnode/internal/advicedispatcher.cpp
+++ b/src/cellnode/internal/advicedispatcher.cpp
@@ -11,9 +11,6 @@
 
 using namespace std::chrono_literals;
 
-// Queries that take the policy service at least this long go to some of the
-// nodes only, so that short queries do not wait behind them.
-constexpr std::chrono::microseconds kLongQueryServiceTime = 200ms;
 // One node in this many, rounded up, takes only short queries. A
 // single node takes all queries.
 constexpr std::size_t kNodesPerShortQueryNode = 4;
@@ -33,7 +30,7 @@
 bool
 IsLong(const jobs::AdviceQuery& aQuery)
 {
-  return aQuery.mServiceTime >= kLongQueryServiceTime;
+  return aQuery.mServiceTime >= jobs::kLongQueryServiceTime;
 }
 
 } // namespace
--- a/src/jobs/internal/advicebudget.cpp
+++ b/src/jobs/internal/advicebudget.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "jobs/types/orders.h"
+
 namespace oriolevane::jobs {
 
 namespace {
@@ -62,7 +64,9 @@
 bool
 AdviceBudget::IsOverloaded(const AdvicePolicy& aPolicy) const
 {
-  return mPending.mServiceTime > aPolicy.mValidity * mHosts;
+  // Short queries do not wait behind the long ones that overload the service.
+  return aPolicy.mDecisionTime >= kLongQueryServiceTime &&
+         mPending.mServiceTime > aPolicy.mValidity * mHosts;
 }
 
 bool
--- a/src/jobs/tests/advice_test.cpp
+++ b/src/jobs/tests/advice_test.cpp
@@ -1,3 +1,4 @@
+#include "jobs/internal/advicebudget.h"
 #include "jobs/tests/fakecell.h"
 #include "jobs/tests/testgroups.h"
 
@@ -222,6 +223,36 @@
   });
 }
 
+// The number of waiting steps of a queue whose tickets are renewed while far
+// more is pending than the policy service can answer.
+int
+StepsRenewedInOverload(std::chrono::milliseconds aDecisionTime)
+{
+  constexpr std::size_t kHosts = 6;
+  constexpr int kSteps = 20;
+  QueuePolicy queue = MakeQueueWithAdvice();
+  queue.mAdvice->mDecisionTime = aDecisionTime;
+  AdviceBudget budget;
+  budget.BeginPass(kHosts, { .mQueries = 100, .mServiceTime = 60s });
+  int renewed = 0;
+  for (int step = 0; step < kSteps; ++step) {
+    renewed += budget.TakeRenewal(queue, false) ? 1 : 0;
+  }
+  return renewed;
+}
+
+void
+DescribeOverload(Section& aRoot)
+{
+  aRoot.Describe("an overload with long queries", [](Section& aSection) {
+    aSection.It("limits renewals that take long",
+                [] { CPPUNIT_ASSERT(StepsRenewedInOverload(400ms) < 10); });
+    // Guards against short urgent work that loses its tickets to the overload.
+    aSection.It("does not limit short ones",
+                [] { CPPUNIT_ASSERT_EQUAL(20, StepsRenewedInOverload(20ms)); });
+  });
+}
+
 // The number of queries about a step in some seconds in which the policy
 // service cannot be reached, and in the second after its return.
 struct QueriesOfOutage
@@ -323,6 +354,7 @@
   DescribeWaitingSteps(aRoot);
   DescribeWaitingQuery(aRoot);
   DescribeUnansweredQueries(aRoot);
+  DescribeOverload(aRoot);
   DescribeWideGangs(aRoot);
   aRoot.Describe("a later step", [](Section& aSection) {
     aSection.It("gets its advice query before the earlier step ends", [] {
--- a/src/jobs/types/orders.h
+++ b/src/jobs/types/orders.h
@@ -71,6 +71,10 @@
   std::chrono::milliseconds mWait{ 0 };
 };
 
+// Queries that take the policy service at least this long go to some of the
+// nodes only, so that short queries do not wait behind them.
+constexpr std::chrono::milliseconds kLongQueryServiceTime{ 200 };
+
 // Asks the policy service which of some workers may run a step.
 struct AdviceQuery
 {
