--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -355,21 +355,17 @@
                       TimePoint aNow)
 {
   const StepSpec& spec = aCandidate.Spec();
+  const TaskKey task{ .mStep = aCandidate.mKey, .mIndex = aIndex };
   if (spec.mLongRunning) {
     LogInfo("long_running_task_started")
-      .With("step", aCandidate.mKey.ToText())
-      .With("index", aIndex)
+      .With("task", task.ToText())
       .With("run", aNumber)
-      .With("worker", aChoice.mWorker->Id())
-      .With("waited_ms",
-            std::chrono::duration_cast<std::chrono::milliseconds>(
-              aNow - *aCandidate.mStep->mWaitingSince)
-              .count());
+      .With("worker", aChoice.mWorker->Id());
   }
   aCandidate.mStep->mNoRoomSince.reset();
   mGangReservations.RecordPlacement(aChoice.mWorker, spec);
   mRuns.Start(*aCandidate.mJob,
-              { .mStep = aCandidate.mKey, .mIndex = aIndex },
+              task,
               aNumber,
               *aChoice.mWorker,
               aChoice.mTicket == nullptr ? std::string() : *aChoice.mTicket,
--- a/src/jobs/internal/waitmonitor.cpp
+++ b/src/jobs/internal/waitmonitor.cpp
@@ -85,6 +85,10 @@
     std::count_if(aUsable.begin(), aUsable.end(), [&](const Worker* aWorker) {
       return aWorker->mEntry.mPool == pool && aWorker->HasRoomFor(needed);
     });
+  const auto onTrial =
+    std::count_if(aUsable.begin(), aUsable.end(), [](const Worker* aWorker) {
+      return aWorker->mHealth.mOnTrial;
+    });
   LogWarning("long_running_step_waits")
     .With("step", aCandidate.mKey.ToText())
     .With("queue", aCandidate.mJob->mRecord.mQueue.mName)
@@ -97,7 +101,8 @@
     .With("tickets_usable", advice.mTickets)
     .With("approved_with_room", advice.mApprovedWithRoom)
     .With("workers_usable", aUsable.size())
-    .With("workers_with_room", withRoom);
+    .With("workers_with_room", withRoom)
+    .With("workers_on_trial", onTrial);
 }
 
 } // namespace oriolevane::jobs
