--- a/src/cellnode/internal/metricstext.cpp
+++ b/src/cellnode/internal/metricstext.cpp
@@ -133,6 +133,8 @@
     aStatus.mAdviceBacklog.mLongestWait;
   const jobs::LongRunningWaits& waits = aStatus.mCounts.mLongRunningWaits;
   const std::chrono::duration<double> longRunningWait = waits.mLongest;
+  const jobs::WorkerTrials& trials = aStatus.mCounts.mWorkerTrials;
+  const std::chrono::duration<double> longestTrial = trials.mLongest;
   std::vector<prometheus::MetricFamily> families{
     Gauge("owns_shard",
           "1 while this node owns the shard",
@@ -171,6 +173,15 @@
     Gauge("long_running_wait_seconds",
           "longest time for which one of them has waited",
           longRunningWait.count()),
+    Gauge("workers_on_trial",
+          "workers that get one task at a time after failures, at the owner",
+          number(trials.mWorkers)),
+    Gauge("worker_trials_full",
+          "workers on trial whose task has not ended",
+          number(trials.mFull)),
+    Gauge("worker_trial_seconds",
+          "longest time for which a worker has been on trial",
+          longestTrial.count()),
     Counter("log_lines_dropped_total",
             "log lines over their budget, or not taken by standard output",
             number(DroppedLogLines()))
--- a/src/cellnode/tests/metricstext_test.cpp
+++ b/src/cellnode/tests/metricstext_test.cpp
@@ -14,14 +14,16 @@
   aRoot.Describe("the metrics of an owner", [](Section& aSection) {
     aSection.It(
       "show its epoch, its open jobs and the age of its last write", [] {
-        const std::string text = MetricsText(
-          { .mOwnsShard = true,
-            .mEpoch = Epoch(7),
-            .mConfigurationAge = 250ms,
-            .mCounts = { .mOpenJobs = 3, .mLongRunningWaits = { 2, 4s } },
-            .mAdviceBacklog = { 70, 5s },
-            .mStoreAge = 1500ms },
-          NodeMetrics());
+        const std::string text =
+          MetricsText({ .mOwnsShard = true,
+                        .mEpoch = Epoch(7),
+                        .mConfigurationAge = 250ms,
+                        .mCounts = { .mOpenJobs = 3,
+                                     .mLongRunningWaits = { 2, 4s },
+                                     .mWorkerTrials = { 5, 3, 60s } },
+                        .mAdviceBacklog = { 70, 5s },
+                        .mStoreAge = 1500ms },
+                      NodeMetrics());
         for (const char* line : { "oriolevane_owns_shard 1",
                                   "oriolevane_epoch 7",
                                   "oriolevane_open_jobs 3",
@@ -29,6 +31,9 @@
                                   "oriolevane_advice_wait_seconds 5",
                                   "oriolevane_long_running_steps_waiting 2",
                                   "oriolevane_long_running_wait_seconds 4",
+                                  "oriolevane_workers_on_trial 5",
+                                  "oriolevane_worker_trials_full 3",
+                                  "oriolevane_worker_trial_seconds 60",
                                   "oriolevane_configuration_age_seconds 0.25",
                                   "oriolevane_store_age_seconds 1.5" }) {
           CPPUNIT_ASSERT(text.find(line) != std::string::npos);
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -285,6 +285,7 @@
 {
   SchedulerCounts counts = CountsOf(mImpl->mCell);
   counts.mLongRunningWaits = mImpl->mDispatcher.Waits();
+  counts.mWorkerTrials = mImpl->mDispatcher.Trials();
   return counts;
 }
 
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -16,6 +16,7 @@
 #include "jobs/types/orders.h"
 #include "jobs/types/scheduleroptions.h"
 #include "jobs/types/teamcounts.h"
+#include "jobs/types/workertrials.h"
 
 namespace oriolevane::jobs {
 
@@ -59,6 +60,7 @@
   // Workers that answered their last poll.
   std::size_t mReachableWorkers = 0;
   LongRunningWaits mLongRunningWaits;
+  WorkerTrials mWorkerTrials;
   // The teams of the configuration.
   std::vector<TeamCounts> mTeams;
 };
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -68,7 +68,7 @@
     }
   }
   mCell.mTeams.EndPass();
-  mWaitMonitor.Observe(candidates, mUsable.Workers(), mNow);
+  mWaitMonitor.Observe(candidates, mUsable, mNow);
 }
 
 void
@@ -197,7 +197,7 @@
     const Worker& worker = *choice.mWorker;
     if (!worker.HasRoomFor(spec.mResources) ||
         !IsBelowPerWorkerLimit(choice, aCandidate.mKey, spec) ||
-        (worker.mHealth.mOnTrial && !worker.mRuns.empty())) {
+        (worker.mHealth.IsOnTrial() && !worker.mRuns.empty())) {
       continue;
     }
     if (!spec.mGang && worker.mFillPosition > mSingleTaskShare && ample) {
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -31,6 +31,8 @@
   void Dispatch(const Moment& aNow, bool aReconciled);
   // The long-running steps that waited after the last pass.
   const LongRunningWaits& Waits() const { return mWaitMonitor.Waits(); }
+  // The workers that were on trial before the last pass.
+  const WorkerTrials& Trials() const { return mUsable.Trials(); }
 
 private:
   // Logs that this node starts nothing, once until it does again.
--- a/src/jobs/internal/runendhandler.cpp
+++ b/src/jobs/internal/runendhandler.cpp
@@ -283,12 +283,13 @@
   if (aKind == EndKind::Failed) {
     health.mFailedJobs.insert(aJob.Id());
     if (health.mFailedJobs.size() >= kFailedJobsUntilSuspect ||
-        health.mOnTrial) {
+        health.IsOnTrial()) {
       health.mAvoidUntil = aNow.mSteady + kSuspectAvoidance;
-      health.mOnTrial = true;
+      health.mTrialSince = health.mTrialSince.value_or(aNow.mSteady);
       LogWarning("worker_suspected")
         .With("worker", aWorker.Id())
-        .With("failed_jobs", health.mFailedJobs.size());
+        .With("failed_jobs", health.mFailedJobs.size())
+        .With("runs", aWorker.mRuns.size());
     }
     return;
   }
@@ -296,7 +297,15 @@
     return;
   }
   health.mFailedJobs.clear();
-  health.mOnTrial = false;
+  if (health.IsOnTrial()) {
+    LogInfo("worker_trial_ended")
+      .With("worker", aWorker.Id())
+      .With("trial_ms",
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+              aNow.mSteady - *health.mTrialSince)
+              .count());
+    health.mTrialSince.reset();
+  }
   UpdateRunTime(aWorker, aJob, aRun, aNow.mSteady);
 }
 
--- a/src/jobs/internal/usableworkers.cpp
+++ b/src/jobs/internal/usableworkers.cpp
@@ -21,8 +21,9 @@
 UsableWorkers::Update(TimePoint aNow)
 {
   mWorkers.clear();
+  mTrials = {};
   for (auto& [id, worker] : mCell.mFleet.Workers()) {
-    const bool trialFull = worker.mHealth.mOnTrial && !worker.mRuns.empty();
+    const bool trialFull = worker.mHealth.IsOnTrial() && !worker.mRuns.empty();
     // The registry drops live workers while the store is unavailable.
     const bool registered =
       worker.mRegistered ||
@@ -31,6 +32,9 @@
                         worker.mRecorded && worker.mReachable &&
                         worker.mReconciled && worker.mClock.has_value() &&
                         worker.mHealth.mAvoidUntil <= aNow && !trialFull;
+    if (worker.mHealth.IsOnTrial() && worker.mReachable) {
+      NoteTrial(worker, trialFull, aNow);
+    }
     if (usable && !worker.mWasUsable) {
       mCell.mFleet.NoteCapacityGain(worker);
     }
@@ -48,6 +52,15 @@
   SetFillPositions();
 }
 
+void
+UsableWorkers::NoteTrial(const Worker& aWorker, bool aFull, TimePoint aNow)
+{
+  ++mTrials.mWorkers;
+  mTrials.mFull += aFull ? 1 : 0;
+  mTrials.mLongest =
+    std::max(mTrials.mLongest, aNow - *aWorker.mHealth.mTrialSince);
+}
+
 void
 UsableWorkers::SetFillPositions()
 {
--- a/src/jobs/internal/usableworkers.h
+++ b/src/jobs/internal/usableworkers.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "jobs/internal/cellstate.h"
+#include "jobs/types/workertrials.h"
 
 namespace oriolevane::jobs {
 
@@ -24,13 +25,19 @@
   // True when the speed of nearly all of them is known.
   bool SpeedsKnown() const { return mSpeedsKnown; }
 
+  // The reachable workers that are on trial, usable or not.
+  const WorkerTrials& Trials() const { return mTrials; }
+
 private:
+  // Counts a worker that is on trial.
+  void NoteTrial(const Worker& aWorker, bool aFull, TimePoint aNow);
   void SetFillPositions();
 
   CellState& mCell;
   std::vector<Worker*> mWorkers;
   std::int64_t mMilliCores = 0;
   bool mSpeedsKnown = false;
+  WorkerTrials mTrials;
 };
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -3,13 +3,12 @@
 
 #include <deque>
 #include <optional>
-#include <set>
 #include <utility>
 #include <vector>
 
 #include "crashes/placement.h"
 #include "jobs/internal/job.h"
-#include "jobs/internal/relativeruntime.h"
+#include "jobs/internal/workerhealth.h"
 #include "jobs/types/workerreport.h"
 
 namespace oriolevane::jobs {
@@ -22,20 +21,6 @@
   TimePoint mReadAt;
 };
 
-// How reliable and how fast a worker is.
-struct WorkerHealth
-{
-  // Jobs with failed runs on this worker since the last success.
-  std::set<JobId> mFailedJobs;
-  // No task is started on the worker before this time.
-  TimePoint mAvoidUntil;
-  // Only one task at a time is started on the worker until one succeeds.
-  bool mOnTrial = false;
-  // Ratio of actual to estimated run times, smoothed; 1 is as estimated.
-  double mSlowness = 1.0;
-  RelativeRunTime mRunTime;
-};
-
 // A worker of the shard.
 struct Worker
 {
