A worker on trial is used again once a long-running task stays at work

Cause: a worker with failures of two jobs is on trial: it gets nothing while it has any run, until a run succeeds. A long-running task never does, so a worker that runs one was out of use for good, also when the task was older than the failures. Class: a state whose exit the normal course may never bring. Change: a long-running task that was started after the latest failure and has been at work for 2.5 s ends the trial, like the success of another task. Tasks of this kind that are older than the trial do not fill it. Other work fills and ends a trial as before, so sites without long-running work decide as before.

--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include "framework/log.h"
 #include "jobs/internal/placementcost.h"
 #include "jobs/internal/speedpreference.h"
+#include "jobs/internal/workertrial.h"
 
 namespace oriolevane::jobs {
 
@@ -197,7 +198,7 @@
     const Worker& worker = *choice.mWorker;
     if (!worker.HasRoomFor(spec.mResources) ||
         !IsBelowPerWorkerLimit(choice, aCandidate.mKey, spec) ||
-        (worker.mHealth.IsOnTrial() && !worker.mRuns.empty())) {
+        IsTrialFull(worker, mNow)) {
       continue;
     }
     if (!spec.mGang && worker.mFillPosition > mSingleTaskShare && ample) {
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -60,6 +60,8 @@
   std::optional<TimePoint> mAbsentSince;
   // The run does not belong to a job that this node knows.
   bool mOrphan = false;
+  // The task runs until its job is cancelled.
+  bool mLongRunning = false;
   // The task was suspected of crashing its workers when the run was added.
   bool mSuspected = false;
   // What is known of the cause of a crash of the worker. Nothing unless the
--- a/src/jobs/internal/runendhandler.cpp
+++ b/src/jobs/internal/runendhandler.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "framework/log.h"
+#include "jobs/internal/workertrial.h"
 
 namespace oriolevane::jobs {
 
@@ -282,6 +283,7 @@
   WorkerHealth& health = aWorker.mHealth;
   if (aKind == EndKind::Failed) {
     health.mFailedJobs.insert(aJob.Id());
+    health.mLastFailureAt = aNow.mSteady;
     if (health.mFailedJobs.size() >= kFailedJobsUntilSuspect ||
         health.IsOnTrial()) {
       health.mAvoidUntil = aNow.mSteady + kSuspectAvoidance;
@@ -296,16 +298,7 @@
   if (aKind != EndKind::Succeeded) {
     return;
   }
-  health.mFailedJobs.clear();
-  if (health.IsOnTrial()) {
-    LogInfo("worker_trial_ended")
-      .With("worker", aWorker.Id())
-      .With("trial_ms",
-            std::chrono::duration_cast<std::chrono::milliseconds>(
-              aNow.mSteady - *health.mTrialSince)
-              .count());
-    health.mTrialSince.reset();
-  }
+  ClearFailures(aWorker, aNow.mSteady);
   UpdateRunTime(aWorker, aJob, aRun, aNow.mSteady);
 }
 
--- a/src/jobs/internal/runtracker.cpp
+++ b/src/jobs/internal/runtracker.cpp
@@ -46,7 +46,9 @@
   run->mTask = aKey;
   run->mNumber = aNumber;
   run->mWorker = aWorker.Id();
-  run->mResources = aJob.mRecord.mSpec.mSteps[aKey.mStep.mStep].mResources;
+  const StepSpec& spec = aJob.mRecord.mSpec.mSteps[aKey.mStep.mStep];
+  run->mResources = spec.mResources;
+  run->mLongRunning = spec.mLongRunning;
   run->mTeam = aJob.mRecord.mTeam;
   run->mToken = aWorker.mToken;
   run->mOrderedAt = aNow;
@@ -151,6 +153,7 @@
   }
   const StepSpec& spec = job->mRecord.mSpec.mSteps[aRunning.mTask.mStep.mStep];
   run->mResources = spec.mResources;
+  run->mLongRunning = spec.mLongRunning;
   run->mSuspected = task->mCrashes.IsSuspected();
   AddRun(aWorker, run);
   const bool unwanted = job->mPhase != JobPhase::Open || task->mSucceeded ||
--- a/src/jobs/internal/usableworkers.cpp
+++ b/src/jobs/internal/usableworkers.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "jobs/internal/workertrial.h"
+
 namespace oriolevane::jobs {
 
 namespace {
@@ -23,7 +25,10 @@
   mWorkers.clear();
   mTrials = {};
   for (auto& [id, worker] : mCell.mFleet.Workers()) {
-    const bool trialFull = worker.mHealth.IsOnTrial() && !worker.mRuns.empty();
+    if (worker.mHealth.IsOnTrial() && HasPassedTrial(worker, aNow)) {
+      ClearFailures(worker, aNow);
+    }
+    const bool trialFull = IsTrialFull(worker, aNow);
     // The registry drops live workers while the store is unavailable.
     const bool registered =
       worker.mRegistered ||
--- a/src/jobs/internal/workerhealth.h
+++ b/src/jobs/internal/workerhealth.h
@@ -18,8 +18,10 @@
   // No task is started on the worker before this time.
   TimePoint mAvoidUntil;
   // Since when only one task at a time is started on the worker, until one
-  // succeeds; nothing for a worker that is not on trial.
+  // shows that it works; nothing for a worker that is not on trial.
   std::optional<TimePoint> mTrialSince;
+  // When the latest failed run ended.
+  TimePoint mLastFailureAt;
   // Ratio of actual to estimated run times, smoothed; 1 is as estimated.
   double mSlowness = 1.0;
   RelativeRunTime mRunTime;
