Capacity check: a start fits what its order's sender could know

The case is allowed: a smaller capacity counts from the time at which the owner can know it (docs/design/crashing-tasks.md), a cut-off owner reads no registry, and no scheduler can call back an order that is on its way. Change: in place of 10 ms after each change, a start must fit the worker's capacity, or one that the registry showed to the sender of its order between the sending and the start. This is stricter for the present owner's orders, which take at most 4 ms, and it allows orders that arrive late, which the check did not.

--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -264,6 +264,7 @@
 FakeCell::TakeOver(Millis aStaleOwnerRunTime)
 {
   mWriteInProgress = false;
+  mOwner->mReplacedAt = mNow;
   mOwner->mUntil = mNow + aStaleOwnerRunTime;
   mStaleOwners.push_back(mOwner);
   ++mEpoch.mValue;
--- a/src/jobs/tests/randomtrouble_test.cpp
+++ b/src/jobs/tests/randomtrouble_test.cpp
@@ -25,9 +25,7 @@
 // some tasks resume from checkpoints.
 constexpr std::uint64_t kNoticeSeedInterval = 4;
 // Every so many seeds, others than those with crashing tasks, the capacities of
-// workers change. The check allows for
-// no order that arrives late, although one may start until its lease ends on a
-// worker that has shrunk since; it did in none of 300 such seeds.
+// workers change.
 constexpr std::uint64_t kCapacitySeedInterval = 3;
 
 // Quotas that a few tasks of the jobs below exhaust.
