What clients make a node hold is bounded: memory

Cause, in eventloop::HttpServer: - While a response is being sent, the library reads on with no callback and no watermark. Of 16 connections that send whole requests and read no answer, all that they sent was kept (333 MB of 320 MB sent). - The bound of a head (1.3 MB at the address of callers) and of a body holds for each connection; nothing bounded their sum. - A header takes some 130 bytes beside its text, so ten heads within the limit that are made of lines of 5 bytes took 275 MB. - Nothing ended a request that never became whole, or a response that nobody read, while some bytes moved. - The system's own buffers of a connection grow to some MB. Class of fault: a bound for each part, and none for their sum. Change: a table of all client connections of the process (ConnectionTable), filled through the hook with which the library makes a connection's stream. It counts what each connection has sent of the current request, with 128 bytes more for each line, and what it has not taken of the response. A watermark keeps the successor of an unanswered request in the system but for 4 KiB; it admits a head at its limit. Above the sum, the connection that holds most is closed, but none that holds up to 16 KiB, and none whose request the handler has. A request arrives whole within 10 s of its first byte, and a response is taken within 10 s. The system's buffers are 32 KiB.

--- a/src/eventloop/httpserver.h
+++ b/src/eventloop/httpserver.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "eventloop/connectiontable.h"
 #include "eventloop/eventloop.h"
 #include "eventloop/types/httpmessage.h"
 #include "eventloop/types/socketaddress.h"
@@ -36,6 +37,9 @@
   std::size_t mMaxBodyBytes = 262144;
   // Time without traffic after which a connection is closed.
   std::chrono::seconds mIdleTimeout{ 60 };
+  // The connections of all servers of the process, which share its limits. By
+  // default the server has a table and limits of its own.
+  std::shared_ptr<ConnectionTable> mConnections = nullptr;
   // Names of the request headers that are passed to the handler.
   std::vector<std::string> mExposedHeaders;
 };
@@ -59,14 +63,16 @@
 
 private:
   static void OnRequest(evhttp_request* aRequest, void* aContext);
-  static void OnConnectionClosed(evhttp_connection* aConnection,
-                                 void* aContext);
+  static bufferevent* OnAccept(event_base* aBase, void* aContext);
+  void OnConnectionClosed(evhttp_connection* aConnection);
   void Handle(evhttp_request* aRequest);
   void Send(evhttp_request* aRequest, const HttpResponse& aResponse);
 
   EventLoop& mLoop;
   HttpServerOptions mOptions;
   HttpHandler mHandler;
+  std::shared_ptr<ConnectionTable> mConnections;
+  ConnectionGroup mGroup;
   evhttp* mHttp = nullptr;
   // Keyed by a serial number, as a new request may reuse the address of a freed
   // one.
--- a/src/eventloop/internal/httpserver.cpp
+++ b/src/eventloop/internal/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "eventloop/httpserver.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <event2/buffer.h>
@@ -18,6 +19,12 @@
 // A client that has not acknowledged sent data for this long is treated as
 // gone.
 constexpr std::chrono::seconds kTcpUserTimeout{ 10 };
+// A connection may have sent this much more than the largest head or body: the
+// library refuses a head only once it has read more than its limit.
+constexpr std::size_t kSlackBytes = 65536;
+// What the system keeps of a connection in each direction. It counts as memory
+// of the process, and it holds what the server does not read.
+constexpr int kSocketBufferBytes = 32768;
 
 std::optional<HttpMethod>
 MethodOf(evhttp_request* aRequest)
@@ -54,12 +61,13 @@
   return host.substr(0, host.find(':'));
 }
 
+// Moves the headers into the request, so that a large one is held only once.
 void
-ReadExposedHeaders(evhttp_request* aRequest,
+TakeExposedHeaders(evhttp_request* aRequest,
                    const std::vector<std::string>& aNames,
                    HttpRequest& aResult)
 {
-  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+  evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
   for (const evkeyval* header = headers->tqh_first; header != nullptr;
        header = header->next.tqe_next) {
     for (const std::string& name : aNames) {
@@ -70,6 +78,10 @@
       }
     }
   }
+  for (const std::string& name : aNames) {
+    while (evhttp_remove_header(headers, name.c_str()) == 0) {
+    }
+  }
 }
 
 } // namespace
@@ -80,7 +92,15 @@
   : mLoop(aLoop)
   , mOptions(std::move(aOptions))
   , mHandler(std::move(aHandler))
+  , mConnections(mOptions.mConnections != nullptr
+                   ? mOptions.mConnections
+                   : std::make_shared<ConnectionTable>(aLoop))
 {
+  mGroup.mMaxRequestBytes =
+    std::max(mOptions.mMaxHeaderBytes, mOptions.mMaxBodyBytes) + kSlackBytes;
+  mGroup.mOnClosed = [this](evhttp_connection* aConnection) {
+    OnConnectionClosed(aConnection);
+  };
 }
 
 HttpServer::~HttpServer()
@@ -89,6 +109,7 @@
   if (mHttp != nullptr) {
     evhttp_free(mHttp);
   }
+  mConnections->Forget(mGroup);
 }
 
 absl::Status
@@ -112,6 +133,7 @@
     return absl::UnavailableError("cannot listen on " +
                                   mOptions.mAddress.ToText());
   }
+  SetBufferSizes(evconnlistener_get_fd(listener), kSocketBufferBytes);
   mHttp = evhttp_new(mLoop.Base());
   evhttp_set_allowed_methods(mHttp,
                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
@@ -121,6 +143,7 @@
   evhttp_set_max_body_size(mHttp,
                            static_cast<ev_ssize_t>(mOptions.mMaxBodyBytes));
   evhttp_set_timeout(mHttp, static_cast<int>(mOptions.mIdleTimeout.count()));
+  evhttp_set_bevcb(mHttp, &HttpServer::OnAccept, this);
   evhttp_set_gencb(mHttp, &HttpServer::OnRequest, this);
   evhttp_bind_listener(mHttp, listener);
   return absl::OkStatus();
@@ -132,11 +155,17 @@
   static_cast<HttpServer*>(aContext)->Handle(aRequest);
 }
 
-void
-HttpServer::OnConnectionClosed(evhttp_connection* aConnection, void* aContext)
+bufferevent*
+HttpServer::OnAccept(event_base*, void* aContext)
 {
   auto* server = static_cast<HttpServer*>(aContext);
-  std::erase_if(server->mPending, [aConnection](const auto& aEntry) {
+  return server->mConnections->Accept(server->mGroup);
+}
+
+void
+HttpServer::OnConnectionClosed(evhttp_connection* aConnection)
+{
+  std::erase_if(mPending, [aConnection](const auto& aEntry) {
     return evhttp_request_get_connection(aEntry.second) == aConnection;
   });
 }
@@ -145,8 +174,6 @@
 HttpServer::Handle(evhttp_request* aRequest)
 {
   evhttp_connection* connection = evhttp_request_get_connection(aRequest);
-  evhttp_connection_set_closecb(
-    connection, &HttpServer::OnConnectionClosed, this);
   const int socket =
     bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
   SetStreamOptions(socket, kTcpUserTimeout);
@@ -166,6 +193,10 @@
       mPending.erase(entry);
       Send(request, aResponse);
     };
+  if (!mConnections->BeginRequest(connection)) {
+    reply({ .mStatus = 503, .mHeaders = {}, .mBody = {} });
+    return;
+  }
   if (!method.has_value()) {
     reply({ .mStatus = 405, .mHeaders = {}, .mBody = {} });
     return;
@@ -176,7 +207,7 @@
                        .mHeaders = {},
                        .mRepeatedHeaders = {},
                        .mBody = BodyOf(aRequest) };
-  ReadExposedHeaders(aRequest, mOptions.mExposedHeaders, request);
+  TakeExposedHeaders(aRequest, mOptions.mExposedHeaders, request);
   mHandler(std::move(request), std::move(reply));
 }
 
@@ -193,6 +224,12 @@
   if (mClosing) {
     evhttp_add_header(headers, "Connection", "close");
   }
+  // Without a connection, the client has gone, and the library frees the
+  // request.
+  evhttp_connection* connection = evhttp_request_get_connection(aRequest);
+  if (connection != nullptr) {
+    mConnections->BeginResponse(connection, aRequest);
+  }
   evbuffer* body = evbuffer_new();
   evbuffer_add(body, aResponse.mBody.data(), aResponse.mBody.size());
   evhttp_send_reply(aRequest, aResponse.mStatus, nullptr, body);
--- a/src/eventloop/internal/socketoptions.cpp
+++ b/src/eventloop/internal/socketoptions.cpp
@@ -47,6 +47,13 @@
   setsockopt(aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
 }
 
+void
+SetBufferSizes(int aSocket, int aBytes)
+{
+  setsockopt(aSocket, SOL_SOCKET, SO_RCVBUF, &aBytes, sizeof(aBytes));
+  setsockopt(aSocket, SOL_SOCKET, SO_SNDBUF, &aBytes, sizeof(aBytes));
+}
+
 bool
 ToSockaddr(const SocketAddress& aAddress, sockaddr_in& aResult)
 {
--- a/src/eventloop/internal/socketoptions.h
+++ b/src/eventloop/internal/socketoptions.h
@@ -14,6 +14,11 @@
 void
 SetStreamOptions(int aSocket, Duration aUserTimeout);
 
+// Bounds what the system keeps of a connection in each direction. Set on a
+// listening socket, it holds for those that it accepts.
+void
+SetBufferSizes(int aSocket, int aBytes);
+
 // Converts an address for the socket functions. Returns false when the host is
 // not an IPv4 address in dotted notation.
 bool
--- a/src/eventloop/tests/main.cpp
+++ b/src/eventloop/tests/main.cpp
@@ -6,6 +6,7 @@
   return oriolevane::testing::RunTests(
     aCount,
     aArguments,
-    { { "frame link", oriolevane::FrameLinkTests },
+    { { "connection table", oriolevane::ConnectionTableTests },
+      { "frame link", oriolevane::FrameLinkTests },
       { "http exchange", oriolevane::HttpExchangeTests } });
 }
--- a/src/eventloop/tests/testgroups.h
+++ b/src/eventloop/tests/testgroups.h
@@ -5,6 +5,8 @@
 
 namespace oriolevane {
 
+void
+ConnectionTableTests(testing::Section& aRoot);
 void
 FrameLinkTests(testing::Section& aRoot);
 void
