What clients make a node hold is bounded: connections and descriptors

What callers saw: with as many connections as the process may have descriptors, nobody else was served, and the node could reach neither store nor workers (shown by test; the issue's record has no case of it). Cause: the server accepts every connection, and an idle one is kept for 60 s. Change: each address has a limit of connections. For a new one above it, the connection that has been idle longest is closed; without an idle one, the oldest that has been sending a request or taking a response for over 1 s; without such a one the new one, and the server then accepts one connection in each pass of the loop. A request that the handler has keeps its connection.

--- a/src/eventloop/connectionlimits.h
+++ b/src/eventloop/connectionlimits.h
@@ -13,6 +13,8 @@
 // Why a server closed a connection that its client wanted to keep.
 enum class CloseReason
 {
+  // The server had as many connections as it may have.
+  TooManyConnections,
   // The servers of the process held more bytes for their clients than they may,
   // and this connection held most.
   TooMuchBuffered,
--- a/src/eventloop/connectiontable.h
+++ b/src/eventloop/connectiontable.h
@@ -1,5 +1,5 @@
-// All connections of clients to the HTTP servers of one process. It bounds the
-// memory and time that they take.
+// All connections of clients to the HTTP servers of one process. It bounds
+// their number for each server, and the memory and time that they take.
 #pragma once
 
 #include <cstddef>
@@ -14,6 +14,7 @@
 
 struct bufferevent;
 struct event;
+struct evconnlistener;
 struct evhttp_connection;
 struct evhttp_request;
 
@@ -24,10 +25,13 @@
 // The connections of one server, which are counted together.
 struct ConnectionGroup
 {
+  std::size_t mMaxConnections = 0;
   // The most that a connection may have sent of a request, in bytes. A request
   // at the server's limits must be below it.
   std::size_t mMaxRequestBytes = 0;
+  evconnlistener* mListener = nullptr;
   std::function<void(evhttp_connection*)> mOnClosed;
+  std::size_t mOpen = 0;
 };
 
 // Not thread-safe. It must outlive the servers that use it.
@@ -43,7 +47,9 @@
 
   // The functions below are called by servers.
 
-  // Makes the stream of a connection that is being accepted.
+  // Makes the stream of a connection that is being accepted. When the group is
+  // full, an idle connection is closed for it, or else one that is late with
+  // its request or with taking its response, or else the new one.
   bufferevent* Accept(ConnectionGroup& aGroup);
   // A request has arrived whole. Returns false when the connection will be
   // closed, so that the request must not be carried out.
@@ -59,6 +65,8 @@
   static void OnResponseSent(evhttp_request* aRequest, void* aContext);
 
   ClientConnection* Find(evhttp_connection* aConnection) const;
+  // Returns false when no connection of the group can be closed.
+  bool CloseForNewConnection(const ConnectionGroup& aGroup);
   void Count(ClientConnection& aConnection);
   // Closes connections that hold most until the sum is within its limit.
   void Shed();
@@ -84,6 +92,8 @@
   std::vector<ClientConnection*> mCondemned;
   // Bytes that condemned connections hold.
   std::size_t mCondemnedBytes = 0;
+  // Listeners that wait for a refused connection to be closed.
+  std::vector<evconnlistener*> mPaused;
   event* mDeferred;
   std::unique_ptr<Timer> mTimer;
 };
--- a/src/eventloop/httpserver.h
+++ b/src/eventloop/httpserver.h
@@ -37,6 +37,9 @@
   std::size_t mMaxBodyBytes = 262144;
   // Time without traffic after which a connection is closed.
   std::chrono::seconds mIdleTimeout{ 60 };
+  // When the server has more, it closes the oldest idle one, or else the new
+  // one: see ConnectionTable::Accept().
+  std::size_t mMaxConnections = 1000;
   // The connections of all servers of the process, which share its limits. By
   // default the server has a table and limits of its own.
   std::shared_ptr<ConnectionTable> mConnections = nullptr;
--- a/src/eventloop/internal/connectiontable.cpp
+++ b/src/eventloop/internal/connectiontable.cpp
@@ -1,10 +1,12 @@
 #include "eventloop/connectiontable.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/listener.h>
 
 #include "eventloop/internal/clientconnection.h"
 #include "framework/log.h"
@@ -18,14 +20,39 @@
 // What the connection of an ordinary request holds at most, so that it is not
 // closed for the sum.
 constexpr std::size_t kOrdinaryBytes = 16384;
+// A request or response that takes longer than this does not keep a new client
+// out.
+constexpr milliseconds kOrdinaryDuration{ 1000 };
 constexpr milliseconds kTimerInterval{ 500 };
 
+// The place of a connection that is not closed for a new one.
+constexpr int kLastPlace = 2;
+
+// In the order in which they are closed for a new connection; of the same
+// place, the oldest is closed.
+int
+PlaceForClosing(const ClientConnection& aConnection, TimePoint aNow)
+{
+  switch (aConnection.State()) {
+    case ConnectionState::Idle:
+      return 0;
+    case ConnectionState::Receiving:
+    case ConnectionState::Responding:
+      return aNow - aConnection.Since() > kOrdinaryDuration ? 1 : kLastPlace;
+    case ConnectionState::Answering:
+      break;
+  }
+  return kLastPlace;
+}
+
 } // namespace
 
 std::string_view
 ToText(CloseReason aReason)
 {
   switch (aReason) {
+    case CloseReason::TooManyConnections:
+      return "too_many_connections";
     case CloseReason::TooMuchBuffered:
       return "too_much_buffered";
     case CloseReason::RequestTimeout:
@@ -42,7 +69,8 @@
   , mDeferred(event_new(aLoop.Base(), -1, 0, &OnDeferred, this))
   , mTimer(aLoop.MakeTimer([this] { OnTimer(); }))
 {
-  for (const CloseReason reason : { CloseReason::TooMuchBuffered,
+  for (const CloseReason reason : { CloseReason::TooManyConnections,
+                                    CloseReason::TooMuchBuffered,
                                     CloseReason::RequestTimeout,
                                     CloseReason::ResponseTimeout }) {
     mCounts.mClosed[reason] = 0;
@@ -57,17 +85,50 @@
 bufferevent*
 ConnectionTable::Accept(ConnectionGroup& aGroup)
 {
+  const bool isRefused =
+    aGroup.mOpen >= aGroup.mMaxConnections && !CloseForNewConnection(aGroup);
   bufferevent* stream = bufferevent_socket_new(mLoop.Base(), -1, 0);
   auto& connection = mConnections[stream];
   connection = std::make_unique<ClientConnection>(
     stream, aGroup, [this](ClientConnection& aChanged) { Count(aChanged); });
+  ++aGroup.mOpen;
   mCounts.mOpen = mConnections.size();
   mNew.push_back(connection.get());
   event_active(mDeferred, EV_TIMEOUT, 0);
   mTimer->StartWithin(kTimerInterval);
+  if (isRefused) {
+    Condemn(*connection, CloseReason::TooManyConnections);
+    evconnlistener_disable(aGroup.mListener);
+    mPaused.push_back(aGroup.mListener);
+  }
   return stream;
 }
 
+bool
+ConnectionTable::CloseForNewConnection(const ConnectionGroup& aGroup)
+{
+  const TimePoint now = std::chrono::steady_clock::now();
+  ClientConnection* chosen = nullptr;
+  std::pair<int, TimePoint> best(kLastPlace, TimePoint());
+  for (const auto& [stream, connection] : mConnections) {
+    if (&connection->Group() != &aGroup || connection->mHttp == nullptr ||
+        connection->mIsCondemned) {
+      continue;
+    }
+    const std::pair key(PlaceForClosing(*connection, now), connection->Since());
+    if (key < best) {
+      best = key;
+      chosen = connection.get();
+    }
+  }
+  if (chosen == nullptr) {
+    return false;
+  }
+  ++mCounts.mClosed[CloseReason::TooManyConnections];
+  evhttp_connection_free(chosen->mHttp);
+  return true;
+}
+
 bool
 ConnectionTable::BeginRequest(evhttp_connection* aConnection)
 {
@@ -103,6 +164,7 @@
   for (ClientConnection* connection : left) {
     Remove(*connection);
   }
+  std::erase(mPaused, aGroup.mListener);
 }
 
 ClientConnection*
@@ -180,6 +242,9 @@
     // Freeing it removes it from the list.
     evhttp_connection_free(mCondemned.back()->mHttp);
   }
+  for (evconnlistener* listener : std::exchange(mPaused, {})) {
+    evconnlistener_enable(listener);
+  }
 }
 
 // The library gives its object for a connection to the stream's callbacks only.
@@ -212,6 +277,7 @@
     std::erase(mCondemned, &aConnection);
   }
   std::erase(mNew, &aConnection);
+  --aConnection.Group().mOpen;
   mConnections.erase(aConnection.Stream());
   mCounts.mOpen = mConnections.size();
 }
--- a/src/eventloop/internal/httpserver.cpp
+++ b/src/eventloop/internal/httpserver.cpp
@@ -96,6 +96,7 @@
                    ? mOptions.mConnections
                    : std::make_shared<ConnectionTable>(aLoop))
 {
+  mGroup.mMaxConnections = mOptions.mMaxConnections;
   mGroup.mMaxRequestBytes =
     std::max(mOptions.mMaxHeaderBytes, mOptions.mMaxBodyBytes) + kSlackBytes;
   mGroup.mOnClosed = [this](evhttp_connection* aConnection) {
@@ -134,6 +135,7 @@
                                   mOptions.mAddress.ToText());
   }
   SetBufferSizes(evconnlistener_get_fd(listener), kSocketBufferBytes);
+  mGroup.mListener = listener;
   mHttp = evhttp_new(mLoop.Base());
   evhttp_set_allowed_methods(mHttp,
                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
--- a/src/eventloop/tests/connectiontable_test.cpp
+++ b/src/eventloop/tests/connectiontable_test.cpp
@@ -30,12 +30,14 @@
 class LimitedServer
 {
 public:
-  explicit LimitedServer(ConnectionLimits aLimits,
-                         std::size_t aResponseBytes = 2)
+  LimitedServer(std::size_t aMaxConnections,
+                ConnectionLimits aLimits,
+                std::size_t aResponseBytes = 2)
     : mTable(std::make_shared<ConnectionTable>(mLoop, aLimits))
     , mServer(mLoop,
               { .mAddress = kAddress,
                 .mMaxHeaderBytes = 1'000'000,
+                .mMaxConnections = aMaxConnections,
                 .mConnections = mTable },
               [this, aResponseBytes](const HttpRequest& aRequest,
                                      HttpReplyCallback aReply) {
@@ -60,7 +62,7 @@
   LimitedServer& operator=(const LimitedServer&) = delete;
 
   // Ends the server's thread and returns how many connections it closed.
-  std::uint64_t Stop(CloseReason aReason = CloseReason::TooMuchBuffered)
+  std::uint64_t Stop(CloseReason aReason = CloseReason::TooManyConnections)
   {
     mIsStopping = true;
     mThread.join();
@@ -177,6 +179,36 @@
          std::to_string(aBytes) + "\r\n\r\n" + std::string(aBytes, 'z');
 }
 
+void
+TestNumber(Section& aRoot)
+{
+  aRoot.Describe("a server with as many connections as it may have",
+                 [](Section& aSection) {
+                   aSection.It("closes the oldest idle one for a new one", [] {
+                     LimitedServer server(2, {});
+                     const RawClient first;
+                     CPPUNIT_ASSERT(first.IsServed());
+                     const RawClient second;
+                     CPPUNIT_ASSERT(second.IsServed());
+                     const RawClient third;
+                     CPPUNIT_ASSERT(third.IsServed());
+                     CPPUNIT_ASSERT(first.AwaitClose().has_value());
+                     CPPUNIT_ASSERT(second.IsServed());
+                     CPPUNIT_ASSERT(server.Stop() == 1);
+                   });
+                   aSection.It("closes the new one while all are answered", [] {
+                     LimitedServer server(2, {});
+                     const RawClient first(UnansweredRequest(10));
+                     const RawClient second(UnansweredRequest(10));
+                     // The two connections are read before the third.
+                     std::this_thread::sleep_for(100ms);
+                     const RawClient third;
+                     CPPUNIT_ASSERT(third.AwaitClose().has_value());
+                     CPPUNIT_ASSERT(server.Stop() == 1);
+                   });
+                 });
+}
+
 void
 TestSum(Section& aRoot)
 {
@@ -184,7 +216,7 @@
     "a server that holds more bytes than it may", [](Section& aSection) {
       const ConnectionLimits limits{ .mMaxBufferedBytes = 200'000 };
       aSection.It("closes the connection that holds most", [limits] {
-        LimitedServer server(limits);
+        LimitedServer server(100, limits);
         const RawClient small(UnfinishedHead(10'000));
         const RawClient large(UnfinishedHead(195'000));
         CPPUNIT_ASSERT(large.AwaitClose().has_value());
@@ -193,7 +225,7 @@
         CPPUNIT_ASSERT(server.Stop(CloseReason::TooMuchBuffered) == 1);
       });
       aSection.It("counts short header lines with what they take", [limits] {
-        LimitedServer server(limits);
+        LimitedServer server(100, limits);
         std::string head = "GET / HTTP/1.1\r\n";
         for (int line = 0; line < 2000; ++line) {
           head += "a:b\r\n";
@@ -203,7 +235,7 @@
         CPPUNIT_ASSERT(server.Stop(CloseReason::TooMuchBuffered) == 1);
       });
       aSection.It("leaves a request to its handler", [limits] {
-        LimitedServer server(limits);
+        LimitedServer server(100, limits);
         const RawClient answered(UnansweredRequest(150'000));
         std::this_thread::sleep_for(100ms);
         const RawClient other(UnfinishedHead(100'000));
@@ -218,7 +250,7 @@
 {
   aRoot.Describe("a client", [](Section& aSection) {
     aSection.It("that does not finish its request in time is cut off", [] {
-      LimitedServer server({ .mRequestTimeout = 100ms });
+      LimitedServer server(100, { .mRequestTimeout = 100ms });
       const RawClient client(UnfinishedHead(100));
       CPPUNIT_ASSERT(client.AwaitClose().has_value());
       CPPUNIT_ASSERT(server.Stop(CloseReason::RequestTimeout) == 1);
@@ -226,6 +258,7 @@
     aSection.It("that does not take its response in time is cut off", [] {
       constexpr std::size_t kResponseBytes = 30'000'000;
       LimitedServer server(
+        100,
         { .mMaxBufferedBytes = 2 * kResponseBytes, .mResponseTimeout = 100ms },
         kResponseBytes);
       const RawClient client(kRequest);
@@ -237,7 +270,7 @@
     // Guards against requests that are left unread behind the first ones.
     aSection.It("gets a response to each request that it sends at once", [] {
       constexpr std::size_t kRequests = 1000;
-      LimitedServer server({});
+      LimitedServer server(100, {});
       std::string requests;
       for (std::size_t i = 0; i < kRequests; ++i) {
         requests += kRequest;
@@ -254,6 +287,7 @@
 void
 ConnectionTableTests(Section& aRoot)
 {
+  TestNumber(aRoot);
   TestSum(aRoot);
   TestTime(aRoot);
 }
