A hello without a node, or of another node or process than before, closes its link

Anybody can connect to the peers' address. Three kinds of hello left PeerLinks with state that no later event corrected: - An empty node name: the link was entered for a node of that name but went on to count as one without a hello. When it closed, its entry stayed and pointed to a destroyed link, which the next message to all linked nodes used. - A second hello with another name: the other node was entered without a link, and the next message to it took the last element of an empty list. Each such hello added an entry, without a bound. - A second hello with another incarnation closed the link, and then entered the closed link again, to be destroyed a moment later.

Each ends the process with a few bytes from a peer that the node does not know. Such a hello is now refused, with a log line, and its link is closed. A node also kept the state of every peer that it had ever heard of; it forgets it with the peer's last link (CellNode has no unit test, so that line has no test of its own).

Before, 3 of the 3 tests of hostilepeers_test.cpp failed (links stayed open, or a closed one stayed listed); now all pass.

--- a/src/cellnode/internal/cellnodepeers.cpp
+++ b/src/cellnode/internal/cellnodepeers.cpp
@@ -155,6 +155,9 @@
 CellNode::Impl::OnPeerClosed(const NodeId& aNode)
 {
   mRelayServer.OnNodeGone(aNode);
+  if (!mPeers.IsLinked(aNode)) {
+    mPeerStates.erase(aNode);
+  }
   if (mSession != nullptr) {
     mSession->RemoveNode(aNode);
     return;
--- a/src/cellnode/internal/peerlinks.cpp
+++ b/src/cellnode/internal/peerlinks.cpp
@@ -149,6 +149,10 @@
 PeerLinks::OnHello(Peer& aPeer, const cellwire::HelloT& aHello)
 {
   const NodeId node(aHello.node);
+  if (const absl::Status status = CheckHello(aPeer, aHello); !status.ok()) {
+    RefuseHello(aPeer, status);
+    return;
+  }
   if (aHello.accepts_compression && aPeer.mCompressor == nullptr &&
       !aPeer.mCompressionFailed &&
       (aHello.wants_compression || mHello.wants_compression)) {
@@ -166,6 +170,32 @@
   mHooks.mOnHello(node, aHello);
 }
 
+absl::Status
+PeerLinks::CheckHello(const Peer& aPeer, const cellwire::HelloT& aHello) const
+{
+  const NodeId node(aHello.node);
+  if (node.Empty()) {
+    return absl::InvalidArgumentError("a hello without a node");
+  }
+  if (!aPeer.mNode.Empty() && aPeer.mNode != node) {
+    return absl::InvalidArgumentError("a hello of another node");
+  }
+  if (!aPeer.mNode.Empty() &&
+      mNodes.at(node).mLastHello.incarnation != aHello.incarnation) {
+    return absl::InvalidArgumentError("a hello of another process");
+  }
+  return absl::OkStatus();
+}
+
+void
+PeerLinks::RefuseHello(Peer& aPeer, const absl::Status& aReason)
+{
+  LogWarning("peer_hello_refused")
+    .With("peer", aPeer.mNode)
+    .With("status", aReason.ToString());
+  CloseLink(aPeer);
+}
+
 void
 PeerLinks::CloseLinksToPredecessor(const NodeId& aNode,
                                    const cellwire::HelloT& aHello)
--- a/src/cellnode/internal/peerlinks.h
+++ b/src/cellnode/internal/peerlinks.h
@@ -87,6 +87,10 @@
   static absl::StatusOr<cellwire::MessageT> Decode(Peer& aPeer,
                                                    std::string_view aFrame);
   void OnHello(Peer& aPeer, const cellwire::HelloT& aHello);
+  // Returns why the hello is not accepted on the link.
+  absl::Status CheckHello(const Peer& aPeer,
+                          const cellwire::HelloT& aHello) const;
+  void RefuseHello(Peer& aPeer, const absl::Status& aReason);
   // Closes the links to an earlier process of the node.
   void CloseLinksToPredecessor(const NodeId& aNode,
                                const cellwire::HelloT& aHello);
--- /dev/null
+++ b/src/cellnode/tests/hostilepeers_test.cpp
@@ -0,0 +1,190 @@
+#include <array>
+#include <utility>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "cellnode/internal/peerlinks.h"
+#include "cellnode/tests/testgroups.h"
+
+namespace oriolevane {
+
+using testing::Section;
+using namespace cellnode;
+using namespace std::chrono_literals;
+
+namespace {
+
+const eventloop::SocketAddress kAddress{ .mHost = "127.0.0.1", .mPort = 17821 };
+// Passes of the loop in which a node has certainly served what has arrived.
+// All of them together last less than the time that a hello may take.
+constexpr int kPasses = 20;
+constexpr Duration kPass = 5ms;
+
+// A plain socket that speaks to a node as the test pleases.
+class Stranger
+{
+public:
+  Stranger()
+    : mSocket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(kAddress.mPort);
+    inet_pton(AF_INET, kAddress.mHost.c_str(), &address.sin_addr);
+    CPPUNIT_ASSERT_EQUAL(
+      0,
+      connect(mSocket, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
+  }
+  Stranger(Stranger&& aOther) noexcept
+    : mSocket(std::exchange(aOther.mSocket, -1))
+  {
+  }
+  Stranger(const Stranger&) = delete;
+  Stranger& operator=(const Stranger&) = delete;
+  Stranger& operator=(Stranger&&) = delete;
+  ~Stranger()
+  {
+    if (mSocket >= 0) {
+      close(mSocket);
+    }
+  }
+
+  // Returns how many bytes the socket has taken.
+  std::size_t Send(std::string_view aBytes) const
+  {
+    const ssize_t sent =
+      send(mSocket, aBytes.data(), aBytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+  }
+  void SendFrame(const std::string& aFrame) const
+  {
+    SendLength(aFrame.size());
+    Send(aFrame);
+  }
+  void SendLength(std::size_t aBytes) const
+  {
+    const std::uint32_t length = htonl(static_cast<std::uint32_t>(aBytes));
+    Send({ reinterpret_cast<const char*>(&length), sizeof(length) });
+  }
+  bool IsClosed() const
+  {
+    std::array<char, 4096> bytes{};
+    ssize_t received = 0;
+    do {
+      received = recv(mSocket, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    } while (received > 0);
+    return received == 0 || errno != EAGAIN;
+  }
+
+private:
+  int mSocket;
+};
+
+// A node that sends a heartbeat to all linked nodes when told to.
+struct Node
+{
+  eventloop::EventLoop mLoop;
+  int mMessages = 0;
+  PeerLinks mLinks;
+
+  Node()
+    : mLinks(mLoop,
+             { .mOnHello = [](const NodeId&, const cellwire::HelloT&) {},
+               .mOnMessage = [this](const NodeId&,
+                                    const cellwire::MessageT&) { ++mMessages; },
+               .mOnClosed = [](const NodeId&) {} })
+  {
+    cellwire::HelloT hello;
+    hello.node = "node";
+    hello.incarnation = 1;
+    mLinks.SetHello(std::move(hello));
+    CPPUNIT_ASSERT(mLinks.Listen(kAddress).ok());
+  }
+
+  void RunOnce()
+  {
+    const auto timer = mLoop.MakeTimer([this] { mLoop.Stop(); });
+    timer->StartAfter(kPass);
+    mLoop.Run();
+  }
+  void Run()
+  {
+    for (int pass = 0; pass < kPasses; ++pass) {
+      RunOnce();
+    }
+  }
+  void SendToAll()
+  {
+    for (const NodeId& node : mLinks.LinkedNodes()) {
+      mLinks.Send(node, cellwire::HeartbeatT());
+    }
+  }
+  bool Closes(const Stranger& aStranger)
+  {
+    for (int pass = 0; pass < kPasses; ++pass) {
+      RunOnce();
+      if (aStranger.IsClosed()) {
+        return true;
+      }
+    }
+    return false;
+  }
+};
+
+std::string
+HelloOf(const std::string& aNode, std::uint64_t aIncarnation = 1)
+{
+  cellwire::HelloT hello;
+  hello.node = aNode;
+  hello.incarnation = aIncarnation;
+  return EncodeFrame(std::move(hello));
+}
+
+void
+NameTests(Section& aSection)
+{
+  // Guards against links that are used after they have been destroyed.
+  aSection.It("and has no name is closed", [] {
+    Node node;
+    const Stranger stranger;
+    stranger.SendFrame(HelloOf(""));
+    CPPUNIT_ASSERT(node.Closes(stranger));
+    CPPUNIT_ASSERT(node.mLinks.LinkedNodes().empty());
+    node.SendToAll();
+  });
+  // Guards against nodes that are linked without a link, and whose number has
+  // no bound.
+  aSection.It("and takes another name on the same link is closed", [] {
+    Node node;
+    const Stranger stranger;
+    stranger.SendFrame(HelloOf("a"));
+    stranger.SendFrame(HelloOf("b"));
+    CPPUNIT_ASSERT(node.Closes(stranger));
+    CPPUNIT_ASSERT(node.mLinks.LinkedNodes().empty());
+    node.SendToAll();
+  });
+  aSection.It("and takes another incarnation on the same link is closed", [] {
+    Node node;
+    const Stranger stranger;
+    stranger.SendFrame(HelloOf("a"));
+    stranger.SendFrame(HelloOf("a", 2));
+    CPPUNIT_ASSERT(node.Closes(stranger));
+    CPPUNIT_ASSERT(node.mLinks.LinkedNodes().empty());
+    node.SendToAll();
+  });
+}
+
+} // namespace
+
+void
+HostilePeersTests(Section& aRoot)
+{
+  aRoot.Describe("a peer that connects",
+                 [](Section& aSection) { NameTests(aSection); });
+}
+
+} // namespace oriolevane
--- a/src/cellnode/tests/main.cpp
+++ b/src/cellnode/tests/main.cpp
@@ -16,6 +16,7 @@
       { "caller authorizer", oriolevane::CallerAuthorizerTests },
       { "configuration tracker", oriolevane::ConfigurationTrackerTests },
       { "peer links", oriolevane::PeerLinksTests },
+      { "hostile peers", oriolevane::HostilePeersTests },
       { "peer messages", oriolevane::PeerMessagesTests },
       { "loop lag monitor", oriolevane::LoopLagMonitorTests },
       { "yield policy", oriolevane::YieldPolicyTests },
--- a/src/cellnode/tests/testgroups.h
+++ b/src/cellnode/tests/testgroups.h
@@ -22,6 +22,8 @@
 void
 PeerLinksTests(testing::Section& aRoot);
 void
+HostilePeersTests(testing::Section& aRoot);
+void
 PeerMessagesTests(testing::Section& aRoot);
 void
 LoopLagMonitorTests(testing::Section& aRoot);
