Links without a hello have bounds: their number, and the size of their first frame

Each connection to the peers' address could hold a frame of up to 4 MB before its hello, and the number of such connections had no bound but the descriptors of the process, for 0.7 s each.

Before the hello a link now takes frames of at most 16 KiB, uncompressed. At most 256 accepted links without a hello are open, and the oldest gives way; at most 256 nodes may be linked through links that they opened themselves (a node's own links to addresses from the store do not count). 512 + 256 descriptors are the most that the peers' port can take. The high watermark of a link's input is one frame, and the socket drain respects it.

Before, both tests failed: a link that announced 16 KiB + 1 stayed open, and more than 257 silent connections of 356 were open at once.

--- a/src/cellnode/internal/peerlinks.cpp
+++ b/src/cellnode/internal/peerlinks.cpp
@@ -87,7 +87,29 @@
     }
   });
   peer.mTimer->StartAfter(kHelloTimeout);
+  peer.mLink->SetMaxPayload(kMaxHelloBytes);
   SendFrame(peer, EncodeFrame(mHello));
+  LimitUnidentifiedLinks();
+}
+
+void
+PeerLinks::LimitUnidentifiedLinks()
+{
+  std::size_t count = 0;
+  Peer* oldest = nullptr;
+  for (const std::unique_ptr<Peer>& peer : mPeers) {
+    if (!peer->mClosed && peer->mNode.Empty() &&
+        peer->mConnectedAddress.empty()) {
+      oldest = oldest == nullptr ? peer.get() : oldest;
+      ++count;
+    }
+  }
+  if (count > kMaxUnidentifiedLinks) {
+    LogWarning("peer_link_closed")
+      .With("reason", "too many links without a hello")
+      .With("links", count);
+    CloseLink(*oldest);
+  }
 }
 
 void
@@ -112,6 +134,9 @@
   if (!IsCompressedFrame(aFrame)) {
     return DecodeFrame(aFrame);
   }
+  if (aPeer.mNode.Empty()) {
+    return absl::InvalidArgumentError("a compressed frame before the hello");
+  }
   if (aPeer.mDecompressor == nullptr) {
     aPeer.mDecompressor = std::make_unique<FrameDecompressor>();
   }
@@ -184,6 +209,10 @@
       mNodes.at(node).mLastHello.incarnation != aHello.incarnation) {
     return absl::InvalidArgumentError("a hello of another process");
   }
+  if (aPeer.mConnectedAddress.empty() && !mNodes.contains(node) &&
+      mNodes.size() >= kMaxLinkedNodes) {
+    return absl::ResourceExhaustedError("too many nodes");
+  }
   return absl::OkStatus();
 }
 
@@ -218,6 +247,7 @@
 PeerLinks::AssignToNode(Peer& aPeer, const NodeId& aNode)
 {
   aPeer.mNode = aNode;
+  aPeer.mLink->SetMaxPayload(eventloop::kMaxFramePayloadBytes);
   std::vector<Peer*>& links = mNodes[aNode].mLinks;
   links.push_back(&aPeer);
   if (links.size() > kMaxLinksPerNode) {
--- a/src/cellnode/internal/peerlinks.h
+++ b/src/cellnode/internal/peerlinks.h
@@ -18,6 +18,15 @@
 
 namespace oriolevane::cellnode {
 
+// The largest frame that is taken from a node before its first hello. A hello
+// holds a few names and an address.
+constexpr std::size_t kMaxHelloBytes = 16'384;
+// The most accepted links without a hello. When there are more, the oldest one
+// is closed. All nodes of a cell may connect at once.
+constexpr std::size_t kMaxUnidentifiedLinks = 256;
+// The most nodes that may be linked through links that they opened themselves.
+constexpr std::size_t kMaxLinkedNodes = 256;
+
 struct PeerHooks
 {
   // Called for each new hello of a node.
@@ -98,6 +107,8 @@
   // than two nodes that connect to each other can have.
   void AssignToNode(Peer& aPeer, const NodeId& aNode);
   void CloseLink(Peer& aPeer);
+  // Closes the oldest accepted link without a hello when there are too many.
+  void LimitUnidentifiedLinks();
   void RemoveClosedLinks();
 
   eventloop::EventLoop& mLoop;
--- a/src/cellnode/tests/hostilepeers_test.cpp
+++ b/src/cellnode/tests/hostilepeers_test.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <array>
+#include <filesystem>
 #include <utility>
 #include <vector>
 
@@ -144,6 +146,14 @@
   return EncodeFrame(std::move(hello));
 }
 
+std::size_t
+OpenDescriptors()
+{
+  return static_cast<std::size_t>(
+    std::distance(std::filesystem::directory_iterator("/proc/self/fd"),
+                  std::filesystem::directory_iterator()));
+}
+
 void
 NameTests(Section& aSection)
 {
@@ -178,13 +188,44 @@
   });
 }
 
+void
+SilentTests(Section& aSection)
+{
+  aSection.It("and announces a long frame before its hello is closed", [] {
+    Node node;
+    const Stranger stranger;
+    stranger.SendLength(kMaxHelloBytes + 1);
+    CPPUNIT_ASSERT(node.Closes(stranger));
+  });
+  aSection.It("and says nothing gives way to later ones", [] {
+    constexpr std::size_t kStrangers = kMaxUnidentifiedLinks + 100;
+    constexpr std::size_t kStrangersPerPass = 50;
+    Node node;
+    const std::size_t before = OpenDescriptors();
+    std::vector<Stranger> strangers;
+    std::size_t most = 0;
+    while (strangers.size() < kStrangers) {
+      for (std::size_t count = 0; count < kStrangersPerPass; ++count) {
+        strangers.emplace_back();
+      }
+      node.RunOnce();
+      most = std::max(most, OpenDescriptors() - before - strangers.size());
+    }
+    CPPUNIT_ASSERT(most <= kMaxUnidentifiedLinks + 1);
+    CPPUNIT_ASSERT(strangers.front().IsClosed());
+    CPPUNIT_ASSERT(!strangers.back().IsClosed());
+  });
+}
+
 } // namespace
 
 void
 HostilePeersTests(Section& aRoot)
 {
-  aRoot.Describe("a peer that connects",
-                 [](Section& aSection) { NameTests(aSection); });
+  aRoot.Describe("a peer that connects", [](Section& aSection) {
+    NameTests(aSection);
+    SilentTests(aSection);
+  });
 }
 
 } // namespace oriolevane
--- a/src/eventloop/framelink.h
+++ b/src/eventloop/framelink.h
@@ -43,6 +43,9 @@
   ~FrameLink();
 
   void SetHooks(FrameLinkHooks aHooks) { mHooks = std::move(aHooks); }
+  // Closes the connection from now on when a frame announces a longer payload.
+  // The limit is kMaxFramePayloadBytes before the first call.
+  void SetMaxPayload(std::size_t aBytes);
   // Queues the frame for sending. Does nothing on a closed link.
   void Send(std::string_view aFrame);
   void Close();
@@ -58,6 +61,7 @@
   EventLoop& mLoop;
   bufferevent* mStream = nullptr;
   FrameLinkHooks mHooks;
+  std::size_t mMaxPayloadBytes = kMaxFramePayloadBytes;
   // Reports a connection attempt that failed immediately. The report is
   // deferred to the loop, as the hooks are not set yet in the constructor.
   std::unique_ptr<Timer> mFailureTimer;
--- a/src/eventloop/internal/framelink.cpp
+++ b/src/eventloop/internal/framelink.cpp
@@ -64,9 +64,19 @@
   bufferevent_setcb(
     mStream, &FrameLink::OnReadable, nullptr, &FrameLink::OnEvent, this);
   LiftTransferLimits(mStream);
+  SetMaxPayload(mMaxPayloadBytes);
   bufferevent_enable(mStream, EV_READ | EV_WRITE);
 }
 
+void
+FrameLink::SetMaxPayload(std::size_t aBytes)
+{
+  mMaxPayloadBytes = aBytes;
+  if (mStream != nullptr) {
+    bufferevent_setwatermark(mStream, EV_READ, 0, kLengthBytes + aBytes);
+  }
+}
+
 void
 FrameLink::Send(std::string_view aFrame)
 {
@@ -122,8 +132,10 @@
       return;
     }
     length = ntohl(length);
-    if (length > kMaxFramePayloadBytes) {
-      LogWarning("link_frame_refused").With("bytes", length);
+    if (length > mMaxPayloadBytes) {
+      LogWarning("link_frame_refused")
+        .With("bytes", length)
+        .With("max_bytes", mMaxPayloadBytes);
       Fail();
       return;
     }
--- a/src/eventloop/internal/socketdrain.cpp
+++ b/src/eventloop/internal/socketdrain.cpp
@@ -5,6 +5,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -30,16 +31,28 @@
   return static_cast<std::size_t>(std::max(bytes, 0));
 }
 
-void
-OnInputChanged(evbuffer* aInput, const evbuffer_cb_info* aInfo, void* aStream)
+// The bytes that the stream may still receive below its high watermark.
+std::size_t
+RoomBelowWatermark(bufferevent* aStream, const evbuffer* aInput)
 {
-  // Shorter reads have emptied the socket, and longer ones are those below.
-  if (aInfo->n_added != kReadBytesPerPass) {
-    return;
+  std::size_t high = 0;
+  if (bufferevent_getwatermark(aStream, EV_READ, nullptr, &high) != 0 ||
+      high == 0) {
+    return kMaxReadBytesPerPass;
   }
-  const int socket = bufferevent_getfd(static_cast<bufferevent*>(aStream));
-  const std::size_t bytes =
-    std::min(BytesReceived(socket), kMaxReadBytesPerPass);
+  const std::size_t length = evbuffer_get_length(aInput);
+  return length < high ? high - length : 0;
+}
+
+// Reads what the socket has received, up to a limit.
+void
+ReadAhead(bufferevent* aStream, evbuffer* aInput, std::size_t aMaxBytes)
+{
+  const int socket = bufferevent_getfd(aStream);
+  const std::size_t bytes = std::min({ BytesReceived(socket),
+                                       kMaxReadBytesPerPass,
+                                       RoomBelowWatermark(aStream, aInput),
+                                       aMaxBytes });
   evbuffer_iovec space{};
   if (bytes == 0 || evbuffer_reserve_space(
                       aInput, static_cast<ev_ssize_t>(bytes), &space, 1) != 1) {
@@ -53,6 +66,15 @@
   evbuffer_commit_space(aInput, &space, 1);
 }
 
+void
+OnInputChanged(evbuffer* aInput, const evbuffer_cb_info* aInfo, void* aStream)
+{
+  // Shorter reads have emptied the socket, and longer ones are those below.
+  if (aInfo->n_added == kReadBytesPerPass) {
+    ReadAhead(static_cast<bufferevent*>(aStream), aInput, kMaxReadBytesPerPass);
+  }
+}
+
 } // namespace
 
 void
