A peer's frame cannot grow when it is unpacked

Entries of a FlatBuffers list may refer to one text or table; each entry is unpacked on its own. A frame of 4 MB can so name a text of 2 MB half a million times: a terabyte, from a peer that need not even say hello first. The verifier bounds neither.

Before, a frame of 14 KB with a text of 10 KB referred to 1,000 times was decoded; now it is refused, as is the same with tables. Lists of 5,000 small entries are still decoded (tested).

--- a/src/cellnode/tests/malformedinput_test.cpp
+++ b/src/cellnode/tests/malformedinput_test.cpp
@@ -82,6 +82,41 @@
   }
 }
 
+// A frame whose list has that many entries, all of which are the same text.
+std::string
+FrameWithSharedText(std::size_t aEntries, std::size_t aTextBytes)
+{
+  flatbuffers::FlatBufferBuilder builder;
+  const auto text = builder.CreateString(std::string(aTextBytes, 'x'));
+  const auto workers = builder.CreateVector(
+    std::vector<flatbuffers::Offset<flatbuffers::String>>(aEntries, text));
+  cellwire::AdviceQueryBuilder query(builder);
+  query.add_workers(workers);
+  const auto body = query.Finish();
+  builder.Finish(cellwire::CreateMessage(
+    builder, cellwire::Body::AdviceQuery, body.Union()));
+  return { reinterpret_cast<const char*>(builder.GetBufferPointer()),
+           builder.GetSize() };
+}
+
+// The same with a table of a text.
+std::string
+FrameWithSharedTable(std::size_t aEntries, std::size_t aTextBytes)
+{
+  flatbuffers::FlatBufferBuilder builder;
+  const auto text = builder.CreateString(std::string(aTextBytes, 'x'));
+  const auto ticket = cellwire::CreateTicket(builder, text, text);
+  const auto approved = builder.CreateVector(
+    std::vector<flatbuffers::Offset<cellwire::Ticket>>(aEntries, ticket));
+  cellwire::AdviceAnswerBuilder answer(builder);
+  answer.add_approved(approved);
+  const auto body = answer.Finish();
+  builder.Finish(cellwire::CreateMessage(
+    builder, cellwire::Body::AdviceAnswer, body.Union()));
+  return { reinterpret_cast<const char*>(builder.GetBufferPointer()),
+           builder.GetSize() };
+}
+
 } // namespace
 
 void
@@ -105,6 +140,32 @@
       }
       CPPUNIT_ASSERT(refused > kTrials);
     });
+    // Guards against a frame of a few megabytes that takes gigabytes of memory.
+    aSection.It("is refused when it refers to one text or table often", [] {
+      constexpr std::size_t kEntries = 1'000;
+      constexpr std::size_t kTextBytes = 10'000;
+      CPPUNIT_ASSERT(DecodeFrame(FrameWithSharedText(1, kTextBytes)).ok());
+      CPPUNIT_ASSERT(
+        !DecodeFrame(FrameWithSharedText(kEntries, kTextBytes)).ok());
+      CPPUNIT_ASSERT(
+        !DecodeFrame(FrameWithSharedTable(kEntries, kTextBytes)).ok());
+      CPPUNIT_ASSERT(!DecodeFrame(FrameWithSharedTable(kEntries, 0)).ok());
+    });
+    // Guards against limits that a list of small entries meets.
+    aSection.It("does not include large lists of small entries", [] {
+      constexpr std::size_t kEntries = 5'000;
+      cellwire::WorkerAnswerBatchT answers;
+      for (std::size_t i = 1; i <= kEntries; ++i) {
+        cellwire::OrderReplyT reply;
+        reply.id = i;
+        answers.orders.push_back(
+          std::make_unique<cellwire::OrderReplyT>(reply));
+      }
+      CPPUNIT_ASSERT(DecodeFrame(EncodeFrame(std::move(answers))).ok());
+      jobs::AdviceQuery query{ .mWorkers = std::vector<WorkerId>(
+                                 kEntries, WorkerId("w")) };
+      CPPUNIT_ASSERT(DecodeFrame(EncodeFrame(ToWire(1, query))).ok());
+    });
     aSection.It("is read or refused when it comes from the store", [] {
       std::mt19937_64 random(2);
       jobs::JobRecord job;
