Output and incomplete frames of peer links have bounds, each and together

What waits to be sent to a peer had no bound: a peer that reads slowly, or only acknowledges, let it grow. Incomplete frames had one of 4 MB for each link but none for their sum.

More than 8 MB for one link aborts it. More than 32 MB to be sent on all links together, or 16 MB of incomplete frames, abort the link with the most of them; the owner of the links is told from the loop, as with any other loss.

--- a/src/cellnode/internal/peerlinks.cpp
+++ b/src/cellnode/internal/peerlinks.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds kHelloTimeout = 700ms;
 // Each of two nodes can have connected to the other one.
 constexpr std::size_t kMaxLinksPerNode = 2;
+// The bytes of all links are counted only when one has more than this to send.
+constexpr std::size_t kCountedQueueBytes = 65'536;
 
 // True when a hello, or a later one of the same process, has been received
 // before.
@@ -80,7 +82,8 @@
   peer.mLink->SetHooks(
     { .mOnFrame = [this,
                    &peer](std::string_view aFrame) { OnFrame(peer, aFrame); },
-      .mOnClosed = [this, &peer] { CloseLink(peer); } });
+      .mOnClosed = [this, &peer] { CloseLink(peer); },
+      .mOnPartialFrame = [this] { LimitPartialBytes(); } });
   peer.mTimer = mLoop.MakeTimer([this, &peer] {
     if (peer.mNode.Empty()) {
       CloseLink(peer);
@@ -119,6 +122,7 @@
     if (const auto compressed = aPeer.mCompressor->Compress(aFrame);
         compressed.has_value()) {
       aPeer.mLink->Send(*compressed);
+      LimitQueuedBytes(aPeer);
       return;
     }
     LogWarning("peer_compression_failed").With("peer", aPeer.mNode);
@@ -126,6 +130,52 @@
     aPeer.mCompressionFailed = true;
   }
   aPeer.mLink->Send(aFrame);
+  LimitQueuedBytes(aPeer);
+}
+
+void
+PeerLinks::LimitPartialBytes()
+{
+  LimitBytes(&eventloop::FrameLink::ReceivedBytes,
+             kMaxPartialBytes,
+             "incomplete frames have too many bytes");
+}
+
+void
+PeerLinks::LimitQueuedBytes(const Peer& aSender)
+{
+  if (aSender.mLink->QueuedBytes() > kCountedQueueBytes) {
+    LimitBytes(&eventloop::FrameLink::QueuedBytes,
+               kMaxQueuedBytes,
+               "too many bytes wait to be sent");
+  }
+}
+
+void
+PeerLinks::LimitBytes(std::size_t (eventloop::FrameLink::*aBytes)() const,
+                      std::size_t aMaxBytes,
+                      std::string_view aReason)
+{
+  std::size_t sum = 0;
+  std::size_t most = 0;
+  Peer* largest = nullptr;
+  for (const std::unique_ptr<Peer>& peer : mPeers) {
+    const std::size_t bytes = (*peer->mLink.*aBytes)();
+    sum += bytes;
+    if (bytes > most) {
+      most = bytes;
+      largest = peer.get();
+    }
+  }
+  if (sum > aMaxBytes) {
+    LogWarning("peer_link_closed")
+      .With("peer", largest->mNode)
+      .With("reason", aReason)
+      .With("bytes", most)
+      .With("all_bytes", sum);
+    // The caller may be in the middle of its work with the links.
+    largest->mLink->Abort();
+  }
 }
 
 absl::StatusOr<cellwire::MessageT>
--- a/src/cellnode/internal/peerlinks.h
+++ b/src/cellnode/internal/peerlinks.h
@@ -26,6 +26,10 @@
 constexpr std::size_t kMaxUnidentifiedLinks = 256;
 // The most nodes that may be linked through links that they opened themselves.
 constexpr std::size_t kMaxLinkedNodes = 256;
+// The most bytes of incomplete frames, and the most bytes that wait to be sent,
+// on all links together. Beyond it, the link with the most of them is closed.
+constexpr std::size_t kMaxPartialBytes = 16U << 20U;
+constexpr std::size_t kMaxQueuedBytes = 32U << 20U;
 
 struct PeerHooks
 {
@@ -92,7 +96,14 @@
   void AddLink(std::unique_ptr<eventloop::FrameLink> aLink,
                std::string aConnectedAddress);
   void OnFrame(Peer& aPeer, std::string_view aFrame);
-  static void SendFrame(Peer& aPeer, const std::string& aFrame);
+  void SendFrame(Peer& aPeer, const std::string& aFrame);
+  void LimitPartialBytes();
+  void LimitQueuedBytes(const Peer& aSender);
+  // Aborts the link with the most bytes when all links have more than aMaxBytes
+  // together.
+  void LimitBytes(std::size_t (eventloop::FrameLink::*aBytes)() const,
+                  std::size_t aMaxBytes,
+                  std::string_view aReason);
   static absl::StatusOr<cellwire::MessageT> Decode(Peer& aPeer,
                                                    std::string_view aFrame);
   void OnHello(Peer& aPeer, const cellwire::HelloT& aHello);
--- a/src/cellnode/tests/hostilepeers_test.cpp
+++ b/src/cellnode/tests/hostilepeers_test.cpp
@@ -217,6 +217,69 @@
   });
 }
 
+// The largest part of a frame that stays incomplete.
+std::string
+PartOfLargestFrame()
+{
+  return std::string(eventloop::kMaxFramePayloadBytes - 1, 'x');
+}
+
+void
+SumTests(Section& aSection)
+{
+  // Guards against many links that each stay within the limit of one.
+  aSection.It("in a crowd of long frames without end leaves a bound", [] {
+    constexpr std::size_t kStrangers = 12;
+    constexpr std::size_t kMostOpen =
+      kMaxPartialBytes / eventloop::kMaxFramePayloadBytes + 1;
+    Node node;
+    std::vector<Stranger> strangers(kStrangers);
+    const std::string text = PartOfLargestFrame();
+    const std::string_view part = text;
+    std::vector<std::size_t> sent(kStrangers, 0);
+    for (std::size_t i = 0; i < kStrangers; ++i) {
+      strangers[i].SendFrame(HelloOf("n" + std::to_string(i)));
+      strangers[i].SendLength(eventloop::kMaxFramePayloadBytes);
+    }
+    for (int pass = 0; pass < 10 * kPasses; ++pass) {
+      for (std::size_t i = 0; i < kStrangers; ++i) {
+        sent[i] += strangers[i].Send(part.substr(sent[i]));
+      }
+      node.RunOnce();
+    }
+    CPPUNIT_ASSERT(static_cast<std::size_t>(std::count_if(
+                     strangers.begin(), strangers.end(), [](const auto& aEach) {
+                       return !aEach.IsClosed();
+                     })) <= kMostOpen);
+    CPPUNIT_ASSERT(!node.mLinks.LinkedNodes().empty());
+  });
+  aSection.It("in a crowd that does not read leaves a bound", [] {
+    constexpr std::size_t kStrangers = 12;
+    constexpr std::size_t kMessageBytes = 1U << 20U;
+    constexpr std::size_t kMessages = 5;
+    constexpr std::size_t kMostOpen =
+      kMaxQueuedBytes / (kMessages * kMessageBytes) + 1;
+    Node node;
+    const std::vector<Stranger> strangers(kStrangers);
+    for (std::size_t i = 0; i < kStrangers; ++i) {
+      strangers[i].SendFrame(HelloOf("n" + std::to_string(i)));
+    }
+    node.Run();
+    CPPUNIT_ASSERT_EQUAL(kStrangers, node.mLinks.LinkedNodes().size());
+    // The loop does not run, so nothing leaves the node.
+    cellwire::CallerAnswerT answer;
+    answer.message = std::string(kMessageBytes, 'x');
+    for (std::size_t count = 0; count < kMessages; ++count) {
+      for (const NodeId& peer : node.mLinks.LinkedNodes()) {
+        node.mLinks.Send(peer, answer);
+      }
+    }
+    node.RunOnce();
+    CPPUNIT_ASSERT(node.mLinks.LinkedNodes().size() <= kMostOpen);
+    CPPUNIT_ASSERT(!node.mLinks.LinkedNodes().empty());
+  });
+}
+
 } // namespace
 
 void
@@ -225,6 +288,7 @@
   aRoot.Describe("a peer that connects", [](Section& aSection) {
     NameTests(aSection);
     SilentTests(aSection);
+    SumTests(aSection);
   });
 }
 
--- a/src/eventloop/framelink.h
+++ b/src/eventloop/framelink.h
@@ -18,6 +18,9 @@
 
 // Largest payload of a frame. A longer incoming frame closes the connection.
 constexpr std::size_t kMaxFramePayloadBytes = 4U << 20U;
+// The most that may wait to be sent on one link, with the lengths of the
+// frames. One of the largest frames can follow another one.
+constexpr std::size_t kMaxQueuedLinkBytes = (8U << 20U) + 4096U;
 
 // Callbacks of a link. They run on the event loop.
 struct FrameLinkHooks
@@ -27,6 +30,8 @@
   // call of Close(). The owner may destroy the link only after the hook has
   // returned.
   std::function<void()> mOnClosed;
+  // Called when an incomplete frame remains after a read.
+  std::function<void()> mOnPartialFrame = {};
 };
 
 // One connection that sends and receives frames.
@@ -46,24 +51,34 @@
   // Closes the connection from now on when a frame announces a longer payload.
   // The limit is kMaxFramePayloadBytes before the first call.
   void SetMaxPayload(std::size_t aBytes);
-  // Queues the frame for sending. Does nothing on a closed link.
+  // Queues the frame for sending. Does nothing on a closed link. When more than
+  // kMaxQueuedLinkBytes would wait, the connection fails, and the hook for a
+  // closed connection is called later from the loop.
   void Send(std::string_view aFrame);
   void Close();
+  // Closes the connection and calls the hook for that later, from the loop.
+  void Abort();
   bool IsOpen() const { return mStream != nullptr; }
+  // Bytes received that are not yet a whole frame, and bytes to be sent.
+  std::size_t ReceivedBytes() const;
+  std::size_t QueuedBytes() const;
 
 private:
   static void OnReadable(bufferevent* aStream, void* aContext);
   static void OnEvent(bufferevent* aStream, short aEvents, void* aContext);
   void Enable();
   void DeliverFrames();
+  // Delivers the next frame. Returns false when it is not complete, or when the
+  // link is closed.
+  bool DeliverFrame();
   void Fail();
 
   EventLoop& mLoop;
   bufferevent* mStream = nullptr;
   FrameLinkHooks mHooks;
   std::size_t mMaxPayloadBytes = kMaxFramePayloadBytes;
-  // Reports a connection attempt that failed immediately. The report is
-  // deferred to the loop, as the hooks are not set yet in the constructor.
+  // Reports a connection attempt that failed immediately, when the hooks are
+  // not set yet, or a call of Abort().
   std::unique_ptr<Timer> mFailureTimer;
 };
 
--- a/src/eventloop/internal/framelink.cpp
+++ b/src/eventloop/internal/framelink.cpp
@@ -46,8 +46,7 @@
       bufferevent_socket_connect(
         mStream, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
     LogWarning("link_connect_failed").With("address", aAddress.ToText());
-    mFailureTimer = mLoop.MakeTimer([this] { Fail(); });
-    mFailureTimer->StartAfter(Duration::zero());
+    Abort();
     return;
   }
   SetStreamOptions(bufferevent_getfd(mStream), kTcpUserTimeout);
@@ -83,6 +82,14 @@
   if (mStream == nullptr) {
     return;
   }
+  const std::size_t queued = QueuedBytes() + kLengthBytes + aFrame.size();
+  if (queued > kMaxQueuedLinkBytes) {
+    LogWarning("link_closed")
+      .With("reason", "the peer does not take what is sent")
+      .With("queued_bytes", queued);
+    Abort();
+    return;
+  }
   const std::uint32_t length = htonl(static_cast<std::uint32_t>(aFrame.size()));
   bufferevent_write(mStream, &length, kLengthBytes);
   bufferevent_write(mStream, aFrame.data(), aFrame.size());
@@ -96,6 +103,30 @@
   }
 }
 
+std::size_t
+FrameLink::ReceivedBytes() const
+{
+  return mStream == nullptr
+           ? 0
+           : evbuffer_get_length(bufferevent_get_input(mStream));
+}
+
+std::size_t
+FrameLink::QueuedBytes() const
+{
+  return mStream == nullptr
+           ? 0
+           : evbuffer_get_length(bufferevent_get_output(mStream));
+}
+
+void
+FrameLink::Abort()
+{
+  Close();
+  mFailureTimer = mLoop.MakeTimer([this] { Fail(); });
+  mFailureTimer->StartAfter(Duration::zero());
+}
+
 void
 FrameLink::Fail()
 {
@@ -124,31 +155,43 @@
 void
 FrameLink::DeliverFrames()
 {
-  while (mStream != nullptr) {
-    evbuffer* input = bufferevent_get_input(mStream);
-    std::uint32_t length = 0;
-    if (evbuffer_copyout(input, &length, kLengthBytes) <
-        static_cast<ev_ssize_t>(kLengthBytes)) {
-      return;
-    }
-    length = ntohl(length);
-    if (length > mMaxPayloadBytes) {
-      LogWarning("link_frame_refused")
-        .With("bytes", length)
-        .With("max_bytes", mMaxPayloadBytes);
-      Fail();
-      return;
-    }
-    if (evbuffer_get_length(input) < kLengthBytes + length) {
-      return;
-    }
-    std::string frame(length, '\0');
-    evbuffer_drain(input, kLengthBytes);
-    evbuffer_remove(input, frame.data(), frame.size());
-    if (mHooks.mOnFrame) {
-      mHooks.mOnFrame(frame);
-    }
+  while (DeliverFrame()) {
+  }
+  if (ReceivedBytes() > 0 && mHooks.mOnPartialFrame) {
+    mHooks.mOnPartialFrame();
+  }
+}
+
+bool
+FrameLink::DeliverFrame()
+{
+  if (mStream == nullptr) {
+    return false;
+  }
+  evbuffer* input = bufferevent_get_input(mStream);
+  std::uint32_t length = 0;
+  if (evbuffer_copyout(input, &length, kLengthBytes) <
+      static_cast<ev_ssize_t>(kLengthBytes)) {
+    return false;
+  }
+  length = ntohl(length);
+  if (length > mMaxPayloadBytes) {
+    LogWarning("link_frame_refused")
+      .With("bytes", length)
+      .With("max_bytes", mMaxPayloadBytes);
+    Fail();
+    return false;
+  }
+  if (evbuffer_get_length(input) < kLengthBytes + length) {
+    return false;
+  }
+  std::string frame(length, '\0');
+  evbuffer_drain(input, kLengthBytes);
+  evbuffer_remove(input, frame.data(), frame.size());
+  if (mHooks.mOnFrame) {
+    mHooks.mOnFrame(frame);
   }
+  return true;
 }
 
 FrameListener::FrameListener(EventLoop& aLoop, AcceptHook aOnAccept)
--- a/src/eventloop/tests/framelink_test.cpp
+++ b/src/eventloop/tests/framelink_test.cpp
@@ -51,6 +51,29 @@
         CPPUNIT_ASSERT(closed);
       });
   });
+  aRoot.Describe("a link whose peer does not read", [](Section& aSection) {
+    // Guards against output that grows until the memory ends.
+    aSection.It("fails before much waits to be sent", [] {
+      constexpr int kFrames = 64;
+      EventLoop loop;
+      FrameListener listener(loop, [](std::unique_ptr<FrameLink>) {});
+      CPPUNIT_ASSERT(listener.Listen(kAddress).ok());
+      FrameLink link(loop, kAddress);
+      int closed = 0;
+      link.SetHooks({ .mOnFrame = {}, .mOnClosed = [&] {
+                       ++closed;
+                       loop.Stop();
+                     } });
+      const std::string frame(1 << 20, 'x');
+      for (int count = 0; count < kFrames; ++count) {
+        link.Send(frame);
+      }
+      CPPUNIT_ASSERT(!link.IsOpen());
+      CPPUNIT_ASSERT_EQUAL(0, closed);
+      loop.Run();
+      CPPUNIT_ASSERT_EQUAL(1, closed);
+    });
+  });
   aRoot.Describe(
     "a link to an address without a listener", [](Section& aSection) {
       aSection.It("calls the closed hook of its owner", [] {
