Answers of workers, policy service and store have bounds, and so have connections

HttpClient read heads, bodies and the length of a chunk without any limit until the caller's timeout, from any number of servers, and it had no limit on its connections: up to 4 idle ones to each address that was ever used, and one for each request in flight.

Now: 64 KiB of head, a body limit that the request names (worker 1 MiB, advice 2 MiB, else 16 MiB; a page of the store has about 1 MB of rows), a high watermark of both together, which also ends a chunk's length without end, 24 MiB for all unfinished responses of a client (the largest fails first, and no stream reads ahead beyond it), and 2,048 connections in use and idle. Beyond that the connection that was idle for longest is closed; when none is idle, the request fails at once. All of these give Unavailable, as a broken connection does, and a log line.

--- a/src/eventloop/internal/socketdrain.cpp
+++ b/src/eventloop/internal/socketdrain.cpp
@@ -84,4 +84,39 @@
   evbuffer_add_cb(bufferevent_get_input(aStream), OnInputChanged, aStream);
 }
 
+BudgetedInput::BudgetedInput(bufferevent* aStream, ReceiveBudget& aBudget)
+  : mStream(aStream)
+  , mBudget(aBudget)
+{
+  bufferevent_set_max_single_write(aStream, kMaxWriteBytesPerPass);
+  evbuffer_add_cb(
+    bufferevent_get_input(aStream), &BudgetedInput::OnChanged, this);
+}
+
+void
+BudgetedInput::Reset()
+{
+  mBudget.mBytes -= mBytes;
+  mBytes = 0;
+}
+
+void
+BudgetedInput::OnChanged(evbuffer* aInput,
+                         const evbuffer_cb_info* aInfo,
+                         void* aContext)
+{
+  auto* input = static_cast<BudgetedInput*>(aContext);
+  ReceiveBudget& budget = input->mBudget;
+  if (aInfo->n_added == 0) {
+    return;
+  }
+  input->mBytes += aInfo->n_added;
+  budget.mBytes += aInfo->n_added;
+  if (budget.mBytes > budget.mMaxBytes) {
+    budget.mOnExceeded();
+  } else if (aInfo->n_added == kReadBytesPerPass) {
+    ReadAhead(input->mStream, aInput, budget.mMaxBytes - budget.mBytes);
+  }
+}
+
 } // namespace oriolevane::eventloop
--- a/src/eventloop/tests/main.cpp
+++ b/src/eventloop/tests/main.cpp
@@ -8,5 +8,6 @@
     aArguments,
     { { "connection table", oriolevane::ConnectionTableTests },
       { "frame link", oriolevane::FrameLinkTests },
-      { "http exchange", oriolevane::HttpExchangeTests } });
+      { "http exchange", oriolevane::HttpExchangeTests },
+      { "hostile servers", oriolevane::HostileServerTests } });
 }
--- a/src/eventloop/tests/testgroups.h
+++ b/src/eventloop/tests/testgroups.h
@@ -11,5 +11,7 @@
 FrameLinkTests(testing::Section& aRoot);
 void
 HttpExchangeTests(testing::Section& aRoot);
+void
+HostileServerTests(testing::Section& aRoot);
 
 } // namespace oriolevane
--- a/src/eventloop/types/httpmessage.h
+++ b/src/eventloop/types/httpmessage.h
@@ -1,6 +1,7 @@
 // HTTP requests and responses as plain values.
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
@@ -19,6 +20,8 @@
 // Header values by name.
 using HttpHeaders = std::map<std::string, std::string, std::less<>>;
 
+constexpr std::size_t kDefaultMaxResponseBytes = 16U << 20U;
+
 // A request to send or a received one.
 struct HttpRequest
 {
@@ -35,6 +38,9 @@
   // mHeaders holds the value of the first.
   std::set<std::string, std::less<>> mRepeatedHeaders;
   std::string mBody;
+  // The largest body of a response to a request that is sent, in bytes. Not
+  // used for received requests.
+  std::size_t mMaxResponseBytes = kDefaultMaxResponseBytes;
 };
 
 // A response to send or a received one.
