The gateway gives up on a caller that does not read its responses

Poco sets no timeout for sending. A caller that sent request after request on one connection and read nothing held a thread without end, up to three quarters of them (connections beyond that are closed after a response), and a planned stop waited for it.

A response now has the same time as a request to be taken (twice GatewayOptions::mBodyTimeout); after it the connection is cut off, with a log line, and the requests that wait on it are not served.

Before, the test failed: the connection was still served 10 s later; now it is gone.

--- a/src/gateway/internal/callersocket.cpp
+++ b/src/gateway/internal/callersocket.cpp
@@ -64,6 +64,7 @@
   }
 
   void EndHead() { mReadsHead = false; }
+  bool IsCutOff() const { return mCutOff; }
 
   // The response ends the request.
   // NOLINTNEXTLINE(readability-identifier-naming)
@@ -72,12 +73,14 @@
     mEnd.reset();
     mReadsHead = true;
     mHeadBytes = 0;
+    AwaitTaken();
     return Poco::Net::StreamSocketImpl::sendBytes(aBuffer, aLength, aFlags);
   }
 
 private:
   void OnReceived(std::size_t aBytes)
   {
+    mSendEnd.reset();
     if (!mEnd.has_value()) {
       mEnd = std::chrono::steady_clock::now() + mLimit;
     }
@@ -89,6 +92,24 @@
     }
   }
 
+  // A caller that does not read its response would hold a thread.
+  void AwaitTaken()
+  {
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (!mSendEnd.has_value()) {
+      mSendEnd = now + mLimit;
+    }
+    const Poco::Timespan left(
+      std::chrono::duration_cast<std::chrono::microseconds>(*mSendEnd - now)
+        .count());
+    if (left <= 0 || !poll(left, SELECT_WRITE)) {
+      LogInfo("caller_cut_off").With("reason", "the response is not read");
+      mCutOff = true;
+      throw Poco::TimeoutException("the response was not read in time");
+    }
+    setSendTimeout(left);
+  }
+
   void AwaitMore()
   {
     const auto left = std::chrono::duration_cast<std::chrono::microseconds>(
@@ -112,9 +133,11 @@
 
   milliseconds mLimit;
   std::optional<TimePoint> mEnd;
+  // Set while a response is sent.
+  std::optional<TimePoint> mSendEnd;
   bool mReadsHead = true;
   std::size_t mHeadBytes = 0;
-  // A limit of a request has been exceeded.
+  // A limit of a request or of its response has been exceeded.
   bool mCutOff = false;
   // The connection takes no more requests.
   bool mDraining = false;
@@ -168,6 +191,13 @@
   }
 }
 
+bool
+IsCutOff(Poco::Net::StreamSocket& aSocket)
+{
+  const auto* caller = dynamic_cast<CallerSocketImpl*>(aSocket.impl());
+  return caller != nullptr && caller->IsCutOff();
+}
+
 Poco::Net::ServerSocket
 ListenForCallers(const std::string& aAddress, milliseconds aRequestLimit)
 {
--- a/src/gateway/internal/httphandler.cpp
+++ b/src/gateway/internal/httphandler.cpp
@@ -276,6 +276,9 @@
       aResponse.setKeepAlive(false);
     }
     Send(aResponse, answer);
+    if (IsCutOff(SocketOf(aRequest))) {
+      aResponse.setKeepAlive(false);
+    }
     if (unread) {
       // What follows belongs to the refused body.
       EndHead(SocketOf(aRequest));
--- a/src/gateway/tests/hostilecallers_test.cpp
+++ b/src/gateway/tests/hostilecallers_test.cpp
@@ -1,3 +1,7 @@
+#include <sys/socket.h>
+
+#include <thread>
+
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
 
@@ -40,6 +44,22 @@
   return sent;
 }
 
+// Sends as much as the socket takes at once, of a text that is repeated without
+// end and of which aSent bytes have been sent. Returns 0 once the server has
+// closed the connection.
+std::size_t
+SendRepeated(Poco::Net::StreamSocket& aSocket,
+             const std::string& aText,
+             std::size_t aSent)
+{
+  const std::string rest = aText.substr(aSent % aText.size());
+  const ssize_t sent = send(aSocket.impl()->sockfd(),
+                            rest.data(),
+                            rest.size(),
+                            MSG_DONTWAIT | MSG_NOSIGNAL);
+  return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+}
+
 void
 HeadersStory(Section& aStory)
 {
@@ -78,6 +98,32 @@
 HostileCallersStory(Section& aStory)
 {
   HeadersStory(aStory);
+  // Guards against threads that wait without end for callers.
+  aStory.It("does not read its responses is cut off", [] {
+    constexpr std::size_t kMostBytes = 67'108'864;
+    constexpr int kMostWaits = 1'000;
+    const Served served({ .mBodyTimeout = std::chrono::milliseconds(100) });
+    Poco::Net::StreamSocket socket = served.Connect();
+    std::string requests;
+    for (int count = 0; count < 100; ++count) {
+      requests += "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+    }
+    std::size_t sent = 0;
+    std::size_t taken = 1;
+    while (taken > 0 && sent < kMostBytes) {
+      const bool writable =
+        socket.poll(Poco::Timespan(0, 50'000), Poco::Net::Socket::SELECT_WRITE);
+      taken = writable ? SendRepeated(socket, requests, sent) : 0;
+      sent += taken;
+    }
+    CPPUNIT_ASSERT(sent < kMostBytes);
+    for (int wait = 0;
+         wait < kMostWaits && served.mServer->ActiveConnections() > 0;
+         ++wait) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CPPUNIT_ASSERT_EQUAL(0, served.mServer->ActiveConnections());
+  });
 }
 
 } // namespace oriolevane::gateway
