A node that cannot accept a peer's connection pauses before it tries again

Without descriptors the connection stays in the queue of the socket, and each pass of the event loop tried and failed again, with a line of libevent's own on standard error each time: all of the node's processor time, and a log without a bound. The listener now pauses for 100 ms and writes a bounded log line.

--- a/src/eventloop/framelink.h
+++ b/src/eventloop/framelink.h
@@ -98,9 +98,13 @@
   absl::Status Listen(const SocketAddress& aAddress);
 
 private:
+  void PauseAfterFailure();
+
   EventLoop& mLoop;
   AcceptHook mOnAccept;
   evconnlistener* mListener = nullptr;
+  // Continues after a failure to accept.
+  std::unique_ptr<Timer> mRetryTimer;
 };
 
 } // namespace oriolevane::eventloop
--- a/src/eventloop/internal/framelink.cpp
+++ b/src/eventloop/internal/framelink.cpp
@@ -7,6 +7,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <event2/util.h>
 
 #include "eventloop/internal/socketdrain.h"
 #include "eventloop/internal/socketoptions.h"
@@ -19,6 +20,9 @@
 // A peer that has not acknowledged sent data for this long is treated as gone.
 constexpr std::chrono::seconds kTcpUserTimeout{ 2 };
 constexpr std::size_t kLengthBytes = sizeof(std::uint32_t);
+// When a connection cannot be accepted, e.g. for lack of descriptors, it stays
+// in the queue, and each pass of the loop would try again.
+constexpr std::chrono::milliseconds kAcceptPause{ 100 };
 
 } // namespace
 
@@ -197,6 +201,7 @@
 FrameListener::FrameListener(EventLoop& aLoop, AcceptHook aOnAccept)
   : mLoop(aLoop)
   , mOnAccept(std::move(aOnAccept))
+  , mRetryTimer(mLoop.MakeTimer([this] { evconnlistener_enable(mListener); }))
 {
 }
 
@@ -233,7 +238,19 @@
   if (mListener == nullptr) {
     return absl::UnavailableError("cannot listen on " + aAddress.ToText());
   }
+  evconnlistener_set_error_cb(mListener, [](evconnlistener*, void* aContext) {
+    static_cast<FrameListener*>(aContext)->PauseAfterFailure();
+  });
   return absl::OkStatus();
 }
 
+void
+FrameListener::PauseAfterFailure()
+{
+  LogWarning("link_accept_failed")
+    .With("reason", evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+  evconnlistener_disable(mListener);
+  mRetryTimer->StartAfter(kAcceptPause);
+}
+
 } // namespace oriolevane::eventloop
--- a/src/eventloop/tests/framelink_test.cpp
+++ b/src/eventloop/tests/framelink_test.cpp
@@ -1,3 +1,8 @@
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <event2/event.h>
+
 #include "eventloop/framelink.h"
 #include "eventloop/tests/testgroups.h"
 
@@ -5,11 +10,45 @@
 
 using testing::Section;
 using namespace eventloop;
+using namespace std::chrono_literals;
 
 namespace {
 
 const SocketAddress kAddress{ .mHost = "127.0.0.1", .mPort = 17801 };
 
+// Counts the warnings of libevent, one for each accept that fails without a
+// handler.
+int acceptWarnings = 0;
+
+// Lowers the limit on descriptors to those that are open, while it lives.
+class NoMoreDescriptors
+{
+public:
+  NoMoreDescriptors()
+  {
+    getrlimit(RLIMIT_NOFILE, &mOriginal);
+    const int lowest = dup(STDIN_FILENO);
+    close(lowest);
+    rlimit limit = mOriginal;
+    limit.rlim_cur = static_cast<rlim_t>(lowest);
+    CPPUNIT_ASSERT_EQUAL(0, setrlimit(RLIMIT_NOFILE, &limit));
+  }
+  NoMoreDescriptors(const NoMoreDescriptors&) = delete;
+  NoMoreDescriptors& operator=(const NoMoreDescriptors&) = delete;
+  ~NoMoreDescriptors() { setrlimit(RLIMIT_NOFILE, &mOriginal); }
+
+private:
+  rlimit mOriginal{};
+};
+
+void
+RunFor(EventLoop& aLoop, Duration aTime)
+{
+  const auto stop = aLoop.MakeTimer([&aLoop] { aLoop.Stop(); });
+  stop->StartAfter(aTime);
+  aLoop.Run();
+}
+
 } // namespace
 
 void
@@ -51,6 +90,30 @@
         CPPUNIT_ASSERT(closed);
       });
   });
+  aRoot.Describe("a listener without descriptors", [](Section& aSection) {
+    // Guards against a loop that does nothing but try to accept.
+    aSection.It("pauses, and accepts once there are some", [] {
+      EventLoop loop;
+      std::unique_ptr<FrameLink> accepted;
+      FrameListener listener(loop, [&](std::unique_ptr<FrameLink> aLink) {
+        accepted = std::move(aLink);
+        loop.Stop();
+      });
+      CPPUNIT_ASSERT(listener.Listen(kAddress).ok());
+      const FrameLink link(loop, kAddress);
+      acceptWarnings = 0;
+      event_set_log_callback([](int, const char*) { ++acceptWarnings; });
+      {
+        const NoMoreDescriptors none;
+        RunFor(loop, 50ms);
+      }
+      event_set_log_callback(nullptr);
+      CPPUNIT_ASSERT(accepted == nullptr);
+      CPPUNIT_ASSERT_EQUAL(0, acceptWarnings);
+      loop.Run();
+      CPPUNIT_ASSERT(accepted != nullptr);
+    });
+  });
   aRoot.Describe("a link whose peer does not read", [](Section& aSection) {
     // Guards against output that grows until the memory ends.
     aSection.It("fails before much waits to be sent", [] {
