A cell of 300 nodes stays below the limit of linked nodes

Change: the limit is 1,024 nodes. A peer that uses it up holds 2,048 descriptors at most, of the 3,075 and more of a machine.

--- a/src/cellnode/internal/peerlinks.h
+++ b/src/cellnode/internal/peerlinks.h
@@ -25,7 +25,8 @@
 // is closed. All nodes of a cell may connect at once.
 constexpr std::size_t kMaxUnidentifiedLinks = 256;
 // The most nodes that may be linked through links that they opened themselves.
-constexpr std::size_t kMaxLinkedNodes = 256;
+// A cell has a few hundred nodes.
+constexpr std::size_t kMaxLinkedNodes = 1024;
 // The most bytes of incomplete frames, and the most bytes that wait to be sent,
 // on all links together. Beyond it, the link with the most of them is closed.
 constexpr std::size_t kMaxPartialBytes = 16U << 20U;
