Log steps that wait although workers outside their approved ones have room

Change: such a step is logged when as many other workers have room as it has waiting tasks. A step that is not logged for the limit comes in the next pass.

--- a/src/jobs/internal/waitmonitor.cpp
+++ b/src/jobs/internal/waitmonitor.cpp
@@ -115,13 +115,12 @@
   const Candidate& candidate = aCandidates[aIndex];
   Step& step = *candidate.mStep;
   const bool longRunning = candidate.Spec().mLongRunning;
-  const UsableAdvice advice =
-    UsableAdviceOf(candidate, aUsable.Workers(), aNow);
-  step.mNextWaitReport = aNow + kReportInterval;
-  if (!longRunning &&
-      (advice.mApprovedWithRoom == 0 || mReports++ >= kMaxReportsPerPass)) {
+  if (!longRunning && mReports >= kMaxReportsPerPass) {
     return;
   }
+  step.mNextWaitReport = aNow + kReportInterval;
+  const UsableAdvice advice =
+    UsableAdviceOf(candidate, aUsable.Workers(), aNow);
   const StepAdvice& known = step.mAdvice;
   const PoolName& pool = candidate.mJob->mRecord.mQueue.mPool;
   const Resources& needed = candidate.Spec().mResources;
@@ -135,6 +134,10 @@
                                         return aWorker->mEntry.mPool == pool &&
                                                aWorker->HasRoomFor(needed);
                                       });
+  if (!longRunning && advice.mApprovedWithRoom == 0 && withRoom < tasks) {
+    return;
+  }
+  mReports += longRunning ? 0 : 1;
   LogWarning(longRunning ? "long_running_step_waits" : "step_waits")
     .With("step", candidate.mKey.ToText())
     .With("queue", candidate.mJob->mRecord.mQueue.mName)
--- a/src/jobs/internal/waitmonitor.h
+++ b/src/jobs/internal/waitmonitor.h
@@ -24,7 +24,8 @@
 
 private:
   // Logs a long-running step that waits for longer than it should, and another
-  // step that has waited for long although its approved workers have room.
+  // step that has waited for long although approved workers have room, or so
+  // many others that the step needs no more.
   void ReportIfDue(const std::vector<Candidate>& aCandidates,
                    std::size_t aIndex,
                    const UsableWorkers& aUsable,
