A failure is forgotten once a long-running task has stayed at work

Cause: a failure counts until the next success, and on such a worker nothing succeeds; the stay of a long-running task cleared failures only of a worker on trial. Change: the stay clears them on any worker with failures.

--- a/src/jobs/internal/usableworkers.cpp
+++ b/src/jobs/internal/usableworkers.cpp
@@ -25,7 +25,7 @@
   mWorkers.clear();
   mTrials = {};
   for (auto& [id, worker] : mCell.mFleet.Workers()) {
-    if (worker.mHealth.IsOnTrial() && HasPassedTrial(worker, aNow)) {
+    if (!worker.mHealth.mFailedJobs.empty() && HasShownToWork(worker, aNow)) {
       ClearFailures(worker, aNow);
     }
     const bool trialFull = IsTrialFull(worker, aNow);
--- a/src/jobs/internal/workerhealth.h
+++ b/src/jobs/internal/workerhealth.h
@@ -13,7 +13,7 @@
 // Starts out as that of a worker of which nothing is known.
 struct WorkerHealth
 {
-  // Jobs with failed runs on this worker since the last success.
+  // Jobs with failed runs on this worker since it was last shown to work.
   std::set<JobId> mFailedJobs;
   // No task is started on the worker before this time.
   TimePoint mAvoidUntil;
--- a/src/jobs/internal/workertrial.cpp
+++ b/src/jobs/internal/workertrial.cpp
@@ -40,7 +40,7 @@
 }
 
 bool
-HasPassedTrial(const Worker& aWorker, TimePoint aNow)
+HasShownToWork(const Worker& aWorker, TimePoint aNow)
 {
   const WorkerHealth& health = aWorker.mHealth;
   return std::any_of(
--- a/src/jobs/internal/workertrial.h
+++ b/src/jobs/internal/workertrial.h
@@ -14,7 +14,7 @@
 // True when a long-running task that was started after the latest failure has
 // stayed at work. It counts like the success of another task.
 bool
-HasPassedTrial(const Worker& aWorker, TimePoint aNow);
+HasShownToWork(const Worker& aWorker, TimePoint aNow);
 
 // Forgets the failures of a worker that has shown that it works, and ends its
 // trial.
--- a/src/jobs/tests/workertrial_test.cpp
+++ b/src/jobs/tests/workertrial_test.cpp
@@ -49,14 +49,18 @@
   // Lets jobs fail until the worker is suspected of a fault.
   void FailTwoJobs()
   {
-    for (const char* id : { "fails0", "fails1" }) {
-      mCell.Submit(id, SingleStepJob(MakeStep(1, 1000, 200ms)), MakeQueue(1));
-      mCell.RunFor(300ms);
-      CPPUNIT_ASSERT(mCell.StateOf(id) == JobState::Failed);
-    }
+    FailJob("fails0");
+    FailJob("fails1");
     CPPUNIT_ASSERT(IsOnTrial());
   }
 
+  void FailJob(const std::string& aId)
+  {
+    mCell.Submit(aId, SingleStepJob(MakeStep(1, 1000, 200ms)), MakeQueue(1));
+    mCell.RunFor(300ms);
+    CPPUNIT_ASSERT(mCell.StateOf(aId) == JobState::Failed);
+  }
+
   std::size_t Runs() { return mCell.WorkerAt(0).Runs().size(); }
   bool IsOnTrial()
   {
@@ -92,6 +96,14 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, cell.Runs());
       CPPUNIT_ASSERT(!cell.IsOnTrial());
     });
+    aSection.It("was not suspected for a failure before a long stay", [] {
+      TrialCell cell;
+      cell.FailJob("fails0");
+      cell.SubmitLongRunning("serves");
+      cell.mCell.RunFor(60s);
+      cell.FailJob("fails1");
+      CPPUNIT_ASSERT(!cell.IsOnTrial());
+    });
     aSection.It("gets one task at a time until one stays at work", [] {
       TrialCell cell;
       cell.FailTwoJobs();
