Crash check: an unreported end on a crashing worker looks like a crash

From an end that nobody was told of to a crash under the task no owner can tell the difference: the worker answers anew, without the run. No promise is broken; docs/design/crashing-tasks.md allows to give up at the third crash that is known. Change: the check that a job without failing runs may be given up for two crashes also counts runs whose end had not been reported to the owner of that time when their worker crashed, except on a draining worker. Reported ends count no more than before.

--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -281,6 +281,7 @@
       records.mWorkers.push_back(*worker);
     }
   }
+  mReportedEnds.clear();
   NoteMissedCrashes();
   mScheduler->Recover(records, NowMoment());
   if (mConfiguration.mTeams.has_value()) {
@@ -324,6 +325,7 @@
   for (const FakeRun& run : mWorkers[aWorkerIndex]->Runs()) {
     ++mCrashes[run.mTask];
   }
+  CountUnreportedEnds(*mWorkers[aWorkerIndex]);
   mWorkers[aWorkerIndex]->Crash();
   for (const auto& worker : mWorkers) {
     worker->ForgetGangEnds();
--- a/src/jobs/tests/fakecell.h
+++ b/src/jobs/tests/fakecell.h
@@ -10,6 +10,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jobs/cellscheduler.h"
@@ -145,6 +146,10 @@
   Millis mRestartDelay{ 2000 };
   // The number of crashes of workers under each task.
   std::map<TaskKey, int> mCrashes;
+  // The number of runs of each task that had ended when their worker crashed,
+  // without a report of it to the owner of that time. To the owner they look as
+  // if the worker had crashed under them.
+  std::map<TaskKey, int> mUnreportedEnds;
   // The workers that started each task, in the order of the starts.
   std::map<TaskKey, std::vector<WorkerId>> mStarts;
   // Violated invariants, each with the task and the time.
@@ -212,6 +217,10 @@
                const OwnerPointer& aOwner,
                const std::function<Answer(FakeWorker&, const Order&)>& aCall,
                const AnswerHandler<Order, Answer>& aDone);
+  // Notes the ends in a report that has arrived at the current owner.
+  void NoteReportedEnds(const PollAnswer& aAnswer);
+  // Counts the unreported ends on a worker that is about to crash.
+  void CountUnreportedEnds(const FakeWorker& aWorker);
   FakeWorkerHooks MakeWorkerHooks(std::size_t aWorkerIndex);
   // Checks the invariants that hold at the start of a run.
   void OnStart(std::size_t aWorkerIndex, const FakeRun& aRun);
@@ -270,6 +279,8 @@
   std::set<TaskKey> mSucceededTasks;
   std::set<TaskKey> mConfirmedSuccesses;
   std::map<TaskKey, std::set<RunNumber>> mConfirmedFailures;
+  // The ended runs that the current owner has been told of.
+  std::set<std::pair<TaskKey, RunNumber>> mReportedEnds;
   // The number of crashes under each task that the owner cannot know of.
   std::map<TaskKey, int> mMissedCrashes;
   // The number of starts of each task after three crashes of its workers.
--- a/src/jobs/tests/fakecellchecks.cpp
+++ b/src/jobs/tests/fakecellchecks.cpp
@@ -144,6 +144,27 @@
   }
 }
 
+void
+FakeCell::NoteReportedEnds(const PollAnswer& aAnswer)
+{
+  for (const EndedTask& end : aAnswer.mReport.mEnded) {
+    mReportedEnds.emplace(end.mTask, end.mRun);
+  }
+}
+
+void
+FakeCell::CountUnreportedEnds(const FakeWorker& aWorker)
+{
+  // The crash of a draining worker counts for no task.
+  if (!aWorker.IsUp() || aWorker.Entry().mDraining) {
+    return;
+  }
+  for (const EndedTask& end : aWorker.UnconfirmedEnds()) {
+    const bool reported = mReportedEnds.contains({ end.mTask, end.mRun });
+    mUnreportedEnds[end.mTask] += reported ? 0 : 1;
+  }
+}
+
 void
 FakeCell::CheckQuota(const FakeRun& aRun)
 {
--- a/src/jobs/tests/fakeworker.h
+++ b/src/jobs/tests/fakeworker.h
@@ -80,6 +80,11 @@
 
   const WorkerEntry& Entry() const { return mEntry; }
   const std::vector<FakeRun>& Runs() const { return mRuns; }
+  // The ended runs that no poll has confirmed yet.
+  const std::vector<EndedTask>& UnconfirmedEnds() const
+  {
+    return mUnconfirmedEnds;
+  }
   bool IsUp() const { return mUp; }
   // Whether an order or poll has reached the worker since its last restart.
   bool HasSeenToken() const { return mHighestToken != FencingToken(); }
