A waiting step is tried again when its queue's configuration changes

Cause: a step that finds no worker is not tried again before some worker gains free capacity. A changed queue was applied to its open jobs, but did not count as a reason to try: a job whose queue gets another pool, as its own has no workers, never started in a cell where nothing else ended, whatever free workers the new pool has. Change: Configure() forgets the failed attempts of the jobs whose queue has changed. Not mended here: approvals of workers of the former pool still count as approved workers, so a gang with advice may not ask about the new pool.

--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -83,6 +83,7 @@
     if (queue != nullptr && *queue != job.mRecord.mQueue) {
       job.mRecord.mQueue = *queue;
       job.mTimes = ComputeJobTimes(job.mRecord);
+      job.ForgetFailedAttempts();
     }
   }
   cell.mDispatchWanted = true;
--- a/src/jobs/internal/job.cpp
+++ b/src/jobs/internal/job.cpp
@@ -74,6 +74,16 @@
   return &step->mTasks[aKey.mIndex];
 }
 
+void
+Job::ForgetFailedAttempts()
+{
+  for (auto& [number, occurrence] : mOccurrences) {
+    for (Step& step : occurrence.mSteps) {
+      step.mTriedGeneration = 0;
+    }
+  }
+}
+
 void
 Job::ForEachTask(
   const std::function<void(const TaskKey&, const Task&)>& aFunction) const
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -216,6 +216,9 @@
   // The functions below return nullptr when there is no such step or task.
   Step* FindStep(int aOccurrence, int aStep);
   Task* FindTask(const TaskKey& aKey);
+  // Lets the steps that found no worker be tried again at once, after a change
+  // of what they need.
+  void ForgetFailedAttempts();
   // Calls a function for each task of the occurrences that are due.
   void ForEachTask(
     const std::function<void(const TaskKey&, const Task&)>& aFunction) const;
--- a/src/jobs/tests/main.cpp
+++ b/src/jobs/tests/main.cpp
@@ -15,6 +15,7 @@
       { "crashing tasks", oriolevane::CrashingTaskTests },
       { "worker failures", oriolevane::WorkerFailureTests },
       { "capacity", oriolevane::CapacityTests },
+      { "waiting tasks", oriolevane::WaitingTaskTests },
       { "malformed reports", oriolevane::MalformedReportTests },
       { "advice", oriolevane::AdviceTests },
       { "record write queue", oriolevane::RecordWriteQueueTests },
--- a/src/jobs/tests/testgroups.h
+++ b/src/jobs/tests/testgroups.h
@@ -20,6 +20,8 @@
 void
 CapacityTests(testing::Section& aRoot);
 void
+WaitingTaskTests(testing::Section& aRoot);
+void
 MalformedReportTests(testing::Section& aRoot);
 void
 AdviceTests(testing::Section& aRoot);
