A waiting step is tried again when a worker gets another label or pool

Cause: a step that finds no worker is not tried again before some worker gains free capacity. A registry entry counted as a gain only when its capacity grew. A worker that restarts as another kind may report its new life before the registry shows the new entry; it is usable by then with its former label, so the entry that makes it suitable brought no gain, and a job that waits for that label or pool never started in a cell where nothing else ended. Change: an entry with another pool, kind or rack counts as a gain.

--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -26,6 +26,15 @@
 // How long a worker that has left the registry and does not answer is kept.
 constexpr std::chrono::milliseconds kUnregisteredRetention = 3000ms;
 
+// True when tasks may run on a worker with the new entry that must not run
+// there with the former one, whatever the capacity.
+bool
+MaySuitOtherTasks(const WorkerEntry& aFormer, const WorkerEntry& aNew)
+{
+  return aFormer.mPool != aNew.mPool || aFormer.mKind != aNew.mKind ||
+         aFormer.mRack != aNew.mRack;
+}
+
 } // namespace
 
 Worker*
@@ -100,8 +109,9 @@
   if (otherIncarnation) {
     BeginIncarnation(worker, aEntry.mIncarnation);
   }
-  // Tasks that found no room are tried again only after a gain.
-  if (!aEntry.mCapacity.FitsIn(worker.mEntry.mCapacity)) {
+  // Tasks that found no suitable worker are tried again only after a gain.
+  if (!aEntry.mCapacity.FitsIn(worker.mEntry.mCapacity) ||
+      MaySuitOtherTasks(worker.mEntry, aEntry)) {
     NoteCapacityGain(worker);
   }
   worker.mEntry = aEntry;
