--- a/src/eventloop/tests/connectiontable_test.cpp
+++ b/src/eventloop/tests/connectiontable_test.cpp
@@ -69,6 +69,13 @@
     return mTable->Counts().mClosed.at(aReason);
   }
 
+  // Number of open connections when the server ends now.
+  std::size_t OpenConnections()
+  {
+    Stop();
+    return mTable->Counts().mOpen;
+  }
+
 private:
   void StopIfAsked()
   {
@@ -267,6 +274,18 @@
       CPPUNIT_ASSERT(received.has_value() && *received < kResponseBytes);
       CPPUNIT_ASSERT(server.Stop(CloseReason::ResponseTimeout) == 1);
     });
+    // Guards against a library that ends the process when more arrives while
+    // the handler has a request.
+    aSection.It("may send more while its request is being answered", [] {
+      LimitedServer server(100, {});
+      const RawClient client(UnansweredRequest(10));
+      std::this_thread::sleep_for(50ms);
+      client.Send(std::string(100'000, 'x'));
+      std::this_thread::sleep_for(50ms);
+      const RawClient other;
+      CPPUNIT_ASSERT(other.IsServed());
+      CPPUNIT_ASSERT(server.OpenConnections() == 2);
+    });
     // Guards against requests that are left unread behind the first ones.
     aSection.It("gets a response to each request that it sends at once", [] {
       constexpr std::size_t kRequests = 1000;
