The server for workers' reports cuts off reports that never end

Its timeout of 5 s started anew with each byte, so that a worker that sent a byte now and then held one of 16 threads without end; 16 of them kept all reports out.

It now listens as the gateway does (gateway/callersocket.h, public for that): 10 s for a request from its first byte, 64 KiB for what comes before the body, and 10 s for the answer to be taken. Bodies keep their limit.

Before (the product with a plain listening socket), the test failed: 5 s of bytes, 5 ms apart, did not end the connection at a limit of 100 ms; now it is cut off.

--- a/src/gateway/internal/callersocket.cpp
+++ b/src/gateway/internal/callersocket.cpp
@@ -1,4 +1,4 @@
-#include "gateway/internal/callersocket.h"
+#include "gateway/callersocket.h"
 
 #include <algorithm>
 #include <optional>
--- a/src/gateway/internal/gatewayserver.cpp
+++ b/src/gateway/internal/gatewayserver.cpp
@@ -12,7 +12,7 @@
 #include <Poco/ThreadPool.h>
 
 #include "framework/types/timepoint.h"
-#include "gateway/internal/callersocket.h"
+#include "gateway/callersocket.h"
 #include "gateway/internal/httphandler.h"
 #include "gateway/router.h"
 
--- a/src/gateway/internal/httphandler.cpp
+++ b/src/gateway/internal/httphandler.cpp
@@ -17,7 +17,7 @@
 
 #include "framework/log.h"
 #include "framework/types/timepoint.h"
-#include "gateway/internal/callersocket.h"
+#include "gateway/callersocket.h"
 #include "gateway/internal/lingeringclose.h"
 #include "gateway/internal/readdeadline.h"
 
--- a/src/node/internal/workerreportserver.cpp
+++ b/src/node/internal/workerreportserver.cpp
@@ -6,10 +6,12 @@
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/ThreadPool.h>
 
+#include "gateway/callersocket.h"
 #include "workers/reporthandler.h"
 
 namespace oriolevane::node {
@@ -32,6 +34,21 @@
   }
 };
 
+// Handles a report whose body has another limit than its headers.
+class LimitedReportHandler : public workers::ReportHandler
+{
+public:
+  using workers::ReportHandler::ReportHandler;
+
+  void handleRequest(Poco::Net::HTTPServerRequest& aRequest,
+                     Poco::Net::HTTPServerResponse& aResponse) override
+  {
+    gateway::EndHead(
+      dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(aRequest).socket());
+    workers::ReportHandler::handleRequest(aRequest, aResponse);
+  }
+};
+
 class ReportHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
 {
 public:
@@ -46,7 +63,7 @@
     if (aRequest.getURI() != workers::kWorkerReportsPath) {
       return new NotFoundHandler;
     }
-    return new workers::ReportHandler(mOnReport);
+    return new LimitedReportHandler(mOnReport);
   }
 
 private:
@@ -64,26 +81,16 @@
   return params;
 }
 
-// Without sharing of the port, so that a second process is told that it is
-// taken.
-Poco::Net::ServerSocket
-Listen(const std::string& aAddress)
-{
-  Poco::Net::ServerSocket socket;
-  socket.bind(Poco::Net::SocketAddress(aAddress), true, false);
-  socket.listen();
-  return socket;
-}
-
 } // namespace
 
 class WorkerReportServer::Impl
 {
 public:
   Impl(const std::string& aAddress,
-       std::function<bool(protocol::WorkerReport)> aOnReport)
+       std::function<bool(protocol::WorkerReport)> aOnReport,
+       std::chrono::milliseconds aRequestLimit)
     : mPool(2, kThreads)
-    , mSocket(Listen(aAddress))
+    , mSocket(gateway::ListenForCallers(aAddress, aRequestLimit))
     , mServer(new ReportHandlerFactory(std::move(aOnReport)),
               mPool,
               mSocket,
@@ -109,11 +116,12 @@
 
 absl::StatusOr<std::unique_ptr<WorkerReportServer>>
 WorkerReportServer::Start(const std::string& aAddress,
-                          std::function<bool(protocol::WorkerReport)> aOnReport)
+                          std::function<bool(protocol::WorkerReport)> aOnReport,
+                          std::chrono::milliseconds aRequestLimit)
 {
   try {
     return std::unique_ptr<WorkerReportServer>(new WorkerReportServer(
-      std::make_unique<Impl>(aAddress, std::move(aOnReport))));
+      std::make_unique<Impl>(aAddress, std::move(aOnReport), aRequestLimit)));
   } catch (const Poco::Exception& error) {
     return absl::UnavailableError(error.displayText());
   }
