Renew the tickets of steps that have room, also behind steps that have none

Tickets are renewed for the first 24 steps of a queue in the order of urgency, whether or not these can start. More urgent steps whose admitted workers are full kept their tickets, and a step behind them with room on its approved workers had none and stood for as long as they waited.

Change: steps that this limit leaves out, but whose approved workers have room for a task or for the whole gang, have a share of the same size of their own, in an overload too. Steps without room gain nothing by new tickets, so their limit stays.

steps_that_wait: "starts behind many more urgent ones that have none" failed before and passes.

--- a/src/jobs/internal/advicebudget.cpp
+++ b/src/jobs/internal/advicebudget.cpp
@@ -25,8 +25,9 @@
 constexpr std::size_t kMinStepsRenewedPerQueue = 24;
 constexpr std::size_t kMaxStepsRenewedPerQueue = 36;
 // While the service is overloaded, the renewals of all queues occupy at most
-// this share of the hosts for steps with a bounded wait, and as much for
-// others, so that their number does not grow with that of the waiting steps.
+// this share of the hosts for steps with a bounded wait, as much for others,
+// and as much for those with room that these shares leave out, so that their
+// number does not grow with that of the waiting steps.
 constexpr double kMaxRenewalShareInOverload = 0.25;
 // A renewal names about this many workers.
 constexpr int kWorkersPerRenewal = 10;
@@ -39,8 +40,10 @@
   mHosts = std::max<std::size_t>(aHosts, 1);
   mPending = aPending;
   mStepsRenewed.clear();
+  mStepsRenewedWithRoom.clear();
   mHostsRenewingBounded = 0;
   mHostsRenewingOthers = 0;
+  mHostsRenewingWithRoom = 0;
 }
 
 std::size_t
@@ -70,26 +73,40 @@
 }
 
 bool
-AdviceBudget::TakeRenewal(const QueuePolicy& aQueue, bool aBoundedWait)
+AdviceBudget::Take(const QueuePolicy& aQueue,
+                   StepCounts& aRenewed,
+                   double& aHostsRenewing) const
 {
   const AdvicePolicy& policy = *aQueue.mAdvice;
   if (IsOverloaded(policy)) {
     const auto allowed =
       kMaxRenewalShareInOverload * static_cast<double>(mHosts);
-    double& renewing =
-      aBoundedWait ? mHostsRenewingBounded : mHostsRenewingOthers;
-    if (renewing >= allowed) {
+    if (aHostsRenewing >= allowed) {
       return false;
     }
     const std::chrono::duration<double> service =
       policy.mDecisionTime + policy.mTimePerWorker * kWorkersPerRenewal;
     const std::chrono::duration<double> validity = policy.mValidity;
-    renewing += service / validity;
+    aHostsRenewing += service / validity;
   }
   const std::size_t limit = std::clamp(mHosts / kHostsPerRenewedStep,
                                        kMinStepsRenewedPerQueue,
                                        kMaxStepsRenewedPerQueue);
-  return mStepsRenewed[aQueue.mName]++ < limit;
+  return aRenewed[aQueue.mName]++ < limit;
+}
+
+bool
+AdviceBudget::TakeRenewal(const QueuePolicy& aQueue, bool aBoundedWait)
+{
+  return Take(aQueue,
+              mStepsRenewed,
+              aBoundedWait ? mHostsRenewingBounded : mHostsRenewingOthers);
+}
+
+bool
+AdviceBudget::TakeRenewalWithRoom(const QueuePolicy& aQueue)
+{
+  return Take(aQueue, mStepsRenewedWithRoom, mHostsRenewingWithRoom);
 }
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/advicebudget.h
+++ b/src/jobs/internal/advicebudget.h
@@ -40,18 +40,31 @@
   // renewed. Steps are to be passed in the order of their urgency. Steps with a
   // bounded wait and others have separate shares.
   bool TakeRenewal(const QueuePolicy& aQueue, bool aBoundedWait);
+  // The same for a step that TakeRenewal() has left out, although it could
+  // start with new tickets. These have shares of their own, as more urgent
+  // steps without room may keep theirs for as long as they wait.
+  bool TakeRenewalWithRoom(const QueuePolicy& aQueue);
 
 private:
+  using StepCounts = std::map<QueueName, std::size_t>;
+
+  // Takes one renewal from the steps of a queue, and in an overload its time
+  // from aHostsRenewing.
+  bool Take(const QueuePolicy& aQueue,
+            StepCounts& aRenewed,
+            double& aHostsRenewing) const;
   // True when a renewal that is asked for now is answered only after the ticket
   // that it renews has expired.
   bool IsOverloaded(const AdvicePolicy& aPolicy) const;
 
   std::size_t mHosts = 1;
   PendingAdvice mPending;
-  std::map<QueueName, std::size_t> mStepsRenewed;
+  StepCounts mStepsRenewed;
+  StepCounts mStepsRenewedWithRoom;
   // The hosts that the renewals of this pass occupy all the time.
   double mHostsRenewingBounded = 0;
   double mHostsRenewingOthers = 0;
+  double mHostsRenewingWithRoom = 0;
 };
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/adviceplanner.h
+++ b/src/jobs/internal/adviceplanner.h
@@ -36,6 +36,12 @@
   {
     return mBudget.TakeRenewal(aQueue, aSpec.mLongRunning);
   }
+  // The same for a step that could start with new tickets, once TakeRenewal()
+  // has returned false for it.
+  bool TakeRenewalWithRoom(const QueuePolicy& aQueue)
+  {
+    return mBudget.TakeRenewalWithRoom(aQueue);
+  }
   // Sends a query for a step that is waiting to start when too few workers are
   // approved, or when tickets would expire before the answer arrives.
   void QueryIfNeeded(const Job& aJob,
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -57,10 +57,7 @@
     if (!QuotaAllowsStart(candidate)) {
       continue;
     }
-    const QueuePolicy& queue = candidate.mJob->mRecord.mQueue;
-    if (queue.mAdvice.has_value() &&
-        (!candidate.mStep->mAdvice.mAnswered ||
-         mAdvice.TakeRenewal(queue, candidate.Spec()))) {
+    if (MayQuery(candidate)) {
       mAdvice.QueryIfNeeded(
         *candidate.mJob, candidate.mKey, *candidate.mStep, aNow.mSteady);
     }
@@ -87,6 +84,18 @@
             .count());
 }
 
+bool
+Dispatcher::MayQuery(const Candidate& aCandidate)
+{
+  const QueuePolicy& queue = aCandidate.mJob->mRecord.mQueue;
+  if (!queue.mAdvice.has_value()) {
+    return false;
+  }
+  return !aCandidate.mStep->mAdvice.mAnswered ||
+         mAdvice.TakeRenewal(queue, aCandidate.Spec()) ||
+         (HasRoomOnApproved(aCandidate) && mAdvice.TakeRenewalWithRoom(queue));
+}
+
 bool
 Dispatcher::QuotaAllowsStart(const Candidate& aCandidate)
 {
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -37,6 +37,8 @@
 private:
   // Logs that this node starts nothing, once until it does again.
   void ReportSuspension(TimePoint aNow);
+  // True when the policy service may be queried about the step in this pass.
+  bool MayQuery(const Candidate& aCandidate);
   // Returns false when the step has to wait for its team's quota. It then takes
   // no part in the pass.
   bool QuotaAllowsStart(const Candidate& aCandidate);
--- a/src/jobs/internal/eligibleworkers.cpp
+++ b/src/jobs/internal/eligibleworkers.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "jobs/internal/reservation.h"
+
 namespace oriolevane::jobs {
 
 namespace {
@@ -70,6 +72,31 @@
   return eligible;
 }
 
+bool
+HasRoomOnApproved(const Candidate& aCandidate)
+{
+  const StepSpec& spec = aCandidate.Spec();
+  int missing = spec.mGang ? spec.mTaskCount : 1;
+  for (const Approval& approval : aCandidate.mStep->mAdvice.mApproved) {
+    const Worker& worker = *approval.mWorker;
+    if (!IsEligible(worker, aCandidate.mJob->mRecord.mQueue, spec) ||
+        worker.mHasUnknownLoad ||
+        !IsBelowPerWorkerLimit(
+          { .mWorker = approval.mWorker }, aCandidate.mKey, spec)) {
+      continue;
+    }
+    const int limit = worker.mHealth.IsOnTrial() ? 1
+                      : spec.mMaxPerWorker > 0   ? spec.mMaxPerWorker
+                                                 : missing;
+    missing -= TasksThatFit(
+      worker.mEntry.mCapacity, worker.mUsed, spec.mResources, limit);
+    if (missing <= 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool
 IsBelowPerWorkerLimit(const EligibleWorker& aChoice,
                       const StepKey& aStep,
--- a/src/jobs/internal/eligibleworkers.h
+++ b/src/jobs/internal/eligibleworkers.h
@@ -30,6 +30,12 @@
                        const std::vector<Worker*>& aUsable,
                        TimePoint aNow);
 
+// True when the workers that the policy service has approved have room for a
+// task of the step, or for all members of a gang, whether or not their tickets
+// have expired.
+bool
+HasRoomOnApproved(const Candidate& aCandidate);
+
 // True when the worker runs fewer tasks of the step than it may.
 bool
 IsBelowPerWorkerLimit(const EligibleWorker& aChoice,
--- a/src/jobs/internal/reservation.cpp
+++ b/src/jobs/internal/reservation.cpp
@@ -6,29 +6,6 @@
 
 namespace {
 
-// The number of tasks that fit into the capacity that is not used, at most
-// aLimit.
-int
-TasksThatFit(const Resources& aCapacity,
-             const Resources& aUsed,
-             const Resources& aTask,
-             int aLimit)
-{
-  const Resources free = aCapacity - aUsed;
-  const auto fits = [aLimit](std::int64_t aFree, std::int64_t aPerTask) {
-    if (aFree < 0) {
-      return std::int64_t{ 0 };
-    }
-    return aPerTask <= 0 ? std::int64_t{ aLimit } : aFree / aPerTask;
-  };
-  const std::int64_t count =
-    std::min({ fits(free.mMilliCores, aTask.mMilliCores),
-               fits(free.mMemoryMiB, aTask.mMemoryMiB),
-               fits(free.mAccelerators, aTask.mAccelerators),
-               std::int64_t{ aLimit } });
-  return static_cast<int>(count);
-}
-
 struct ReleaseEvent
 {
   TimePoint mAt;
@@ -58,6 +35,27 @@
 
 } // namespace
 
+int
+TasksThatFit(const Resources& aCapacity,
+             const Resources& aUsed,
+             const Resources& aTask,
+             int aLimit)
+{
+  const Resources free = aCapacity - aUsed;
+  const auto fits = [aLimit](std::int64_t aFree, std::int64_t aPerTask) {
+    if (aFree < 0) {
+      return std::int64_t{ 0 };
+    }
+    return aPerTask <= 0 ? std::int64_t{ aLimit } : aFree / aPerTask;
+  };
+  const std::int64_t count =
+    std::min({ fits(free.mMilliCores, aTask.mMilliCores),
+               fits(free.mMemoryMiB, aTask.mMemoryMiB),
+               fits(free.mAccelerators, aTask.mAccelerators),
+               std::int64_t{ aLimit } });
+  return static_cast<int>(count);
+}
+
 void
 ExpectedEnds::Add(TimePoint aEnd, const Resources& aResources)
 {
--- a/src/jobs/internal/reservation.h
+++ b/src/jobs/internal/reservation.h
@@ -55,6 +55,14 @@
   int mMaxTasks = 0;
 };
 
+// The number of tasks that fit into the capacity that is not used, at most
+// aLimit.
+int
+TasksThatFit(const Resources& aCapacity,
+             const Resources& aUsed,
+             const Resources& aTask,
+             int aLimit);
+
 // Plans the earliest start of aCount tasks from the expected ends of the
 // present runs. Returns nothing when the workers could not hold the tasks even
 // when empty.
