A gang without room asks about further workers that have room

A single task whose approved workers are full asks about more workers each second.

Change: a gang that has found no room for a second raises its target when a worker that it has not asked about has room for a member. In a full cell it asks about no more than before, so gangs with long queries do not load the policy service while they wait.

steps_that_wait: "starts on workers that it had not asked about" failed before and passes.

--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -155,6 +155,7 @@
                              TimePoint aNow)
 {
   const StepAdvice& advice = aStep.mAdvice;
+  mTarget.RaiseForGang(aJob, aKey, aStep, mUsable, aNow);
   const std::size_t target = mTarget.Of(aJob, aKey, aStep);
   const StepSpec& spec = aJob.mRecord.mSpec.mSteps[aKey.mStep];
   const bool mayFindMore =
--- a/src/jobs/internal/approvaltarget.cpp
+++ b/src/jobs/internal/approvaltarget.cpp
@@ -16,6 +16,9 @@
 // target is raised by its own amount again each time the second time passes.
 constexpr std::chrono::milliseconds kNoRoomTolerance = 1000ms;
 constexpr std::chrono::milliseconds kTargetRaiseInterval = 1000ms;
+// The factor by which the target of a gang is raised. It is high enough that
+// its next query follows at once.
+constexpr std::size_t kGangTargetRaise = 3;
 // The share of approvals that is assumed until the first answer for a queue.
 constexpr double kDefaultApprovalShare = 0.4;
 constexpr double kMinApprovalShare = 0.1;
@@ -32,6 +35,15 @@
                   fits(aCapacity.mMemoryMiB, aTask.mMemoryMiB));
 }
 
+// True when the step has found no room on its approved workers for longer than
+// usual.
+bool
+HasFoundNoRoom(const Step& aStep, TimePoint aNow)
+{
+  return aStep.mNoRoomSince.has_value() &&
+         *aStep.mNoRoomSince + kNoRoomTolerance <= aNow;
+}
+
 } // namespace
 
 std::size_t
@@ -109,18 +121,46 @@
                             TimePoint aNow) const
 {
   const std::size_t target = Of(aJob, aKey, aStep);
-  // A gang waits for all of its members, and its target allows for that.
-  const StepSpec& spec = aJob.mRecord.mSpec.mSteps[aKey.mStep];
-  if (spec.mGang || !aStep.mNoRoomSince.has_value() ||
-      *aStep.mNoRoomSince + kNoRoomTolerance > aNow) {
+  if (!HasFoundNoRoom(aStep, aNow)) {
     return target;
   }
+  const StepSpec& spec = aJob.mRecord.mSpec.mSteps[aKey.mStep];
+  if (spec.mGang) {
+    return std::max(target, aStep.mAdvice.mRaisedTarget);
+  }
   const auto raises =
     (aNow - *aStep.mNoRoomSince - kNoRoomTolerance) / kTargetRaiseInterval + 1;
   return std::max(target, CountApproved(aStep, spec)) *
          static_cast<std::size_t>(1 + raises);
 }
 
+void
+ApprovalTarget::RaiseForGang(const Job& aJob,
+                             const StepKey& aKey,
+                             Step& aStep,
+                             const std::vector<Worker*>& aUsable,
+                             TimePoint aNow) const
+{
+  const StepSpec& spec = aJob.mRecord.mSpec.mSteps[aKey.mStep];
+  StepAdvice& advice = aStep.mAdvice;
+  if (!spec.mGang || aNow < advice.mNextRaise || !HasFoundNoRoom(aStep, aNow)) {
+    return;
+  }
+  advice.mNextRaise = aNow + kTargetRaiseInterval;
+  const PoolName& pool = aJob.mRecord.mQueue.mPool;
+  const bool hasRoom =
+    std::any_of(aUsable.begin(), aUsable.end(), [&](const Worker* aWorker) {
+      return aWorker->mEntry.mPool == pool &&
+             !advice.mQueried.contains(aWorker) &&
+             aWorker->HasRoomFor(spec.mResources);
+    });
+  if (hasRoom) {
+    advice.mRaisedTarget =
+      kGangTargetRaise *
+      std::max(CountApproved(aStep, spec), Of(aJob, aKey, aStep));
+  }
+}
+
 std::size_t
 ApprovalTarget::CountToQuery(const Job& aJob,
                              const StepKey& aKey,
--- a/src/jobs/internal/approvaltarget.h
+++ b/src/jobs/internal/approvaltarget.h
@@ -28,11 +28,20 @@
   std::size_t UsableInPool(const PoolName& aPool) const;
   // The number of workers that should be approved for a step.
   std::size_t Of(const Job& aJob, const StepKey& aKey, const Step& aStep) const;
-  // The same, raised while the approved workers have no room for the step.
+  // The same, raised while the approved workers have no room for the step. For
+  // a gang, it is raised by RaiseForGang() only.
   std::size_t WithoutRoom(const Job& aJob,
                           const StepKey& aKey,
                           const Step& aStep,
                           TimePoint aNow) const;
+  // Raises the number for a gang that finds no room on its approved workers,
+  // when one of aUsable that it has not asked about has room for a member. In a
+  // full cell, queries about more workers would not let it start sooner.
+  void RaiseForGang(const Job& aJob,
+                    const StepKey& aKey,
+                    Step& aStep,
+                    const std::vector<Worker*>& aUsable,
+                    TimePoint aNow) const;
   // The number of further workers to ask about to reach the target, going by
   // the share of approvals in the queue's earlier answers.
   std::size_t CountToQuery(const Job& aJob,
--- a/src/jobs/internal/stepadvice.h
+++ b/src/jobs/internal/stepadvice.h
@@ -36,6 +36,11 @@
   int mUnanswered = 0;
   // No query is sent before this time, because earlier ones got no answer.
   TimePoint mRetryAt;
+  // The number of approvals that a gang aims for, once others than its approved
+  // workers had room while it waited; 0 before.
+  std::size_t mRaisedTarget = 0;
+  // When is looked again whether others have room.
+  TimePoint mNextRaise;
   // At least one answer has arrived since this node learned of the step.
   bool mAnswered = false;
   // Workers that some answer covered, whether approved or not.
