Try a late gang again once it may use slow workers

A gang leaves slow workers out while it is on time. Its failed attempt was remembered without that, so when it became late it was not tried again until an approved worker gained room or a ticket was renewed; in a cell in which nothing ends it stood beside slow workers that were free.

Change: a step notes that its last attempt left slow workers out, and counts as worth trying when it may use them now. This takes the place of the reset in ReserveForGang().

--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -135,16 +135,10 @@
 void
 Dispatcher::ReserveForGang(const Candidate& aCandidate)
 {
-  Step& step = *aCandidate.mStep;
-  const bool withSlow =
+  aCandidate.mStep->mMayUseSlowWorkers =
     mGangReservations.Reserve(aCandidate.Spec(),
                               ApprovedWorkers(aCandidate, mUsable.Workers()),
                               !mUsable.SpeedsKnown());
-  if (withSlow && !step.mMayUseSlowWorkers) {
-    // The last attempt left the slow workers out.
-    step.mTriedGeneration = 0;
-  }
-  step.mMayUseSlowWorkers = withSlow;
 }
 
 double
@@ -174,6 +168,9 @@
 Dispatcher::IsWorthTrying(const Candidate& aCandidate) const
 {
   const Step& step = *aCandidate.mStep;
+  if (step.mTriedWithoutSlow && MayUseSlowWorkers(aCandidate)) {
+    return true;
+  }
   if (step.mTriedGeneration >= mCell.mFleet.CapacityGeneration()) {
     return false;
   }
@@ -326,7 +323,8 @@
 {
   std::vector<EligibleWorker> eligible =
     CollectEligibleWorkers(aCandidate, mUsable.Workers(), aNow.mSteady);
-  if (!MayUseSlowWorkers(aCandidate)) {
+  aCandidate.mStep->mTriedWithoutSlow = !MayUseSlowWorkers(aCandidate);
+  if (aCandidate.mStep->mTriedWithoutSlow) {
     std::erase_if(eligible, [](const EligibleWorker& aChoice) {
       return aChoice.mWorker->mHealth.mRunTime.IsSlow();
     });
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -48,8 +48,8 @@
   // The share of the usable workers' processors that single tasks with ample
   // slack may use. It shrinks as waiting gangs need more capacity.
   double SingleTaskShare(const std::vector<Candidate>& aCandidates) const;
-  // Returns false when no worker has gained room since the last attempt to
-  // start the step failed.
+  // Returns false when the last attempt to start the step failed, and since
+  // then no worker has gained room and none has become allowed.
   bool IsWorthTrying(const Candidate& aCandidate) const;
   // Starts each waiting task of a step that is not a gang, as far as it fits.
   void PlaceTasks(const Candidate& aCandidate, const Moment& aNow);
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -146,6 +146,8 @@
   // Generation of the fleet's capacity at which the last attempt to start tasks
   // failed.
   std::uint64_t mTriedGeneration = 0;
+  // The last attempt to start a gang left slow workers out.
+  bool mTriedWithoutSlow = false;
 
   bool IsDone() const { return mSucceeded == static_cast<int>(mTasks.size()); }
   bool HasRuns() const;
