Failures of a task on several workers do not count against them

Cause: failed runs of two jobs without a success in between made a worker suspect, and on trial each further failure did so again, whichever job failed. Jobs that can never be done fail on every worker, and at the end of the traffic little else runs, so nothing ended the suspicions. Class: a state whose exit the normal course may never bring; and a conclusion on a worker that the evidence did not carry. Change: a task that has failed on two workers within 10 s is the cause itself, and its job's failures count against no worker, unless most first runs of tasks have failed in the last second or two: then the workers are. A task that fails on one worker only counts against it, as before. A suspicion and a pause after a refused start are kept apart, so that ending one leaves the other.

--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -100,6 +100,9 @@
   // reported again to a later owner, and out of order, but must count only
   // once.
   std::set<RunNumber> mFailedRuns;
+  // When the latest run on each worker failed, for failures of the last seconds
+  // that this node learnt of.
+  std::map<WorkerId, TimePoint> mFailedOn;
   crashes::TaskCrashes mCrashes;
   std::map<RunNumber, LostRun> mLostRuns;
   // Highest run number so far.
--- a/src/jobs/internal/runendhandler.cpp
+++ b/src/jobs/internal/runendhandler.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "framework/log.h"
-#include "jobs/internal/workertrial.h"
 
 namespace oriolevane::jobs {
 
@@ -12,10 +11,6 @@
 
 using namespace std::chrono_literals;
 
-// A worker is suspected of a fault after failed runs of this many jobs without
-// a success in between.
-constexpr std::size_t kFailedJobsUntilSuspect = 2;
-constexpr std::chrono::milliseconds kSuspectAvoidance = 2500ms;
 // Weight of the newest run in the moving average of a worker's slowness.
 constexpr double kSlownessWeight = 0.3;
 
@@ -280,25 +275,14 @@
                             EndKind aKind,
                             const Moment& aNow)
 {
-  WorkerHealth& health = aWorker.mHealth;
   if (aKind == EndKind::Failed) {
-    health.mFailedJobs.insert(aJob.Id());
-    health.mLastFailureAt = aNow.mSteady;
-    if (health.mFailedJobs.size() >= kFailedJobsUntilSuspect ||
-        health.IsOnTrial()) {
-      health.mAvoidUntil = aNow.mSteady + kSuspectAvoidance;
-      health.mTrialSince = health.mTrialSince.value_or(aNow.mSteady);
-      LogWarning("worker_suspected")
-        .With("worker", aWorker.Id())
-        .With("failed_jobs", health.mFailedJobs.size())
-        .With("runs", aWorker.mRuns.size());
-    }
+    mFailures.OnFailed(aWorker, aJob, aRun, aNow.mSteady);
     return;
   }
   if (aKind != EndKind::Succeeded) {
     return;
   }
-  ClearFailures(aWorker, aNow.mSteady);
+  mFailures.OnSucceeded(aWorker, aJob, aRun, aNow.mSteady);
   UpdateRunTime(aWorker, aJob, aRun, aNow.mSteady);
 }
 
--- a/src/jobs/internal/runendhandler.h
+++ b/src/jobs/internal/runendhandler.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "jobs/internal/cellstate.h"
+#include "jobs/internal/failureattribution.h"
 #include "jobs/internal/runtracker.h"
 
 namespace oriolevane::jobs {
@@ -12,6 +13,7 @@
   RunEndHandler(CellState& aCell, RunTracker& aRuns)
     : mCell(aCell)
     , mRuns(aRuns)
+    , mFailures(aCell)
   {
   }
 
@@ -57,6 +59,7 @@
 
   CellState& mCell;
   RunTracker& mRuns;
+  FailureAttribution mFailures;
 };
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/usableworkers.cpp
+++ b/src/jobs/internal/usableworkers.cpp
@@ -36,7 +36,8 @@
     const bool usable = registered && !worker.mEntry.mDraining &&
                         worker.mRecorded && worker.mReachable &&
                         worker.mReconciled && worker.mClock.has_value() &&
-                        worker.mHealth.mAvoidUntil <= aNow && !trialFull;
+                        worker.mHealth.mAvoidUntil <= aNow &&
+                        worker.mHealth.mSuspectedUntil <= aNow && !trialFull;
     if (worker.mHealth.IsOnTrial() && worker.mReachable) {
       NoteTrial(worker, trialFull, aNow);
     }
--- a/src/jobs/internal/workerhealth.h
+++ b/src/jobs/internal/workerhealth.h
@@ -15,8 +15,11 @@
 {
   // Jobs with failed runs on this worker since it was last shown to work.
   std::set<JobId> mFailedJobs;
-  // No task is started on the worker before this time.
+  // No task is started on the worker before this time, because it refused a
+  // start or did not answer one.
   TimePoint mAvoidUntil;
+  // The same, because it is suspected of a fault.
+  TimePoint mSuspectedUntil;
   // Since when only one task at a time is started on the worker, until one
   // shows that it works; nothing for a worker that is not on trial.
   std::optional<TimePoint> mTrialSince;
--- a/src/jobs/internal/workertrial.cpp
+++ b/src/jobs/internal/workertrial.cpp
@@ -52,9 +52,15 @@
 
 void
 ClearFailures(Worker& aWorker, TimePoint aNow)
+{
+  aWorker.mHealth.mFailedJobs.clear();
+  EndTrial(aWorker, aNow);
+}
+
+void
+EndTrial(Worker& aWorker, TimePoint aNow)
 {
   WorkerHealth& health = aWorker.mHealth;
-  health.mFailedJobs.clear();
   if (!health.IsOnTrial()) {
     return;
   }
--- a/src/jobs/internal/workertrial.h
+++ b/src/jobs/internal/workertrial.h
@@ -21,4 +21,8 @@
 void
 ClearFailures(Worker& aWorker, TimePoint aNow);
 
+// Ends the trial of a worker, if it is on trial.
+void
+EndTrial(Worker& aWorker, TimePoint aNow);
+
 } // namespace oriolevane::jobs
--- a/src/jobs/tests/workertrial_test.cpp
+++ b/src/jobs/tests/workertrial_test.cpp
@@ -17,6 +17,9 @@
 // long-running task has to stay at work.
 constexpr Millis kRecoveryTime{ 10000 };
 
+// Submitted to workers of which most fail all that they start.
+constexpr int kSpellJobs = 100;
+
 // A cell of one worker, on which the runs of some jobs fail.
 class TrialCell
 {
@@ -73,9 +76,42 @@
   int mFailingStarts = 0;
 };
 
+// The number of starts on workers that fail all that they start for ten
+// seconds, while short jobs arrive all the time.
+int
+StartsOnFailingWorkers(int aFailing, int aWorkers)
+{
+  constexpr Millis kFaultEnd{ 10200 };
+  FakeCell cell({ .mWorkers = aWorkers });
+  int starts = 0;
+  cell.mPlan = [&](const TaskKey&, RunNumber, const WorkerId& aWorker) {
+    const bool fails =
+      cell.Now() < kFaultEnd && std::stoi(aWorker.mValue.substr(1)) < aFailing;
+    starts += fails ? 1 : 0;
+    return RunPlan{ .mDuration = 300ms, .mFails = fails };
+  };
+  cell.RunFor(200ms);
+  for (int job = 0; job < kSpellJobs; ++job) {
+    cell.Submit("job" + std::to_string(job),
+                SingleStepJob(MakeStep(1, 1000, 300ms)),
+                MakeQueue(4));
+    cell.RunFor(100ms);
+  }
+  return starts;
+}
+
 void
 WorkerTrialTests(Section& aRoot)
 {
+  aRoot.Describe("workers that fail all they start", [](Section& aSection) {
+    // Guards against retries that go to failing workers without a pause.
+    aSection.It("get few tasks when they are most of the cell", [] {
+      CPPUNIT_ASSERT(StartsOnFailingWorkers(5, 6) <= kSpellJobs);
+    });
+    aSection.It("get few tasks when they are all of the cell", [] {
+      CPPUNIT_ASSERT(StartsOnFailingWorkers(6, 6) <= kSpellJobs);
+    });
+  });
   aRoot.Describe("a worker on trial after failures", [](Section& aSection) {
     aSection.It("is used again beside long-running tasks from before", [] {
       TrialCell cell;
