A server without a free descriptor pauses instead of trying without end

What callers saw: nothing by itself; found while the crowd tests ran on the code before. Cause: when accept fails, the connection stays in line and the loop does not wait, so the library tries again at once, and writes a line to standard error for each attempt. The timer now runs while a server listens.

--- a/src/eventloop/connectiontable.h
+++ b/src/eventloop/connectiontable.h
@@ -47,6 +47,8 @@
 
   // The functions below are called by servers.
 
+  // The server of the group listens from now on.
+  void Register(const ConnectionGroup& aGroup);
   // Makes the stream of a connection that is being accepted. When the group is
   // full, an idle connection is closed for it, or else one that is late with
   // its request or with taking its response, or else the new one.
@@ -56,10 +58,11 @@
   bool BeginRequest(evhttp_connection* aConnection);
   // The response is about to be sent.
   void BeginResponse(evhttp_connection* aConnection, evhttp_request* aRequest);
-  // The server of the group has freed all of its connections.
+  // The server of the group has freed its listener and its connections.
   void Forget(const ConnectionGroup& aGroup);
 
 private:
+  static void OnAcceptFailure(evconnlistener* aListener, void* aContext);
   static void OnClosed(evhttp_connection* aHttp, void* aContext);
   static void OnDeferred(int aSocket, short aEvents, void* aContext);
   static void OnResponseSent(evhttp_request* aRequest, void* aContext);
@@ -76,6 +79,7 @@
   void RunDeferred();
   void Adopt(ClientConnection& aConnection);
   void Remove(ClientConnection& aConnection);
+  void ResumeListeners();
   void OnTimer();
   void CloseLate();
   void LogClosed();
@@ -92,6 +96,7 @@
   std::vector<ClientConnection*> mCondemned;
   // Bytes that condemned connections hold.
   std::size_t mCondemnedBytes = 0;
+  std::vector<evconnlistener*> mListeners;
   // Listeners that wait for a refused connection to be closed.
   std::vector<evconnlistener*> mPaused;
   event* mDeferred;
--- a/src/eventloop/internal/connectiontable.cpp
+++ b/src/eventloop/internal/connectiontable.cpp
@@ -1,6 +1,7 @@
 #include "eventloop/connectiontable.h"
 
-#include <algorithm>
+#include <cerrno>
+#include <cstring>
 #include <utility>
 
 #include <event2/bufferevent.h>
@@ -82,6 +83,31 @@
   event_free(mDeferred);
 }
 
+void
+ConnectionTable::Register(const ConnectionGroup& aGroup)
+{
+  mListeners.push_back(aGroup.mListener);
+  evconnlistener_set_error_cb(aGroup.mListener, &OnAcceptFailure);
+  mTimer->StartWithin(kTimerInterval);
+}
+
+// Without a pause, the loop would try again at once and as long as a client
+// waits. The context is that of the library.
+void
+ConnectionTable::OnAcceptFailure(evconnlistener* aListener, void*)
+{
+  LogWarning("accept_failed").With("error", std::strerror(errno));
+  evconnlistener_disable(aListener);
+}
+
+void
+ConnectionTable::ResumeListeners()
+{
+  for (evconnlistener* listener : mListeners) {
+    evconnlistener_enable(listener);
+  }
+}
+
 bufferevent*
 ConnectionTable::Accept(ConnectionGroup& aGroup)
 {
@@ -95,7 +121,6 @@
   mCounts.mOpen = mConnections.size();
   mNew.push_back(connection.get());
   event_active(mDeferred, EV_TIMEOUT, 0);
-  mTimer->StartWithin(kTimerInterval);
   if (isRefused) {
     Condemn(*connection, CloseReason::TooManyConnections);
     evconnlistener_disable(aGroup.mListener);
@@ -165,6 +190,7 @@
     Remove(*connection);
   }
   std::erase(mPaused, aGroup.mListener);
+  std::erase(mListeners, aGroup.mListener);
 }
 
 ClientConnection*
@@ -287,7 +313,8 @@
 {
   CloseLate();
   LogClosed();
-  if (!mConnections.empty()) {
+  ResumeListeners();
+  if (!mListeners.empty()) {
     mTimer->StartAfter(kTimerInterval);
   }
 }
--- a/src/eventloop/internal/httpserver.cpp
+++ b/src/eventloop/internal/httpserver.cpp
@@ -136,6 +136,7 @@
   }
   SetBufferSizes(evconnlistener_get_fd(listener), kSocketBufferBytes);
   mGroup.mListener = listener;
+  mConnections->Register(mGroup);
   mHttp = evhttp_new(mLoop.Base());
   evhttp_set_allowed_methods(mHttp,
                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
--- a/src/eventloop/tests/connectiontable_test.cpp
+++ b/src/eventloop/tests/connectiontable_test.cpp
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include <event2/event.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -216,6 +218,49 @@
                  });
 }
 
+// Lets this process open one more descriptor until the end of the scope.
+class LastDescriptor
+{
+public:
+  LastDescriptor()
+  {
+    getrlimit(RLIMIT_NOFILE, &mBefore);
+    rlimit lowered = mBefore;
+    const int next = dup(STDIN_FILENO);
+    close(next);
+    lowered.rlim_cur = static_cast<rlim_t>(next) + 1;
+    setrlimit(RLIMIT_NOFILE, &lowered);
+  }
+  ~LastDescriptor() { setrlimit(RLIMIT_NOFILE, &mBefore); }
+  LastDescriptor(const LastDescriptor&) = delete;
+  LastDescriptor& operator=(const LastDescriptor&) = delete;
+
+private:
+  rlimit mBefore{};
+};
+
+std::atomic<int> libraryLines = 0;
+
+void
+TestDescriptors(Section& aRoot)
+{
+  aRoot.Describe("a server without a free descriptor", [](Section& aSection) {
+    aSection.It("pauses instead of trying without end, and goes on later", [] {
+      event_set_log_callback([](int, const char*) { ++libraryLines; });
+      LimitedServer server(100, {});
+      std::optional<RawClient> client;
+      {
+        const LastDescriptor limit;
+        client.emplace();
+        std::this_thread::sleep_for(300ms);
+      }
+      event_set_log_callback(nullptr);
+      CPPUNIT_ASSERT(client->IsServed());
+      CPPUNIT_ASSERT_EQUAL(0, libraryLines.load());
+    });
+  });
+}
+
 void
 TestSum(Section& aRoot)
 {
@@ -307,6 +352,7 @@
 ConnectionTableTests(Section& aRoot)
 {
   TestNumber(aRoot);
+  TestDescriptors(aRoot);
   TestSum(aRoot);
   TestTime(aRoot);
 }
