Tests of peer links: shorter stories, and a build with -O3

Change: the crowd stories of framelink_test are split, and hostilepeers_test compiles with -O3 and -Werror. No check changes.

--- a/src/cellnode/tests/hostilepeers_test.cpp
+++ b/src/cellnode/tests/hostilepeers_test.cpp
@@ -217,6 +217,12 @@
   });
 }
 
+std::string
+NameOf(std::size_t aNumber)
+{
+  return std::string("n").append(std::to_string(aNumber));
+}
+
 // The largest part of a frame that stays incomplete.
 std::string
 PartOfLargestFrame()
@@ -238,7 +244,7 @@
     const std::string_view part = text;
     std::vector<std::size_t> sent(kStrangers, 0);
     for (std::size_t i = 0; i < kStrangers; ++i) {
-      strangers[i].SendFrame(HelloOf("n" + std::to_string(i)));
+      strangers[i].SendFrame(HelloOf(NameOf(i)));
       strangers[i].SendLength(eventloop::kMaxFramePayloadBytes);
     }
     for (int pass = 0; pass < 10 * kPasses; ++pass) {
@@ -262,7 +268,7 @@
     Node node;
     const std::vector<Stranger> strangers(kStrangers);
     for (std::size_t i = 0; i < kStrangers; ++i) {
-      strangers[i].SendFrame(HelloOf("n" + std::to_string(i)));
+      strangers[i].SendFrame(HelloOf(NameOf(i)));
     }
     node.Run();
     CPPUNIT_ASSERT_EQUAL(kStrangers, node.mLinks.LinkedNodes().size());
--- a/src/eventloop/tests/framelink_test.cpp
+++ b/src/eventloop/tests/framelink_test.cpp
@@ -49,11 +49,41 @@
   aLoop.Run();
 }
 
+void
+ListenerTests(Section& aRoot)
+{
+  aRoot.Describe("a listener without descriptors", [](Section& aSection) {
+    // Guards against a loop that does nothing but try to accept.
+    aSection.It("pauses, and accepts once there are some", [] {
+      EventLoop loop;
+      std::unique_ptr<FrameLink> accepted;
+      FrameListener listener(loop, [&](std::unique_ptr<FrameLink> aLink) {
+        accepted = std::move(aLink);
+        loop.Stop();
+      });
+      CPPUNIT_ASSERT(listener.Listen(kAddress).ok());
+      const FrameLink link(loop, kAddress);
+      acceptWarnings = 0;
+      event_set_log_callback([](int, const char*) { ++acceptWarnings; });
+      {
+        const NoMoreDescriptors none;
+        RunFor(loop, 50ms);
+      }
+      event_set_log_callback(nullptr);
+      CPPUNIT_ASSERT(accepted == nullptr);
+      CPPUNIT_ASSERT_EQUAL(0, acceptWarnings);
+      loop.Run();
+      CPPUNIT_ASSERT(accepted != nullptr);
+    });
+  });
+}
+
 } // namespace
 
 void
 FrameLinkTests(Section& aRoot)
 {
+  ListenerTests(aRoot);
   aRoot.Describe("two ends of a link", [](Section& aSection) {
     aSection.It(
       "receive whole frames and are notified when the peer closes", [] {
@@ -90,30 +120,6 @@
         CPPUNIT_ASSERT(closed);
       });
   });
-  aRoot.Describe("a listener without descriptors", [](Section& aSection) {
-    // Guards against a loop that does nothing but try to accept.
-    aSection.It("pauses, and accepts once there are some", [] {
-      EventLoop loop;
-      std::unique_ptr<FrameLink> accepted;
-      FrameListener listener(loop, [&](std::unique_ptr<FrameLink> aLink) {
-        accepted = std::move(aLink);
-        loop.Stop();
-      });
-      CPPUNIT_ASSERT(listener.Listen(kAddress).ok());
-      const FrameLink link(loop, kAddress);
-      acceptWarnings = 0;
-      event_set_log_callback([](int, const char*) { ++acceptWarnings; });
-      {
-        const NoMoreDescriptors none;
-        RunFor(loop, 50ms);
-      }
-      event_set_log_callback(nullptr);
-      CPPUNIT_ASSERT(accepted == nullptr);
-      CPPUNIT_ASSERT_EQUAL(0, acceptWarnings);
-      loop.Run();
-      CPPUNIT_ASSERT(accepted != nullptr);
-    });
-  });
   aRoot.Describe("a link whose peer does not read", [](Section& aSection) {
     // Guards against output that grows until the memory ends.
     aSection.It("fails before much waits to be sent", [] {
