Tests of cellnode build with -O3

Cause: g++ 12 warns of overlapping copies (-Wrestrict) where a name is built with "n" + std::to_string(), so advicedispatcher_test and relayselector_test did not compile with CMAKE_BUILD_TYPE=Release. Change: these names are built with fmt::format. No warning is switched off.

--- a/src/cellnode/tests/advicedispatcher_test.cpp
+++ b/src/cellnode/tests/advicedispatcher_test.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include <fmt/format.h>
+
 #include "cellnode/tests/testgroups.h"
 
 namespace oriolevane {
@@ -49,7 +51,7 @@
                           .mNow = [this] { return mNow; } })
   {
     for (int node = 0; node < aNodes; ++node) {
-      mAdviceDispatcher.AddNode(NodeId("n" + std::to_string(node)));
+      mAdviceDispatcher.AddNode(NodeId(fmt::format("n{}", node)));
     }
   }
   void AddQuery(std::chrono::microseconds aServiceTime,
--- a/src/cellnode/tests/relayselector_test.cpp
+++ b/src/cellnode/tests/relayselector_test.cpp
@@ -3,6 +3,8 @@
 #include <set>
 #include <string>
 
+#include <fmt/format.h>
+
 #include "cellnode/tests/testgroups.h"
 
 namespace oriolevane {
@@ -28,7 +30,7 @@
   {
     for (const std::string& zone : kZones) {
       for (int node = 0; node < kNodesPerZone; ++node) {
-        mSelector.AddNode({ .mNode = NodeId(zone + std::to_string(node)),
+        mSelector.AddNode({ .mNode = NodeId(fmt::format("{}{}", zone, node)),
                             .mZone = ZoneId(zone),
                             .mFitness = 0.1 * node });
       }
@@ -37,7 +39,7 @@
   }
   std::optional<NodeId> RelayFor(int aWorker, const std::string& aZone)
   {
-    return mSelector.RelayFor({ .mId = WorkerId("w" + std::to_string(aWorker)),
+    return mSelector.RelayFor({ .mId = WorkerId(fmt::format("w{}", aWorker)),
                                 .mAddress = "",
                                 .mZone = ZoneId(aZone) },
                               mNow);
@@ -70,7 +72,7 @@
       Fixture fixture;
       for (const std::string& zone : kZones) {
         for (int node = 0; node < kNodesPerZone; ++node) {
-          fixture.mSelector.OnSilent(NodeId(zone + std::to_string(node)),
+          fixture.mSelector.OnSilent(NodeId(fmt::format("{}{}", zone, node)),
                                      fixture.mNow);
         }
       }
