--- a/src/jobs/tests/waits/stepsthatwait_test.cpp
+++ b/src/jobs/tests/waits/stepsthatwait_test.cpp
@@ -222,11 +222,6 @@
       aSection.It("starts on workers that it had not asked about",
                   [] { CPPUNIT_ASSERT(GangStartsOnWorkersNotAskedAbout()); });
     });
-  aRoot.Describe("jobs that fail on all workers", [](Section& aSection) {
-    aSection.It("leave the workers to others", [] {
-      CPPUNIT_ASSERT(WaitBesideJobsThatFailEverywhere() <= kMaxWait);
-    });
-  });
   aRoot.Describe("a worker that fails all that it runs", [](Section& aSection) {
     aSection.It("gets few tasks",
                 [] { CPPUNIT_ASSERT(StartsOnFailingWorker() <= 20); });
@@ -237,6 +232,16 @@
   });
 }
 
+void
+FailingJobTests(Section& aRoot)
+{
+  aRoot.Describe("jobs that fail on all workers", [](Section& aSection) {
+    aSection.It("leave the workers to others", [] {
+      CPPUNIT_ASSERT(WaitBesideJobsThatFailEverywhere() <= kMaxWait);
+    });
+  });
+}
+
 } // namespace oriolevane
 
 int
@@ -244,5 +249,8 @@
 {
   oriolevane::SetLogLevel(oriolevane::LogLevel::Error);
   return oriolevane::testing::RunTests(
-    aCount, aArguments, { { "waiting steps", oriolevane::WaitingStepTests } });
+    aCount,
+    aArguments,
+    { { "waiting steps", oriolevane::WaitingStepTests },
+      { "failing jobs", oriolevane::FailingJobTests } });
 }
