Tests of jobs build with -O3

Cause: as for the tests of cellnode, g++ 12 warns of overlapping copies where a name is built with "w" + std::to_string() (quota_test). Change: fmt::format. No warning is switched off. Result: jobs_test and cellnode_test compile and link with CMAKE_BUILD_TYPE=Release; cellnode_test passes there (194).

--- a/src/jobs/tests/quota_test.cpp
+++ b/src/jobs/tests/quota_test.cpp
@@ -1,5 +1,7 @@
 #include <random>
 
+#include <fmt/format.h>
+
 #include "jobs/internal/runtracker.h"
 #include "jobs/tests/fakecell.h"
 #include "jobs/tests/testgroups.h"
@@ -145,7 +147,7 @@
         tolerant.mLatencyTarget = 60000ms;
         for (int job = 0; job < 40; ++job) {
           cell.Submit(
-            "single" + std::to_string(job),
+            fmt::format("single{}", job),
             SingleStepJob(MakeStep(1, 1000, 200ms + 70ms * (job % 4))),
             tolerant,
             kTeam);
@@ -225,14 +227,14 @@
       cell.RunFor(200ms);
       // Uses up what the team may submit at once.
       for (int job = 0; job < 20; ++job) {
-        cell.Submit("short" + std::to_string(job),
+        cell.Submit(fmt::format("short{}", job),
                     SingleStepJob(MakeStep(1, 100, 1ms)),
                     MakeQueue(),
                     kTeam);
       }
       cell.RunFor(200ms);
       for (int job = 0; job < 9; ++job) {
-        cell.Submit("red" + std::to_string(job),
+        cell.Submit(fmt::format("red{}", job),
                     SingleStepJob(MakeStep(1, 8000, 400ms)),
                     MakeQueue(),
                     kTeam);
@@ -333,12 +335,12 @@
         return random() % aCount;
       };
       for (int worker = 0; worker < 4; ++worker) {
-        cell.mFleet.Register({ .mId = WorkerId("w" + std::to_string(worker)) },
+        cell.mFleet.Register({ .mId = WorkerId(fmt::format("w{}", worker)) },
                              {});
       }
       for (int job = 0; job < 8; ++job) {
         Job& added =
-          cell.mJobs.Add({ .mId = JobId("j" + std::to_string(job)),
+          cell.mJobs.Add({ .mId = JobId(fmt::format("j{}", job)),
                            .mQueue = MakeQueue(),
                            .mSpec = SingleStepJob(MakeStep(
                              4, std::int64_t{ 100 } * (job + 1), 100ms)),
@@ -348,9 +350,9 @@
       }
       for (std::uint64_t event = 1; event <= 2000; ++event) {
         Worker& worker =
-          *cell.mFleet.Find(WorkerId("w" + std::to_string(pick(4))));
+          *cell.mFleet.Find(WorkerId(fmt::format("w{}", pick(4))));
         const TaskKey task{ .mStep = { .mJob =
-                                         JobId("j" + std::to_string(pick(9))) },
+                                         JobId(fmt::format("j{}", pick(9))) },
                             .mIndex = static_cast<int>(pick(4)) };
         Job* job = cell.mJobs.Find(task.mStep.mJob);
         if (pick(2) == 0 && !worker.mRuns.empty()) {
