--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -227,8 +227,10 @@
   const Millis end = mNow + aTime;
   while (mNow < end) {
     mNow += kTimeStep;
-    for (const auto& worker : mWorkers) {
-      worker->AdvanceTo(mNow);
+    for (const auto* workers : { &mWorkers, &mFormerWorkers }) {
+      for (const auto& worker : *workers) {
+        worker->AdvanceTo(mNow);
+      }
     }
     while (!mEvents.empty() && mEvents.begin()->first <= mNow) {
       const std::function<void()> callback = std::move(mEvents.begin()->second);
@@ -357,6 +359,16 @@
   ScheduleAfter(300ms, [this, aWorkerIndex] { PublishEntry(aWorkerIndex); });
 }
 
+void
+FakeCell::ReplaceWorker(std::size_t aWorkerIndex)
+{
+  std::unique_ptr<FakeWorker>& worker = mWorkers[aWorkerIndex];
+  auto successor = std::make_unique<FakeWorker>(
+    worker->Entry(), Millis(0), MakeWorkerHooks(aWorkerIndex));
+  mFormerWorkers.push_back(std::exchange(worker, std::move(successor)));
+  RestartWorker(aWorkerIndex);
+}
+
 void
 FakeCell::SetWorkerUnreachable(std::size_t aWorkerIndex, bool aUnreachable)
 {
--- a/src/jobs/tests/fakecell.h
+++ b/src/jobs/tests/fakecell.h
@@ -117,6 +117,15 @@
   void CrashWorker(std::size_t aWorkerIndex);
   // Restarts a worker under the same id; the registry lists it after 300 ms.
   void RestartWorker(std::size_t aWorkerIndex);
+  // Starts a new process under a worker's id. The former one still ends its
+  // runs, which takes until their lease expires, and gets no more calls.
+  void ReplaceWorker(std::size_t aWorkerIndex);
+  // Lets another worker answer at the address of one that gets no more calls
+  // but still ends its runs, which takes until their lease expires.
+  void ReuseAddressOf(std::size_t aWorkerIndex)
+  {
+    mReusedAddresses.insert(aWorkerIndex);
+  }
   // Drops all calls to a worker, which keeps running.
   void SetWorkerUnreachable(std::size_t aWorkerIndex, bool aUnreachable);
   // Drops the calls of the current scheduler to a worker. Other schedulers
@@ -231,6 +240,8 @@
   // Counts the unreported ends on a worker that is about to crash.
   void CountUnreportedEnds(const FakeWorker& aWorker);
   FakeWorkerHooks MakeWorkerHooks(std::size_t aWorkerIndex);
+  // True when the task has another run than aRun on a worker.
+  bool HasOtherRun(std::size_t aWorkerIndex, const FakeRun& aRun) const;
   // Checks the invariants that hold at the start of a run.
   void OnStart(std::size_t aWorkerIndex, const FakeRun& aRun);
   // Crashes a worker and schedules its restart.
@@ -266,7 +277,10 @@
   std::mt19937_64 mRandom;
   std::multimap<Millis, std::function<void()>> mEvents;
   std::vector<std::unique_ptr<FakeWorker>> mWorkers;
+  // Processes that still end their runs, while their successors work.
+  std::vector<std::unique_ptr<FakeWorker>> mFormerWorkers;
   std::set<std::size_t> mUnreachableWorkers;
+  std::set<std::size_t> mReusedAddresses;
   OrderInDelivery mOrderInDelivery;
   // The capacities that the registry has shown, by worker, if they changed.
   std::map<std::size_t, std::vector<PublishedCapacity>> mPublished;
--- a/src/jobs/tests/fakecellchecks.cpp
+++ b/src/jobs/tests/fakecellchecks.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "jobs/tests/fakecell.h"
 
 namespace oriolevane::jobs {
@@ -26,6 +28,24 @@
                         std::to_string(mNow.count()) + " ms");
 }
 
+bool
+FakeCell::HasOtherRun(std::size_t aWorkerIndex, const FakeRun& aRun) const
+{
+  const auto isOfTask = [&aRun](const FakeRun& aOther) {
+    return aOther.mTask == aRun.mTask;
+  };
+  const auto runsTask = [&isOfTask](const auto& aWorker) {
+    return std::ranges::any_of(aWorker->Runs(), isOfTask);
+  };
+  for (std::size_t other = 0; other < mWorkers.size(); ++other) {
+    if (other != aWorkerIndex && runsTask(mWorkers[other])) {
+      return true;
+    }
+  }
+  return std::ranges::count_if(mWorkers[aWorkerIndex]->Runs(), isOfTask) > 1 ||
+         std::ranges::any_of(mFormerWorkers, runsTask);
+}
+
 void
 FakeCell::OnStart(std::size_t aWorkerIndex, const FakeRun& aRun)
 {
@@ -37,13 +57,8 @@
   }
   CheckQuota(aRun);
   CheckCrashes(task);
-  for (std::size_t other = 0; other < mWorkers.size(); ++other) {
-    for (const FakeRun& run : mWorkers[other]->Runs()) {
-      const bool same = other == aWorkerIndex && run.mRun == aRun.mRun;
-      if (run.mTask == task && !same) {
-        ReportViolation("two runs at once", task);
-      }
-    }
+  if (HasOtherRun(aWorkerIndex, aRun)) {
+    ReportViolation("two runs at once", task);
   }
   if (mConfirmedSuccesses.contains(task)) {
     ReportViolation("started after success", task);
--- a/src/jobs/tests/fakecelldelivery.cpp
+++ b/src/jobs/tests/fakecelldelivery.cpp
@@ -80,6 +80,11 @@
     unanswered();
     return;
   }
+  if (mReusedAddresses.contains(workerIndex)) {
+    answerAfter(2 * Latency(),
+                Answer{ .mResult = OrderResult::OtherIncarnation });
+    return;
+  }
   const Millis delay = delivery == Delivery::Late ? LateDelay() : Latency();
   const WorkerIncarnation life = worker->Entry().mIncarnation;
   ScheduleAfter(delay, [=, this, sentAt = mNow] {
--- a/src/jobs/tests/fakeworker.cpp
+++ b/src/jobs/tests/fakeworker.cpp
@@ -57,7 +57,7 @@
 bool
 FakeWorker::IsDone(FakeRun& aRun, Millis aNow) const
 {
-  if (aRun.mStopping) {
+  if (aRun.mStopping || aRun.mExpiredAt.has_value()) {
     return false;
   }
   if (aNow < aRun.End()) {
@@ -72,6 +72,16 @@
   return aRun.mGangEnd.has_value() && aNow >= *aRun.mGangEnd;
 }
 
+bool
+FakeWorker::IsExpired(FakeRun& aRun, Millis aNow) const
+{
+  if (!aRun.mExpiredAt.has_value() && Clock(aNow) >= mLeaseEnd) {
+    aRun.mExpiredAt = aNow;
+  }
+  return aRun.mExpiredAt.has_value() &&
+         aNow >= *aRun.mExpiredAt + aRun.mPlan.mExpiryTime;
+}
+
 bool
 FakeWorker::IsCrashDue(Millis aNow) const
 {
@@ -116,7 +126,7 @@
   for (std::size_t runIndex = 0; runIndex < mRuns.size();) {
     FakeRun& run = mRuns[runIndex];
     const std::size_t before = mRuns.size();
-    if (Clock(aNow) >= mLeaseEnd) {
+    if (IsExpired(run, aNow)) {
       EndRun(runIndex, EndKind::LeaseExpired);
     } else if (run.mStopping &&
                aNow >= run.mStopRequestedAt + run.mPlan.mStopTime) {
--- a/src/jobs/tests/fakeworker.h
+++ b/src/jobs/tests/fakeworker.h
@@ -25,6 +25,8 @@
   bool mSavesCheckpoint = false;
   // Time from a stop order to the end of the run.
   Millis mStopTime{ 60 };
+  // Time from the end of the lease to the end of the run.
+  Millis mExpiryTime{ 0 };
   // Time from the start of the run to the crash of its worker; nothing when the
   // run crashes no worker.
   std::optional<Millis> mCrashesWorkerAfter = std::nullopt;
@@ -42,6 +44,8 @@
   RunPlan mPlan;
   bool mStopping = false;
   Millis mStopRequestedAt{ 0 };
+  // When the worker began to end the run because its lease had expired.
+  std::optional<Millis> mExpiredAt = std::nullopt;
   // When the whole gang of the run is done; nothing while members are missing.
   std::optional<Millis> mGangEnd;
 
@@ -129,6 +133,8 @@
   void ExtendLease(Millis aLeaseEnd, Millis aNow);
   void EndRun(std::size_t aRunIndex, EndKind aKind);
   bool IsDone(FakeRun& aRun, Millis aNow) const;
+  // True when the run has ended because its lease expired.
+  bool IsExpired(FakeRun& aRun, Millis aNow) const;
   // True when a run crashes the worker at aNow.
   bool IsCrashDue(Millis aNow) const;
 
