Runs whose lease has expired have ended only once a stop would have

Callers saw two runs at once. Cause: an owner took the end of a lease, plus 150 ms (300 ms for its predecessor's leases), for the end of the runs.

WorkerLease now says by when the runs have ended: the lease on a slow clock, the margin, and the longest stop. Owner, next owner, the removal of workers and the settling of leases all use it.

--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -72,7 +72,7 @@
     worker.mLease.Recover(record.mSettledIncarnation, aNow, mOptions);
     worker.mToken = FencingToken(mOptions.mEpoch.mValue * kTokensPerEpoch + 1);
   }
-  UpdateRecoveredLeasesEnd();
+  UpdateRecoveredRunsEnd();
 }
 
 void
@@ -83,17 +83,17 @@
       worker.mLease.EndPredecessor(aNow, mOptions);
     }
   }
-  UpdateRecoveredLeasesEnd();
+  UpdateRecoveredRunsEnd();
 }
 
 void
-Fleet::UpdateRecoveredLeasesEnd()
+Fleet::UpdateRecoveredRunsEnd()
 {
-  mRecoveredLeasesEnd = {};
+  mRecoveredRunsEnd = {};
   for (const auto& [id, worker] : mWorkers) {
     if (!worker.mReconciled) {
-      mRecoveredLeasesEnd =
-        std::max(mRecoveredLeasesEnd, worker.mLease.EndsBy());
+      mRecoveredRunsEnd =
+        std::max(mRecoveredRunsEnd, worker.mLease.RunsEndBy());
     }
   }
 }
@@ -194,7 +194,7 @@
     .With("long_poll_unanswered", aWorker.mLongPollInFlight)
     .With("short_poll_unanswered", aWorker.mShortPollInFlight)
     .With("lease_left_ms",
-          ToMilliseconds(aWorker.mLease.EndsBy() - aNow).count());
+          ToMilliseconds(aWorker.mLease.RunsEndBy() - aNow).count());
   aWorker.InterruptRuns();
   aWorker.mRestartKnownAt = aNow;
   aWorker.mEntry.mIncarnation = aIncarnation;
@@ -219,7 +219,7 @@
 Fleet::OnEarlierOrdersRefused(Worker& aWorker, TimePoint aNow)
 {
   if (aWorker.mLease.RefuseEarlierOrders(
-        aWorker.mEntry.mIncarnation, aNow, mOptions.mLongestLease)) {
+        aWorker.mEntry.mIncarnation, aNow, mOptions)) {
     RecordBeforeStarts(aWorker);
   }
 }
@@ -241,7 +241,7 @@
       .With("deviation_ms", deviation.count());
     // Another process seems to have carried out the order, with a lease end by
     // the clock of the former one.
-    aWorker.mLease.Extend(aNow, mOptions.mLongestLease);
+    aWorker.mLease.Extend(aNow, mOptions.mLongestLease, mOptions);
     aWorker.mPollWanted = true;
   }
   aWorker.mClock = ClockReading{ .mWorkerTime = aTime, .mReadAt = aNow };
@@ -260,7 +260,7 @@
   }
   const auto elapsed = std::chrono::duration_cast<WorkerTime>(
     aNow - aWorker.mClock->mReadAt + lease);
-  aWorker.mLease.Extend(aNow, lease);
+  aWorker.mLease.Extend(aNow, lease, mOptions);
   return aWorker.mClock->mWorkerTime + elapsed;
 }
 
@@ -321,7 +321,7 @@
 bool
 Fleet::IsReconciled() const
 {
-  return mOwnership.IsProvenAt(mRecoveredLeasesEnd) ||
+  return mOwnership.IsProvenAt(mRecoveredRunsEnd) ||
          std::all_of(mWorkers.begin(), mWorkers.end(), [](const auto& aEntry) {
            return aEntry.second.mReconciled;
          });
--- a/src/jobs/internal/fleet.h
+++ b/src/jobs/internal/fleet.h
@@ -97,7 +97,7 @@
   // Records that the worker's lease is settled, if it has become so. Returns
   // true when it has.
   bool SettleLease(Worker& aWorker, TimePoint aNow);
-  void UpdateRecoveredLeasesEnd();
+  void UpdateRecoveredRunsEnd();
   // True when a worker of this id has been removed lately, so that orders to it
   // may still be on their way.
   bool WasRemovedLately(const WorkerId& aId, TimePoint aNow) const;
@@ -118,8 +118,8 @@
   WorkerMap mWorkers;
   // When workers were removed; for the last kRemovalMemory only.
   std::map<WorkerId, TimePoint> mRemovedAt;
-  // By when all leases of the earlier owner have ended.
-  TimePoint mRecoveredLeasesEnd;
+  // By when all runs of the earlier owner have ended that are not known.
+  TimePoint mRecoveredRunsEnd;
   // Increases whenever a worker gains free capacity or becomes usable.
   std::uint64_t mCapacityGeneration = 0;
 };
--- a/src/jobs/internal/workeranswerhandler.cpp
+++ b/src/jobs/internal/workeranswerhandler.cpp
@@ -297,9 +297,9 @@
     if (worker.mHasAbsentRuns) {
       ConcludeAbsences(worker, aNow);
     }
-    const TimePoint leaseEnd = worker.mLease.EndsBy();
-    if (!worker.mReachable && leaseEnd <= aNow.mSteady &&
-        mCell.mOwnership.IsProvenAt(leaseEnd)) {
+    const TimePoint runsEnd = worker.mLease.RunsEndBy();
+    if (!worker.mReachable && runsEnd <= aNow.mSteady &&
+        mCell.mOwnership.IsProvenAt(runsEnd)) {
       ExpireLease(worker, aNow);
     }
   }
--- a/src/jobs/internal/workerlease.cpp
+++ b/src/jobs/internal/workerlease.cpp
@@ -16,10 +16,16 @@
 // The same for the leases of an earlier owner.
 constexpr std::chrono::milliseconds kRecoveredLeaseMargin = 300ms;
 
-Duration
-LongestDuration(Duration aLease)
+// By when all runs have ended whose lease is extended at aStart.
+TimePoint
+LatestRunEnd(TimePoint aStart,
+             Duration aLease,
+             Duration aMargin,
+             const SchedulerOptions& aOptions)
 {
-  return std::chrono::duration_cast<Duration>(aLease * kMaxClockSlowdown);
+  const auto lease =
+    std::chrono::duration_cast<Duration>(aLease * kMaxClockSlowdown);
+  return aStart + lease + aMargin + aOptions.mMaxStopDuration;
 }
 
 } // namespace
@@ -35,22 +41,24 @@
   if (!IsSettled()) {
     lease += aOptions.mLongestLease;
   }
-  mEndsBy = aNow + LongestDuration(lease) + kRecoveredLeaseMargin;
+  mRunsEndBy = LatestRunEnd(aNow, lease, kRecoveredLeaseMargin, aOptions);
 }
 
 void
 WorkerLease::EndPredecessor(TimePoint aNow, const SchedulerOptions& aOptions)
 {
   const Duration lease = IsSettled() ? aOptions.mLease : aOptions.mLongestLease;
-  mEndsBy = std::min<TimePoint>(
-    mEndsBy, aNow + LongestDuration(lease) + kRecoveredLeaseMargin);
+  mRunsEndBy = std::min(
+    mRunsEndBy, LatestRunEnd(aNow, lease, kRecoveredLeaseMargin, aOptions));
 }
 
 void
-WorkerLease::Extend(TimePoint aNow, Duration aLength)
+WorkerLease::Extend(TimePoint aNow,
+                    Duration aLength,
+                    const SchedulerOptions& aOptions)
 {
-  mEndsBy = std::max<TimePoint>(mEndsBy,
-                                aNow + LongestDuration(aLength) + kLeaseMargin);
+  mRunsEndBy =
+    std::max(mRunsEndBy, LatestRunEnd(aNow, aLength, kLeaseMargin, aOptions));
 }
 
 bool
@@ -63,20 +71,20 @@
 bool
 WorkerLease::RefuseEarlierOrders(WorkerIncarnation aPresent,
                                  TimePoint aNow,
-                                 Duration aLongestLease)
+                                 const SchedulerOptions& aOptions)
 {
   if (mRefusesEarlierOrders) {
     return false;
   }
   mRefusesEarlierOrders = true;
-  const TimePoint longestEnd =
-    aNow + LongestDuration(aLongestLease) + kLeaseMargin;
+  const TimePoint latestEnd =
+    LatestRunEnd(aNow, aOptions.mLongestLease, kLeaseMargin, aOptions);
   if (IsSettled() && mSettled == aPresent) {
-    mEndsBy = std::min(mEndsBy, longestEnd);
+    mRunsEndBy = std::min(mRunsEndBy, latestEnd);
     return false;
   }
-  mEndsBy = longestEnd;
-  mSettlesAt = longestEnd;
+  mRunsEndBy = latestEnd;
+  mSettlesAt = latestEnd;
   return Unsettle();
 }
 
--- a/src/jobs/internal/workerlease.h
+++ b/src/jobs/internal/workerlease.h
@@ -17,11 +17,14 @@
 // longest one that a worker accepts. That is over once the process has seen the
 // fencing token of a later order and this longest lease has passed: its lease
 // is settled from then on.
+//
+// A worker may need as long to end the runs whose lease has expired as it may
+// take to stop one, so they have ended only some time after the lease.
 class WorkerLease
 {
 public:
-  // By when the lease has ended, unless it is extended.
-  TimePoint EndsBy() const { return mEndsBy; }
+  // By when all runs that the lease covers have ended, unless it is extended.
+  TimePoint RunsEndBy() const { return mRunsEndBy; }
   // The process whose lease is settled; empty for none. The next owner has to
   // know it.
   WorkerIncarnation SettledIncarnation() const { return mSettled; }
@@ -36,7 +39,9 @@
   // Notes that the earlier owner sends nothing any more.
   void EndPredecessor(TimePoint aNow, const SchedulerOptions& aOptions);
   // Notes that this node extends the lease by aLength from now on.
-  void Extend(TimePoint aNow, Duration aLength);
+  void Extend(TimePoint aNow,
+              Duration aLength,
+              const SchedulerOptions& aOptions);
 
   // Each of these returns true when SettledIncarnation() has changed.
 
@@ -46,7 +51,7 @@
   // orders of earlier owners and those for earlier processes.
   bool RefuseEarlierOrders(WorkerIncarnation aPresent,
                            TimePoint aNow,
-                           Duration aLongestLease);
+                           const SchedulerOptions& aOptions);
   // Settles the lease if the longest one has passed.
   bool Settle(WorkerIncarnation aPresent, TimePoint aNow);
 
@@ -54,7 +59,7 @@
   bool IsSettled() const { return mSettled != WorkerIncarnation(); }
   bool Unsettle();
 
-  TimePoint mEndsBy;
+  TimePoint mRunsEndBy;
   WorkerIncarnation mSettled;
   // The present process refuses the orders of earlier owners and those for
   // earlier processes.
