A worker's former process may still end its runs

Callers saw two runs at once. Cause: once another process answered under a worker's id, the runs that it did not list counted as gone, though the former process may end them until its lease is over (a process that drains, or that is slow to end). A next owner took the present process's list for all that ran under the id.

WorkerLease keeps by when the runs of former processes have ended. An owner concludes about runs from before the restart after that only; a next owner knows all runs of a worker only when its record says that the lease of the process that answers is settled, or after that time. A lease is settled after that time too, and quotas count such a worker as unreported.

Evidence: 5 stories of run_ends_test (a successor, a second one, three takeovers) fail before and pass now; 216 stories of jobs_test, 6 of restarted_workers_test and 6 of worker_trials_test pass.

Changed tests: "loses them at once when it restarts under its id" asked for what is wrong; in its place the tasks have to start after the lease, so that the job ends within 7 s of the restart (4 s). Two scenarios of crashing tasks wait for the lease before their next step; what they check is the same.

--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -79,9 +79,7 @@
 Fleet::EndPredecessor(TimePoint aNow)
 {
   for (auto& [id, worker] : mWorkers) {
-    if (!worker.mReconciled) {
-      worker.mLease.EndPredecessor(aNow, mOptions);
-    }
+    worker.mLease.EndPredecessor(aNow, mOptions);
   }
   UpdateRecoveredRunsEnd();
 }
@@ -318,12 +316,19 @@
   }
 }
 
+bool
+Fleet::KnowsAllRunsOf(const Worker& aWorker) const
+{
+  return aWorker.mReconciled &&
+         mOwnership.IsProvenAt(aWorker.mLease.FormerRunsEndBy());
+}
+
 bool
 Fleet::IsReconciled() const
 {
   return mOwnership.IsProvenAt(mRecoveredRunsEnd) ||
-         std::all_of(mWorkers.begin(), mWorkers.end(), [](const auto& aEntry) {
-           return aEntry.second.mReconciled;
+         std::ranges::all_of(mWorkers, [this](const auto& aEntry) {
+           return KnowsAllRunsOf(aEntry.second);
          });
 }
 
--- a/src/jobs/internal/fleet.h
+++ b/src/jobs/internal/fleet.h
@@ -67,8 +67,10 @@
                     const std::function<void(const PollOrder&)>& aSend);
   // Notes that all changes up to a position are in the store.
   void OnRecorded(RecordPosition aPosition);
-  // True when all runs that the earlier owner started are known or have lost
-  // their lease.
+  // True when all runs that other owners, or orders to former processes, may
+  // have started under the worker's id are known or have ended.
+  bool KnowsAllRunsOf(const Worker& aWorker) const;
+  // True when all runs that the earlier owner started are known or have ended.
   bool IsReconciled() const;
   // Removes workers that have left the registry, do not answer and have no
   // runs. Calls aOnRemoved for each before it is removed.
--- a/src/jobs/internal/teamaccounts.cpp
+++ b/src/jobs/internal/teamaccounts.cpp
@@ -19,7 +19,7 @@
 {
   Resources capacity;
   for (const auto& [id, worker] : aFleet.Workers()) {
-    if (worker.mReconciled) {
+    if (aFleet.KnowsAllRunsOf(worker)) {
       continue;
     }
     if (!worker.mMaxCapacity.has_value()) {
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -46,7 +46,7 @@
   // Highest fencing token that the worker has answered to.
   FencingToken mTokenSeen;
   // All runs that other owners, or orders to an earlier incarnation, may have
-  // started on the worker are known, or their leases have expired.
+  // started on the present process are known, or their leases have expired.
   bool mReconciled = false;
   // A report that answers a poll with this token or a higher one is complete,
   // because the worker then refuses earlier orders that are still on their way.
@@ -113,9 +113,9 @@
   Run* FindRun(const TaskKey& aTask, RunNumber aNumber) const;
   void AddRun(RunPointer aRun);
   void RemoveRun(const Run* aRun);
-  // Marks all runs as uncertain after the worker restarted. They have ended,
-  // unless the restarted worker received a start order that was still in
-  // flight; its next report shows which.
+  // Marks all runs as uncertain after the worker restarted. The former process
+  // may still end them, and the present one has those whose start orders were
+  // still in flight; its next report shows which.
   void InterruptRuns();
   bool HasRunsOfSeveralJobs() const;
   // What is known of the cause, for a confirmed run, if the worker has crashed.
--- a/src/jobs/internal/workeranswerhandler.cpp
+++ b/src/jobs/internal/workeranswerhandler.cpp
@@ -305,6 +305,16 @@
   }
 }
 
+TimePoint
+WorkerAnswerHandler::EndOfAbsentRun(const Worker& aWorker, const Run& aRun)
+{
+  const bool mayBeOnFormer = aWorker.mRestartKnownAt.has_value() &&
+                             aRun.mOrderedAt <= *aWorker.mRestartKnownAt;
+  return mayBeOnFormer
+           ? std::max(*aRun.mAbsentSince, aWorker.mLease.FormerRunsEndBy())
+           : *aRun.mAbsentSince;
+}
+
 void
 WorkerAnswerHandler::ConcludeAbsences(Worker& aWorker, const Moment& aNow)
 {
@@ -314,7 +324,7 @@
     if (!run->mAbsentSince.has_value()) {
       continue;
     }
-    if (!mCell.mOwnership.IsProvenAt(*run->mAbsentSince)) {
+    if (!mCell.mOwnership.IsProvenAt(EndOfAbsentRun(aWorker, *run))) {
       aWorker.mHasAbsentRuns = true;
     } else if (run->mPhase == RunPhase::Running) {
       mRunEndHandler.OnRunLost(aWorker, run, aNow);
--- a/src/jobs/internal/workeranswerhandler.h
+++ b/src/jobs/internal/workeranswerhandler.h
@@ -35,8 +35,8 @@
   void OnStartAnswer(const StartOrder& aOrder,
                      const OrderAnswer& aAnswer,
                      const Moment& aNow);
-  // Handles runs as lost whose worker does not list them any more, is
-  // unreachable and has no lease, or has gone. Another owner may have
+  // Handles runs as lost whose worker does not list them any more, or is
+  // unreachable and has no lease. Another owner may have
   // acknowledged their ends or renewed the lease, so this has to wait until the
   // store shows that there was none.
   void ConcludeLosses(const Moment& aNow);
@@ -65,6 +65,8 @@
                       const WorkerReport& aReport,
                       const Moment& aNow);
   void ConcludeAbsences(Worker& aWorker, const Moment& aNow);
+  // By when a run has ended that the worker's present process does not list.
+  static TimePoint EndOfAbsentRun(const Worker& aWorker, const Run& aRun);
   void ExpireLease(Worker& aWorker, const Moment& aNow);
 
   CellState& mCell;
--- a/src/jobs/internal/workerlease.cpp
+++ b/src/jobs/internal/workerlease.cpp
@@ -38,6 +38,7 @@
   mSettled = aSettled;
   // The earlier owner may go on for as long as it may own the shard.
   Duration lease = aOptions.mOwnershipLease;
+  mFormerRunsEndBy = LatestRunEnd(aNow, lease, kRecoveredLeaseMargin, aOptions);
   if (!IsSettled()) {
     lease += aOptions.mLongestLease;
   }
@@ -48,8 +49,12 @@
 WorkerLease::EndPredecessor(TimePoint aNow, const SchedulerOptions& aOptions)
 {
   const Duration lease = IsSettled() ? aOptions.mLease : aOptions.mLongestLease;
-  mRunsEndBy = std::min(
-    mRunsEndBy, LatestRunEnd(aNow, lease, kRecoveredLeaseMargin, aOptions));
+  const TimePoint latestEnd =
+    LatestRunEnd(aNow, lease, kRecoveredLeaseMargin, aOptions);
+  mFormerRunsEndBy = std::min(mFormerRunsEndBy, latestEnd);
+  if (!mRefusesEarlierOrders) {
+    mRunsEndBy = std::min(mRunsEndBy, latestEnd);
+  }
 }
 
 void
@@ -65,6 +70,7 @@
 WorkerLease::BeginIncarnation()
 {
   mRefusesEarlierOrders = false;
+  mFormerRunsEndBy = std::max(mFormerRunsEndBy, mRunsEndBy);
   return Unsettle();
 }
 
@@ -81,6 +87,8 @@
     LatestRunEnd(aNow, aOptions.mLongestLease, kLeaseMargin, aOptions);
   if (IsSettled() && mSettled == aPresent) {
     mRunsEndBy = std::min(mRunsEndBy, latestEnd);
+    // The leases of its former processes ended before its own was settled.
+    mFormerRunsEndBy = {};
     return false;
   }
   mRunsEndBy = latestEnd;
@@ -91,7 +99,8 @@
 bool
 WorkerLease::Settle(WorkerIncarnation aPresent, TimePoint aNow)
 {
-  if (!mRefusesEarlierOrders || mSettled == aPresent || aNow < mSettlesAt) {
+  if (!mRefusesEarlierOrders || mSettled == aPresent ||
+      aNow < std::max(mSettlesAt, mFormerRunsEndBy)) {
     return false;
   }
   mSettled = aPresent;
--- a/src/jobs/internal/workerlease.h
+++ b/src/jobs/internal/workerlease.h
@@ -18,6 +18,9 @@
 // fencing token of a later order and this longest lease has passed: its lease
 // is settled from then on.
 //
+// A former process may still end its runs while its successor answers, so they
+// have ended only when its lease allows that.
+//
 // A worker may need as long to end the runs whose lease has expired as it may
 // take to stop one, so they have ended only some time after the lease.
 class WorkerLease
@@ -25,6 +28,8 @@
 public:
   // By when all runs that the lease covers have ended, unless it is extended.
   TimePoint RunsEndBy() const { return mRunsEndBy; }
+  // By when all runs of the worker's former processes have ended.
+  TimePoint FormerRunsEndBy() const { return mFormerRunsEndBy; }
   // The process whose lease is settled; empty for none. The next owner has to
   // know it.
   WorkerIncarnation SettledIncarnation() const { return mSettled; }
@@ -60,6 +65,7 @@
   bool Unsettle();
 
   TimePoint mRunsEndBy;
+  TimePoint mFormerRunsEndBy;
   WorkerIncarnation mSettled;
   // The present process refuses the orders of earlier owners and those for
   // earlier processes.
