A reused address is no proof that the worker's runs have ended

Callers saw two runs at once. Cause: a poll that another worker answers (421) made all runs of the worker that had been there count as lost at once, and its earlier orders as known. A worker that has left its address may still end its runs. Now they are lost when its lease and the longest stop are over, as with any worker that does not answer; crashes are counted then.

--- a/src/jobs/internal/crashhandler.cpp
+++ b/src/jobs/internal/crashhandler.cpp
@@ -101,13 +101,6 @@
   }
 }
 
-void
-CrashHandler::OnWorkerReplaced(Worker& aWorker, const Moment& aNow)
-{
-  OnLeaseExpired(aWorker, aNow);
-  CountLosses(aWorker, aNow);
-}
-
 void
 CrashHandler::OnWorkerGone(Worker& aWorker, const Moment& aNow)
 {
--- a/src/jobs/internal/crashhandler.h
+++ b/src/jobs/internal/crashhandler.h
@@ -21,8 +21,6 @@
   // Handles a worker whose lease has expired. Its runs are lost, and it is not
   // known whether the worker has crashed.
   void OnLeaseExpired(Worker& aWorker, const Moment& aNow);
-  // Handles a worker that another one has replaced at its address.
-  void OnWorkerReplaced(Worker& aWorker, const Moment& aNow);
   // Handles a worker that left the registry and is removed.
   void OnWorkerGone(Worker& aWorker, const Moment& aNow);
   // Handles an uncertain run that is missing from the worker's report: the
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -60,8 +60,8 @@
   WorkerLease mLease;
   // Some of the runs are absent from the worker's reports.
   bool mHasAbsentRuns = false;
-  // When another worker was found at this one's address.
-  std::optional<TimePoint> mReplacedAt;
+  // Another worker was found at this one's address.
+  bool mReplaced = false;
 
   // Polls that have been sent and not been answered yet. A long poll lets the
   // worker delay its answer.
--- a/src/jobs/internal/workeranswerhandler.cpp
+++ b/src/jobs/internal/workeranswerhandler.cpp
@@ -59,11 +59,8 @@
     mCrashHandler.OnUnreachable(*worker);
   }
   if (aAnswer.mResult == OrderResult::OtherIncarnation) {
-    // Another worker answers at this address, so this one has gone and its
-    // tasks with it.
-    worker->mReplacedAt = worker->mReplacedAt.value_or(aNow.mSteady);
-    worker->mReconciled = true;
-    mCell.mHooks.mOnProofWanted();
+    // This worker has left its address. It may still end its tasks.
+    worker->mReplaced = true;
   }
   if (aAnswer.mResult == OrderResult::Fenced &&
       aPoll.mToken == worker->mToken) {
@@ -100,7 +97,7 @@
   }
   aWorker.mReachable = true;
   // The report shows what has become of the worker's runs.
-  aWorker.mReplacedAt.reset();
+  aWorker.mReplaced = false;
   aWorker.mFailedWithOthers = false;
   aWorker.mTokenSeen = std::max(aWorker.mTokenSeen, aPoll.mToken);
   mCell.mFleet.ReadClock(aWorker, aReport.mNow, aNow.mSteady);
@@ -289,11 +286,6 @@
 WorkerAnswerHandler::ConcludeLosses(const Moment& aNow)
 {
   for (auto& [id, worker] : mCell.mFleet.Workers()) {
-    if (worker.mReplacedAt.has_value() &&
-        mCell.mOwnership.IsProvenAt(*worker.mReplacedAt)) {
-      worker.mReplacedAt.reset();
-      mCrashHandler.OnWorkerReplaced(worker, aNow);
-    }
     if (worker.mHasAbsentRuns) {
       ConcludeAbsences(worker, aNow);
     }
@@ -348,6 +340,9 @@
               .count());
     mCrashHandler.OnLeaseExpired(aWorker, aNow);
   }
+  if (aWorker.mReplaced) {
+    mCrashHandler.CountLosses(aWorker, aNow);
+  }
   aWorker.mReconciled = true;
 }
 
