A run that is not listed may still be ending

Callers could see two runs at once. Cause: a run that its worker listed no longer, with no end, counted as lost as soon as the store had shown that there was no other owner, also when the worker had been ordered to stop it; a stop may take longest_stop_ms, and nothing says that the worker lists the run meanwhile. Such a run has ended once it has been absent for that time. A start order that was never confirmed and is not to be stopped is not concerned.

--- a/src/jobs/internal/workeranswerhandler.cpp
+++ b/src/jobs/internal/workeranswerhandler.cpp
@@ -298,13 +298,17 @@
 }
 
 TimePoint
-WorkerAnswerHandler::EndOfAbsentRun(const Worker& aWorker, const Run& aRun)
+WorkerAnswerHandler::EndOfAbsentRun(const Worker& aWorker,
+                                    const Run& aRun) const
 {
+  TimePoint end = *aRun.mAbsentSince;
+  // A worker may not list a run that it is ending, nor its end yet.
+  if (aRun.mPhase == RunPhase::Running || aRun.mStopWanted) {
+    end += mCell.mOptions.mMaxStopDuration;
+  }
   const bool mayBeOnFormer = aWorker.mRestartKnownAt.has_value() &&
                              aRun.mOrderedAt <= *aWorker.mRestartKnownAt;
-  return mayBeOnFormer
-           ? std::max(*aRun.mAbsentSince, aWorker.mLease.FormerRunsEndBy())
-           : *aRun.mAbsentSince;
+  return mayBeOnFormer ? std::max(end, aWorker.mLease.FormerRunsEndBy()) : end;
 }
 
 void
--- a/src/jobs/tests/fakeworker.cpp
+++ b/src/jobs/tests/fakeworker.cpp
@@ -238,6 +238,9 @@
   answer.mReport.mIncarnation = mEntry.mIncarnation;
   answer.mReport.mEnded = mUnconfirmedEnds;
   for (const FakeRun& run : mRuns) {
+    if (run.mStopping && !run.mPlan.mListedWhileStopping) {
+      continue;
+    }
     answer.mReport.mRunning.push_back({ .mTask = run.mTask,
                                         .mRun = run.mRun,
                                         .mCheckpoint = {},
--- a/src/jobs/tests/fakeworker.h
+++ b/src/jobs/tests/fakeworker.h
@@ -27,6 +27,8 @@
   Millis mStopTime{ 60 };
   // Time from the end of the lease to the end of the run.
   Millis mExpiryTime{ 0 };
+  // Whether the worker still lists the run while it stops it.
+  bool mListedWhileStopping = true;
   // Time from the start of the run to the crash of its worker; nothing when the
   // run crashes no worker.
   std::optional<Millis> mCrashesWorkerAfter = std::nullopt;
--- a/src/jobs/tests/runends_test.cpp
+++ b/src/jobs/tests/runends_test.cpp
@@ -19,13 +19,15 @@
 class SlowStopCell
 {
 public:
-  explicit SlowStopCell(Millis aMaxPollWait = 10ms)
+  explicit SlowStopCell(Millis aMaxPollWait = 10ms,
+                        bool aListedWhileStopping = true)
     : mCell({ .mWorkers = 2, .mMaxPollWait = aMaxPollWait })
   {
-    mCell.mPlan = [](const TaskKey&, RunNumber, const WorkerId&) {
+    mCell.mPlan = [=](const TaskKey&, RunNumber, const WorkerId&) {
       return RunPlan{ .mDuration = 20000ms,
                       .mStopTime = kLongestStop,
-                      .mExpiryTime = kLongestStop };
+                      .mExpiryTime = kLongestStop,
+                      .mListedWhileStopping = aListedWhileStopping };
     };
     mCell.RunFor(10000ms);
     mCell.Submit("job", SingleStepJob(MakeStep(8, 1000, 20000ms)), MakeQueue());
@@ -140,6 +142,16 @@
   });
 }
 
+void
+StoppedRunStories(Section& aSection)
+{
+  aSection.It("do not run elsewhere because it lists them no more", [] {
+    SlowStopCell cell(10ms, false);
+    cell.mCell.DrainWorker(0, 3000ms);
+    cell.CheckRestarts(3500ms);
+  });
+}
+
 void
 RunEndTests(Section& aRoot)
 {
@@ -148,6 +160,7 @@
                    ExpiredLeaseStories(aSection);
                    FormerProcessStories(aSection);
                  });
+  aRoot.Describe("runs that a worker stops", StoppedRunStories);
 }
 
 } // namespace
