A worker's record stays until its former process has ended its runs

A record is removed, and completed, only when all runs under the id are known or have ended (Fleet::KnowsAllRunsOf).

The story of completed records now also checks that the record is not completed before the former process has ended its runs.

--- a/src/jobs/internal/fleetrecords.cpp
+++ b/src/jobs/internal/fleetrecords.cpp
@@ -66,7 +66,7 @@
 Fleet::RetireIfIdle(Worker& aWorker)
 {
   const bool leaving = !aWorker.mRegistered || aWorker.mEntry.mDraining;
-  if (leaving && aWorker.mRecorded && aWorker.mReconciled &&
+  if (leaving && aWorker.mRecorded && KnowsAllRunsOf(aWorker) &&
       aWorker.mRuns.empty() && aWorker.mLostRuns.empty()) {
     aWorker.mRecorded = false;
     aWorker.mRetired = true;
@@ -79,7 +79,7 @@
 Fleet::CompleteRecord(Worker& aWorker)
 {
   if (aWorker.mMaxCapacity.has_value() || !aWorker.mRegistered ||
-      !aWorker.mReconciled || aWorker.mRetired) {
+      !KnowsAllRunsOf(aWorker) || aWorker.mRetired) {
     return;
   }
   // All runs are known. Until the record is in the store, a later owner
@@ -122,7 +122,8 @@
     const bool gone =
       !worker.mRegistered && !worker.mReachable && worker.mRuns.empty() &&
       worker.mUnregisteredSince + kUnregisteredRetention <= aNow &&
-      worker.mLease.RunsEndBy() <= aNow;
+      worker.mLease.RunsEndBy() <= aNow &&
+      worker.mLease.FormerRunsEndBy() <= aNow;
     if (!gone || worker.mLongPollInFlight || worker.mShortPollInFlight) {
       ++entry;
       continue;
--- a/src/jobs/tests/capacity_test.cpp
+++ b/src/jobs/tests/capacity_test.cpp
@@ -247,7 +247,7 @@
       // Guards against workers whose runs have no known bound for ever.
       const SchedulerOptions options;
       RecordWriteQueue queue;
-      const Ownership ownership;
+      Ownership ownership;
       Fleet fleet(options, ownership, queue);
       const WorkerEntry entry{ .mId = WorkerId("w0"), .mCapacity = kQuarter };
       fleet.Recover({ { .mId = entry.mId } }, {});
@@ -258,6 +258,9 @@
       CPPUNIT_ASSERT(!fleet.RecordOf(entry.mId)->mMaxCapacity.has_value());
       worker.mReconciled = true;
       fleet.Prune({}, [](Worker&) {});
+      CPPUNIT_ASSERT(!fleet.RecordOf(entry.mId)->mMaxCapacity.has_value());
+      ownership.Prove(worker.mLease.FormerRunsEndBy(), {});
+      fleet.Prune({}, [](Worker&) {});
       const Resources bound{ .mMilliCores = 6000, .mMemoryMiB = 8000 };
       CPPUNIT_ASSERT(fleet.RecordOf(entry.mId)->mMaxCapacity == bound);
       CPPUNIT_ASSERT(queue.HasWaiting());
--- a/src/jobs/tests/runends_test.cpp
+++ b/src/jobs/tests/runends_test.cpp
@@ -135,6 +135,18 @@
       cell.CheckRestarts(12000ms);
     });
   });
+  aSection.It("do not by the owner after the one that found it idle", [] {
+    SlowStopCell cell;
+    cell.mCell.ReplaceWorker(0);
+    cell.mCell.TakeOver();
+    cell.mCell.EndPredecessor();
+    cell.mCell.RunFor(500ms);
+    cell.mCell.DrainWorker(0);
+    cell.mCell.RunFor(500ms);
+    cell.mCell.TakeOver();
+    cell.mCell.EndPredecessor();
+    cell.CheckRestarts(8000ms);
+  });
   aSection.It("do not run elsewhere because their address is reused", [] {
     SlowStopCell cell;
     cell.mCell.ReuseAddressOf(0);
