A worker that does not answer has ended its runs with its former process

Same class: an owner that took over counted runs of an unreachable worker as lost by the end of the present process's lease, which can be up to two seconds before that of a former process. RunsEndBy() now covers all processes under the id.

--- a/src/jobs/internal/fleetrecords.cpp
+++ b/src/jobs/internal/fleetrecords.cpp
@@ -122,8 +122,7 @@
     const bool gone =
       !worker.mRegistered && !worker.mReachable && worker.mRuns.empty() &&
       worker.mUnregisteredSince + kUnregisteredRetention <= aNow &&
-      worker.mLease.RunsEndBy() <= aNow &&
-      worker.mLease.FormerRunsEndBy() <= aNow;
+      worker.mLease.RunsEndBy() <= aNow;
     if (!gone || worker.mLongPollInFlight || worker.mShortPollInFlight) {
       ++entry;
       continue;
--- a/src/jobs/internal/workerlease.h
+++ b/src/jobs/internal/workerlease.h
@@ -1,6 +1,7 @@
 // What the owner of a shard knows of the lease of a worker's tasks.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 
 #include "framework/types/timepoint.h"
@@ -26,9 +27,10 @@
 class WorkerLease
 {
 public:
-  // By when all runs that the lease covers have ended, unless it is extended.
-  TimePoint RunsEndBy() const { return mRunsEndBy; }
-  // By when all runs of the worker's former processes have ended.
+  // By when all runs under the worker's id have ended, unless the lease is
+  // extended.
+  TimePoint RunsEndBy() const { return std::max(mRunsEndBy, mFormerRunsEndBy); }
+  // By when those of the worker's former processes have ended.
   TimePoint FormerRunsEndBy() const { return mFormerRunsEndBy; }
   // The process whose lease is settled; empty for none. The next owner has to
   // know it.
@@ -64,6 +66,7 @@
   bool IsSettled() const { return mSettled != WorkerIncarnation(); }
   bool Unsettle();
 
+  // By when the runs of the present process have ended.
   TimePoint mRunsEndBy;
   TimePoint mFormerRunsEndBy;
   WorkerIncarnation mSettled;
