Logs say what shows that a run is over; a gauge counts uncertain runs

run_lost had no reason, and a run that its worker does not list left no line when its order had not been confirmed or its worker had restarted, so a second start could not be told from its log. run_lost now comes for each run that counts as over without a reported end, with proof=lease_expired, not_listed or former_lease_expired. oriolevane_uncertain_runs counts the runs of which it is not known whether they have started or ended.

--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -55,6 +55,8 @@
   std::size_t mOpenJobs = 0;
   // Runs that occupy capacity on workers.
   std::size_t mRuns = 0;
+  // Those of which it is not known whether they have started or ended.
+  std::size_t mUncertainRuns = 0;
   // Workers in the registry.
   std::size_t mWorkers = 0;
   // Workers that answered their last poll.
--- a/src/jobs/internal/crashhandler.cpp
+++ b/src/jobs/internal/crashhandler.cpp
@@ -49,7 +49,7 @@
   const crashes::CrashEvidence evidence = aWorker.Evidence();
   const std::vector<RunPointer> runs = aWorker.mRuns;
   for (const RunPointer& run : runs) {
-    mRunEndHandler.OnRunLost(aWorker, run, aNow);
+    mRunEndHandler.OnRunLost(aWorker, run, LossProof::LeaseExpired, aNow);
     if (run->mInterrupted.has_value()) {
       CountInterruption(aWorker, *run, aNow);
     } else if (!aWorker.mEntry.mDraining) {
@@ -114,8 +114,10 @@
 void
 CrashHandler::OnRunAbsent(Worker& aWorker,
                           const RunPointer& aRun,
+                          LossProof aProof,
                           const Moment& aNow)
 {
+  RunEndHandler::LogLoss(*aRun, aProof);
   mRunEndHandler.OnRunNotStarted(aWorker, aRun.get(), aNow);
   if (aRun->mInterrupted.has_value()) {
     CountInterruption(aWorker, *aRun, aNow);
--- a/src/jobs/internal/crashhandler.h
+++ b/src/jobs/internal/crashhandler.h
@@ -25,7 +25,10 @@
   void OnWorkerGone(Worker& aWorker, const Moment& aNow);
   // Handles an uncertain run that is missing from the worker's report: the
   // worker has restarted, or it never started the run.
-  void OnRunAbsent(Worker& aWorker, const RunPointer& aRun, const Moment& aNow);
+  void OnRunAbsent(Worker& aWorker,
+                   const RunPointer& aRun,
+                   LossProof aProof,
+                   const Moment& aNow);
   // Counts the runs that were lost with the worker before it was known to have
   // crashed.
   void CountLosses(Worker& aWorker, const Moment& aNow);
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -69,6 +69,10 @@
   // worker that was draining.
   std::optional<crashes::CrashEvidence> mInterrupted;
 
+  bool IsUncertain() const
+  {
+    return mPhase == RunPhase::Uncertain || mAbsentSince.has_value();
+  }
   // What a crash with the given evidence for confirmed runs says of this one.
   crashes::CrashEvidence Evidence(crashes::CrashEvidence aConfirmed) const
   {
--- a/src/jobs/internal/runendhandler.cpp
+++ b/src/jobs/internal/runendhandler.cpp
@@ -40,6 +40,20 @@
   return "stopped";
 }
 
+std::string_view
+ToText(LossProof aProof)
+{
+  switch (aProof) {
+    case LossProof::LeaseExpired:
+      return "lease_expired";
+    case LossProof::NotListed:
+      return "not_listed";
+    case LossProof::FormerLeaseExpired:
+      return "former_lease_expired";
+  }
+  return "lease_expired";
+}
+
 } // namespace
 
 void
@@ -241,20 +255,28 @@
 void
 RunEndHandler::OnRunLost(Worker& aWorker,
                          const RunPointer& aRun,
+                         LossProof aProof,
                          const Moment& aNow)
 {
+  LogLoss(*aRun, aProof);
   const EndedTask end{ .mSerial = 0,
                        .mTask = aRun->mTask,
                        .mRun = aRun->mNumber,
                        .mKind = EndKind::LeaseExpired,
                        .mCheckpoint = {} };
-  LogInfo("run_lost")
-    .With("task", aRun->mTask.ToText())
-    .With("run", aRun->mNumber)
-    .With("worker", aWorker.Id());
   OnRunEnded(aWorker, end, aNow);
 }
 
+void
+RunEndHandler::LogLoss(const Run& aRun, LossProof aProof)
+{
+  LogInfo("run_lost")
+    .With("task", aRun.mTask.ToText())
+    .With("run", aRun.mNumber)
+    .With("worker", aRun.mWorker)
+    .With("proof", ToText(aProof));
+}
+
 void
 RunEndHandler::OnRunNotStarted(Worker& aWorker, Run* aRun, const Moment& aNow)
 {
--- a/src/jobs/internal/runendhandler.h
+++ b/src/jobs/internal/runendhandler.h
@@ -7,6 +7,17 @@
 
 namespace oriolevane::jobs {
 
+// What shows that a run is over although its end was not reported.
+enum class LossProof
+{
+  // The worker does not answer, and its lease has expired.
+  LeaseExpired,
+  // The worker does not list the run.
+  NotListed,
+  // The worker has restarted, and the lease of its former process has expired.
+  FormerLeaseExpired
+};
+
 class RunEndHandler
 {
 public:
@@ -19,10 +30,13 @@
 
   // Handles the end of a run on a worker. This node need not know the run.
   void OnRunEnded(Worker& aWorker, const EndedTask& aEnd, const Moment& aNow);
-  // Handles a run that is over without a reported end: the worker's lease has
-  // expired, the worker has been replaced, or the run is missing from its
-  // report.
-  void OnRunLost(Worker& aWorker, const RunPointer& aRun, const Moment& aNow);
+  // Handles a run that is over without a reported end.
+  void OnRunLost(Worker& aWorker,
+                 const RunPointer& aRun,
+                 LossProof aProof,
+                 const Moment& aNow);
+  // Logs a run that counts as over without a reported end.
+  static void LogLoss(const Run& aRun, LossProof aProof);
   // Handles a start order that was not carried out. A gang is stopped, since it
   // needs all of its members.
   void OnRunNotStarted(Worker& aWorker, Run* aRun, const Moment& aNow);
--- a/src/jobs/internal/schedulercounts.cpp
+++ b/src/jobs/internal/schedulercounts.cpp
@@ -1,5 +1,6 @@
 #include "jobs/internal/schedulercounts.h"
 
+#include <algorithm>
 #include <map>
 
 namespace oriolevane::jobs {
@@ -11,6 +12,8 @@
   counts.mOpenJobs = aCell.mJobs.Jobs().size();
   for (const auto& [id, worker] : aCell.mFleet.Workers()) {
     counts.mRuns += worker.mRuns.size();
+    counts.mUncertainRuns += std::ranges::count_if(
+      worker.mRuns, [](const RunPointer& aRun) { return aRun->IsUncertain(); });
     counts.mWorkers += worker.mRegistered ? 1 : 0;
     counts.mReachableWorkers += worker.mReachable ? 1 : 0;
   }
--- a/src/jobs/internal/worker.cpp
+++ b/src/jobs/internal/worker.cpp
@@ -50,6 +50,12 @@
   }
 }
 
+bool
+Worker::MayBeOnFormerProcess(const Run& aRun) const
+{
+  return mRestartKnownAt.has_value() && aRun.mOrderedAt <= *mRestartKnownAt;
+}
+
 bool
 Worker::HasRunsOfSeveralJobs() const
 {
--- a/src/jobs/internal/workeranswerhandler.cpp
+++ b/src/jobs/internal/workeranswerhandler.cpp
@@ -306,9 +306,9 @@
   if (aRun.mPhase == RunPhase::Running || aRun.mStopWanted) {
     end += mCell.mOptions.mMaxStopDuration;
   }
-  const bool mayBeOnFormer = aWorker.mRestartKnownAt.has_value() &&
-                             aRun.mOrderedAt <= *aWorker.mRestartKnownAt;
-  return mayBeOnFormer ? std::max(end, aWorker.mLease.FormerRunsEndBy()) : end;
+  return aWorker.MayBeOnFormerProcess(aRun)
+           ? std::max(end, aWorker.mLease.FormerRunsEndBy())
+           : end;
 }
 
 void
@@ -323,9 +323,12 @@
     if (!mCell.mOwnership.IsProvenAt(EndOfAbsentRun(aWorker, *run))) {
       aWorker.mHasAbsentRuns = true;
     } else if (run->mPhase == RunPhase::Running) {
-      mRunEndHandler.OnRunLost(aWorker, run, aNow);
+      mRunEndHandler.OnRunLost(aWorker, run, LossProof::NotListed, aNow);
     } else {
-      mCrashHandler.OnRunAbsent(aWorker, run, aNow);
+      const LossProof proof = aWorker.MayBeOnFormerProcess(*run)
+                                ? LossProof::FormerLeaseExpired
+                                : LossProof::NotListed;
+      mCrashHandler.OnRunAbsent(aWorker, run, proof, aNow);
     }
   }
 }
