An owner that has given up the shard extends no lease

Release() only stopped Advance(), and Halt() only Tick(). The answers of workers still reached the scheduler, which sends a start order again after a missing answer and so extends the worker's lease. A successor counts the leases of a released owner from its own takeover, so the task could run twice. A halted session also still reported the release or the loss that a late answer of the store showed, which ended the session after it.

CellScheduler::EndOwnership() now ends the permission for good: nothing is started and no lease extended from Release() or Halt() on, and later proofs of ownership do not undo it. A halted session handles no answers of workers and reports no loss or release. An ended session is destroyed right after the present callback instead of at the node's next tick.

--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -152,7 +152,6 @@
     mSession != nullptr ? kOwnerTickInterval : kTickInterval;
   mTickDue = now + interval;
   mTimer->StartAfter(interval);
-  mEndedSessions.clear();
   mNodeRegistry.Register(now);
   if (mSession != nullptr) {
     if (now >= mNextHeartbeat) {
@@ -292,6 +291,11 @@
   LogWarning("ownership_ended").With("epoch", mEpoch).With("reason", aReason);
   mSession->Halt();
   mEndedSessions.push_back(std::move(mSession));
+  mLoop.Post([this, alive = mAlive] {
+    if (*alive) {
+      mEndedSessions.clear();
+    }
+  });
   mNodeRegistry.Forget();
   OnOwnerLost();
   UpdateHello();
--- a/src/cellnode/internal/cellnodeimpl.h
+++ b/src/cellnode/internal/cellnodeimpl.h
@@ -111,8 +111,8 @@
   // The previous owner; nullopt when there was none.
   std::optional<OwnerRow> mPredecessor;
   std::unique_ptr<OwnerSession> mSession;
-  // Sessions that have ended. They are destroyed in Tick(), because a session
-  // cannot be destroyed within its own callbacks.
+  // Sessions that have ended. The event loop destroys them after the present
+  // callback, which may be one of their own.
   std::vector<std::unique_ptr<OwnerSession>> mEndedSessions;
   // What the linked nodes have said of themselves.
   std::map<NodeId, PeerState> mPeerStates;
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -67,7 +67,12 @@
           },
         .mOnRecorded =
           [this](jobs::RecordPosition aPosition) { OnRecorded(aPosition); },
-        .mOnOwnershipLost = [this] { mHooks.mOnOwnershipLost(); },
+        .mOnOwnershipLost =
+          [this] {
+            if (!mHalted) {
+              mHooks.mOnOwnershipLost();
+            }
+          },
         .mNow = [] { return std::chrono::steady_clock::now(); },
         .mOnCommitted =
           [this](Duration aTime) {
@@ -129,6 +134,9 @@
 void
 OwnerSession::OnLoaded(const jobs::CellRecords& aRecords)
 {
+  if (mHalted) {
+    return;
+  }
   LogInfo("shard_loaded")
     .With("epoch", mOwner.mEpoch)
     .With("jobs", aRecords.mJobs.size())
@@ -207,6 +215,9 @@
 void
 OwnerSession::OnRecorded(jobs::RecordPosition aPosition)
 {
+  if (mHalted) {
+    return;
+  }
   mScheduler.OnRecorded(aPosition, Now());
   mRequestHandler.OnRecorded(aPosition);
   if (mJournal.IsReleased()) {
@@ -258,14 +269,28 @@
 OwnerSession::Release()
 {
   mReleasing = true;
+  mScheduler.EndOwnership();
   mRequestHandler.RefuseNewJobs();
   mJournal.Release();
   ScheduleTick();
 }
 
+void
+OwnerSession::Halt()
+{
+  mHalted = true;
+  mScheduler.EndOwnership();
+  // The answers of workers, and the calls that wait for a relay.
+  *mAlive = false;
+  mTimer->Cancel();
+}
+
 void
 OwnerSession::ScheduleTick()
 {
+  if (mHalted) {
+    return;
+  }
   mTimer->StartWithin(kSoonTickDelay);
 }
 
@@ -307,7 +332,9 @@
   mRequestHandler.RefuseIfStoreUnavailable(now.mSteady);
   const bool waiting = mScheduler.Records().HasWaiting() || mReleasing;
   mJournal.Tick(now.mSteady);
-  mTimer->StartWithin(waiting ? kSoonTickDelay * 4 : kTickInterval);
+  if (!mHalted) {
+    mTimer->StartWithin(waiting ? kSoonTickDelay * 4 : kTickInterval);
+  }
 }
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -77,7 +77,9 @@
   // aRelays is true when the node calls workers on behalf of the owner.
   void AddNode(const RelayNode& aNode, bool aRelays);
   void RemoveNode(const NodeId& aNode);
-  // Writes the pending changes and releases the shard.
+  // Writes the pending changes and releases the shard. No order that starts a
+  // task or extends a lease is sent any more, since the next owner counts the
+  // leases of this one from its own takeover.
   void Release();
   // Refuses new jobs while the node has more work than its host can do.
   void SetOverloaded(bool aOverloaded)
@@ -86,8 +88,9 @@
   }
   // Records the highest fitness in the cell, for the nodes that take over.
   void SetBestFitness(double aFitness) { mJournal.SetBestFitness(aFitness); }
-  // Stops all work, because the session is about to be destroyed.
-  void Halt() { mHalted = true; }
+  // Stops all work, because the session is about to be destroyed: it sends no
+  // orders, handles no answers of workers, and reports no loss or release.
+  void Halt();
   // The time since the last applied write to the store was sent.
   Duration StoreAge(TimePoint aNow) const;
   bool IsServing() const { return mServing; }
--- a/src/cellnode/tests/main.cpp
+++ b/src/cellnode/tests/main.cpp
@@ -12,6 +12,7 @@
       { "compression", oriolevane::CompressionTests },
       { "cell loader", oriolevane::CellLoaderTests },
       { "ownership policy", oriolevane::OwnershipPolicyTests },
+      { "owner session", oriolevane::OwnerSessionTests },
       { "caller requests", oriolevane::CallerRequestHandlerTests },
       { "caller authorizer", oriolevane::CallerAuthorizerTests },
       { "configuration tracker", oriolevane::ConfigurationTrackerTests },
--- a/src/cellnode/tests/testgroups.h
+++ b/src/cellnode/tests/testgroups.h
@@ -14,6 +14,8 @@
 void
 OwnershipPolicyTests(testing::Section& aRoot);
 void
+OwnerSessionTests(testing::Section& aRoot);
+void
 CallerRequestHandlerTests(testing::Section& aRoot);
 void
 CallerAuthorizerTests(testing::Section& aRoot);
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -87,6 +87,12 @@
   mImpl->mCell.mOwnership.Prove(aProvenAt, aEnd);
 }
 
+void
+CellScheduler::EndOwnership()
+{
+  mImpl->mCell.mOwnership.EndForGood();
+}
+
 bool
 CellScheduler::IsRecovered() const
 {
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -86,6 +86,10 @@
   // Notes that this node owned the shard at aProvenAt. Leases are renewed and
   // tasks started only until aEnd.
   void ProveOwnership(TimePoint aProvenAt, TimePoint aEnd);
+  // Ends this node's ownership for good: no order that starts a task or extends
+  // a lease is sent any more, whatever ProveOwnership() is told later. A
+  // successor may already count the leases as ending.
+  void EndOwnership();
   // True when all runs that earlier owners started are known or have lost their
   // leases.
   bool IsRecovered() const;
--- a/src/jobs/internal/ownership.h
+++ b/src/jobs/internal/ownership.h
@@ -21,7 +21,9 @@
     mProvenAt = aProvenAt;
     mEnd = aEnd;
   }
-  TimePoint End() const { return mEnd; }
+  // Ends the ownership, which Prove() does not undo.
+  void EndForGood() { mEnded = true; }
+  TimePoint End() const { return mEnded ? TimePoint() : mEnd; }
   // True when no other node can have taken over by the given time.
   bool IsProvenAt(TimePoint aTime) const { return aTime <= mProvenAt; }
 
@@ -48,6 +50,7 @@
 private:
   TimePoint mProvenAt;
   TimePoint mEnd;
+  bool mEnded = false;
   std::optional<TimePoint> mLaterOwnerSeenAt;
   std::optional<TimePoint> mPredecessorEndedAt;
 };
--- a/src/jobs/tests/main.cpp
+++ b/src/jobs/tests/main.cpp
@@ -12,6 +12,7 @@
       { "repeated jobs", oriolevane::RepeatedJobTests },
       { "gang", oriolevane::GangTests },
       { "takeover", oriolevane::OwnerTakeoverTests },
+      { "ended ownership", oriolevane::EndedOwnershipTests },
       { "crashing tasks", oriolevane::CrashingTaskTests },
       { "worker failures", oriolevane::WorkerFailureTests },
       { "capacity", oriolevane::CapacityTests },
