Another process under a node's name is no proof that the former one ended

A successor waits for one lease only when its predecessor is known to have stopped. It took the predecessor for gone when the owner row had the own node's name, or when a process with a higher incarnation, a time of day, answered under its name; and it took any process's word that it knows the later epoch. The former process may be paused or cut off while its node runs again elsewhere, and then go on with its leases.

The decision is now in predecessor.h, without a network: the predecessor has stopped when it released the shard, when that very process says that it knows the later epoch, or when another process of its node listens on the address that the row names. By reading: a node listens before it sends its first hello, the listener is closed only with the node, after the event loop has ended, on SIGTERM too, and SO_REUSEPORT is not set, so a second process cannot listen meanwhile. A process that was heard of before the predecessor's epoch proves nothing, as it may be an earlier one when the clock was set back.

--- a/src/cellnode/internal/cellnodeimpl.h
+++ b/src/cellnode/internal/cellnodeimpl.h
@@ -11,6 +11,7 @@
 #include "cellnode/internal/ownersession.h"
 #include "cellnode/internal/peerlinks.h"
 #include "cellnode/internal/pendingcalls.h"
+#include "cellnode/internal/predecessor.h"
 #include "cellnode/internal/relayserver.h"
 #include "cellnode/internal/shardclaimer.h"
 #include "cellnode/looplagmonitor.h"
@@ -40,13 +41,12 @@
   // What a node has said of itself.
   struct PeerState
   {
-    Incarnation mIncarnation;
+    // How the process figures as a successor of the shard's former owner.
+    LinkedProcess mLinked;
     double mFitness = 0.0;
     ZoneId mZone;
     // The node calls workers on behalf of the owner.
     bool mRelays = false;
-    // The highest epoch in which the node does not own the shard any more.
-    Epoch mLeftEpoch;
   };
 
   // Ownership of the shard.
@@ -69,10 +69,11 @@
   RelayServerHooks MakeRelayServerHooks();
   // Tells the session of a linked node.
   void AddToSession(const NodeId& aNode);
-  // True when the predecessor, and all owners before it, can start no tasks and
-  // renew no leases any more: it released the shard, knows that it has lost it,
-  // or another process runs on its node.
+  // True when the predecessor, and all owners before it, are known to have
+  // stopped.
   bool IsPredecessorGone() const;
+  // What a hello says of the process that sent it.
+  LinkedProcess LinkedProcessOf(const cellwire::HelloT& aHello) const;
   void YieldIfNeeded(TimePoint aNow);
   void OnHello(const NodeId& aNode, const cellwire::HelloT& aHello);
   void OnMessage(const NodeId& aNode, const cellwire::MessageT& aMessage);
--- a/src/cellnode/internal/cellnodepeers.cpp
+++ b/src/cellnode/internal/cellnodepeers.cpp
@@ -73,35 +73,48 @@
 bool
 CellNode::Impl::IsPredecessorGone() const
 {
-  if (!mPredecessor.has_value()) {
-    return true;
-  }
-  if (!mPredecessor->mRecovered) {
-    // The owner before it may go on as well.
-    return false;
-  }
-  if (mPredecessor->mReleased || mPredecessor->mNode == mOptions.mNode) {
-    return true;
-  }
-  const auto peer = mPeerStates.find(mPredecessor->mNode);
-  if (peer == mPeerStates.end() || !mPeers.IsLinked(mPredecessor->mNode)) {
-    return false;
+  std::optional<LinkedProcess> linked;
+  if (mPredecessor.has_value() && mPeers.IsLinked(mPredecessor->mNode)) {
+    if (const auto peer = mPeerStates.find(mPredecessor->mNode);
+        peer != mPeerStates.end()) {
+      linked = peer->second.mLinked;
+    }
   }
-  // Incarnations increase, so a lower one belongs to an earlier process, whose
-  // link has not been closed yet.
-  const bool restarted = mPredecessor->mIncarnation < peer->second.mIncarnation;
-  return restarted || peer->second.mLeftEpoch >= mPredecessor->mEpoch;
+  return cellnode::IsPredecessorGone(mPredecessor,
+                                     { .mNode = mOptions.mNode,
+                                       .mIncarnation = mOptions.mIncarnation,
+                                       .mAddress = mOptions.mPeerAddress },
+                                     linked);
+}
+
+LinkedProcess
+CellNode::Impl::LinkedProcessOf(const cellwire::HelloT& aHello) const
+{
+  const NodeId node(aHello.node);
+  const Incarnation incarnation(aHello.incarnation);
+  const Epoch epoch(aHello.epoch);
+  const auto known = mPeerStates.find(node);
+  const bool isKnown =
+    known != mPeerStates.end() &&
+    known->second.mLinked.mProcess.mIncarnation == incarnation;
+  // A later hello of a known process may be one that is reported again.
+  const Epoch seenInEpoch =
+    isKnown ? known->second.mLinked.mSeenInEpoch : mEpoch;
+  return { .mProcess = { .mNode = node,
+                         .mIncarnation = incarnation,
+                         .mAddress = aHello.address },
+           .mLeftEpoch = aHello.owns ? Epoch() : epoch,
+           .mSeenInEpoch = std::max(seenInEpoch, epoch) };
 }
 
 void
 CellNode::Impl::OnHello(const NodeId& aNode, const cellwire::HelloT& aHello)
 {
   const Epoch epoch(aHello.epoch);
-  mPeerStates[aNode] = { .mIncarnation = Incarnation(aHello.incarnation),
+  mPeerStates[aNode] = { .mLinked = LinkedProcessOf(aHello),
                          .mFitness = aHello.fitness,
                          .mZone = ZoneId(aHello.zone),
-                         .mRelays = aHello.relays,
-                         .mLeftEpoch = aHello.owns ? Epoch() : epoch };
+                         .mRelays = aHello.relays };
   if (mSession != nullptr) {
     if (IsPredecessorGone()) {
       mSession->OnPredecessorGone();
--- a/src/cellnode/tests/main.cpp
+++ b/src/cellnode/tests/main.cpp
@@ -13,6 +13,7 @@
       { "cell loader", oriolevane::CellLoaderTests },
       { "ownership policy", oriolevane::OwnershipPolicyTests },
       { "owner session", oriolevane::OwnerSessionTests },
+      { "predecessor", oriolevane::PredecessorTests },
       { "caller requests", oriolevane::CallerRequestHandlerTests },
       { "caller authorizer", oriolevane::CallerAuthorizerTests },
       { "configuration tracker", oriolevane::ConfigurationTrackerTests },
--- a/src/cellnode/tests/testgroups.h
+++ b/src/cellnode/tests/testgroups.h
@@ -16,6 +16,8 @@
 void
 OwnerSessionTests(testing::Section& aRoot);
 void
+PredecessorTests(testing::Section& aRoot);
+void
 CallerRequestHandlerTests(testing::Section& aRoot);
 void
 CallerAuthorizerTests(testing::Section& aRoot);
