An owner's permission ends also while its machine is suspended

The end of the ownership was counted by std::chrono::steady_clock, which stands still while the machine is suspended. An owner that was suspended for longer than its permission still took itself for the owner, read the clocks of workers anew and renewed leases that its successor had counted as expired.

The event loop's timers keep theirs, and take only durations. After a resume the timeouts of src/cellnode are over at once, as they were already after a pause of the process.

--- a/src/cellnode/advicedispatcher.h
+++ b/src/cellnode/advicedispatcher.h
@@ -9,6 +9,7 @@
 
 #include "cellnode/types/pendingquery.h"
 #include "cellnode/waitingqueries.h"
+#include "framework/steadynow.h"
 
 namespace oriolevane::cellnode {
 
@@ -24,9 +25,7 @@
   // it was not wanted any more when a node had capacity.
   std::function<void(const jobs::AdviceQuery&)> mOnUnanswered =
     [](const jobs::AdviceQuery&) {};
-  std::function<TimePoint()> mNow = [] {
-    return std::chrono::steady_clock::now();
-  };
+  std::function<TimePoint()> mNow = [] { return SteadyNow(); };
 };
 
 // Every query that is added is either answered or reported as unanswered.
--- a/src/cellnode/internal/cellnodeadvice.cpp
+++ b/src/cellnode/internal/cellnodeadvice.cpp
@@ -4,19 +4,10 @@
 
 #include "cellnode/internal/cellnodeimpl.h"
 #include "cellnode/internal/peermessages.h"
+#include "framework/steadynow.h"
 
 namespace oriolevane::cellnode {
 
-namespace {
-
-TimePoint
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
-} // namespace
-
 void
 CellNode::Impl::SendAdviceQuery(const NodeId& aNode,
                                 QueryId aId,
@@ -41,10 +32,10 @@
 {
   mUpstreams.mAdvise(
     aQuery,
-    [this, alive = mAlive, sentAt = Now(), done = std::move(aDone)](
+    [this, alive = mAlive, sentAt = SteadyNow(), done = std::move(aDone)](
       const jobs::AdviceAnswer& aAnswer) {
       if (*alive) {
-        mMetrics.Observe(Stage::Advice, Now() - sentAt);
+        mMetrics.Observe(Stage::Advice, SteadyNow() - sentAt);
         done(aAnswer);
       }
     });
--- a/src/cellnode/internal/cellnodecallers.cpp
+++ b/src/cellnode/internal/cellnodecallers.cpp
@@ -5,31 +5,22 @@
 #include "cellnode/internal/cellnodeimpl.h"
 #include "cellnode/internal/peermessages.h"
 #include "framework/log.h"
+#include "framework/steadynow.h"
 
 namespace oriolevane::cellnode {
 
-namespace {
-
-TimePoint
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
-} // namespace
-
 void
 CellNode::Impl::Handle(CallerRequest aRequest, AnswerCallback aReply)
 {
   mConfiguration.Stamp(aRequest, BootClock::Now());
-  const TimePoint arrived = Now();
+  const TimePoint arrived = SteadyNow();
   AnswerCallback reply =
     [this, arrived, path = aRequest.mPath, inner = std::move(aReply)](
       const CallerAnswer& aAnswer) {
       if (aAnswer.mKind == CallerAnswerKind::Unauthorized) {
         LogInfo("key_refused").With("path", path);
       }
-      mMetrics.Observe(Stage::Answer, Now() - arrived);
+      mMetrics.Observe(Stage::Answer, SteadyNow() - arrived);
       mMetrics.CountAnswer(aAnswer.mKind);
       inner(aAnswer);
     };
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -6,6 +6,7 @@
 
 #include "cellnode/internal/peermessages.h"
 #include "framework/log.h"
+#include "framework/steadynow.h"
 
 namespace oriolevane::cellnode {
 
@@ -28,12 +29,6 @@
 // A relay collects answers of workers for this time before it sends them.
 constexpr std::chrono::milliseconds kRelayAnswerDelay = 2ms;
 
-TimePoint
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 std::uint64_t
 RandomSeed()
 {
@@ -142,7 +137,7 @@
 void
 CellNode::Impl::Tick()
 {
-  const TimePoint now = Now();
+  const TimePoint now = SteadyNow();
   if (mSession != nullptr) {
     mLoopLag.OnTimer(mTickDue, now);
     LogLateTick(now);
@@ -221,12 +216,12 @@
     .With("row_version", aShard.mVersion);
   mMetrics.CountOwnership();
   mEpoch = aShard.mRow.mEpoch;
-  mPolicy.OnOwnerContact(mEpoch, Duration::zero(), Now());
+  mPolicy.OnOwnerContact(mEpoch, Duration::zero(), SteadyNow());
   mPredecessor = aShard.mPredecessor;
   mOwner = NodeId();
   mLoopLag = LoopLagMonitor();
   mYieldPolicy.OnOwnershipAcquired(
-    mPredecessor.has_value() && mPredecessor->mReleased, Now());
+    mPredecessor.has_value() && mPredecessor->mReleased, SteadyNow());
   mYielding = false;
   mSession = std::make_unique<OwnerSession>(
     mLoop,
@@ -356,7 +351,7 @@
     return;
   }
   mStopping = true;
-  mStopStartedAt = Now();
+  mStopStartedAt = SteadyNow();
   mOnStopped = std::move(aDone);
   UpdateHello();
   if (mSession != nullptr) {
@@ -380,7 +375,7 @@
     status.mCounts = mSession->Counts();
     status.mAdviceBacklog = mSession->QueriesWaiting();
     status.mStoreAge = std::chrono::duration_cast<std::chrono::milliseconds>(
-      mSession->StoreAge(Now()));
+      mSession->StoreAge(SteadyNow()));
   }
   return status;
 }
--- a/src/cellnode/internal/cellnodepeers.cpp
+++ b/src/cellnode/internal/cellnodepeers.cpp
@@ -5,19 +5,10 @@
 #include "cellnode/internal/cellnodeimpl.h"
 #include "cellnode/internal/peermessages.h"
 #include "framework/log.h"
+#include "framework/steadynow.h"
 
 namespace oriolevane::cellnode {
 
-namespace {
-
-TimePoint
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
-} // namespace
-
 void
 CellNode::Impl::UpdateHello()
 {
@@ -38,7 +29,7 @@
 void
 CellNode::Impl::SendHeartbeats()
 {
-  const std::uint32_t age = ToWireMillis(mSession->StoreAge(Now()));
+  const std::uint32_t age = ToWireMillis(mSession->StoreAge(SteadyNow()));
   const double best = std::max(mOptions.mFitness, PeerFitness(FittestPeer()));
   mSession->SetBestFitness(best);
   for (const NodeId& node : mPeers.LinkedNodes()) {
@@ -121,7 +112,7 @@
     }
     if (aHello.owns && epoch > mEpoch) {
       mEpoch = epoch;
-      mPolicy.OnOwnerContact(epoch, Duration::zero(), Now());
+      mPolicy.OnOwnerContact(epoch, Duration::zero(), SteadyNow());
       EndSession("higher_epoch");
     } else {
       AddToSession(aNode);
@@ -133,7 +124,7 @@
     mEpoch = epoch;
     mOwner = aNode;
     mOwnerEpoch = epoch;
-    mPolicy.OnOwnerContact(epoch, Duration::zero(), Now());
+    mPolicy.OnOwnerContact(epoch, Duration::zero(), SteadyNow());
     if (changed) {
       LogInfo("owner_found").With("owner", aNode).With("epoch", epoch);
       mCalls.MarkAllUnsent();
@@ -160,7 +151,7 @@
 {
   mOwner = NodeId();
   mCalls.MarkAllUnsent();
-  mPolicy.OnOwnerDisconnected(Now());
+  mPolicy.OnOwnerDisconnected(SteadyNow());
   mShardClaimer.ReadSoon();
 }
 
@@ -235,7 +226,7 @@
     SendUnsentCalls();
   }
   mPolicy.OnOwnerContact(
-    epoch, std::chrono::milliseconds(aHeartbeat.store_age_ms), Now());
+    epoch, std::chrono::milliseconds(aHeartbeat.store_age_ms), SteadyNow());
   mPolicy.SetBestFitness(aHeartbeat.best_fitness);
 }
 
--- a/src/cellnode/internal/noderegistry.cpp
+++ b/src/cellnode/internal/noderegistry.cpp
@@ -1,6 +1,7 @@
 #include "cellnode/internal/noderegistry.h"
 
 #include "framework/log.h"
+#include "framework/steadynow.h"
 
 namespace oriolevane::cellnode {
 
@@ -51,8 +52,7 @@
       }
       mRegistering = false;
       mRegistered = aAnswer.ok() && aAnswer->mApplied;
-      mNextRegistration =
-        std::chrono::steady_clock::now() + kRegistrationRetryDelay;
+      mNextRegistration = SteadyNow() + kRegistrationRetryDelay;
       if (!mRegistered) {
         LogWarning("address_registration_failed")
           .With("status", aAnswer.status().ToString());
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "framework/log.h"
+#include "framework/steadynow.h"
 
 namespace oriolevane::cellnode {
 
@@ -73,7 +74,7 @@
               mHooks.mOnOwnershipLost();
             }
           },
-        .mNow = [] { return std::chrono::steady_clock::now(); },
+        .mNow = [] { return SteadyNow(); },
         .mOnCommitted =
           [this](Duration aTime) {
             mHooks.mOnStageTime(Stage::Record, aTime);
@@ -120,7 +121,7 @@
 jobs::Moment
 OwnerSession::Now()
 {
-  return { .mSteady = std::chrono::steady_clock::now(),
+  return { .mSteady = SteadyNow(),
            .mUnix = std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch()) };
 }
@@ -299,7 +300,7 @@
 void
 OwnerSession::LogSlowPass(TimePoint aStartedAt) const
 {
-  const Duration taken = std::chrono::steady_clock::now() - aStartedAt;
+  const Duration taken = SteadyNow() - aStartedAt;
   if (taken < kSlowPass) {
     return;
   }
--- a/src/cellnode/internal/ownersessionhooks.cpp
+++ b/src/cellnode/internal/ownersessionhooks.cpp
@@ -4,6 +4,7 @@
 
 #include "cellnode/internal/ownersession.h"
 #include "framework/log.h"
+#include "framework/steadynow.h"
 
 namespace oriolevane::cellnode {
 
@@ -99,7 +100,7 @@
                  }
                });
              },
-           .mNow = [] { return std::chrono::steady_clock::now(); } };
+           .mNow = [] { return SteadyNow(); } };
 }
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/internal/shardclaimer.cpp
+++ b/src/cellnode/internal/shardclaimer.cpp
@@ -6,6 +6,7 @@
 #include "cellnode/celljournal.h"
 #include "cellnode/recordcodec.h"
 #include "framework/log.h"
+#include "framework/steadynow.h"
 
 namespace oriolevane::cellnode {
 
@@ -83,7 +84,7 @@
 void
 ShardClaimer::OnPage(const absl::StatusOr<RowPage>& aPage, TimePoint aSentAt)
 {
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = SteadyNow();
   if (!aPage.ok()) {
     LogWarning("owner_row_read_failed")
       .With("status", aPage.status().ToString());
--- a/src/cellnode/internal/workercalls.cpp
+++ b/src/cellnode/internal/workercalls.cpp
@@ -4,6 +4,8 @@
 #include <memory>
 #include <utility>
 
+#include "framework/steadynow.h"
+
 namespace oriolevane::cellnode {
 
 namespace {
@@ -50,15 +52,12 @@
 WorkerCalls::OrderReply
 WorkerCalls::MeasureRoundTrip(Duration aTimeout, OrderReply aReply) const
 {
-  const TimePoint sentAt = std::chrono::steady_clock::now();
+  const TimePoint sentAt = SteadyNow();
   return [estimator = mTimeoutEstimator,
           sentAt,
           aTimeout,
           reply = std::move(aReply)](const jobs::OrderAnswer& aAnswer) {
-    UpdateEstimate(*estimator,
-                   aAnswer.mResult,
-                   std::chrono::steady_clock::now() - sentAt,
-                   aTimeout);
+    UpdateEstimate(*estimator, aAnswer.mResult, SteadyNow() - sentAt, aTimeout);
     reply(aAnswer);
   };
 }
@@ -83,7 +82,7 @@
 void
 WorkerCalls::Poll(const jobs::PollOrder& aOrder, PollReply aReply)
 {
-  const TimePoint sentAt = std::chrono::steady_clock::now();
+  const TimePoint sentAt = SteadyNow();
   const Duration timeout =
     CappedTimeout(*mTimeoutEstimator, kPollTimeoutAttempt);
   const bool waits = aOrder.mWait.count() > 0;
@@ -98,10 +97,8 @@
       // The answer of a waiting poll includes an unknown time that the worker
       // waited for a run to end.
       if (!waits) {
-        UpdateEstimate(*estimator,
-                       aAnswer.mResult,
-                       std::chrono::steady_clock::now() - sentAt,
-                       timeout);
+        UpdateEstimate(
+          *estimator, aAnswer.mResult, SteadyNow() - sentAt, timeout);
       }
       reply(sentAt, aAnswer);
     });
--- a/src/framework/types/timepoint.h
+++ b/src/framework/types/timepoint.h
@@ -1,5 +1,8 @@
-// Time types for all scheduling decisions. They use the monotonic clock of one
-// process, so their values must not be compared between nodes.
+// Time types for all scheduling decisions. Their values come from a monotonic
+// clock of one machine, so they must not be compared between nodes. The nodes
+// of a cell read them from SteadyNow(), which counts the time for which the
+// machine is suspended. std::chrono::steady_clock::now() does not count it, so
+// values of the two must not be compared either.
 #pragma once
 
 #include <chrono>
