A suspension says nothing about the speed of the store

Since the times of src/cellnode count suspension, the answer to a transaction that was under way seems to have taken as long as the machine was suspended. An answer after the timeout of its call is not taken as a measurement any more. The same held before for a process that was paused.

--- a/src/cellnode/internal/celljournal.cpp
+++ b/src/cellnode/internal/celljournal.cpp
@@ -210,7 +210,12 @@
     }
     return;
   }
-  mTimeoutEstimator.OnAnswer(mHooks.mNow() - aSentAt);
+  // An answer after the timeout of its call was held up here, by a suspension
+  // or a pause, and does not show how fast the store is.
+  if (const Duration taken = mHooks.mNow() - aSentAt;
+      taken <= mOptions.mCallTimeout) {
+    mTimeoutEstimator.OnAnswer(taken);
+  }
   if (aAnswer->mApplied) {
     OnApplied(aAnswer->mVersion, aSentAt);
   } else {
--- a/src/cellnode/tests/celljournal_test.cpp
+++ b/src/cellnode/tests/celljournal_test.cpp
@@ -226,6 +226,23 @@
       fixture.AdvanceClock(120ms);
       CPPUNIT_ASSERT_EQUAL(sent + 2, fixture.mSent.size());
     });
+    // Guards against an owner that waits for longer than it may own the shard
+    // before it sends a lost transaction again.
+    aSection.It("is sent again soon after the machine was suspended", [] {
+      Fixture fixture;
+      for (int round = 0; round < 8; ++round) {
+        fixture.Mark("job" + std::to_string(round));
+        fixture.SendNext();
+        fixture.mNow += round == 7 ? Duration(10s) : Duration(10ms);
+        fixture.mDone.back()(Applied(11 + static_cast<std::uint64_t>(round)));
+      }
+      const std::size_t sent = fixture.mSent.size();
+      fixture.Mark("lost");
+      fixture.SendNext();
+      fixture.AdvanceClock(120ms);
+      CPPUNIT_ASSERT_EQUAL(sent + 2, fixture.mSent.size());
+      CPPUNIT_ASSERT(fixture.mJournal.ExpectedCommitTime() < 1s);
+    });
   });
 }
 
