--- a/src/cellnode/internal/cellnodepeers.cpp
+++ b/src/cellnode/internal/cellnodepeers.cpp
@@ -5,19 +5,10 @@
 #include "cellnode/internal/cellnodeimpl.h"
 #include "cellnode/internal/peermessages.h"
 #include "framework/log.h"
+#include "framework/steadynow.h"
 
 namespace oriolevane::cellnode {
 
-namespace {
-
-TimePoint
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
-} // namespace
-
 void
 CellNode::Impl::UpdateHello()
 {
@@ -38,7 +29,7 @@
 void
 CellNode::Impl::SendHeartbeats()
 {
-  const std::uint32_t age = ToWireMillis(mSession->StoreAge(Now()));
+  const std::uint32_t age = ToWireMillis(mSession->StoreAge(SteadyNow()));
   const double best = std::max(mOptions.mFitness, PeerFitness(FittestPeer()));
   mSession->SetBestFitness(best);
   for (const NodeId& node : mPeers.LinkedNodes()) {
@@ -73,42 +64,55 @@
 bool
 CellNode::Impl::IsPredecessorGone() const
 {
-  if (!mPredecessor.has_value()) {
-    return true;
-  }
-  if (!mPredecessor->mRecovered) {
-    // The owner before it may go on as well.
-    return false;
-  }
-  if (mPredecessor->mReleased || mPredecessor->mNode == mOptions.mNode) {
-    return true;
-  }
-  const auto peer = mPeerStates.find(mPredecessor->mNode);
-  if (peer == mPeerStates.end() || !mPeers.IsLinked(mPredecessor->mNode)) {
-    return false;
+  std::optional<LinkedProcess> linked;
+  if (mPredecessor.has_value() && mPeers.IsLinked(mPredecessor->mNode)) {
+    if (const auto peer = mPeerStates.find(mPredecessor->mNode);
+        peer != mPeerStates.end()) {
+      linked = peer->second.mLinked;
+    }
   }
-  // Incarnations increase, so a lower one belongs to an earlier process, whose
-  // link has not been closed yet.
-  const bool restarted = mPredecessor->mIncarnation < peer->second.mIncarnation;
-  return restarted || peer->second.mLeftEpoch >= mPredecessor->mEpoch;
+  return cellnode::IsPredecessorGone(mPredecessor,
+                                     { .mNode = mOptions.mNode,
+                                       .mIncarnation = mOptions.mIncarnation,
+                                       .mAddress = mOptions.mPeerAddress },
+                                     linked);
+}
+
+LinkedProcess
+CellNode::Impl::LinkedProcessOf(const cellwire::HelloT& aHello) const
+{
+  const NodeId node(aHello.node);
+  const Incarnation incarnation(aHello.incarnation);
+  const Epoch epoch(aHello.epoch);
+  const auto known = mPeerStates.find(node);
+  const bool isKnown =
+    known != mPeerStates.end() &&
+    known->second.mLinked.mProcess.mIncarnation == incarnation;
+  // A later hello of a known process may be one that is reported again.
+  const Epoch seenInEpoch =
+    isKnown ? known->second.mLinked.mSeenInEpoch : mEpoch;
+  return { .mProcess = { .mNode = node,
+                         .mIncarnation = incarnation,
+                         .mAddress = aHello.address },
+           .mLeftEpoch = aHello.owns ? Epoch() : epoch,
+           .mSeenInEpoch = std::max(seenInEpoch, epoch) };
 }
 
 void
 CellNode::Impl::OnHello(const NodeId& aNode, const cellwire::HelloT& aHello)
 {
   const Epoch epoch(aHello.epoch);
-  mPeerStates[aNode] = { .mIncarnation = Incarnation(aHello.incarnation),
+  mPeerStates[aNode] = { .mLinked = LinkedProcessOf(aHello),
                          .mFitness = aHello.fitness,
                          .mZone = ZoneId(aHello.zone),
-                         .mRelays = aHello.relays,
-                         .mLeftEpoch = aHello.owns ? Epoch() : epoch };
+                         .mRelays = aHello.relays };
   if (mSession != nullptr) {
     if (IsPredecessorGone()) {
       mSession->OnPredecessorGone();
     }
     if (aHello.owns && epoch > mEpoch) {
       mEpoch = epoch;
-      mPolicy.OnOwnerContact(epoch, Duration::zero(), Now());
+      mPolicy.OnOwnerContact(epoch, Duration::zero(), SteadyNow());
       EndSession("higher_epoch");
     } else {
       AddToSession(aNode);
@@ -120,7 +124,7 @@
     mEpoch = epoch;
     mOwner = aNode;
     mOwnerEpoch = epoch;
-    mPolicy.OnOwnerContact(epoch, Duration::zero(), Now());
+    mPolicy.OnOwnerContact(epoch, Duration::zero(), SteadyNow());
     if (changed) {
       LogInfo("owner_found").With("owner", aNode).With("epoch", epoch);
       mCalls.MarkAllUnsent();
@@ -147,7 +151,7 @@
 {
   mOwner = NodeId();
   mCalls.MarkAllUnsent();
-  mPolicy.OnOwnerDisconnected(Now());
+  mPolicy.OnOwnerDisconnected(SteadyNow());
   mShardClaimer.ReadSoon();
 }
 
@@ -222,7 +226,7 @@
     SendUnsentCalls();
   }
   mPolicy.OnOwnerContact(
-    epoch, std::chrono::milliseconds(aHeartbeat.store_age_ms), Now());
+    epoch, std::chrono::milliseconds(aHeartbeat.store_age_ms), SteadyNow());
   mPolicy.SetBestFitness(aHeartbeat.best_fitness);
 }
 
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "framework/log.h"
+#include "framework/steadynow.h"
 
 namespace oriolevane::cellnode {
 
@@ -67,8 +68,13 @@
           },
         .mOnRecorded =
           [this](jobs::RecordPosition aPosition) { OnRecorded(aPosition); },
-        .mOnOwnershipLost = [this] { mHooks.mOnOwnershipLost(); },
-        .mNow = [] { return std::chrono::steady_clock::now(); },
+        .mOnOwnershipLost =
+          [this] {
+            if (!mHalted) {
+              mHooks.mOnOwnershipLost();
+            }
+          },
+        .mNow = [] { return SteadyNow(); },
         .mOnCommitted =
           [this](Duration aTime) {
             mHooks.mOnStageTime(Stage::Record, aTime);
@@ -115,7 +121,7 @@
 jobs::Moment
 OwnerSession::Now()
 {
-  return { .mSteady = std::chrono::steady_clock::now(),
+  return { .mSteady = SteadyNow(),
            .mUnix = std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch()) };
 }
@@ -129,6 +135,9 @@
 void
 OwnerSession::OnLoaded(const jobs::CellRecords& aRecords)
 {
+  if (mHalted) {
+    return;
+  }
   LogInfo("shard_loaded")
     .With("epoch", mOwner.mEpoch)
     .With("jobs", aRecords.mJobs.size())
@@ -207,6 +216,9 @@
 void
 OwnerSession::OnRecorded(jobs::RecordPosition aPosition)
 {
+  if (mHalted) {
+    return;
+  }
   mScheduler.OnRecorded(aPosition, Now());
   mRequestHandler.OnRecorded(aPosition);
   if (mJournal.IsReleased()) {
@@ -258,14 +270,28 @@
 OwnerSession::Release()
 {
   mReleasing = true;
+  mScheduler.EndOwnership();
   mRequestHandler.RefuseNewJobs();
   mJournal.Release();
   ScheduleTick();
 }
 
+void
+OwnerSession::Halt()
+{
+  mHalted = true;
+  mScheduler.EndOwnership();
+  // The answers of workers, and the calls that wait for a relay.
+  *mAlive = false;
+  mTimer->Cancel();
+}
+
 void
 OwnerSession::ScheduleTick()
 {
+  if (mHalted) {
+    return;
+  }
   mTimer->StartWithin(kSoonTickDelay);
 }
 
@@ -274,7 +300,7 @@
 void
 OwnerSession::LogSlowPass(TimePoint aStartedAt) const
 {
-  const Duration taken = std::chrono::steady_clock::now() - aStartedAt;
+  const Duration taken = SteadyNow() - aStartedAt;
   if (taken < kSlowPass) {
     return;
   }
@@ -307,7 +333,9 @@
   mRequestHandler.RefuseIfStoreUnavailable(now.mSteady);
   const bool waiting = mScheduler.Records().HasWaiting() || mReleasing;
   mJournal.Tick(now.mSteady);
-  mTimer->StartWithin(waiting ? kSoonTickDelay * 4 : kTickInterval);
+  if (!mHalted) {
+    mTimer->StartWithin(waiting ? kSoonTickDelay * 4 : kTickInterval);
+  }
 }
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/tests/main.cpp
+++ b/src/cellnode/tests/main.cpp
@@ -12,6 +12,8 @@
       { "compression", oriolevane::CompressionTests },
       { "cell loader", oriolevane::CellLoaderTests },
       { "ownership policy", oriolevane::OwnershipPolicyTests },
+      { "owner session", oriolevane::OwnerSessionTests },
+      { "predecessor", oriolevane::PredecessorTests },
       { "caller requests", oriolevane::CallerRequestHandlerTests },
       { "caller authorizer", oriolevane::CallerAuthorizerTests },
       { "configuration tracker", oriolevane::ConfigurationTrackerTests },
--- a/src/cellnode/tests/testgroups.h
+++ b/src/cellnode/tests/testgroups.h
@@ -14,6 +14,10 @@
 void
 OwnershipPolicyTests(testing::Section& aRoot);
 void
+OwnerSessionTests(testing::Section& aRoot);
+void
+PredecessorTests(testing::Section& aRoot);
+void
 CallerRequestHandlerTests(testing::Section& aRoot);
 void
 CallerAuthorizerTests(testing::Section& aRoot);
