--- a/src/jobs/tests/fakeworker.h
+++ b/src/jobs/tests/fakeworker.h
@@ -92,6 +92,8 @@
     return mUnconfirmedEnds;
   }
   bool IsUp() const { return mUp; }
+  bool IsPaused() const { return mPausedAt.has_value(); }
+  bool HasLeaseExpired(Millis aNow) const { return Clock(aNow) >= mLeaseEnd; }
   // Resources of all running tasks.
   Resources Used() const;
   // Converts a time of the simulation to the worker's clock.
@@ -109,6 +111,11 @@
   bool Accepts(FencingToken aToken) const { return aToken >= mHighestToken; }
   // Stops the worker; its runs are lost without an end being reported.
   void Crash();
+  // Stops the process as SIGSTOP does: its runs do not advance until Resume().
+  // The caller must hold back calls meanwhile.
+  void Pause(Millis aNow) { mPausedAt = aNow; }
+  // Lets the process go on. Runs whose lease has expired end at once.
+  void Resume(Millis aNow);
   // Restarts the worker under the same id, without any state.
   void Restart(WorkerIncarnation aLife, Millis aNow);
   // aLeavesIn is the notice that the worker's entry gives.
@@ -123,7 +130,7 @@
   // Runs go on, also when they exceed the new capacity.
   void SetCapacity(const Resources& aCapacity) { mEntry.mCapacity = aCapacity; }
   // Ends the given run, if it is on this worker, because another member of its
-  // gang has ended.
+  // gang has ended. While the process is paused, that waits for Resume().
   void EndGangMember(const TaskKey& aTask,
                      RunNumber aRun,
                      EndKind aKind,
@@ -144,6 +151,9 @@
   Millis mClockOffset;
   FakeWorkerHooks mHooks;
   bool mUp = true;
+  std::optional<Millis> mPausedAt;
+  // Ends of other members of gangs that the paused process has missed.
+  std::vector<std::function<void()>> mMissedGangEnds;
   FencingToken mHighestToken;
   // End of the lease of all runs, on the worker's clock.
   Millis mLeaseEnd{ 0 };
@@ -156,8 +166,8 @@
 using FakeWorkers = std::vector<std::unique_ptr<FakeWorker>>;
 
 // Returns when the slowest of the aMembers members of the run's gang is done.
-// Returns nothing unless all of them are running on some worker, and none is
-// being stopped.
+// Returns nothing unless all of them are running on some worker that is not
+// paused, and none is being stopped.
 std::optional<Millis>
 GangEnd(const FakeWorkers& aWorkers, const FakeRun& aRun, int aMembers);
 
