An owner that hears of its predecessor's end still waits for former processes

When a new owner learnt that its predecessor had stopped only after all workers had answered, the bound of its recovery fell to nothing, since it looked at the present processes alone; runs of a worker's former process started elsewhere about 4 s too early. The bound now counts every worker of which not all runs are known (KnowsAllRunsOf).

--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -89,7 +89,7 @@
 {
   mRecoveredRunsEnd = {};
   for (const auto& [id, worker] : mWorkers) {
-    if (!worker.mReconciled) {
+    if (!KnowsAllRunsOf(worker)) {
       mRecoveredRunsEnd =
         std::max(mRecoveredRunsEnd, worker.mLease.RunsEndBy());
     }
--- a/src/jobs/internal/fleet.h
+++ b/src/jobs/internal/fleet.h
@@ -120,7 +120,8 @@
   WorkerMap mWorkers;
   // When workers were removed; for the last kRemovalMemory only.
   std::map<WorkerId, TimePoint> mRemovedAt;
-  // By when all runs of the earlier owner have ended that are not known.
+  // By when all runs of the earlier owner have ended on the workers whose runs
+  // were not all known when this was computed.
   TimePoint mRecoveredRunsEnd;
   // Increases whenever a worker gains free capacity or becomes usable.
   std::uint64_t mCapacityGeneration = 0;
--- a/src/jobs/internal/fleetrecords.cpp
+++ b/src/jobs/internal/fleetrecords.cpp
@@ -122,7 +122,7 @@
     const bool gone =
       !worker.mRegistered && !worker.mReachable && worker.mRuns.empty() &&
       worker.mUnregisteredSince + kUnregisteredRetention <= aNow &&
-      worker.mLease.RunsEndBy() <= aNow;
+      mOwnership.IsProvenAt(worker.mLease.RunsEndBy());
     if (!gone || worker.mLongPollInFlight || worker.mShortPollInFlight) {
       ++entry;
       continue;
--- a/src/jobs/internal/workerlease.cpp
+++ b/src/jobs/internal/workerlease.cpp
@@ -38,7 +38,10 @@
   mSettled = aSettled;
   // The earlier owner may go on for as long as it may own the shard.
   Duration lease = aOptions.mOwnershipLease;
-  mFormerRunsEndBy = LatestRunEnd(aNow, lease, kRecoveredLeaseMargin, aOptions);
+  const Duration formerLease =
+    std::max<Duration>(lease, aOptions.mLongestLease);
+  mFormerRunsEndBy =
+    LatestRunEnd(aNow, formerLease, kRecoveredLeaseMargin, aOptions);
   if (!IsSettled()) {
     lease += aOptions.mLongestLease;
   }
