A worker that restarts again and again does not hold its former runs for ever

Each restart began the wait for the former processes anew for all runs of the worker, so a worker that restarted each 5 s or faster kept its first runs, and their gangs, from starting elsewhere. The wait is now kept with the run, from the first restart after its order; a later process that does not list the run has not got it.

--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -58,6 +58,9 @@
   TimePoint mNextStopAt;
   // Since when the worker does not list the run any more, without an end.
   std::optional<TimePoint> mAbsentSince;
+  // By when the run has ended on a former process of its worker; nothing unless
+  // the worker has restarted since the run was ordered.
+  std::optional<TimePoint> mFormerEndsBy;
   // The run does not belong to a job that this node knows.
   bool mOrphan = false;
   // The task runs until its job is cancelled.
--- a/src/jobs/internal/worker.cpp
+++ b/src/jobs/internal/worker.cpp
@@ -43,6 +43,10 @@
   const crashes::CrashEvidence evidence = Evidence();
   for (const RunPointer& run : mRuns) {
     run->mPhase = RunPhase::Uncertain;
+    // A later process that does not list the run has not got it.
+    if (!run->mFormerEndsBy.has_value() || !run->mAbsentSince.has_value()) {
+      run->mFormerEndsBy = mLease.RunsEndBy();
+    }
     run->mAbsentSince.reset();
     if (!mEntry.mDraining && !run->mInterrupted.has_value()) {
       run->mInterrupted = run->Evidence(evidence);
@@ -50,12 +54,6 @@
   }
 }
 
-bool
-Worker::MayBeOnFormerProcess(const Run& aRun) const
-{
-  return mRestartKnownAt.has_value() && aRun.mOrderedAt <= *mRestartKnownAt;
-}
-
 bool
 Worker::HasRunsOfSeveralJobs() const
 {
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -117,8 +117,6 @@
   // may still end them, and the present one has those whose start orders were
   // still in flight; its next report shows which.
   void InterruptRuns();
-  // True when the run was ordered before the worker's restart was known.
-  bool MayBeOnFormerProcess(const Run& aRun) const;
   bool HasRunsOfSeveralJobs() const;
   // What is known of the cause, for a confirmed run, if the worker has crashed.
   crashes::CrashEvidence Evidence() const;
--- a/src/jobs/internal/workeranswerhandler.cpp
+++ b/src/jobs/internal/workeranswerhandler.cpp
@@ -298,17 +298,14 @@
 }
 
 TimePoint
-WorkerAnswerHandler::EndOfAbsentRun(const Worker& aWorker,
-                                    const Run& aRun) const
+WorkerAnswerHandler::EndOfAbsentRun(const Run& aRun) const
 {
   TimePoint end = *aRun.mAbsentSince;
   // A worker may not list a run that it is ending, nor its end yet.
   if (aRun.mPhase == RunPhase::Running || aRun.mStopWanted) {
     end += mCell.mOptions.mMaxStopDuration;
   }
-  return aWorker.MayBeOnFormerProcess(aRun)
-           ? std::max(end, aWorker.mLease.FormerRunsEndBy())
-           : end;
+  return std::max(end, aRun.mFormerEndsBy.value_or(end));
 }
 
 void
@@ -320,12 +317,12 @@
     if (!run->mAbsentSince.has_value()) {
       continue;
     }
-    if (!mCell.mOwnership.IsProvenAt(EndOfAbsentRun(aWorker, *run))) {
+    if (!mCell.mOwnership.IsProvenAt(EndOfAbsentRun(*run))) {
       aWorker.mHasAbsentRuns = true;
     } else if (run->mPhase == RunPhase::Running) {
       mRunEndHandler.OnRunLost(aWorker, run, LossProof::NotListed, aNow);
     } else {
-      const LossProof proof = aWorker.MayBeOnFormerProcess(*run)
+      const LossProof proof = run->mFormerEndsBy.has_value()
                                 ? LossProof::FormerLeaseExpired
                                 : LossProof::NotListed;
       mCrashHandler.OnRunAbsent(aWorker, run, proof, aNow);
--- a/src/jobs/internal/workeranswerhandler.h
+++ b/src/jobs/internal/workeranswerhandler.h
@@ -66,7 +66,7 @@
                       const Moment& aNow);
   void ConcludeAbsences(Worker& aWorker, const Moment& aNow);
   // By when a run has ended that the worker's present process does not list.
-  TimePoint EndOfAbsentRun(const Worker& aWorker, const Run& aRun) const;
+  TimePoint EndOfAbsentRun(const Run& aRun) const;
   void ExpireLease(Worker& aWorker, const Moment& aNow);
 
   CellState& mCell;
--- a/src/jobs/tests/runends_test.cpp
+++ b/src/jobs/tests/runends_test.cpp
@@ -128,6 +128,23 @@
       cell.mCell.EndPredecessor();
       cell.CheckRestarts(8000ms);
     });
+    aInner.It("do not by one that hears later that it has stopped", [] {
+      SlowStopCell cell;
+      cell.mCell.ReplaceWorker(0);
+      cell.mCell.TakeOver();
+      cell.mCell.RunFor(100ms);
+      cell.mCell.EndPredecessor();
+      cell.CheckRestarts(8000ms);
+    });
+    // Guards against a wait that each restart of the worker begins anew.
+    aInner.It("run elsewhere though the worker restarts again", [] {
+      SlowStopCell cell;
+      for (int restart = 0; restart < 10; ++restart) {
+        cell.mCell.ScheduleAfter(2000ms * restart,
+                                 [&cell] { cell.mCell.ReplaceWorker(0); });
+      }
+      cell.CheckRestarts(8000ms);
+    });
     aInner.It("do not by one whose predecessor goes on", [] {
       SlowStopCell cell(2000ms);
       cell.mCell.ReplaceWorker(0);
