The fixture of owner sessions keeps the store and delivers posted answers

A session refers to the store hooks, which the fixture passed as a temporary, so AddressSanitizer stopped cellnode_test and suspended_owner_test with stack-use-after-scope, and then reported answers that were still posted when the loop ended as leaks. The fixture now holds the hooks, and runs the loop once more after the end of the session. No check changes.

With address,undefined: cellnode_test 214 and suspended_owner_test 5 pass without a report; the same without sanitizers.

--- a/src/cellnode/tests/ownersessionfixture.h
+++ b/src/cellnode/tests/ownersessionfixture.h
@@ -65,8 +65,20 @@
   bool mStoreSilent = false;
   std::function<void()> mDelayedCommit;
   int mReleased = 0;
+  // The session refers to it.
+  RowStoreHooks mStore = MakeStore();
   std::unique_ptr<OwnerSession> mSession;
 
+  OwnerSessionFixture() = default;
+  OwnerSessionFixture(const OwnerSessionFixture&) = delete;
+  OwnerSessionFixture& operator=(const OwnerSessionFixture&) = delete;
+  // Delivers the answers that are under way, which the loop would leak.
+  ~OwnerSessionFixture()
+  {
+    mSession.reset();
+    RunFor(std::chrono::milliseconds(10));
+  }
+
   RowStoreHooks MakeStore()
   {
     return { .mCommit =
@@ -137,7 +149,7 @@
     mSession =
       std::make_unique<OwnerSession>(mLoop,
                                      NodeOptions{ .mNode = NodeId("n") },
-                                     MakeStore(),
+                                     mStore,
                                      MakeUpstreams(),
                                      mFormats,
                                      OwnerRow{ .mEpoch = Epoch(2) },
