--- a/src/jobs/internal/workerlease.cpp
+++ b/src/jobs/internal/workerlease.cpp
@@ -45,7 +45,8 @@
   if (!IsSettled()) {
     lease += aOptions.mLongestLease;
   }
-  mRunsEndBy = LatestRunEnd(aNow, lease, kRecoveredLeaseMargin, aOptions);
+  mPresentRunsEndBy =
+    LatestRunEnd(aNow, lease, kRecoveredLeaseMargin, aOptions);
 }
 
 void
@@ -56,7 +57,7 @@
     LatestRunEnd(aNow, lease, kRecoveredLeaseMargin, aOptions);
   mFormerRunsEndBy = std::min(mFormerRunsEndBy, latestEnd);
   if (!mRefusesEarlierOrders) {
-    mRunsEndBy = std::min(mRunsEndBy, latestEnd);
+    mPresentRunsEndBy = std::min(mPresentRunsEndBy, latestEnd);
   }
 }
 
@@ -65,15 +66,15 @@
                     Duration aLength,
                     const SchedulerOptions& aOptions)
 {
-  mRunsEndBy =
-    std::max(mRunsEndBy, LatestRunEnd(aNow, aLength, kLeaseMargin, aOptions));
+  mPresentRunsEndBy = std::max(
+    mPresentRunsEndBy, LatestRunEnd(aNow, aLength, kLeaseMargin, aOptions));
 }
 
 bool
 WorkerLease::BeginIncarnation()
 {
   mRefusesEarlierOrders = false;
-  mFormerRunsEndBy = std::max(mFormerRunsEndBy, mRunsEndBy);
+  mFormerRunsEndBy = std::max(mFormerRunsEndBy, mPresentRunsEndBy);
   return Unsettle();
 }
 
@@ -89,12 +90,12 @@
   const TimePoint latestEnd =
     LatestRunEnd(aNow, aOptions.mLongestLease, kLeaseMargin, aOptions);
   if (IsSettled() && mSettled == aPresent) {
-    mRunsEndBy = std::min(mRunsEndBy, latestEnd);
+    mPresentRunsEndBy = std::min(mPresentRunsEndBy, latestEnd);
     // The leases of its former processes ended before its own was settled.
     mFormerRunsEndBy = {};
     return false;
   }
-  mRunsEndBy = latestEnd;
+  mPresentRunsEndBy = latestEnd;
   mSettlesAt = latestEnd;
   return Unsettle();
 }
--- a/src/jobs/internal/workerlease.h
+++ b/src/jobs/internal/workerlease.h
@@ -29,7 +29,10 @@
 public:
   // By when all runs under the worker's id have ended, unless the lease is
   // extended.
-  TimePoint RunsEndBy() const { return std::max(mRunsEndBy, mFormerRunsEndBy); }
+  TimePoint RunsEndBy() const
+  {
+    return std::max(mPresentRunsEndBy, mFormerRunsEndBy);
+  }
   // By when those of the worker's former processes have ended.
   TimePoint FormerRunsEndBy() const { return mFormerRunsEndBy; }
   // The process whose lease is settled; empty for none. The next owner has to
@@ -66,8 +69,7 @@
   bool IsSettled() const { return mSettled != WorkerIncarnation(); }
   bool Unsettle();
 
-  // By when the runs of the present process have ended.
-  TimePoint mRunsEndBy;
+  TimePoint mPresentRunsEndBy;
   TimePoint mFormerRunsEndBy;
   WorkerIncarnation mSettled;
   // The present process refuses the orders of earlier owners and those for
