Review, case 7: recovered jobs follow the queue's policy of their submission

Looked for: what a new owner knows that the former one had applied in memory only. Case: review/7/run.sh, the owner is killed after a version has sent a queue to another service.

--- /dev/null
+++ b/review/7/case.py
@@ -0,0 +1,60 @@
+"""A job that was accepted before its queue was sent to another service is taken over by a new owner."""
+import asyncio
+import os
+import sys
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin-2"))
+import cell as stand
+
+FINISH_S = 14
+
+
+async def main(cell, trouble):
+    for _ in range(2):
+        cell.add_worker("pool-a")
+    for _ in range(4):
+        cell.add_worker("pool-b")
+    for name in ("front-a-1", "front-b-1", "front-c-1"):
+        cell.add_node(name)
+    old = stand.configuration(3, [stand.route("work", "pool-a")], ["pool-a", "pool-b"])
+    new = stand.configuration(6, [stand.route("work", "pool-b")], ["pool-a", "pool-b"])
+    if not await cell.start(old):
+        return 2
+    client = stand.Client(cell, "jobs.example", "/queue/")
+    job = "5c0e7a21d94b36f8"
+    # The first step takes 5 s, the second one a second.
+    body = {"spec": "5000,1000", "steps": [{"count": 1, "cpu": 500, "memMb": 256, "estimateMs": 5000},
+                                           {"count": 1, "cpu": 500, "memMb": 256, "estimateMs": 1000, "after": [0]}]}
+    if await client.submit(job, body, cell.nodes) is None:
+        return 2
+    await asyncio.sleep(1.0)
+    cell.store.put("op", "config", new)
+    cell.record("the operator sends the queue to pool-b, by version 6")
+    await asyncio.sleep(2.0)
+    for worker in cell.workers[:2]:
+        worker.drain(remaining_ms=4000)
+    cell.record("the workers of pool-a drain")
+    if trouble:
+        owner = cell.owner()
+        owner.kill()
+        cell.record("TROUBLE: %s, the owner, is killed" % owner.name)
+        cell.tasks.append(asyncio.ensure_future(cell.restart(owner)))
+    await asyncio.sleep(4.2)
+    for worker in cell.workers[:2]:
+        worker.leave()
+    cell.record("the workers of pool-a have left")
+    # The turn of the second step came when the first one had ended, and all of pool-b is empty.
+    deadline = time.monotonic() + FINISH_S
+    while time.monotonic() < deadline:
+        if await client.state(job, cell.nodes) == "completed":
+            cell.record("HELD: the job is completed")
+            return 0
+        await asyncio.sleep(1.0)
+    begun = [start for start in cell.starts if start[2] == job + ".0.1.0"]
+    cell.record("BROKEN (LOST): the second step's turn came %d s ago, 4 workers of pool-b are empty, starts of it: %d"
+                % (FINISH_S, len(begun)))
+    return 1
+
+
+stand.run_case(main)
