--- a/review/standin-2/cell.py
+++ b/review/standin-2/cell.py
@@ -635,14 +635,17 @@
 
     async def guarded():
         cell = Cell(record)
+        case = asyncio.ensure_future(main(cell, trouble))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, case.cancel)
         try:
-            return await asyncio.wait_for(main(cell, trouble), 110)
+            return await asyncio.wait_for(case, 110)
         finally:
             cell.stop(keep=os.environ.get("KEEP") == "1")
 
     try:
         code = asyncio.run(guarded())
-    except Exception as error:  # The case itself failed.
+    except (Exception, asyncio.CancelledError) as error:  # The case itself failed, or was ended.
         record("could not run: %r" % error)
         print("could not run: %r" % error, file=sys.stderr)
         code = 2
