Review, case 7: the service changes by removing the route and adding it again

PROTOCOL says that versions add and remove routes; the first form changed the service in one version.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A job that was accepted before its queue was sent to another service is taken over by a new owner."""
+"""A job that was accepted before its queue went to another service is taken over by a new owner."""
 import asyncio
 import os
 import sys
@@ -17,8 +17,11 @@
         cell.add_worker("pool-b")
     for name in ("front-a-1", "front-b-1", "front-c-1"):
         cell.add_node(name)
-    old = stand.configuration(3, [stand.route("work", "pool-a")], ["pool-a", "pool-b"])
-    new = stand.configuration(6, [stand.route("work", "pool-b")], ["pool-a", "pool-b"])
+    pools = ["pool-a", "pool-b"]
+    other = stand.route("other", "pool-b", prefix="/other/")
+    old = stand.configuration(3, [stand.route("work", "pool-a"), other], pools)
+    without = stand.configuration(6, [other], pools)
+    new = stand.configuration(10, [stand.route("work", "pool-b"), other], pools)
     if not await cell.start(old):
         return 2
     client = stand.Client(cell, "jobs.example", "/queue/")
@@ -29,9 +32,12 @@
     if await client.submit(job, body, cell.nodes) is None:
         return 2
     await asyncio.sleep(1.0)
+    cell.store.put("op", "config", without)
+    cell.record("the operator removes the route, by version 6")
+    await asyncio.sleep(1.0)
     cell.store.put("op", "config", new)
-    cell.record("the operator sends the queue to pool-b, by version 6")
-    await asyncio.sleep(2.0)
+    cell.record("the operator adds the route again, with pool-b as its service, by version 10")
+    await asyncio.sleep(1.5)
     for worker in cell.workers[:2]:
         worker.drain(remaining_ms=4000)
     cell.record("the workers of pool-a drain")
