--- a/review/6/case.py
+++ b/review/6/case.py
@@ -20,13 +20,15 @@
     cell.add_node("front-b-1", share=0.12, link=20.0)
     cell.add_node("front-c-1", share=0.12, link=20.0)
     cell.advice = ADVICE
-    route = stand.route("work", "pool", advice=ADVICE, stretch=2.2, targetLatencyMs=2500)
-    if not await cell.start(stand.configuration(3, [route], ["pool"])):
+    routes = [stand.route("work", "pool", advice=ADVICE, stretch=1.5, targetLatencyMs=250),
+              stand.route("bulk", "pool", prefix="/bulk/", advice=ADVICE, stretch=8.0, targetLatencyMs=5000, priority=2)]
+    if not await cell.start(stand.configuration(3, routes, ["pool"])):
         return 2
     await asyncio.sleep(2.0)
     owner = cell.owner()
     others = [node for node in cell.nodes if node is not owner]
     client = stand.Client(cell, "jobs.example", "/queue/")
+    bulk_client = stand.Client(cell, "jobs.example", "/bulk/")
     body = {"spec": "600", "steps": [{"count": 8, "cpu": 3400, "memMb": 9700, "estimateMs": 600}]}
     # A first job runs alone.
     first = "00000000000000a0"
@@ -35,12 +37,13 @@
     await asyncio.sleep(4.0)
     if await client.state(first, others) != "completed":
         return 2
+    # Two jobs that can wait, and then four that can't.
     jobs = ["%016x" % (0xb0 + number) for number in range(6)]
-    accepted = await asyncio.gather(*[client.submit(job, body, others) for job in jobs])
+    accepted = await asyncio.gather(*[bulk_client.submit(job, body, others) for job in jobs[:2]])
+    accepted += await asyncio.gather(*[client.submit(job, body, others) for job in jobs[2:]])
     if None in accepted:
         return 2
     if trouble:
-        await asyncio.sleep(0.05)
         owner.kill()
         cell.record("TROUBLE: %s, the owner, is killed" % owner.name)
         cell.tasks.append(asyncio.ensure_future(cell.restart(owner)))
