Answers to queries of a former ownership term are not taken for present ones

Cause, in two parts. (1) Queries to the policy service were numbered from 1 in each owner session, and answers go to a node's name, which also stands for the next process and for the next term of one process (a query to itself answers through CellNode, not through the session). So the answer to query 2 of the former term was taken for that to query 2 of the present one. (2) A step with a pending query asks no more. The true answer found no query, the dispatcher had forgotten it, and nothing ever told the step.

Ruled out: a lost answer alone. The dispatcher reports it after 4.5 s (advice_query_expired); no such line stands in the logs of the case.

Ids of queries carry the term, as those of relayed calls did; both come from one class, RequestIds, so an id of another term is recognized, also when a node of an earlier release sends it back. Such an answer is ignored, logged (stale_answer_ignored) and counted (oriolevane_stale_answers_total). An answer whose step is not that of its query counts as none. Twice a second the session compares what steps wait for with what the dispatcher has; a step that waits for a query that nobody has may ask again (advice_query_lost, oriolevane_advice_queries_lost_total), and oriolevane_advice_pending_seconds shows the longest wait.

Why it works: no term issues an id of another one, and the wait of a step no longer depends on the message that ends it.

--- a/src/cellnode/advicedispatcher.h
+++ b/src/cellnode/advicedispatcher.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cellnode/types/pendingquery.h"
+#include "cellnode/types/requestids.h"
 #include "cellnode/waitingqueries.h"
 #include "framework/steadynow.h"
 
@@ -32,7 +33,8 @@
 class AdviceDispatcher
 {
 public:
-  explicit AdviceDispatcher(AdviceDispatcherHooks aHooks);
+  // The ids of queries belong to the ownership term aEpoch.
+  AdviceDispatcher(Epoch aEpoch, AdviceDispatcherHooks aHooks);
 
   // Makes the node available for queries.
   void AddNode(const NodeId& aNode);
@@ -49,6 +51,10 @@
   // Logs a backlog that is too old, at most once in a while.
   void ReportBacklog();
   AdviceBacklog Backlog() const;
+  // Counts the queries that wait for a node or for an answer.
+  jobs::QueryCounts PendingQueries() const;
+  // False for the id of a query that was sent in another term.
+  bool HasSent(QueryId aId) const { return mIds.HasIssued(aId); }
   std::size_t NodeCount() const { return mNodeLoads.size(); }
 
 private:
@@ -75,7 +81,7 @@
   std::map<NodeId, NodeLoad> mNodeLoads;
   WaitingQueries mWaitingShort;
   WaitingQueries mWaitingLong;
-  QueryId mLastId;
+  RequestIds<QueryId> mIds;
   TimePoint mNextBacklogReport;
 };
 
--- a/src/cellnode/internal/advicedispatcher.cpp
+++ b/src/cellnode/internal/advicedispatcher.cpp
@@ -35,8 +35,9 @@
 
 } // namespace
 
-AdviceDispatcher::AdviceDispatcher(AdviceDispatcherHooks aHooks)
+AdviceDispatcher::AdviceDispatcher(Epoch aEpoch, AdviceDispatcherHooks aHooks)
   : mHooks(std::move(aHooks))
+  , mIds(RequestIds<QueryId>::OfTerm(aEpoch))
 {
 }
 
@@ -64,10 +65,9 @@
 void
 AdviceDispatcher::Add(const jobs::AdviceQuery& aQuery)
 {
-  ++mLastId.mValue;
   const TimePoint now = mHooks.mNow();
   const int untilDue = aQuery.mBoundedWait ? 0 : kServiceTimesUntilDue;
-  AddWaiting(mLastId,
+  AddWaiting(mIds.Next(),
              { .mQuery = aQuery,
                .mAddedAt = now,
                .mDue = now + untilDue * aQuery.mServiceTime,
@@ -137,6 +137,20 @@
   return backlog;
 }
 
+jobs::QueryCounts
+AdviceDispatcher::PendingQueries() const
+{
+  jobs::QueryCounts counts;
+  mWaitingShort.AddTo(counts);
+  mWaitingLong.AddTo(counts);
+  for (const auto& [name, load] : mNodeLoads) {
+    for (const auto& [id, query] : load.mQueries) {
+      ++counts[query.mQuery.mStep];
+    }
+  }
+  return counts;
+}
+
 void
 AdviceDispatcher::ReportBacklog()
 {
--- a/src/cellnode/internal/cellnodeadvice.cpp
+++ b/src/cellnode/internal/cellnodeadvice.cpp
@@ -16,8 +16,8 @@
   if (aNode == mOptions.mNode) {
     QueryPolicyService(
       aQuery, [this, alive = mAlive, aId](const jobs::AdviceAnswer& aAnswer) {
-        if (*alive && mSession != nullptr) {
-          mSession->OnAdvice(aId, aAnswer);
+        if (*alive) {
+          OnAdviceAnswer(aId, aAnswer);
         }
       });
     return;
@@ -55,11 +55,13 @@
 }
 
 void
-CellNode::Impl::OnPeerAdviceAnswer(const cellwire::AdviceAnswerT& aAnswer)
+CellNode::Impl::OnAdviceAnswer(QueryId aId, const jobs::AdviceAnswer& aAnswer)
 {
-  if (mSession != nullptr) {
-    mSession->OnAdvice(QueryId(aAnswer.id), FromWire(aAnswer));
+  if (mSession == nullptr) {
+    OnStaleAnswer(PeerRequest::Advice, aId.mValue);
+    return;
   }
+  mSession->OnAdvice(aId, aAnswer);
 }
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -253,6 +253,14 @@
       .mSendWorkerCalls =
         [this](const NodeId& aNode, cellwire::WorkerCallBatchT aBatch) {
           mPeers.Send(aNode, std::move(aBatch));
+        },
+      .mOnStaleAnswer =
+        [this](PeerRequest aRequest, std::uint64_t aId) {
+          OnStaleAnswer(aRequest, aId);
+        },
+      .mOnQueriesLost =
+        [this](std::size_t aQueries) {
+          mMetrics.CountLostQueries(aQueries);
         } });
   for (const NodeId& node : mPeers.LinkedNodes()) {
     AddToSession(node);
--- a/src/cellnode/internal/cellnodeimpl.h
+++ b/src/cellnode/internal/cellnodeimpl.h
@@ -2,6 +2,7 @@
 // requests of callers.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 
@@ -85,11 +86,14 @@
                           const cellwire::CallerAnswerT& aAnswer);
   void OnPeerAdviceQuery(const NodeId& aNode,
                          const cellwire::AdviceQueryT& aQuery);
-  void OnPeerAdviceAnswer(const cellwire::AdviceAnswerT& aAnswer);
+  void OnAdviceAnswer(QueryId aId, const jobs::AdviceAnswer& aAnswer);
   void SendAdviceQuery(const NodeId& aNode,
                        QueryId aId,
                        const jobs::AdviceQuery& aQuery);
 
+  // Notes that an answer to a request of another process or term is ignored.
+  void OnStaleAnswer(PeerRequest aRequest, std::uint64_t aId);
+
   // Requests of callers.
   void SendCall(CallId aId);
   void SendUnsentCalls();
--- a/src/cellnode/internal/cellnodepeers.cpp
+++ b/src/cellnode/internal/cellnodepeers.cpp
@@ -194,7 +194,8 @@
       OnPeerAdviceQuery(aNode, *aMessage.body.AsAdviceQuery());
       break;
     case cellwire::Body::AdviceAnswer:
-      OnPeerAdviceAnswer(*aMessage.body.AsAdviceAnswer());
+      OnAdviceAnswer(QueryId(aMessage.body.AsAdviceAnswer()->id),
+                     FromWire(*aMessage.body.AsAdviceAnswer()));
       break;
     case cellwire::Body::WorkerCallBatch:
       mRelayServer.OnCalls(aNode, *aMessage.body.AsWorkerCallBatch());
@@ -210,6 +211,16 @@
   }
 }
 
+void
+CellNode::Impl::OnStaleAnswer(PeerRequest aRequest, std::uint64_t aId)
+{
+  LogInfo("stale_answer_ignored")
+    .With("request", ToText(aRequest))
+    .With("id", aId)
+    .With("epoch", mEpoch);
+  mMetrics.CountStaleAnswer(aRequest);
+}
+
 void
 CellNode::Impl::OnHeartbeat(const NodeId& aNode,
                             const cellwire::HeartbeatT& aHeartbeat)
--- a/src/cellnode/internal/metricstext.cpp
+++ b/src/cellnode/internal/metricstext.cpp
@@ -131,6 +131,8 @@
   const std::chrono::duration<double> storeAge = aStatus.mStoreAge;
   const std::chrono::duration<double> adviceWait =
     aStatus.mAdviceBacklog.mLongestWait;
+  const std::chrono::duration<double> advicePending =
+    aStatus.mCounts.mLongestAdviceWait;
   const jobs::LongRunningWaits& waits = aStatus.mCounts.mLongRunningWaits;
   const std::chrono::duration<double> longRunningWait = waits.mLongest;
   const jobs::WorkerTrials& trials = aStatus.mCounts.mWorkerTrials;
@@ -170,6 +172,9 @@
     Gauge("advice_wait_seconds",
           "longest time for which one of them has waited",
           adviceWait.count()),
+    Gauge("advice_pending_seconds",
+          "longest time for which a step has waited for answers about it",
+          advicePending.count()),
     Gauge("long_running_steps_waiting",
           "long-running steps with tasks that wait to start, at the owner",
           number(waits.mSteps)),
--- a/src/cellnode/internal/nodemetrics.cpp
+++ b/src/cellnode/internal/nodemetrics.cpp
@@ -20,10 +20,19 @@
   "undetermined",  "unauthorized", "forbidden", "rate_limited"
 };
 
+constexpr std::array kPeerRequestNames{ "caller", "advice", "worker_call" };
+
 } // namespace
 
+std::string_view
+ToText(PeerRequest aRequest)
+{
+  return kPeerRequestNames[static_cast<std::size_t>(aRequest)];
+}
+
 NodeMetrics::NodeMetrics()
 {
+  static_assert(kPeerRequestNames.size() == kPeerRequests);
   static_assert(kStageNames.size() == kStages);
   static_assert(kAnswerNames.size() == kCallerAnswerKinds);
   auto& stages = prometheus::BuildHistogram()
@@ -40,6 +49,20 @@
   for (std::size_t kind = 0; kind < kCallerAnswerKinds; ++kind) {
     mAnswers[kind] = &answers.Add({ { "kind", kAnswerNames[kind] } });
   }
+  auto& staleAnswers =
+    prometheus::BuildCounter()
+      .Name("oriolevane_stale_answers_total")
+      .Help("answers to requests of an earlier process or ownership term")
+      .Register(mRegistry);
+  for (std::size_t request = 0; request < kPeerRequests; ++request) {
+    mStaleAnswers[request] =
+      &staleAnswers.Add({ { "request", kPeerRequestNames[request] } });
+  }
+  mLostQueries = &prometheus::BuildCounter()
+                    .Name("oriolevane_advice_queries_lost_total")
+                    .Help("queries that a step waited for and nobody had")
+                    .Register(mRegistry)
+                    .Add({});
   mOwnerships = &prometheus::BuildCounter()
                    .Name("oriolevane_ownerships_total")
                    .Help("times that this node began to own the shard")
@@ -60,6 +83,18 @@
   mAnswers[static_cast<std::size_t>(aKind)]->Increment();
 }
 
+void
+NodeMetrics::CountStaleAnswer(PeerRequest aRequest)
+{
+  mStaleAnswers[static_cast<std::size_t>(aRequest)]->Increment();
+}
+
+void
+NodeMetrics::CountLostQueries(std::size_t aQueries)
+{
+  mLostQueries->Increment(static_cast<double>(aQueries));
+}
+
 std::vector<prometheus::MetricFamily>
 NodeMetrics::Collect() const
 {
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -22,6 +22,8 @@
 // How long the store may hold a feed call for the worker registry. It is short
 // because a lost answer delays the news that a worker is draining by this time.
 constexpr std::chrono::milliseconds kRegistryFeedWait = 1000ms;
+// The interval at which lost queries to the policy service are looked for.
+constexpr std::chrono::milliseconds kQueryCheckInterval = 500ms;
 // A pass of the scheduler that takes longer than this is logged.
 constexpr std::chrono::milliseconds kSlowPass = 100ms;
 
@@ -55,7 +57,7 @@
   , mFormats(aFormats)
   , mScheduler(WithEpoch(aOptions.mScheduler, mOwner.mEpoch),
                MakeSchedulerHooks())
-  , mAdviceDispatcher(MakeAdviceDispatcherHooks())
+  , mAdviceDispatcher(mOwner.mEpoch, MakeAdviceDispatcherHooks())
   , mJournal(
       { .mCompressRecords = aOptions.mCompress },
       mOwner,
@@ -231,10 +233,20 @@
 void
 OwnerSession::OnAdvice(QueryId aId, jobs::AdviceAnswer aAnswer)
 {
+  if (!mAdviceDispatcher.HasSent(aId)) {
+    mHooks.mOnStaleAnswer(PeerRequest::Advice, aId.mValue);
+    return;
+  }
   std::optional<jobs::AdviceQuery> query = mAdviceDispatcher.OnAnswer(aId);
   if (!query.has_value()) {
     return;
   }
+  if (aAnswer.mStep != query->mStep) {
+    LogWarning("advice_answer_of_another_step")
+      .With("step", query->mStep.ToText())
+      .With("answer_step", aAnswer.mStep.ToText());
+    aAnswer = { .mStep = query->mStep };
+  }
   aAnswer.mAsked = std::move(query->mWorkers);
   mScheduler.OnAdvice(aAnswer, Now());
   ScheduleTick();
@@ -295,6 +307,20 @@
   mTimer->StartWithin(kSoonTickDelay);
 }
 
+void
+OwnerSession::CheckPendingQueries(const jobs::Moment& aNow)
+{
+  if (aNow.mSteady < mNextQueryCheck) {
+    return;
+  }
+  mNextQueryCheck = aNow.mSteady + kQueryCheckInterval;
+  const std::size_t lost =
+    mScheduler.CheckPendingQueries(mAdviceDispatcher.PendingQueries(), aNow);
+  if (lost > 0) {
+    mHooks.mOnQueriesLost(lost);
+  }
+}
+
 // A slow pass delays heartbeats and renewals, which other nodes may take for a
 // failure of this one.
 void
@@ -322,6 +348,7 @@
   mRelayedCalls.Expire(now.mSteady);
   mAdviceDispatcher.Expire();
   mAdviceDispatcher.ReportBacklog();
+  CheckPendingQueries(now);
   if (mLoaded && !mReleasing) {
     mScheduler.ProveOwnership(mJournal.RenewedAt(),
                               mJournal.RenewedAt() +
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -2,6 +2,7 @@
 // workers and answers callers.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -43,6 +44,10 @@
   // Sends calls to workers to a node, which makes them.
   std::function<void(const NodeId&, cellwire::WorkerCallBatchT)>
     mSendWorkerCalls;
+  // Called for an answer to a request of another term, which is ignored.
+  std::function<void(PeerRequest, std::uint64_t aId)> mOnStaleAnswer;
+  // Called when steps waited for queries that the session does not have.
+  std::function<void(std::size_t aQueries)> mOnQueriesLost;
 };
 
 class OwnerSession
@@ -69,7 +74,8 @@
   void Serve(const CallerRequest& aRequest, AnswerCallback aReply);
   // Notes that the previous owner has stopped.
   void OnPredecessorGone();
-  // Takes the answer of the policy service to a query.
+  // Takes the answer of the policy service to a query. An answer to a query of
+  // another term is ignored.
   void OnAdvice(QueryId aId, jobs::AdviceAnswer aAnswer);
   // Takes the answers of workers that a relay has called.
   void OnWorkerAnswers(const cellwire::WorkerAnswerBatchT& aAnswers);
@@ -107,6 +113,9 @@
   void OnWorkerRow(const Row& aRow);
   void OnRecorded(jobs::RecordPosition aPosition);
   void Tick();
+  // Compares the queries that steps wait for with those that are pending, once
+  // in a while.
+  void CheckPendingQueries(const jobs::Moment& aNow);
   void LogSlowPass(TimePoint aStartedAt) const;
   void ScheduleTick();
   RelayedCallsHooks MakeRelayedCallsHooks(const UpstreamHooks& aUpstreams);
@@ -133,6 +142,7 @@
   bool mReleasing = false;
   bool mHalted = false;
   std::vector<std::pair<CallerRequest, AnswerCallback>> mEarlyRequests;
+  TimePoint mNextQueryCheck;
   std::unique_ptr<eventloop::Timer> mTimer;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/src/cellnode/internal/ownersessionhooks.cpp
+++ b/src/cellnode/internal/ownersessionhooks.cpp
@@ -100,7 +100,11 @@
                  }
                });
              },
-           .mNow = [] { return SteadyNow(); } };
+           .mNow = [] { return SteadyNow(); },
+           .mOnStaleAnswer =
+             [this](RelayedCallId aId) {
+               mHooks.mOnStaleAnswer(PeerRequest::WorkerCall, aId.mValue);
+             } };
 }
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/internal/relayedcalls.cpp
+++ b/src/cellnode/internal/relayedcalls.cpp
@@ -14,8 +14,6 @@
 
 using namespace std::chrono_literals;
 
-// Number of bits of a call id below the epoch.
-constexpr int kCallIdBits = 40;
 // A relay reports a worker that does not answer by the call's timeout. The
 // owner waits this much longer for that report.
 constexpr std::chrono::milliseconds kRelayAnswerMargin = 150ms;
@@ -27,7 +25,7 @@
                            RelayedCallsHooks aHooks)
   : mHooks(std::move(aHooks))
   , mSelector(aOptions)
-  , mLastId(aEpoch.mValue << kCallIdBits)
+  , mIds(RequestIds<RelayedCallId>::OfTerm(aEpoch))
 {
 }
 
@@ -53,15 +51,15 @@
                       Duration aTimeout,
                       std::variant<OrderDone, PollDone> aDone)
 {
-  ++mLastId.mValue;
+  const RelayedCallId id = mIds.Next();
   const TimePoint expiresAt =
     mHooks.mNow() + aTimeout + Duration(kRelayAnswerMargin);
-  mCalls.emplace(mLastId,
+  mCalls.emplace(id,
                  Call{ .mRelay = aRelay,
                        .mExpiresAt = expiresAt,
                        .mDone = std::move(aDone) });
-  mExpiry.emplace(expiresAt, mLastId);
-  return mLastId;
+  mExpiry.emplace(expiresAt, id);
+  return id;
 }
 
 cellwire::WorkerCallBatchT&
@@ -160,6 +158,16 @@
   return call;
 }
 
+std::optional<RelayedCalls::Call>
+RelayedCalls::TakeAnswered(RelayedCallId aId)
+{
+  if (!mIds.HasIssued(aId)) {
+    mHooks.mOnStaleAnswer(aId);
+    return std::nullopt;
+  }
+  return Take(aId);
+}
+
 void
 RelayedCalls::FinishWithoutAnswer(RelayedCallId aId)
 {
@@ -178,7 +186,7 @@
 RelayedCalls::OnAnswers(const cellwire::WorkerAnswerBatchT& aAnswers)
 {
   for (const auto& reply : aAnswers.orders) {
-    const std::optional<Call> call = Take(RelayedCallId(reply->id));
+    const std::optional<Call> call = TakeAnswered(RelayedCallId(reply->id));
     const auto* done =
       call.has_value() ? std::get_if<OrderDone>(&call->mDone) : nullptr;
     if (done == nullptr) {
@@ -191,7 +199,7 @@
     (*done)(FromWire(*reply));
   }
   for (const auto& reply : aAnswers.polls) {
-    const std::optional<Call> call = Take(RelayedCallId(reply->id));
+    const std::optional<Call> call = TakeAnswered(RelayedCallId(reply->id));
     const auto* done =
       call.has_value() ? std::get_if<PollDone>(&call->mDone) : nullptr;
     if (done != nullptr) {
--- a/src/cellnode/internal/relayedcalls.h
+++ b/src/cellnode/internal/relayedcalls.h
@@ -11,6 +11,7 @@
 #include "cellnode/internal/recentjobs.h"
 #include "cellnode/relayselector.h"
 #include "cellnode/types/nodehooks.h"
+#include "cellnode/types/requestids.h"
 #include "cellpeer_generated.h"
 
 namespace oriolevane::cellnode {
@@ -27,13 +28,14 @@
   // Requests a call of Flush() after the present events.
   std::function<void()> mRequestFlush;
   std::function<TimePoint()> mNow;
+  // Called for an answer to a call of another term, which is ignored.
+  std::function<void(RelayedCallId)> mOnStaleAnswer = [](RelayedCallId) {};
 };
 
 class RelayedCalls
 {
 public:
-  // The ids of calls contain the epoch, so that late answers to the calls of an
-  // earlier epoch of the same process are ignored.
+  // The ids of calls belong to the ownership term aEpoch.
   RelayedCalls(Epoch aEpoch,
                RelaySelectorOptions aOptions,
                RelayedCallsHooks aHooks);
@@ -81,6 +83,8 @@
              OrderDone aDone);
   void Stop(const jobs::StopOrder& aOrder, Duration aTimeout, OrderDone aDone);
   void Poll(const jobs::PollOrder& aOrder, Duration aTimeout, PollDone aDone);
+  // Removes a call that a relay has answered; nothing when it has ended.
+  std::optional<Call> TakeAnswered(RelayedCallId aId);
   // Removes a call; nothing when it has ended.
   std::optional<Call> Take(RelayedCallId aId);
   void FinishWithoutAnswer(RelayedCallId aId);
@@ -93,7 +97,7 @@
   std::map<NodeId, cellwire::WorkerCallBatchT> mBatches;
   // The jobs whose payload each relay has.
   std::map<NodeId, RecentJobs<std::monostate>> mSentPayloads;
-  RelayedCallId mLastId;
+  RequestIds<RelayedCallId> mIds;
 };
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/internal/waitingqueries.cpp
+++ b/src/cellnode/internal/waitingqueries.cpp
@@ -61,4 +61,14 @@
   }
 }
 
+void
+WaitingQueries::AddTo(jobs::QueryCounts& aCounts) const
+{
+  for (const Queries* queries : { &mBounded, &mOthers }) {
+    for (const auto& [key, query] : *queries) {
+      ++aCounts[query.mQuery.mStep];
+    }
+  }
+}
+
 } // namespace oriolevane::cellnode
--- a/src/cellnode/nodemetrics.h
+++ b/src/cellnode/nodemetrics.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 #include <prometheus/counter.h>
@@ -30,6 +31,21 @@
   Count
 };
 
+// What a node asks other nodes for.
+enum class PeerRequest
+{
+  // To answer a caller.
+  Caller,
+  // To query the policy service.
+  Advice,
+  // To call a worker.
+  WorkerCall,
+  Count
+};
+
+std::string_view
+ToText(PeerRequest aRequest);
+
 class NodeMetrics
 {
 public:
@@ -41,15 +57,23 @@
   void CountAnswer(CallerAnswerKind aKind);
   // Counts that this node became the owner of the shard.
   void CountOwnership() { mOwnerships->Increment(); }
+  // Counts an answer to a request of another process or ownership term.
+  void CountStaleAnswer(PeerRequest aRequest);
+  // Counts queries to the policy service that got lost within the owner.
+  void CountLostQueries(std::size_t aQueries);
   std::vector<prometheus::MetricFamily> Collect() const;
 
 private:
   static constexpr std::size_t kStages = static_cast<std::size_t>(Stage::Count);
+  static constexpr std::size_t kPeerRequests =
+    static_cast<std::size_t>(PeerRequest::Count);
 
   prometheus::Registry mRegistry;
   std::array<prometheus::Histogram*, kStages> mStages{};
   std::array<prometheus::Counter*, kCallerAnswerKinds> mAnswers{};
+  std::array<prometheus::Counter*, kPeerRequests> mStaleAnswers{};
   prometheus::Counter* mOwnerships = nullptr;
+  prometheus::Counter* mLostQueries = nullptr;
 };
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/tests/advice/policyservice.h
+++ b/src/cellnode/tests/advice/policyservice.h
@@ -15,7 +15,8 @@
 public:
   PolicyService(jobs::FakeCell& aCell, int aNodes)
     : mCell(aCell)
-    , mDispatcher({ .mSend =
+    , mDispatcher(Epoch(1),
+                  { .mSend =
                       [this](const NodeId& aNode,
                              QueryId aId,
                              const jobs::AdviceQuery& aQuery) {
--- a/src/cellnode/tests/advicedispatcher_test.cpp
+++ b/src/cellnode/tests/advicedispatcher_test.cpp
@@ -31,7 +31,8 @@
   AdviceDispatcher mAdviceDispatcher;
 
   explicit Fixture(int aNodes)
-    : mAdviceDispatcher({ .mSend =
+    : mAdviceDispatcher(Epoch(1),
+                        { .mSend =
                             [this](const NodeId& aNode,
                                    QueryId aId,
                                    const jobs::AdviceQuery& aQuery) {
--- a/src/cellnode/tests/main.cpp
+++ b/src/cellnode/tests/main.cpp
@@ -13,6 +13,7 @@
       { "cell loader", oriolevane::CellLoaderTests },
       { "ownership policy", oriolevane::OwnershipPolicyTests },
       { "owner session", oriolevane::OwnerSessionTests },
+      { "stale answers", oriolevane::StaleAnswerTests },
       { "predecessor", oriolevane::PredecessorTests },
       { "caller requests", oriolevane::CallerRequestHandlerTests },
       { "caller authorizer", oriolevane::CallerAuthorizerTests },
--- a/src/cellnode/tests/ownersessionfixture.h
+++ b/src/cellnode/tests/ownersessionfixture.h
@@ -16,14 +16,22 @@
 
 namespace oriolevane::cellnode {
 
+inline jobs::QueuePolicy
+RecordedQueue()
+{
+  jobs::QueuePolicy queue;
+  queue.mName = jobs::QueueName("queue");
+  queue.mPool = jobs::PoolName("pool");
+  queue.mMaxAttempts = 3;
+  return queue;
+}
+
 inline std::string
-EncodedJob()
+EncodedJob(const std::string& aId, const jobs::QueuePolicy& aQueue)
 {
   jobs::JobRecord job;
-  job.mId = jobs::JobId("job");
-  job.mQueue.mName = jobs::QueueName("queue");
-  job.mQueue.mPool = jobs::PoolName("pool");
-  job.mQueue.mMaxAttempts = 3;
+  job.mId = jobs::JobId(aId);
+  job.mQueue = aQueue;
   jobs::StepSpec step;
   step.mTaskCount = 1;
   step.mResources = { .mMilliCores = 1000, .mMemoryMiB = 100 };
@@ -44,6 +52,13 @@
   return entry;
 }
 
+// A query to the policy service that a session has sent to a node.
+struct SentAdviceQuery
+{
+  QueryId mId;
+  jobs::AdviceQuery mQuery;
+};
+
 // A session of an owner with one job and one worker, which answers polls but
 // gives its answers to start orders only when the test says so.
 struct OwnerSessionFixture
@@ -57,7 +72,12 @@
                                 return RegisteredWorker();
                               },
                             .mDecodeJob = {} };
+  // The store's only job.
+  std::string mJobId = "job";
+  jobs::QueuePolicy mQueue = RecordedQueue();
   std::vector<jobs::StartOrder> mStarts;
+  std::vector<SentAdviceQuery> mQueries;
+  std::vector<PeerRequest> mStaleAnswers;
   std::function<void(const jobs::OrderAnswer&)> mStartDone;
   int mLeases = 0;
   std::uint64_t mVersion = 1;
@@ -98,8 +118,9 @@
                [this](const RowQuery& aQuery, Duration, const auto& aDone) {
                  RowPage page;
                  if (aQuery.mTable == "jobs") {
-                   page.mRows.push_back({ .mKey = { "jobs", "s0", "job" },
-                                          .mValue = EncodedJob() });
+                   page.mRows.push_back(
+                     { .mKey = { "jobs", "s0", mJobId },
+                       .mValue = EncodedJob(mJobId, mQueue) });
                  } else if (aQuery.mTable == "registry") {
                    page.mRows.push_back({ .mKey = { "registry", "", "w" },
                                           .mValue = "",
@@ -139,30 +160,52 @@
              .mOnReleased = [this] { ++mReleased; },
              .mOnStageTime = [](Stage, Duration) {},
              .mAuthorize = {},
-             .mSendAdviceQuery = {},
-             .mSendWorkerCalls = {} };
+             .mSendAdviceQuery =
+               [this](
+                 const NodeId&, QueryId aId, const jobs::AdviceQuery& aQuery) {
+                 mQueries.push_back({ .mId = aId, .mQuery = aQuery });
+               },
+             .mSendWorkerCalls = {},
+             .mOnStaleAnswer =
+               [this](PeerRequest aRequest, std::uint64_t) {
+                 mStaleAnswers.push_back(aRequest);
+               },
+             .mOnQueriesLost = [](std::size_t) {} };
   }
 
   // Runs the session until it has sent the first start order.
   void Start()
   {
+    BeginTerm(Epoch(2));
+    RunUntil([this] { return !mStarts.empty(); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mStarts.size());
+    RunFor(std::chrono::milliseconds(20));
+  }
+
+  // Replaces the session by one of the same process in another term.
+  void BeginTerm(Epoch aEpoch)
+  {
+    mSession.reset();
     mSession =
       std::make_unique<OwnerSession>(mLoop,
                                      NodeOptions{ .mNode = NodeId("n") },
                                      mStore,
                                      MakeUpstreams(),
                                      mFormats,
-                                     OwnerRow{ .mEpoch = Epoch(2) },
+                                     OwnerRow{ .mEpoch = aEpoch },
                                      RowVersion(1),
                                      SteadyNow(),
                                      MakeHooks());
     mSession->OnPredecessorGone();
     mSession->Configure({});
-    for (int attempt = 0; attempt < 100 && mStarts.empty(); ++attempt) {
+  }
+
+  // Runs the session until the condition holds, or for 2 s.
+  void RunUntil(const std::function<bool()>& aCondition)
+  {
+    for (int attempt = 0; attempt < 100 && !aCondition(); ++attempt) {
       RunFor(std::chrono::milliseconds(20));
     }
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mStarts.size());
-    RunFor(std::chrono::milliseconds(20));
   }
 
   void RunFor(Duration aTime)
--- a/src/cellnode/tests/testgroups.h
+++ b/src/cellnode/tests/testgroups.h
@@ -12,6 +12,8 @@
 void
 CellLoaderTests(testing::Section& aRoot);
 void
+StaleAnswerTests(testing::Section& aRoot);
+void
 OwnershipPolicyTests(testing::Section& aRoot);
 void
 OwnerSessionTests(testing::Section& aRoot);
--- a/src/cellnode/waitingqueries.h
+++ b/src/cellnode/waitingqueries.h
@@ -30,6 +30,8 @@
   std::pair<QueryId, PendingQuery> DropNext();
   // Adds the queries to what is known of all that wait.
   void AddTo(AdviceBacklog& aBacklog, TimePoint aNow) const;
+  // Adds the queries to the counts of their steps.
+  void AddTo(jobs::QueryCounts& aCounts) const;
 
 private:
   using Queries = std::map<std::pair<TimePoint, QueryId>, PendingQuery>;
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -159,6 +159,13 @@
   return mImpl->mAdvice.Update(aQuery, aNow.mSteady);
 }
 
+std::size_t
+CellScheduler::CheckPendingQueries(const QueryCounts& aPending,
+                                   const Moment& aNow)
+{
+  return mImpl->mAdvice.CheckPendingQueries(aPending, aNow.mSteady);
+}
+
 void
 CellScheduler::OnAdvice(const AdviceAnswer& aAnswer, const Moment& aNow)
 {
@@ -277,6 +284,7 @@
 CellScheduler::Counts() const
 {
   SchedulerCounts counts = CountsOf(mImpl->mCell);
+  counts.mLongestAdviceWait = mImpl->mAdvice.LongestWait();
   counts.mLongRunningWaits = mImpl->mDispatcher.Waits();
   counts.mWorkerTrials = mImpl->mDispatcher.Trials();
   return counts;
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -61,6 +61,9 @@
   std::size_t mWorkers = 0;
   // Workers that answered their last poll.
   std::size_t mReachableWorkers = 0;
+  // The longest time for which a step has waited for answers of the policy
+  // service.
+  Duration mLongestAdviceWait{};
   LongRunningWaits mLongRunningWaits;
   WorkerTrials mWorkerTrials;
   // The teams of the configuration.
@@ -152,6 +155,11 @@
   // more; it must then be reported back as unanswered.
   std::optional<AdviceQuery> UpdatedQuery(const AdviceQuery& aQuery,
                                           const Moment& aNow);
+  // Compares the queries that steps wait for with those that are pending. A
+  // step that waits for more may be asked about again. Returns how many queries
+  // were lost.
+  std::size_t CheckPendingQueries(const QueryCounts& aPending,
+                                  const Moment& aNow);
   // Processes the policy service's answer to an advice query.
   void OnAdvice(const AdviceAnswer& aAnswer, const Moment& aNow);
 
--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "framework/log.h"
 #include "framework/stablehash.h"
 #include "jobs/internal/advicescore.h"
 #include "jobs/internal/runforecast.h"
@@ -284,6 +285,54 @@
     job->mRecord.mQueue.mName, aAnswer.mApproved.size(), aAnswer.mAsked.size());
 }
 
+std::size_t
+AdvicePlanner::CheckPendingQueries(const QueryCounts& aPending, TimePoint aNow)
+{
+  mLongestWait = {};
+  std::size_t lost = 0;
+  for (auto& [id, job] : mCell.mJobs.Jobs()) {
+    for (auto& [number, occurrence] : job.mOccurrences) {
+      StepKey key{ .mJob = id, .mOccurrence = number };
+      for (Step& step : occurrence.mSteps) {
+        lost += ForgetLostQueries(key, step.mAdvice, aPending, aNow);
+        ++key.mStep;
+      }
+    }
+  }
+  return lost;
+}
+
+std::size_t
+AdvicePlanner::ForgetLostQueries(const StepKey& aKey,
+                                 StepAdvice& aAdvice,
+                                 const QueryCounts& aPending,
+                                 TimePoint aNow)
+{
+  if (aAdvice.mPendingQueries == 0) {
+    return 0;
+  }
+  const Duration waited = aNow - aAdvice.mQueriedAt;
+  const auto found = aPending.find(aKey);
+  const std::size_t pending = found == aPending.end() ? 0 : found->second;
+  if (aAdvice.mPendingQueries <= pending) {
+    mLongestWait = std::max(mLongestWait, waited);
+    return 0;
+  }
+  const std::size_t lost = aAdvice.mPendingQueries - pending;
+  LogWarning("advice_query_lost")
+    .With("step", aKey.ToText())
+    .With("queries", lost)
+    .With(
+      "query_age_ms",
+      std::chrono::duration_cast<std::chrono::milliseconds>(waited).count());
+  aAdvice.mPendingQueries = pending;
+  if (pending == 0) {
+    aAdvice.mPendingServiceTime = {};
+  }
+  mCell.mDispatchWanted = true;
+  return lost;
+}
+
 void
 AdvicePlanner::RemoveWorker(const Worker* aWorker)
 {
--- a/src/jobs/internal/adviceplanner.h
+++ b/src/jobs/internal/adviceplanner.h
@@ -58,11 +58,21 @@
   // Stores the approvals and tickets of an answer. An answer for a step that is
   // no longer known is ignored.
   void OnAnswer(const AdviceAnswer& aAnswer, TimePoint aNow);
+  // Compares the queries that steps wait for with those that are pending, and
+  // forgets the others. Returns how many it has forgotten.
+  std::size_t CheckPendingQueries(const QueryCounts& aPending, TimePoint aNow);
+  // The longest time for which a step had waited for answers at the last check.
+  Duration LongestWait() const { return mLongestWait; }
   // Removes a worker from all advice after it has left or restarted, since its
   // tickets are void.
   void RemoveWorker(const Worker* aWorker);
 
 private:
+  // Does the same for one step.
+  std::size_t ForgetLostQueries(const StepKey& aKey,
+                                StepAdvice& aAdvice,
+                                const QueryCounts& aPending,
+                                TimePoint aNow);
   // Sends a round of queries unless one is pending or there is no worker to ask
   // about.
   void SendQueries(const Job& aJob,
@@ -83,6 +93,7 @@
   bool mSpeedsKnown = false;
   bool mSpreadsShortJobs = false;
   std::vector<Worker*> mUsable;
+  Duration mLongestWait{};
   AdviceBudget mBudget;
   ApprovalTarget mTarget{ mBudget };
 };
--- a/src/jobs/types/orders.h
+++ b/src/jobs/types/orders.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -89,6 +91,9 @@
   bool mBoundedWait = false;
 };
 
+// The number of queries about each step that have not been answered.
+using QueryCounts = std::map<StepKey, std::size_t>;
+
 // Permission to run the tasks of a step on a worker.
 struct AdviceTicket
 {
