A query that is sent again has a new id

A late answer to the first transmission was taken for it, so workers that the policy service had not been asked about counted as refused.

Change: a query that is sent again gets a new id, as calls of callers do.

Test: "a removed node does not answer them any more" failed before. cellnode_test 217 passed.

--- a/src/cellnode/internal/advicedispatcher.cpp
+++ b/src/cellnode/internal/advicedispatcher.cpp
@@ -55,8 +55,10 @@
   if (found == mNodeLoads.end()) {
     return;
   }
+  // They may name other workers when they are sent again, so that an answer to
+  // the first transmission would not fit.
   for (auto& [id, query] : found->second.mQueries) {
-    AddWaiting(id, std::move(query));
+    AddWaiting(mIds.Next(), std::move(query));
   }
   mNodeLoads.erase(found);
   Assign();
--- a/src/cellnode/tests/advicedispatcher_test.cpp
+++ b/src/cellnode/tests/advicedispatcher_test.cpp
@@ -220,6 +220,15 @@
       CPPUNIT_ASSERT(fixture.mSent[1].mNode != first);
       CPPUNIT_ASSERT_EQUAL(1, fixture.mSent[1].mQuery.mStep.mStep);
     });
+    // Guards against an answer about some workers that is taken for one about
+    // the others that the query names by now.
+    aSection.It("does not answer them any more", [] {
+      Fixture fixture(2);
+      fixture.AddQuery(30ms, 1);
+      fixture.mAdviceDispatcher.RemoveNode(fixture.mSent[0].mNode);
+      CPPUNIT_ASSERT(!fixture.mAdviceDispatcher.OnAnswer(fixture.mSent[0].mId));
+      CPPUNIT_ASSERT(fixture.mAdviceDispatcher.OnAnswer(fixture.mSent[1].mId));
+    });
   });
   aRoot.Describe("waiting queries", [](Section& aSection) {
     aSection.It("are sent shortest first", [] {
