A caller gets no answer to a request of the node's former process

A state, a refusal or a cancelling could go to the wrong caller in the same way.

Cause: a node numbered the transmissions of calls from 1 in each process, and the owner answers to a node's name, which stands for its next process too.

Change: the ids of transmissions carry the start time of the process (RequestIds::OfProcess), as those of queries carry the term. An id that this process has not issued is ignored, logged (stale_answer_ignored) and counted (oriolevane_stale_answers_total{request="caller"}). An owner of an earlier release sends the id back as it is, so this holds during a roll too.

Ruled out: the owner as the place for it. It may answer before it knows that the process has gone, so the receiver has to judge.

--- a/src/cellnode/internal/cellnodecallers.cpp
+++ b/src/cellnode/internal/cellnodecallers.cpp
@@ -107,6 +107,11 @@
 CellNode::Impl::OnPeerCallerAnswer(const NodeId& aNode,
                                    const cellwire::CallerAnswerT& aAnswer)
 {
+  const SendId send(aAnswer.id);
+  if (!mCalls.HasSent(send)) {
+    OnStaleAnswer(PeerRequest::Caller, send.mValue);
+    return;
+  }
   const absl::StatusOr<CallerAnswer> answer = FromWire(aAnswer);
   if (!answer.ok()) {
     LogWarning("peer_message_refused")
@@ -115,7 +120,7 @@
     return;
   }
   mConfiguration.OnVersionObserved(answer->mVersion);
-  mCalls.Answer(SendId(aAnswer.id), *answer);
+  mCalls.Answer(send, *answer);
 }
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -71,6 +71,7 @@
         .mOnOwnerRow = [this](const OwnerRow& aRow) { OnOwnerRow(aRow); },
         .mOnClaimed =
           [this](const ClaimedShard& aShard) { BeginSession(aShard); } })
+  , mCalls(mOptions.mIncarnation)
   , mConfiguration(
       aLoop,
       mStore,
--- a/src/cellnode/internal/pendingcalls.cpp
+++ b/src/cellnode/internal/pendingcalls.cpp
@@ -80,13 +80,6 @@
   return found == mCalls.end() ? nullptr : &found->second.mRequest;
 }
 
-SendId
-PendingCalls::NextSendId()
-{
-  ++mLastSendId.mValue;
-  return mLastSendId;
-}
-
 void
 PendingCalls::MarkSent(CallId aId, SendId aSend, const NodeId& aTo)
 {
--- a/src/cellnode/internal/pendingcalls.h
+++ b/src/cellnode/internal/pendingcalls.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cellnode/types/caller.h"
+#include "cellnode/types/requestids.h"
 #include "framework/types/ids.h"
 #include "framework/types/timepoint.h"
 
@@ -24,10 +25,18 @@
 class PendingCalls
 {
 public:
+  // The ids of transmissions belong to the process aIncarnation.
+  explicit PendingCalls(Incarnation aIncarnation)
+    : mSendIds(RequestIds<SendId>::OfProcess(aIncarnation))
+  {
+  }
+
   CallId Add(CallerRequest aRequest, AnswerCallback aReply, TimePoint aNow);
   const CallerRequest* Find(CallId aId) const;
   // Returns the id for the next transmission.
-  SendId NextSendId();
+  SendId NextSendId() { return mSendIds.Next(); }
+  // False for a transmission of another process.
+  bool HasSent(SendId aSend) const { return mSendIds.HasIssued(aSend); }
   // Notes that the request was sent to a node that owns the shard.
   void MarkSent(CallId aId, SendId aSend, const NodeId& aTo);
   // Takes an answer to the newest transmission of a request and ignores answers
@@ -64,7 +73,7 @@
   // Maps the newest transmission of each call to the call.
   std::map<SendId, CallId> mSends;
   CallId mLastId;
-  SendId mLastSendId;
+  RequestIds<SendId> mSendIds;
 };
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/tests/pendingcalls_test.cpp
+++ b/src/cellnode/tests/pendingcalls_test.cpp
@@ -15,7 +15,7 @@
 
 struct Fixture
 {
-  PendingCalls mPendingCalls;
+  PendingCalls mPendingCalls{ Incarnation(7) };
   std::vector<CallerAnswerKind> mAnswers;
 
   CallId Add(CallerVerb aVerb)
