What a configuration in force says of a queue overrules the records at a takeover

Cause: a job's record holds the policy of its submission, and only CellScheduler::Configure put the newest one in its place. A new owner session is configured before the records are there, so the recovered jobs were not touched, and Recover closed jobs by the recorded number of attempts on top. With the records first, Recover did the same before the configuration could correct it: a job that is once shown as failed stays so.

Configure and Recover, in whichever order they come, both apply the policies in force to all jobs, and only then are jobs closed that have ended by them (also when a new version lowers the attempts, as a takeover did it). Until an owner has its first configuration it starts nothing and ends no job by a record; it polls workers, renews leases and notes ends and failures all the while, so that what runs goes on.

Ruled out: to wait with the recovery until the configuration is there. Leases of running tasks would run out while it cannot be read.

--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -171,7 +171,7 @@
 void
 OwnerSession::Configure(const jobs::CellConfiguration& aConfiguration)
 {
-  mScheduler.Configure(aConfiguration);
+  mScheduler.Configure(aConfiguration, Now());
   mConfigured = true;
   StartServing();
   ScheduleTick();
--- a/src/cellnode/tests/callerrequesthandler_test.cpp
+++ b/src/cellnode/tests/callerrequesthandler_test.cpp
@@ -78,7 +78,8 @@
     mScheduler.Configure({ .mVersion = ConfigurationVersion(1),
                            .mQueues = { { .mName = jobs::QueueName("q"),
                                           .mHost = "cell.example",
-                                          .mPathPrefix = "/q/" } } });
+                                          .mPathPrefix = "/q/" } } },
+                         { .mSteady = mNow });
   }
 
   // Sends the next transaction, unless one is pending.
@@ -108,7 +109,7 @@
   }
   void Configure(const jobs::CellConfiguration& aConfiguration)
   {
-    mScheduler.Configure(aConfiguration);
+    mScheduler.Configure(aConfiguration, { .mSteady = mNow });
     mAuthorizer.Configure(aConfiguration);
   }
   // Returns the kind of the answer, or nothing while a change is being stored.
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -43,8 +43,8 @@
 {
   mImpl->mCell.mFleet.Recover(aRecords.mWorkers, aNow.mSteady);
   mImpl->mCell.mJobs.Recover(aRecords, aNow);
-  for (auto& [id, job] : mImpl->mCell.mJobs.Jobs()) {
-    mImpl->mRunEndHandler.CloseIfEnded(job, aNow);
+  if (mImpl->mCell.mConfigured) {
+    mImpl->ApplyPolicies(aNow);
   }
   mImpl->mCrashHandler.Recover(aNow);
   mImpl->mRecoveryFinished = aRecords.mJobs.empty();
@@ -58,21 +58,29 @@
 }
 
 void
-CellScheduler::Configure(CellConfiguration aConfiguration)
+CellScheduler::Configure(CellConfiguration aConfiguration, const Moment& aNow)
 {
   CellState& cell = mImpl->mCell;
   cell.mConfiguration = std::move(aConfiguration);
+  cell.mConfigured = true;
   cell.mTeams.Configure(cell.mConfiguration);
-  for (auto& [id, job] : cell.mJobs.Jobs()) {
+  mImpl->ApplyPolicies(aNow);
+  cell.mDispatchWanted = true;
+}
+
+void
+CellScheduler::Impl::ApplyPolicies(const Moment& aNow)
+{
+  for (auto& [id, job] : mCell.mJobs.Jobs()) {
     const QueuePolicy* queue =
-      cell.mConfiguration.FindQueue(job.mRecord.mQueue.mName);
+      mCell.mConfiguration.FindQueue(job.mRecord.mQueue.mName);
     if (queue != nullptr && *queue != job.mRecord.mQueue) {
       job.mRecord.mQueue = *queue;
       job.mTimes = ComputeJobTimes(job.mRecord);
       job.ForgetFailedAttempts();
     }
+    mRunEndHandler.CloseIfEnded(job, aNow);
   }
-  cell.mDispatchWanted = true;
 }
 
 const CellConfiguration&
@@ -266,7 +274,7 @@
   const TimePoint due = cell.mDispatchWanted
                           ? mImpl->mLastDispatch + mImpl->MinDispatchInterval()
                           : mImpl->mLastDispatch + kMaxDispatchInterval;
-  if (aNow.mSteady >= due) {
+  if (cell.mConfigured && aNow.mSteady >= due) {
     cell.mDispatchWanted = false;
     mImpl->mLastDispatch = aNow.mSteady;
     if (!mImpl->mRecoveryFinished) {
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -78,15 +78,17 @@
   ~CellScheduler();
 
   // Restores the state that an earlier owner of the shard stored. Must be
-  // called before any other function.
+  // called before any other function but Configure(). What the configuration
+  // says of a queue overrules the records.
   void Recover(const CellRecords& aRecords, const Moment& aNow);
   // Tells the scheduler that the earlier owner has stopped. It can start no
   // tasks and renew no leases any more, so the wait for the leases that it
   // granted becomes shorter.
   void OnPredecessorGone(const Moment& aNow);
   // Replaces the configuration. The jobs in memory take over changes to their
-  // queue.
-  void Configure(CellConfiguration aConfiguration);
+  // queue. Until this is called for the first time, nothing is started and no
+  // job ends, as recorded policies may be outdated.
+  void Configure(CellConfiguration aConfiguration, const Moment& aNow);
   const CellConfiguration& Configuration() const;
   // Notes that this node owned the shard at aProvenAt. Leases are renewed and
   // tasks started only until aEnd.
--- a/src/jobs/internal/cellschedulerimpl.h
+++ b/src/jobs/internal/cellschedulerimpl.h
@@ -31,6 +31,9 @@
   {
   }
 
+  // Gives the jobs the policies of their queues that are in force, and closes
+  // those that have ended by them.
+  void ApplyPolicies(const Moment& aNow);
   // Ends the recovery once all runs that an earlier owner started are known.
   // Gangs with missing members are stopped then.
   void FinishRecovery(const Moment& aNow);
--- a/src/jobs/internal/cellstate.h
+++ b/src/jobs/internal/cellstate.h
@@ -36,6 +36,8 @@
   Ownership mOwnership;
   RecordWriteQueue mWriteQueue;
   CellConfiguration mConfiguration;
+  // False until the owner has read a configuration.
+  bool mConfigured = false;
   JobTable mJobs;
   Fleet mFleet;
   TeamAccounts mTeams;
--- a/src/jobs/internal/runendhandler.cpp
+++ b/src/jobs/internal/runendhandler.cpp
@@ -164,7 +164,7 @@
     .With("run", aEnd.mRun)
     .With("failures", failures)
     .With("max_attempts", aJob.mRecord.mQueue.mMaxAttempts);
-  if (failures >= aJob.mRecord.mQueue.mMaxAttempts) {
+  if (mCell.mConfigured && failures >= aJob.mRecord.mQueue.mMaxAttempts) {
     CloseJob(aJob, JobState::Failed, aNow);
   }
 }
--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -67,6 +67,7 @@
       entry, 5000ms * workerIndex, MakeWorkerHooks(workerIndex)));
   }
   BeginOwner();
+  ConfigureOwner();
   for (const auto& worker : mWorkers) {
     mScheduler->RegisterWorker(worker->Entry(), NowMoment());
   }
@@ -161,7 +162,13 @@
 FakeCell::Configure(std::vector<teams::TeamPolicy> aTeams)
 {
   mConfiguration.mTeams = std::move(aTeams);
-  mScheduler->Configure(mConfiguration);
+  ConfigureOwner();
+}
+
+void
+FakeCell::ConfigureOwner()
+{
+  mScheduler->Configure(mConfiguration, NowMoment());
 }
 
 void
@@ -285,9 +292,12 @@
   }
   mReportedEnds.clear();
   NoteMissedCrashes();
+  if (mOwnerConfiguration == OwnerConfiguration::BeforeRecords) {
+    ConfigureOwner();
+  }
   mScheduler->Recover(records, NowMoment());
-  if (mConfiguration.mTeams.has_value()) {
-    mScheduler->Configure(mConfiguration);
+  if (mOwnerConfiguration == OwnerConfiguration::AfterRecords) {
+    ConfigureOwner();
   }
   for (std::size_t index = 0; index < mWorkers.size(); ++index) {
     if (mWorkers[index]->IsUp()) {
--- a/src/jobs/tests/fakecell.h
+++ b/src/jobs/tests/fakecell.h
@@ -89,6 +89,13 @@
   // Sets the teams of this and all later owners. Starts that exceed a quota,
   // with its excess and one task, count as violations from then on.
   void Configure(std::vector<teams::TeamPolicy> aTeams);
+  // Sets the queues of all later owners, but not of this one.
+  void SetQueuesOfLaterOwners(std::vector<QueuePolicy> aQueues)
+  {
+    mConfiguration.mQueues = std::move(aQueues);
+  }
+  // Gives the current owner its configuration.
+  void ConfigureOwner();
   // What the team's tasks use on all workers, including those that are being
   // stopped.
   Resources UsageOf(const TeamId& aTeam) const;
@@ -140,6 +147,15 @@
   // worker that is down, the entry changes with its restart.
   void SetWorkerCapacity(std::size_t aWorkerIndex, const Resources& aCapacity);
 
+  // When an owner gets its configuration.
+  enum class OwnerConfiguration
+  {
+    BeforeRecords,
+    AfterRecords,
+    // When ConfigureOwner() is called.
+    Later
+  };
+  OwnerConfiguration mOwnerConfiguration = OwnerConfiguration::AfterRecords;
   // Chooses the delivery of each call to a worker. Unset means Normal.
   std::function<Delivery(const WorkerId&)> mDelivery;
   // Chooses the delivery of start orders; takes precedence over mDelivery.
--- a/src/jobs/tests/takeover_test.cpp
+++ b/src/jobs/tests/takeover_test.cpp
@@ -370,6 +370,7 @@
               { .mTasks = {
                   { .mFailedRuns = { RunNumber(1), RunNumber(2) } } } } } });
         const Moment now{ .mSteady = TimePoint(1000s), .mUnix = 1000s };
+        scheduler.Configure({}, now);
         scheduler.Recover(records, now);
         scheduler.Records().TakeBatch(100);
         scheduler.OnRecorded(scheduler.Records().Confirm(), now);
--- a/src/jobs/tests/waitingtasks_test.cpp
+++ b/src/jobs/tests/waitingtasks_test.cpp
@@ -23,7 +23,8 @@
       cell.Submit("job", SingleStepJob(MakeStep(2, 1000, 100ms)), queue);
       cell.RunFor(500ms);
       CPPUNIT_ASSERT(cell.mStarts.empty());
-      cell.Scheduler().Configure({ .mQueues = { MakeQueue() } });
+      cell.Scheduler().Configure({ .mQueues = { MakeQueue() } },
+                                 cell.NowMoment());
       cell.RunUntilFinal("job", 1000ms);
       CPPUNIT_ASSERT(cell.StateOf("job") == JobState::Completed);
     });
