A hand-over continues the wait for leases of silent workers

Cause, in two parts. (1) A successor counted the longer wait (8 s and more) unless its predecessor had finished its own recovery, also when that one knew that all before it had stopped. (2) Each owner counted the leases of workers that do not answer from its own takeover on, though its predecessor knew when the last order to them had been sent. With a takeover each 3 s no owner waited long enough.

The owner row says whether all owners before this one are known to have stopped (earlier_owners_gone), and a release names the workers that do not answer with the time for which runs may still go on there (runs_end_in_ms, at most 200 workers). A successor uses it only if the row shows that its owner released the shard and was the only one, and counts it from its own claim, which is later than the release. An owner that released before it had read the records passes on what it was given.

Why nothing is loosened: an owner sends no order after its release, so that what it knew then of a worker's lease still holds; the successor concludes just what its predecessor would have. Owners that were killed or cut off pass nothing on.

Ruled out: to write the ends with each transaction. An owner that is killed may have reached the worker again since.

--- a/src/cellnode/celljournal.h
+++ b/src/cellnode/celljournal.h
@@ -59,6 +59,10 @@
   // Called when the owner row shows that another node owns the shard.
   std::function<void()> mOnOwnershipLost;
   std::function<TimePoint()> mNow;
+  // Returns how long runs may go on at workers that do not answer, for the
+  // owner row of a release.
+  std::function<std::map<WorkerId, std::chrono::milliseconds>()> mRunsEndIn =
+    [] { return std::map<WorkerId, std::chrono::milliseconds>(); };
   // Called when a transaction is applied, with the time from its first call to
   // the answer.
   std::function<void(Duration)> mOnCommitted;
@@ -84,8 +88,11 @@
   bool IsReleased() const { return mReleased; }
   // Sets the highest fitness in the cell, for the next write of the owner row.
   void SetBestFitness(double aFitness) { mOwner.mBestFitness = aFitness; }
-  // Sets whether all earlier owners have stopped, for the next write of the
-  // owner row.
+  // Notes that all earlier owners have stopped, for the next write of the owner
+  // row.
+  void SetEarlierOwnersGone() { mOwner.mEarlierOwnersGone = true; }
+  // Sets whether all runs that earlier owners started are known, for the next
+  // write of the owner row.
   void SetRecovered(bool aRecovered) { mOwner.mRecovered = aRecovered; }
   // Sends a transaction soon, even if no record changes.
   void RequestRenewal() { mRenewalRequested = true; }
--- a/src/cellnode/internal/celljournal.cpp
+++ b/src/cellnode/internal/celljournal.cpp
@@ -131,6 +131,9 @@
   // Only a transaction without records releases the shard, so that all records
   // are stored before.
   mOwner.mReleased = mReleasing && entries == 1;
+  if (mOwner.mReleased) {
+    mOwner.mRunsEndIn = mHooks.mRunsEndIn();
+  }
   mInFlightOwnerRow = Encode(mOwner);
   const RowKey owner = OwnerKey(mOptions.mPart);
   mInFlight->mConditions.push_back(
--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -269,6 +269,9 @@
   if (IsPredecessorGone()) {
     mSession->OnPredecessorGone();
   }
+  if (mPredecessor.has_value() && HaveAllStopped(mPredecessor)) {
+    mSession->SetRunsEndIn(mPredecessor->mRunsEndIn);
+  }
   if (mConfiguration.Current().has_value()) {
     mSession->Configure(*mConfiguration.Current());
   }
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -77,6 +77,7 @@
             }
           },
         .mNow = [] { return SteadyNow(); },
+        .mRunsEndIn = [this] { return RunsEndIn(); },
         .mOnCommitted =
           [this](Duration aTime) {
             mHooks.mOnStageTime(Stage::Record, aTime);
@@ -104,6 +105,7 @@
                        ScheduleTick();
                      },
                    .mOnSynchronized = {} })
+  , mOwnedSince(aOwnedSince)
 {
   mTimer = mLoop.MakeTimer([this] { Tick(); });
   mJournal.SetRenewedAt(aOwnedSince);
@@ -148,7 +150,7 @@
     .With("workers", aRecords.mWorkers.size());
   mScheduler.Recover(aRecords, Now());
   if (mPredecessorGone) {
-    mScheduler.OnPredecessorGone(Now());
+    mScheduler.OnPredecessorGone(Now(), RecoveredRunEnds());
   }
   mLoaded = true;
   mWorkerWatch.Start();
@@ -163,11 +165,39 @@
     return;
   }
   mPredecessorGone = true;
+  mJournal.SetEarlierOwnersGone();
   if (mLoaded) {
-    mScheduler.OnPredecessorGone(Now());
+    mScheduler.OnPredecessorGone(Now(), {});
   }
 }
 
+jobs::RunEnds
+OwnerSession::RecoveredRunEnds() const
+{
+  // The shard was released before it was claimed.
+  jobs::RunEnds ends;
+  for (const auto& [worker, time] : mRunsEndIn) {
+    ends[worker] = mOwnedSince + time;
+  }
+  return ends;
+}
+
+std::map<WorkerId, std::chrono::milliseconds>
+OwnerSession::RunsEndIn() const
+{
+  if (!mLoaded) {
+    // This session has sent nothing, so that it knows as much as its
+    // predecessor.
+    return mRunsEndIn;
+  }
+  const TimePoint now = SteadyNow();
+  std::map<WorkerId, std::chrono::milliseconds> runsEndIn;
+  for (const auto& [worker, end] : mScheduler.SilentWorkersRunEnds(now)) {
+    runsEndIn[worker] = std::chrono::ceil<std::chrono::milliseconds>(end - now);
+  }
+  return runsEndIn;
+}
+
 void
 OwnerSession::Configure(const jobs::CellConfiguration& aConfiguration)
 {
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -72,8 +73,16 @@
   // Calls aReply before it returns or later, but never after the session has
   // ended.
   void Serve(const CallerRequest& aRequest, AnswerCallback aReply);
-  // Notes that the previous owner has stopped.
+  // Notes that the previous owner, and all before it, have stopped.
   void OnPredecessorGone();
+  // Sets how long runs may go on at workers that did not answer, as the
+  // previous owner has said in its release. To be called before the records are
+  // loaded.
+  void SetRunsEndIn(
+    const std::map<WorkerId, std::chrono::milliseconds>& aRunsEndIn)
+  {
+    mRunsEndIn = aRunsEndIn;
+  }
   // Takes the answer of the policy service to a query. An answer to a query of
   // another term is ignored.
   void OnAdvice(QueryId aId, jobs::AdviceAnswer aAnswer);
@@ -119,6 +128,10 @@
   void LogSlowPass(TimePoint aStartedAt) const;
   void ScheduleTick();
   RelayedCallsHooks MakeRelayedCallsHooks(const UpstreamHooks& aUpstreams);
+  // The runs that may go on at workers that did not answer the previous owner.
+  jobs::RunEnds RecoveredRunEnds() const;
+  // How long runs may go on at workers that do not answer, from now on.
+  std::map<WorkerId, std::chrono::milliseconds> RunsEndIn() const;
   static jobs::Moment Now();
 
   eventloop::EventLoop& mLoop;
@@ -135,6 +148,9 @@
   CallerRequestHandler mRequestHandler;
   std::unique_ptr<CellLoader> mLoader;
   TableWatch mWorkerWatch;
+  TimePoint mOwnedSince;
+  // What the previous owner has said of workers that did not answer.
+  std::map<WorkerId, std::chrono::milliseconds> mRunsEndIn;
   bool mLoaded = false;
   bool mPredecessorGone = false;
   bool mConfigured = false;
--- a/src/cellnode/internal/predecessor.h
+++ b/src/cellnode/internal/predecessor.h
@@ -52,6 +52,22 @@
          aProcess.mAddress == aOwner.mAddress && !aOwner.mAddress.empty();
 }
 
+// True when the owner that the row names is known to have been the only one.
+// Otherwise the owners before it may go on when it has stopped.
+inline bool
+WasOnlyOwner(const OwnerRow& aOwner)
+{
+  return aOwner.mRecovered || aOwner.mEarlierOwnersGone;
+}
+
+// True when the row alone shows that its owner, and all before it, have
+// stopped. The row is nullopt when there was no owner.
+inline bool
+HaveAllStopped(const std::optional<OwnerRow>& aOwner)
+{
+  return !aOwner.has_value() || (aOwner->mReleased && WasOnlyOwner(*aOwner));
+}
+
 // True when the predecessor, and all owners before it, are known to have
 // stopped. aPredecessor is empty when there was none; aLinked, when no process
 // is linked under its name. aOwn is this process, which does not own the shard
@@ -61,14 +77,13 @@
                   const NodeProcess& aOwn,
                   const std::optional<LinkedProcess>& aLinked)
 {
-  if (!aPredecessor.has_value()) {
+  if (HaveAllStopped(aPredecessor)) {
     return true;
   }
-  if (!aPredecessor->mRecovered) {
-    // The owner before it may go on as well.
+  if (!WasOnlyOwner(*aPredecessor)) {
     return false;
   }
-  if (aPredecessor->mReleased || IsOwnerProcess(*aPredecessor, aOwn) ||
+  if (IsOwnerProcess(*aPredecessor, aOwn) ||
       HasOwnerAddress(*aPredecessor, aOwn)) {
     return true;
   }
--- a/src/cellnode/internal/shardclaimer.cpp
+++ b/src/cellnode/internal/shardclaimer.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cellnode/celljournal.h"
+#include "cellnode/internal/predecessor.h"
 #include "cellnode/recordcodec.h"
 #include "framework/log.h"
 #include "framework/steadynow.h"
@@ -134,7 +135,8 @@
     .mSequence = 0,
     .mReleased = false,
     .mBestFitness = mPredecessor.has_value() ? mPredecessor->mBestFitness
-                                             : mPolicy.BestFitness()
+                                             : mPolicy.BestFitness(),
+    .mEarlierOwnersGone = HaveAllStopped(mPredecessor)
   };
   LogInfo("taking_over")
     .With("epoch", row.mEpoch)
--- a/src/cellnode/tests/predecessor_test.cpp
+++ b/src/cellnode/tests/predecessor_test.cpp
@@ -71,6 +71,15 @@
                                         ProcessOf(kIncarnation + 1, kAddress),
                                         Linked(kIncarnation + 1, kAddress)));
     });
+    // Guards against review/9: a wait that began anew with each owner of a
+    // series, none of which finished its recovery.
+    aSection.It("says so when a release follows other owners' ends", [] {
+      OwnerRow row = Row();
+      row.mReleased = true;
+      row.mRecovered = false;
+      row.mEarlierOwnersGone = true;
+      CPPUNIT_ASSERT(IsPredecessorGone(row, kOwn, std::nullopt));
+    });
   });
 }
 
--- a/src/cellnode/types/ownerrow.h
+++ b/src/cellnode/types/ownerrow.h
@@ -3,7 +3,9 @@
 // a node whose ownership has ended can no longer write.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 
 #include "framework/types/ids.h"
@@ -29,6 +31,12 @@
   // True when the owner knows all runs that earlier owners started. Otherwise
   // these may still be starting tasks when this owner has stopped.
   bool mRecovered = false;
+  // True when all owners before this one are known to have stopped: they start
+  // no tasks and renew no leases any more.
+  bool mEarlierOwnersGone = false;
+  // For some workers that do not answer, how long the runs there may go on
+  // after the shard was released. Holds only when mReleased is set.
+  std::map<WorkerId, std::chrono::milliseconds> mRunsEndIn;
 
   bool operator==(const OwnerRow&) const = default;
 };
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -51,10 +51,16 @@
 }
 
 void
-CellScheduler::OnPredecessorGone(const Moment& aNow)
+CellScheduler::OnPredecessorGone(const Moment& aNow, const RunEnds& aRunEnds)
 {
   mImpl->mCell.mOwnership.EndPredecessor(aNow.mSteady);
-  mImpl->mCell.mFleet.EndPredecessor(aNow.mSteady);
+  mImpl->mCell.mFleet.EndPredecessor(aNow.mSteady, aRunEnds);
+}
+
+RunEnds
+CellScheduler::SilentWorkersRunEnds(TimePoint aNow) const
+{
+  return mImpl->mCell.mFleet.SilentWorkersRunEnds(aNow);
 }
 
 void
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -14,6 +14,7 @@
 #include "jobs/types/jobrecord.h"
 #include "jobs/types/longrunningwaits.h"
 #include "jobs/types/orders.h"
+#include "jobs/types/runends.h"
 #include "jobs/types/scheduleroptions.h"
 #include "jobs/types/teamcounts.h"
 #include "jobs/types/workertrials.h"
@@ -83,8 +84,13 @@
   void Recover(const CellRecords& aRecords, const Moment& aNow);
   // Tells the scheduler that the earlier owner has stopped. It can start no
   // tasks and renew no leases any more, so the wait for the leases that it
-  // granted becomes shorter.
-  void OnPredecessorGone(const Moment& aNow);
+  // granted becomes shorter. aRunEnds is what it knew of workers that did not
+  // answer it, so that the wait for them does not begin again; empty once this
+  // owner has called workers.
+  void OnPredecessorGone(const Moment& aNow, const RunEnds& aRunEnds);
+  // By when the runs have ended on workers that do not answer, for the next
+  // owner.
+  RunEnds SilentWorkersRunEnds(TimePoint aNow) const;
   // Replaces the configuration. The jobs in memory take over changes to their
   // queue. Until this is called for the first time, nothing is started and no
   // job ends, as recorded policies may be outdated.
--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -76,10 +76,13 @@
 }
 
 void
-Fleet::EndPredecessor(TimePoint aNow)
+Fleet::EndPredecessor(TimePoint aNow, const RunEnds& aRunEnds)
 {
   for (auto& [id, worker] : mWorkers) {
     worker.mLease.EndPredecessor(aNow, mOptions);
+    if (const auto end = aRunEnds.find(id); end != aRunEnds.end()) {
+      worker.mLease.EndPredecessorsRunsBy(end->second);
+    }
   }
   UpdateRecoveredRunsEnd();
 }
--- a/src/jobs/internal/fleet.h
+++ b/src/jobs/internal/fleet.h
@@ -9,6 +9,7 @@
 #include "jobs/internal/ownership.h"
 #include "jobs/internal/worker.h"
 #include "jobs/recordwritequeue.h"
+#include "jobs/types/runends.h"
 #include "jobs/types/scheduleroptions.h"
 
 namespace oriolevane::jobs {
@@ -37,7 +38,9 @@
   void Recover(const std::vector<WorkerRecord>& aRecords, TimePoint aNow);
   // Notes that the earlier owner sends nothing any more, so that the leases
   // that it granted end sooner.
-  void EndPredecessor(TimePoint aNow);
+  void EndPredecessor(TimePoint aNow, const RunEnds& aRunEnds);
+  // By when the runs have ended on workers that do not answer.
+  RunEnds SilentWorkersRunEnds(TimePoint aNow) const;
   // Adds or updates a worker of the registry. Returns true when the entry is of
   // a new incarnation; the caller counts the crash of the earlier one.
   bool Register(const WorkerEntry& aEntry, TimePoint aNow);
--- a/src/jobs/internal/fleetrecords.cpp
+++ b/src/jobs/internal/fleetrecords.cpp
@@ -13,6 +13,9 @@
 // Number of workers of which one pass records that their leases are settled, so
 // that the records of jobs do not wait behind those of a whole cell.
 constexpr int kMaxSettledPerPass = 50;
+// The next owner is told of so many silent workers, which bounds the owner row.
+// It waits for the whole lease of the others.
+constexpr std::size_t kMaxRunEnds = 200;
 // Orders are not expected to be on their way for longer.
 constexpr std::chrono::milliseconds kRemovalMemory = 60000ms;
 // How long a worker that has left the registry and does not answer is kept.
@@ -99,6 +102,20 @@
   return true;
 }
 
+RunEnds
+Fleet::SilentWorkersRunEnds(TimePoint aNow) const
+{
+  RunEnds ends;
+  for (const auto& [id, worker] : mWorkers) {
+    const TimePoint end = std::max(worker.mLease.RunsEndBy(), aNow);
+    if (!worker.mReachable && end - aNow < mOptions.mLease &&
+        ends.size() < kMaxRunEnds) {
+      ends[id] = end;
+    }
+  }
+  return ends;
+}
+
 bool
 Fleet::WasRemovedLately(const WorkerId& aId, TimePoint aNow) const
 {
--- a/src/jobs/internal/workerlease.cpp
+++ b/src/jobs/internal/workerlease.cpp
@@ -61,6 +61,14 @@
   }
 }
 
+void
+WorkerLease::EndPredecessorsRunsBy(TimePoint aEnd)
+{
+  const TimePoint end = aEnd + kRecoveredLeaseMargin;
+  mFormerRunsEndBy = std::min(mFormerRunsEndBy, end);
+  mPresentRunsEndBy = std::min(mPresentRunsEndBy, end);
+}
+
 void
 WorkerLease::Extend(TimePoint aNow,
                     Duration aLength,
--- a/src/jobs/internal/workerlease.h
+++ b/src/jobs/internal/workerlease.h
@@ -48,6 +48,9 @@
                const SchedulerOptions& aOptions);
   // Notes that the earlier owner sends nothing any more.
   void EndPredecessor(TimePoint aNow, const SchedulerOptions& aOptions);
+  // Notes that all runs that earlier owners started have ended by aEnd. To be
+  // called before this node extends the lease.
+  void EndPredecessorsRunsBy(TimePoint aEnd);
   // Notes that this node extends the lease by aLength from now on.
   void Extend(TimePoint aNow,
               Duration aLength,
--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -306,6 +306,21 @@
   }
 }
 
+void
+FakeCell::HandOver()
+{
+  mScheduler->EndOwnership();
+  const RunEnds ends = mScheduler->SilentWorkersRunEnds(NowMoment().mSteady);
+  const bool onlyOwner =
+    std::ranges::none_of(mStaleOwners, [this](const OwnerPointer& aOwner) {
+      return aOwner->IsRunning(mNow);
+    });
+  TakeOver();
+  if (onlyOwner) {
+    mScheduler->OnPredecessorGone(NowMoment(), ends);
+  }
+}
+
 std::size_t
 FakeCell::RecordCount(RecordKind aKind) const
 {
--- a/src/jobs/tests/fakecell.h
+++ b/src/jobs/tests/fakecell.h
@@ -113,7 +113,10 @@
   // has lost the path to the store and to the other nodes.
   void TakeOver(Millis aStaleOwnerRunTime = Millis(0));
   // Tells the current scheduler that the previous one has stopped.
-  void EndPredecessor() { mScheduler->OnPredecessorGone(NowMoment()); }
+  void EndPredecessor() { mScheduler->OnPredecessorGone(NowMoment(), {}); }
+  // Replaces the scheduler as TakeOver() does, after a release. The successor
+  // relies on it if no earlier owner goes on.
+  void HandOver();
   // The scheduler's records are not written while the store is unavailable.
   void SetStoreUnavailable(bool aUnavailable)
   {
