--- a/src/cellnode/internal/metricstext.cpp
+++ b/src/cellnode/internal/metricstext.cpp
@@ -122,6 +122,28 @@
   aFamilies.push_back(std::move(refused));
 }
 
+// Adds what is known of the queries to the policy service.
+void
+AddAdviceFamilies(const NodeStatus& aStatus,
+                  std::vector<prometheus::MetricFamily>& aFamilies)
+{
+  const std::chrono::duration<double> wait =
+    aStatus.mAdviceBacklog.mLongestWait;
+  const std::chrono::duration<double> pending =
+    aStatus.mCounts.mLongestAdviceWait;
+  aFamilies.push_back(
+    Gauge("advice_queries_waiting",
+          "queries to the policy service that wait for a node, at the owner",
+          static_cast<double>(aStatus.mAdviceBacklog.mQueries)));
+  aFamilies.push_back(Gauge("advice_wait_seconds",
+                            "longest time for which one of them has waited",
+                            wait.count()));
+  aFamilies.push_back(
+    Gauge("advice_pending_seconds",
+          "longest time for which a step has waited for answers about it",
+          pending.count()));
+}
+
 } // namespace
 
 std::string
@@ -129,10 +151,6 @@
 {
   const auto number = [](auto aCount) { return static_cast<double>(aCount); };
   const std::chrono::duration<double> storeAge = aStatus.mStoreAge;
-  const std::chrono::duration<double> adviceWait =
-    aStatus.mAdviceBacklog.mLongestWait;
-  const std::chrono::duration<double> advicePending =
-    aStatus.mCounts.mLongestAdviceWait;
   const jobs::LongRunningWaits& waits = aStatus.mCounts.mLongRunningWaits;
   const std::chrono::duration<double> longRunningWait = waits.mLongest;
   const jobs::WorkerTrials& trials = aStatus.mCounts.mWorkerTrials;
@@ -166,15 +184,6 @@
     Gauge("store_age_seconds",
           "time since the owner's last write to the store",
           storeAge.count()),
-    Gauge("advice_queries_waiting",
-          "queries to the policy service that wait for a node, at the owner",
-          number(aStatus.mAdviceBacklog.mQueries)),
-    Gauge("advice_wait_seconds",
-          "longest time for which one of them has waited",
-          adviceWait.count()),
-    Gauge("advice_pending_seconds",
-          "longest time for which a step has waited for answers about it",
-          advicePending.count()),
     Gauge("long_running_steps_waiting",
           "long-running steps with tasks that wait to start, at the owner",
           number(waits.mSteps)),
@@ -194,6 +203,7 @@
             "log lines over their budget, or not taken by standard output",
             number(DroppedLogLines()))
   };
+  AddAdviceFamilies(aStatus, families);
   if (aStatus.mConfigurationAge.has_value()) {
     const std::chrono::duration<double> age = *aStatus.mConfigurationAge;
     families.push_back(
