A job is closed at a takeover only by a final state of its own

Cause: JobTable::Recover looked whether there is any record of a final state; all others ask FindFinished, which leaves out cancellations of jobs that were not submitted.

Change: Recover asks FindFinished too.

--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -73,7 +73,7 @@
     job.mAcceptedAt = aNow.mSteady - age;
     job.mRecovered = true;
     job.mPhase =
-      mFinished.contains(record.mId) ? JobPhase::Closed : JobPhase::Open;
+      FindFinished(record.mId) != nullptr ? JobPhase::Closed : JobPhase::Open;
     OpenDueOccurrences(job, aNow);
   }
   for (const ProgressRecord& progress : aRecords.mProgress) {
--- a/src/jobs/tests/main.cpp
+++ b/src/jobs/tests/main.cpp
@@ -12,6 +12,7 @@
       { "repeated jobs", oriolevane::RepeatedJobTests },
       { "gang", oriolevane::GangTests },
       { "takeover", oriolevane::OwnerTakeoverTests },
+      { "final states", oriolevane::FinalStateTests },
       { "handover", oriolevane::HandoverTests },
       { "recovered policies", oriolevane::RecoveredPolicyTests },
       { "ended ownership", oriolevane::EndedOwnershipTests },
--- a/src/jobs/tests/takeover_test.cpp
+++ b/src/jobs/tests/takeover_test.cpp
@@ -346,40 +346,6 @@
     });
 }
 
-void
-DescribeUnrecordedFinalState(Section& aRoot)
-{
-  aRoot.Describe(
-    "a job whose last progress is recorded, but not its final state",
-    [](Section& aSection) {
-      aSection.It("is finished by the next owner", [] {
-        CellScheduler scheduler({ .mEpoch = Epoch(2) },
-                                { .mStart = [](const StartOrder&) {},
-                                  .mStop = [](const StopOrder&) {},
-                                  .mPoll = [](const PollOrder&) {},
-                                  .mAskAdvice = [](const AdviceQuery&) {},
-                                  .mOnFenced = [](const WorkerId&) {} });
-        CellRecords records;
-        records.mJobs.push_back(
-          { .mId = JobId("job"),
-            .mQueue = MakeQueue(2),
-            .mSpec = SingleStepJob(MakeStep(1, 1000, 100ms)) });
-        records.mProgress.push_back(
-          { .mJob = JobId("job"),
-            .mSteps = {
-              { .mTasks = {
-                  { .mFailedRuns = { RunNumber(1), RunNumber(2) } } } } } });
-        const Moment now{ .mSteady = TimePoint(1000s), .mUnix = 1000s };
-        scheduler.Configure({}, now);
-        scheduler.Recover(records, now);
-        scheduler.Records().TakeBatch(100);
-        scheduler.OnRecorded(scheduler.Records().Confirm(), now);
-        CPPUNIT_ASSERT(scheduler.Find(JobId("job"))->mState ==
-                       JobState::Failed);
-      });
-    });
-}
-
 } // namespace
 
 void
@@ -391,7 +357,6 @@
   DescribeDepartedWorkers(aRoot);
   DescribeWideJobs(aRoot);
   DescribeFailedRuns(aRoot);
-  DescribeUnrecordedFinalState(aRoot);
 }
 
 } // namespace oriolevane
--- a/src/jobs/tests/testgroups.h
+++ b/src/jobs/tests/testgroups.h
@@ -14,6 +14,8 @@
 void
 OwnerTakeoverTests(testing::Section& aRoot);
 void
+FinalStateTests(testing::Section& aRoot);
+void
 HandoverTests(testing::Section& aRoot);
 void
 RecoveredPolicyTests(testing::Section& aRoot);
