A node that is kept for short queries helps out with long ones that wait too long

Cause: one node in four, rounded up, takes only short queries. Of two nodes that is every other one, which had nothing to do most of the time while all long queries waited for the other one (traced: service_ms 10,000 to 12,000 with nodes=2).

Change: a node without any query takes a long one that has waited for over 2 s, while no short one waits. Overdue queries are looked for with each tick.

--- a/src/cellnode/advicedispatcher.h
+++ b/src/cellnode/advicedispatcher.h
@@ -46,7 +46,8 @@
   // outstanding any more.
   std::optional<jobs::AdviceQuery> OnAnswer(QueryId aId);
   // Gives up the queries that a node should have answered by now, so that the
-  // node gets further ones.
+  // node gets further ones, and sends those that have become overdue. To be
+  // called every few milliseconds.
   void Expire();
   // Logs a backlog that is too old, at most once in a while.
   void ReportBacklog();
--- a/src/cellnode/internal/advicedispatcher.cpp
+++ b/src/cellnode/internal/advicedispatcher.cpp
@@ -11,8 +11,8 @@
 
 using namespace std::chrono_literals;
 
-// One node in this many, rounded up, takes only short queries. A
-// single node takes all queries.
+// One node in this many, rounded up, is kept for short queries. A single node
+// takes all queries.
 constexpr std::size_t kNodesPerShortQueryNode = 4;
 // A node gets another query while the total service time of its outstanding
 // ones is below this.
@@ -23,7 +23,8 @@
 // A node reports a query that the policy service does not answer before this
 // time has passed, unless the report is lost.
 constexpr std::chrono::milliseconds kAnswerTimeout = 4500ms;
-// A query that has waited for a node for longer than this is logged.
+// A query that has waited for a node for longer than this is logged, and may go
+// to a node that is kept for short ones.
 constexpr std::chrono::milliseconds kMaxWait = 2000ms;
 constexpr std::chrono::milliseconds kBacklogReportInterval = 1000ms;
 
@@ -124,9 +125,7 @@
   for (const jobs::AdviceQuery& query : expired) {
     mHooks.mOnUnanswered(query);
   }
-  if (!expired.empty()) {
-    Assign();
-  }
+  Assign();
 }
 
 AdviceBacklog
@@ -178,16 +177,21 @@
 AdviceDispatcher::NodeLoad*
 AdviceDispatcher::ChooseNode(bool aLong, NodeId& aName)
 {
-  // The first nodes by name take only short queries.
+  // The first nodes by name are kept for short queries.
   const std::size_t shortQueryNodes =
     (mNodeLoads.size() + kNodesPerShortQueryNode - 1) / kNodesPerShortQueryNode;
   const std::size_t firstLongQueryNode =
     mNodeLoads.size() > 1 ? shortQueryNodes : 0;
+  // A node that has nothing to do helps out with a long query that has waited
+  // for too long.
+  const bool helpsOut = aLong && mWaitingShort.IsEmpty() &&
+                        mHooks.mNow() - mWaitingLong.Next().mAddedAt > kMaxWait;
   NodeLoad* best = nullptr;
   std::size_t place = 0;
   for (auto& [name, load] : mNodeLoads) {
     const bool takesLongQueries = place++ >= firstLongQueryNode;
-    const bool allowed = !aLong || takesLongQueries;
+    const bool allowed =
+      !aLong || takesLongQueries || (helpsOut && load.mQueries.empty());
     if (allowed && load.mServiceTime < kMaxOutstandingServiceTime &&
         (best == nullptr || load.mServiceTime < best->mServiceTime)) {
       best = &load;
--- a/src/cellnode/tests/advicedispatcher_test.cpp
+++ b/src/cellnode/tests/advicedispatcher_test.cpp
@@ -178,6 +178,29 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, fixture.mSent.size());
       CPPUNIT_ASSERT(fixture.mSent[3].mNode == NodeId("n0"));
     });
+    // Guards against review/10: with few nodes left, half of them had nothing
+    // to do while long queries waited for 20 s.
+    aSection.It("get an idle node that is kept for short ones in the end", [] {
+      Fixture fixture(2);
+      fixture.AddQuery(700ms, 1);
+      fixture.AddQuery(700ms, 2);
+      fixture.mNow += 1900ms;
+      fixture.mAdviceDispatcher.Expire();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mSent.size());
+      fixture.mNow += 200ms;
+      fixture.mAdviceDispatcher.Expire();
+      CPPUNIT_ASSERT_EQUAL(2, fixture.mSent.at(1).mQuery.mStep.mStep);
+      CPPUNIT_ASSERT(fixture.mSent[1].mNode == NodeId("n0"));
+    });
+    aSection.It("get no node that has short ones to send", [] {
+      Fixture fixture(2);
+      fixture.AddQuery(700ms, 1);
+      fixture.AddQuery(700ms, 2);
+      fixture.AddQuery(10ms, 3);
+      fixture.mNow += 2100ms;
+      fixture.mAdviceDispatcher.Expire();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.mSent.size());
+    });
     aSection.It("are sent when there is only one node", [] {
       Fixture fixture(1);
       fixture.AddQuery(700ms);
