Jobs are refused while the policy service cannot be asked about them in time

Cause: new jobs were refused for a hand-over, a late event loop and a slow store, but not for the backlog of queries, which was only logged.

Change: a new job of a queue with a policy service is refused while a query that is added now is expected to wait for over 8 s (the service time of all that wait, divided by the nodes), with when the backlog is expected to be short enough again, spread over 2 s. Jobs that are known, and queues without a policy service, are not affected. The service time of what waits is kept as a sum, so that a submission does not go through the backlog.

Tests: src/cellnode/tests/adviceadmission_test.cpp.

--- a/src/cellnode/advicedispatcher.h
+++ b/src/cellnode/advicedispatcher.h
@@ -52,6 +52,8 @@
   // Logs a backlog that is too old, at most once in a while.
   void ReportBacklog();
   AdviceBacklog Backlog() const;
+  // How long a query that is added now is expected to wait for a node.
+  Duration ExpectedWait() const;
   // Counts the queries that wait for a node or for an answer.
   jobs::QueryCounts PendingQueries() const;
   // False for the id of a query that was sent in another term.
--- a/src/cellnode/internal/advicedispatcher.cpp
+++ b/src/cellnode/internal/advicedispatcher.cpp
@@ -138,6 +138,14 @@
   return backlog;
 }
 
+Duration
+AdviceDispatcher::ExpectedWait() const
+{
+  const auto nodes =
+    static_cast<std::int64_t>(std::max<std::size_t>(1, mNodeLoads.size()));
+  return (mWaitingShort.ServiceTime() + mWaitingLong.ServiceTime()) / nodes;
+}
+
 jobs::QueryCounts
 AdviceDispatcher::PendingQueries() const
 {
--- a/src/cellnode/internal/callerrequesthandler.cpp
+++ b/src/cellnode/internal/callerrequesthandler.cpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "cellnode/adviceadmission.h"
 #include "cellnode/queuerouter.h"
 #include "framework/stablehash.h"
 
@@ -188,7 +189,8 @@
     return;
   }
   if (!known.has_value()) {
-    if (const auto refusal = RefusalOfNewJob(aId); refusal.has_value()) {
+    if (const auto refusal = RefusalOfNewJob(aQueue, aId);
+        refusal.has_value()) {
       aReply(*refusal);
       return;
     }
@@ -217,7 +219,8 @@
 }
 
 std::optional<CallerAnswer>
-CallerRequestHandler::RefusalOfNewJob(const jobs::JobId& aId) const
+CallerRequestHandler::RefusalOfNewJob(const jobs::QueuePolicy& aQueue,
+                                      const jobs::JobId& aId) const
 {
   if (mRefusesNewJobs) {
     return kHandoverAnswer;
@@ -228,7 +231,7 @@
   if (!CanRecordSoon()) {
     return kStoreUnavailableAnswer;
   }
-  return std::nullopt;
+  return RefusalForAdvice(aQueue, aId, mHooks.mAdviceWait());
 }
 
 // Returns false when a submission would wait too long for its record to be
--- a/src/cellnode/internal/callerrequesthandler.h
+++ b/src/cellnode/internal/callerrequesthandler.h
@@ -22,6 +22,8 @@
   std::function<CallerAuthorization(const CallerRequest&,
                                     const AuthorizationTarget&)>
     mAuthorize;
+  // How long a new query to the policy service is expected to wait.
+  std::function<Duration()> mAdviceWait = [] { return Duration::zero(); };
   // Called when there are changes to write or jobs to schedule.
   std::function<void()> mOnWork;
 };
@@ -89,7 +91,8 @@
               const AnswerCallback& aReply);
   // Returns the refusal of a job that is not known, if it must not be accepted
   // now.
-  std::optional<CallerAnswer> RefusalOfNewJob(const jobs::JobId& aId) const;
+  std::optional<CallerAnswer> RefusalOfNewJob(const jobs::QueuePolicy& aQueue,
+                                              const jobs::JobId& aId) const;
   bool CanRecordSoon() const;
   // The time without an answer to a transaction after which the store counts as
   // unavailable.
--- a/src/cellnode/internal/ownersession.cpp
+++ b/src/cellnode/internal/ownersession.cpp
@@ -82,16 +82,18 @@
           [this](Duration aTime) {
             mHooks.mOnStageTime(Stage::Record, aTime);
           } })
-  , mRequestHandler(aFormats,
-                    mScheduler,
-                    mJournal,
-                    { .mNow = [] { return Now(); },
-                      .mAuthorize =
-                        [this](const CallerRequest& aRequest,
-                               const AuthorizationTarget& aTarget) {
-                          return mHooks.mAuthorize(aRequest, aTarget);
-                        },
-                      .mOnWork = [this] { ScheduleTick(); } })
+  , mRequestHandler(
+      aFormats,
+      mScheduler,
+      mJournal,
+      { .mNow = [] { return Now(); },
+        .mAuthorize =
+          [this](const CallerRequest& aRequest,
+                 const AuthorizationTarget& aTarget) {
+            return mHooks.mAuthorize(aRequest, aTarget);
+          },
+        .mAdviceWait = [this] { return mAdviceDispatcher.ExpectedWait(); },
+        .mOnWork = [this] { ScheduleTick(); } })
   , mWorkerWatch(aLoop,
                  aStore,
                  { .mTable = aFormats.mWorkerTable,
--- a/src/cellnode/internal/waitingqueries.cpp
+++ b/src/cellnode/internal/waitingqueries.cpp
@@ -10,6 +10,7 @@
   Queries& queries = aQuery.mQuery.mBoundedWait ? mBounded : mOthers;
   const TimePoint order =
     aQuery.mQuery.mBoundedWait ? aQuery.mAddedAt : aQuery.mDue;
+  mServiceTime += aQuery.mQuery.mServiceTime;
   queries.emplace(std::pair(order, aId), std::move(aQuery));
 }
 
@@ -31,6 +32,7 @@
 {
   Queries& queries = IsBoundedNext() ? mBounded : mOthers;
   auto node = queries.extract(queries.begin());
+  mServiceTime -= node.mapped().mQuery.mServiceTime;
   return { node.key().second, std::move(node.mapped()) };
 }
 
@@ -45,7 +47,9 @@
 WaitingQueries::ReplaceNext(jobs::AdviceQuery aQuery)
 {
   Queries& queries = IsBoundedNext() ? mBounded : mOthers;
-  queries.begin()->second.mQuery = std::move(aQuery);
+  jobs::AdviceQuery& query = queries.begin()->second.mQuery;
+  mServiceTime += aQuery.mServiceTime - query.mServiceTime;
+  query = std::move(aQuery);
 }
 
 void
--- a/src/cellnode/tests/main.cpp
+++ b/src/cellnode/tests/main.cpp
@@ -23,6 +23,7 @@
       { "peer messages", oriolevane::PeerMessagesTests },
       { "loop lag monitor", oriolevane::LoopLagMonitorTests },
       { "yield policy", oriolevane::YieldPolicyTests },
+      { "advice admission", oriolevane::AdviceAdmissionTests },
       { "advice dispatcher", oriolevane::AdviceDispatcherTests },
       { "pending calls", oriolevane::PendingCallsTests },
       { "timeout estimator", oriolevane::TimeoutEstimatorTests },
--- a/src/cellnode/tests/testgroups.h
+++ b/src/cellnode/tests/testgroups.h
@@ -36,6 +36,8 @@
 void
 YieldPolicyTests(testing::Section& aRoot);
 void
+AdviceAdmissionTests(testing::Section& aRoot);
+void
 AdviceDispatcherTests(testing::Section& aRoot);
 void
 PendingCallsTests(testing::Section& aRoot);
--- a/src/cellnode/waitingqueries.h
+++ b/src/cellnode/waitingqueries.h
@@ -28,6 +28,8 @@
   void ReplaceNext(jobs::AdviceQuery aQuery);
   // Removes the query that would be sent next, without a turn.
   std::pair<QueryId, PendingQuery> DropNext();
+  // The time that the policy service needs to handle all of them.
+  std::chrono::microseconds ServiceTime() const { return mServiceTime; }
   // Adds the queries to what is known of all that wait.
   void AddTo(AdviceBacklog& aBacklog, TimePoint aNow) const;
   // Adds the queries to the counts of their steps.
@@ -40,6 +42,7 @@
 
   Queries mBounded;
   Queries mOthers;
+  std::chrono::microseconds mServiceTime{ 0 };
   // The number of bounded queries that have been sent since another one was.
   std::size_t mBoundedTurns = 0;
 };
