A watch of a table hears that the store is back from any call that is answered

Cause: the timeout of a feed call doubles with each failure, for pages that a busy node reads slowly. The last call that was sent into the outage hung for up to 3.2 s more, although the store answered this node's other calls, or those of the owner.

Change: the answers to all calls of a node are noted with the time at which the call was sent (StoreActivity), and so is the owner's last write, of which its heartbeats tell. A watch that has had no answer, and whose present call is late, sends it again once a call that was sent later has been answered. It does that once for each failure, so that a slow page still gets all its time. All watches (configuration, workers, nodes) have it, and full reads as well as feeds.

--- a/src/cellnode/internal/cellnodeimpl.cpp
+++ b/src/cellnode/internal/cellnodeimpl.cpp
@@ -45,7 +45,7 @@
                      ExternalFormats aFormats)
   : mLoop(aLoop)
   , mOptions(std::move(aOptions))
-  , mStore(std::move(aStore))
+  , mStore(WithActivity(std::move(aStore), std::make_shared<StoreActivity>()))
   , mUpstreams(std::move(aUpstreams))
   , mFormats(std::move(aFormats))
   , mPeers(
--- a/src/cellnode/internal/cellnodepeers.cpp
+++ b/src/cellnode/internal/cellnodepeers.cpp
@@ -236,8 +236,10 @@
     mCalls.MarkAllUnsent();
     SendUnsentCalls();
   }
-  mPolicy.OnOwnerContact(
-    epoch, std::chrono::milliseconds(aHeartbeat.store_age_ms), SteadyNow());
+  const std::chrono::milliseconds storeAge(aHeartbeat.store_age_ms);
+  mPolicy.OnOwnerContact(epoch, storeAge, SteadyNow());
+  // The store has answered the owner.
+  mStore.mActivity->NoteAnswer(BootClock::Now() - BootDuration(storeAge));
   mPolicy.SetBestFitness(aHeartbeat.best_fitness);
 }
 
--- a/src/cellnode/internal/tablewatch.cpp
+++ b/src/cellnode/internal/tablewatch.cpp
@@ -26,18 +26,60 @@
   , mOptions(std::move(aOptions))
   , mHooks(std::move(aHooks))
 {
-  mTimer = aLoop.MakeTimer([this] {
-    if (mSynchronized) {
-      ReadFeed();
-    } else {
-      ReadFrom(mNextName);
-    }
-  });
+  mTimer = aLoop.MakeTimer([this] { SendNext(); });
+  if (mStore.mActivity != nullptr) {
+    mListener = mStore.mActivity->AddListener(
+      [this](BootTimePoint aSentAt) { OnStoreAnswered(aSentAt); });
+  }
 }
 
 TableWatch::~TableWatch()
 {
   *mAlive = false;
+  if (mStore.mActivity != nullptr) {
+    mStore.mActivity->RemoveListener(mListener);
+  }
+}
+
+void
+TableWatch::SendNext()
+{
+  if (mSynchronized) {
+    ReadFeed();
+  } else {
+    ReadFrom(mNextName);
+  }
+}
+
+std::uint64_t
+TableWatch::BeginCall()
+{
+  mCallSentAt = BootClock::Now();
+  mCallPending = true;
+  return ++mCall;
+}
+
+bool
+TableWatch::EndCall(std::uint64_t aCall)
+{
+  if (aCall != mCall) {
+    return false;
+  }
+  mCallPending = false;
+  return true;
+}
+
+void
+TableWatch::OnStoreAnswered(BootTimePoint aSentAt)
+{
+  const bool late =
+    BootClock::Now() - mCallSentAt >= BootDuration(mOptions.mAnswerTimeout);
+  if (!mCallPending || !mMayOvertake || !late || aSentAt <= mCallSentAt) {
+    return;
+  }
+  LogInfo("table_call_overtaken").With("table", mOptions.mTable);
+  mMayOvertake = false;
+  SendNext();
 }
 
 void
@@ -55,6 +97,7 @@
 {
   mReadTimeout =
     std::min<std::chrono::milliseconds>(2 * mReadTimeout, kMaxReadTimeout);
+  mMayOvertake = true;
   mTimer->StartAfter(kRetryPause);
 }
 
@@ -65,9 +108,9 @@
   mStore.mRead(
     { .mTable = mOptions.mTable, .mPart = mOptions.mPart, .mFrom = aName },
     mReadTimeout,
-    [this, alive = mAlive, sentAt = BootClock::Now()](
+    [this, alive = mAlive, call = BeginCall(), sentAt = BootClock::Now()](
       const absl::StatusOr<RowPage>& aPage) {
-      if (!*alive) {
+      if (!*alive || !EndCall(call)) {
         return;
       }
       if (!aPage.ok()) {
@@ -102,6 +145,7 @@
     }
   }
   mReadTimeout = mOptions.mAnswerTimeout;
+  mMayOvertake = false;
   if (aPage.mHasMore && !aPage.mRows.empty()) {
     ReadFrom(aPage.mRows.back().mKey.mName + '\x01');
     return;
@@ -145,14 +189,15 @@
   // not wait for further ones.
   const std::chrono::milliseconds wait =
     mReadTimeout == mOptions.mAnswerTimeout ? mOptions.mWait : 0ms;
-  mStore.mFeed({ .mTable = mOptions.mTable, .mAfter = mVersion, .mWait = wait },
-               wait + mReadTimeout,
-               [this, alive = mAlive, sentAt = BootClock::Now()](
-                 const absl::StatusOr<RowPage>& aPage) {
-                 if (*alive) {
-                   OnChanges(aPage, sentAt);
-                 }
-               });
+  mStore.mFeed(
+    { .mTable = mOptions.mTable, .mAfter = mVersion, .mWait = wait },
+    wait + mReadTimeout,
+    [this, alive = mAlive, call = BeginCall(), sentAt = BootClock::Now()](
+      const absl::StatusOr<RowPage>& aPage) {
+      if (*alive && EndCall(call)) {
+        OnChanges(aPage, sentAt);
+      }
+    });
 }
 
 void
@@ -172,6 +217,7 @@
     return;
   }
   mReadTimeout = mOptions.mAnswerTimeout;
+  mMayOvertake = false;
   // A page that was cut short does not show what comes after it, and one of an
   // older version does not show the newest changes.
   const bool complete = !aPage->mHasMore && (aPage->mVersion == RowVersion() ||
--- a/src/cellnode/internal/tablewatch.h
+++ b/src/cellnode/internal/tablewatch.h
@@ -3,11 +3,13 @@
 // history.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
+#include "cellnode/internal/storeactivity.h"
 #include "cellnode/types/rows.h"
 #include "eventloop/eventloop.h"
 #include "framework/types/boottime.h"
@@ -64,6 +66,16 @@
   // Repeats the call that failed after a pause, with twice the time for its
   // answer.
   void RetryWithLongerTimeout();
+  // Sends the call that is due next.
+  void SendNext();
+  // Notes that a call is sent, and returns its number.
+  std::uint64_t BeginCall();
+  // Notes the answer to a call, or its failure. Returns false for a call that
+  // has been overtaken by another one.
+  bool EndCall(std::uint64_t aCall);
+  // Repeats a call that was sent while the store was away, once the store has
+  // answered a later call of anybody.
+  void OnStoreAnswered(BootTimePoint aSentAt);
 
   const RowStoreHooks& mStore;
   TableWatchOptions mOptions;
@@ -81,6 +93,14 @@
   BootTimePoint mReadSentAt;
   std::map<std::string, RowVersion> mSeenInRead;
   std::map<std::string, RowVersion> mKnownVersions;
+  // The number of the newest call, and when it was sent.
+  std::uint64_t mCall = 0;
+  BootTimePoint mCallSentAt;
+  bool mCallPending = false;
+  // A call has failed since the last answer, and none has been overtaken since
+  // then. A call that is slow for another reason gets all its time.
+  bool mMayOvertake = false;
+  StoreActivity::ListenerId mListener = 0;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
--- a/src/cellnode/tests/main.cpp
+++ b/src/cellnode/tests/main.cpp
@@ -30,6 +30,7 @@
       { "worker calls", oriolevane::WorkerCallsTests },
       { "relay selector", oriolevane::RelaySelectorTests },
       { "relayed calls", oriolevane::RelayedCallsTests },
+      { "store activity", oriolevane::StoreActivityTests },
       { "table watch", oriolevane::TableWatchTests },
       { "record codec", oriolevane::RecordCodecTests },
       { "queue router", oriolevane::QueueRouterTests },
--- a/src/cellnode/tests/testgroups.h
+++ b/src/cellnode/tests/testgroups.h
@@ -50,6 +50,8 @@
 void
 RelayedCallsTests(testing::Section& aRoot);
 void
+StoreActivityTests(testing::Section& aRoot);
+void
 TableWatchTests(testing::Section& aRoot);
 void
 RecordCodecTests(testing::Section& aRoot);
--- a/src/cellnode/types/rows.h
+++ b/src/cellnode/types/rows.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -97,6 +98,8 @@
   std::chrono::milliseconds mWait{ 0 };
 };
 
+class StoreActivity;
+
 // Calls to the store. Errors are Unavailable when the call was not carried out;
 // DeadlineExceeded or Unknown when there was no answer, in which case a commit
 // may have been applied or may still be applied later; and OutOfRange when the
@@ -115,6 +118,8 @@
                      Duration aTimeout,
                      std::function<void(absl::StatusOr<RowPage>)>)>
     mFeed;
+  // Notes the store's answers to these calls; null when nobody does.
+  std::shared_ptr<StoreActivity> mActivity;
 };
 
 } // namespace oriolevane::cellnode
