--- a/src/cellnode/internal/adviceadmission.cpp
+++ b/src/cellnode/internal/adviceadmission.cpp
@@ -1,6 +1,6 @@
 #include "cellnode/adviceadmission.h"
 
-#include "framework/stablehash.h"
+#include "cellnode/internal/retryspread.h"
 
 namespace oriolevane::cellnode {
 
@@ -24,12 +24,10 @@
   if (!aQueue.mAdvice.has_value() || aQueryWait <= kMaxQueryWait) {
     return std::nullopt;
   }
-  const std::chrono::milliseconds spread(
-    StableHash(aId.mValue) % static_cast<std::uint64_t>(kRetrySpread.count()));
   const auto excess = std::chrono::duration_cast<std::chrono::milliseconds>(
     aQueryWait - kMaxQueryWait);
   return CallerAnswer{ .mKind = CallerAnswerKind::Refused,
-                       .mRetryAfter = excess + spread,
+                       .mRetryAfter = SpreadRetry(aId, excess, kRetrySpread),
                        .mMessage = "the policy service is overloaded" };
 }
 
--- a/src/cellnode/internal/callerrequesthandler.cpp
+++ b/src/cellnode/internal/callerrequesthandler.cpp
@@ -6,8 +6,8 @@
 #include <utility>
 
 #include "cellnode/adviceadmission.h"
+#include "cellnode/internal/retryspread.h"
 #include "cellnode/queuerouter.h"
-#include "framework/stablehash.h"
 
 namespace oriolevane::cellnode {
 
@@ -50,11 +50,9 @@
 CallerAnswer
 OverloadedAnswer(const jobs::JobId& aId)
 {
-  const std::chrono::milliseconds spread(
-    StableHash(aId.mValue) %
-    static_cast<std::uint64_t>(kOverloadRetrySpread.count()));
   return { .mKind = CallerAnswerKind::Refused,
-           .mRetryAfter = kRetryAfterOverload + spread,
+           .mRetryAfter =
+             SpreadRetry(aId, kRetryAfterOverload, kOverloadRetrySpread),
            .mMessage = "the scheduler is overloaded" };
 }
 
--- a/src/cellnode/internal/storeactivity.cpp
+++ b/src/cellnode/internal/storeactivity.cpp
@@ -51,27 +51,28 @@
 }
 
 RowStoreHooks
-WithActivity(RowStoreHooks aStore, std::shared_ptr<StoreActivity> aActivity)
+WithActivity(RowStoreHooks aStore,
+             const std::shared_ptr<StoreActivity>& aActivity)
 {
   RowStoreHooks noted;
   noted.mActivity = aActivity;
-  noted.mCommit = [inner = std::move(aStore.mCommit), aActivity](
+  noted.mCommit = [inner = std::move(aStore.mCommit), activity = aActivity](
                     const RowTransaction& aTransaction,
                     Duration aTimeout,
                     std::function<void(absl::StatusOr<CommitAnswer>)> aDone) {
-    inner(aTransaction, aTimeout, Noted(aActivity, std::move(aDone)));
+    inner(aTransaction, aTimeout, Noted(activity, std::move(aDone)));
   };
-  noted.mRead = [inner = std::move(aStore.mRead), aActivity](
+  noted.mRead = [inner = std::move(aStore.mRead), activity = aActivity](
                   const RowQuery& aQuery,
                   Duration aTimeout,
                   std::function<void(absl::StatusOr<RowPage>)> aDone) {
-    inner(aQuery, aTimeout, Noted(aActivity, std::move(aDone)));
+    inner(aQuery, aTimeout, Noted(activity, std::move(aDone)));
   };
-  noted.mFeed = [inner = std::move(aStore.mFeed), aActivity](
+  noted.mFeed = [inner = std::move(aStore.mFeed), activity = aActivity](
                   const FeedQuery& aQuery,
                   Duration aTimeout,
                   std::function<void(absl::StatusOr<RowPage>)> aDone) {
-    inner(aQuery, aTimeout, Noted(aActivity, std::move(aDone)));
+    inner(aQuery, aTimeout, Noted(activity, std::move(aDone)));
   };
   return noted;
 }
--- a/src/cellnode/internal/storeactivity.h
+++ b/src/cellnode/internal/storeactivity.h
@@ -35,6 +35,7 @@
 // Returns hooks that note the answers to all calls in the activity, which the
 // hooks refer to from then on.
 RowStoreHooks
-WithActivity(RowStoreHooks aStore, std::shared_ptr<StoreActivity> aActivity);
+WithActivity(RowStoreHooks aStore,
+             const std::shared_ptr<StoreActivity>& aActivity);
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/tests/advicedispatcher_test.cpp
+++ b/src/cellnode/tests/advicedispatcher_test.cpp
@@ -162,10 +162,8 @@
     });
 }
 
-} // namespace
-
 void
-AdviceDispatcherTests(Section& aRoot)
+DescribeLongQueries(Section& aRoot)
 {
   aRoot.Describe("long queries", [](Section& aSection) {
     aSection.It("leave one node in four free for short ones", [] {
@@ -216,6 +214,14 @@
       CPPUNIT_ASSERT(!fixture.mAdviceDispatcher.OnAnswer(fixture.mSent[0].mId));
     });
   });
+}
+
+} // namespace
+
+void
+AdviceDispatcherTests(Section& aRoot)
+{
+  DescribeLongQueries(aRoot);
   DescribeWaitingQueries(aRoot);
   DescribeBoundedWaits(aRoot);
   aRoot.Describe("a node that loses an answer", [](Section& aSection) {
--- a/src/jobs/tests/advice_test.cpp
+++ b/src/jobs/tests/advice_test.cpp
@@ -54,31 +54,6 @@
   return cell.StateOf("restarts") == JobState::Completed;
 }
 
-// Plays a step whose query is lost without a word, and returns whether its job
-// is done in the end.
-bool
-IsDoneAfterLostQuery()
-{
-  FakeCell cell;
-  cell.mOnAdviceQuery = [](const AdviceQuery&) {};
-  cell.RunFor(200ms);
-  cell.Submit("job",
-              { .mPayload = "", .mSteps = { MakeStep(1, 1000, 100ms) } },
-              MakeQueueWithAdvice());
-  cell.RunFor(500ms);
-  const QueryCounts pending{ { { .mJob = JobId("job") }, 1 } };
-  CPPUNIT_ASSERT_EQUAL(
-    std::size_t{ 0 },
-    cell.Scheduler().CheckPendingQueries(pending, cell.NowMoment()));
-  CPPUNIT_ASSERT(cell.Scheduler().Counts().mLongestAdviceWait >= 400ms);
-  CPPUNIT_ASSERT_EQUAL(
-    std::size_t{ 1 },
-    cell.Scheduler().CheckPendingQueries({}, cell.NowMoment()));
-  cell.mOnAdviceQuery = nullptr;
-  cell.RunFor(2000ms);
-  return cell.StateOf("job") == JobState::Completed;
-}
-
 void
 DescribeWaitingSteps(Section& aRoot)
 {
@@ -121,10 +96,6 @@
       CPPUNIT_ASSERT(queried[WorkerId("w1")] >= 3);
       CPPUNIT_ASSERT_EQUAL(1, queried[WorkerId("w5")]);
     });
-    // Guards against a step that asks no more, as it waits for a query that
-    // nobody has.
-    aSection.It("ask again once their query turns out to be lost",
-                [] { CPPUNIT_ASSERT(IsDoneAfterLostQuery()); });
     aSection.It("ask about further workers while the approved ones are full",
                 [] { CPPUNIT_ASSERT(RestartsOnWorkerNotAskedAbout()); });
   });
--- a/src/jobs/tests/main.cpp
+++ b/src/jobs/tests/main.cpp
@@ -22,6 +22,7 @@
       { "waiting tasks", oriolevane::WaitingTaskTests },
       { "malformed reports", oriolevane::MalformedReportTests },
       { "advice", oriolevane::AdviceTests },
+      { "lost queries", oriolevane::LostQueryTests },
       { "record write queue", oriolevane::RecordWriteQueueTests },
       { "relative run time", oriolevane::RelativeRunTimeTests },
       { "speed preference", oriolevane::SpeedPreferenceTests },
--- a/src/jobs/tests/testgroups.h
+++ b/src/jobs/tests/testgroups.h
@@ -34,6 +34,8 @@
 void
 AdviceTests(testing::Section& aRoot);
 void
+LostQueryTests(testing::Section& aRoot);
+void
 RecordWriteQueueTests(testing::Section& aRoot);
 void
 RelativeRunTimeTests(testing::Section& aRoot);
