--- a/src/cellnode/internal/advicedispatcher.cpp
+++ b/src/cellnode/internal/advicedispatcher.cpp
@@ -24,7 +24,7 @@
 // time has passed, unless the report is lost.
 constexpr std::chrono::milliseconds kAnswerTimeout = 4500ms;
 // A query that has waited for a node for longer than this is logged, and may go
-// to a node that is kept for short ones if there are few nodes.
+// to a node that is kept for short ones.
 constexpr std::chrono::milliseconds kMaxWait = 2000ms;
 constexpr std::chrono::milliseconds kBacklogReportInterval = 1000ms;
 
@@ -190,10 +190,9 @@
     (mNodeLoads.size() + kNodesPerShortQueryNode - 1) / kNodesPerShortQueryNode;
   const std::size_t firstLongQueryNode =
     mNodeLoads.size() > 1 ? shortQueryNodes : 0;
-  // Of few nodes, one is a large share. It helps out with a long query that has
-  // waited for too long, while it has nothing to do.
-  const bool helpsOut = aLong && mNodeLoads.size() < kNodesPerShortQueryNode &&
-                        mWaitingShort.IsEmpty() &&
+  // A node that has nothing to do helps out with a long query that has waited
+  // for too long.
+  const bool helpsOut = aLong && mWaitingShort.IsEmpty() &&
                         mHooks.mNow() - mWaitingLong.Next().mAddedAt > kMaxWait;
   NodeLoad* best = nullptr;
   std::size_t place = 0;
