--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -19,7 +19,7 @@
     { "removed-queue", RunRemovedQueue },
     { "other-kind", RunOtherKind },
     { "waiting-gang", RunWaitingGang },
-    { "lasting-task", RunLastingTask }
+    { "foreign-entry", RunForeignEntry }
   };
   if (aCount != kArguments || !cases.contains(aArguments[1])) {
     std::cerr << "usage: reviewcase NAME NET NODES RECORD\n";
--- a/review/standin-3/platform.cpp
+++ b/review/standin-3/platform.cpp
@@ -149,6 +149,13 @@
                 std::to_string(aOptions.mBorn.count()));
 }
 
+void
+Platform::PutEntry(const std::string& aId, const std::string& aText)
+{
+  Do([&] { mStore->Put("servers", aId, aText); });
+  mRecord.Write("another writer writes servers/", aId, ": ", aText);
+}
+
 void
 Platform::CrashWorker(const std::string& aId)
 {
--- a/review/standin-3/platform.h
+++ b/review/standin-3/platform.h
@@ -77,6 +77,8 @@
   // Starts a worker, or a further life of it. It writes its entry at once, and
   // then each heartbeat.
   void StartWorker(const WorkerOptions& aOptions);
+  // Writes an entry into the registry as another writer.
+  void PutEntry(const std::string& aId, const std::string& aText);
   // Ends a worker's process without a word.
   void CrashWorker(const std::string& aId);
   // All that the workers have seen so far.
--- a/review/standin-3/scenario.h
+++ b/review/standin-3/scenario.h
@@ -93,6 +93,6 @@
 Verdict
 RunWaitingGang(Scenario& aScenario);
 Verdict
-RunLastingTask(Scenario& aScenario);
+RunForeignEntry(Scenario& aScenario);
 
 } // namespace review
