--- a/review/standin-3/foreignentry.cpp
+++ b/review/standin-3/foreignentry.cpp
@@ -24,7 +24,7 @@
            { "routes",
              { { { "name", "work" },
                  { "host", "jobs.example" },
-                 { "pathPrefix", "/work/" },
+                 { "pathPrefix", "/batch/" },
                  { "routeType", "non_idempotent" },
                  { "timeoutMs", 3000 },
                  { "targetLatencyMs", 1000 },
@@ -118,7 +118,7 @@
       ++job;
       const Response response =
         aScenario.Submit(static_cast<int>(job % aScenario.Nodes()) + 1,
-                         "/work/" + JobId(job),
+                         "/batch/" + JobId(job),
                          WideJob().dump());
       if (response.mStatus != kOk) {
         return Verdict::NotRun;
--- a/review/standin-3/manydependencies.cpp
+++ b/review/standin-3/manydependencies.cpp
@@ -21,7 +21,7 @@
            { "routes",
              { { { "name", "work" },
                  { "host", "jobs.example" },
-                 { "pathPrefix", "/work/" },
+                 { "pathPrefix", "/batch/" },
                  { "routeType", "non_idempotent" },
                  { "timeoutMs", 3000 },
                  { "targetLatencyMs", 1000 },
@@ -89,14 +89,14 @@
   Sleep(Millis(1000));
   std::vector<std::string> accepted;
   for (int job = 1; job <= kOrdinaryJobs; ++job) {
-    const std::string path = "/work/" + JobId(job);
+    const std::string path = "/batch/" + JobId(job);
     const int node = job % aScenario.Nodes() + 1;
     if (aScenario.Submit(node, path, OrdinaryJob().dump()).mStatus != kOk) {
       return Verdict::NotRun;
     }
     accepted.push_back(path);
   }
-  const std::string pipeline = "/work/" + JobId(0xabc);
+  const std::string pipeline = "/batch/" + JobId(0xabc);
   const bool all = aScenario.HasTrouble();
   const Response response =
     aScenario.Submit(1, pipeline, Pipeline(kSteps, all).dump());
--- a/review/standin-3/otherkind.cpp
+++ b/review/standin-3/otherkind.cpp
@@ -29,7 +29,7 @@
            { "routes",
              { { { "name", "work" },
                  { "host", "jobs.example" },
-                 { "pathPrefix", "/work/" },
+                 { "pathPrefix", "/batch/" },
                  { "routeType", "non_idempotent" },
                  { "timeoutMs", 3000 },
                  { "targetLatencyMs", 1000 },
@@ -73,7 +73,7 @@
     const std::uint64_t job = ++aLastJob;
     aScenario.Send(static_cast<int>(job % aScenario.Nodes()) + 1,
                    "POST",
-                   "/work/" + JobId(job),
+                   "/batch/" + JobId(job),
                    JobFor(KindOf(job)).dump());
     Sleep(kJobInterval);
   }
--- a/review/standin-3/scenario.h
+++ b/review/standin-3/scenario.h
@@ -51,9 +51,9 @@
                 const std::string& aMethod,
                 const std::string& aPath,
                 const std::string& aBody = "");
-  // Submits a job as a client does: after no response, 502 or 504 it sends the
-  // same id to the next node, up to four times; after 429 or 503 it comes back
-  // once. Returns the last answer.
+  // Submits a job as a client does, with at most four retries: after no
+  // response, 502 or 504 it sends the same id to the next node at once, after
+  // 429 or 503 a second later. Returns the last answer.
   Response Submit(int aNode,
                   const std::string& aPath,
                   const std::string& aBody);
--- a/review/standin-3/worker.cpp
+++ b/review/standin-3/worker.cpp
@@ -9,6 +9,8 @@
 using nlohmann::json;
 
 constexpr Millis kStopTime{ 100 };
+// maxHoldMs of the small sites; a longer lease is shortened to it.
+constexpr Millis kLongestLease{ 6000 };
 constexpr std::size_t kMaxEnds = 500;
 constexpr int kMemoryMiB = 262144;
 
@@ -107,8 +109,8 @@
 void
 Worker::Extend(const json& aCall)
 {
-  mLeaseEnd =
-    std::max(mLeaseEnd, Millis(aCall.value("dueMs", std::int64_t{ 0 })));
+  const Millis due(aCall.value("dueMs", std::int64_t{ 0 }));
+  mLeaseEnd = std::max(mLeaseEnd, std::min(due, Clock() + kLongestLease));
 }
 
 void
