Critical paths of a job take one pass over its dependencies

Cause: CriticalPathFrom() called itself for each later step that names a step, and kept no results, so that each further step doubled the time. It ran on the event loop before the job was recorded, and again at each takeover and change of policy. Layers of two steps (no step names more than two) did the same, so that a limit on the length of "after" would not have helped.

Change: one pass from the last step to the first visits each dependency once. An owner with this code also recovers such a job that is recorded already. The same class beside it: a step named many times in one "after" was looked up as often in each placement pass (repeats are removed, in records too); whether a predecessor can have started a step was read from all tasks of each step that it depends on, in each pass after a takeover (now one flag of the step).

--- a/src/jobs/internal/job.cpp
+++ b/src/jobs/internal/job.cpp
@@ -28,10 +28,7 @@
 {
   return std::any_of(
     aSpec.mAfter.begin(), aSpec.mAfter.end(), [this](int aEarlier) {
-      const std::vector<Task>& tasks = mSteps[aEarlier].mTasks;
-      return std::any_of(tasks.begin(), tasks.end(), [](const Task& aTask) {
-        return aTask.mOutlivedPredecessor;
-      });
+      return mSteps[aEarlier].mOutlivedPredecessor;
     });
 }
 
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -116,9 +116,6 @@
   RunNumber mLastRun;
   // Latest checkpoint; empty for none.
   std::string mCheckpoint;
-  // A run of the task had not ended when the earlier owner had already stopped,
-  // so that owner has not learnt of its end.
-  bool mOutlivedPredecessor = false;
   // Runs that have not ended. There is more than one only for a speculative
   // step or while superfluous runs are being stopped.
   std::vector<RunPointer> mRuns;
@@ -135,6 +132,9 @@
   int mSucceeded = 0;
   // Numbers of the failed runs of a gang as a whole.
   std::set<RunNumber> mFailedGangRuns;
+  // A run of one of the tasks had not ended when the earlier owner had already
+  // stopped, so that owner has not learnt of its end.
+  bool mOutlivedPredecessor = false;
   // When all steps that this one depends on had succeeded.
   std::optional<TimePoint> mReadyAt;
   // Since when tasks have been waiting to start; nothing while none is.
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -47,6 +47,7 @@
   const JobId id = aRecord.mId;
   Job& job = mJobs[id];
   job.mRecord = std::move(aRecord);
+  job.mRecord.mSpec.RemoveRepeatedDependencies();
   job.mTimes = ComputeJobTimes(job.mRecord);
   job.mAcceptedAt = aNow.mSteady;
   job.mWindow = MakeWindow(job.mRecord);
@@ -66,6 +67,8 @@
     mWriteQueue.NoteWritten(JobKey(record.mId));
     Job& job = mJobs[record.mId];
     job.mRecord = record;
+    // An earlier release recorded them.
+    job.mRecord.mSpec.RemoveRepeatedDependencies();
     job.mTimes = ComputeJobTimes(job.mRecord);
     job.mWindow = MakeWindow(job.mRecord);
     const std::chrono::milliseconds age =
--- a/src/jobs/internal/runtracker.cpp
+++ b/src/jobs/internal/runtracker.cpp
@@ -57,7 +57,8 @@
     run->mProgress = progress::RunProgress(aNow);
   }
   task.mLastRun = aNumber;
-  task.mOutlivedPredecessor |= mCell.mOwnership.HadPredecessorEndedAt(aNow);
+  Step& step = *aJob.FindStep(aKey.mStep.mOccurrence, aKey.mStep.mStep);
+  step.mOutlivedPredecessor |= mCell.mOwnership.HadPredecessorEndedAt(aNow);
   task.mRuns.push_back(run);
   AddRun(aWorker, run);
   LogDebug("run_ordered")
--- a/src/jobs/internal/types.cpp
+++ b/src/jobs/internal/types.cpp
@@ -19,6 +19,16 @@
                          });
 }
 
+void
+JobSpec::RemoveRepeatedDependencies()
+{
+  for (StepSpec& step : mSteps) {
+    std::sort(step.mAfter.begin(), step.mAfter.end());
+    step.mAfter.erase(std::unique(step.mAfter.begin(), step.mAfter.end()),
+                      step.mAfter.end());
+  }
+}
+
 const QueuePolicy*
 CellConfiguration::FindQueue(const QueueName& aName) const
 {
--- a/src/jobs/internal/urgency.cpp
+++ b/src/jobs/internal/urgency.cpp
@@ -40,21 +40,22 @@
            .mSlack = slack };
 }
 
-// The estimated time from the start of a step to the end of the job, along the
-// longest chain of dependent steps.
-Duration
-CriticalPathFrom(const JobRecord& aRecord, int aStep)
+// The estimated time from the start of each step to the end of the job, along
+// the longest chain of dependent steps. Steps depend only on earlier ones, so a
+// single pass from the last to the first visits each dependency once.
+std::vector<Duration>
+CriticalPaths(const JobRecord& aRecord)
 {
   const std::vector<StepSpec>& steps = aRecord.mSpec.mSteps;
-  Duration rest{};
-  for (int later = aStep + 1; later < static_cast<int>(steps.size()); ++later) {
-    const std::vector<int>& dependencies = steps[later].mAfter;
-    if (std::find(dependencies.begin(), dependencies.end(), aStep) !=
-        dependencies.end()) {
-      rest = std::max(rest, CriticalPathFrom(aRecord, later));
+  std::vector<Duration> paths(steps.size());
+  for (std::size_t step = steps.size(); step-- > 0;) {
+    // Until here, the entry is the longest path of the steps that follow.
+    paths[step] += StepTime(aRecord, steps[step]);
+    for (const int earlier : steps[step].mAfter) {
+      paths[earlier] = std::max(paths[earlier], paths[step]);
     }
   }
-  return StepTime(aRecord, steps[aStep]) + rest;
+  return paths;
 }
 
 } // namespace
@@ -62,12 +63,10 @@
 JobTimes
 ComputeJobTimes(const JobRecord& aRecord)
 {
-  JobTimes times;
+  JobTimes times{ .mCriticalPathFrom = CriticalPaths(aRecord) };
   Duration longest{};
-  for (std::size_t step = 0; step < aRecord.mSpec.mSteps.size(); ++step) {
-    times.mCriticalPathFrom.push_back(
-      CriticalPathFrom(aRecord, static_cast<int>(step)));
-    longest = std::max(longest, times.mCriticalPathFrom.back());
+  for (const Duration path : times.mCriticalPathFrom) {
+    longest = std::max(longest, path);
   }
   times.mObjective =
     std::chrono::duration_cast<Duration>(longest * aRecord.mQueue.mStretch) +
--- a/src/jobs/internal/workeranswerhandler.cpp
+++ b/src/jobs/internal/workeranswerhandler.cpp
@@ -169,7 +169,9 @@
     if (task == nullptr || task->mSucceeded || run->mOrphan) {
       continue;
     }
-    task->mOutlivedPredecessor |= predecessorEnded && !run->mStopWanted;
+    Step& step = *job->FindStep(running.mTask.mStep.mOccurrence,
+                                running.mTask.mStep.mStep);
+    step.mOutlivedPredecessor |= predecessorEnded && !run->mStopWanted;
     if (known && !running.mCheckpoint.empty()) {
       task->mCheckpoint = running.mCheckpoint;
     }
--- a/src/jobs/types/jobspec.h
+++ b/src/jobs/types/jobspec.h
@@ -78,6 +78,9 @@
 
   // Number of tasks of all steps, without repetition.
   std::int64_t TaskCount() const;
+  // Sorts the dependencies of each step and keeps one of each. A caller may
+  // name the same step any number of times.
+  void RemoveRepeatedDependencies();
 };
 
 } // namespace oriolevane::jobs
