Open jobs take at most half of the host's memory

Change: the module `footprint` estimates what a job takes, from its tasks, steps, dependencies, texts and open occurrences, and sums it up. A new job beyond half of memory_mb is refused; a job that is known already never is, and a new owner counts what it has read. Two metrics show sum and limit. Without memory_mb there is no limit, as before.

Tests: "job memory" (src/jobs/tests/jobmemory_test.cpp), "a job beyond the memory for jobs is refused, to come back" (src/cellnode/tests).

--- a/src/cellnode/internal/callerrequesthandler.cpp
+++ b/src/cellnode/internal/callerrequesthandler.cpp
@@ -34,6 +34,9 @@
 constexpr std::chrono::milliseconds kRetryAfterOverload = 1000ms;
 constexpr std::chrono::milliseconds kOverloadRetrySpread = 2000ms;
 constexpr std::chrono::milliseconds kRetryAfterHandover = 1000ms;
+// Memory becomes free as open jobs end.
+constexpr std::chrono::milliseconds kRetryAfterFullMemory = 2000ms;
+constexpr std::chrono::milliseconds kFullMemoryRetrySpread = 4000ms;
 // Sent to callers whose job can run only once the operator has raised a quota.
 constexpr std::chrono::seconds kRetryAfterNewQuota = 60s;
 
@@ -56,6 +59,15 @@
            .mMessage = "the scheduler is overloaded" };
 }
 
+CallerAnswer
+FullMemoryAnswer(const jobs::JobId& aId)
+{
+  return { .mKind = CallerAnswerKind::Refused,
+           .mRetryAfter =
+             SpreadRetry(aId, kRetryAfterFullMemory, kFullMemoryRetrySpread),
+           .mMessage = "the open jobs take all memory for jobs" };
+}
+
 // The query string is ignored.
 std::string
 LastSegment(const std::string& aPath)
@@ -210,6 +222,10 @@
              .mMessage = refusal->mMessage });
     return;
   }
+  if (!mScheduler.HasMemoryFor(submission)) {
+    aReply(FullMemoryAnswer(aId));
+    return;
+  }
   const jobs::RecordPosition position =
     mScheduler.Submit(std::move(submission), now);
   ReplyWhenRecorded(
--- a/src/cellnode/tests/callerrequestfixture.h
+++ b/src/cellnode/tests/callerrequestfixture.h
@@ -39,12 +39,12 @@
   // How long a new query to the policy service would wait.
   Duration mAdviceWait{};
 
-  CallerRequestFixture()
+  explicit CallerRequestFixture(const jobs::SchedulerOptions& aOptions = {})
     : mFormats({ .mDecodeJob =
                    [](std::string_view) {
                      return jobs::JobSpec{ .mSteps = { { .mTaskCount = 1 } } };
                    } })
-    , mScheduler({},
+    , mScheduler(aOptions,
                  { .mStart = [](const jobs::StartOrder&) {},
                    .mStop = [](const jobs::StopOrder&) {},
                    .mPoll = [](const jobs::PollOrder&) {},
--- a/src/jobs/internal/cellschedulercallers.cpp
+++ b/src/jobs/internal/cellschedulercallers.cpp
@@ -18,6 +18,13 @@
     aSubmission.mId, aSubmission.mTeam, aSubmission.mSpec, aNow.mSteady);
 }
 
+bool
+CellScheduler::HasMemoryFor(const Submission& aSubmission) const
+{
+  return Find(aSubmission.mId).has_value() ||
+         mImpl->mCell.mJobs.HasMemoryFor(aSubmission.mSpec);
+}
+
 RecordPosition
 CellScheduler::Submit(Submission aSubmission, const Moment& aNow)
 {
@@ -63,7 +70,7 @@
         { .mKind = RecordKind::Job, .mName = aId.mValue })) {
     return false;
   }
-  cell.mJobs.Jobs().erase(aId);
+  cell.mJobs.RemoveUnrecorded(aId);
   return true;
 }
 
--- a/src/jobs/internal/cellstate.h
+++ b/src/jobs/internal/cellstate.h
@@ -17,7 +17,7 @@
   CellState(const SchedulerOptions& aOptions, SchedulerHooks aHooks)
     : mOptions(aOptions)
     , mHooks(std::move(aHooks))
-    , mJobs(mWriteQueue)
+    , mJobs(mWriteQueue, aOptions.mMaxJobMemory)
     , mFleet(mOptions, mOwnership, mWriteQueue)
     , mTeams(mOptions)
   {
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -214,6 +214,8 @@
   bool mRecovered = false;
   // At least one task has been started.
   bool mStarted = false;
+  // Estimated memory that the job takes, in bytes.
+  std::int64_t mFootprint = 0;
   // The occurrences in the window that are due, by number. Earlier ones stay
   // while they have runs.
   std::map<int, Occurrence> mOccurrences;
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "footprint/jobfootprint.h"
 #include "jobs/internal/progressparts.h"
 #include "jobs/internal/urgency.h"
 
@@ -23,13 +24,30 @@
 }
 
 occurrences::OccurrenceWindow
-MakeWindow(const JobRecord& aRecord)
+MakeWindow(const JobSpec& aSpec, int aFinishedBefore)
 {
-  const std::optional<Repetition>& repetition = aRecord.mSpec.mRepetition;
+  const std::optional<Repetition>& repetition = aSpec.mRepetition;
   return occurrences::OccurrenceWindow(
     { .mCount = repetition.has_value() ? repetition->mCount : 1,
-      .mTasks = aRecord.mSpec.TaskCount(),
-      .mFinishedBefore = aRecord.mFinishedBefore });
+      .mTasks = aSpec.TaskCount(),
+      .mFinishedBefore = aFinishedBefore });
+}
+
+std::int64_t
+FootprintOf(const JobSpec& aSpec)
+{
+  const occurrences::OccurrenceWindow window = MakeWindow(aSpec, 0);
+  footprint::JobDimensions job{ .mTasks = aSpec.TaskCount(),
+                                .mSteps = static_cast<std::int64_t>(
+                                  aSpec.mSteps.size()),
+                                .mOccurrences = window.End() - window.Begin(),
+                                .mTextBytes = aSpec.mPayload.size() };
+  for (const StepSpec& step : aSpec.mSteps) {
+    job.mDependencies += static_cast<std::int64_t>(step.mAfter.size());
+    job.mTextBytes +=
+      step.mRequiredLabel.size() + step.mDataRack.size() + step.mImage.size();
+  }
+  return footprint::EstimateFootprint(job);
 }
 
 } // namespace
@@ -41,16 +59,42 @@
   return found == mJobs.end() ? nullptr : &found->second;
 }
 
+bool
+JobTable::HasMemoryFor(const JobSpec& aSpec) const
+{
+  return mMemory.HasRoomFor(FootprintOf(aSpec));
+}
+
+void
+JobTable::SetRecord(Job& aJob, JobRecord aRecord)
+{
+  aJob.mRecord = std::move(aRecord);
+  JobSpec& spec = aJob.mRecord.mSpec;
+  // A caller may have sent them, and an earlier release recorded them.
+  spec.RemoveRepeatedDependencies();
+  aJob.mTimes = ComputeJobTimes(aJob.mRecord);
+  aJob.mWindow = MakeWindow(spec, aJob.mRecord.mFinishedBefore);
+  aJob.mFootprint = FootprintOf(spec);
+  mMemory.Add(aJob.mFootprint);
+}
+
+void
+JobTable::RemoveUnrecorded(const JobId& aId)
+{
+  const auto found = mJobs.find(aId);
+  if (found != mJobs.end()) {
+    mMemory.Remove(found->second.mFootprint);
+    mJobs.erase(found);
+  }
+}
+
 Job&
 JobTable::Add(JobRecord aRecord, const Moment& aNow)
 {
   const JobId id = aRecord.mId;
   Job& job = mJobs[id];
-  job.mRecord = std::move(aRecord);
-  job.mRecord.mSpec.RemoveRepeatedDependencies();
-  job.mTimes = ComputeJobTimes(job.mRecord);
+  SetRecord(job, std::move(aRecord));
   job.mAcceptedAt = aNow.mSteady;
-  job.mWindow = MakeWindow(job.mRecord);
   job.mRecordPosition = mWriteQueue.Mark(JobKey(id));
   return job;
 }
@@ -66,11 +110,7 @@
   for (const JobRecord& record : aRecords.mJobs) {
     mWriteQueue.NoteWritten(JobKey(record.mId));
     Job& job = mJobs[record.mId];
-    job.mRecord = record;
-    // An earlier release recorded them.
-    job.mRecord.mSpec.RemoveRepeatedDependencies();
-    job.mTimes = ComputeJobTimes(job.mRecord);
-    job.mWindow = MakeWindow(job.mRecord);
+    SetRecord(job, record);
     const std::chrono::milliseconds age =
       std::max(aNow.mUnix - record.mAcceptedAt, std::chrono::milliseconds(0));
     job.mAcceptedAt = aNow.mSteady - age;
@@ -241,6 +281,7 @@
       RemoveProgress(job, number);
     }
     mWriteQueue.Remove(JobKey(job.Id()));
+    mMemory.Remove(job.mFootprint);
     entry = mJobs.erase(entry);
   }
   while (!mFinishedOrder.empty() &&
--- a/src/jobs/internal/jobtable.h
+++ b/src/jobs/internal/jobtable.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <unordered_map>
 
+#include "footprint/memorybudget.h"
 #include "jobs/internal/job.h"
 #include "jobs/recordwritequeue.h"
 #include "jobs/types/scheduleroptions.h"
@@ -15,8 +16,10 @@
 class JobTable
 {
 public:
-  explicit JobTable(RecordWriteQueue& aWriteQueue)
+  JobTable(RecordWriteQueue& aWriteQueue,
+           std::optional<std::int64_t> aMaxMemory)
     : mWriteQueue(aWriteQueue)
+    , mMemory(aMaxMemory)
   {
   }
 
@@ -26,9 +29,16 @@
   const JobMap& Jobs() const { return mJobs; }
   // Returns nullptr when the job is not in memory.
   Job* Find(const JobId& aId);
+  // True when a new job of this specification does not exceed the memory that
+  // the open jobs may take together.
+  bool HasMemoryFor(const JobSpec& aSpec) const;
+  // The estimated memory that the open jobs take, and its limit.
+  const footprint::MemoryBudget& Memory() const { return mMemory; }
   // Adds a job and queues its record. The job is opened once the record has
   // been written.
   Job& Add(JobRecord aRecord, const Moment& aNow);
+  // Forgets a job whose record was never handed out for writing.
+  void RemoveUnrecorded(const JobId& aId);
   // Restores the jobs from their records.
   void Recover(const CellRecords& aRecords, const Moment& aNow);
   // Queues the progress record that holds a task; for a member of a gang, those
@@ -85,6 +95,8 @@
     RecordPosition mRecordPosition;
   };
 
+  // Takes over a record, and sets what follows from its specification.
+  void SetRecord(Job& aJob, JobRecord aRecord);
   void SetFinished(FinishedRecord aRecord, RecordPosition aPosition);
   void RecoverProgress(const ProgressRecord& aProgress);
   // Queues the records that tasks belong to which another record holds, as one
@@ -101,6 +113,7 @@
 
   RecordWriteQueue& mWriteQueue;
   JobMap mJobs;
+  footprint::MemoryBudget mMemory;
   std::unordered_map<JobId, FinishedEntry> mFinished;
   // Ids by the time of the final state, for pruning.
   std::multimap<std::chrono::milliseconds, JobId> mFinishedOrder;
--- a/src/jobs/internal/schedulercounts.cpp
+++ b/src/jobs/internal/schedulercounts.cpp
@@ -10,6 +10,8 @@
 {
   SchedulerCounts counts;
   counts.mOpenJobs = aCell.mJobs.Jobs().size();
+  counts.mJobMemory = aCell.mJobs.Memory().Used();
+  counts.mMaxJobMemory = aCell.mJobs.Memory().Limit();
   for (const auto& [id, worker] : aCell.mFleet.Workers()) {
     counts.mRuns += worker.mRuns.size();
     counts.mUncertainRuns += std::ranges::count_if(
--- a/src/jobs/tests/main.cpp
+++ b/src/jobs/tests/main.cpp
@@ -10,6 +10,7 @@
     aArguments,
     { { "job lifecycle", oriolevane::JobLifecycleTests },
       { "repeated jobs", oriolevane::RepeatedJobTests },
+      { "job memory", oriolevane::JobMemoryTests },
       { "gang", oriolevane::GangTests },
       { "takeover", oriolevane::OwnerTakeoverTests },
       { "final states", oriolevane::FinalStateTests },
--- a/src/jobs/tests/testgroups.h
+++ b/src/jobs/tests/testgroups.h
@@ -10,6 +10,8 @@
 void
 RepeatedJobTests(testing::Section& aRoot);
 void
+JobMemoryTests(testing::Section& aRoot);
+void
 GangTests(testing::Section& aRoot);
 void
 OwnerTakeoverTests(testing::Section& aRoot);
