A request's path is resolved once, and the job's own team decides

Cause: the path was resolved in three ways. Serve() knew the job by the last segment, then took the queue with the longest prefix, then looked for "night/ID" as a job. Who may make the request was asked of that queue: a team's job beside a public queue was answered with 410 to its own key, a public job beside a team's queue needed a key. Without any removal, a queue that became public hid the jobs of teams from their own keys, as no key is looked at under a public path. Ruled out: the forwarding nodes, which pass the path on as it is; an older or newer configuration at the owner gives the same target.

Change: cellnode/internal/requesttarget resolves a path to a queue or to a job, which may be one under the path of a queue that is gone; the job's team then decides. The key of a job's team counts under a public path too.

Tests: "removed queues" (src/cellnode/tests/removedqueues_test.cpp).

--- a/src/cellnode/internal/callerrequesthandler.cpp
+++ b/src/cellnode/internal/callerrequesthandler.cpp
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "cellnode/adviceadmission.h"
-#include "cellnode/internal/retryspread.h"
+#include "cellnode/internal/refusals.h"
 #include "cellnode/queuerouter.h"
 
 namespace oriolevane::cellnode {
@@ -24,58 +24,12 @@
 // Callers wait for 3 s. A submission that is expected to take longer than this
 // to store is refused, so that the caller retries later.
 constexpr std::chrono::milliseconds kMaxRecordingWait = 2400ms;
-constexpr std::chrono::milliseconds kRetryAfterStoreUnavailable = 1000ms;
 // Sent with the refusal of a request that names a newer configuration than this
 // node has read.
 constexpr std::chrono::milliseconds kRetryAfterStaleConfiguration = 300ms;
-
-// Callers that are refused because the owner is overloaded return at different
-// times: after the first time, and up to the spread later.
-constexpr std::chrono::milliseconds kRetryAfterOverload = 1000ms;
-constexpr std::chrono::milliseconds kOverloadRetrySpread = 2000ms;
-constexpr std::chrono::milliseconds kRetryAfterHandover = 1000ms;
-// Memory becomes free as open jobs end.
-constexpr std::chrono::milliseconds kRetryAfterFullMemory = 2000ms;
-constexpr std::chrono::milliseconds kFullMemoryRetrySpread = 4000ms;
 // Sent to callers whose job can run only once the operator has raised a quota.
 constexpr std::chrono::seconds kRetryAfterNewQuota = 60s;
 
-const CallerAnswer kHandoverAnswer{ .mKind = CallerAnswerKind::Refused,
-                                    .mRetryAfter = kRetryAfterHandover,
-                                    .mMessage = "the owner is changing" };
-
-const CallerAnswer kStoreUnavailableAnswer{ .mKind = CallerAnswerKind::Refused,
-                                            .mRetryAfter =
-                                              kRetryAfterStoreUnavailable,
-                                            .mMessage =
-                                              "the store does not answer" };
-
-CallerAnswer
-OverloadedAnswer(const jobs::JobId& aId)
-{
-  return { .mKind = CallerAnswerKind::Refused,
-           .mRetryAfter =
-             SpreadRetry(aId, kRetryAfterOverload, kOverloadRetrySpread),
-           .mMessage = "the scheduler is overloaded" };
-}
-
-CallerAnswer
-FullMemoryAnswer(const jobs::JobId& aId)
-{
-  return { .mKind = CallerAnswerKind::Refused,
-           .mRetryAfter =
-             SpreadRetry(aId, kRetryAfterFullMemory, kFullMemoryRetrySpread),
-           .mMessage = "the open jobs take all memory for jobs" };
-}
-
-// The query string is ignored.
-std::string
-LastSegment(const std::string& aPath)
-{
-  const std::string path = aPath.substr(0, aPath.find('?'));
-  return path.substr(path.rfind('/') + 1);
-}
-
 } // namespace
 
 CallerRequestHandler::CallerRequestHandler(const ExternalFormats& aFormats,
@@ -93,58 +47,69 @@
 CallerRequestHandler::Serve(const CallerRequest& aRequest,
                             const AnswerCallback& aReply)
 {
-  const jobs::CellConfiguration& configuration = mScheduler.Configuration();
+  const RequestTarget target = ResolveTarget(mScheduler, aRequest);
+  const bool staleConfiguration =
+    aRequest.mVersion > mScheduler.Configuration().mVersion;
   // A job that an earlier owner accepted must not be refused.
-  const bool known =
-    mScheduler.Find(jobs::JobId(LastSegment(aRequest.mPath))).has_value();
-  if (aRequest.mVersion > configuration.mVersion && !known) {
+  if (staleConfiguration && !target.IsKnownJob()) {
     aReply({ .mKind = CallerAnswerKind::Refused,
              .mRetryAfter = kRetryAfterStaleConfiguration,
              .mMessage = "the configuration is being read" });
     return;
   }
-  const QueueMatch match =
-    MatchQueue(configuration, aRequest.mHost, aRequest.mPath);
-  // A job outlives its queue, and callers still use the old path for it.
-  const std::string rest =
-    match.mQueue != nullptr ? match.mRest : LastSegment(aRequest.mPath);
-  const std::optional<jobs::JobView> view = mScheduler.Find(jobs::JobId(rest));
-  if (match.mQueue == nullptr && aRequest.mVerb == CallerVerb::Submit &&
-      known && aRequest.mVersion > configuration.mVersion) {
+  const bool submits = aRequest.mVerb == CallerVerb::Submit;
+  if (target.mQueue == nullptr && submits && staleConfiguration) {
     // The queue may exist in a newer configuration than this node has read.
     aReply({ .mKind = CallerAnswerKind::Undetermined,
              .mMessage = "the configuration is being read" });
     return;
   }
-  if (match.mQueue == nullptr &&
-      (aRequest.mVerb == CallerVerb::Submit || !view.has_value())) {
-    AnswerUnknownTarget(aRequest, rest, aReply);
+  if (target.mQueue == nullptr && (submits || !target.IsKnownJob())) {
+    AnswerUnknownTarget(aRequest, target, aReply);
     return;
   }
-  const bool isPublic =
-    match.mQueue != nullptr ? match.mQueue->mPublic : view->mTeam.Empty();
-  const CallerAuthorization caller = mHooks.mAuthorize(
-    aRequest, { .mPublic = isPublic, .mJobKnown = view.has_value() });
+  const CallerAuthorization caller = Authorize(aRequest, target);
   if (caller.mRefusal.has_value()) {
     aReply(*caller.mRefusal);
     return;
   }
-  if (view.has_value() && !caller.MayAccessJobOf(view->mTeam)) {
-    aReply({ .mKind = aRequest.mVerb == CallerVerb::Submit
-                        ? CallerAnswerKind::Forbidden
-                        : CallerAnswerKind::UnknownJob });
+  if (target.IsKnownJob() && !caller.MayAccessJobOf(target.mView->mTeam)) {
+    aReply({ .mKind = submits ? CallerAnswerKind::Forbidden
+                              : CallerAnswerKind::UnknownJob });
     return;
   }
-  Execute(aRequest, caller, match.mQueue, rest, aReply);
+  Execute(aRequest, caller, target, aReply);
+}
+
+CallerAuthorization
+CallerRequestHandler::Authorize(const CallerRequest& aRequest,
+                                const RequestTarget& aTarget) const
+{
+  const bool isPublic = aTarget.IsPublic();
+  const bool ofTeam = aTarget.IsKnownJob() && !aTarget.mView->mTeam.Empty();
+  const bool hasKey = aRequest.mCredential == CredentialKind::Key;
+  if (isPublic && ofTeam && hasKey) {
+    // The queue may have become public after the team submitted the job.
+    CallerAuthorization caller =
+      mHooks.mAuthorize(aRequest, { .mPublic = false, .mJobKnown = true });
+    const bool unknownKey =
+      caller.mRefusal.has_value() &&
+      caller.mRefusal->mKind == CallerAnswerKind::Unauthorized;
+    if (!unknownKey) {
+      return caller;
+    }
+  }
+  return mHooks.mAuthorize(
+    aRequest, { .mPublic = isPublic, .mJobKnown = aTarget.IsKnownJob() });
 }
 
 void
 CallerRequestHandler::AnswerUnknownTarget(const CallerRequest& aRequest,
-                                          const std::string& aRest,
+                                          const RequestTarget& aTarget,
                                           const AnswerCallback& aReply)
 {
   const bool cancelsJob =
-    aRequest.mVerb == CallerVerb::Cancel && IsJobId(aRest);
+    aRequest.mVerb == CallerVerb::Cancel && IsJobId(aTarget.mJob.mValue);
   if (cancelsJob) {
     ReplyUnknownJob(aReply);
     return;
@@ -155,14 +120,13 @@
 void
 CallerRequestHandler::Execute(const CallerRequest& aRequest,
                               const CallerAuthorization& aCaller,
-                              const jobs::QueuePolicy* aQueue,
-                              const std::string& aRest,
+                              const RequestTarget& aTarget,
                               const AnswerCallback& aReply)
 {
-  const jobs::JobId job(aRest);
+  const jobs::JobId& job = aTarget.mJob;
   if (aRequest.mVerb == CallerVerb::Submit) {
-    if (IsJobId(aRest)) {
-      Submit(*aQueue, job, aCaller.mTeam, aRequest, aReply);
+    if (IsJobId(job.mValue)) {
+      Submit(*aTarget.mQueue, job, aCaller.mTeam, aRequest, aReply);
     } else {
       aReply({ .mKind = CallerAnswerKind::Malformed,
                .mMessage = "a job id has 16 hexadecimal digits" });
@@ -173,17 +137,16 @@
     Cancel(job, aCaller.mTeam, aReply);
     return;
   }
-  if (aQueue != nullptr && aRest.empty()) {
+  if (job.Empty()) {
     aReply({ .mKind = CallerAnswerKind::Count,
-             .mCount = mScheduler.Waiting(aQueue->mName) });
+             .mCount = mScheduler.Waiting(aTarget.mQueue->mName) });
     return;
   }
-  const std::optional<jobs::JobView> view = mScheduler.Find(job);
-  if (!view.has_value()) {
+  if (!aTarget.IsKnownJob()) {
     ReplyUnknownJob(aReply);
     return;
   }
-  aReply({ .mKind = CallerAnswerKind::State, .mState = view->mState });
+  aReply({ .mKind = CallerAnswerKind::State, .mState = aTarget.mView->mState });
 }
 
 void
@@ -237,13 +200,13 @@
                                       const jobs::JobId& aId) const
 {
   if (mRefusesNewJobs) {
-    return kHandoverAnswer;
+    return HandoverAnswer();
   }
   if (mOverloaded) {
     return OverloadedAnswer(aId);
   }
   if (!CanRecordSoon()) {
-    return kStoreUnavailableAnswer;
+    return StoreUnavailableAnswer();
   }
   return RefusalForAdvice(aQueue, aId, mHooks.mAdviceWait());
 }
@@ -296,7 +259,7 @@
     return withdrawn;
   });
   for (const AnswerCallback& reply : refused) {
-    reply(kStoreUnavailableAnswer);
+    reply(StoreUnavailableAnswer());
   }
 }
 
@@ -389,7 +352,7 @@
 CallerRequestHandler::RefuseUnconfirmed()
 {
   for (const UnconfirmedReply& entry : std::exchange(mUnconfirmedReplies, {})) {
-    entry.mReply(kStoreUnavailableAnswer);
+    entry.mReply(StoreUnavailableAnswer());
   }
 }
 
--- a/src/cellnode/internal/callerrequesthandler.h
+++ b/src/cellnode/internal/callerrequesthandler.h
@@ -9,6 +9,7 @@
 
 #include "cellnode/callerauthorizer.h"
 #include "cellnode/celljournal.h"
+#include "cellnode/internal/requesttarget.h"
 #include "cellnode/types/caller.h"
 #include "cellnode/types/nodehooks.h"
 #include "jobs/cellscheduler.h"
@@ -73,16 +74,19 @@
     AnswerCallback mReply;
   };
 
+  // Decides whether a request may be carried out. The key of a job's own team
+  // counts under a public path too.
+  CallerAuthorization Authorize(const CallerRequest& aRequest,
+                                const RequestTarget& aTarget) const;
   // Answers a request that names neither a queue nor a job that is known. No
   // key is needed for that.
   void AnswerUnknownTarget(const CallerRequest& aRequest,
-                           const std::string& aRest,
+                           const RequestTarget& aTarget,
                            const AnswerCallback& aReply);
   // Carries out a request that is authorized.
   void Execute(const CallerRequest& aRequest,
                const CallerAuthorization& aCaller,
-               const jobs::QueuePolicy* aQueue,
-               const std::string& aRest,
+               const RequestTarget& aTarget,
                const AnswerCallback& aReply);
   void Submit(const jobs::QueuePolicy& aQueue,
               const jobs::JobId& aId,
--- a/src/cellnode/tests/main.cpp
+++ b/src/cellnode/tests/main.cpp
@@ -16,6 +16,7 @@
       { "stale answers", oriolevane::StaleAnswerTests },
       { "predecessor", oriolevane::PredecessorTests },
       { "caller requests", oriolevane::CallerRequestHandlerTests },
+      { "removed queues", oriolevane::RemovedQueueTests },
       { "caller overload", oriolevane::CallerOverloadTests },
       { "caller authorizer", oriolevane::CallerAuthorizerTests },
       { "configuration tracker", oriolevane::ConfigurationTrackerTests },
--- a/src/cellnode/tests/testgroups.h
+++ b/src/cellnode/tests/testgroups.h
@@ -22,6 +22,8 @@
 void
 CallerRequestHandlerTests(testing::Section& aRoot);
 void
+RemovedQueueTests(testing::Section& aRoot);
+void
 CallerOverloadTests(testing::Section& aRoot);
 void
 CallerAuthorizerTests(testing::Section& aRoot);
