Room is kept for gangs only on workers that they could use

Cause: SingleTaskShare() limited single tasks with ample slack to the first 0.2 to 0.45 of all workers of all pools, for all waiting gangs together. That held for workers that no waiting gang could use, and for gangs that no set of workers could hold. Hopeless gangs alone are not the cause: a gang that waits for busy workers of label "a", or of another pool, did the same.

Change: jobs/internal/singletasklimits keeps the limit for each group of workers (pool and label) that waiting gangs compete for, on the workers of that group. A gang counts if the group could hold it once all runs but long-running ones have ended. A job of which the whole group is left to gangs that could use others too may use the first 0.2 of it. In the same class: the limit of 12 gangs with a reservation is counted by group, and short jobs' preference for fast workers is decided by pool.

Tests: "gangs of others" (src/jobs/tests/gangsofothers_test.cpp).

--- a/src/jobs/internal/adviceplanner.cpp
+++ b/src/jobs/internal/adviceplanner.cpp
@@ -58,11 +58,10 @@
   const StepSpec& spec = aJob.mRecord.mSpec.mSteps[aKey.mStep];
   const TimePoint renewBefore =
     aNow + QueryTime(*aJob.mRecord.mQueue.mAdvice, kMaxWorkersPerQuery);
-  AdviceScoreOptions score{
-    .mSeed = StableHash(aKey.ToText()),
-    .mSpeedsKnown = mSpeedsKnown,
-    .mPreferFast = mSpreadsShortJobs && PrefersFastWorkers(aJob, aKey.mStep)
-  };
+  AdviceScoreOptions score{ .mSeed = StableHash(aKey.ToText()),
+                            .mSpeedsKnown = mSpeedsKnown,
+                            .mPreferFast = mCell.mSpeedPreference.PrefersFast(
+                              aJob, aKey.mStep) };
   for (Worker* worker : mUsable) {
     score.mFillPosition += 1.0 / static_cast<double>(mUsable.size());
     if (worker->mEntry.mPool != aJob.mRecord.mQueue.mPool) {
--- a/src/jobs/internal/adviceplanner.h
+++ b/src/jobs/internal/adviceplanner.h
@@ -23,8 +23,6 @@
   // tasks fill them.
   // aSpeedsKnown is true when gangs should avoid slow workers.
   void SetUsableWorkers(const std::vector<Worker*>& aUsable, bool aSpeedsKnown);
-  // Sets whether short jobs may prefer fast workers.
-  void SetSpreadsShortJobs(bool aSpreads) { mSpreadsShortJobs = aSpreads; }
   // Begins a dispatch pass, with the queries that all steps have pending.
   void BeginPass(const PendingAdvice& aPending)
   {
@@ -91,7 +89,6 @@
 
   CellState& mCell;
   bool mSpeedsKnown = false;
-  bool mSpreadsShortJobs = false;
   std::vector<Worker*> mUsable;
   Duration mLongestWait{};
   AdviceBudget mBudget;
--- a/src/jobs/internal/candidates.cpp
+++ b/src/jobs/internal/candidates.cpp
@@ -24,7 +24,7 @@
 {
   std::vector<Candidate> candidates;
   mPendingAdvice = {};
-  mGangDemand = 0;
+  mGangDemand.clear();
   for (auto& [id, job] : mCell.mJobs.Jobs()) {
     if (job.mPhase == JobPhase::Open) {
       CollectJobCandidates(
@@ -63,7 +63,8 @@
       mPendingAdvice.mQueries += step.mAdvice.mPendingQueries;
       mPendingAdvice.mServiceTime += step.mAdvice.mPendingServiceTime;
       if (spec.mGang && !step.IsDone()) {
-        mGangDemand += spec.mResources.mMilliCores * spec.mTaskCount;
+        mGangDemand[aJob.mRecord.mQueue.mPool] +=
+          spec.mResources.mMilliCores * spec.mTaskCount;
       }
       if (step.IsDone() || !step.HasWaitingTasks(spec)) {
         step.mWaitingSince.reset();
--- a/src/jobs/internal/candidates.h
+++ b/src/jobs/internal/candidates.h
@@ -37,9 +37,9 @@
   // an earlier owner may have started is left out until aReconciled. Also
   // queries the policy service for steps that become ready soon.
   std::vector<Candidate> Collect(const Moment& aNow, bool aReconciled);
-  // The processors that the unfinished gangs of the open jobs take, waiting or
-  // running, in thousandths of a core, as of the last Collect().
-  std::int64_t GangDemand() const { return mGangDemand; }
+  // The processors that the unfinished gangs of the open jobs take in each
+  // pool, waiting or running, as of the last Collect().
+  const PoolMilliCores& GangDemand() const { return mGangDemand; }
 
 private:
   // aRunsKnown is false while the job may have runs that this node does not
@@ -53,7 +53,7 @@
   AdvicePlanner& mAdvice;
   // Advice queries of the open jobs that have not been answered.
   PendingAdvice mPendingAdvice;
-  std::int64_t mGangDemand = 0;
+  PoolMilliCores mGangDemand;
 };
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/cellstate.h
+++ b/src/jobs/internal/cellstate.h
@@ -4,6 +4,7 @@
 #include "jobs/internal/fleet.h"
 #include "jobs/internal/jobtable.h"
 #include "jobs/internal/ownership.h"
+#include "jobs/internal/speedpreference.h"
 #include "jobs/internal/teamaccounts.h"
 #include "jobs/recordwritequeue.h"
 #include "jobs/types/cellconfiguration.h"
@@ -41,6 +42,7 @@
   JobTable mJobs;
   Fleet mFleet;
   TeamAccounts mTeams;
+  SpeedPreference mSpeedPreference;
   // Number of hosts that can query the policy service at the same time.
   std::size_t mQueryHosts = 1;
   // Requests a placement pass, after a change that may allow tasks to start.
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -4,7 +4,7 @@
 
 #include "framework/log.h"
 #include "jobs/internal/placementcost.h"
-#include "jobs/internal/speedpreference.h"
+#include "jobs/internal/singletasklimits.h"
 #include "jobs/internal/workertrial.h"
 
 namespace oriolevane::jobs {
@@ -19,18 +19,6 @@
 // Once a gang has waited for this long, single tasks with ample slack are
 // limited to a share of the workers.
 constexpr std::chrono::milliseconds kGangWaitThreshold = 500ms;
-constexpr std::chrono::milliseconds kAmpleSlack = 4000ms;
-// Ample slack as a share of the job's objective. Slack must exceed both limits.
-constexpr double kAmpleSlackShare = 0.35;
-constexpr double kMaxSingleTaskShare = 0.45;
-constexpr double kMinSingleTaskShare = 0.2;
-
-bool
-HasAmpleSlack(const Job& aJob, const Urgency& aUrgency)
-{
-  return aUrgency.mSlack > kAmpleSlack &&
-         aUrgency.mSlack > aJob.mTimes.mObjective * kAmpleSlackShare;
-}
 
 } // namespace
 
@@ -49,10 +37,8 @@
   std::vector<Candidate> candidates = mCandidates.Collect(aNow, aReconciled);
   mNow = aNow.mSteady;
   mGangReservations.BeginPass(mNow);
-  mSingleTaskShare = SingleTaskShare(candidates);
-  mSpreadsShortJobs =
-    MaySpreadShortJobs(mCandidates.GangDemand(), mUsable.MilliCores());
-  mAdvice.SetSpreadsShortJobs(mSpreadsShortJobs);
+  LimitSingleTasks(candidates);
+  mCell.mSpeedPreference.BeginPass(mCandidates.GangDemand(), mUsable.Cores());
   for (const Candidate& candidate : candidates) {
     if (!QuotaAllowsStart(candidate)) {
       continue;
@@ -125,7 +111,7 @@
     mCell.mTeams.NoteWaiting(
       *aCandidate.mJob, *aCandidate.mStep, aCandidate.Spec(), mNow);
   }
-  if (gang && !aCandidate.mStep->HasRuns() && !mGangReservations.IsFull() &&
+  if (gang && !aCandidate.mStep->HasRuns() &&
       mCell.mTeams.MayReserve(*aCandidate.mJob) &&
       aCandidate.mUrgency.mObjectiveStatus == ObjectiveStatus::OnTime) {
     ReserveForGang(aCandidate);
@@ -135,33 +121,38 @@
 void
 Dispatcher::ReserveForGang(const Candidate& aCandidate)
 {
-  aCandidate.mStep->mMayUseSlowWorkers =
-    mGangReservations.Reserve(aCandidate.Spec(),
-                              ApprovedWorkers(aCandidate, mUsable.Workers()),
-                              !mUsable.SpeedsKnown());
+  const StepSpec& spec = aCandidate.Spec();
+  const WorkerGroup group = GroupOf(aCandidate.mJob->mRecord.mQueue, spec);
+  if (!mGangReservations.IsFull(group)) {
+    aCandidate.mStep->mMayUseSlowWorkers =
+      mGangReservations.Reserve(group,
+                                spec,
+                                ApprovedWorkers(aCandidate, mUsable.Workers()),
+                                !mUsable.SpeedsKnown());
+  }
 }
 
-double
-Dispatcher::SingleTaskShare(const std::vector<Candidate>& aCandidates) const
+bool
+Dispatcher::HoldsBackSingleTasks(const Candidate& aCandidate) const
 {
-  double waiting = 0;
-  for (const Candidate& candidate : aCandidates) {
-    const StepSpec& spec = candidate.Spec();
-    if (spec.mGang && !candidate.mJob->mRecord.mBorrows &&
-        candidate.mUrgency.mObjectiveStatus == ObjectiveStatus::OnTime &&
-        *candidate.mStep->mReadyAt + kGangWaitThreshold < mNow &&
-        mCell.mTeams.QuotaAllows(*candidate.mJob, spec)) {
-      waiting +=
-        static_cast<double>(spec.mResources.mMilliCores) * spec.mTaskCount;
-    }
-  }
-  if (waiting == 0) {
-    return 1.0;
-  }
-  const auto all = static_cast<double>(mUsable.MilliCores());
-  return std::clamp(kMaxSingleTaskShare - waiting / all,
-                    kMinSingleTaskShare,
-                    kMaxSingleTaskShare);
+  const StepSpec& spec = aCandidate.Spec();
+  return spec.mGang && !aCandidate.mJob->mRecord.mBorrows &&
+         aCandidate.mUrgency.mObjectiveStatus == ObjectiveStatus::OnTime &&
+         *aCandidate.mStep->mReadyAt + kGangWaitThreshold < mNow &&
+         mCell.mTeams.QuotaAllows(*aCandidate.mJob, spec);
+}
+
+void
+Dispatcher::LimitSingleTasks(const std::vector<Candidate>& aCandidates) const
+{
+  std::vector<Candidate> gangs;
+  std::copy_if(aCandidates.begin(),
+               aCandidates.end(),
+               std::back_inserter(gangs),
+               [this](const Candidate& aCandidate) {
+                 return HoldsBackSingleTasks(aCandidate);
+               });
+  LeaveWorkersToGangs(gangs, mUsable.Workers());
 }
 
 bool
@@ -191,12 +182,12 @@
                          std::vector<EligibleWorker>& aEligible)
 {
   const StepSpec& spec = aCandidate.Spec();
-  const bool ample = HasAmpleSlack(*aCandidate.mJob, aCandidate.mUrgency);
+  const bool canWait = !spec.mGang && HasAmpleSlack(aCandidate);
   const PlacementCostOptions costs{
     .mRemoteFactor = mCell.mOptions.mRemoteFactor,
     .mSpeedsKnown = mUsable.SpeedsKnown(),
-    .mPreferFast = mSpreadsShortJobs &&
-                   PrefersFastWorkers(*aCandidate.mJob, aCandidate.mKey.mStep)
+    .mPreferFast = mCell.mSpeedPreference.PrefersFast(*aCandidate.mJob,
+                                                      aCandidate.mKey.mStep)
   };
   EligibleWorker* best = nullptr;
   double bestCost = 0;
@@ -207,7 +198,7 @@
         IsTrialFull(worker, mNow)) {
       continue;
     }
-    if (!spec.mGang && worker.mFillPosition > mSingleTaskShare && ample) {
+    if (canWait && choice.mLeftToGangs) {
       mCapacityWithheld = true;
       continue;
     }
@@ -241,6 +232,9 @@
 {
   std::vector<EligibleWorker> eligible =
     CollectEligibleWorkers(aCandidate, mUsable.Workers(), aNow.mSteady);
+  OpenSomeWorkers(GroupOf(aCandidate.mJob->mRecord.mQueue, aCandidate.Spec()),
+                  mUsable.Workers(),
+                  eligible);
   std::vector<Task>& tasks = aCandidate.mStep->mTasks;
   for (std::size_t index = 0; index < tasks.size(); ++index) {
     if (!tasks[index].IsWaiting()) {
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -45,9 +45,10 @@
   // Starts what fits of a step, and reserves capacity for a gang that has to
   // wait.
   void Place(const Candidate& aCandidate, const Moment& aNow);
-  // The share of the usable workers' processors that single tasks with ample
-  // slack may use. It shrinks as waiting gangs need more capacity.
-  double SingleTaskShare(const std::vector<Candidate>& aCandidates) const;
+  // True for a gang that has waited for some time and can still end in time.
+  bool HoldsBackSingleTasks(const Candidate& aCandidate) const;
+  // Leaves a part of the workers to such gangs.
+  void LimitSingleTasks(const std::vector<Candidate>& aCandidates) const;
   // Returns false when the last attempt to start the step failed, and since
   // then no worker has gained room and none has become allowed.
   bool IsWorthTrying(const Candidate& aCandidate) const;
@@ -89,11 +90,6 @@
   UsableWorkers mUsable;
   GangReservations mGangReservations;
   WaitMonitor mWaitMonitor;
-  // Share of the usable workers' processors that single tasks with ample slack
-  // may use in this pass.
-  double mSingleTaskShare = 1.0;
-  // Short jobs may prefer fast workers in this pass.
-  bool mSpreadsShortJobs = false;
   // A worker with room was passed over in the current attempt, because its
   // capacity is withheld for gangs.
   bool mCapacityWithheld = false;
--- a/src/jobs/internal/eligibleworkers.cpp
+++ b/src/jobs/internal/eligibleworkers.cpp
@@ -3,23 +3,17 @@
 #include <algorithm>
 
 #include "jobs/internal/reservation.h"
+#include "jobs/internal/workergroup.h"
 
 namespace oriolevane::jobs {
 
 namespace {
 
-// True when a worker is usable, is in the queue's pool and has the required
-// label.
+// True when a worker is usable and in the group.
 bool
-IsEligible(const Worker& aWorker,
-           const QueuePolicy& aQueue,
-           const StepSpec& aSpec)
+IsEligible(const Worker& aWorker, const WorkerGroup& aGroup)
 {
-  const WorkerEntry& entry = aWorker.mEntry;
-  const bool labelled = aSpec.mRequiredLabel.empty() ||
-                        aSpec.mRequiredLabel == entry.mKind ||
-                        aSpec.mRequiredLabel == entry.mRack.mValue;
-  return aWorker.mWasUsable && labelled && entry.mPool == aQueue.mPool;
+  return aWorker.mWasUsable && aGroup.Contains(aWorker);
 }
 
 } // namespace
@@ -29,10 +23,10 @@
                 const std::vector<Worker*>& aUsable)
 {
   const QueuePolicy& queue = aCandidate.mJob->mRecord.mQueue;
-  const StepSpec& spec = aCandidate.Spec();
+  const WorkerGroup group = GroupOf(queue, aCandidate.Spec());
   std::vector<Worker*> workers;
   const auto add = [&](Worker* aWorker) {
-    if (IsEligible(*aWorker, queue, spec)) {
+    if (IsEligible(*aWorker, group)) {
       workers.push_back(aWorker);
     }
   };
@@ -52,21 +46,24 @@
                        TimePoint aNow)
 {
   const QueuePolicy& queue = aCandidate.mJob->mRecord.mQueue;
-  const StepSpec& spec = aCandidate.Spec();
+  const WorkerGroup group = GroupOf(queue, aCandidate.Spec());
   std::vector<EligibleWorker> eligible;
+  const auto add = [&](Worker* aWorker, const std::string* aTicket) {
+    if (IsEligible(*aWorker, group)) {
+      eligible.push_back({ .mWorker = aWorker,
+                           .mTicket = aTicket,
+                           .mLeftToGangs = aWorker->mLeftToGangs });
+    }
+  };
   if (!queue.mAdvice.has_value()) {
     for (Worker* worker : aUsable) {
-      if (IsEligible(*worker, queue, spec)) {
-        eligible.push_back({ .mWorker = worker, .mTicket = nullptr });
-      }
+      add(worker, nullptr);
     }
     return eligible;
   }
   for (const Approval& approval : aCandidate.mStep->mAdvice.mApproved) {
-    if (approval.mUsableUntil > aNow &&
-        IsEligible(*approval.mWorker, queue, spec)) {
-      eligible.push_back(
-        { .mWorker = approval.mWorker, .mTicket = &approval.mTicket });
+    if (approval.mUsableUntil > aNow) {
+      add(approval.mWorker, &approval.mTicket);
     }
   }
   return eligible;
@@ -76,11 +73,11 @@
 HasRoomOnApproved(const Candidate& aCandidate)
 {
   const StepSpec& spec = aCandidate.Spec();
+  const WorkerGroup group = GroupOf(aCandidate.mJob->mRecord.mQueue, spec);
   int missing = spec.mGang ? spec.mTaskCount : 1;
   for (const Approval& approval : aCandidate.mStep->mAdvice.mApproved) {
     const Worker& worker = *approval.mWorker;
-    if (!IsEligible(worker, aCandidate.mJob->mRecord.mQueue, spec) ||
-        worker.mHasUnknownLoad ||
+    if (!IsEligible(worker, group) || worker.mHasUnknownLoad ||
         !IsBelowPerWorkerLimit(
           { .mWorker = approval.mWorker }, aCandidate.mKey, spec)) {
       continue;
--- a/src/jobs/internal/eligibleworkers.h
+++ b/src/jobs/internal/eligibleworkers.h
@@ -15,6 +15,8 @@
   Worker* mWorker = nullptr;
   // Null when the queue needs no tickets.
   const std::string* mTicket = nullptr;
+  // Single tasks that can wait leave the worker to gangs.
+  bool mLeftToGangs = false;
   // Members assigned to this worker so far, of the gang that is being placed.
   int mPlannedMembers = 0;
 };
--- a/src/jobs/internal/gangreservations.cpp
+++ b/src/jobs/internal/gangreservations.cpp
@@ -12,8 +12,9 @@
 
 using namespace std::chrono_literals;
 
-// Limit of gangs that have a reservation at the same time. Capacity that waits
-// for one gang is kept from all others, so only the most urgent ones have it.
+// Limit of gangs of a group that have a reservation at the same time. Capacity
+// that waits for one gang is kept from all others, so only the most urgent ones
+// have it.
 constexpr int kMaxReservedGangs = 12;
 // Expected run time of runs whose job is unknown here.
 constexpr std::chrono::milliseconds kDefaultRunTime = 1000ms;
@@ -32,14 +33,15 @@
 GangReservations::BeginPass(TimePoint aNow)
 {
   mReservations.Clear();
-  mReservedGangs = 0;
+  mReservedGangs.clear();
   mNow = aNow;
 }
 
 bool
-GangReservations::IsFull() const
+GangReservations::IsFull(const WorkerGroup& aGroup) const
 {
-  return mReservedGangs >= kMaxReservedGangs;
+  const auto found = mReservedGangs.find(aGroup);
+  return found != mReservedGangs.end() && found->second >= kMaxReservedGangs;
 }
 
 TimePoint
@@ -115,7 +117,8 @@
 }
 
 bool
-GangReservations::Reserve(const StepSpec& aSpec,
+GangReservations::Reserve(const WorkerGroup& aGroup,
+                          const StepSpec& aSpec,
                           const std::vector<Worker*>& aWorkers,
                           bool aWithSlow)
 {
@@ -138,7 +141,7 @@
     }
   }
   if (reservation.has_value()) {
-    ++mReservedGangs;
+    ++mReservedGangs[aGroup];
     mReservations.Add(*reservation, aSpec.mResources, candidates);
   }
   return withSlow;
--- a/src/jobs/internal/gangreservations.h
+++ b/src/jobs/internal/gangreservations.h
@@ -2,11 +2,13 @@
 // present runs are expected to end.
 #pragma once
 
+#include <map>
 #include <optional>
 #include <vector>
 
 #include "jobs/internal/cellstate.h"
 #include "jobs/internal/reservation.h"
+#include "jobs/internal/workergroup.h"
 
 namespace oriolevane::jobs {
 
@@ -20,14 +22,15 @@
 
   // Begins a dispatch pass and clears the reservations of the previous one.
   void BeginPass(TimePoint aNow);
-  // True when the limit of gangs with a reservation is reached.
-  bool IsFull() const;
+  // True when the limit of gangs of the group with a reservation is reached.
+  bool IsFull(const WorkerGroup& aGroup) const;
   // Reserves capacity for a gang on workers that it may use, from the earliest
   // time at which all members fit. Unless aWithSlow, uses slow workers only
   // when the gang is then expected to end sooner, although it runs as fast as
   // its slowest member. Does nothing when the members never fit. Returns true
   // when it may use slow workers.
-  bool Reserve(const StepSpec& aSpec,
+  bool Reserve(const WorkerGroup& aGroup,
+               const StepSpec& aSpec,
                const std::vector<Worker*>& aWorkers,
                bool aWithSlow);
   // True when a task of the step that starts now takes no reserved capacity.
@@ -52,7 +55,8 @@
 
   CellState& mCell;
   ReservationTable mReservations;
-  int mReservedGangs = 0;
+  // The number of gangs with a reservation, by group.
+  std::map<WorkerGroup, int> mReservedGangs;
   TimePoint mNow;
 };
 
--- a/src/jobs/internal/speedpreference.h
+++ b/src/jobs/internal/speedpreference.h
@@ -5,18 +5,32 @@
 // on a fast worker, while a long one has slack enough on a slow one.
 #pragma once
 
+#include <cstdint>
+#include <map>
+#include <set>
+
 #include "jobs/internal/job.h"
 
 namespace oriolevane::jobs {
 
-// True while gangs need little of the cell. Where they need more, short jobs
-// are packed on few workers instead, as spreading them would leave no empty
-// ones. Both amounts are in thousandths of a core.
-bool
-MaySpreadShortJobs(std::int64_t aGangDemand, std::int64_t aCapacity);
+// Processors by pool, in thousandths of a core.
+using PoolMilliCores = std::map<PoolName, std::int64_t>;
+
+class SpeedPreference
+{
+public:
+  // Begins a placement pass, with what the gangs of each pool need and what its
+  // workers have. Where gangs need much of a pool, its short jobs are packed on
+  // few workers, as spreading them would leave no empty ones.
+  void BeginPass(const PoolMilliCores& aGangDemand,
+                 const PoolMilliCores& aCapacity);
+  // True for the tasks of a step of a short job, in a pool whose gangs need
+  // little.
+  bool PrefersFast(const Job& aJob, int aStep) const;
 
-// True for the tasks of a step of a short job.
-bool
-PrefersFastWorkers(const Job& aJob, int aStep);
+private:
+  // The pools whose short jobs are packed.
+  std::set<PoolName> mPacked;
+};
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/usableworkers.cpp
+++ b/src/jobs/internal/usableworkers.cpp
@@ -23,6 +23,7 @@
 UsableWorkers::Update(TimePoint aNow)
 {
   mWorkers.clear();
+  mCores.clear();
   mTrials = {};
   for (auto& [id, worker] : mCell.mFleet.Workers()) {
     if (!worker.mHealth.mFailedJobs.empty() && HasShownToWork(worker, aNow)) {
@@ -47,6 +48,7 @@
     worker.mWasUsable = usable;
     if (usable) {
       mWorkers.push_back(&worker);
+      mCores[worker.mEntry.mPool] += worker.mEntry.mCapacity.mMilliCores;
     }
   }
   const auto unknown =
@@ -55,7 +57,6 @@
     });
   mSpeedsKnown = static_cast<double>(unknown) <=
                  kMaxUnknownSpeedShare * static_cast<double>(mWorkers.size());
-  SetFillPositions();
 }
 
 void
@@ -67,21 +68,4 @@
     std::max(mTrials.mLongest, aNow - *aWorker.mHealth.mTrialSince);
 }
 
-void
-UsableWorkers::SetFillPositions()
-{
-  mMilliCores = 0;
-  for (const Worker* worker : mWorkers) {
-    mMilliCores += worker->mEntry.mCapacity.mMilliCores;
-  }
-  std::int64_t before = 0;
-  for (Worker* worker : mWorkers) {
-    worker->mFillPosition =
-      mMilliCores <= 0
-        ? 0.0
-        : static_cast<double>(before) / static_cast<double>(mMilliCores);
-    before += worker->mEntry.mCapacity.mMilliCores;
-  }
-}
-
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/usableworkers.h
+++ b/src/jobs/internal/usableworkers.h
@@ -16,12 +16,12 @@
   {
   }
 
-  // Finds the usable workers, and notes on each its position in the fixed order
-  // in which single tasks fill them, as the share of all processors before it.
+  // Finds the usable workers.
   void Update(TimePoint aNow);
+  // In the fixed order in which single tasks fill them.
   const std::vector<Worker*>& Workers() const { return mWorkers; }
-  // The processors of all of them, in thousandths of a core.
-  std::int64_t MilliCores() const { return mMilliCores; }
+  // The processors of each pool's workers.
+  const PoolMilliCores& Cores() const { return mCores; }
   // True when the speed of nearly all of them is known.
   bool SpeedsKnown() const { return mSpeedsKnown; }
 
@@ -31,11 +31,10 @@
 private:
   // Counts a worker that is on trial.
   void NoteTrial(const Worker& aWorker, bool aFull, TimePoint aNow);
-  void SetFillPositions();
 
   CellState& mCell;
   std::vector<Worker*> mWorkers;
-  std::int64_t mMilliCores = 0;
+  PoolMilliCores mCores;
   bool mSpeedsKnown = false;
   WorkerTrials mTrials;
 };
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -99,10 +99,8 @@
   std::uint64_t mGainGeneration = 0;
   // The worker was usable in the last placement pass.
   bool mWasUsable = false;
-  // Position, from 0 to 1, in the fixed order in which single tasks fill the
-  // usable workers: the share of their processors that comes before. Positions
-  // by number would limit tasks to workers that may have shrunk to nothing.
-  double mFillPosition = 0;
+  // Single tasks that can wait leave the worker to gangs in the present pass.
+  bool mLeftToGangs = false;
 
   const WorkerId& Id() const { return mEntry.mId; }
   WorkerTarget Target() const
--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -63,6 +63,9 @@
     entry.mCapacity = mOptions.mCapacity;
     entry.mKind = "a";
     entry.mRack = RackId("r" + std::to_string(workerIndex / 3));
+    if (mOptions.mEditEntry) {
+      mOptions.mEditEntry(workerIndex, entry);
+    }
     mWorkers.push_back(std::make_unique<FakeWorker>(
       entry, 5000ms * workerIndex, MakeWorkerHooks(workerIndex)));
   }
--- a/src/jobs/tests/fakecell.h
+++ b/src/jobs/tests/fakecell.h
@@ -51,6 +51,8 @@
   // that results where start orders carry no ticket. Other late orders always
   // reach it.
   bool mLateStartsReachUnfencedIncarnations = true;
+  // Changes the entry of each worker, by its index, before the cell starts.
+  std::function<void(int, WorkerEntry&)> mEditEntry;
   // The longest time for which a worker holds a poll.
   Millis mMaxPollWait{ 10 };
 };
--- a/src/jobs/tests/main.cpp
+++ b/src/jobs/tests/main.cpp
@@ -12,6 +12,7 @@
       { "repeated jobs", oriolevane::RepeatedJobTests },
       { "job memory", oriolevane::JobMemoryTests },
       { "gang", oriolevane::GangTests },
+      { "gangs of others", oriolevane::GangsOfOthersTests },
       { "takeover", oriolevane::OwnerTakeoverTests },
       { "final states", oriolevane::FinalStateTests },
       { "handover", oriolevane::HandoverTests },
--- a/src/jobs/tests/testgroups.h
+++ b/src/jobs/tests/testgroups.h
@@ -14,6 +14,8 @@
 void
 GangTests(testing::Section& aRoot);
 void
+GangsOfOthersTests(testing::Section& aRoot);
+void
 OwnerTakeoverTests(testing::Section& aRoot);
 void
 FinalStateTests(testing::Section& aRoot);
