Open jobs have a bounded number of steps, which each placement pass looks at

A repeated job of 200 steps (12,000 bytes) has 50 occurrences open; 13 such jobs fit into the memory of a small host and made each pass take 64 ms of a whole core (trial program over the scheduler alone), four times that on a quarter of a core, at intervals of 4 to 50 ms, at each owner in turn.

Two metrics show sum and limit.

--- a/src/cellnode/internal/callerrequesthandler.cpp
+++ b/src/cellnode/internal/callerrequesthandler.cpp
@@ -185,8 +185,8 @@
              .mMessage = refusal->mMessage });
     return;
   }
-  if (!mScheduler.HasMemoryFor(submission)) {
-    aReply(FullMemoryAnswer(aId));
+  if (!mScheduler.HasRoomFor(submission)) {
+    aReply(FullHostAnswer(aId));
     return;
   }
   const jobs::RecordPosition position =
--- a/src/cellnode/internal/refusals.cpp
+++ b/src/cellnode/internal/refusals.cpp
@@ -14,9 +14,9 @@
 // times: after the first time, and up to the spread later.
 constexpr std::chrono::milliseconds kRetryAfterOverload = 1000ms;
 constexpr std::chrono::milliseconds kOverloadRetrySpread = 2000ms;
-// Memory becomes free as open jobs end.
-constexpr std::chrono::milliseconds kRetryAfterFullMemory = 2000ms;
-constexpr std::chrono::milliseconds kFullMemoryRetrySpread = 4000ms;
+// Room becomes free as open jobs end.
+constexpr std::chrono::milliseconds kRetryAfterFullHost = 2000ms;
+constexpr std::chrono::milliseconds kFullHostRetrySpread = 4000ms;
 
 } // namespace
 
@@ -46,12 +46,12 @@
 }
 
 CallerAnswer
-FullMemoryAnswer(const jobs::JobId& aId)
+FullHostAnswer(const jobs::JobId& aId)
 {
   return { .mKind = CallerAnswerKind::Refused,
            .mRetryAfter =
-             SpreadRetry(aId, kRetryAfterFullMemory, kFullMemoryRetrySpread),
-           .mMessage = "the open jobs take all memory for jobs" };
+             SpreadRetry(aId, kRetryAfterFullHost, kFullHostRetrySpread),
+           .mMessage = "the open jobs take all that the host has for jobs" };
 }
 
 } // namespace oriolevane::cellnode
--- a/src/cellnode/internal/refusals.h
+++ b/src/cellnode/internal/refusals.h
@@ -16,8 +16,8 @@
 // The event loop has more work than the host can do.
 CallerAnswer
 OverloadedAnswer(const jobs::JobId& aId);
-// The open jobs take all the memory that they may take.
+// The open jobs take all that they may take of the host.
 CallerAnswer
-FullMemoryAnswer(const jobs::JobId& aId);
+FullHostAnswer(const jobs::JobId& aId);
 
 } // namespace oriolevane::cellnode
--- a/src/footprint/internal/jobfootprint.cpp
+++ b/src/footprint/internal/jobfootprint.cpp
@@ -16,15 +16,17 @@
 
 } // namespace
 
-std::int64_t
+JobFootprint
 EstimateFootprint(const JobDimensions& aJob)
 {
   const std::int64_t perOccurrence =
     aJob.mTasks * kBytesPerTask + aJob.mSteps * kBytesPerOpenStep;
-  return kBytesPerJob + aJob.mOccurrences * perOccurrence +
-         aJob.mSteps * kBytesPerStep +
-         aJob.mDependencies * kBytesPerDependency +
-         kCopiesOfTexts * static_cast<std::int64_t>(aJob.mTextBytes);
+  return { .mBytes =
+             kBytesPerJob + aJob.mOccurrences * perOccurrence +
+             aJob.mSteps * kBytesPerStep +
+             aJob.mDependencies * kBytesPerDependency +
+             kCopiesOfTexts * static_cast<std::int64_t>(aJob.mTextBytes),
+           .mOpenSteps = aJob.mOccurrences * aJob.mSteps };
 }
 
 } // namespace oriolevane::footprint
--- a/src/footprint/jobfootprint.h
+++ b/src/footprint/jobfootprint.h
@@ -1,8 +1,8 @@
-// Estimates how much memory an accepted job takes at the node that schedules
-// it. Deterministic.
+// Estimates what an accepted job takes of the node that schedules it.
+// Deterministic.
 //
-// A short request can ask for many tasks, so the length of a request says
-// nothing of its cost. Every later owner of the shard loads the same jobs.
+// A short request can ask for many tasks and steps, so the length of a request
+// says nothing of its cost. Every later owner of the shard loads the same jobs.
 #pragma once
 
 #include <cstddef>
@@ -10,7 +10,7 @@
 
 namespace oriolevane::footprint {
 
-// What the size of a job in memory depends on.
+// What the footprint of a job depends on.
 struct JobDimensions
 {
   // Tasks and steps of one occurrence.
@@ -24,9 +24,16 @@
   std::size_t mTextBytes = 0;
 };
 
-// Returns an upper estimate in bytes. It holds while tasks run, and when they
-// have left checkpoints.
-std::int64_t
+struct JobFootprint
+{
+  // Estimate of the memory, in bytes. It holds while tasks run, and when they
+  // have left checkpoints.
+  std::int64_t mBytes = 0;
+  // Steps of all open occurrences. Each placement pass looks at each of them.
+  std::int64_t mOpenSteps = 0;
+};
+
+JobFootprint
 EstimateFootprint(const JobDimensions& aJob);
 
 } // namespace oriolevane::footprint
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -54,9 +54,9 @@
   // Jobs that are still in memory, including closed ones whose runs are being
   // stopped.
   std::size_t mOpenJobs = 0;
-  // Estimated memory that they take, and its limit, in bytes.
-  std::int64_t mJobMemory = 0;
-  std::optional<std::int64_t> mMaxJobMemory;
+  // What they take, by estimate, and what they may take.
+  footprint::JobFootprint mFootprint;
+  footprint::FootprintLimits mFootprintLimits;
   // Runs that occupy capacity on workers.
   std::size_t mRuns = 0;
   // Those of which it is not known whether they have started or ended.
@@ -119,9 +119,9 @@
   // each refusal is counted. A job that is known already is not refused.
   std::optional<Refusal> RefusalFor(const Submission& aSubmission,
                                     const Moment& aNow);
-  // Returns false when the open jobs would take more memory with this one than
-  // they may. A job that is known already always has room.
-  bool HasMemoryFor(const Submission& aSubmission) const;
+  // Returns false when the open jobs would exceed their limits with this one. A
+  // job that is known already always has room.
+  bool HasRoomFor(const Submission& aSubmission) const;
   // Submits a job. It is accepted once the change at the returned position has
   // been recorded. If the id is already known, the existing job is kept.
   RecordPosition Submit(Submission aSubmission, const Moment& aNow);
--- a/src/jobs/internal/cellschedulercallers.cpp
+++ b/src/jobs/internal/cellschedulercallers.cpp
@@ -19,10 +19,10 @@
 }
 
 bool
-CellScheduler::HasMemoryFor(const Submission& aSubmission) const
+CellScheduler::HasRoomFor(const Submission& aSubmission) const
 {
   return Find(aSubmission.mId).has_value() ||
-         mImpl->mCell.mJobs.HasMemoryFor(aSubmission.mSpec);
+         mImpl->mCell.mJobs.HasRoomFor(aSubmission.mSpec);
 }
 
 RecordPosition
--- a/src/jobs/internal/cellstate.h
+++ b/src/jobs/internal/cellstate.h
@@ -18,7 +18,7 @@
   CellState(const SchedulerOptions& aOptions, SchedulerHooks aHooks)
     : mOptions(aOptions)
     , mHooks(std::move(aHooks))
-    , mJobs(mWriteQueue, aOptions.mMaxJobMemory)
+    , mJobs(mWriteQueue, aOptions.mJobLimits)
     , mFleet(mOptions, mOwnership, mWriteQueue)
     , mTeams(mOptions)
   {
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "crashes/taskcrashes.h"
+#include "footprint/jobfootprint.h"
 #include "framework/types/timepoint.h"
 #include "jobs/internal/stepadvice.h"
 #include "jobs/types/jobrecord.h"
@@ -214,8 +215,7 @@
   bool mRecovered = false;
   // At least one task has been started.
   bool mStarted = false;
-  // Estimated memory that the job takes, in bytes.
-  std::int64_t mFootprint = 0;
+  footprint::JobFootprint mFootprint;
   // The occurrences in the window that are due, by number. Earlier ones stay
   // while they have runs.
   std::map<int, Occurrence> mOccurrences;
--- a/src/jobs/internal/jobtable.cpp
+++ b/src/jobs/internal/jobtable.cpp
@@ -30,10 +30,11 @@
   return occurrences::OccurrenceWindow(
     { .mCount = repetition.has_value() ? repetition->mCount : 1,
       .mTasks = aSpec.TaskCount(),
+      .mSteps = static_cast<std::int64_t>(aSpec.mSteps.size()),
       .mFinishedBefore = aFinishedBefore });
 }
 
-std::int64_t
+footprint::JobFootprint
 FootprintOf(const JobSpec& aSpec)
 {
   const occurrences::OccurrenceWindow window = MakeWindow(aSpec, 0);
@@ -60,9 +61,9 @@
 }
 
 bool
-JobTable::HasMemoryFor(const JobSpec& aSpec) const
+JobTable::HasRoomFor(const JobSpec& aSpec) const
 {
-  return mMemory.HasRoomFor(FootprintOf(aSpec));
+  return mBudget.HasRoomFor(FootprintOf(aSpec));
 }
 
 void
@@ -75,7 +76,7 @@
   aJob.mTimes = ComputeJobTimes(aJob.mRecord);
   aJob.mWindow = MakeWindow(spec, aJob.mRecord.mFinishedBefore);
   aJob.mFootprint = FootprintOf(spec);
-  mMemory.Add(aJob.mFootprint);
+  mBudget.Add(aJob.mFootprint);
 }
 
 void
@@ -83,7 +84,7 @@
 {
   const auto found = mJobs.find(aId);
   if (found != mJobs.end()) {
-    mMemory.Remove(found->second.mFootprint);
+    mBudget.Remove(found->second.mFootprint);
     mJobs.erase(found);
   }
 }
@@ -281,7 +282,7 @@
       RemoveProgress(job, number);
     }
     mWriteQueue.Remove(JobKey(job.Id()));
-    mMemory.Remove(job.mFootprint);
+    mBudget.Remove(job.mFootprint);
     entry = mJobs.erase(entry);
   }
   while (!mFinishedOrder.empty() &&
--- a/src/jobs/internal/jobtable.h
+++ b/src/jobs/internal/jobtable.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <unordered_map>
 
-#include "footprint/memorybudget.h"
+#include "footprint/footprintbudget.h"
 #include "jobs/internal/job.h"
 #include "jobs/recordwritequeue.h"
 #include "jobs/types/scheduleroptions.h"
@@ -17,9 +17,9 @@
 {
 public:
   JobTable(RecordWriteQueue& aWriteQueue,
-           std::optional<std::int64_t> aMaxMemory)
+           const footprint::FootprintLimits& aLimits)
     : mWriteQueue(aWriteQueue)
-    , mMemory(aMaxMemory)
+    , mBudget(aLimits)
   {
   }
 
@@ -29,11 +29,10 @@
   const JobMap& Jobs() const { return mJobs; }
   // Returns nullptr when the job is not in memory.
   Job* Find(const JobId& aId);
-  // True when a new job of this specification does not exceed the memory that
-  // the open jobs may take together.
-  bool HasMemoryFor(const JobSpec& aSpec) const;
-  // The estimated memory that the open jobs take, and its limit.
-  const footprint::MemoryBudget& Memory() const { return mMemory; }
+  // True when the open jobs stay within their limits with a new job.
+  bool HasRoomFor(const JobSpec& aSpec) const;
+  // What the open jobs take together.
+  const footprint::FootprintBudget& Budget() const { return mBudget; }
   // Adds a job and queues its record. The job is opened once the record has
   // been written.
   Job& Add(JobRecord aRecord, const Moment& aNow);
@@ -113,7 +112,7 @@
 
   RecordWriteQueue& mWriteQueue;
   JobMap mJobs;
-  footprint::MemoryBudget mMemory;
+  footprint::FootprintBudget mBudget;
   std::unordered_map<JobId, FinishedEntry> mFinished;
   // Ids by the time of the final state, for pruning.
   std::multimap<std::chrono::milliseconds, JobId> mFinishedOrder;
--- a/src/jobs/internal/schedulercounts.cpp
+++ b/src/jobs/internal/schedulercounts.cpp
@@ -10,8 +10,8 @@
 {
   SchedulerCounts counts;
   counts.mOpenJobs = aCell.mJobs.Jobs().size();
-  counts.mJobMemory = aCell.mJobs.Memory().Used();
-  counts.mMaxJobMemory = aCell.mJobs.Memory().Limit();
+  counts.mFootprint = aCell.mJobs.Budget().Used();
+  counts.mFootprintLimits = aCell.mJobs.Budget().Limits();
   for (const auto& [id, worker] : aCell.mFleet.Workers()) {
     counts.mRuns += worker.mRuns.size();
     counts.mUncertainRuns += std::ranges::count_if(
--- a/src/jobs/types/scheduleroptions.h
+++ b/src/jobs/types/scheduleroptions.h
@@ -2,10 +2,9 @@
 #pragma once
 
 #include <chrono>
-#include <cstdint>
 #include <functional>
-#include <optional>
 
+#include "footprint/footprintbudget.h"
 #include "framework/types/ids.h"
 #include "framework/types/timepoint.h"
 #include "jobs/types/orders.h"
@@ -54,8 +53,8 @@
   SchedulingOrder mOrder = SchedulingOrder::Urgency;
   // The part of a team's quota by which a gang may exceed it.
   double mQuotaExcess = 0.0;
-  // Memory that the open jobs may take together, in bytes; no limit when empty.
-  std::optional<std::int64_t> mMaxJobMemory;
+  // What the open jobs may take of the node together.
+  footprint::FootprintLimits mJobLimits;
 };
 
 // Functions through which a scheduler sends orders and reports events.
--- a/src/occurrences/occurrencewindow.h
+++ b/src/occurrences/occurrencewindow.h
@@ -16,8 +16,9 @@
 {
   // Number of occurrences of the schedule.
   int mCount = 1;
-  // Number of tasks of each occurrence.
+  // Number of tasks and of steps of each occurrence.
   std::int64_t mTasks = 1;
+  std::int64_t mSteps = 1;
   // The store shows that all occurrences below this number have finished.
   int mFinishedBefore = 0;
 };
