An entry that lacks a field of the worker's own changes no worker

Cause: the decoder asked only for the fields that the scheduler uses, and Fleet::Register() took an entry without a start time for one of the process that is known. PROTOCOL.md: such an entry names no worker to use.

Once a worker's entries have named its process, one that names none is ignored, with a log line.

Changed tests: "is followed when its entry names no incarnation" did so for a worker whose entries had named it; `born` is in all that a worker says of itself, so this was another writer's entry. It now has a worker whose entries never name it, with the same checks.

--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -105,9 +105,14 @@
   const auto [entry, added] = mWorkers.try_emplace(aEntry.mId);
   Worker& worker = entry->second;
   const WorkerIncarnation former = worker.mEntry.mIncarnation;
-  // An entry without an incarnation is of the process that is known.
+  const bool namesIncarnation = aEntry.mIncarnation != WorkerIncarnation();
+  if (worker.mEntryNamesIncarnation && !namesIncarnation) {
+    LogWarning("worker_entry_without_incarnation").With("worker", aEntry.mId);
+    return false;
+  }
+  // Until an entry names one, they are of the process that is known.
   const WorkerIncarnation incarnation =
-    aEntry.mIncarnation == WorkerIncarnation() ? former : aEntry.mIncarnation;
+    namesIncarnation ? aEntry.mIncarnation : former;
   const bool otherIncarnation =
     !added && former != WorkerIncarnation() && former < incarnation;
   const bool addressChanged =
@@ -125,6 +130,7 @@
   }
   worker.mEntry = aEntry;
   worker.mEntry.mIncarnation = incarnation;
+  worker.mEntryNamesIncarnation = namesIncarnation;
   UpdateDeparture(worker, aNow);
   worker.mRegistered = true;
   if (added) {
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -26,6 +26,8 @@
 struct Worker
 {
   WorkerEntry mEntry;
+  // An entry has named the incarnation, as all that the worker writes then do.
+  bool mEntryNamesIncarnation = false;
   // The worker is in the registry.
   bool mRegistered = false;
   TimePoint mUnregisteredSince;
--- a/src/jobs/tests/capacity_test.cpp
+++ b/src/jobs/tests/capacity_test.cpp
@@ -304,10 +304,12 @@
     });
     aSection.It("is followed when its entry names no incarnation", [] {
       // Guards against entries that are ignored as those of an earlier process.
-      FakeCell cell({ .mWorkers = 1 });
+      FakeCell cell(
+        { .mWorkers = 1, .mEditEntry = [](int, WorkerEntry& aEntry) {
+           aEntry.mIncarnation = {};
+         } });
       cell.RunFor(200ms);
       WorkerEntry entry = cell.WorkerAt(0).Entry();
-      entry.mIncarnation = {};
       entry.mCapacity = kNone;
       cell.Scheduler().RegisterWorker(entry, cell.NowMoment());
       cell.Submit("job", Tasks(1, 1000, 100ms), MakeQueue());
--- a/src/jobs/tests/fakeworker.h
+++ b/src/jobs/tests/fakeworker.h
@@ -135,6 +135,8 @@
   void ForgetGangEnds();
   // Runs go on, also when they exceed the new capacity.
   void SetCapacity(const Resources& aCapacity) { mEntry.mCapacity = aCapacity; }
+  // For the process that is started next.
+  void SetKind(const std::string& aKind) { mEntry.mKind = aKind; }
   // Ends the given run, if it is on this worker, because another member of its
   // gang has ended. While the process is paused, that waits for Resume().
   void EndGangMember(const TaskKey& aTask,
--- a/src/jobs/tests/restartedworkers_test.cpp
+++ b/src/jobs/tests/restartedworkers_test.cpp
@@ -188,6 +188,68 @@
   });
 }
 
+// Two workers with labels "a" and "b". The first one crashes and is back at
+// once, and the registry shows its new entry 300 ms later.
+class ChangedWorkerCell
+{
+public:
+  ChangedWorkerCell()
+    : mCell({ .mWorkers = 2, .mEditEntry = [](int aIndex, WorkerEntry& aEntry) {
+               aEntry.mKind = aIndex == 0 ? "a" : "b";
+             } })
+  {
+    mCell.RunFor(1000ms);
+  }
+
+  void Restart()
+  {
+    mCell.CrashWorker(0);
+    mCell.RestartWorker(0);
+  }
+  // Submits short jobs for a label during aTime, and returns how many of their
+  // tasks the first worker has started.
+  std::size_t StartsOnFirst(const std::string& aLabel, Millis aTime)
+  {
+    const std::string name = "job" + std::to_string(++mRound) + "-";
+    for (Millis time{}; time < aTime; time += 10ms) {
+      StepSpec step = MakeStep(1, 1000, 50ms);
+      step.mRequiredLabel = aLabel;
+      mCell.Submit(
+        name + std::to_string(time.count()), SingleStepJob(step), MakeQueue());
+      mCell.RunFor(10ms);
+    }
+    return std::count_if(
+      mCell.mStarts.begin(), mCell.mStarts.end(), [&name](const auto& aEntry) {
+        return aEntry.first.mStep.mJob.mValue.starts_with(name) &&
+               aEntry.second.front() == WorkerId("w0");
+      });
+  }
+
+  FakeCell mCell;
+
+private:
+  int mRound = 0;
+};
+
+void
+ChangedWorkerTests(Section& aRoot)
+{
+  // Guards against review/13: another writer's entry gave a worker more
+  // capacity than it had.
+  aRoot.It("an entry that names no process changes no worker that does", [] {
+    ChangedWorkerCell cell;
+    WorkerEntry entry = cell.mCell.WorkerAt(0).Entry();
+    entry.mIncarnation = WorkerIncarnation();
+    entry.mCapacity = Times(entry.mCapacity, 4);
+    cell.mCell.Scheduler().RegisterWorker(entry, cell.mCell.NowMoment());
+    cell.mCell.Submit(
+      "job", SingleStepJob(MakeStep(60, 1000, 100ms)), MakeQueue());
+    cell.mCell.RunFor(2000ms);
+    CPPUNIT_ASSERT(cell.mCell.mViolations.empty());
+    CPPUNIT_ASSERT(cell.mCell.StateOf("job") == JobState::Completed);
+  });
+}
+
 } // namespace
 
 } // namespace oriolevane
@@ -199,5 +261,6 @@
   return oriolevane::testing::RunTests(
     aCount,
     aArguments,
-    { { "restarted workers", oriolevane::RestartedWorkerTests } });
+    { { "restarted workers", oriolevane::RestartedWorkerTests },
+      { "changed workers", oriolevane::ChangedWorkerTests } });
 }
