A worker gets no task by the entry of its former process

Cause: a poll shows the new process before its entry is read (up to 0.25 s, the pause between reads of the registry). The new start time was put into the former entry, whose kind, rack, pool and capacity then counted as present.

Change: a worker that a poll shows to have restarted is not usable until an entry of the present process has been read. The wait ends with the worker's next beat; workers_without_entry and worker_entry_wait_seconds show it.

--- a/src/cellnode/internal/metricstext.cpp
+++ b/src/cellnode/internal/metricstext.cpp
@@ -153,6 +153,8 @@
   const std::chrono::duration<double> storeAge = aStatus.mStoreAge;
   const jobs::LongRunningWaits& waits = aStatus.mCounts.mLongRunningWaits;
   const std::chrono::duration<double> longRunningWait = waits.mLongest;
+  const std::chrono::duration<double> entryWait =
+    aStatus.mCounts.mEntryWaits.mLongest;
   const jobs::WorkerTrials& trials = aStatus.mCounts.mWorkerTrials;
   const std::chrono::duration<double> longestTrial = trials.mLongest;
   std::vector<prometheus::MetricFamily> families{
@@ -211,6 +213,12 @@
     Gauge("worker_trial_seconds",
           "longest time for which a worker has been on trial",
           longestTrial.count()),
+    Gauge("workers_without_entry",
+          "restarted workers whose new entry has not been read, at the owner",
+          number(aStatus.mCounts.mEntryWaits.mWorkers)),
+    Gauge("worker_entry_wait_seconds",
+          "longest time for which one of them has waited for it",
+          entryWait.count()),
     Counter("log_lines_dropped_total",
             "log lines over their budget, or not taken by standard output",
             number(DroppedLogLines()))
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -301,6 +301,7 @@
   counts.mLongestAdviceWait = mImpl->mAdvice.LongestWait();
   counts.mLongRunningWaits = mImpl->mDispatcher.Waits();
   counts.mWorkerTrials = mImpl->mDispatcher.Trials();
+  counts.mEntryWaits = mImpl->mDispatcher.WorkerEntryWaits();
   return counts;
 }
 
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -12,6 +12,7 @@
 #include "jobs/recordwritequeue.h"
 #include "jobs/types/cellconfiguration.h"
 #include "jobs/types/jobrecord.h"
+#include "jobs/types/entrywaits.h"
 #include "jobs/types/longrunningwaits.h"
 #include "jobs/types/orders.h"
 #include "jobs/types/runends.h"
@@ -70,6 +71,7 @@
   Duration mLongestAdviceWait{};
   LongRunningWaits mLongRunningWaits;
   WorkerTrials mWorkerTrials;
+  EntryWaits mEntryWaits;
   // The teams of the configuration.
   std::vector<TeamCounts> mTeams;
 };
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -33,6 +33,8 @@
   const LongRunningWaits& Waits() const { return mWaitMonitor.Waits(); }
   // The workers that were on trial before the last pass.
   const WorkerTrials& Trials() const { return mUsable.Trials(); }
+  // The workers whose present entry had not been read before the last pass.
+  const EntryWaits& WorkerEntryWaits() const { return mUsable.Waits(); }
 
 private:
   // Logs that this node starts nothing, once until it does again.
--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -130,6 +130,7 @@
   }
   worker.mEntry = aEntry;
   worker.mEntry.mIncarnation = incarnation;
+  worker.mEntryIsFormer = false;
   worker.mEntryNamesIncarnation = namesIncarnation;
   UpdateDeparture(worker, aNow);
   worker.mRegistered = true;
@@ -205,6 +206,7 @@
   aWorker.InterruptRuns();
   aWorker.mRestartKnownAt = aNow;
   aWorker.mEntry.mIncarnation = aIncarnation;
+  aWorker.mEntryIsFormer = true;
   aWorker.mClock.reset();
   aWorker.mProcessedEndSerial = 0;
   aWorker.mRecordedEndSerial = 0;
--- a/src/jobs/internal/usableworkers.cpp
+++ b/src/jobs/internal/usableworkers.cpp
@@ -25,6 +25,7 @@
   mWorkers.clear();
   mCores.clear();
   mTrials = {};
+  mEntryWaits = {};
   for (auto& [id, worker] : mCell.mFleet.Workers()) {
     if (!worker.mHealth.mFailedJobs.empty() && HasShownToWork(worker, aNow)) {
       ClearFailures(worker, aNow);
@@ -34,11 +35,14 @@
     const bool registered =
       worker.mRegistered ||
       worker.mUnregisteredSince + kUnregisteredGracePeriod > aNow;
-    const bool usable = registered && !worker.mEntry.mDraining &&
-                        worker.mRecorded && worker.mReachable &&
-                        worker.mReconciled && worker.mClock.has_value() &&
-                        worker.mHealth.mAvoidUntil <= aNow &&
-                        worker.mHealth.mSuspectedUntil <= aNow && !trialFull;
+    const bool usable =
+      registered && !worker.mEntryIsFormer && !worker.mEntry.mDraining &&
+      worker.mRecorded && worker.mReachable && worker.mReconciled &&
+      worker.mClock.has_value() && worker.mHealth.mAvoidUntil <= aNow &&
+      worker.mHealth.mSuspectedUntil <= aNow && !trialFull;
+    if (worker.mEntryIsFormer && worker.mReachable) {
+      NoteEntryWait(worker, aNow);
+    }
     if (worker.mHealth.IsOnTrial() && worker.mReachable) {
       NoteTrial(worker, trialFull, aNow);
     }
@@ -59,6 +63,14 @@
                  kMaxUnknownSpeedShare * static_cast<double>(mWorkers.size());
 }
 
+void
+UsableWorkers::NoteEntryWait(const Worker& aWorker, TimePoint aNow)
+{
+  ++mEntryWaits.mWorkers;
+  mEntryWaits.mLongest =
+    std::max(mEntryWaits.mLongest, aNow - *aWorker.mRestartKnownAt);
+}
+
 void
 UsableWorkers::NoteTrial(const Worker& aWorker, bool aFull, TimePoint aNow)
 {
--- a/src/jobs/internal/usableworkers.h
+++ b/src/jobs/internal/usableworkers.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "jobs/internal/cellstate.h"
+#include "jobs/types/entrywaits.h"
 #include "jobs/types/workertrials.h"
 
 namespace oriolevane::jobs {
@@ -27,8 +28,12 @@
 
   // The reachable workers that are on trial, usable or not.
   const WorkerTrials& Trials() const { return mTrials; }
+  // The workers whose present entry has not been read.
+  const EntryWaits& Waits() const { return mEntryWaits; }
 
 private:
+  // Counts a worker whose entry is of an earlier process.
+  void NoteEntryWait(const Worker& aWorker, TimePoint aNow);
   // Counts a worker that is on trial.
   void NoteTrial(const Worker& aWorker, bool aFull, TimePoint aNow);
 
@@ -37,6 +42,7 @@
   PoolMilliCores mCores;
   bool mSpeedsKnown = false;
   WorkerTrials mTrials;
+  EntryWaits mEntryWaits;
 };
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -26,6 +26,9 @@
 struct Worker
 {
   WorkerEntry mEntry;
+  // The entry is known to be of an earlier process than the one that answers.
+  // Its kind and capacity may differ from the present ones.
+  bool mEntryIsFormer = false;
   // An entry has named the incarnation, as all that the worker writes then do.
   bool mEntryNamesIncarnation = false;
   // The worker is in the registry.
--- a/src/jobs/tests/restartedworkers_test.cpp
+++ b/src/jobs/tests/restartedworkers_test.cpp
@@ -231,9 +231,31 @@
   int mRound = 0;
 };
 
+// Guards against review/14: tasks were started on a worker that was back as
+// another kind, by the entry of its former process.
 void
 ChangedWorkerTests(Section& aRoot)
 {
+  aRoot.Describe("a worker that is back under its id", [](Section& aSection) {
+    aSection.It("as another kind gets no task by its former label", [] {
+      ChangedWorkerCell cell;
+      cell.mCell.WorkerAt(0).SetKind("b");
+      cell.Restart();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, cell.StartsOnFirst("a", 2000ms));
+      StepSpec wide = MakeStep(16, 1000, 1000ms);
+      wide.mRequiredLabel = "b";
+      cell.mCell.Submit("wide", SingleStepJob(wide), MakeQueue());
+      cell.mCell.RunFor(200ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 8 },
+                           cell.mCell.WorkerAt(0).Runs().size());
+    });
+    aSection.It("gets no task before its entry is read", [] {
+      ChangedWorkerCell cell;
+      cell.Restart();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, cell.StartsOnFirst("a", 280ms));
+      CPPUNIT_ASSERT(cell.StartsOnFirst("a", 500ms) > 0);
+    });
+  });
   // Guards against review/13: another writer's entry gave a worker more
   // capacity than it had.
   aRoot.It("an entry that names no process changes no worker that does", [] {
