--- a/src/cellnode/internal/metricstext.cpp
+++ b/src/cellnode/internal/metricstext.cpp
@@ -1,5 +1,7 @@
 #include "cellnode/metricstext.h"
 
+#include <chrono>
+#include <concepts>
 #include <map>
 #include <utility>
 #include <vector>
@@ -13,6 +15,18 @@
 
 namespace {
 
+double
+Number(std::integral auto aCount)
+{
+  return static_cast<double>(aCount);
+}
+
+double
+Seconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
 // Returns a family with one metric, whose value is not set yet.
 prometheus::MetricFamily
 Family(const std::string& aName,
@@ -144,85 +158,101 @@
           pending.count()));
 }
 
+// Adds what the open jobs take of the owner.
+void
+AddFootprintFamilies(const jobs::SchedulerCounts& aCounts,
+                     std::vector<prometheus::MetricFamily>& aFamilies)
+{
+  aFamilies.push_back(Gauge("job_memory_bytes",
+                            "estimated memory of the open jobs, at the owner",
+                            Number(aCounts.mFootprint.mBytes)));
+  aFamilies.push_back(
+    Gauge("job_memory_limit_bytes",
+          "jobs are refused above it; 0 is no limit",
+          Number(aCounts.mFootprintLimits.mBytes.value_or(0))));
+  aFamilies.push_back(Gauge("open_steps",
+                            "steps of the open jobs, at the owner",
+                            Number(aCounts.mFootprint.mOpenSteps)));
+  aFamilies.push_back(
+    Gauge("open_steps_limit",
+          "jobs are refused above it; 0 is no limit",
+          Number(aCounts.mFootprintLimits.mOpenSteps.value_or(0))));
+}
+
+// Adds the steps and workers that wait for something, with the longest wait.
+void
+AddWaitFamilies(const jobs::SchedulerCounts& aCounts,
+                std::vector<prometheus::MetricFamily>& aFamilies)
+{
+  const auto add = [&aFamilies](const std::string& aName,
+                                const std::string& aHelp,
+                                double aValue) {
+    aFamilies.push_back(Gauge(aName, aHelp, aValue));
+  };
+  add("long_running_steps_waiting",
+      "long-running steps with tasks that wait to start, at the owner",
+      Number(aCounts.mLongRunningWaits.mSteps));
+  add("long_running_wait_seconds",
+      "longest time for which one of them has waited",
+      Seconds(aCounts.mLongRunningWaits.mLongest));
+  add("workers_on_trial",
+      "workers that get one task at a time after failures, at the owner",
+      Number(aCounts.mWorkerTrials.mWorkers));
+  add("worker_trials_full",
+      "workers on trial whose task has not ended",
+      Number(aCounts.mWorkerTrials.mFull));
+  add("worker_trial_seconds",
+      "longest time for which a worker has been on trial",
+      Seconds(aCounts.mWorkerTrials.mLongest));
+  add("workers_without_entry",
+      "restarted workers whose new entry has not been read, at the owner",
+      Number(aCounts.mEntryWaits.mWorkers));
+  add("worker_entry_wait_seconds",
+      "longest time for which one of them has waited for it",
+      Seconds(aCounts.mEntryWaits.mLongest));
+}
+
 } // namespace
 
 std::string
 MetricsText(const NodeStatus& aStatus, const NodeMetrics& aMetrics)
 {
-  const auto number = [](auto aCount) { return static_cast<double>(aCount); };
   const std::chrono::duration<double> storeAge = aStatus.mStoreAge;
-  const jobs::LongRunningWaits& waits = aStatus.mCounts.mLongRunningWaits;
-  const std::chrono::duration<double> longRunningWait = waits.mLongest;
-  const std::chrono::duration<double> entryWait =
-    aStatus.mCounts.mEntryWaits.mLongest;
-  const jobs::WorkerTrials& trials = aStatus.mCounts.mWorkerTrials;
-  const std::chrono::duration<double> longestTrial = trials.mLongest;
   std::vector<prometheus::MetricFamily> families{
     Gauge("owns_shard",
           "1 while this node owns the shard",
           aStatus.mOwnsShard ? 1 : 0),
     Gauge("epoch",
           "highest ownership term that this node knows",
-          number(aStatus.mEpoch.mValue)),
+          Number(aStatus.mEpoch.mValue)),
     Gauge("configuration_version",
           "configuration in force on this node",
-          number(aStatus.mVersion.mValue)),
-    Gauge("links", "links to other nodes", number(aStatus.mLinks)),
+          Number(aStatus.mVersion.mValue)),
+    Gauge("links", "links to other nodes", Number(aStatus.mLinks)),
     Gauge("open_jobs",
           "jobs of the shard that are not forgotten yet, at its owner",
-          number(aStatus.mCounts.mOpenJobs)),
-    Gauge("job_memory_bytes",
-          "estimated memory of the open jobs, at the owner",
-          number(aStatus.mCounts.mFootprint.mBytes)),
-    Gauge("job_memory_limit_bytes",
-          "jobs are refused above it; 0 is no limit",
-          number(aStatus.mCounts.mFootprintLimits.mBytes.value_or(0))),
-    Gauge("open_steps",
-          "steps of the open jobs, at the owner",
-          number(aStatus.mCounts.mFootprint.mOpenSteps)),
-    Gauge("open_steps_limit",
-          "jobs are refused above it; 0 is no limit",
-          number(aStatus.mCounts.mFootprintLimits.mOpenSteps.value_or(0))),
+          Number(aStatus.mCounts.mOpenJobs)),
     Gauge("runs",
           "runs that take room on workers, at the owner",
-          number(aStatus.mCounts.mRuns)),
+          Number(aStatus.mCounts.mRuns)),
     Gauge("uncertain_runs",
           "runs that may have ended or may not have started, at the owner",
-          number(aStatus.mCounts.mUncertainRuns)),
+          Number(aStatus.mCounts.mUncertainRuns)),
     Gauge("workers",
           "workers in the registry, at the owner",
-          number(aStatus.mCounts.mWorkers)),
+          Number(aStatus.mCounts.mWorkers)),
     Gauge("reachable_workers",
           "workers that answered their last poll, at the owner",
-          number(aStatus.mCounts.mReachableWorkers)),
+          Number(aStatus.mCounts.mReachableWorkers)),
     Gauge("store_age_seconds",
           "time since the owner's last write to the store",
           storeAge.count()),
-    Gauge("long_running_steps_waiting",
-          "long-running steps with tasks that wait to start, at the owner",
-          number(waits.mSteps)),
-    Gauge("long_running_wait_seconds",
-          "longest time for which one of them has waited",
-          longRunningWait.count()),
-    Gauge("workers_on_trial",
-          "workers that get one task at a time after failures, at the owner",
-          number(trials.mWorkers)),
-    Gauge("worker_trials_full",
-          "workers on trial whose task has not ended",
-          number(trials.mFull)),
-    Gauge("worker_trial_seconds",
-          "longest time for which a worker has been on trial",
-          longestTrial.count()),
-    Gauge("workers_without_entry",
-          "restarted workers whose new entry has not been read, at the owner",
-          number(aStatus.mCounts.mEntryWaits.mWorkers)),
-    Gauge("worker_entry_wait_seconds",
-          "longest time for which one of them has waited for it",
-          entryWait.count()),
     Counter("log_lines_dropped_total",
             "log lines over their budget, or not taken by standard output",
-            number(DroppedLogLines()))
+            Number(DroppedLogLines()))
   };
+  AddFootprintFamilies(aStatus.mCounts, families);
+  AddWaitFamilies(aStatus.mCounts, families);
   AddAdviceFamilies(aStatus, families);
   if (aStatus.mConfigurationAge.has_value()) {
     const std::chrono::duration<double> age = *aStatus.mConfigurationAge;
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -11,8 +11,8 @@
 
 #include "jobs/recordwritequeue.h"
 #include "jobs/types/cellconfiguration.h"
-#include "jobs/types/jobrecord.h"
 #include "jobs/types/entrywaits.h"
+#include "jobs/types/jobrecord.h"
 #include "jobs/types/longrunningwaits.h"
 #include "jobs/types/orders.h"
 #include "jobs/types/runends.h"
--- a/src/jobs/internal/singletasklimits.cpp
+++ b/src/jobs/internal/singletasklimits.cpp
@@ -18,6 +18,10 @@
 constexpr double kMaxSingleTaskShare = 0.45;
 constexpr double kMinSingleTaskShare = 0.2;
 
+// Bounds for the time of a pass. The most urgent gangs come first.
+constexpr std::size_t kMaxGroups = 64;
+constexpr std::size_t kMaxGangsOfGroup = 100;
+
 using Gangs = std::vector<const StepSpec*>;
 
 // What the worker's tasks take that run until their job is cancelled.
@@ -32,73 +36,93 @@
   return used;
 }
 
-// True when the workers could hold all members once their other runs have
-// ended.
-bool
-CouldHold(const std::vector<Worker*>& aWorkers, const StepSpec& aGang)
+// The workers that the gangs of a group could use.
+struct GroupWorkers
 {
-  int missing = aGang.mTaskCount;
-  for (const Worker* worker : aWorkers) {
+  std::vector<Worker*> mWorkers;
+  // What remains in use on each of them.
+  std::vector<Resources> mUsedForGood;
+  std::int64_t mMilliCores = 0;
+
+  void Add(Worker* aWorker)
+  {
+    mWorkers.push_back(aWorker);
+    mUsedForGood.push_back(UsedForGood(*aWorker));
+    mMilliCores += aWorker->mEntry.mCapacity.mMilliCores;
+  }
+  // True when they could hold all members once their other runs have ended.
+  bool CouldHold(const StepSpec& aGang) const
+  {
     const int limit =
       aGang.mMaxPerWorker > 0 ? aGang.mMaxPerWorker : aGang.mTaskCount;
-    missing -= TasksThatFit(
-      worker->mEntry.mCapacity, UsedForGood(*worker), aGang.mResources, limit);
-    if (missing <= 0) {
-      return true;
+    int missing = aGang.mTaskCount;
+    for (std::size_t index = 0; index < mWorkers.size() && missing > 0;
+         ++index) {
+      missing -= TasksThatFit(mWorkers[index]->mEntry.mCapacity,
+                              mUsedForGood[index],
+                              aGang.mResources,
+                              limit);
     }
+    return missing <= 0;
   }
-  return false;
-}
+};
 
-std::int64_t
-MilliCoresOf(const std::vector<Worker*>& aWorkers)
-{
-  std::int64_t sum = 0;
-  for (const Worker* worker : aWorkers) {
-    sum += worker->mEntry.mCapacity.mMilliCores;
-  }
-  return sum;
-}
-
-// The share of the workers' processors that single tasks may use.
+// The share of the group's processors that single tasks may use.
 double
-SingleTaskShare(const std::vector<Worker*>& aWorkers,
-                const Gangs& aGangs,
-                double aMilliCores)
+SingleTaskShare(const GroupWorkers& aGroup, const Gangs& aGangs)
 {
+  constexpr double kMaxWaitingShare = kMaxSingleTaskShare - kMinSingleTaskShare;
+  const auto all = static_cast<double>(aGroup.mMilliCores);
   double waiting = 0;
   for (const StepSpec* gang : aGangs) {
-    if (waiting >= (kMaxSingleTaskShare - kMinSingleTaskShare) * aMilliCores) {
+    if (waiting >= kMaxWaitingShare * all) {
       // Further gangs change nothing.
       break;
     }
-    if (CouldHold(aWorkers, *gang)) {
+    if (aGroup.CouldHold(*gang)) {
       waiting +=
         static_cast<double>(gang->mResources.mMilliCores) * gang->mTaskCount;
     }
   }
   return waiting == 0 ? 1.0
-                      : std::clamp(kMaxSingleTaskShare - waiting / aMilliCores,
+                      : std::clamp(kMaxSingleTaskShare - waiting / all,
                                    kMinSingleTaskShare,
                                    kMaxSingleTaskShare);
 }
 
 // Leaves the workers after the first ones to the gangs of their group.
 void
-LeaveGroup(const std::vector<Worker*>& aWorkers, const Gangs& aGangs)
+LeaveToGangs(const GroupWorkers& aGroup, const Gangs& aGangs)
 {
-  const auto all = static_cast<double>(MilliCoresOf(aWorkers));
-  if (all <= 0) {
+  if (aGroup.mMilliCores <= 0) {
     return;
   }
-  const double share = SingleTaskShare(aWorkers, aGangs, all);
+  const auto all = static_cast<double>(aGroup.mMilliCores);
+  const double share = SingleTaskShare(aGroup, aGangs);
   std::int64_t before = 0;
-  for (Worker* worker : aWorkers) {
+  for (Worker* worker : aGroup.mWorkers) {
     worker->mLeftToGangs |= static_cast<double>(before) / all > share;
     before += worker->mEntry.mCapacity.mMilliCores;
   }
 }
 
+std::map<WorkerGroup, Gangs>
+GroupGangs(const std::vector<Candidate>& aGangs)
+{
+  std::map<WorkerGroup, Gangs> groups;
+  for (const Candidate& gang : aGangs) {
+    const WorkerGroup group = GroupOf(gang.mJob->mRecord.mQueue, gang.Spec());
+    if (groups.size() >= kMaxGroups && !groups.contains(group)) {
+      continue;
+    }
+    Gangs& gangs = groups[group];
+    if (gangs.size() < kMaxGangsOfGroup) {
+      gangs.push_back(&gang.Spec());
+    }
+  }
+  return groups;
+}
+
 } // namespace
 
 bool
@@ -116,19 +140,14 @@
   for (Worker* worker : aUsable) {
     worker->mLeftToGangs = false;
   }
-  std::map<WorkerGroup, Gangs> groups;
-  for (const Candidate& gang : aWaitingGangs) {
-    const QueuePolicy& queue = gang.mJob->mRecord.mQueue;
-    groups[GroupOf(queue, gang.Spec())].push_back(&gang.Spec());
-  }
-  for (const auto& [group, gangs] : groups) {
-    std::vector<Worker*> workers;
-    std::copy_if(
-      aUsable.begin(),
-      aUsable.end(),
-      std::back_inserter(workers),
-      [&](const Worker* aWorker) { return group.Contains(*aWorker); });
-    LeaveGroup(workers, gangs);
+  for (const auto& [group, gangs] : GroupGangs(aWaitingGangs)) {
+    GroupWorkers workers;
+    for (Worker* worker : aUsable) {
+      if (group.Contains(*worker)) {
+        workers.Add(worker);
+      }
+    }
+    LeaveToGangs(workers, gangs);
   }
 }
 
--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -51,8 +51,8 @@
 }
 
 FakeCell::FakeCell(FakeCellOptions aOptions)
-  : mOptions(aOptions)
-  , mRandom(aOptions.mSeed)
+  : mOptions(std::move(aOptions))
+  , mRandom(mOptions.mSeed)
 {
   for (int workerIndex = 0; workerIndex < mOptions.mWorkers; ++workerIndex) {
     WorkerEntry entry;
