A closed job names its reason, a crash its proof

Cause: `job_closed state=failed` and the metrics did not tell a job whose tasks failed from one closed for crashes of its workers, and `run_crashed_worker` did not say what let the worker count as crashed.

Change: CloseReason (completed, failed_runs, worker_crashes, cancelled) in job_closed and in the counter oriolevane_jobs_closed_total; CrashProof (restarted, left_registry, address_reused, missing_at_takeover) in run_crashed_worker. No decision changes.

--- a/src/cellnode/internal/cellnodesession.cpp
+++ b/src/cellnode/internal/cellnodesession.cpp
@@ -50,6 +50,8 @@
         [this](Stage aStage, Duration aTime) {
           mMetrics.Observe(aStage, aTime);
         },
+      .mOnJobClosed =
+        [this](jobs::CloseReason aReason) { mMetrics.CountClosedJob(aReason); },
       .mAuthorize =
         [this](const CallerRequest& aRequest,
                const AuthorizationTarget& aTarget) {
--- a/src/cellnode/internal/nodemetrics.cpp
+++ b/src/cellnode/internal/nodemetrics.cpp
@@ -1,5 +1,7 @@
 #include "cellnode/nodemetrics.h"
 
+#include <string>
+
 namespace oriolevane::cellnode {
 
 namespace {
@@ -58,6 +60,15 @@
     mStaleAnswers[request] =
       &staleAnswers.Add({ { "request", kPeerRequestNames[request] } });
   }
+  auto& closedJobs =
+    prometheus::BuildCounter()
+      .Name("oriolevane_jobs_closed_total")
+      .Help("jobs that got their final state here, by what decided it")
+      .Register(mRegistry);
+  for (std::size_t reason = 0; reason < kCloseReasons; ++reason) {
+    const auto name = jobs::ToText(static_cast<jobs::CloseReason>(reason));
+    mClosedJobs[reason] = &closedJobs.Add({ { "reason", std::string(name) } });
+  }
   mLostQueries = &prometheus::BuildCounter()
                     .Name("oriolevane_advice_queries_lost_total")
                     .Help("queries that a step waited for and nobody had")
@@ -89,6 +100,12 @@
   mStaleAnswers[static_cast<std::size_t>(aRequest)]->Increment();
 }
 
+void
+NodeMetrics::CountClosedJob(jobs::CloseReason aReason)
+{
+  mClosedJobs[static_cast<std::size_t>(aReason)]->Increment();
+}
+
 void
 NodeMetrics::CountLostQueries(std::size_t aQueries)
 {
--- a/src/cellnode/internal/ownersession.h
+++ b/src/cellnode/internal/ownersession.h
@@ -35,6 +35,9 @@
   std::function<void()> mOnReleased;
   // Reports the duration of one of the owner's operations.
   std::function<void(Stage, Duration)> mOnStageTime;
+  // Called when a job gets its final state.
+  std::function<void(jobs::CloseReason)> mOnJobClosed = [](jobs::CloseReason) {
+  };
   // Decides whether a request may be carried out, at the time of the call.
   std::function<CallerAuthorization(const CallerRequest&,
                                     const AuthorizationTarget&)>
--- a/src/cellnode/internal/ownersessionhooks.cpp
+++ b/src/cellnode/internal/ownersessionhooks.cpp
@@ -60,7 +60,10 @@
     .mOnStepStarted =
       [this](Duration aWaited) { mHooks.mOnStageTime(Stage::Queue, aWaited); },
     .mOnJobClosed =
-      [this](Duration aAge) { mHooks.mOnStageTime(Stage::Job, aAge); }
+      [this](jobs::CloseReason aReason, Duration aAge) {
+        mHooks.mOnJobClosed(aReason);
+        mHooks.mOnStageTime(Stage::Job, aAge);
+      }
   };
 }
 
--- a/src/cellnode/nodemetrics.h
+++ b/src/cellnode/nodemetrics.h
@@ -12,6 +12,7 @@
 
 #include "cellnode/types/caller.h"
 #include "framework/types/timepoint.h"
+#include "jobs/types/jobstate.h"
 
 namespace oriolevane::cellnode {
 
@@ -59,6 +60,8 @@
   void CountOwnership() { mOwnerships->Increment(); }
   // Counts an answer to a request of another process or ownership term.
   void CountStaleAnswer(PeerRequest aRequest);
+  // Counts a job that got its final state at this node.
+  void CountClosedJob(jobs::CloseReason aReason);
   // Counts queries to the policy service that got lost within the owner.
   void CountLostQueries(std::size_t aQueries);
   std::vector<prometheus::MetricFamily> Collect() const;
@@ -67,11 +70,14 @@
   static constexpr std::size_t kStages = static_cast<std::size_t>(Stage::Count);
   static constexpr std::size_t kPeerRequests =
     static_cast<std::size_t>(PeerRequest::Count);
+  static constexpr std::size_t kCloseReasons =
+    static_cast<std::size_t>(jobs::CloseReason::Count);
 
   prometheus::Registry mRegistry;
   std::array<prometheus::Histogram*, kStages> mStages{};
   std::array<prometheus::Counter*, kCallerAnswerKinds> mAnswers{};
   std::array<prometheus::Counter*, kPeerRequests> mStaleAnswers{};
+  std::array<prometheus::Counter*, kCloseReasons> mClosedJobs{};
   prometheus::Counter* mOwnerships = nullptr;
   prometheus::Counter* mLostQueries = nullptr;
 };
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -125,7 +125,7 @@
   CellState& cell = mImpl->mCell;
   if (cell.mFleet.Register(aEntry, aNow.mSteady)) {
     Worker& worker = *cell.mFleet.Find(aEntry.mId);
-    mImpl->mCrashHandler.CountLosses(worker, aNow);
+    mImpl->mCrashHandler.CountLosses(worker, CrashProof::Restarted, aNow);
     mImpl->mAdvice.RemoveWorker(&worker);
   }
 }
--- a/src/jobs/internal/cellschedulercallers.cpp
+++ b/src/jobs/internal/cellschedulercallers.cpp
@@ -86,7 +86,7 @@
   if (job == nullptr) {
     return std::nullopt;
   }
-  return mImpl->mRunEndHandler.CloseJob(*job, JobState::Cancelled, aNow);
+  return mImpl->mRunEndHandler.CloseJob(*job, CloseReason::Cancelled, aNow);
 }
 
 RecordPosition
--- a/src/jobs/internal/crashhandler.cpp
+++ b/src/jobs/internal/crashhandler.cpp
@@ -1,5 +1,6 @@
 #include "jobs/internal/crashhandler.h"
 
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -29,6 +30,22 @@
             .mHaveRuns);
 }
 
+std::string_view
+ToText(CrashProof aProof)
+{
+  switch (aProof) {
+    case CrashProof::Restarted:
+      return "restarted";
+    case CrashProof::LeftRegistry:
+      return "left_registry";
+    case CrashProof::AddressReused:
+      return "address_reused";
+    case CrashProof::MissingAtTakeover:
+      return "missing_at_takeover";
+  }
+  return "restarted";
+}
+
 } // namespace
 
 void
@@ -96,7 +113,7 @@
       worker->mLostRuns.emplace_back(key, run);
     } else {
       // The earlier owner removed the worker, since it was gone.
-      CountLoss(key, run, aNow);
+      CountLoss(key, run, CrashProof::MissingAtTakeover, aNow);
     }
   }
 }
@@ -107,7 +124,7 @@
   if (aWorker.mEntry.mDraining) {
     ResolveLosses(aWorker, aNow);
   } else {
-    CountLosses(aWorker, aNow);
+    CountLosses(aWorker, CrashProof::LeftRegistry, aNow);
   }
 }
 
@@ -129,21 +146,29 @@
                                 const Run& aRun,
                                 const Moment& aNow)
 {
-  CountCrash(aRun.mTask, aRun.mNumber, aWorker.Id(), *aRun.mInterrupted, aNow);
+  CountCrash(aRun.mTask,
+             aRun.mNumber,
+             aWorker.Id(),
+             *aRun.mInterrupted,
+             CrashProof::Restarted,
+             aNow);
 }
 
 void
-CrashHandler::CountLosses(Worker& aWorker, const Moment& aNow)
+CrashHandler::CountLosses(Worker& aWorker,
+                          CrashProof aProof,
+                          const Moment& aNow)
 {
   const auto lostRuns = std::exchange(aWorker.mLostRuns, {});
   for (const auto& [task, run] : lostRuns) {
-    CountLoss(task, run, aNow);
+    CountLoss(task, run, aProof, aNow);
   }
 }
 
 void
 CrashHandler::CountLoss(const TaskKey& aTask,
                         RunNumber aRun,
+                        CrashProof aProof,
                         const Moment& aNow)
 {
   Task* task = FindUnfinishedTask(aTask);
@@ -152,7 +177,7 @@
   }
   const LostRun lost = task->mLostRuns.at(aRun);
   task->mLostRuns.erase(aRun);
-  CountCrash(aTask, aRun, lost.mWorker, lost.mEvidence, aNow);
+  CountCrash(aTask, aRun, lost.mWorker, lost.mEvidence, aProof, aNow);
 }
 
 void
@@ -165,7 +190,7 @@
       continue;
     }
     if (task->mLostRuns.at(run).mIncarnation < aWorker.mEntry.mIncarnation) {
-      CountLoss(key, run, aNow);
+      CountLoss(key, run, CrashProof::Restarted, aNow);
       continue;
     }
     task->mCrashes.RemoveLoss(run);
@@ -190,6 +215,7 @@
                          RunNumber aRun,
                          const WorkerId& aWorker,
                          crashes::CrashEvidence aEvidence,
+                         CrashProof aProof,
                          const Moment& aNow)
 {
   Task* task = FindUnfinishedTask(aTask);
@@ -204,6 +230,7 @@
     .With("task", aTask.ToText())
     .With("run", aRun)
     .With("worker", aWorker)
+    .With("proof", ToText(aProof))
     .With("crashes", crashes)
     .With("confirmed", aEvidence != crashes::CrashEvidence::UnconfirmedStart);
   if (task->mCrashes.IsGivenUp()) {
@@ -212,7 +239,8 @@
       .With("task", aTask.ToText())
       .With("crashes", crashes)
       .With("reason", "its workers crashed");
-    mRunEndHandler.CloseJob(*mCell.mJobs.Find(id), JobState::Failed, aNow);
+    mRunEndHandler.CloseJob(
+      *mCell.mJobs.Find(id), CloseReason::WorkerCrashes, aNow);
   }
 }
 
--- a/src/jobs/internal/crashhandler.h
+++ b/src/jobs/internal/crashhandler.h
@@ -7,6 +7,19 @@
 
 namespace oriolevane::jobs {
 
+// What lets a worker whose runs were lost count as crashed.
+enum class CrashProof
+{
+  // It has started anew since.
+  Restarted,
+  // It has left the registry, and does not answer.
+  LeftRegistry,
+  // Another worker answers at its address.
+  AddressReused,
+  // The earlier owner lost the run, and knew the worker.
+  MissingAtTakeover
+};
+
 class CrashHandler
 {
 public:
@@ -31,7 +44,7 @@
                    const Moment& aNow);
   // Counts the runs that were lost with the worker before it was known to have
   // crashed.
-  void CountLosses(Worker& aWorker, const Moment& aNow);
+  void CountLosses(Worker& aWorker, CrashProof aProof, const Moment& aNow);
   // Decides on these runs after the worker has answered: they are forgotten
   // unless it has restarted since.
   void ResolveLosses(Worker& aWorker, const Moment& aNow);
@@ -45,7 +58,10 @@
   void NoteLoss(Worker& aWorker,
                 const Run& aRun,
                 crashes::CrashEvidence aEvidence);
-  void CountLoss(const TaskKey& aTask, RunNumber aRun, const Moment& aNow);
+  void CountLoss(const TaskKey& aTask,
+                 RunNumber aRun,
+                 CrashProof aProof,
+                 const Moment& aNow);
   // Counts a run that a restart of the worker interrupted.
   void CountInterruption(const Worker& aWorker,
                          const Run& aRun,
@@ -55,6 +71,7 @@
                   RunNumber aRun,
                   const WorkerId& aWorker,
                   crashes::CrashEvidence aEvidence,
+                  CrashProof aProof,
                   const Moment& aNow);
 
   CellState& mCell;
--- a/src/jobs/internal/runendhandler.cpp
+++ b/src/jobs/internal/runendhandler.cpp
@@ -165,7 +165,7 @@
     .With("failures", failures)
     .With("max_attempts", aJob.mRecord.mQueue.mMaxAttempts);
   if (mCell.mConfigured && failures >= aJob.mRecord.mQueue.mMaxAttempts) {
-    CloseJob(aJob, JobState::Failed, aNow);
+    CloseJob(aJob, CloseReason::FailedRuns, aNow);
   }
 }
 
@@ -197,7 +197,7 @@
     mCell.mJobs.MarkFinished(aJob.Id(), aOccurrence);
   }
   if (aJob.mWindow.IsComplete()) {
-    CloseJob(aJob, JobState::Completed, aNow);
+    CloseJob(aJob, CloseReason::Completed, aNow);
   }
 }
 
@@ -211,42 +211,51 @@
            std::any_of(aStep.mTasks.begin(),
                        aStep.mTasks.end(),
                        [maxAttempts](const Task& aTask) {
-                         return aTask.mFailedRuns.size() >= maxAttempts ||
-                                aTask.mCrashes.IsGivenUp();
+                         return aTask.mFailedRuns.size() >= maxAttempts;
                        });
   };
+  const auto isGivenUp = [](const Step& aStep) {
+    return std::any_of(
+      aStep.mTasks.begin(), aStep.mTasks.end(), [](const Task& aTask) {
+        return aTask.mCrashes.IsGivenUp();
+      });
+  };
   for (auto& [number, occurrence] : aJob.mOccurrences) {
     if (aJob.mPhase != JobPhase::Open) {
       return;
     }
     const std::vector<Step>& steps = occurrence.mSteps;
     if (std::any_of(steps.begin(), steps.end(), hasFailed)) {
-      CloseJob(aJob, JobState::Failed, aNow);
+      CloseJob(aJob, CloseReason::FailedRuns, aNow);
+    } else if (std::any_of(steps.begin(), steps.end(), isGivenUp)) {
+      CloseJob(aJob, CloseReason::WorkerCrashes, aNow);
     } else {
       FinishOccurrenceIfDone(aJob, number, aNow);
     }
   }
   // The earlier owner may have recorded the ends, but not the final state.
   if (aJob.mPhase == JobPhase::Open && aJob.mWindow.IsComplete()) {
-    CloseJob(aJob, JobState::Completed, aNow);
+    CloseJob(aJob, CloseReason::Completed, aNow);
   }
 }
 
 RecordPosition
-RunEndHandler::CloseJob(Job& aJob, JobState aState, const Moment& aNow)
+RunEndHandler::CloseJob(Job& aJob, CloseReason aReason, const Moment& aNow)
 {
-  mCell.mHooks.mOnJobClosed(aNow.mSteady - aJob.mAcceptedAt);
+  const JobState state = FinalStateOf(aReason);
+  mCell.mHooks.mOnJobClosed(aReason, aNow.mSteady - aJob.mAcceptedAt);
   LogInfo("job_closed")
     .With("job", aJob.Id())
-    .With("state", jobs::ToText(aState))
+    .With("state", jobs::ToText(state))
+    .With("reason", jobs::ToText(aReason))
     .With("queue", aJob.mRecord.mQueue.mName)
     .With("age_ms",
           std::chrono::duration_cast<std::chrono::milliseconds>(
             aNow.mSteady - aJob.mAcceptedAt)
             .count());
-  const RecordPosition position = mCell.mJobs.Close(aJob, aState, aNow);
+  const RecordPosition position = mCell.mJobs.Close(aJob, state, aNow);
   mCell.mDispatchWanted = true;
-  if (aState != JobState::Completed) {
+  if (state != JobState::Completed) {
     mRuns.StopJob(aJob, aNow.mSteady);
   }
   return position;
--- a/src/jobs/internal/runendhandler.h
+++ b/src/jobs/internal/runendhandler.h
@@ -41,7 +41,7 @@
   // needs all of its members.
   void OnRunNotStarted(Worker& aWorker, Run* aRun, const Moment& aNow);
   // Records the final state of a job, and stops its runs unless it completed.
-  RecordPosition CloseJob(Job& aJob, JobState aState, const Moment& aNow);
+  RecordPosition CloseJob(Job& aJob, CloseReason aReason, const Moment& aNow);
 
   // Closes a recovered job whose recorded progress is final: the earlier owner
   // recorded the progress, but not the job's final state.
--- a/src/jobs/internal/types.cpp
+++ b/src/jobs/internal/types.cpp
@@ -57,6 +57,23 @@
   return "queued";
 }
 
+std::string_view
+ToText(CloseReason aReason)
+{
+  switch (aReason) {
+    case CloseReason::Completed:
+      return "completed";
+    case CloseReason::FailedRuns:
+      return "failed_runs";
+    case CloseReason::WorkerCrashes:
+      return "worker_crashes";
+    case CloseReason::Cancelled:
+    case CloseReason::Count:
+      break;
+  }
+  return "cancelled";
+}
+
 std::string_view
 ToText(RefusalReason aReason)
 {
--- a/src/jobs/internal/workeranswerhandler.cpp
+++ b/src/jobs/internal/workeranswerhandler.cpp
@@ -347,7 +347,7 @@
     mCrashHandler.OnLeaseExpired(aWorker, aNow);
   }
   if (aWorker.mReplaced) {
-    mCrashHandler.CountLosses(aWorker, aNow);
+    mCrashHandler.CountLosses(aWorker, CrashProof::AddressReused, aNow);
   }
   aWorker.mReconciled = true;
 }
--- a/src/jobs/types/scheduleroptions.h
+++ b/src/jobs/types/scheduleroptions.h
@@ -7,6 +7,7 @@
 #include "footprint/footprintbudget.h"
 #include "framework/types/ids.h"
 #include "framework/types/timepoint.h"
+#include "jobs/types/jobstate.h"
 #include "jobs/types/orders.h"
 
 namespace oriolevane::jobs {
@@ -75,7 +76,8 @@
   // Called when a step starts, with the time since it became ready.
   std::function<void(Duration)> mOnStepStarted = [](Duration) {};
   // Called when a job ends, with the time since it was accepted.
-  std::function<void(Duration)> mOnJobClosed = [](Duration) {};
+  std::function<void(CloseReason, Duration)> mOnJobClosed = [](CloseReason,
+                                                               Duration) {};
 };
 
 } // namespace oriolevane::jobs
