Failing stories: jobs closed as failed for what happened to their workers

FakeCell names the failed jobs that have no cause of their own: no task or gang failed as often as its queue allows, and no task of it crashed two workers. The random scenarios ask this of each failed job, in place of MayBeGivenUp, which excused every job under whose task two workers had crashed for whatever reason, and of failing jobs without looking at their ends.

--- a/src/jobs/tests/fakecell.cpp
+++ b/src/jobs/tests/fakecell.cpp
@@ -278,10 +278,13 @@
 void
 FakeCell::CountCrash(std::size_t aWorkerIndex)
 {
-  for (const FakeRun& run : mWorkers[aWorkerIndex]->Runs()) {
+  const FakeWorker& worker = *mWorkers[aWorkerIndex];
+  for (const FakeRun& run : worker.Runs()) {
     ++mCrashes[run.mTask];
+    if (run.mPlan.mCrashesWorkerAfter.has_value()) {
+      mCrashedWorkers[run.mTask].insert(worker.Entry().mId);
+    }
   }
-  CountUnreportedEnds(*mWorkers[aWorkerIndex]);
 }
 
 void
--- a/src/jobs/tests/fakecell.h
+++ b/src/jobs/tests/fakecell.h
@@ -185,12 +185,11 @@
   Millis mRestartDelay{ 2000 };
   // The number of crashes of workers under each task.
   std::map<TaskKey, int> mCrashes;
-  // The number of runs of each task that had ended when their worker crashed,
-  // without a report of it to the owner of that time. To the owner they look as
-  // if the worker had crashed under them.
-  std::map<TaskKey, int> mUnreportedEnds;
   // The workers that started each task, in the order of the starts.
   std::map<TaskKey, std::vector<WorkerId>> mStarts;
+  // Names the failed jobs none of whose tasks, and no gang of them, has failed
+  // as often as allowed or crashed two workers. Empty if there are none.
+  std::string FailedWithoutCause() const;
   // Violated invariants, each with the task and the time.
   std::vector<std::string> mViolations;
   // Advice queries sent by all owners.
@@ -256,12 +255,8 @@
                const OwnerPointer& aOwner,
                const std::function<Answer(FakeWorker&, const Order&)>& aCall,
                const AnswerHandler<Order, Answer>& aDone);
-  // Notes the ends in a report that has arrived at the current owner.
-  void NoteReportedEnds(const PollAnswer& aAnswer);
   // Counts a crash of a worker under each of its tasks.
   void CountCrash(std::size_t aWorkerIndex);
-  // Counts the unreported ends on a worker that is about to crash.
-  void CountUnreportedEnds(const FakeWorker& aWorker);
   FakeWorkerHooks MakeWorkerHooks(std::size_t aWorkerIndex);
   // True when the task of aRun, which is on a worker's list, has another run.
   bool HasOtherRun(const FakeRun& aRun) const;
@@ -269,9 +264,13 @@
   void OnStart(std::size_t aWorkerIndex, const FakeRun& aRun);
   // Crashes a worker and schedules its restart.
   void OnRunCrashedWorker(std::size_t aWorkerIndex);
-  // Checks that a task is started at most twice after three crashes, without
-  // those that were not recorded when the shard changed its owner.
-  void CheckCrashes(const TaskKey& aTask);
+  // Checks that a task that crashes its workers is started at most twice after
+  // three crashes, without those that were not recorded when the shard changed
+  // its owner.
+  void CheckCrashes(const FakeRun& aRun);
+  // True when a task, or a gang, of the job has failed as often as allowed, or
+  // a task of it has crashed two workers.
+  bool HasCauseToFail(const std::string& aJob) const;
   // Notes the crashes that are not in the store and so get lost by a takeover.
   void NoteMissedCrashes();
   // Checks the quota of the team of a run that has just started.
@@ -327,8 +326,11 @@
   std::set<TaskKey> mSucceededTasks;
   std::set<TaskKey> mConfirmedSuccesses;
   std::map<TaskKey, std::set<RunNumber>> mConfirmedFailures;
-  // The ended runs that the current owner has been told of.
-  std::set<std::pair<TaskKey, RunNumber>> mReportedEnds;
+  // The runs that failed on their workers, of each task or gang; a gang's are
+  // those of its first member.
+  std::map<TaskKey, std::set<RunNumber>> mFailedRuns;
+  // The workers that each task has crashed.
+  std::map<TaskKey, std::set<WorkerId>> mCrashedWorkers;
   // The number of crashes under each task that the owner cannot know of.
   std::map<TaskKey, int> mMissedCrashes;
   // The number of starts of each task after three crashes of its workers.
--- a/src/jobs/tests/fakecellchecks.cpp
+++ b/src/jobs/tests/fakecellchecks.cpp
@@ -51,7 +51,7 @@
     ReportViolation("over capacity", task);
   }
   CheckQuota(aRun);
-  CheckCrashes(task);
+  CheckCrashes(aRun);
   if (HasOtherRun(aRun)) {
     ReportViolation("two runs at once", task);
   }
@@ -86,6 +86,11 @@
   if (aKind == EndKind::Succeeded) {
     mSucceededTasks.insert(aRun.mTask);
   }
+  if (aKind == EndKind::Failed) {
+    TaskKey failed = aRun.mTask;
+    failed.mIndex = spec.mGang ? 0 : failed.mIndex;
+    mFailedRuns[failed].insert(aRun.mRun);
+  }
   if (!spec.mGang) {
     return;
   }
@@ -124,12 +129,43 @@
 }
 
 void
-FakeCell::CheckCrashes(const TaskKey& aTask)
+FakeCell::CheckCrashes(const FakeRun& aRun)
+{
+  const TaskKey& task = aRun.mTask;
+  if (aRun.mPlan.mCrashesWorkerAfter.has_value() &&
+      mCrashes[task] - mMissedCrashes[task] >= 3 &&
+      ++mStartsAfterCrashes[task] > 2) {
+    ReportViolation("started three times after three crashes", task);
+  }
+}
+
+bool
+FakeCell::HasCauseToFail(const std::string& aJob) const
+{
+  const std::size_t maxAttempts = mQueues.at(aJob).mMaxAttempts;
+  const auto isOfJob = [&aJob](const TaskKey& aTask) {
+    return aTask.mStep.mJob.mValue == aJob;
+  };
+  return std::ranges::any_of(mFailedRuns,
+                             [&](const auto& aEntry) {
+                               return isOfJob(aEntry.first) &&
+                                      aEntry.second.size() >= maxAttempts;
+                             }) ||
+         std::ranges::any_of(mCrashedWorkers, [&](const auto& aEntry) {
+           return isOfJob(aEntry.first) && aEntry.second.size() >= 2;
+         });
+}
+
+std::string
+FakeCell::FailedWithoutCause() const
 {
-  if (mCrashes[aTask] - mMissedCrashes[aTask] >= 3 &&
-      ++mStartsAfterCrashes[aTask] > 2) {
-    ReportViolation("started three times after three crashes", aTask);
+  std::string jobs;
+  for (const auto& [job, spec] : mSpecs) {
+    if (StateOf(job) == JobState::Failed && !HasCauseToFail(job)) {
+      jobs += job + " failed without a cause\n";
+    }
   }
+  return jobs;
 }
 
 void
@@ -154,27 +190,6 @@
   }
 }
 
-void
-FakeCell::NoteReportedEnds(const PollAnswer& aAnswer)
-{
-  for (const EndedTask& end : aAnswer.mReport.mEnded) {
-    mReportedEnds.emplace(end.mTask, end.mRun);
-  }
-}
-
-void
-FakeCell::CountUnreportedEnds(const FakeWorker& aWorker)
-{
-  // The crash of a draining worker counts for no task.
-  if (!aWorker.IsUp() || aWorker.Entry().mDraining) {
-    return;
-  }
-  for (const EndedTask& end : aWorker.UnconfirmedEnds()) {
-    const bool reported = mReportedEnds.contains({ end.mTask, end.mRun });
-    mUnreportedEnds[end.mTask] += reported ? 0 : 1;
-  }
-}
-
 void
 FakeCell::CheckQuota(const FakeRun& aRun)
 {
--- a/src/jobs/tests/fakecelldelivery.cpp
+++ b/src/jobs/tests/fakecelldelivery.cpp
@@ -64,11 +64,6 @@
     ScheduleAfter(aDelay, [this, aOrder, owner, aDone, aAnswer] {
       const OwnerPointer sender = owner.lock();
       if (sender != nullptr && sender->IsRunning(mNow)) {
-        if constexpr (std::is_same_v<Answer, PollAnswer>) {
-          if (sender == mOwner) {
-            NoteReportedEnds(aAnswer);
-          }
-        }
         aDone(*sender->mScheduler, aOrder, aAnswer);
       }
     });
--- a/src/jobs/tests/fakecellowners.cpp
+++ b/src/jobs/tests/fakecellowners.cpp
@@ -49,7 +49,6 @@
       records.mWorkers.push_back(*worker);
     }
   }
-  mReportedEnds.clear();
   NoteMissedCrashes();
   if (mOwnerConfiguration == OwnerConfiguration::BeforeRecords) {
     ConfigureOwner();
--- a/src/jobs/tests/randomfaultscenario.h
+++ b/src/jobs/tests/randomfaultscenario.h
@@ -132,35 +132,17 @@
       const auto state = mCell.StateOf(JobName(job));
       if (!state.has_value() || !IsFinal(*state)) {
         problems += JobName(job) + " has no final state\n";
-      } else if (*state == JobState::Failed &&
-                 !mFailingJobs.contains(JobName(job)) &&
-                 !MayBeGivenUp(JobName(job))) {
-        problems += JobName(job) + " failed, though none of its runs fails\n";
       } else if (*state == JobState::Completed &&
                  mCrashingJobs.contains(JobName(job))) {
         problems += JobName(job) + " completed, though its task crashes\n";
       }
     }
-    return problems;
+    return problems + mCell.FailedWithoutCause();
   }
 
 private:
   static std::string JobName(int aJob) { return "job" + std::to_string(aJob); }
 
-  // True when, as far as the owners can know, at least two workers have crashed
-  // under a task of the job.
-  bool MayBeGivenUp(const std::string& aJob) const
-  {
-    std::map<TaskKey, int> crashes = mCell.mCrashes;
-    for (const auto& [task, count] : mCell.mUnreportedEnds) {
-      crashes[task] += count;
-    }
-    return std::any_of(
-      crashes.begin(), crashes.end(), [&aJob](const auto& aEntry) {
-        return aEntry.first.mStep.mJob.mValue == aJob && aEntry.second >= 2;
-      });
-  }
-
   RunPlan PlanOf(const TaskKey& aTask)
   {
     const Millis duration(50 + mRandom() % 900);
