A limit of attempts of 0 counts as 1

What callers would see: where a queue's limit is 0, each open job of the queue is closed as failed at the next takeover or configuration, without a failed run.

Cause: CloseIfEnded compared the number of failed runs, 0, with the limit.

Change: one function reads the limit, at least 1, for failed ends and takeovers.

It was not run without the change.

--- a/src/jobs/internal/runendhandler.cpp
+++ b/src/jobs/internal/runendhandler.cpp
@@ -20,6 +20,13 @@
   return aJob.mRecord.mSpec.mSteps[aStep.mStep];
 }
 
+// The number of failed runs that ends the job; at least one.
+std::size_t
+MaxAttempts(const Job& aJob)
+{
+  return std::max(1, aJob.mRecord.mQueue.mMaxAttempts);
+}
+
 std::string_view
 ToText(EndKind aKind)
 {
@@ -157,14 +164,13 @@
   if (!failed.insert(aEnd.mRun).second) {
     return;
   }
-  const int failures = static_cast<int>(failed.size());
   LogInfo("run_failed")
     .With("job", aJob.Id())
     .With("task", aEnd.mTask.ToText())
     .With("run", aEnd.mRun)
-    .With("failures", failures)
-    .With("max_attempts", aJob.mRecord.mQueue.mMaxAttempts);
-  if (mCell.mConfigured && failures >= aJob.mRecord.mQueue.mMaxAttempts) {
+    .With("failures", failed.size())
+    .With("max_attempts", MaxAttempts(aJob));
+  if (mCell.mConfigured && failed.size() >= MaxAttempts(aJob)) {
     CloseJob(aJob, CloseReason::FailedRuns, aNow);
   }
 }
@@ -204,8 +210,7 @@
 void
 RunEndHandler::CloseIfEnded(Job& aJob, const Moment& aNow)
 {
-  const auto maxAttempts =
-    static_cast<std::size_t>(aJob.mRecord.mQueue.mMaxAttempts);
+  const std::size_t maxAttempts = MaxAttempts(aJob);
   const auto hasFailed = [maxAttempts](const Step& aStep) {
     return aStep.mFailedGangRuns.size() >= maxAttempts ||
            std::any_of(aStep.mTasks.begin(),
--- a/src/jobs/tests/failedjobs_test.cpp
+++ b/src/jobs/tests/failedjobs_test.cpp
@@ -276,6 +276,15 @@
       cell.mCell.ConfigureOwner();
       cell.ExpectAllCompleted();
     });
+    aInner.It("does not fail at a takeover when its limit is 0", [] {
+      InnocentCell cell;
+      cell.mCell.Submit(
+        "job0", SingleStepJob(MakeStep(1, 1000, 3000ms)), MakeQueue(0));
+      cell.mCell.RunFor(500ms);
+      cell.mCell.TakeOver();
+      cell.mCell.RunUntilFinal("job0", 20000ms);
+      CPPUNIT_ASSERT(cell.mCell.StateOf("job0") == JobState::Completed);
+    });
     aInner.It("does not fail for several members of one run of a gang", [] {
       InnocentCell cell;
       cell.mCell.mPlan = [](const TaskKey&, RunNumber aRun, const WorkerId&) {
