A job fails for crashes only with evidence against its own task

Cause: a conclusion from the side stood for an end. src/crashes closed a job after two crashes alone on the worker, three others, or five with unconfirmed starts, over a task's whole life. A worker counted as crashed when it had left the registry and was silent, when another answered at its address, or when the next owner did not know it; and nothing asked how often workers fail anyway.

Change: only a later start time of the worker proves a crash, of a run that it had confirmed. Losses wait for the worker's return, also after it was removed. A crash is evidence only if this owner started the run, both the run and no run of another job were in their first 5 s, and no other worker failed at the time without an isolated task or a known cause. A task is given up for evidence from two workers in a sound cell and three crashes, from three workers, or from two and five crashes; a run that lasts 5 s clears it. From two losses on, a task starts apart from other jobs, on a worker that is kept for it, and waits for that for a bounded time. Crashes in records of earlier versions are no evidence, and earlier versions read only crashes with evidence.

Tests: the unit tests of the former limits are replaced by those of the new ones; "given up at the fifth crash if starts are unconfirmed" goes, since such starts prove nothing now.

--- a/src/cellnode/internal/metricstext.cpp
+++ b/src/cellnode/internal/metricstext.cpp
@@ -210,6 +210,12 @@
   add("worker_entry_wait_seconds",
       "longest time for which one of them has waited for it",
       Seconds(aCounts.mEntryWaits.mLongest));
+  add("isolated_steps_waiting",
+      "steps that wait to start alone on a worker after crashes, at the owner",
+      Number(aCounts.mIsolationWaits.mSteps));
+  add("isolation_wait_seconds",
+      "longest time for which one of them has waited for it",
+      Seconds(aCounts.mIsolationWaits.mLongest));
 }
 
 } // namespace
--- a/src/cellnode/internal/progresscodec.cpp
+++ b/src/cellnode/internal/progresscodec.cpp
@@ -1,4 +1,5 @@
 // Encodes and decodes the records of the progress of jobs.
+#include <map>
 #include <set>
 #include <utility>
 #include <vector>
@@ -34,6 +35,30 @@
   return runs;
 }
 
+int
+ToNumber(crashes::CrashEvidence aEvidence)
+{
+  return static_cast<int>(aEvidence);
+}
+
+// What a later version may have added counts as no evidence.
+crashes::CrashEvidence
+EvidenceFrom(const json& aValue)
+{
+  for (const crashes::CrashEvidence evidence :
+       { crashes::CrashEvidence::LoneCrash,
+         crashes::CrashEvidence::LoneCrashInSoundCell }) {
+    if (aValue == ToNumber(evidence)) {
+      return evidence;
+    }
+  }
+  return crashes::CrashEvidence::Inconclusive;
+}
+
+// Earlier versions gave a task up for two losses with the obsolete field
+// "only job".
+constexpr bool kObsoleteOnlyJob = false;
+
 json
 ToJson(const std::vector<jobs::LostRunProgress>& aRuns)
 {
@@ -42,21 +67,73 @@
     value.push_back(json::array({ run.mRun.mValue,
                                   run.mWorker.mValue,
                                   run.mIncarnation.mValue,
-                                  run.mOnlyJob }));
+                                  kObsoleteOnlyJob,
+                                  ToNumber(run.mEvidence) }));
   }
   return value;
 }
 
+json
+ToJson(const std::map<jobs::RunNumber, crashes::Crash>& aCrashes)
+{
+  json value = json::array();
+  for (const auto& [run, crash] : aCrashes) {
+    value.push_back(json::array(
+      { run.mValue, crash.mWorker.mValue, ToNumber(crash.mEvidence) }));
+  }
+  return value;
+}
+
+std::map<jobs::RunNumber, crashes::Crash>
+CrashesFrom(const json& aValue)
+{
+  std::map<jobs::RunNumber, crashes::Crash> crashes;
+  for (const json& crash : aValue) {
+    crashes[jobs::RunNumber(crash.at(0).get<std::uint64_t>())] = {
+      .mWorker = WorkerId(crash.at(1).get<std::string>()),
+      .mEvidence = EvidenceFrom(crash.at(2))
+    };
+  }
+  return crashes;
+}
+
+// Earlier versions recorded the numbers of the crashed runs only.
+std::map<jobs::RunNumber, crashes::Crash>
+CrashesFromRuns(const std::set<jobs::RunNumber>& aRuns)
+{
+  std::map<jobs::RunNumber, crashes::Crash> crashes;
+  for (const jobs::RunNumber run : aRuns) {
+    crashes[run] = {};
+  }
+  return crashes;
+}
+
+// Earlier versions give a task up for three of these runs.
+std::set<jobs::RunNumber>
+RunsWithEvidence(const std::map<jobs::RunNumber, crashes::Crash>& aCrashes)
+{
+  std::set<jobs::RunNumber> runs;
+  for (const auto& [run, crash] : aCrashes) {
+    if (crash.mEvidence != crashes::CrashEvidence::Inconclusive) {
+      runs.insert(run);
+    }
+  }
+  return runs;
+}
+
 std::vector<jobs::LostRunProgress>
 LostRunsFrom(const json& aValue)
 {
+  constexpr std::size_t kEvidence = 4;
   std::vector<jobs::LostRunProgress> runs;
   for (const json& run : aValue) {
     runs.push_back(
       { .mRun = jobs::RunNumber(run.at(0).get<std::uint64_t>()),
         .mWorker = WorkerId(run.at(1).get<std::string>()),
         .mIncarnation = jobs::WorkerIncarnation(run.at(2).get<std::int64_t>()),
-        .mOnlyJob = run.at(3).get<bool>() });
+        .mEvidence = run.size() > kEvidence
+                       ? EvidenceFrom(run.at(kEvidence))
+                       : crashes::CrashEvidence::Inconclusive });
   }
   return runs;
 }
@@ -70,9 +147,10 @@
                              aTask.mLastRun.mValue,
                              aTask.mCheckpoint });
   // Left out when empty, as in rows of earlier versions.
-  if (!aTask.mCrashedRuns.empty() || !aTask.mLostRuns.empty()) {
-    value.push_back(ToJson(aTask.mCrashedRuns));
+  if (!aTask.mCrashes.empty() || !aTask.mLostRuns.empty()) {
+    value.push_back(ToJson(RunsWithEvidence(aTask.mCrashes)));
     value.push_back(ToJson(aTask.mLostRuns));
+    value.push_back(ToJson(aTask.mCrashes));
   }
   return value;
 }
@@ -81,6 +159,8 @@
 TaskFrom(const json& aValue)
 {
   constexpr std::size_t kCrashedRuns = 5;
+  constexpr std::size_t kLostRuns = 6;
+  constexpr std::size_t kCrashes = 7;
   jobs::TaskProgress task{ .mIndex = aValue.at(0).get<int>(),
                            .mSucceeded = aValue.at(1).get<bool>(),
                            .mFailedRuns = RunsFrom(aValue.at(2)),
@@ -88,8 +168,10 @@
                              jobs::RunNumber(aValue.at(3).get<std::uint64_t>()),
                            .mCheckpoint = aValue.at(4).get<std::string>() };
   if (aValue.size() > kCrashedRuns) {
-    task.mCrashedRuns = RunsFrom(aValue.at(kCrashedRuns));
-    task.mLostRuns = LostRunsFrom(aValue.at(kCrashedRuns + 1));
+    task.mLostRuns = LostRunsFrom(aValue.at(kLostRuns));
+    task.mCrashes = aValue.size() > kCrashes
+                      ? CrashesFrom(aValue.at(kCrashes))
+                      : CrashesFromRuns(RunsFrom(aValue.at(kCrashedRuns)));
   }
   return task;
 }
--- a/src/cellnode/tests/metricstext_test.cpp
+++ b/src/cellnode/tests/metricstext_test.cpp
@@ -21,7 +21,8 @@
                         .mCounts = { .mOpenJobs = 3,
                                      .mUncertainRuns = 6,
                                      .mLongRunningWaits = { 2, 4s },
-                                     .mWorkerTrials = { 5, 3, 60s } },
+                                     .mWorkerTrials = { 5, 3, 60s },
+                                     .mIsolationWaits = { 4, 2s } },
                         .mAdviceBacklog = { 70, 5s },
                         .mStoreAge = 1500ms },
                       NodeMetrics());
@@ -36,6 +37,8 @@
                                   "oriolevane_workers_on_trial 5",
                                   "oriolevane_worker_trials_full 3",
                                   "oriolevane_worker_trial_seconds 60",
+                                  "oriolevane_isolated_steps_waiting 4",
+                                  "oriolevane_isolation_wait_seconds 2",
                                   "oriolevane_configuration_age_seconds 0.25",
                                   "oriolevane_store_age_seconds 1.5" }) {
           CPPUNIT_ASSERT(text.find(line) != std::string::npos);
--- a/src/cellnode/tests/recordcodec_test.cpp
+++ b/src/cellnode/tests/recordcodec_test.cpp
@@ -62,26 +62,49 @@
                                          jobs::RunNumber(9) },
                         .mLastRun = jobs::RunNumber(10),
                         .mCheckpoint = "point",
-                        .mCrashedRuns = { jobs::RunNumber(2),
-                                          jobs::RunNumber(5) },
+                        .mCrashes = { { jobs::RunNumber(2), {} },
+                                      { jobs::RunNumber(5),
+                                        { .mWorker = WorkerId("v"),
+                                          .mEvidence = crashes::CrashEvidence::
+                                            LoneCrashInSoundCell } } },
                         .mLostRuns = {
                           { .mRun = jobs::RunNumber(7),
                             .mWorker = WorkerId("w"),
                             .mIncarnation = jobs::WorkerIncarnation(3),
-                            .mOnlyJob = true } } } } } } };
+                            .mEvidence =
+                              crashes::CrashEvidence::LoneCrash } } } } } } };
       const auto back = DecodeProgress(Encode(record));
       CPPUNIT_ASSERT(back.ok());
       CPPUNIT_ASSERT_EQUAL(Encode(record), Encode(*back));
       CPPUNIT_ASSERT(back->mSteps[0].mTasks[0].mFailedRuns ==
                      record.mSteps[0].mTasks[0].mFailedRuns);
-      CPPUNIT_ASSERT(back->mSteps[0].mTasks[0].mCrashedRuns ==
-                     record.mSteps[0].mTasks[0].mCrashedRuns);
+      const auto& crashed = back->mSteps[0].mTasks[0].mCrashes;
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, crashed.size());
+      CPPUNIT_ASSERT(crashed.at(jobs::RunNumber(2)).mEvidence ==
+                     crashes::CrashEvidence::Inconclusive);
+      CPPUNIT_ASSERT(crashed.at(jobs::RunNumber(5)).mWorker == WorkerId("v"));
+      CPPUNIT_ASSERT(crashed.at(jobs::RunNumber(5)).mEvidence ==
+                     crashes::CrashEvidence::LoneCrashInSoundCell);
       const jobs::LostRunProgress& lost =
         back->mSteps[0].mTasks[0].mLostRuns.at(0);
       CPPUNIT_ASSERT(lost.mRun == jobs::RunNumber(7));
       CPPUNIT_ASSERT(lost.mWorker == WorkerId("w"));
       CPPUNIT_ASSERT(lost.mIncarnation == jobs::WorkerIncarnation(3));
-      CPPUNIT_ASSERT(lost.mOnlyJob);
+      CPPUNIT_ASSERT(lost.mEvidence == crashes::CrashEvidence::LoneCrash);
+    });
+    // Guards against jobs that fail for what an earlier version concluded.
+    aSection.It("takes crashes of earlier versions for no evidence", [] {
+      const auto record = DecodeProgress(
+        R"({"job":"job","occurrence":0,"finished":false,"steps":)"
+        R"([[0,[],[[3,false,[],9,"",[4,6],[[8,"w",3,true]]]]]]})");
+      CPPUNIT_ASSERT(record.ok());
+      const jobs::TaskProgress& task = record->mSteps[0].mTasks[0];
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, task.mCrashes.size());
+      for (const auto& [run, crash] : task.mCrashes) {
+        CPPUNIT_ASSERT(crash.mEvidence == crashes::CrashEvidence::Inconclusive);
+      }
+      CPPUNIT_ASSERT(task.mLostRuns.at(0).mEvidence ==
+                     crashes::CrashEvidence::Inconclusive);
     });
     // Guards against rows of earlier versions that can no longer be read.
     aSection.It("is decoded from a row without crashed runs", [] {
@@ -90,7 +113,7 @@
                        R"("steps":[[0,[],[[3,false,[1],9,"point"]]]]})");
       CPPUNIT_ASSERT(record.ok());
       CPPUNIT_ASSERT_EQUAL(3, record->mSteps[0].mTasks[0].mIndex);
-      CPPUNIT_ASSERT(record->mSteps[0].mTasks[0].mCrashedRuns.empty());
+      CPPUNIT_ASSERT(record->mSteps[0].mTasks[0].mCrashes.empty());
     });
   });
 }
--- a/src/crashes/internal/taskcrashes.cpp
+++ b/src/crashes/internal/taskcrashes.cpp
@@ -1,58 +1,105 @@
 #include "crashes/taskcrashes.h"
 
-#include <chrono>
-#include <cstddef>
+#include <algorithm>
 
 namespace oriolevane::crashes {
 
 namespace {
 
-// A task is given up after this many crashes even if other jobs could have
-// caused all of them. The limit of starts is two more, which leaves room for
-// crashes that an owner did not record before it stopped.
-constexpr std::size_t kMaxCrashes = 3;
-// A task is given up after this many crashes if only its own job can
-// have caused the last one. One crash may have a cause of its own.
-constexpr std::size_t kMaxCrashesAlone = 2;
-
-// A task is given up after this many crashes if unconfirmed starts are among
-// them. A lower limit failed innocent jobs whose starts were sent to workers
-// that had crashed shortly before.
-constexpr std::size_t kMaxStarts = 5;
-// Workers answer at least this often while all is well, since a long poll of a
-// worker without runs takes up to 2 s. The last answers of workers that fail
-// together are not further apart.
-constexpr std::chrono::milliseconds kMaxAnswerInterval{ 2500 };
+// From this many crashes and losses on, a task starts in isolation.
+constexpr std::size_t kMinLossesToIsolate = 2;
+// A task is given up only if this many workers crashed under it with evidence
+// against it. One crash at a bad moment may happen to any task.
+constexpr std::size_t kMinWorkers = 2;
+// So many crashes are needed altogether in a cell that is sound otherwise.
+constexpr std::size_t kMinCrashes = 3;
+// In a cell whose workers fail more often, either so many crashes are needed
+// altogether or the evidence of one more worker.
+constexpr std::size_t kMinCrashesInUnsoundCell = 5;
 
 } // namespace
 
 bool
-MayHaveFailedTogether(TimePoint aLastAnswer, TimePoint aOtherLastAnswer)
+TaskCrashes::AddCrash(RunNumber aRun, Crash aCrash)
 {
-  return std::chrono::abs(aLastAnswer - aOtherLastAnswer) <= kMaxAnswerInterval;
+  mLosses.erase(aRun);
+  return mCrashes.try_emplace(aRun, std::move(aCrash)).second;
 }
 
 bool
-TaskCrashes::AddCrash(RunNumber aRun, CrashEvidence aEvidence)
+TaskCrashes::RaiseEvidence(RunNumber aRun, CrashEvidence aEvidence)
 {
-  mLosses.erase(aRun);
-  if (aEvidence == CrashEvidence::UnconfirmedStart) {
-    return mUnconfirmedRuns.insert(aRun).second;
-  }
-  if (!mRuns.insert(aRun).second) {
+  Crash& crash = mCrashes.at(aRun);
+  if (aEvidence <= crash.mEvidence) {
     return false;
   }
-  if (aEvidence == CrashEvidence::OneJob && mRuns.size() >= kMaxCrashesAlone) {
-    mCrashedAgainAlone = true;
-  }
+  crash.mEvidence = aEvidence;
   return true;
 }
 
+void
+TaskCrashes::Clear()
+{
+  mCrashes.clear();
+  mLosses.clear();
+}
+
+bool
+TaskCrashes::NeedsIsolation() const
+{
+  return mCrashes.size() + mLosses.size() >= kMinLossesToIsolate;
+}
+
 bool
 TaskCrashes::IsGivenUp() const
 {
-  return mCrashedAgainAlone || mRuns.size() >= kMaxCrashes ||
-         mRuns.size() + mUnconfirmedRuns.size() >= kMaxStarts;
+  if (mCrashes.size() < kMinCrashes) {
+    return false;
+  }
+  const std::size_t workers = CountWorkers(CrashEvidence::LoneCrash);
+  return CountWorkers(CrashEvidence::LoneCrashInSoundCell) >= kMinWorkers ||
+         workers > kMinWorkers ||
+         (workers == kMinWorkers &&
+          mCrashes.size() >= kMinCrashesInUnsoundCell);
+}
+
+bool
+TaskCrashes::HasEvidenceOn(const WorkerId& aWorker) const
+{
+  return std::ranges::any_of(mCrashes, [&aWorker](const auto& aEntry) {
+    return aEntry.second.mWorker == aWorker &&
+           aEntry.second.mEvidence != CrashEvidence::Inconclusive;
+  });
+}
+
+bool
+TaskCrashes::HasCrashed(const WorkerId& aWorker) const
+{
+  return std::ranges::any_of(mCrashes, [&aWorker](const auto& aEntry) {
+    return aEntry.second.mWorker == aWorker;
+  });
+}
+
+std::set<WorkerId>
+TaskCrashes::Workers() const
+{
+  std::set<WorkerId> workers;
+  for (const auto& [run, crash] : mCrashes) {
+    workers.insert(crash.mWorker);
+  }
+  return workers;
+}
+
+std::size_t
+TaskCrashes::CountWorkers(CrashEvidence aMinimum) const
+{
+  std::set<WorkerId> workers;
+  for (const auto& [run, crash] : mCrashes) {
+    if (crash.mEvidence >= aMinimum) {
+      workers.insert(crash.mWorker);
+    }
+  }
+  return workers.size();
 }
 
 } // namespace oriolevane::crashes
--- a/src/crashes/taskcrashes.h
+++ b/src/crashes/taskcrashes.h
@@ -2,6 +2,9 @@
 // suspected of causing them, and whether it is given up.
 #pragma once
 
+#include <chrono>
+#include <cstddef>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -10,58 +13,81 @@
 
 namespace oriolevane::crashes {
 
-// What is known of the cause of a crash, for one of the runs on the worker.
+// A task whose run has lasted for this long does not crash its workers, and a
+// crash counts against a task only within this time from its start.
+inline constexpr std::chrono::milliseconds kProbation{ 5000 };
+
+// What the crash of a worker shows about a task that ran there.
 enum class CrashEvidence
 {
-  // Only the run's own job can have caused it.
-  OneJob,
-  // Other jobs had runs on the worker, or another worker without runs of the
-  // job failed at the same time.
-  SeveralJobs,
-  // The worker did not confirm the start, and may have crashed before it.
-  UnconfirmedStart
+  // The crash may well have another cause than the task.
+  Inconclusive,
+  // Shortly before the crash only runs of the task's job had started on the
+  // worker, and no other worker failed around that time.
+  LoneCrash,
+  // The same in a cell whose workers had hardly failed before.
+  LoneCrashInSoundCell
 };
 
-// True when two workers that last answered at these times may have failed for a
-// common reason, such as the loss of their rack.
-bool
-MayHaveFailedTogether(TimePoint aLastAnswer, TimePoint aOtherLastAnswer);
+// A crash of a worker under a run of the task.
+struct Crash
+{
+  WorkerId mWorker;
+  CrashEvidence mEvidence = CrashEvidence::Inconclusive;
+  // When the worker last answered before, as far as this owner knows.
+  TimePoint mLastAnswer;
+  // The run was in its probation, and no run of another job was.
+  bool mMayBeCause = false;
+};
 
-// The runs of one task that were lost together with their worker.
+// The runs of one task that were lost together with their worker, since the
+// last run that outlasted the probation.
 class TaskCrashes
 {
 public:
   TaskCrashes() = default;
   // Restores the recorded crashes.
-  explicit TaskCrashes(std::set<RunNumber> aRuns)
-    : mRuns(std::move(aRuns))
+  explicit TaskCrashes(std::map<RunNumber, Crash> aCrashes)
+    : mCrashes(std::move(aCrashes))
   {
   }
 
-  // Notes a run whose worker is unreachable and may have crashed.
+  // Notes a run whose worker may have crashed.
   void AddLoss(RunNumber aRun) { mLosses.insert(aRun); }
   // Removes a loss after the worker has returned without a restart.
   void RemoveLoss(RunNumber aRun) { mLosses.erase(aRun); }
-  // Counts a run whose worker has crashed. Returns false when the run has been
-  // counted before. Unconfirmed starts count less.
-  bool AddCrash(RunNumber aRun, CrashEvidence aEvidence);
+  // Counts a confirmed run whose worker has crashed. Returns false when the run
+  // has been counted before.
+  bool AddCrash(RunNumber aRun, Crash aCrash);
+  // Raises the evidence of a crash, after other failures have been explained.
+  // Returns true when it has become more.
+  bool RaiseEvidence(RunNumber aRun, CrashEvidence aEvidence);
+  // Forgets everything, after a run that outlasted the probation.
+  void Clear();
 
   // True when the task may have caused the loss of a worker.
-  bool IsSuspected() const
-  {
-    return !mRuns.empty() || !mUnconfirmedRuns.empty() || !mLosses.empty();
-  }
+  bool IsSuspected() const { return !mCrashes.empty() || !mLosses.empty(); }
+  // True when the task should start alone on a worker next, so that a crash, or
+  // its absence, shows whether the task is the cause.
+  bool NeedsIsolation() const;
   // True when the task must not be started again.
   bool IsGivenUp() const;
+  // True when a crash of the worker is evidence against the task. Another crash
+  // there adds nothing.
+  bool HasEvidenceOn(const WorkerId& aWorker) const;
+  // True when the worker has crashed under the task.
+  bool HasCrashed(const WorkerId& aWorker) const;
+  // The workers that crashed under the task.
+  std::set<WorkerId> Workers() const;
   // The confirmed runs that ended in a crash of the worker.
-  const std::set<RunNumber>& Runs() const { return mRuns; }
+  const std::map<RunNumber, Crash>& Crashes() const { return mCrashes; }
 
 private:
-  std::set<RunNumber> mRuns;
-  std::set<RunNumber> mUnconfirmedRuns;
+  // Number of workers whose crashes show at least the given evidence.
+  std::size_t CountWorkers(CrashEvidence aMinimum) const;
+
+  std::map<RunNumber, Crash> mCrashes;
   std::set<RunNumber> mLosses;
-  // Only the task's own job can have caused a crash after the first one.
-  bool mCrashedAgainAlone = false;
 };
 
 } // namespace oriolevane::crashes
--- a/src/crashes/tests/main.cpp
+++ b/src/crashes/tests/main.cpp
@@ -9,5 +9,6 @@
     aCount,
     aArguments,
     { { "placement", oriolevane::CrashPlacementTests },
-      { "task crashes", oriolevane::TaskCrashesTests } });
+      { "task crashes", oriolevane::TaskCrashesTests },
+      { "worker failures", oriolevane::WorkerFailuresTests } });
 }
--- a/src/crashes/tests/taskcrashes_test.cpp
+++ b/src/crashes/tests/taskcrashes_test.cpp
@@ -1,5 +1,8 @@
 #include "crashes/taskcrashes.h"
 
+#include <string>
+#include <vector>
+
 #include "crashes/tests/testgroups.h"
 
 namespace oriolevane {
@@ -7,66 +10,83 @@
 using testing::Section;
 using namespace crashes;
 
+namespace {
+
+constexpr auto kNone = CrashEvidence::Inconclusive;
+constexpr auto kLone = CrashEvidence::LoneCrash;
+constexpr auto kSound = CrashEvidence::LoneCrashInSoundCell;
+
+// The crashes of runs with the given evidence, each on a worker of its own.
+TaskCrashes
+CrashesWith(const std::vector<CrashEvidence>& aEvidence)
+{
+  TaskCrashes crashes;
+  std::uint64_t run = 0;
+  for (const CrashEvidence evidence : aEvidence) {
+    ++run;
+    crashes.AddCrash(RunNumber(run),
+                     { .mWorker = WorkerId("w" + std::to_string(run)),
+                       .mEvidence = evidence });
+  }
+  return crashes;
+}
+
 void
-TaskCrashesTests(Section& aRoot)
+DescribeGivenUp(Section& aRoot)
 {
   aRoot.Describe("a task", [](Section& aSection) {
-    aSection.It("is given up at the second crash if it was alone", [] {
-      // Guards against a task that is given up for one crash, or never.
-      TaskCrashes crashes;
-      CPPUNIT_ASSERT(!crashes.IsSuspected());
-      CPPUNIT_ASSERT(crashes.AddCrash(RunNumber(1), CrashEvidence::OneJob));
-      CPPUNIT_ASSERT(crashes.IsSuspected());
-      CPPUNIT_ASSERT(!crashes.IsGivenUp());
-      CPPUNIT_ASSERT(crashes.AddCrash(RunNumber(2), CrashEvidence::OneJob));
-      CPPUNIT_ASSERT(crashes.IsGivenUp());
+    // Guards against a task that is given up for two crashes, or never.
+    aSection.It("is given up at the third crash in a sound cell", [] {
+      CPPUNIT_ASSERT(!CrashesWith({ kSound, kSound }).IsGivenUp());
+      CPPUNIT_ASSERT(CrashesWith({ kSound, kSound, kSound }).IsGivenUp());
+      CPPUNIT_ASSERT(CrashesWith({ kSound, kNone, kSound }).IsGivenUp());
+      CPPUNIT_ASSERT(!CrashesWith({ kSound, kNone, kLone }).IsGivenUp());
     });
-    aSection.It("is given up at the third crash beside other jobs", [] {
-      // Guards against innocent tasks that are given up beside a deadly one.
-      TaskCrashes crashes;
-      crashes.AddCrash(RunNumber(1), CrashEvidence::OneJob);
-      crashes.AddCrash(RunNumber(2), CrashEvidence::SeveralJobs);
-      CPPUNIT_ASSERT(!crashes.IsGivenUp());
-      crashes.AddCrash(RunNumber(4), CrashEvidence::SeveralJobs);
-      CPPUNIT_ASSERT(crashes.IsGivenUp());
+    aSection.It("is given up for more evidence in another cell", [] {
+      CPPUNIT_ASSERT(!CrashesWith({ kLone, kLone, kNone, kNone }).IsGivenUp());
+      CPPUNIT_ASSERT(CrashesWith({ kLone, kLone, kLone }).IsGivenUp());
+      CPPUNIT_ASSERT(
+        CrashesWith({ kNone, kNone, kNone, kLone, kLone }).IsGivenUp());
     });
-    aSection.It("may have failed with others only at the same time", [] {
-      // Guards against tasks that are given up for the loss of a rack.
-      using namespace std::chrono_literals;
-      const TimePoint time(1000s);
-      CPPUNIT_ASSERT(MayHaveFailedTogether(time, time + 800ms));
-      CPPUNIT_ASSERT(MayHaveFailedTogether(time + 800ms, time));
-      CPPUNIT_ASSERT(!MayHaveFailedTogether(time, time + 3s));
+    // Guards against innocent tasks that are given up for crashes beside them.
+    aSection.It("is never given up without evidence", [] {
+      CPPUNIT_ASSERT(!CrashesWith(std::vector(40, kNone)).IsGivenUp());
     });
-    aSection.It("counts a crash once, however often it is seen", [] {
-      // Guards against a crash that the registry and a report both show.
+    // Guards against tasks that are given up for one bad worker.
+    aSection.It("is never given up for the crashes of one worker", [] {
       TaskCrashes crashes;
-      CPPUNIT_ASSERT(crashes.AddCrash(RunNumber(1), CrashEvidence::OneJob));
-      CPPUNIT_ASSERT(!crashes.AddCrash(RunNumber(1), CrashEvidence::OneJob));
+      for (std::uint64_t run = 1; run < 9; ++run) {
+        crashes.AddCrash(RunNumber(run),
+                         { .mWorker = WorkerId("w"), .mEvidence = kSound });
+      }
       CPPUNIT_ASSERT(!crashes.IsGivenUp());
     });
-    aSection.It("is given up at the fifth crash if starts are unconfirmed", [] {
-      // Guards against jobs that fail for orders to workers that were gone.
-      TaskCrashes crashes({ RunNumber(1) });
-      for (const RunNumber run : { RunNumber(2), RunNumber(3), RunNumber(4) }) {
-        crashes.AddCrash(run, CrashEvidence::UnconfirmedStart);
-        CPPUNIT_ASSERT(!crashes.IsGivenUp());
-      }
-      crashes.AddCrash(RunNumber(5), CrashEvidence::UnconfirmedStart);
-      CPPUNIT_ASSERT(crashes.IsGivenUp());
+    // Guards against a crash that the registry and a report both show.
+    aSection.It("counts a crash once, however often it is seen", [] {
+      TaskCrashes crashes;
+      CPPUNIT_ASSERT(crashes.AddCrash(RunNumber(1), { .mEvidence = kSound }));
+      CPPUNIT_ASSERT(!crashes.AddCrash(RunNumber(1), { .mEvidence = kSound }));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, crashes.Crashes().size());
     });
+    // Guards against a count that begins again at each takeover.
     aSection.It("keeps the crashes that an earlier owner recorded", [] {
-      // Guards against a count that begins again at each takeover.
-      TaskCrashes crashes({ RunNumber(1), RunNumber(2) });
+      TaskCrashes crashes(CrashesWith({ kSound, kNone }).Crashes());
       CPPUNIT_ASSERT(crashes.IsSuspected());
-      CPPUNIT_ASSERT(!crashes.IsGivenUp());
-      crashes.AddCrash(RunNumber(1001), CrashEvidence::SeveralJobs);
+      crashes.AddCrash(RunNumber(1001),
+                       { .mWorker = WorkerId("v"), .mEvidence = kSound });
       CPPUNIT_ASSERT(crashes.IsGivenUp());
-      CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, crashes.Runs().size());
     });
+  });
+}
+
+void
+DescribeSuspicion(Section& aRoot)
+{
+  aRoot.Describe("a suspected task", [](Section& aSection) {
+    // Guards against tasks that are given up for workers that were cut off.
     aSection.It("is suspected only while its worker may have crashed", [] {
-      // Guards against tasks that are given up for workers that were cut off.
       TaskCrashes crashes;
+      CPPUNIT_ASSERT(!crashes.IsSuspected());
       for (const RunNumber run : { RunNumber(1), RunNumber(2), RunNumber(3) }) {
         crashes.AddLoss(run);
         CPPUNIT_ASSERT(crashes.IsSuspected());
@@ -74,9 +94,34 @@
         crashes.RemoveLoss(run);
         CPPUNIT_ASSERT(!crashes.IsSuspected());
       }
-      CPPUNIT_ASSERT(crashes.Runs().empty());
+      CPPUNIT_ASSERT(crashes.Crashes().empty());
+    });
+    aSection.It("is isolated after two crashes or losses", [] {
+      TaskCrashes crashes = CrashesWith({ kNone });
+      CPPUNIT_ASSERT(!crashes.NeedsIsolation());
+      crashes.AddLoss(RunNumber(7));
+      CPPUNIT_ASSERT(crashes.NeedsIsolation());
+    });
+    // Guards against crashes that add up over the life of a service.
+    aSection.It("is not suspected after a run that has lasted", [] {
+      TaskCrashes crashes = CrashesWith({ kSound, kSound });
+      crashes.AddLoss(RunNumber(7));
+      crashes.Clear();
+      CPPUNIT_ASSERT(!crashes.IsSuspected());
+      crashes.AddCrash(RunNumber(9),
+                       { .mWorker = WorkerId("v"), .mEvidence = kSound });
+      CPPUNIT_ASSERT(!crashes.IsGivenUp());
     });
   });
 }
 
+} // namespace
+
+void
+TaskCrashesTests(Section& aRoot)
+{
+  DescribeGivenUp(aRoot);
+  DescribeSuspicion(aRoot);
+}
+
 } // namespace oriolevane
--- a/src/crashes/tests/testgroups.h
+++ b/src/crashes/tests/testgroups.h
@@ -10,4 +10,7 @@
 void
 TaskCrashesTests(testing::Section& aRoot);
 
+void
+WorkerFailuresTests(testing::Section& aRoot);
+
 } // namespace oriolevane
--- a/src/jobs/cellscheduler.cpp
+++ b/src/jobs/cellscheduler.cpp
@@ -46,7 +46,7 @@
   if (mImpl->mCell.mConfigured) {
     mImpl->ApplyPolicies(aNow);
   }
-  mImpl->mCrashHandler.Recover(aNow);
+  mImpl->mCrashHandler.Recover();
   mImpl->mRecoveryFinished = aRecords.mJobs.empty();
 }
 
@@ -123,9 +123,15 @@
 CellScheduler::RegisterWorker(const WorkerEntry& aEntry, const Moment& aNow)
 {
   CellState& cell = mImpl->mCell;
-  if (cell.mFleet.Register(aEntry, aNow.mSteady)) {
-    Worker& worker = *cell.mFleet.Find(aEntry.mId);
-    mImpl->mCrashHandler.CountLosses(worker, CrashProof::Restarted, aNow);
+  const bool added = cell.mFleet.Find(aEntry.mId) == nullptr;
+  const bool restarted = cell.mFleet.Register(aEntry, aNow.mSteady);
+  Worker& worker = *cell.mFleet.Find(aEntry.mId);
+  if (added) {
+    mImpl->mCrashHandler.OnWorkerAdded(worker);
+  }
+  if (restarted) {
+    mImpl->mCrashHandler.OnRestarted(worker);
+    mImpl->mCrashHandler.ResolveLosses(worker, aNow);
     mImpl->mAdvice.RemoveWorker(&worker);
   }
 }
@@ -255,6 +261,7 @@
 CellScheduler::Advance(const Moment& aNow)
 {
   CellState& cell = mImpl->mCell;
+  cell.mWorkerFailures.Observe(aNow.mSteady);
   if (aNow.mSteady >= mImpl->mNextUpkeep) {
     mImpl->mNextUpkeep = aNow.mSteady + kUpkeepInterval;
     mImpl->mWorkerAnswerHandler.ConcludeLosses(aNow);
@@ -302,6 +309,7 @@
   counts.mLongRunningWaits = mImpl->mDispatcher.Waits();
   counts.mWorkerTrials = mImpl->mDispatcher.Trials();
   counts.mEntryWaits = mImpl->mDispatcher.WorkerEntryWaits();
+  counts.mIsolationWaits = mImpl->mCell.mIsolatedStarts.Waits();
   return counts;
 }
 
--- a/src/jobs/cellscheduler.h
+++ b/src/jobs/cellscheduler.h
@@ -12,6 +12,7 @@
 #include "jobs/recordwritequeue.h"
 #include "jobs/types/cellconfiguration.h"
 #include "jobs/types/entrywaits.h"
+#include "jobs/types/isolationwaits.h"
 #include "jobs/types/jobrecord.h"
 #include "jobs/types/longrunningwaits.h"
 #include "jobs/types/orders.h"
@@ -72,6 +73,7 @@
   LongRunningWaits mLongRunningWaits;
   WorkerTrials mWorkerTrials;
   EntryWaits mEntryWaits;
+  IsolationWaits mIsolationWaits;
   // The teams of the configuration.
   std::vector<TeamCounts> mTeams;
 };
--- a/src/jobs/internal/cellstate.h
+++ b/src/jobs/internal/cellstate.h
@@ -1,7 +1,9 @@
 // The state that the components of a scheduler share.
 #pragma once
 
+#include "crashes/workerfailures.h"
 #include "jobs/internal/fleet.h"
+#include "jobs/internal/isolatedstarts.h"
 #include "jobs/internal/jobtable.h"
 #include "jobs/internal/ownership.h"
 #include "jobs/internal/speedpreference.h"
@@ -21,6 +23,7 @@
     , mJobs(mWriteQueue, aOptions.mJobLimits)
     , mFleet(mOptions, mOwnership, mWriteQueue)
     , mTeams(mOptions)
+    , mIsolatedStarts(mWorkerFailures)
   {
   }
 
@@ -43,6 +46,8 @@
   Fleet mFleet;
   TeamAccounts mTeams;
   SpeedPreference mSpeedPreference;
+  crashes::WorkerFailures mWorkerFailures;
+  IsolatedStarts mIsolatedStarts;
   // Number of hosts that can query the policy service at the same time.
   std::size_t mQueryHosts = 1;
   // Requests a placement pass, after a change that may allow tasks to start.
--- a/src/jobs/internal/dispatcher.cpp
+++ b/src/jobs/internal/dispatcher.cpp
@@ -16,6 +16,9 @@
 // Nothing is started when this node may renew leases for less than this time,
 // as the new runs might soon lose their lease.
 constexpr std::chrono::milliseconds kMinLeaseToStart = 1500ms;
+// A step with a task that waits to be isolated is tried again after
+// this long.
+constexpr std::chrono::milliseconds kIsolationRetryDelay = 50ms;
 // Once a gang has waited for this long, single tasks with ample slack are
 // limited to a share of the workers.
 constexpr std::chrono::milliseconds kGangWaitThreshold = 500ms;
@@ -36,6 +39,7 @@
   mCell.mTeams.BeginPass(mCell.mFleet);
   std::vector<Candidate> candidates = mCandidates.Collect(aNow, aReconciled);
   mNow = aNow.mSteady;
+  mCell.mIsolatedStarts.BeginPass(mCell.mFleet.Workers().size(), mNow);
   mGangReservations.BeginPass(mNow);
   LimitSingleTasks(candidates);
   mCell.mSpeedPreference.BeginPass(mCandidates.GangDemand(), mUsable.Cores());
@@ -189,6 +193,15 @@
     .mPreferFast = mCell.mSpeedPreference.PrefersFast(*aCandidate.mJob,
                                                       aCandidate.mKey.mStep)
   };
+  const JobId& job = aCandidate.mJob->Id();
+  const StartRule rule =
+    mCell.mIsolatedStarts.RuleFor(aCandidate.mKey, spec, aTask);
+  mAwaitsIsolation = rule == StartRule::Nowhere;
+  if (mAwaitsIsolation) {
+    mCapacityWithheld = true;
+    return nullptr;
+  }
+  const WorkerId* worthHolding = nullptr;
   EligibleWorker* best = nullptr;
   double bestCost = 0;
   for (EligibleWorker& choice : aEligible) {
@@ -206,13 +219,29 @@
       mCapacityWithheld = true;
       continue;
     }
-    const double cost = PlacementCost(worker, spec, costs) +
-                        CrashRiskCost(worker, aCandidate.mJob->Id(), aTask);
+    if (!mCell.mIsolatedStarts.Allows(job, worker.Id())) {
+      mCapacityWithheld = true;
+      continue;
+    }
+    if (!mCell.mIsolatedStarts.Suits(rule, job, aTask, worker)) {
+      mCapacityWithheld = true;
+      mAwaitsIsolation = true;
+      if (!aTask.mCrashes.HasEvidenceOn(worker.Id())) {
+        worthHolding = &worker.Id();
+      }
+      continue;
+    }
+    const double cost =
+      PlacementCost(worker, spec, costs) + CrashRiskCost(worker, job, aTask);
     if (best == nullptr || cost < bestCost) {
       best = &choice;
       bestCost = cost;
     }
   }
+  if (best == nullptr && worthHolding != nullptr &&
+      rule == StartRule::Isolated) {
+    mCell.mIsolatedStarts.Hold(job, *worthHolding);
+  }
   return best;
 }
 
@@ -247,6 +276,13 @@
       ChooseWorker(aCandidate, tasks[index], eligible);
     if (choice == nullptr) {
       RecordFailedAttempt(*aCandidate.mStep);
+      if (tasks[index].mCrashes.IsSuspected()) {
+        aCandidate.mStep->mNotBefore = mNow + kIsolationRetryDelay;
+      }
+      if (mAwaitsIsolation) {
+        // The other tasks of the step need not wait for this one.
+        continue;
+      }
       return;
     }
     if (!aCandidate.mStep->HasRuns() && aCandidate.mStep->mSucceeded == 0) {
@@ -365,6 +401,10 @@
       .With("worker", aChoice.mWorker->Id());
   }
   aCandidate.mStep->mNoRoomSince.reset();
+  mCell.mIsolatedStarts.OnStarting(aCandidate.mKey,
+                                   *aCandidate.mStep,
+                                   aCandidate.mStep->mTasks[aIndex],
+                                   *aChoice.mWorker);
   mGangReservations.RecordPlacement(aChoice.mWorker, spec);
   mRuns.Start(*aCandidate.mJob,
               task,
--- a/src/jobs/internal/dispatcher.h
+++ b/src/jobs/internal/dispatcher.h
@@ -95,6 +95,8 @@
   // A worker with room was passed over in the current attempt, because its
   // capacity is withheld for gangs.
   bool mCapacityWithheld = false;
+  // The last task that found no worker waits to start apart from other jobs.
+  bool mAwaitsIsolation = false;
   TimePoint mNow;
   // Since when nothing is started; nothing while tasks may start.
   std::optional<TimePoint> mSuspendedSince;
--- a/src/jobs/internal/fleet.cpp
+++ b/src/jobs/internal/fleet.cpp
@@ -254,6 +254,7 @@
     aWorker.mPollWanted = true;
   }
   aWorker.mClock = ClockReading{ .mWorkerTime = aTime, .mReadAt = aNow };
+  aWorker.mLastAnswerAt = aNow;
 }
 
 std::optional<WorkerTime>
--- a/src/jobs/internal/job.h
+++ b/src/jobs/internal/job.h
@@ -32,6 +32,17 @@
   Running
 };
 
+// What is known of a run whose worker may have crashed.
+struct RunAtCrash
+{
+  // When the worker last answered before.
+  TimePoint mLastAnswer;
+  // The worker had confirmed the start.
+  bool mConfirmed = false;
+  // The run was in its probation, and no run of another job on the worker was.
+  bool mMayBeCause = false;
+};
+
 // One execution of a task on a worker. It occupies the worker's capacity until
 // its end is known.
 struct Run
@@ -68,21 +79,19 @@
   bool mLongRunning = false;
   // The task was suspected of crashing its workers when the run was added.
   bool mSuspected = false;
-  // What is known of the cause of a crash of the worker. Nothing unless the
-  // worker has restarted since it was ordered to start the run, and for a
-  // worker that was draining.
-  std::optional<crashes::CrashEvidence> mInterrupted;
+  // Nothing unless the worker has restarted since it was ordered to start the
+  // run, and for a worker that was draining.
+  std::optional<RunAtCrash> mInterrupted;
 
   bool IsUncertain() const
   {
     return mPhase == RunPhase::Uncertain || mAbsentSince.has_value();
   }
-  // What a crash with the given evidence for confirmed runs says of this one.
-  crashes::CrashEvidence Evidence(crashes::CrashEvidence aConfirmed) const
+  bool IsConfirmed() const { return mConfirmedAt != TimePoint(); }
+  // True unless the worker has had the run for longer than the probation.
+  bool IsYoung(TimePoint aNow) const
   {
-    return mConfirmedAt == TimePoint()
-             ? crashes::CrashEvidence::UnconfirmedStart
-             : aConfirmed;
+    return !IsConfirmed() || aNow - mConfirmedAt < crashes::kProbation;
   }
 };
 
@@ -96,8 +105,9 @@
   WorkerId mWorker;
   // The incarnation that had the run.
   WorkerIncarnation mIncarnation;
-  // What is known of the cause if the worker has crashed.
-  crashes::CrashEvidence mEvidence = crashes::CrashEvidence::SeveralJobs;
+  // The crash, if the worker has crashed; nothing for a start that the worker
+  // did not confirm, as it may have crashed before it.
+  std::optional<crashes::Crash> mCrash;
 };
 
 // The state of one task of a step.
@@ -145,7 +155,8 @@
   std::optional<TimePoint> mNoRoomSince;
   // When the wait is logged next, if it is too long.
   TimePoint mNextWaitReport;
-  // No task is started before this time, because a worker refused a start.
+  // No task is started before this time, because a worker refused a start or a
+  // task waits to be isolated.
   TimePoint mNotBefore;
   StepAdvice mAdvice;
   // Run times of the tasks that have succeeded, with their workers; not for
--- a/src/jobs/internal/placementcost.cpp
+++ b/src/jobs/internal/placementcost.cpp
@@ -11,6 +11,9 @@
 // Added to the cost of workers on which a suspected task could take other jobs
 // down with it. It is more than all other terms of usual workers.
 constexpr double kCrashRiskCost = 1000.0;
+// Added to the cost of workers that crashed under the task before. A crash of
+// another worker tells more about the task.
+constexpr double kRepeatedCrashCost = 500.0;
 // The cost of a run time that is longer by its own amount, for tasks that
 // should end soon. It outweighs how full workers are.
 constexpr double kRunTimeCost = 6.0;
@@ -57,9 +60,14 @@
   if (!suspected && aWorker.mSuspectedRuns == 0) {
     return 0;
   }
-  return crashes::AvoidsWorker(suspected, aWorker.RunsOfOthers(aJob))
-           ? kCrashRiskCost
-           : 0;
+  double cost = 0;
+  if (crashes::AvoidsWorker(suspected, aWorker.RunsOfOthers(aJob))) {
+    cost += kCrashRiskCost;
+  }
+  if (aTask.mCrashes.HasCrashed(aWorker.Id())) {
+    cost += kRepeatedCrashCost;
+  }
+  return cost;
 }
 
 } // namespace oriolevane::jobs
--- a/src/jobs/internal/placementcost.h
+++ b/src/jobs/internal/placementcost.h
@@ -22,7 +22,8 @@
               const StepSpec& aSpec,
               const PlacementCostOptions& aOptions);
 
-// The cost of placing a suspected task beside other jobs.
+// The cost of placing a suspected task beside other jobs, or again on a worker
+// that crashed under it.
 double
 CrashRiskCost(const Worker& aWorker, const JobId& aJob, const Task& aTask);
 
--- a/src/jobs/internal/runtracker.cpp
+++ b/src/jobs/internal/runtracker.cpp
@@ -202,7 +202,9 @@
     });
   }
   mCell.mTeams.RemoveRun(*aRun);
+  const JobId id = aRun->mTask.mStep.mJob;
   aWorker.RemoveRun(aRun);
+  mCell.mIsolatedStarts.OnRunEnded(id, aWorker);
   if (orphan) {
     aWorker.mHasUnknownLoad =
       std::any_of(aWorker.mRuns.begin(),
--- a/src/jobs/internal/stepprogress.cpp
+++ b/src/jobs/internal/stepprogress.cpp
@@ -10,22 +10,21 @@
 HasNoProgress(const Task& aTask)
 {
   return !aTask.mSucceeded && aTask.mFailedRuns.empty() &&
-         aTask.mCheckpoint.empty() && aTask.mCrashes.Runs().empty() &&
+         aTask.mCheckpoint.empty() && aTask.mCrashes.Crashes().empty() &&
          aTask.mLostRuns.empty();
 }
 
-// Starts that the worker did not confirm are left out, as they count less.
+// Starts that the worker did not confirm are left out, as they never count.
 std::vector<LostRunProgress>
 LostRunsOf(const Task& aTask)
 {
   std::vector<LostRunProgress> runs;
   for (const auto& [run, lost] : aTask.mLostRuns) {
-    if (lost.mEvidence != crashes::CrashEvidence::UnconfirmedStart) {
-      runs.push_back(
-        { .mRun = run,
-          .mWorker = lost.mWorker,
-          .mIncarnation = lost.mIncarnation,
-          .mOnlyJob = lost.mEvidence == crashes::CrashEvidence::OneJob });
+    if (lost.mCrash.has_value()) {
+      runs.push_back({ .mRun = run,
+                       .mWorker = lost.mWorker,
+                       .mIncarnation = lost.mIncarnation,
+                       .mEvidence = lost.mCrash->mEvidence });
     }
   }
   return runs;
@@ -50,7 +49,7 @@
                                 .mFailedRuns = task.mFailedRuns,
                                 .mLastRun = task.mLastRun,
                                 .mCheckpoint = task.mCheckpoint,
-                                .mCrashedRuns = task.mCrashes.Runs(),
+                                .mCrashes = task.mCrashes.Crashes(),
                                 .mLostRuns = LostRunsOf(task) });
   }
   return progress;
@@ -71,15 +70,14 @@
     task.mFailedRuns = saved.mFailedRuns;
     task.mLastRun = saved.mLastRun;
     task.mCheckpoint = saved.mCheckpoint;
-    task.mCrashes = crashes::TaskCrashes(saved.mCrashedRuns);
+    task.mCrashes = crashes::TaskCrashes(saved.mCrashes);
     for (const LostRunProgress& lost : saved.mLostRuns) {
       task.mCrashes.AddLoss(lost.mRun);
       task.mLostRuns[lost.mRun] = { .mWorker = lost.mWorker,
                                     .mIncarnation = lost.mIncarnation,
-                                    .mEvidence =
-                                      lost.mOnlyJob
-                                        ? crashes::CrashEvidence::OneJob
-                                        : crashes::CrashEvidence::SeveralJobs };
+                                    .mCrash = crashes::Crash{
+                                      .mWorker = lost.mWorker,
+                                      .mEvidence = lost.mEvidence } };
     }
   }
   aStep.mSucceeded = static_cast<int>(std::count_if(
--- a/src/jobs/internal/worker.cpp
+++ b/src/jobs/internal/worker.cpp
@@ -40,7 +40,6 @@
 void
 Worker::InterruptRuns()
 {
-  const crashes::CrashEvidence evidence = Evidence();
   for (const RunPointer& run : mRuns) {
     run->mPhase = RunPhase::Uncertain;
     // A later process that does not list the run has not got it.
@@ -49,24 +48,38 @@
     }
     run->mAbsentSince.reset();
     if (!mEntry.mDraining && !run->mInterrupted.has_value()) {
-      run->mInterrupted = run->Evidence(evidence);
+      run->mInterrupted = StateAtCrash(*run);
     }
   }
 }
 
 bool
-Worker::HasRunsOfSeveralJobs() const
+Worker::HasYoungRunsOfOthers(const JobId& aJob, TimePoint aNow) const
 {
-  return !mRuns.empty() &&
-         RunsOfOthers(mRuns.front()->mTask.mStep.mJob).mHaveRuns;
+  return std::ranges::any_of(mRuns, [&aJob, aNow](const RunPointer& aRun) {
+    return aRun->mTask.mStep.mJob != aJob && aRun->IsYoung(aNow);
+  });
 }
 
-crashes::CrashEvidence
-Worker::Evidence() const
+RunAtCrash
+Worker::StateAtCrash(const Run& aRun) const
 {
-  return mFailedWithOthers || HasRunsOfSeveralJobs()
-           ? crashes::CrashEvidence::SeveralJobs
-           : crashes::CrashEvidence::OneJob;
+  if (!mLastAnswerAt.has_value()) {
+    return { .mConfirmed = aRun.IsConfirmed() };
+  }
+  const bool mayBeCause =
+    aRun.IsConfirmed() && !aRun.mAdopted && aRun.IsYoung(*mLastAnswerAt) &&
+    !HasYoungRunsOfOthers(aRun.mTask.mStep.mJob, *mLastAnswerAt);
+  return { .mLastAnswer = *mLastAnswerAt,
+           .mConfirmed = aRun.IsConfirmed(),
+           .mMayBeCause = mayBeCause };
+}
+
+void
+Worker::ClearSuspicion(Run& aRun)
+{
+  mSuspectedRuns -= aRun.mSuspected ? 1 : 0;
+  aRun.mSuspected = false;
 }
 
 crashes::OtherJobs
--- a/src/jobs/internal/worker.h
+++ b/src/jobs/internal/worker.h
@@ -59,14 +59,14 @@
   // The worker answered its last poll.
   bool mReachable = false;
   std::optional<ClockReading> mClock;
+  // When the worker last answered, in whatever incarnation; empty until it has.
+  std::optional<TimePoint> mLastAnswerAt;
   // When the start of the present incarnation became known; empty for the first
   // one that this owner knows.
   std::optional<TimePoint> mRestartKnownAt;
   WorkerLease mLease;
   // Some of the runs are absent from the worker's reports.
   bool mHasAbsentRuns = false;
-  // Another worker was found at this one's address.
-  bool mReplaced = false;
 
   // Polls that have been sent and not been answered yet. A long poll lets the
   // worker delay its answer.
@@ -91,9 +91,6 @@
   Resources mUsed;
   // Number of runs of suspected tasks.
   int mSuspectedRuns = 0;
-  // Another worker that had not only runs of the same job became unreachable at
-  // the same time.
-  bool mFailedWithOthers = false;
   // Runs of which it is not known yet whether they ended in a crash.
   std::vector<std::pair<TaskKey, RunNumber>> mLostRuns;
   // The worker has runs whose resources are not known.
@@ -120,9 +117,12 @@
   // may still end them, and the present one has those whose start orders were
   // still in flight; its next report shows which.
   void InterruptRuns();
-  bool HasRunsOfSeveralJobs() const;
-  // What is known of the cause, for a confirmed run, if the worker has crashed.
-  crashes::CrashEvidence Evidence() const;
+  // True when runs of other jobs than the given one are in their probation.
+  bool HasYoungRunsOfOthers(const JobId& aJob, TimePoint aNow) const;
+  // What is known of one of the runs if the worker has crashed.
+  RunAtCrash StateAtCrash(const Run& aRun) const;
+  // Notes that the task of a run is not suspected any more.
+  void ClearSuspicion(Run& aRun);
   // What the worker runs of other jobs than the given one.
   crashes::OtherJobs RunsOfOthers(const JobId& aJob) const;
   // True when the free capacity is known and sufficient.
--- a/src/jobs/internal/workeranswerhandler.cpp
+++ b/src/jobs/internal/workeranswerhandler.cpp
@@ -58,10 +58,6 @@
     worker->mReachable = false;
     mCrashHandler.OnUnreachable(*worker);
   }
-  if (aAnswer.mResult == OrderResult::OtherIncarnation) {
-    // This worker has left its address. It may still end its tasks.
-    worker->mReplaced = true;
-  }
   if (aAnswer.mResult == OrderResult::Fenced &&
       aPoll.mToken == worker->mToken) {
     mCell.NoteFenced(worker->Id(), aNow.mSteady);
@@ -85,20 +81,19 @@
       mAdvice.RemoveWorker(&aWorker);
       mCell.mFleet.BeginIncarnation(
         aWorker, *aReport.mIncarnation, aNow.mSteady);
+      mCrashHandler.OnRestarted(aWorker);
     }
     aWorker.mEntry.mIncarnation = *aReport.mIncarnation;
   }
   mCrashHandler.ResolveLosses(aWorker, aNow);
   if (!aWorker.mReachable) {
+    mCell.mWorkerFailures.NoteReturn(aWorker.Id());
     LogInfo("worker_reachable")
       .With("worker", aWorker.Id())
       .With("running", aReport.mRunning.size())
       .With("ended", aReport.mEnded.size());
   }
   aWorker.mReachable = true;
-  // The report shows what has become of the worker's runs.
-  aWorker.mReplaced = false;
-  aWorker.mFailedWithOthers = false;
   aWorker.mTokenSeen = std::max(aWorker.mTokenSeen, aPoll.mToken);
   mCell.mFleet.ReadClock(aWorker, aReport.mNow, aNow.mSteady);
   if (aPoll.mToken >= aWorker.mReconcilingToken) {
@@ -161,6 +156,7 @@
       mRuns.MarkRunning(*run, aNow.mSteady);
       run->mAbsentSince.reset();
       run->mProgress.Report(running.mPercent, aNow.mSteady);
+      mCrashHandler.OnRunPresent(aWorker, *run, aNow);
     } else {
       run = mRuns.Adopt(aWorker, running, aNow.mSteady);
     }
@@ -268,7 +264,10 @@
       aAnswer.mResult == OrderResult::TooLate ||
       aAnswer.mResult == OrderResult::NoRoom) {
     worker->mPollWanted = true;
-    worker->mReachable = false;
+    if (worker->mReachable) {
+      worker->mReachable = false;
+      mCrashHandler.OnUnreachable(*worker);
+    }
   }
   Job* job = mCell.mJobs.Find(aOrder.mTask.mStep.mJob);
   Step* step = job == nullptr ? nullptr
@@ -346,9 +345,6 @@
               .count());
     mCrashHandler.OnLeaseExpired(aWorker, aNow);
   }
-  if (aWorker.mReplaced) {
-    mCrashHandler.CountLosses(aWorker, CrashProof::AddressReused, aNow);
-  }
   aWorker.mReconciled = true;
 }
 
--- a/src/jobs/tests/fakecellchecks.cpp
+++ b/src/jobs/tests/fakecellchecks.cpp
@@ -184,7 +184,7 @@
                                           .mStep = step.mStep },
                                .mIndex = task.mIndex };
         mMissedCrashes[taskKey] -=
-          static_cast<int>(task.mCrashedRuns.size() + task.mLostRuns.size());
+          static_cast<int>(task.mCrashes.size() + task.mLostRuns.size());
       }
     }
   }
--- a/src/jobs/types/jobrecord.h
+++ b/src/jobs/types/jobrecord.h
@@ -4,11 +4,13 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "crashes/taskcrashes.h"
 #include "jobs/types/cellconfiguration.h"
 #include "jobs/types/jobspec.h"
 #include "jobs/types/jobstate.h"
@@ -43,8 +45,8 @@
   WorkerId mWorker;
   // The incarnation that had the run.
   WorkerIncarnation mIncarnation;
-  // Only the run's own job can have caused a crash.
-  bool mOnlyJob = false;
+  // What a crash would show.
+  crashes::CrashEvidence mEvidence = crashes::CrashEvidence::Inconclusive;
 };
 
 // The progress of one task.
@@ -58,7 +60,7 @@
   // Latest checkpoint; empty for none.
   std::string mCheckpoint;
   // Runs that ended in a crash of the worker.
-  std::set<RunNumber> mCrashedRuns;
+  std::map<RunNumber, crashes::Crash> mCrashes;
   std::vector<LostRunProgress> mLostRuns;
 };
 
