--- a/src/crashes/internal/taskcrashes.cpp
+++ b/src/crashes/internal/taskcrashes.cpp
@@ -20,10 +20,10 @@
 } // namespace
 
 bool
-TaskCrashes::AddCrash(RunNumber aRun, Crash aCrash)
+TaskCrashes::AddCrash(RunNumber aRun, const Crash& aCrash)
 {
   mLosses.erase(aRun);
-  return mCrashes.try_emplace(aRun, std::move(aCrash)).second;
+  return mCrashes.try_emplace(aRun, aCrash).second;
 }
 
 bool
--- a/src/crashes/taskcrashes.h
+++ b/src/crashes/taskcrashes.h
@@ -58,7 +58,7 @@
   void RemoveLoss(RunNumber aRun) { mLosses.erase(aRun); }
   // Counts a confirmed run whose worker has crashed. Returns false when the run
   // has been counted before.
-  bool AddCrash(RunNumber aRun, Crash aCrash);
+  bool AddCrash(RunNumber aRun, const Crash& aCrash);
   // Raises the evidence of a crash, after other failures have been explained.
   // Returns true when it has become more.
   bool RaiseEvidence(RunNumber aRun, CrashEvidence aEvidence);
--- a/src/crashes/tests/workerfailures_test.cpp
+++ b/src/crashes/tests/workerfailures_test.cpp
@@ -39,10 +39,8 @@
   return aFailures.EvidenceOf(kWorker, kCrash, {}, kCellSize);
 }
 
-} // namespace
-
 void
-WorkerFailuresTests(Section& aRoot)
+DescribeCrash(Section& aRoot)
 {
   aRoot.Describe("the crash of a worker", [](Section& aSection) {
     aSection.It("shows most when no other worker has failed", [] {
@@ -98,6 +96,11 @@
       CPPUNIT_ASSERT(EvidenceIn(failures) == CrashEvidence::Inconclusive);
     });
   });
+}
+
+void
+DescribeSilence(Section& aRoot)
+{
   aRoot.Describe("a worker that is silent", [](Section& aSection) {
     aSection.It("has not failed if it returns as it was", [] {
       WorkerFailures failures = ObservedFailures();
@@ -127,4 +130,13 @@
   });
 }
 
+} // namespace
+
+void
+WorkerFailuresTests(Section& aRoot)
+{
+  DescribeCrash(aRoot);
+  DescribeSilence(aRoot);
+}
+
 } // namespace oriolevane
