--- a/src/jobs/tests/failedjobs_test.cpp
+++ b/src/jobs/tests/failedjobs_test.cpp
@@ -44,7 +44,7 @@
     mCell.RunFor(200ms);
   }
 
-  void Submit(StepSpec aStep)
+  void Submit(const StepSpec& aStep)
   {
     const std::string job = "job" + std::to_string(mJobs++);
     mCell.Submit(job, SingleStepJob(aStep), MakeQueue());
