--- a/src/jobs/internal/isolatedstarts.cpp
+++ b/src/jobs/internal/isolatedstarts.cpp
@@ -16,13 +16,14 @@
 // How long a task waits to be isolated, by the number of its crashes.
 constexpr std::chrono::milliseconds kMaxWait = 15000ms;
 constexpr std::chrono::milliseconds kMaxWaitAfterManyCrashes = 60000ms;
-// The same while more tasks wait than can soon be isolated. Most of them have
-// been hit by what happens to the cell.
+// The same while more steps wait than can be isolated soon. Most of their tasks
+// did not cause the crashes then.
 constexpr std::chrono::milliseconds kMaxWaitInCrowd = 2000ms;
 constexpr std::chrono::milliseconds kMaxWaitAfterSeveralCrashesInCrowd =
   10000ms;
 constexpr std::chrono::milliseconds kMaxWaitAfterManyCrashesInCrowd = 30000ms;
-// As many steps per job that can be isolated at a time make a crowd.
+// Number of waiting steps, for each job that can be isolated at a time, above
+// which the shorter waits apply.
 constexpr std::size_t kStepsPerExclusionInCrowd = 4;
 // The longest wait of long-running tasks, which are missed meanwhile.
 constexpr std::chrono::milliseconds kMaxLongRunningWait = 3000ms;
@@ -35,11 +36,12 @@
 constexpr std::chrono::milliseconds kMaxConfirmation = 2000ms;
 // A wait is forgotten when the step has not been tried again for this long.
 constexpr std::chrono::milliseconds kWaitMemory = 1000ms;
-// One of so many workers may be kept for one job, and a few in small cells.
+// Number of workers in the cell for each job that may keep a worker for itself,
+// and the least number of such jobs.
 constexpr std::size_t kWorkersPerExclusion = 4;
 constexpr std::size_t kMinExclusions = 3;
-// One of so many workers may have an isolated task. The others show whether
-// workers crash anyway.
+// Number of workers in the cell for each one with an isolated task. The workers
+// without one show whether workers crash for other reasons.
 constexpr std::size_t kWorkersPerIsolation = 2;
 
 bool
